Frame: workspace, core vocabulary, platform interface

Cause: nothing exists yet; every part needs the same words and the same platform calls. Change: nine crates; core holds time, tiers, verdicts, names, configuration documents and their resolution, burn counts; platform holds the traits and HTTP clients for table service, object store and instance list; INTERFACES.md states the protocols. Ruled out: a dependency on a real table service's client, since the platform's own protocol is met against a stand-in.

--- /dev/null
+++ b/crates/core/src/config/catalog.rs
@@ -0,0 +1,171 @@
+//! The configuration in force: every workspace, resolved.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::config::document::{Document, Measure, Template, Values};
+use crate::config::resolve::{Problem, resolve};
+use crate::name;
+use crate::tier::Tier;
+
+/// A workspace with every parameter filled in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Workspace {
+    /// The workspace's name.
+    pub name: name::Workspace,
+    /// The tier that it has bought.
+    pub tier: Tier,
+    /// The classes that it may send.
+    pub classes: BTreeMap<name::Class, Class>,
+    /// SHA-256 of each of its keys, in hexadecimal.
+    pub keys: Vec<String>,
+}
+
+/// A class with every parameter filled in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Models and plain services that the class may use.
+    pub targets: Vec<name::Target>,
+    /// The latency target.
+    pub target: Millis,
+    /// What the latency target measures.
+    pub measure: Measure,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Whether a request may be deferred.
+    pub deferrable: bool,
+    /// Weight among the workspace's classes.
+    pub weight: u64,
+}
+
+/// All documents of one revision, with what they resolve to.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    revision: u64,
+    templates: BTreeMap<String, Arc<Template>>,
+    values: BTreeMap<String, Arc<Values>>,
+    workspaces: BTreeMap<String, Arc<Workspace>>,
+    by_key: HashMap<String, Arc<Workspace>>,
+}
+
+impl Catalog {
+    /// The revision of the newest change within.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The workspace that a key's SHA-256, in hexadecimal, belongs to.
+    pub fn by_key(&self, digest: &str) -> Option<&Arc<Workspace>> {
+        self.by_key.get(digest)
+    }
+
+    /// A workspace by name.
+    pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
+    }
+
+    /// All workspaces, by name.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.values()
+    }
+
+    /// A document by its row key.
+    pub fn document(&self, key: &str) -> Option<Document> {
+        let (kind, name) = key.split_once('/')?;
+        match kind {
+            "template" => Some(Document::Template(Template::clone(
+                self.templates.get(name)?,
+            ))),
+            "workspace" => Some(Document::Workspace(Values::clone(self.values.get(name)?))),
+            _ => None,
+        }
+    }
+
+    /// All documents, templates first.
+    pub fn documents(&self) -> impl Iterator<Item = Document> {
+        let templates = self
+            .templates
+            .values()
+            .map(|template| Document::Template(Template::clone(template)));
+        let values = self
+            .values
+            .values()
+            .map(|values| Document::Workspace(Values::clone(values)));
+        templates.chain(values)
+    }
+
+    /// What the change would break; empty if it can be accepted.
+    pub fn check(&self, document: &Document) -> Vec<Problem> {
+        match document {
+            Document::Template(template) => self
+                .values
+                .values()
+                .filter(|values| values.template == template.name)
+                .filter_map(|values| resolve(template, values).err())
+                .flatten()
+                .collect(),
+            Document::Workspace(values) => match self.templates.get(&values.template) {
+                Some(template) => resolve(template, values).err().unwrap_or_default(),
+                None => vec![Problem::NoTemplate {
+                    workspace: values.name.clone(),
+                    template: values.template.clone(),
+                }],
+            },
+        }
+    }
+
+    /// Applies the change of one revision; an old revision changes nothing.
+    ///
+    /// Returns whether the change was applied.
+    pub fn apply(&mut self, revision: u64, document: Document) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        self.revision = revision;
+        match document {
+            Document::Template(template) => self.put_template(template),
+            Document::Workspace(values) => self.put_values(values),
+        }
+        true
+    }
+
+    fn put_template(&mut self, template: Template) {
+        let name = template.name.clone();
+        self.templates.insert(name.clone(), Arc::new(template));
+        let affected: Vec<_> = self
+            .values
+            .values()
+            .filter(|values| values.template == name)
+            .cloned()
+            .collect();
+        for values in affected {
+            self.resolve_workspace(&values);
+        }
+    }
+
+    fn put_values(&mut self, values: Values) {
+        let values = Arc::new(values);
+        self.values.insert(values.name.clone(), Arc::clone(&values));
+        self.resolve_workspace(&values);
+    }
+
+    fn resolve_workspace(&mut self, values: &Values) {
+        if let Some(old) = self.workspaces.remove(&values.name) {
+            for key in &old.keys {
+                self.by_key.remove(key);
+            }
+        }
+        let Some(template) = self.templates.get(&values.template) else {
+            return;
+        };
+        let Ok(workspace) = resolve(template, values) else {
+            return;
+        };
+        let workspace = Arc::new(workspace);
+        for key in &workspace.keys {
+            self.by_key.insert(key.clone(), Arc::clone(&workspace));
+        }
+        self.workspaces.insert(values.name.clone(), workspace);
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,11 @@
+//! The decisions of woodgap as pure code: no sockets, no threads, no clock reads.
+//!
+//! Time, random numbers, messages and the platform's answers enter as values;
+//! what comes out is a value that the caller carries out.
+
+pub mod burn;
+pub mod clock;
+pub mod config;
+pub mod name;
+pub mod tier;
+pub mod verdict;
--- /dev/null
+++ b/crates/core/src/name.rs
@@ -0,0 +1,123 @@
+//! Names of the things that woodgap decides about, each a type of its own.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name {
+    ($(#[$documentation:meta])* $type:ident) => {
+        $(#[$documentation])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $type(Arc<str>);
+
+        impl $type {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $type {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $type {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl Borrow<str> for $type {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(formatter)
+            }
+        }
+    };
+}
+
+name! {
+    /// An entry instance, by the name in its settings.
+    Entry
+}
+name! {
+    /// An endpoint instance: a model engine or a plain service.
+    Endpoint
+}
+name! {
+    /// A data centre.
+    DataCentre
+}
+name! {
+    /// A workspace.
+    Workspace
+}
+name! {
+    /// A request class.
+    Class
+}
+name! {
+    /// What a request asks for: a model, or a plain service.
+    Target
+}
+
+/// A pool: the endpoints of one data centre that serve one target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Pool {
+    /// The model or plain service.
+    pub target: Target,
+    /// The data centre of its endpoints.
+    pub data_centre: DataCentre,
+}
+
+/// One life of an entry: a restart gives the same entry a larger number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// One request as one entry knows it; unique across the fleet and over time.
+///
+/// ```
+/// use woodgap_core::name::{Incarnation, Request};
+///
+/// let request = Request { incarnation: Incarnation(0xab), sequence: 7 };
+/// assert_eq!(request.to_string(), "00000000000000ab-7");
+/// assert_eq!(Request::parse("00000000000000ab-7"), Some(request));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Request {
+    /// The life of the entry that took the request. Incarnations are drawn so
+    /// that no two entries share one.
+    pub incarnation: Incarnation,
+    /// Counts the requests of that life.
+    pub sequence: u64,
+}
+
+impl Request {
+    /// Reads what `Display` writes.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (incarnation, sequence) = text.split_once('-')?;
+        let incarnation = u64::from_str_radix(incarnation, 16).ok()?;
+        let sequence = sequence.parse().ok()?;
+        Some(Self {
+            incarnation: Incarnation(incarnation),
+            sequence,
+        })
+    }
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}-{}", self.incarnation.0, self.sequence)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/endpoint.rs
@@ -0,0 +1,63 @@
+//! What an endpoint offers beside requests: load report, cancel and orders.
+
+use serde::{Deserialize, Serialize};
+use woodgap_core::clock::Millis;
+
+use crate::instance::State;
+
+/// Path of the load report: `GET` returns a [`Load`].
+pub const LOAD_PATH: &str = "/control/load";
+/// Path of cancellations: `POST` takes a [`Cancel`].
+pub const CANCEL_PATH: &str = "/control/cancel";
+/// Path of orders: `POST` takes an [`Order`]; `GET` returns the [`Wanted`] in force.
+pub const ORDER_PATH: &str = "/control/order";
+
+/// Header that carries the run's identity to an endpoint; the answer repeats it.
+pub const REQUEST_HEADER: &str = "x-woodgap-request";
+/// Header that carries the engine priority, 0 (first) to 9 (last).
+pub const PRIORITY_HEADER: &str = "x-woodgap-priority";
+/// Header that asks an engine to go on after an offset: the standard one of server-sent events.
+pub const RESUME_HEADER: &str = "last-event-id";
+
+/// An endpoint's report of its load, which may be seconds old.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Age of the figures.
+    pub age: Millis,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting inside the endpoint.
+    pub queued: u32,
+    /// Requests that run side by side at full speed.
+    pub slots: u32,
+    /// Tokens (or calls) a second over the last seconds.
+    pub tokens_per_second: f64,
+    /// Whether the endpoint knows that it is leaving.
+    pub state: State,
+}
+
+/// Stops a run at an endpoint; one that is not there is no error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cancel {
+    /// The run's identity, as in [`REQUEST_HEADER`].
+    pub request: String,
+}
+
+/// The state wanted of an endpoint; orders are whole states, so repeating one is harmless.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanted {
+    /// Models to hold, with adapters as `model+adapter` and versions as `model@version`.
+    pub models: Vec<String>,
+    /// The role: `serve`, `prefill`, `decode` or `idle`.
+    pub role: String,
+}
+
+/// An order under a fencing number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Grows with each holder of the pool's lease. Endpoints that check it answer
+    /// 409 to a lower one than they have seen.
+    pub fence: u64,
+    /// The state wanted.
+    pub wanted: Wanted,
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,207 @@
+//! The platform's services over HTTP.
+
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::http::StatusCode;
+use awc::{Client, ClientResponse};
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+use crate::instance::{self, Instance, List};
+use crate::object::{self, Condition, Object, Store};
+use crate::table::{self, Outcome, Place, Read, Row, Scan, Table, Transaction};
+
+/// The largest answer that is read, in bytes: a full scan of small rows fits.
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+
+/// A client of the table service, the object store and the instance list.
+#[derive(Clone)]
+pub struct Platform {
+    client: Client,
+    base: String,
+}
+
+impl Platform {
+    /// A client of the platform at this base URL; every call ends within the timeout.
+    pub fn new(base: &str, timeout: Duration) -> Self {
+        let client = Client::builder().timeout(timeout).finish();
+        Self {
+            client,
+            base: base.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        question: &Q,
+    ) -> Result<A, Error> {
+        let url = format!("{}{path}", self.base);
+        let response = self
+            .client
+            .post(url)
+            .send_json(question)
+            .await
+            .map_err(|error| sent(&error))?;
+        let body = body(response, &[]).await?;
+        decode(&body)
+    }
+}
+
+impl Table for Platform {
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> LocalBoxFuture<'a, Result<Outcome, Error>> {
+        Box::pin(self.call(table::TRANSACT_PATH, transaction))
+    }
+
+    fn read<'a>(
+        &'a self,
+        places: &'a [Place],
+    ) -> LocalBoxFuture<'a, Result<Vec<Option<Row>>, Error>> {
+        Box::pin(async move {
+            let question = Read {
+                places: places.to_vec(),
+            };
+            self.call(table::READ_PATH, &question).await
+        })
+    }
+
+    fn scan<'a>(&'a self, scan: &'a Scan) -> LocalBoxFuture<'a, Result<Vec<Row>, Error>> {
+        Box::pin(self.call(table::SCAN_PATH, scan))
+    }
+}
+
+impl Store for Platform {
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        body: Bytes,
+        condition: Condition<'a>,
+    ) -> LocalBoxFuture<'a, Result<object::Outcome, Error>> {
+        Box::pin(async move {
+            let mut request = self.client.put(self.object_url(key));
+            match condition {
+                Condition::Always => {}
+                Condition::Absent => request = request.insert_header(("If-None-Match", "*")),
+                Condition::Tag(tag) => request = request.insert_header(("If-Match", quoted(tag))),
+            }
+            let response = request
+                .send_body(body)
+                .await
+                .map_err(|error| sent(&error))?;
+            if response.status() == StatusCode::PRECONDITION_FAILED {
+                return Ok(object::Outcome::Conflict);
+            }
+            let tag = tag(&response);
+            self::body(response, &[]).await?;
+            Ok(object::Outcome::Written(tag))
+        })
+    }
+
+    fn get<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<Object>, Error>> {
+        Box::pin(async move {
+            let response = self
+                .client
+                .get(self.object_url(key))
+                .send()
+                .await
+                .map_err(|error| sent(&error))?;
+            if response.status() == StatusCode::NOT_FOUND {
+                return Ok(None);
+            }
+            let tag = tag(&response);
+            let body = body(response, &[]).await?;
+            Ok(Some(Object { body, tag }))
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<(), Error>> {
+        Box::pin(async move {
+            let response = self
+                .client
+                .delete(self.object_url(key))
+                .send()
+                .await
+                .map_err(|error| sent(&error))?;
+            body(response, &[StatusCode::NOT_FOUND]).await?;
+            Ok(())
+        })
+    }
+}
+
+impl Platform {
+    fn object_url(&self, key: &str) -> String {
+        format!("{}{}{key}", self.base, object::PATH)
+    }
+}
+
+impl List for Platform {
+    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Instance>, Error>> {
+        Box::pin(async move {
+            let url = format!("{}{}", self.base, instance::PATH);
+            let response = self
+                .client
+                .get(url)
+                .send()
+                .await
+                .map_err(|error| sent(&error))?;
+            decode(&body(response, &[]).await?)
+        })
+    }
+}
+
+fn quoted(tag: &str) -> String {
+    format!("\"{tag}\"")
+}
+
+fn tag<S>(response: &ClientResponse<S>) -> String {
+    let header = response
+        .headers()
+        .get("etag")
+        .and_then(|value| value.to_str().ok());
+    header.unwrap_or_default().trim_matches('"').to_owned()
+}
+
+async fn body<S>(mut response: ClientResponse<S>, also_good: &[StatusCode]) -> Result<Bytes, Error>
+where
+    S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let status = response.status();
+    let body = response
+        .body()
+        .limit(BODY_LIMIT)
+        .await
+        .map_err(|error| Error::Unknown(error.to_string()))?;
+    if status.is_success() || also_good.contains(&status) {
+        return Ok(body);
+    }
+    let text = format!("{status}: {}", String::from_utf8_lossy(&body));
+    match status {
+        // By the interface, 503 and 429 say that nothing was done.
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            Err(Error::Unavailable(text))
+        }
+        status if status.is_client_error() => Err(Error::Rejected(text)),
+        _ => Err(Error::Unknown(text)),
+    }
+}
+
+fn decode<A: DeserializeOwned>(body: &[u8]) -> Result<A, Error> {
+    serde_json::from_slice(body)
+        .map_err(|error| Error::Unknown(format!("unreadable answer: {error}")))
+}
+
+/// A call that never left this process did nothing; any other may have.
+fn sent(error: &SendRequestError) -> Error {
+    match error {
+        SendRequestError::Connect(_) => Error::Unavailable(error.to_string()),
+        SendRequestError::Url(_) => Error::Rejected(error.to_string()),
+        _ => Error::Unknown(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! What woodgap needs of the platform: traits, message shapes and HTTP clients.
+//!
+//! `docs/INTERFACES.md` states the protocols; the contract tests run against
+//! our own stand-in.
+
+pub mod clock;
+pub mod endpoint;
+pub mod error;
+pub mod http;
+pub mod instance;
+pub mod object;
+pub mod table;
+
+pub use error::Error;
