core: instances, and a control machine with the baseline policy

Cause: the pure machine needs the shapes of instances and load reports, which stood in platform; and the thin path needs a first policy to dispatch by. Change: shapes moved to core (platform re-exports them); control::Machine turns events into actions; Alone is the baseline that later policies are measured against: each entry for itself, first come first served, two random choices by load report. Ruled out: writing permits first, since nothing runs yet to measure them on.

--- /dev/null
+++ b/crates/core/src/control.rs
@@ -0,0 +1,12 @@
+//! The control side of one entry: one machine that turns events into actions.
+
+pub mod action;
+pub mod alone;
+pub mod directory;
+pub mod event;
+pub mod machine;
+
+pub use action::{Action, Grant, Refusal};
+pub use directory::Directory;
+pub use event::{Ask, Done, Event, Outcome};
+pub use machine::Machine;
--- /dev/null
+++ b/crates/core/src/control/action.rs
@@ -0,0 +1,41 @@
+//! What the machine wants done.
+
+use std::net::SocketAddr;
+
+use crate::clock::Millis;
+use crate::name;
+
+/// Leave to send a request to an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The request.
+    pub request: name::Request,
+    /// Names the permit when it is given back.
+    pub permit: u64,
+    /// The endpoint.
+    pub endpoint: name::Endpoint,
+    /// Where the endpoint takes requests.
+    pub address: SocketAddr,
+    /// The priority inside the engine, 0 (first) to 9 (last).
+    pub priority: u8,
+}
+
+/// Why a request was refused; none of them ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Shed: the waiting list is full. Come back after the span.
+    Overloaded(Millis),
+    /// No endpoint serves the target now.
+    NoEndpoint,
+}
+
+/// Something to carry out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Give a local request its endpoint.
+    Grant(Grant),
+    /// Refuse a local request.
+    Refuse(name::Request, Refusal),
+    /// Ask an endpoint for its load, and report the answer as an event.
+    Probe(name::Endpoint, SocketAddr),
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod burn;
 pub mod clock;
 pub mod config;
+pub mod control;
+pub mod instance;
 pub mod name;
 pub mod tier;
 pub mod verdict;
--- a/crates/platform/src/endpoint.rs
+++ b/crates/platform/src/endpoint.rs
@@ -1,9 +1,7 @@
 //! What an endpoint offers beside requests: load report, cancel and orders.
 
 use serde::{Deserialize, Serialize};
-use woodgap_core::clock::Millis;
-
-use crate::instance::State;
+pub use woodgap_core::instance::Load;
 
 /// Path of the load report: `GET` returns a [`Load`].
 pub const LOAD_PATH: &str = "/control/load";
@@ -19,23 +17,6 @@
 /// Header that asks an engine to go on after an offset: the standard one of server-sent events.
 pub const RESUME_HEADER: &str = "last-event-id";
 
-/// An endpoint's report of its load, which may be seconds old.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Load {
-    /// Age of the figures.
-    pub age: Millis,
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting inside the endpoint.
-    pub queued: u32,
-    /// Requests that run side by side at full speed.
-    pub slots: u32,
-    /// Tokens (or calls) a second over the last seconds.
-    pub tokens_per_second: f64,
-    /// Whether the endpoint knows that it is leaving.
-    pub state: State,
-}
-
 /// Stops a run at an endpoint; one that is not there is no error.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cancel {
