Shapes of the operators' calls

The entries and woodgap-ctl are written at the same time and must agree on the bodies under /admin/v1. Left to each side, the shapes would be stated twice; a crate of their own was ruled out, since they name core's documents, tiers and verdicts and nothing else. woodgap_core::admin holds paths and bodies.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time, random numbers, messages and the platform's answers enter as values;
 //! what comes out is a value that the caller carries out.
 
+pub mod admin;
 pub mod burn;
 pub mod clock;
 pub mod config;
