entry: the whole path, thin

Cause: a request must reach an endpoint and come back before anything is decided well. Change: callers' routes, request life cycle with states, relay of events with offsets checked, supervised control thread around the pure machine, configuration by compare-and-set and polling, operators' routes, logs, metrics, counts. Ruled out: forwarding the engine's bytes unread, since offsets and the last chunk must be checked before the mark of completeness is passed on.

--- /dev/null
+++ b/crates/entry/src/control/handle.rs
@@ -0,0 +1,80 @@
+//! How the other threads reach the control thread.
+
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use woodgap_core::control::{Ask, Event, Grant, Refusal};
+use woodgap_core::name;
+
+use crate::control::actor::{Actor, Place, Tell};
+use crate::supervisor::Branch;
+
+/// Wait before asking again after the control branch ended under an ask.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
+
+/// The answer to an ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A place at an endpoint.
+    Grant(Grant),
+    /// Refused; the request did not run.
+    Refuse(Refusal),
+}
+
+/// Reaches the control actor, whichever life of it is running.
+#[derive(Clone)]
+pub struct Handle {
+    branch: Branch<Actor>,
+}
+
+impl Handle {
+    /// A handle of a supervised control actor.
+    pub fn new(branch: Branch<Actor>) -> Self {
+        Self { branch }
+    }
+
+    /// Asks for a place and waits for the answer, over restarts of the control branch.
+    ///
+    /// Dropping the future withdraws the ask.
+    pub async fn ask(&self, ask: Ask) -> Answer {
+        let mut withdrawal = Withdrawal {
+            handle: self,
+            request: Some(ask.request),
+        };
+        loop {
+            if let Some(answer) = self.ask_once(ask.clone()).await {
+                withdrawal.request = None;
+                return answer;
+            }
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+
+    async fn ask_once(&self, ask: Ask) -> Option<Answer> {
+        let address = self.branch.address()?;
+        let (reply, answer) = oneshot::channel();
+        address.do_send(Place { ask, reply });
+        answer.await.ok()
+    }
+
+    /// Tells the machine of an event; lost if the control branch is restarting.
+    pub fn tell(&self, event: Event) {
+        if let Some(address) = self.branch.address() {
+            address.do_send(Tell(event));
+        }
+    }
+}
+
+/// Withdraws an ask that is dropped before its answer.
+struct Withdrawal<'a> {
+    handle: &'a Handle,
+    request: Option<name::Request>,
+}
+
+impl Drop for Withdrawal<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            self.handle.tell(Event::Withdraw(request));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/endpoint.rs
@@ -0,0 +1,5 @@
+//! How requests reach endpoints.
+
+pub mod events;
+
+pub use events::{Chunk, Events};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,14 @@
-//! Stub.
+//! The entry daemon: takes callers' requests, asks for a place at an endpoint,
+//! sends them there and streams the answers back.
+
+pub mod admin;
+pub mod caller;
+pub mod configuration;
+pub mod control;
+pub mod endpoint;
+pub mod options;
+pub mod request;
+pub mod shared;
+pub mod start;
+pub mod supervisor;
+pub mod telemetry;
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,15 @@
+//! The life of one request, from its arrival to its end.
+
+pub mod account;
+pub mod call;
+pub mod ending;
+pub mod life;
+pub mod model;
+pub mod run;
+pub mod service;
+pub mod sink;
+
+pub use call::Call;
+pub use ending::{Code, Ending, Problem};
+pub use life::{Granted, Head, Received, Request};
+pub use sink::{Item, Sink};
--- /dev/null
+++ b/crates/entry/src/request/life.rs
@@ -0,0 +1,140 @@
+//! The states of a request; only the moves that make sense exist.
+
+use std::rc::Rc;
+
+use woodgap_core::clock::Millis;
+use woodgap_core::config::document::Measure;
+use woodgap_core::control::{Ask, Grant, Outcome};
+use woodgap_core::name;
+use woodgap_core::tier::Tier;
+
+use crate::control::{Answer, Permit};
+use crate::request::{Call, Problem};
+use crate::shared::Shared;
+
+/// What stays the same through a request's life.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// The request's name.
+    pub id: name::Request,
+    /// The workspace that sent it.
+    pub workspace: name::Workspace,
+    /// The workspace's tier when it came.
+    pub tier: Tier,
+    /// Its class.
+    pub class: name::Class,
+    /// The class's weight.
+    pub weight: u64,
+    /// The model or service.
+    pub target: name::Target,
+    /// When it came.
+    pub arrived: Millis,
+    /// The class's latency target.
+    pub latency: Millis,
+    /// What the target measures.
+    pub measure: Measure,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Hash of the prompt's start; 0 for none.
+    pub prefix: u64,
+    /// Hash of workspace and identity; 0 for none.
+    pub identity: u64,
+    /// What is sent to the endpoint.
+    pub call: Call,
+}
+
+/// A request in one of its states.
+pub struct Request<S> {
+    /// What stays the same.
+    pub head: Rc<Head>,
+    /// Endpoints that failed it.
+    avoid: Vec<name::Endpoint>,
+    /// Attempts that were sent to an endpoint.
+    attempts: u32,
+    state: S,
+}
+
+/// Waits for a place.
+pub struct Received;
+
+/// Has a place at an endpoint.
+pub struct Granted {
+    permit: Permit,
+}
+
+impl Request<Received> {
+    /// A request that has just come.
+    pub fn new(head: Head) -> Self {
+        Self {
+            head: Rc::new(head),
+            avoid: Vec::new(),
+            attempts: 0,
+            state: Received,
+        }
+    }
+
+    /// Asks for a place.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub async fn ask(self, shared: &Shared) -> Result<Request<Granted>, Problem> {
+        let head = &self.head;
+        let ask = Ask {
+            request: head.id,
+            target: head.target.clone(),
+            workspace: head.workspace.clone(),
+            tier: head.tier,
+            class: head.class.clone(),
+            weight: head.weight,
+            deadline: head.arrived + head.latency,
+            avoid: self.avoid.clone(),
+            prefix: head.prefix,
+            identity: head.identity,
+        };
+        match shared.control.ask(ask).await {
+            Answer::Grant(grant) => Ok(self.granted(grant, shared)),
+            Answer::Refuse(refusal) => Err(refusal.into()),
+        }
+    }
+
+    fn granted(self, grant: Grant, shared: &Shared) -> Request<Granted> {
+        let permit = Permit::new(grant, shared.control.clone(), shared.clock);
+        Request {
+            head: self.head,
+            avoid: self.avoid,
+            attempts: self.attempts + 1,
+            state: Granted { permit },
+        }
+    }
+}
+
+impl Request<Granted> {
+    /// The place, for the attempt that uses it.
+    pub fn permit(&mut self) -> &mut Permit {
+        &mut self.state.permit
+    }
+
+    /// Attempts so far, this one included.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Gives the place back after an attempt that failed; the request waits again.
+    pub fn failed(mut self, outcome: Outcome) -> Request<Received> {
+        let permit = self.state.permit;
+        self.avoid.push(permit.endpoint().clone());
+        permit.finish(outcome);
+        Request {
+            head: self.head,
+            avoid: self.avoid,
+            attempts: self.attempts,
+            state: Received,
+        }
+    }
+
+    /// Gives the place back for good.
+    pub fn finish(self, outcome: Outcome) {
+        self.state.permit.finish(outcome);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,80 @@
+//! What every part of one entry can reach.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use cadence::StatsdClient;
+use woodgap_core::burn;
+use woodgap_core::config::Catalog;
+use woodgap_core::instance::Instance;
+use woodgap_core::name;
+use woodgap_platform::clock::Clock;
+use woodgap_settings::entry::Entry as Settings;
+
+use crate::control::Handle;
+
+/// The state that threads share; what decides stands in the control thread.
+pub struct Shared {
+    /// The settings that the entry was started with.
+    pub settings: Settings,
+    /// This life of the entry.
+    pub incarnation: name::Incarnation,
+    /// The entry's clock.
+    pub clock: Clock,
+    /// The configuration in force; none until one is confirmed.
+    pub catalog: ArcSwapOption<Catalog>,
+    /// The live entries, for callers that ask which one to use.
+    pub entries: ArcSwap<Vec<Instance>>,
+    /// Asks for places at endpoints.
+    pub control: Handle,
+    /// Counts for the burn report.
+    pub counts: Mutex<burn::Ledger>,
+    /// Metrics.
+    pub metrics: StatsdClient,
+    stopping: AtomicBool,
+    sequence: AtomicU64,
+}
+
+impl Shared {
+    /// The state of an entry that has just started.
+    pub fn new(
+        settings: Settings,
+        incarnation: name::Incarnation,
+        control: Handle,
+        clock: Clock,
+        metrics: StatsdClient,
+    ) -> Self {
+        Self {
+            settings,
+            incarnation,
+            clock,
+            catalog: ArcSwapOption::empty(),
+            entries: ArcSwap::default(),
+            control,
+            counts: Mutex::default(),
+            metrics,
+            stopping: AtomicBool::new(false),
+            sequence: AtomicU64::new(0),
+        }
+    }
+
+    /// Names a new request.
+    pub fn next_request(&self) -> name::Request {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        name::Request {
+            incarnation: self.incarnation,
+            sequence,
+        }
+    }
+
+    /// Whether the entry takes no new work.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Takes no new work from now on.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/telemetry.rs
@@ -0,0 +1,4 @@
+//! Logs and metrics.
+
+pub mod logs;
+pub mod metrics;
