Settings files of entry and report, checked whole

An operator who edits a settings file should see everything that is wrong with it at once, with its place, and not one problem per start of the program. serde's errors stop at the first one and know no unknown key but the first, so deserialising straight into structs was ruled out; so was a schema file beside the code, which would state each key a second time. A small reader walks jsonc-parser's syntax tree, which keeps the ranges: a reading function asks for its keys by rule, and what it did not ask for is an unknown key, reported with the nearest known one. Duplicates, values out of bounds and values that do not go together are reported the same way.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,14 @@
-//! Stub.
+//! Settings files: JSON with comments, checked whole.
+//!
+//! A file is read to its end whatever is wrong with it, and every problem is
+//! reported at once with its place, the value found and what was expected.
+
+pub mod burn;
+pub mod entry;
+pub mod platform;
+pub mod problem;
+mod reader;
+mod rule;
+
+pub use platform::Platform;
+pub use problem::{Problem, Problems};
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,336 @@
+//! Pulls typed fields out of a parsed file; notes what is wrong and goes on.
+//!
+//! A reading function takes a [`Section`] and must ask for all of its keys
+//! before it returns: what was not asked for is an unknown key.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+
+use crate::problem::{Problem, Problems};
+use crate::rule::Rule;
+
+/// How alike an unknown key must be to a known one to be taken for it, from 0
+/// to 1: two typing errors in a short word still pass, another word does not.
+const LIKENESS: f64 = 0.75;
+
+/// JSON with `//` and `/* */` comments and trailing commas, and nothing more.
+const DIALECT: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_trailing_commas: true,
+    allow_loose_object_property_names: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// Reads a whole file by a reading function.
+pub fn read<T>(
+    text: &str,
+    file: &str,
+    reading: impl FnOnce(&Section) -> Option<T>,
+) -> Result<T, Problems> {
+    let report = Report {
+        text,
+        problems: RefCell::default(),
+    };
+    let result = report.read(reading);
+    let mut problems = report.problems.into_inner();
+    problems.sort_by_key(|problem| (problem.line, problem.column));
+    match result {
+        Some(value) if problems.is_empty() => Ok(value),
+        _ => Err(Problems {
+            file: file.to_owned(),
+            problems,
+        }),
+    }
+}
+
+/// The problems found so far, and the text that places them.
+struct Report<'t> {
+    text: &'t str,
+    problems: RefCell<Vec<Problem>>,
+}
+
+impl Report<'_> {
+    fn read<T>(&self, reading: impl FnOnce(&Section) -> Option<T>) -> Option<T> {
+        let parsed = match parse_to_ast(self.text, &CollectOptions::default(), &DIALECT) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                let found = format!("a syntax error ({})", error.kind());
+                self.add(error.range().start, "", found, "JSON with comments", "");
+                return None;
+            }
+        };
+        if let Some(Value::Object(object)) = &parsed.value {
+            return Section::new(self, String::new(), object.start(), Some(object)).run(reading);
+        }
+        let at = parsed.value.as_ref().map_or(0, Ranged::start);
+        let found = parsed.value.as_ref().map_or("nothing", kind);
+        self.add(at, "", found.to_owned(), "an object `{...}`", "");
+        None
+    }
+
+    fn add(&self, at: usize, path: &str, found: String, expected: &str, fix: &str) {
+        let (line, column) = place(self.text, at);
+        self.problems.borrow_mut().push(Problem {
+            line,
+            column,
+            path: path.to_owned(),
+            found,
+            expected: expected.to_owned(),
+            fix: fix.to_owned(),
+        });
+    }
+}
+
+/// Line and column of a byte, both counted from 1, the column in characters.
+fn place(text: &str, at: usize) -> (usize, usize) {
+    let before = &text[..at];
+    let line = before.matches('\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    (line, before[start..].chars().count() + 1)
+}
+
+/// One object of the file. A missing one reads like an empty one, so that its
+/// defaults apply and its required keys are reported.
+pub struct Section<'r> {
+    report: &'r Report<'r>,
+    path: String,
+    at: usize,
+    object: Option<&'r Object<'r>>,
+    known: RefCell<Vec<&'static str>>,
+}
+
+impl<'r> Section<'r> {
+    fn new(
+        report: &'r Report<'r>,
+        path: String,
+        at: usize,
+        object: Option<&'r Object<'r>>,
+    ) -> Self {
+        Self {
+            report,
+            path,
+            at,
+            object,
+            known: RefCell::default(),
+        }
+    }
+
+    fn run<T>(self, reading: impl FnOnce(&Self) -> T) -> T {
+        let result = reading(&self);
+        self.refuse_unknown();
+        self.refuse_duplicates();
+        result
+    }
+
+    /// A key that must be there.
+    pub fn required<T>(&self, key: &'static str, rule: &Rule<T>) -> Option<T> {
+        if self.value(key).is_none() {
+            let fix = if rule.fix.is_empty() {
+                format!("Add `{key}`.")
+            } else {
+                format!("Add `{key}`. {}", rule.fix)
+            };
+            self.add(self.at, key, "nothing".to_owned(), &rule.expected, &fix);
+        }
+        self.optional(key, rule)
+    }
+
+    /// A key that may be left out.
+    pub fn optional<T>(&self, key: &'static str, rule: &Rule<T>) -> Option<T> {
+        let value = self.value(key)?;
+        self.checked(&self.path_of(key), value, rule)
+    }
+
+    /// A key with a default.
+    pub fn or<T>(&self, key: &'static str, rule: &Rule<T>, default: T) -> T {
+        self.optional(key, rule).unwrap_or(default)
+    }
+
+    /// A list of plain values; none where it is left out.
+    pub fn list<T>(&self, key: &'static str, rule: &Rule<T>) -> Option<Vec<T>> {
+        let expected = format!("a list, each {}", rule.expected);
+        let elements = self.elements(key, &expected)?;
+        let read = |(index, value)| {
+            let path = format!("{}[{index}]", self.path_of(key));
+            self.checked(&path, value, rule)
+        };
+        Some(elements.iter().enumerate().filter_map(read).collect())
+    }
+
+    /// An object of plain values under names of the writer's choice.
+    pub fn map<T>(&self, key: &'static str, rule: &Rule<T>) -> BTreeMap<String, T> {
+        let Some(object) = self.object_at(key) else {
+            return BTreeMap::new();
+        };
+        let path = self.path_of(key);
+        let section = Section::new(self.report, path.clone(), object.start(), Some(object));
+        section.refuse_duplicates();
+        let read = |property: &'r ObjectProp<'r>| {
+            let name = property.name.as_str();
+            let value = self.checked(&format!("{path}.{name}"), &property.value, rule)?;
+            Some((name.to_owned(), value))
+        };
+        object.properties.iter().filter_map(read).collect()
+    }
+
+    /// An object with keys of its own; none where the value is something else.
+    pub fn within<T>(
+        &self,
+        key: &'static str,
+        reading: impl FnOnce(&Section<'r>) -> T,
+    ) -> Option<T> {
+        let object = match self.value(key) {
+            Some(_) => Some(self.object_at(key)?),
+            None => None,
+        };
+        let at = object.map_or(self.at, Ranged::start);
+        let section = Section::new(self.report, self.path_of(key), at, object);
+        Some(section.run(reading))
+    }
+
+    /// A list of objects, all read the same way; empty where it is left out.
+    pub fn each<T>(
+        &self,
+        key: &'static str,
+        reading: impl Fn(&Section<'r>) -> Option<T>,
+    ) -> Vec<T> {
+        let elements = self.elements(key, "a list of objects").unwrap_or_default();
+        let read = |(index, value)| {
+            let path = format!("{}[{index}]", self.path_of(key));
+            let object = self.object(&path, value)?;
+            Section::new(self.report, path, object.start(), Some(object)).run(&reading)
+        };
+        elements.iter().enumerate().filter_map(read).collect()
+    }
+
+    /// Notes that a key's value does not go with another one.
+    pub fn reject(&self, key: &'static str, found: String, expected: &str, fix: &str) {
+        let at = self.value(key).map_or(self.at, Ranged::start);
+        self.add(at, key, found, expected, fix);
+    }
+
+    /// The value of a key, which is thereby known.
+    fn value(&self, key: &'static str) -> Option<&'r Value<'r>> {
+        let mut known = self.known.borrow_mut();
+        if !known.contains(&key) {
+            known.push(key);
+        }
+        let properties = &self.object?.properties;
+        let property = properties.iter().find(|it| it.name.as_str() == key)?;
+        Some(&property.value)
+    }
+
+    fn checked<T>(&self, path: &str, value: &Value, rule: &Rule<T>) -> Option<T> {
+        let read = rule.read(value);
+        if read.is_none() {
+            let found = rule.describe(value);
+            self.report
+                .add(value.start(), path, found, &rule.expected, rule.fix);
+        }
+        read
+    }
+
+    fn elements(&self, key: &'static str, expected: &str) -> Option<&'r [Value<'r>]> {
+        let value = self.value(key)?;
+        if let Value::Array(array) = value {
+            return Some(&array.elements);
+        }
+        self.add(value.start(), key, kind(value).to_owned(), expected, "");
+        None
+    }
+
+    fn object_at(&self, key: &'static str) -> Option<&'r Object<'r>> {
+        self.object(&self.path_of(key), self.value(key)?)
+    }
+
+    fn object(&self, path: &str, value: &'r Value<'r>) -> Option<&'r Object<'r>> {
+        if let Value::Object(object) = value {
+            return Some(object);
+        }
+        let found = kind(value).to_owned();
+        self.report
+            .add(value.start(), path, found, "an object `{...}`", "");
+        None
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+
+    fn add(&self, at: usize, key: &str, found: String, expected: &str, fix: &str) {
+        self.report
+            .add(at, &self.path_of(key), found, expected, fix);
+    }
+
+    fn refuse_unknown(&self) {
+        let known = self.known.borrow();
+        for property in self.properties() {
+            let key = property.name.as_str();
+            if known.contains(&key) {
+                continue;
+            }
+            let expected = format!("one of the keys {}", known.join(", "));
+            let fix = nearest(key, &known)
+                .map(|near| format!("Did you mean `{near}`?"))
+                .unwrap_or_default();
+            self.add(
+                property.start(),
+                key,
+                "an unknown key".to_owned(),
+                &expected,
+                &fix,
+            );
+        }
+    }
+
+    fn refuse_duplicates(&self) {
+        let properties = self.properties();
+        for (index, property) in properties.iter().enumerate() {
+            let key = property.name.as_str();
+            let earlier = &properties[..index];
+            let Some(first) = earlier.iter().find(|it| it.name.as_str() == key) else {
+                continue;
+            };
+            let (line, _) = place(self.report.text, first.start());
+            let found = format!("the key again, after line {line}");
+            self.add(property.start(), key, found, "it once", "Remove one.");
+        }
+    }
+
+    fn properties(&self) -> &'r [ObjectProp<'r>] {
+        self.object.map_or(&[], |object| &object.properties)
+    }
+}
+
+fn nearest<'k>(key: &str, known: &[&'k str]) -> Option<&'k str> {
+    let likeness = |candidate: &str| strsim::jaro_winkler(key, candidate);
+    let best = known
+        .iter()
+        .max_by(|one, other| likeness(one).total_cmp(&likeness(other)))?;
+    (likeness(best) >= LIKENESS).then_some(best)
+}
+
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::StringLit(_) => "a text",
+        Value::NumberLit(_) => "a number",
+        Value::BooleanLit(_) => "a boolean",
+        Value::Object(_) => "an object",
+        Value::Array(_) => "a list",
+        Value::NullKeyword(_) => "null",
+    }
+}
