Burn report: table and JSON by tier and class

The report on service-level burn had no program yet. This first version reads the rows of a span of minutes, adds them up by tier and class and prints attainment, goodput, wasted share and budget burn. Windows, shifts, gaps and the plot are still missing; a failed page of the scan still fails the whole report.

--- a/crates/burn/src/main.rs
+++ b/crates/burn/src/main.rs
@@ -1,3 +1,8 @@
-//! Stub.
+//! `woodgap-burn`: the report on service-level burn.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    woodgap_burn::command::main().await
+}
--- /dev/null
+++ b/crates/burn/src/render.rs
@@ -0,0 +1,4 @@
+//! The report's forms.
+
+pub mod json;
+pub mod table;
