--- a/crates/core/src/control/action.rs
+++ b/crates/core/src/control/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::message::Message;
 use crate::name;
 
 /// Leave to send a request to an endpoint.
@@ -36,6 +37,8 @@
     Grant(Grant),
     /// Refuse a local request.
     Refuse(name::Request, Refusal),
+    /// Send a message to another entry.
+    Send(SocketAddr, Message),
     /// Ask an endpoint for its load, and report the answer as an event.
     Probe(name::Endpoint, SocketAddr),
 }
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::instance::{Instance, Load};
+use crate::message::Message;
 use crate::name;
 use crate::tier::Tier;
 
@@ -75,6 +76,8 @@
     Instances(Vec<Instance>),
     /// An endpoint was probed; none if it did not answer.
     Load(name::Endpoint, Option<Load>),
+    /// A message of another entry, named by the life that sent it.
+    Message(name::Incarnation, Message),
     /// An operator wants an instance to take no new work.
     Drain(String),
 }
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -48,6 +48,8 @@
             Event::Done(done) => self.alone.done(&done),
             Event::Instances(instances) => self.directory.update(&instances),
             Event::Load(endpoint, load) => self.directory.probed(now, &endpoint, load),
+            // TODO: entries do not talk to one another yet.
+            Event::Message(_, _) => {}
             Event::Drain(name) => self.directory.drain(&name),
         }
         self.alone.dispatch(&self.directory, &mut self.random, out);
--- /dev/null
+++ b/crates/core/src/membership/home.rs
@@ -0,0 +1,33 @@
+//! Which entry is home to a pool: rendezvous hashing over the active entries.
+
+use crate::membership::{Member, Members};
+use crate::name;
+
+impl Members {
+    /// The home of a pool: an active entry of the pool's data centre, or any
+    /// active one if there is none. Entries that see the same members agree;
+    /// when one goes, only its own pools move.
+    pub fn home(&self, pool: &name::Pool) -> Option<&Member> {
+        let near = self
+            .active()
+            .filter(|member| member.data_centre == pool.data_centre);
+        near.max_by_key(|member| score(member, pool))
+            .or_else(|| self.active().max_by_key(|member| score(member, pool)))
+    }
+}
+
+/// The member's score for a pool; by name, so that a restart keeps its pools.
+fn score(member: &Member, pool: &name::Pool) -> (u64, name::Entry) {
+    let mut hasher = blake3::Hasher::new();
+    for part in [
+        member.name.as_str(),
+        pool.target.as_str(),
+        pool.data_centre.as_str(),
+    ] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    (u64::from_le_bytes(bytes), member.name.clone())
+}
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,15 @@
+//! What entries say to one another; each part of the machine has its own kind.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{membership, permit};
+
+/// A message between two entries. Every kind is idempotent: the network may
+/// lose, repeat and reorder it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Who is alive.
+    Membership(membership::Message),
+    /// Places at endpoints.
+    Permit(permit::Message),
+}
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -64,6 +64,8 @@
             Action::Refuse(request, refusal) => {
                 self.reply(request, Answer::Refuse(refusal));
             }
+            // TODO: there is no socket to other entries yet.
+            Action::Send(_, _) => {}
             Action::Probe(endpoint, address) => self.probe(endpoint, address, context),
         }
     }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -165,7 +165,7 @@
 
 fn announce(address: SocketAddr, peer: SocketAddr, name: &name::Entry) {
     let ready = Ready {
-        ready: address,
+        address,
         peer,
         role: "entry",
         name,
