A request without a class gets one that may be repeated, if there is one

Ruled out: requiring the class header always, which existing clients do not send. Change: classes that may be repeated come first among those that serve the target.

--- a/crates/entry/src/caller/authority.rs
+++ b/crates/entry/src/caller/authority.rs
@@ -65,11 +65,15 @@
     pub fn class(&self, target: &str) -> Result<(&name::Class, &Class), Problem> {
         let serves = |class: &Class| class.targets.iter().any(|known| known.as_str() == target);
         let Some(wanted) = &self.class else {
-            let found = self
-                .workspace
-                .classes
-                .iter()
-                .find(|(_, class)| serves(class));
+            let classes = || {
+                self.workspace
+                    .classes
+                    .iter()
+                    .filter(|(_, class)| serves(class))
+            };
+            let found = classes()
+                .find(|(_, class)| class.repeatable)
+                .or_else(|| classes().next());
             return found.ok_or_else(|| unknown_target(target));
         };
         let Some((name, class)) = self.workspace.classes.get_key_value(wanted.as_str()) else {
