Configuration documents: reader, kinds of files, samples of both sites

Operators need the same reports for templates and workspaces as for settings; serde's derive on the documents names no place and stops at the first problem. Checking documents only where they are applied was ruled out: a typing error should not cost a call to an entry. The same reader now builds woodgap_core::config::Document, with parameters checked against the bounds of each field that refers to them, and tells the kinds of files apart by their keys. The reader's parsing half has its own file.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,11 +4,14 @@
 //! reported at once with its place, the value found and what was expected.
 
 pub mod burn;
+pub mod document;
 pub mod entry;
+pub mod kind;
 pub mod platform;
 pub mod problem;
 mod reader;
 mod rule;
 
+pub use kind::Kind;
 pub use platform::Platform;
 pub use problem::{Problem, Problems};
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -3,100 +3,40 @@
 //! A reading function takes a [`Section`] and must ask for all of its keys
 //! before it returns: what was not asked for is an unknown key.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
-use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 
-use crate::problem::{Problem, Problems};
-use crate::rule::Rule;
+use crate::problem::Problems;
+use crate::rule::{self, Rule};
+
+mod report;
+
+use report::{OBJECT, Report, kind};
 
 /// How alike an unknown key must be to a known one to be taken for it, from 0
 /// to 1: two typing errors in a short word still pass, another word does not.
 const LIKENESS: f64 = 0.75;
 
-/// JSON with `//` and `/* */` comments and trailing commas, and nothing more.
-const DIALECT: ParseOptions = ParseOptions {
-    allow_comments: true,
-    allow_trailing_commas: true,
-    allow_loose_object_property_names: false,
-    allow_missing_commas: false,
-    allow_single_quoted_strings: false,
-    allow_hexadecimal_numbers: false,
-    allow_unary_plus_numbers: false,
-    allow_bare_decimal_point_numbers: false,
-    allow_non_finite_numbers: false,
-    allow_extended_string_escapes: false,
-};
-
 /// Reads a whole file by a reading function.
 pub fn read<T>(
     text: &str,
     file: &str,
     reading: impl FnOnce(&Section) -> Option<T>,
 ) -> Result<T, Problems> {
-    let report = Report {
-        text,
-        problems: RefCell::default(),
-    };
-    let result = report.read(reading);
-    let mut problems = report.problems.into_inner();
-    problems.sort_by_key(|problem| (problem.line, problem.column));
-    match result {
-        Some(value) if problems.is_empty() => Ok(value),
-        _ => Err(Problems {
-            file: file.to_owned(),
-            problems,
-        }),
-    }
-}
-
-/// The problems found so far, and the text that places them.
-struct Report<'t> {
-    text: &'t str,
-    problems: RefCell<Vec<Problem>>,
-}
-
-impl Report<'_> {
-    fn read<T>(&self, reading: impl FnOnce(&Section) -> Option<T>) -> Option<T> {
-        let parsed = match parse_to_ast(self.text, &CollectOptions::default(), &DIALECT) {
-            Ok(parsed) => parsed,
-            Err(error) => {
-                let found = format!("a syntax error ({})", error.kind());
-                self.add(error.range().start, "", found, "JSON with comments", "");
-                return None;
-            }
-        };
-        if let Some(Value::Object(object)) = &parsed.value {
-            return Section::new(self, String::new(), object.start(), Some(object)).run(reading);
-        }
-        let at = parsed.value.as_ref().map_or(0, Ranged::start);
-        let found = parsed.value.as_ref().map_or("nothing", kind);
-        self.add(at, "", found.to_owned(), "an object `{...}`", "");
-        None
-    }
-
-    fn add(&self, at: usize, path: &str, found: String, expected: &str, fix: &str) {
-        let (line, column) = place(self.text, at);
-        self.problems.borrow_mut().push(Problem {
-            line,
-            column,
-            path: path.to_owned(),
-            found,
-            expected: expected.to_owned(),
-            fix: fix.to_owned(),
-        });
-    }
+    report::with_root(text, file, |report, object| {
+        Section::new(report, String::new(), object.start(), Some(object)).run(reading)
+    })
 }
 
-/// Line and column of a byte, both counted from 1, the column in characters.
-fn place(text: &str, at: usize) -> (usize, usize) {
-    let before = &text[..at];
-    let line = before.matches('\n').count() + 1;
-    let start = before.rfind('\n').map_or(0, |newline| newline + 1);
-    (line, before[start..].chars().count() + 1)
+/// The keys of the file's object, whatever they are.
+pub fn keys(text: &str, file: &str) -> Result<Vec<String>, Problems> {
+    report::with_root(text, file, |_, object| {
+        let names = object.properties.iter().map(|it| it.name.as_str());
+        Some(names.map(str::to_owned).collect())
+    })
 }
 
 /// One object of the file. A missing one reads like an empty one, so that its
@@ -107,6 +47,7 @@
     at: usize,
     object: Option<&'r Object<'r>>,
     known: RefCell<Vec<&'static str>>,
+    lenient: Cell<bool>,
 }
 
 impl<'r> Section<'r> {
@@ -122,6 +63,7 @@
             at,
             object,
             known: RefCell::default(),
+            lenient: Cell::new(false),
         }
     }
 
@@ -167,20 +109,23 @@
         Some(elements.iter().enumerate().filter_map(read).collect())
     }
 
+    /// A list of plain values that must be there and hold at least one.
+    pub fn required_list<T>(&self, key: &'static str, rule: &Rule<T>) -> Option<Vec<T>> {
+        let expected = format!("a list, each {}", rule.expected);
+        if self.value(key).is_none() {
+            let fix = format!("Add `{key}`.");
+            self.add(self.at, key, "nothing".to_owned(), &expected, &fix);
+        }
+        let list = self.list(key, rule)?;
+        if self.elements(key, &expected)?.is_empty() {
+            self.reject(key, "an empty list".to_owned(), &expected, "");
+        }
+        Some(list)
+    }
+
     /// An object of plain values under names of the writer's choice.
     pub fn map<T>(&self, key: &'static str, rule: &Rule<T>) -> BTreeMap<String, T> {
-        let Some(object) = self.object_at(key) else {
-            return BTreeMap::new();
-        };
-        let path = self.path_of(key);
-        let section = Section::new(self.report, path.clone(), object.start(), Some(object));
-        section.refuse_duplicates();
-        let read = |property: &'r ObjectProp<'r>| {
-            let name = property.name.as_str();
-            let value = self.checked(&format!("{path}.{name}"), &property.value, rule)?;
-            Some((name.to_owned(), value))
-        };
-        object.properties.iter().filter_map(read).collect()
+        self.members(key, |path, value| self.checked(&path, value, rule))
     }
 
     /// An object with keys of its own; none where the value is something else.
@@ -213,12 +158,36 @@
         elements.iter().enumerate().filter_map(read).collect()
     }
 
+    /// An object of objects under names of the writer's choice, each read the
+    /// same way.
+    pub fn each_named<T>(
+        &self,
+        key: &'static str,
+        reading: impl Fn(&Section<'r>) -> Option<T>,
+    ) -> BTreeMap<String, T> {
+        let read = |path: String, value| {
+            let object = self.object(&path, value)?;
+            Section::new(self.report, path, object.start(), Some(object)).run(&reading)
+        };
+        self.members(key, read)
+    }
+
+    /// Takes all keys for known ones, where too little is known to judge them.
+    pub fn accept_all(&self) {
+        self.lenient.set(true);
+    }
+
     /// Notes that a key's value does not go with another one.
     pub fn reject(&self, key: &'static str, found: String, expected: &str, fix: &str) {
         let at = self.value(key).map_or(self.at, Ranged::start);
         self.add(at, key, found, expected, fix);
     }
 
+    /// Whether a key is there, whatever its value; the key is thereby known.
+    pub fn has(&self, key: &'static str) -> bool {
+        self.value(key).is_some()
+    }
+
     /// The value of a key, which is thereby known.
     fn value(&self, key: &'static str) -> Option<&'r Value<'r>> {
         let mut known = self.known.borrow_mut();
@@ -230,6 +199,41 @@
         Some(&property.value)
     }
 
+    /// Reads each member of an object whose keys are names of the writer's choice.
+    fn members<T>(
+        &self,
+        key: &'static str,
+        read: impl Fn(String, &'r Value<'r>) -> Option<T>,
+    ) -> BTreeMap<String, T> {
+        let Some(object) = self.object_at(key) else {
+            return BTreeMap::new();
+        };
+        let section = Section::new(self.report, self.path_of(key), object.start(), Some(object));
+        section.refuse_duplicates();
+        let member = |property: &'r ObjectProp<'r>| {
+            let name = section.member_name(property)?;
+            let value = read(section.path_of(name), &property.value)?;
+            Some((name.to_owned(), value))
+        };
+        object.properties.iter().filter_map(member).collect()
+    }
+
+    fn member_name(&self, property: &'r ObjectProp<'r>) -> Option<&'r str> {
+        let name = property.name.as_str();
+        if rule::is_name(name) {
+            return Some(name);
+        }
+        let found = format!("the key {name:?}");
+        self.report.add(
+            property.start(),
+            &self.path,
+            found,
+            &rule::name().expected,
+            "",
+        );
+        None
+    }
+
     fn checked<T>(&self, path: &str, value: &Value, rule: &Rule<T>) -> Option<T> {
         let read = rule.read(value);
         if read.is_none() {
@@ -258,8 +262,7 @@
             return Some(object);
         }
         let found = kind(value).to_owned();
-        self.report
-            .add(value.start(), path, found, "an object `{...}`", "");
+        self.report.add(value.start(), path, found, OBJECT, "");
         None
     }
 
@@ -277,6 +280,9 @@
     }
 
     fn refuse_unknown(&self) {
+        if self.lenient.get() {
+            return;
+        }
         let known = self.known.borrow();
         for property in self.properties() {
             let key = property.name.as_str();
@@ -305,7 +311,7 @@
             let Some(first) = earlier.iter().find(|it| it.name.as_str() == key) else {
                 continue;
             };
-            let (line, _) = place(self.report.text, first.start());
+            let (line, _) = self.report.place(first.start());
             let found = format!("the key again, after line {line}");
             self.add(property.start(), key, found, "it once", "Remove one.");
         }
@@ -323,14 +329,3 @@
         .max_by(|one, other| likeness(one).total_cmp(&likeness(other)))?;
     (likeness(best) >= LIKENESS).then_some(best)
 }
-
-fn kind(value: &Value) -> &'static str {
-    match value {
-        Value::StringLit(_) => "a text",
-        Value::NumberLit(_) => "a number",
-        Value::BooleanLit(_) => "a boolean",
-        Value::Object(_) => "an object",
-        Value::Array(_) => "a list",
-        Value::NullKeyword(_) => "null",
-    }
-}
--- a/crates/settings/src/rule.rs
+++ b/crates/settings/src/rule.rs
@@ -29,7 +29,8 @@
 }
 
 impl<T> Rule<T> {
-    fn new(expected: impl Into<String>, read: impl Fn(&Value) -> Option<T> + 'static) -> Self {
+    /// A rule that accepts what the function reads.
+    pub fn new(expected: impl Into<String>, read: impl Fn(&Value) -> Option<T> + 'static) -> Self {
         Self {
             expected: expected.into(),
             fix: "",
@@ -93,16 +94,44 @@
     let expected = format!("a name of 1 to {NAME_LENGTH} of A-Z, a-z, 0-9, `.`, `_` and `-`");
     Rule::new(expected, |value| {
         let text = text_of(value)?;
-        let length = 1..=NAME_LENGTH;
-        let good = length.contains(&text.len()) && text.bytes().all(is_name_byte);
-        good.then(|| text.to_owned())
+        is_name(text).then(|| text.to_owned())
     })
 }
 
+/// Whether a text can be a name.
+pub fn is_name(text: &str) -> bool {
+    let length = 1..=NAME_LENGTH;
+    length.contains(&text.len()) && text.bytes().all(is_name_byte)
+}
+
 fn is_name_byte(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-')
 }
 
+/// What a class may use: a model, with adapter or version, or a plain service.
+pub fn target() -> Rule<String> {
+    let expected =
+        format!("a model or service, 1 to {NAME_LENGTH} of A-Z, a-z, 0-9 and `. _ - + @ : /`");
+    Rule::new(expected, |value| {
+        let text = text_of(value)?;
+        let length = 1..=NAME_LENGTH;
+        let fits = |byte| is_name_byte(byte) || matches!(byte, b'+' | b'@' | b':' | b'/');
+        (length.contains(&text.len()) && text.bytes().all(fits)).then(|| text.to_owned())
+    })
+}
+
+/// True or false.
+pub fn boolean() -> Rule<bool> {
+    Rule::new("true or false", |value| {
+        value.as_boolean_lit().map(|boolean| boolean.value)
+    })
+}
+
+/// Any text.
+pub fn text() -> Rule<String> {
+    Rule::new("a text", |value| text_of(value).map(str::to_owned))
+}
+
 /// A whole number within bounds, both included.
 pub fn whole<N>(least: N, most: N) -> Rule<N>
 where
--- a/crates/settings/tests/problems.rs
+++ b/crates/settings/tests/problems.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use rstest::rstest;
-use woodgap_settings::{Problems, burn, entry};
+use woodgap_settings::{Problems, burn, document, entry};
 
 #[rstest]
 fn entry_problems(#[files("tests/broken/entry-*.jsonc")] path: PathBuf) {
@@ -16,6 +16,11 @@
     report(&path, |text, file| burn::parse(text, file).err());
 }
 
+#[rstest]
+fn document_problems(#[files("tests/broken/document-*.json")] path: PathBuf) {
+    report(&path, |text, file| document::parse(text, file).err());
+}
+
 fn report(path: &PathBuf, parse: impl Fn(&str, &str) -> Option<Problems>) {
     let text = fs::read_to_string(path).unwrap();
     let file = path.file_name().unwrap().to_string_lossy();
--- a/crates/settings/tests/samples.rs
+++ b/crates/settings/tests/samples.rs
@@ -1,9 +1,11 @@
 //! Every sample file is valid.
 
-use std::path::PathBuf;
+use std::fs;
+use std::path::{Path, PathBuf};
 
 use rstest::rstest;
-use woodgap_settings::{burn, entry};
+use woodgap_core::config::{Catalog, Document};
+use woodgap_settings::{Kind, burn, document, entry};
 
 #[rstest]
 fn entry_sample(#[files("../../samples/*/entry-*.jsonc")] path: PathBuf) {
@@ -18,6 +20,38 @@
     assert!(burn.objectives.of("share-link") >= burn.objectives.default);
 }
 
+/// The documents of a site fit together, and are what serde makes of them.
+#[rstest]
+#[case("dublin", 4)]
+#[case("navarra-aragon", 4)]
+fn documents(#[case] site: &str, #[case] workspaces: usize) {
+    let site = Path::new("../../samples").join(site);
+    let mut catalog = Catalog::default();
+    let mut revision = 0;
+    for kind in ["templates", "workspaces"] {
+        for file in fs::read_dir(site.join(kind)).unwrap() {
+            let document = document::load(&file.unwrap().path()).unwrap();
+            let json = serde_json::to_value(&document).unwrap();
+            assert_eq!(serde_json::from_value::<Document>(json).unwrap(), document);
+            assert_eq!(catalog.check(&document), []);
+            revision += 1;
+            assert!(catalog.apply(revision, document));
+        }
+    }
+    assert_eq!(catalog.workspaces().count(), workspaces);
+}
+
+#[rstest]
+#[case("samples/dublin/entry-dub-a.jsonc", Some(Kind::Entry))]
+#[case("samples/navarra-aragon/burn.jsonc", Some(Kind::Burn))]
+#[case("samples/dublin/templates/family.json", Some(Kind::Document))]
+#[case("samples/dublin/workspaces/murphy.json", Some(Kind::Document))]
+#[case("rustfmt.toml", None)]
+fn kinds(#[case] file: &str, #[case] kind: Option<Kind>) {
+    let text = fs::read_to_string(Path::new("../..").join(file)).unwrap();
+    assert_eq!(Kind::of(&text, file).ok().flatten(), kind);
+}
+
 /// What a file that gives only the required keys gets.
 #[test]
 fn defaults() {
