platform: a connection closed under a sent call is an unknown outcome

Cause: awc reports a connection that closes before the answer as Connect(Disconnected), although the call was sent; the client took every Connect error for "nothing was done", so a write with a lost acknowledgement was reported as not done. Ruled out: taking all Connect errors as unknown, since the others come before anything is sent and the verdict "not done" is worth keeping for them. Change: Disconnected alone maps to Error::Unknown.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
@@ -200,6 +200,8 @@
 /// A call that never left this process did nothing; any other may have.
 fn sent(error: &SendRequestError) -> Error {
     match error {
+        // The client's name for a connection that was closed under a sent call.
+        SendRequestError::Connect(ConnectError::Disconnected) => Error::Unknown(error.to_string()),
         SendRequestError::Connect(_) => Error::Unavailable(error.to_string()),
         SendRequestError::Url(_) => Error::Rejected(error.to_string()),
         _ => Error::Unknown(error.to_string()),
