woodgap-load: open-loop load with checked answers

The measurements of tiers, bursts and faults need seeded arrivals that do not wait for answers, callers that retry as docs/INTERFACES.md tells them, and a check of each answer's text; no load tool found knows verdicts.

Ruled out: a closed loop of N callers, since it slows down with the fleet and hides its delays. Delays count from the time a request was due.

The change: arrivals (Poisson per class with bursts, rand_distr new among the dependencies), answer checker, server-sent events reader, retry rules, events file, report by class and tier, and `check` against the records of the stand-ins. Only loopback addresses are taken.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,9 @@
-//! Stub.
+//! Sends bounded load to entries on loopback, or cross-checks what it found.
 
-fn main() {}
+use std::process::ExitCode;
+
+use woodgap_load::command;
+
+fn main() -> ExitCode {
+    command::main()
+}
