--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,15 @@
 //! Time, random numbers, messages and the platform's answers enter as values;
 //! what comes out is a value that the caller carries out.
 
+pub mod admin;
 pub mod burn;
 pub mod clock;
 pub mod config;
+pub mod control;
+pub mod instance;
+pub mod membership;
+pub mod message;
 pub mod name;
+pub mod permit;
 pub mod tier;
 pub mod verdict;
