entry: record counts for the burn report

Cause: counts were kept in memory only, so the report had nothing to read. Change: a supervised branch writes the rows that burn::Recorder says are due, and the last ones with the mark of a clean end at a planned stop. Ruled out: a write per request (the table service takes several hundred a second for all).

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod endpoint;
 pub mod options;
+pub mod recording;
 pub mod request;
 pub mod shared;
 pub mod start;
--- /dev/null
+++ b/crates/entry/src/recording.rs
@@ -0,0 +1,94 @@
+//! Writes the counts for the burn report to the table service.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use actix::{AsyncContext, Context, WrapFuture};
+use woodgap_core::burn::{Recorder, Row, TABLE};
+use woodgap_core::clock::Millis;
+use woodgap_platform::http::Platform;
+use woodgap_platform::table::{Place, Table, Transaction};
+
+use crate::configuration::watcher::platform;
+use crate::shared::Shared;
+use crate::supervisor::Guard;
+
+/// How often the recorder is asked for rows.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Writes what the recorder says is due.
+pub struct Recording {
+    shared: Arc<Shared>,
+    _guard: Guard,
+}
+
+impl Recording {
+    /// The recording of this entry's counts.
+    pub fn new(shared: Arc<Shared>, guard: Guard) -> Self {
+        Self {
+            shared,
+            _guard: guard,
+        }
+    }
+}
+
+impl actix::Actor for Recording {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        let shared = Arc::clone(&self.shared);
+        context.spawn(keep_writing(shared).into_actor(self));
+    }
+}
+
+async fn keep_writing(shared: Arc<Shared>) {
+    let platform = platform(&shared);
+    loop {
+        let rows = with(&shared.counts, |recorder| recorder.due(shared.clock.unix()));
+        write(&shared, &platform, rows).await;
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+/// Writes the last rows, with the mark of a clean end, within the time given.
+pub async fn finish(shared: &Shared, within: Millis) {
+    let platform = platform(shared);
+    let rows = with(&shared.counts, |recorder| {
+        recorder.finish(shared.clock.unix())
+    });
+    let writing = write(shared, &platform, rows);
+    if tokio::time::timeout(Duration::from_millis(within.0), writing)
+        .await
+        .is_err()
+    {
+        log::warn!("the last counts for the burn report were not recorded in time");
+    }
+}
+
+async fn write(shared: &Shared, platform: &Platform, rows: Vec<Row>) {
+    for row in rows {
+        let written = put(platform, &row).await;
+        with(&shared.counts, |recorder| match written {
+            Ok(()) => recorder.written(&row),
+            Err(_) => recorder.failed(&row),
+        });
+        if let Err(error) = written {
+            log::warn!(minute = row.minute, error = error.as_str(); "counts not recorded, they are kept");
+        }
+    }
+}
+
+async fn put(platform: &Platform, row: &Row) -> Result<(), String> {
+    let value = serde_json::to_value(row).map_err(|error| error.to_string())?;
+    let transaction = Transaction::default().put(Place::new(TABLE, &row.table_key()), value);
+    platform
+        .transact(&transaction)
+        .await
+        .map(|_| ())
+        .map_err(|error| error.to_string())
+}
+
+/// Counts are sums: a panic elsewhere while they were held leaves them usable.
+fn with<A>(recorder: &Mutex<Recorder>, act: impl FnOnce(&mut Recorder) -> A) -> A {
+    act(&mut recorder.lock().unwrap_or_else(PoisonError::into_inner))
+}
--- a/crates/entry/src/request/account.rs
+++ b/crates/entry/src/request/account.rs
@@ -12,9 +12,6 @@
 use crate::request::{Ending, Head};
 use crate::shared::Shared;
 
-/// Milliseconds in a minute.
-const MINUTE: u64 = 60_000;
-
 /// What is known so far about one request's cost.
 pub struct Account<'a> {
     shared: &'a Shared,
@@ -75,9 +72,8 @@
             class: self.head.class.clone(),
             workspace: self.head.workspace.clone(),
         };
-        let minute = self.shared.clock.unix().0 / MINUTE;
         if let Ok(mut counts) = self.shared.counts.lock() {
-            counts.add(minute, &key, &count);
+            counts.count(self.shared.clock.unix(), &key, &count);
         }
         self.log(ending, latency);
         self.measure(ending, latency);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -29,7 +29,7 @@
     /// Asks for places at endpoints.
     pub control: Handle,
     /// Counts for the burn report.
-    pub counts: Mutex<burn::Ledger>,
+    pub counts: Mutex<burn::Recorder>,
     /// Metrics.
     pub metrics: StatsdClient,
     stopping: AtomicBool,
@@ -45,6 +45,7 @@
         clock: Clock,
         metrics: StatsdClient,
     ) -> Self {
+        let recorder = burn::Recorder::new(settings.name.clone(), incarnation);
         Self {
             settings,
             incarnation,
@@ -52,7 +53,7 @@
             catalog: ArcSwapOption::empty(),
             entries: ArcSwap::default(),
             control,
-            counts: Mutex::default(),
+            counts: Mutex::new(recorder),
             metrics,
             stopping: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -10,6 +10,7 @@
 use awc::{Client, Connector};
 use serde::Serialize;
 use thiserror::Error;
+use woodgap_core::clock::Millis;
 use woodgap_core::control::Machine;
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
@@ -18,10 +19,11 @@
 use crate::configuration::{Watcher, watcher};
 use crate::control::{Actor, Handle};
 use crate::options::Options;
+use crate::recording::Recording;
 use crate::request::run::Worker;
 use crate::shared::Shared;
 use crate::supervisor::supervise;
-use crate::{admin, caller, telemetry};
+use crate::{admin, caller, recording, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -85,11 +87,20 @@
     let _watcher = supervise(&control.handle(), "watcher", move |guard| {
         Watcher::new(Arc::clone(&watched), guard)
     });
+    let recorded = Arc::clone(&shared);
+    let _recording = supervise(&control.handle(), "recording", move |guard| {
+        Recording::new(Arc::clone(&recorded), guard)
+    });
     let server = server(&shared, listener, workers)?;
     announce(address, peer, &shared.settings.name);
-    server.await.map_err(Error::Server)
+    server.await.map_err(Error::Server)?;
+    recording::finish(&shared, LAST_COUNTS).await;
+    Ok(())
 }
 
+/// How long the last counts may take to be written at a planned stop.
+const LAST_COUNTS: Millis = Millis::from_secs(3);
+
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).map_err(|source| Error::Socket {
         option: "listen",
