platform: an answer cut off half-way is an unknown outcome

Cause: awc ends a body without an error when the connection closes before the announced length; an object cut half-way was returned as a whole one. Change: the client compares the announced length with what came; the stand-ins can cut an answer half-way (cut_answers, cut_answer), and a crash after 0 tokens cuts an engine's connection before the first byte. Ruled out: a checksum in the object's body, since the length suffices for a cut and every reader would have to know of it.

--- a/crates/fake/src/engine/answer.rs
+++ b/crates/fake/src/engine/answer.rs
@@ -105,10 +105,12 @@
             due: None,
         },
     };
-    match question.stream {
-        _ if fault == Some(Fault::Hang) => answer.run.hang().await,
-        true => answer.stream(),
-        false => answer.whole().await,
+    match fault {
+        Some(Fault::Hang) => answer.run.hang().await,
+        // Not even the head of the answer goes out.
+        Some(Fault::Crash(0)) => answer.whole().await,
+        _ if question.stream => answer.stream(),
+        _ => answer.whole().await,
     }
 }
 
--- a/crates/fake/src/engine/faults.rs
+++ b/crates/fake/src/engine/faults.rs
@@ -15,7 +15,8 @@
     pub late_ms: Millis,
     /// Says so in the load report; requests are still taken.
     pub leaving: bool,
-    /// Where the crashed runs are cut: after this many tokens.
+    /// Where the crashed runs are cut: after this many tokens; at 0 before the
+    /// first byte, so that the caller can't tell whether it ran.
     pub crash_after_tokens: u64,
     /// Runs whose connection is cut; `crash_after_tokens` alone means one.
     pub crash_runs: u32,
--- a/crates/fake/src/engine/run.rs
+++ b/crates/fake/src/engine/run.rs
@@ -5,13 +5,13 @@
 
 use actix_web::HttpResponse;
 use actix_web::web::Data;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::faults::Fault;
 use super::{Detail, Engine};
 use crate::endpoint::{Cancelled, Ticket};
 use crate::record::End;
-use crate::server::cut;
+use crate::server::{FLUSH, cut};
 
 /// What comes next in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,13 +76,14 @@
         let due = self.due().await?;
         let number = self.offset + 1;
         let crashes = matches!(self.fault, Some(Fault::Crash(after)) if self.sent >= after);
-        // A crash waits too, so that what was sent before it gets through.
-        if number <= self.tokens || crashes {
-            self.ticket.wait(sleep_until(due)).await?;
-        }
         if crashes {
+            self.ticket.wait(sleep_until(due)).await?;
+            self.ticket.wait(sleep(FLUSH)).await?;
             return Ok(self.fail(Next::Cut));
         }
+        if number <= self.tokens {
+            self.ticket.wait(sleep_until(due)).await?;
+        }
         if self.fault == Some(Fault::Garbage) && self.sent == 0 && number <= self.tokens {
             return Ok(self.fail(Next::Garbage));
         }
--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -33,6 +33,8 @@
     pub lose_acks: u32,
     /// Calls that neither take effect nor are answered.
     pub lose_requests: u32,
+    /// Answers that announce their length and are cut half-way.
+    pub cut_answers: u32,
     /// How late the instance list shows a change.
     pub list_lag_ms: Millis,
     /// Reads and scans show the state of this long ago.
@@ -160,8 +162,12 @@
     let delay = platform.lock().faults.delay_ms;
     sleep(delay).await;
     if write && take(&mut platform.lock().faults.lose_acks) {
-        let (request, _) = response.into_parts();
-        return Ok(ServiceResponse::new(request, server::cut()));
+        return Ok(response.into_response(server::cut()));
+    }
+    if take(&mut platform.lock().faults.cut_answers) {
+        let (request, response) = response.into_parts();
+        let response = server::cut_half(response).await;
+        return Ok(ServiceResponse::new(request, response));
     }
     Ok(response)
 }
--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_web::body::{SizedStream, to_bytes};
 use actix_web::dev::Server;
 use actix_web::web::{self, Bytes, ServiceConfig};
 use actix_web::{App, HttpResponse, HttpServer};
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use thiserror::Error;
 
 /// The largest body taken, in bytes: the largest deferred payload fits.
@@ -17,6 +18,10 @@
 /// that a reused one is not closed under a request.
 const KEEP_ALIVE: Duration = Duration::from_mins(2);
 
+/// Between the last bytes sent and a cut: the server writes out what it has
+/// whenever a body pauses, and drops it when a body fails.
+pub const FLUSH: Duration = Duration::from_millis(1);
+
 /// A bound stand-in.
 pub struct Bound {
     /// Serves while it is awaited; SIGTERM and SIGINT end it.
@@ -44,6 +49,20 @@
     HttpResponse::Ok().streaming(stream::iter([Err::<Bytes, Cut>(Cut)]))
 }
 
+/// The answer with its whole length announced, cut half-way.
+pub async fn cut_half(response: HttpResponse) -> HttpResponse {
+    let (response, body) = response.into_parts();
+    let body = to_bytes(body).await.unwrap_or_default();
+    let half = body.slice(..body.len() / 2);
+    let end = stream::once(async {
+        actix_web::rt::time::sleep(FLUSH).await;
+        Err(Cut)
+    });
+    let parts = stream::iter([Ok(half)]).chain(end).boxed_local();
+    let body = SizedStream::new(body.len() as u64, parts);
+    response.set_body(body).map_into_boxed_body()
+}
+
 /// Binds a server with one worker: many stand-ins share one machine.
 ///
 /// # Errors
--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use actix_web::dev::AppConfig;
-use actix_web::http::header::HeaderMap;
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::web::{self, Bytes, Data, Json, Query, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use serde::{Deserialize, Serialize};
@@ -20,7 +20,7 @@
 use crate::endpoint::{Arrival, Endpoint, Question, Record, header, identity};
 use crate::faults::{merge, take};
 use crate::record::End;
-use crate::server::{self, Bound, cut};
+use crate::server::{self, Bound, cut, cut_half};
 
 /// Header that says that a refused call did not run.
 const VERDICT_HEADER: &str = "x-woodgap-verdict";
@@ -54,8 +54,10 @@
     hang: u32,
     /// Calls answered by 500 after they ran.
     fail_after_run: u32,
-    /// Calls whose connection is cut after they ran.
+    /// Calls whose connection is cut after they ran, before the first byte.
     cut_after_run: u32,
+    /// Calls whose answer announces its length and is cut half-way.
+    cut_answer: u32,
 }
 
 impl Default for Faults {
@@ -67,6 +69,7 @@
             hang: 0,
             fail_after_run: 0,
             cut_after_run: 0,
+            cut_answer: 0,
         }
     }
 }
@@ -175,17 +178,31 @@
         ticket.end(End::Crashed);
         return cut();
     }
+    let echo = HttpResponse::Ok().json(Echo {
+        service: &service.options.name,
+        method: &detail.method,
+        path: &detail.path,
+        query: request.query_string(),
+        body_length: body.len(),
+        tag: detail.tag.as_deref(),
+    });
+    let answer = identified(echo, &id);
+    if take(&mut service.faults().cut_answer) {
+        ticket.end(End::Crashed);
+        return cut_half(answer).await;
+    }
     ticket.end(End::Complete);
-    HttpResponse::Ok()
-        .insert_header((REQUEST_HEADER, id))
-        .json(Echo {
-            service: &service.options.name,
-            method: &detail.method,
-            path: &detail.path,
-            query: request.query_string(),
-            body_length: body.len(),
-            tag: detail.tag.as_deref(),
-        })
+    answer
+}
+
+fn identified(mut response: HttpResponse, id: &str) -> HttpResponse {
+    if let Ok(value) = HeaderValue::from_str(id)
+        && !id.is_empty()
+    {
+        let name = HeaderName::from_static(REQUEST_HEADER);
+        response.headers_mut().insert(name, value);
+    }
+    response
 }
 
 fn tag(headers: &HeaderMap, query: &str) -> Option<String> {
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -303,6 +303,17 @@
     assert_eq!(found.is_some(), takes_effect);
 }
 
+#[actix_rt::test]
+async fn an_object_cut_half_way_is_not_taken_for_whole() {
+    let fixture = Fixture::start();
+    let body = Bytes::from("whole");
+    let written = fixture.platform.put("k", body, Condition::Always).await;
+    assert_eq!(told(&written), Told::Nothing);
+    fixture.fault(json!({"cut_answers": 1})).await;
+    let found = fixture.platform.get("k").await;
+    assert_eq!(told(&found), Told::Unclear, "{found:?}");
+}
+
 #[actix_rt::test]
 async fn the_instance_list_lags() {
     let fixture = Fixture::start();
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -168,16 +168,26 @@
     header.unwrap_or_default().trim_matches('"').to_owned()
 }
 
+fn length<S>(response: &ClientResponse<S>) -> Option<usize> {
+    let header = response.headers().get("content-length")?;
+    header.to_str().ok()?.parse().ok()
+}
+
 async fn body<S>(mut response: ClientResponse<S>, also_good: &[StatusCode]) -> Result<Bytes, Error>
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
 {
     let status = response.status();
+    let announced = length(&response);
     let body = response
         .body()
         .limit(BODY_LIMIT)
         .await
         .map_err(|error| Error::Unknown(error.to_string()))?;
+    // The client takes a body that is cut off for one that has ended.
+    if announced.is_some_and(|length| length != body.len()) {
+        return Err(Error::Unknown("the answer was cut off".to_owned()));
+    }
     if status.is_success() || also_good.contains(&status) {
         return Ok(body);
     }
