platform: connections on which a cut answer is an error

awc ends a body quietly when the connection closes before the announced length or the last chunk, so a truncated answer of a plain service looks whole; it also reports a connection closed before the answer's head as a failure to connect, which reads as "nothing was sent".

Ruled out: counting bytes against Content-Length in each caller, which does nothing for chunked bodies; patching awc.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! our own stand-in.
 
 pub mod clock;
+pub mod connect;
 pub mod endpoint;
 pub mod error;
 pub mod http;
