--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,3 +15,4 @@
 pub use kind::Kind;
 pub use platform::Platform;
 pub use problem::{Problem, Problems};
+pub use rule::is_name;
--- a/crates/settings/src/problem.rs
+++ b/crates/settings/src/problem.rs
@@ -50,7 +50,7 @@
 
 impl Problems {
     /// The problem of a file that can't be read at all.
-    pub(crate) fn unreadable(file: &str, error: &std::io::Error) -> Self {
+    pub fn unreadable(file: &str, error: &std::io::Error) -> Self {
         let problem = Problem {
             line: 1,
             column: 1,
--- a/crates/settings/src/rule.rs
+++ b/crates/settings/src/rule.rs
@@ -98,7 +98,12 @@
     })
 }
 
-/// Whether a text can be a name.
+/// Whether a text can be a name, as of an entry, a class or a document.
+///
+/// ```
+/// assert!(woodgap_settings::is_name("dub-a-1"));
+/// assert!(!woodgap_settings::is_name("dub a/1"));
+/// ```
 pub fn is_name(text: &str) -> bool {
     let length = 1..=NAME_LENGTH;
     length.contains(&text.len()) && text.bytes().all(is_name_byte)
