--- a/crates/burn/src/figure.rs
+++ b/crates/burn/src/figure.rs
@@ -3,6 +3,38 @@
 use serde::Serialize;
 use woodgap_core::burn::Count;
 
+/// Counts with the errors that their objectives allow.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sum {
+    count: Count,
+    /// Requests that may miss their target, by the objectives of their classes.
+    allowed: f64,
+}
+
+impl Sum {
+    /// Adds counts of a class with this objective.
+    pub fn add(&mut self, count: &Count, objective: f64) {
+        self.count.add(count);
+        self.allowed += counted(count) as f64 * (1.0 - objective);
+    }
+
+    /// The figures of all that was added.
+    pub fn figure(&self) -> Figure {
+        let count = self.count;
+        let counted = counted(&count);
+        let missed = counted.saturating_sub(count.met);
+        let tokens = count.tokens_useful + count.tokens_wasted;
+        Figure {
+            count,
+            goodput: count.met,
+            counted,
+            attainment: share(counted - missed, counted),
+            wasted_share: share(count.tokens_wasted, tokens),
+            burn: (counted > 0).then(|| missed as f64 / self.allowed),
+        }
+    }
+}
+
 /// Counts with the shares that people read off them.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Figure {
@@ -11,7 +43,10 @@
     pub count: Count,
     /// Requests answered once, whole and within their latency target.
     pub goodput: u64,
-    /// Share of the requests that met their target; none if none counts.
+    /// Requests that count for attainment: all that ended, less those whose
+    /// caller went away first.
+    pub counted: u64,
+    /// Share of the counted requests that met their target; none if none counts.
     pub attainment: Option<f64>,
     /// Share of the tokens (or calls) that were wasted; none if there were none.
     pub wasted_share: Option<f64>,
@@ -21,32 +56,25 @@
 }
 
 impl Figure {
-    /// The figures of these counts against an objective between 0 and 1.
+    /// The figures of counts against an objective above 0 and below 1.
     ///
     /// ```
     /// use woodgap_burn::figure::Figure;
     /// use woodgap_core::burn::Count;
     ///
     /// let count = Count { ended: 110, abandoned: 10, met: 98, ..Count::default() };
-    /// let figure = Figure::new(count, 0.99);
+    /// let figure = Figure::new(&count, 0.99);
     /// assert_eq!(figure.attainment, Some(0.98));
     /// assert!((figure.burn.unwrap() - 2.0).abs() < 1e-9);
     /// ```
-    pub fn new(count: Count, objective: f64) -> Self {
-        let attainment = share(count.met, counted(&count));
-        let tokens = count.tokens_useful + count.tokens_wasted;
-        Self {
-            count,
-            goodput: count.met,
-            attainment,
-            wasted_share: share(count.tokens_wasted, tokens),
-            burn: attainment.map(|attainment| (1.0 - attainment) / (1.0 - objective)),
-        }
+    pub fn new(count: &Count, objective: f64) -> Self {
+        let mut sum = Sum::default();
+        sum.add(count, objective);
+        sum.figure()
     }
 }
 
-/// Requests that count for attainment: a caller that went away had no use for a target.
-pub fn counted(count: &Count) -> u64 {
+fn counted(count: &Count) -> u64 {
     count.ended.saturating_sub(count.abandoned)
 }
 
--- a/crates/burn/src/render.rs
+++ b/crates/burn/src/render.rs
@@ -1,4 +1,9 @@
 //! The report's forms.
 
 pub mod json;
+pub mod plot;
 pub mod table;
+
+mod grid;
+mod missing;
+mod text;
