--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
@@ -168,16 +168,26 @@
     header.unwrap_or_default().trim_matches('"').to_owned()
 }
 
+fn length<S>(response: &ClientResponse<S>) -> Option<usize> {
+    let header = response.headers().get("content-length")?;
+    header.to_str().ok()?.parse().ok()
+}
+
 async fn body<S>(mut response: ClientResponse<S>, also_good: &[StatusCode]) -> Result<Bytes, Error>
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
 {
     let status = response.status();
+    let announced = length(&response);
     let body = response
         .body()
         .limit(BODY_LIMIT)
         .await
         .map_err(|error| Error::Unknown(error.to_string()))?;
+    // The client takes a body that is cut off for one that has ended.
+    if announced.is_some_and(|length| length != body.len()) {
+        return Err(Error::Unknown("the answer was cut off".to_owned()));
+    }
     if status.is_success() || also_good.contains(&status) {
         return Ok(body);
     }
@@ -200,6 +210,8 @@
 /// A call that never left this process did nothing; any other may have.
 fn sent(error: &SendRequestError) -> Error {
     match error {
+        // The client's name for a connection that was closed under a sent call.
+        SendRequestError::Connect(ConnectError::Disconnected) => Error::Unknown(error.to_string()),
         SendRequestError::Connect(_) => Error::Unavailable(error.to_string()),
         SendRequestError::Url(_) => Error::Rejected(error.to_string()),
         _ => Error::Unknown(error.to_string()),
