--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -121,6 +121,29 @@
     pub entries: Vec<Entry>,
     /// All endpoints that it knows of.
     pub endpoints: Vec<Endpoint>,
+    /// What the answering entry's control side has cost since its start.
+    #[serde(default)]
+    pub control: Control,
+}
+
+/// What the control side of an entry has cost since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Control {
+    /// Processor time of the control thread, in microseconds.
+    pub cpu_us: u64,
+    /// Bytes to other entries, with IP and UDP headers.
+    pub bytes_sent: u64,
+    /// Bytes from other entries, with IP and UDP headers.
+    pub bytes_received: u64,
+    /// Messages to other entries.
+    pub messages_sent: u64,
+    /// Messages from other entries.
+    pub messages_received: u64,
+    /// Datagrams and streams that were refused.
+    pub refused: u64,
+    /// Resident memory of the whole process, in KiB.
+    pub rss_kb: u64,
 }
 
 /// An entry as the answering one sees it.
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -8,5 +8,5 @@
 
 pub use action::{Action, Grant, Refusal};
 pub use directory::Directory;
-pub use event::{Ask, Done, Event, Outcome};
-pub use machine::Machine;
+pub use event::{Ask, Done, Event, Outcome, Own};
+pub use machine::{Machine, Start};
--- a/crates/core/src/control/action.rs
+++ b/crates/core/src/control/action.rs
@@ -31,7 +31,7 @@
 }
 
 /// Something to carry out.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Give a local request its endpoint.
     Grant(Grant),
@@ -41,4 +41,8 @@
     Send(SocketAddr, Message),
     /// Ask an endpoint for its load, and report the answer as an event.
     Probe(name::Endpoint, SocketAddr),
+    /// Take no new work from now on.
+    Leave,
+    /// Stop as planned: a later life of this entry has started.
+    Stop,
 }
--- a/crates/core/src/control/directory.rs
+++ b/crates/core/src/control/directory.rs
@@ -4,12 +4,10 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
-use crate::instance::{Instance, Load, Role, State};
+use crate::endpoint::{Marks, State};
+use crate::instance::{self, Instance, Load, Role};
 use crate::name;
 
-/// Failed probes in a row after which an endpoint gets no new work.
-const FAILED_PROBES: u32 = 2;
-
 /// One endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -27,54 +25,72 @@
     pub checks_fencing: bool,
     /// Its last load report and when it came.
     pub load: Option<(Millis, Load)>,
-    failed_probes: u32,
-    leaving: bool,
+    /// What the platform's list says of it.
+    pub listed: instance::State,
+    /// What all entries agree on.
+    pub marks: Marks,
 }
 
 impl Endpoint {
     /// Whether it may get new work.
     pub fn usable(&self) -> bool {
-        !self.leaving && self.failed_probes < FAILED_PROBES
+        self.marks.usable()
     }
 
     /// Whether it serves the target.
     pub fn serves(&self, target: &name::Target) -> bool {
         self.targets.contains(target)
     }
+
+    /// The pool whose home probes it: that of the first target.
+    pub fn first_pool(&self) -> Option<name::Pool> {
+        Some(name::Pool {
+            target: self.targets.first()?.clone(),
+            data_centre: self.data_centre.clone(),
+        })
+    }
+
+    /// What other entries are told of it.
+    pub fn state(&self) -> State {
+        State {
+            endpoint: self.name.clone(),
+            address: self.address,
+            marks: self.marks,
+        }
+    }
 }
 
 /// All endpoints, by name.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     endpoints: BTreeMap<name::Endpoint, Endpoint>,
-    drained: BTreeSet<String>,
 }
 
 impl Directory {
-    /// Takes in the platform's list. The list lags, so that an endpoint once
-    /// known as leaving stays so until the list no longer names it.
-    pub fn update(&mut self, instances: &[Instance]) {
+    /// Takes in the platform's list; returns the endpoints that it newly says
+    /// are leaving. The list lags, so that a mark stays until the list no longer
+    /// names the endpoint, or names another address.
+    pub fn update(&mut self, instances: &[Instance]) -> Vec<name::Endpoint> {
         let listed: BTreeSet<&str> = instances
             .iter()
             .map(|instance| instance.name.as_str())
             .collect();
         self.endpoints
             .retain(|name, _| listed.contains(name.as_str()));
-        self.drained.retain(|name| listed.contains(name.as_str()));
-        for instance in instances
+        instances
             .iter()
             .filter(|instance| instance.role != Role::Entry)
-        {
-            self.update_one(instance);
-        }
+            .filter(|instance| self.update_one(instance))
+            .map(|instance| name::Endpoint::from(instance.name.as_str()))
+            .collect()
     }
 
-    fn update_one(&mut self, instance: &Instance) {
+    fn update_one(&mut self, instance: &Instance) -> bool {
         let name = name::Endpoint::from(instance.name.as_str());
         let old = self.endpoints.remove(&name);
         let same = old.filter(|old| old.address == instance.address);
-        let drained = self.drained.contains(&instance.name);
-        let was_leaving = same.as_ref().is_some_and(|old| old.leaving);
+        let mut marks = same.as_ref().map(|old| old.marks).unwrap_or_default();
+        let leaves = instance.state == instance::State::Leaving && marks.leaving.set(true);
         let endpoint = Endpoint {
             name: name.clone(),
             address: instance.address,
@@ -82,34 +98,35 @@
             targets: instance.targets.clone(),
             slots: instance.slots,
             checks_fencing: instance.checks_fencing,
-            load: same.as_ref().and_then(|old| old.load.clone()),
-            failed_probes: same.as_ref().map_or(0, |old| old.failed_probes),
-            leaving: instance.state == State::Leaving || drained || was_leaving,
+            load: same.and_then(|old| old.load),
+            listed: instance.state,
+            marks,
         };
         self.endpoints.insert(name, endpoint);
+        leaves
     }
 
-    /// Takes in a probe's answer, or that there was none.
-    pub fn probed(&mut self, now: Millis, name: &name::Endpoint, load: Option<Load>) {
-        let Some(endpoint) = self.endpoints.get_mut(name) else {
-            return;
-        };
-        match load {
-            Some(load) => {
-                endpoint.failed_probes = 0;
-                endpoint.leaving |= load.state == State::Leaving;
-                endpoint.load = Some((now, load));
-            }
-            None => endpoint.failed_probes += 1,
+    /// Takes in a load report.
+    pub fn loaded(&mut self, now: Millis, name: &name::Endpoint, load: Load) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.load = Some((now, load));
         }
     }
 
-    /// Takes an instance out of use, whatever its list entry says.
-    pub fn drain(&mut self, name: &str) {
-        self.drained.insert(name.to_owned());
-        if let Some(endpoint) = self.endpoints.get_mut(name) {
-            endpoint.leaving = true;
-        }
+    /// Changes an endpoint's marks; says whether that changed any. An endpoint
+    /// that is not listed has none.
+    pub fn mark(&mut self, name: &name::Endpoint, change: impl FnOnce(&mut Marks) -> bool) -> bool {
+        let endpoint = self.endpoints.get_mut(name);
+        endpoint.is_some_and(|endpoint| change(&mut endpoint.marks))
+    }
+
+    /// Takes in what another entry knows; says whether that changed anything.
+    pub fn merge(&mut self, state: &State) -> bool {
+        let same = self
+            .endpoints
+            .get(&state.endpoint)
+            .is_some_and(|endpoint| endpoint.address == state.address);
+        same && self.mark(&state.endpoint, |marks| marks.merge(&state.marks))
     }
 
     /// An endpoint by name.
@@ -128,4 +145,35 @@
             .values()
             .filter(|endpoint| endpoint.usable() && endpoint.serves(target))
     }
+
+    /// The states that are not as at the start, in the order of names.
+    pub fn states(&self) -> impl Iterator<Item = State> {
+        self.endpoints
+            .values()
+            .filter(|endpoint| endpoint.marks != Marks::default())
+            .map(Endpoint::state)
+    }
+
+    /// A digest of which endpoints get no new work and why; 0 if all do.
+    pub fn digest(&self) -> u32 {
+        let mut hasher = blake3::Hasher::new();
+        let mut any = false;
+        for endpoint in self.endpoints.values() {
+            let marks = &endpoint.marks;
+            if marks.usable() {
+                continue;
+            }
+            any = true;
+            hasher.update(endpoint.name.as_str().as_bytes());
+            hasher.update(endpoint.address.to_string().as_bytes());
+            hasher.update(&[
+                u8::from(marks.leaving.is_set()),
+                u8::from(marks.failing.is_set()),
+                u8::from(marks.drained),
+            ]);
+        }
+        let mut bytes = [0; 4];
+        hasher.finalize_xof().fill(&mut bytes);
+        if any { u32::from_le_bytes(bytes) } else { 0 }
+    }
 }
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -80,4 +80,21 @@
     Message(name::Incarnation, Message),
     /// An operator wants an instance to take no new work.
     Drain(String),
+    /// What the other entries shall know of this one.
+    Own(Own),
+    /// A planned stop begins: no new work.
+    Stop,
+    /// The planned stop is done; the process ends.
+    End,
+}
+
+/// What the other entries shall know of this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Own {
+    /// The revision of the configuration in force; 0 before the first.
+    pub revision: u64,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// Requests that it has taken and not yet ended.
+    pub running: u32,
 }
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -7,30 +7,49 @@
 use crate::control::action::Action;
 use crate::control::alone::Alone;
 use crate::control::directory::Directory;
-use crate::control::event::Event;
+use crate::control::event::{Event, Own};
+use crate::endpoint::{self, Watch};
+use crate::instance::Instance;
+use crate::membership::{Change, Detector, Figures, Member, Members, detector};
+use crate::message::Message;
+use crate::name;
 
-/// How often each endpoint is probed.
-const PROBE_PERIOD: Millis = Millis(500);
 /// How often the machine wants to be told that time has passed.
 pub const TICK: Millis = Millis(50);
 
+/// What a machine starts with.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The own entry.
+    pub own: Member,
+    /// Counts the machines of this life of the entry, from 1: a later one
+    /// knows nothing of what an earlier one had told the other entries.
+    pub generation: u32,
+    /// Where random numbers start.
+    pub seed: u64,
+    /// The most requests that wait for a pool, per slot of it.
+    pub waiting_per_slot: u32,
+}
+
 /// The control side of one entry.
 #[derive(Debug)]
 pub struct Machine {
     random: ChaCha8Rng,
+    detector: Detector,
     directory: Directory,
+    watch: Watch,
     alone: Alone,
-    next_probe: Millis,
 }
 
 impl Machine {
     /// A machine that knows nothing yet.
-    pub fn new(seed: u64, waiting_per_slot: u32) -> Self {
+    pub fn new(start: Start) -> Self {
         Self {
-            random: ChaCha8Rng::seed_from_u64(seed),
+            random: ChaCha8Rng::seed_from_u64(start.seed),
+            detector: Detector::new(start.own),
             directory: Directory::default(),
-            alone: Alone::new(waiting_per_slot),
-            next_probe: Millis::ZERO,
+            watch: Watch::default(),
+            alone: Alone::new(start.waiting_per_slot),
         }
     }
 
@@ -39,31 +58,177 @@
         &self.directory
     }
 
+    /// The entries that the machine knows.
+    pub fn members(&self) -> &Members {
+        self.detector.members()
+    }
+
+    /// Requests that run at an endpoint, as far as this entry knows.
+    pub fn in_flight(&self, endpoint: &name::Endpoint) -> u32 {
+        self.alone.in_flight(endpoint)
+    }
+
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        let mut changes = Vec::new();
+        self.take(now, event, out, &mut changes);
+        for change in changes {
+            self.changed(now, change, out);
+        }
+        self.alone.dispatch(&self.directory, &mut self.random, out);
+    }
+
+    fn take(
+        &mut self,
+        now: Millis,
+        event: Event,
+        out: &mut Vec<Action>,
+        changes: &mut Vec<Change>,
+    ) {
         match event {
-            Event::Tick => self.tick(now, out),
+            Event::Tick => {
+                self.step(now, out, changes, Detector::tick);
+                self.watch(now, out, Watch::tick);
+            }
             Event::Ask(ask) => self.alone.ask(&self.directory, &mut self.random, ask, out),
             Event::Withdraw(request) => self.alone.withdraw(request),
             Event::Done(done) => self.alone.done(&done),
-            Event::Instances(instances) => self.directory.update(&instances),
-            Event::Load(endpoint, load) => self.directory.probed(now, &endpoint, load),
-            // TODO: entries do not talk to one another yet.
-            Event::Message(_, _) => {}
-            Event::Drain(name) => self.directory.drain(&name),
+            Event::Instances(instances) => self.listed(now, &instances, out, changes),
+            Event::Load(name, load) => {
+                self.watch(now, out, |watch, step| watch.probed(&name, load, step));
+            }
+            Event::Message(from, message) => self.receive(now, from, message, out, changes),
+            Event::Drain(name) => self.drain(now, &name, out, changes),
+            Event::Own(own) => self.own(own),
+            Event::Stop => self.step(now, out, changes, Detector::leave),
+            Event::End => self.step(now, out, changes, Detector::end),
         }
-        self.alone.dispatch(&self.directory, &mut self.random, out);
     }
 
-    fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
-        if now < self.next_probe {
-            return;
+    fn step(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<Action>,
+        changes: &mut Vec<Change>,
+        act: impl FnOnce(&mut Detector, &mut detector::Step<'_>),
+    ) {
+        let mut step = detector::Step {
+            now,
+            random: &mut self.random,
+            out,
+            changes,
+        };
+        act(&mut self.detector, &mut step);
+    }
+
+    /// Lets the watch act, and tells the detector what came of it.
+    fn watch(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<Action>,
+        act: impl FnOnce(&mut Watch, &mut endpoint::watch::Step<'_>),
+    ) {
+        let mut step = endpoint::watch::Step {
+            now,
+            directory: &mut self.directory,
+            members: self.detector.members(),
+            out,
+        };
+        act(&mut self.watch, &mut step);
+        self.renew_digest();
+    }
+
+    fn renew_digest(&mut self) {
+        let figures = self.members().own().figures;
+        let endpoints = self.directory.digest();
+        self.detector.set_figures(Figures {
+            endpoints,
+            ..figures
+        });
+    }
+
+    fn own(&mut self, own: Own) {
+        let figures = self.members().own().figures;
+        self.detector.set_figures(Figures {
+            revision: own.revision,
+            ready: own.ready,
+            running: own.running,
+            ..figures
+        });
+    }
+
+    fn listed(
+        &mut self,
+        now: Millis,
+        instances: &[Instance],
+        out: &mut Vec<Action>,
+        changes: &mut Vec<Change>,
+    ) {
+        self.step(now, out, changes, |detector, step| {
+            detector.listed(instances, step);
+        });
+        let leaving = self.directory.update(instances);
+        self.assign(now);
+        self.watch(now, out, |watch, step| watch.changed(&leaving, step));
+    }
+
+    fn receive(
+        &mut self,
+        now: Millis,
+        from: name::Incarnation,
+        message: Message,
+        out: &mut Vec<Action>,
+        changes: &mut Vec<Change>,
+    ) {
+        match message {
+            Message::Membership(message) => {
+                self.step(now, out, changes, |detector, step| {
+                    detector.receive(from, message, step);
+                });
+                if let Some(member) = self.members().by_incarnation(from).cloned() {
+                    self.watch(now, out, |watch, step| watch.compare(&member, step));
+                }
+            }
+            // Only lives that are known are heard on anything but membership.
+            _ if self.members().by_incarnation(from).is_none() => {}
+            Message::Endpoint(message) => {
+                self.watch(now, out, |watch, step| watch.receive(from, message, step));
+            }
+            // TODO: permits are not asked of other entries yet.
+            Message::Permit(_) => {}
+        }
+    }
+
+    fn drain(&mut self, now: Millis, name: &str, out: &mut Vec<Action>, changes: &mut Vec<Change>) {
+        let endpoint = name::Endpoint::from(name);
+        let drained = self.directory.mark(&endpoint, |marks| {
+            let before = marks.drained;
+            marks.drained = true;
+            !before
+        });
+        if drained {
+            self.watch(now, out, |watch, step| watch.changed(&[endpoint], step));
         }
-        self.next_probe = now + PROBE_PERIOD;
-        let probes = self
-            .directory
-            .iter()
-            .map(|endpoint| Action::Probe(endpoint.name.clone(), endpoint.address));
-        out.extend(probes);
+        let entry = name::Entry::from(name);
+        self.step(now, out, changes, |detector, step| {
+            detector.drain(&entry, step);
+        });
+    }
+
+    /// Carries out what follows from a change among the entries.
+    fn changed(&mut self, now: Millis, change: Change, out: &mut Vec<Action>) {
+        let own = self.members().own().incarnation;
+        match change {
+            Change::Leaving(life) if life == own => out.push(Action::Leave),
+            Change::Superseded => out.push(Action::Stop),
+            Change::Joined(_) | Change::Leaving(_) | Change::Gone(_) | Change::Returned => {}
+        }
+        self.assign(now);
+    }
+
+    fn assign(&mut self, now: Millis) {
+        let members = self.detector.members();
+        self.watch
+            .assign(now, &self.directory, members, &mut self.random);
     }
 }
--- /dev/null
+++ b/crates/core/src/endpoint.rs
@@ -0,0 +1,11 @@
+//! How endpoints are: who probes which, and what entries tell one another of them.
+
+pub mod flag;
+pub mod message;
+pub mod state;
+pub mod watch;
+
+pub use flag::Flag;
+pub use message::{Message, Report};
+pub use state::{Marks, State};
+pub use watch::Watch;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod endpoint;
 pub mod instance;
 pub mod membership;
 pub mod message;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,8 +1,14 @@
 //! Which entries are alive, as one entry sees it.
 
+pub mod change;
+pub mod detector;
 pub mod home;
 pub mod member;
+pub mod members;
 pub mod message;
 
-pub use member::{Member, Members, Standing};
+pub use change::Change;
+pub use detector::Detector;
+pub use member::{Figures, Member, Standing};
+pub use members::Members;
 pub use message::Message;
--- /dev/null
+++ b/crates/core/src/membership/detector/greetings.rs
@@ -0,0 +1,93 @@
+//! Finding entries that are not known: from the platform's list, and those that
+//! were held to be gone and may be on the other side of a partition.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::seq::IteratorRandom;
+
+use crate::clock::Millis;
+use crate::control::action::Action;
+use crate::instance::{Instance, Role};
+use crate::membership::detector::{Detector, Step};
+use crate::membership::{Member, Message, Standing};
+use crate::message;
+use crate::name;
+
+/// How often one unknown or gone entry is greeted.
+const PERIOD: Millis = Millis(1_000);
+/// Entries that a new one greets at once: one of them answers, most likely.
+pub const AT_ONCE: usize = 3;
+
+/// Whom the platform lists.
+#[derive(Debug, Default)]
+pub struct Greetings {
+    listed: BTreeMap<name::Entry, SocketAddr>,
+    next: Millis,
+}
+
+impl Greetings {
+    /// Takes in the platform's list.
+    pub fn listed(&mut self, instances: &[Instance], own: SocketAddr) {
+        let entries = instances
+            .iter()
+            .filter(|instance| instance.role == Role::Entry)
+            .filter_map(|instance| Some((instance, instance.peer_address?)))
+            .filter(|(_, peer)| *peer != own);
+        self.listed = entries
+            .map(|(instance, peer)| (name::Entry::from(instance.name.as_str()), peer))
+            .collect();
+    }
+
+    /// Whether a period has passed; if so, the next one begins.
+    pub fn due(&mut self, now: Millis) -> bool {
+        if now < self.next {
+            return false;
+        }
+        self.next = now + PERIOD;
+        true
+    }
+}
+
+impl Detector {
+    /// Greets some of those that are listed and not known, or gone.
+    pub(super) fn greet(&mut self, count: usize, step: &mut Step<'_>) {
+        let strangers = self.strangers();
+        for (name, peer) in strangers.into_iter().choose_multiple(step.random, count) {
+            // One that is held to be gone hears so first, and speaks up.
+            let gone = self.members.get(&name).cloned();
+            let news = gone.map(|gone| Message::News(vec![gone]));
+            let greeting = Message::Greeting(self.own_news(step.now));
+            for message in news.into_iter().chain([greeting]) {
+                let message = message::Message::Membership(message);
+                step.out.push(Action::Send(peer, message));
+            }
+        }
+    }
+
+    fn strangers(&self) -> BTreeMap<name::Entry, SocketAddr> {
+        let members = &self.members;
+        let gone = members
+            .others()
+            .filter(|member| member.standing == Standing::Gone)
+            .map(|member| (member.name.clone(), member.peer));
+        let unknown = self
+            .greetings
+            .listed
+            .iter()
+            .filter(|(name, _)| {
+                let known = members.get(name);
+                known.is_none_or(|known| known.standing == Standing::Gone)
+            })
+            .map(|(name, peer)| (name.clone(), *peer));
+        // The list knows better than memory where an entry is now.
+        gone.chain(unknown).collect()
+    }
+
+    /// Answers a greeting with everything.
+    pub(super) fn welcome(&mut self, sender: &Member, step: &mut Step<'_>) {
+        self.send_table(sender, step);
+        let own = self.own_news(step.now);
+        step.send(sender, Message::Welcome(own));
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/detector/probes.rs
@@ -0,0 +1,246 @@
+//! Probes: whose turn it is, which are on their way, and which were missed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, IteratorRandom};
+
+use crate::clock::Millis;
+use crate::membership::detector::{Detector, PROBE_PERIOD, Step};
+use crate::membership::{Member, Message, Standing};
+use crate::name::{self, Incarnation};
+
+/// How long an answer may take: a hundred times the round trip between data
+/// centres, for instances that are busy for a moment.
+const DIRECT_TIMEOUT: Millis = Millis(300);
+/// The same for an answer through another entry.
+const RELAYED_TIMEOUT: Millis = Millis(300);
+/// Entries that are asked to try in one's place, so that one bad path is not
+/// taken for a dead entry.
+const RELAYS: usize = 3;
+/// Probes that one entry carries out for others at a time; more are refused, so
+/// that no one can make it a source of traffic.
+const MOST_ON_BEHALF: usize = 64;
+
+/// Why a probe was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It was this member's turn.
+    Direct,
+    /// The direct one was missed, and others try.
+    Relayed,
+    /// Another entry asked for it, under a number of its own.
+    OnBehalf(Incarnation, u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    target: Incarnation,
+    deadline: Millis,
+    stage: Stage,
+}
+
+/// A probe whose time has run out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expired {
+    /// No direct answer: its number, and the member.
+    Direct(u64, Incarnation),
+    /// No answer through others either.
+    Relayed(Incarnation),
+}
+
+/// The probes of one entry.
+#[derive(Debug, Default)]
+pub struct Probes {
+    next: Millis,
+    number: u64,
+    /// Those still to be probed in this round, in random order.
+    round: Vec<name::Entry>,
+    pending: BTreeMap<u64, Pending>,
+}
+
+impl Probes {
+    /// Whether a period has passed; if so, the next one begins.
+    pub fn due(&mut self, now: Millis) -> bool {
+        if now < self.next {
+            return false;
+        }
+        self.next = now + PROBE_PERIOD;
+        true
+    }
+
+    /// Takes out the probes whose time has run out; direct ones go on as relayed.
+    pub fn expired(&mut self, now: Millis) -> Vec<Expired> {
+        let late = |pending: &Pending| pending.deadline <= now;
+        let mut expired = Vec::new();
+        for (number, pending) in &mut self.pending {
+            if !late(pending) {
+                continue;
+            }
+            match pending.stage {
+                Stage::Direct => {
+                    pending.stage = Stage::Relayed;
+                    pending.deadline = now + RELAYED_TIMEOUT;
+                    expired.push(Expired::Direct(*number, pending.target));
+                }
+                Stage::Relayed => expired.push(Expired::Relayed(pending.target)),
+                Stage::OnBehalf(..) => {}
+            }
+        }
+        self.pending.retain(|_, pending| !late(pending));
+        expired
+    }
+
+    /// Gives all probes more time.
+    pub fn postpone(&mut self, span: Millis) {
+        for pending in self.pending.values_mut() {
+            pending.deadline = pending.deadline + span;
+        }
+    }
+
+    fn start(&mut self, target: Incarnation, deadline: Millis, stage: Stage) -> u64 {
+        self.number += 1;
+        let pending = Pending {
+            target,
+            deadline,
+            stage,
+        };
+        self.pending.insert(self.number, pending);
+        self.number
+    }
+
+    fn on_behalf(&self) -> usize {
+        self.pending
+            .values()
+            .filter(|pending| matches!(pending.stage, Stage::OnBehalf(..)))
+            .count()
+    }
+}
+
+impl Detector {
+    /// Probes the member whose turn it is, and one suspect so that it can speak up.
+    pub(super) fn probe(&mut self, step: &mut Step<'_>) {
+        let turn = self.next_turn(step);
+        let suspect = self
+            .members
+            .others()
+            .filter(|member| member.standing == Standing::Suspect)
+            .choose(step.random)
+            .cloned();
+        let also = suspect.filter(|suspect| {
+            turn.as_ref()
+                .is_none_or(|turn| turn.incarnation != suspect.incarnation)
+        });
+        for member in turn.into_iter().chain(also) {
+            let deadline = step.now + DIRECT_TIMEOUT;
+            let number = self
+                .probes
+                .start(member.incarnation, deadline, Stage::Direct);
+            self.send_probe(number, &member, step);
+        }
+    }
+
+    /// The next member of the round; a round has every member that is not gone.
+    fn next_turn(&mut self, step: &mut Step<'_>) -> Option<Member> {
+        for _ in 0..2 {
+            while let Some(name) = self.probes.round.pop() {
+                let member = self.members.get(&name);
+                if let Some(member) = member.filter(|member| member.standing != Standing::Gone) {
+                    return Some(member.clone());
+                }
+            }
+            let mut round: Vec<name::Entry> = self
+                .members
+                .others()
+                .filter(|member| member.standing != Standing::Gone)
+                .map(|member| member.name.clone())
+                .collect();
+            shuffle(&mut round, step);
+            self.probes.round = round;
+        }
+        None
+    }
+
+    fn send_probe(&mut self, number: u64, member: &Member, step: &mut Step<'_>) {
+        // News goes first: a suspect that reads of it answers as live.
+        self.send_news(member, step);
+        let sender = self.own_news(step.now);
+        step.send(member, Message::Probe { number, sender });
+    }
+
+    /// Answers a probe.
+    pub(super) fn answer(&mut self, number: u64, to: &Member, step: &mut Step<'_>) {
+        self.send_news(to, step);
+        let sender = self.own_news(step.now);
+        step.send(to, Message::Answer { number, sender });
+    }
+
+    /// Asks others to probe a member that did not answer.
+    pub(super) fn relay(&mut self, number: u64, target: Incarnation, step: &mut Step<'_>) {
+        let Some(member) = self.members.by_incarnation(target) else {
+            return;
+        };
+        let relay = Message::Relay {
+            number,
+            target,
+            peer: member.peer,
+        };
+        let others: Vec<&Member> = self
+            .members
+            .active_others()
+            .filter(|other| other.incarnation != target)
+            .collect();
+        for other in others.choose_multiple(step.random, RELAYS) {
+            step.send(other, relay.clone());
+        }
+    }
+
+    /// Probes a member for another entry.
+    pub(super) fn relayed(
+        &mut self,
+        from: Incarnation,
+        number: u64,
+        target: Incarnation,
+        peer: SocketAddr,
+        step: &mut Step<'_>,
+    ) {
+        let known = self.members.by_incarnation(target);
+        let Some(member) = known.filter(|member| member.peer == peer).cloned() else {
+            return;
+        };
+        if self.probes.on_behalf() >= MOST_ON_BEHALF {
+            return;
+        }
+        let deadline = step.now + RELAYED_TIMEOUT;
+        let stage = Stage::OnBehalf(from, number);
+        let own = self.probes.start(target, deadline, stage);
+        self.send_probe(own, &member, step);
+    }
+
+    /// Takes in an answer, own or passed on.
+    pub(super) fn answered(&mut self, number: u64, sender: &Member, step: &mut Step<'_>) {
+        let matches = |pending: &&Pending| pending.target == sender.incarnation;
+        let Some(pending) = self.probes.pending.get(&number).filter(matches).copied() else {
+            return;
+        };
+        self.probes.pending.remove(&number);
+        if let Stage::OnBehalf(from, number) = pending.stage
+            && let Some(asker) = self.members.by_incarnation(from)
+        {
+            let sender = sender.clone();
+            step.send(asker, Message::Answer { number, sender });
+        }
+        let leaving = |member: &Member| member.standing == Standing::Leaving;
+        if self.members.get(&sender.name).is_some_and(leaving) {
+            self.suspects.remove(&sender.name);
+        }
+    }
+}
+
+/// Fisher and Yates' shuffle, so that no member is always last.
+fn shuffle(names: &mut [name::Entry], step: &mut Step<'_>) {
+    for last in (1..names.len()).rev() {
+        names.swap(last, step.random.random_range(0..=last));
+    }
+}
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -1,6 +1,5 @@
-//! The members and what is known of each.
+//! One entry's life, and what is known of it.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -8,8 +7,9 @@
 use crate::clock::Millis;
 use crate::name;
 
-/// Whether a member takes part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+/// Whether a member takes part. Of two pieces of news with the same version the
+/// later in this order holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Standing {
     /// Answers.
     Live,
@@ -21,7 +21,7 @@
     Gone,
 }
 
-/// One life of an entry.
+/// One life of an entry. In this form it is also the news of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// The entry's name.
@@ -36,57 +36,33 @@
     pub http: SocketAddr,
     /// Whether it takes part.
     pub standing: Standing,
+    /// Orders news of the standing; only the member itself raises it.
+    pub version: u32,
+    /// What it says of itself.
+    pub figures: Figures,
     /// When this was last heard of, on the own clock.
+    #[serde(skip)]
     pub heard: Millis,
 }
 
-/// All members, the own entry included.
-#[derive(Clone, Debug)]
-pub struct Members {
-    own: name::Entry,
-    members: BTreeMap<name::Entry, Member>,
+/// What a member says of itself, time and again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Orders the figures: the member's own clock.
+    pub beat: Millis,
+    /// The configuration that it has in force; 0 before its first.
+    pub revision: u64,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// Requests that it has taken and not yet ended.
+    pub running: u32,
+    /// Digest of what it knows of the endpoints' states, the same where two agree.
+    pub endpoints: u32,
 }
 
-impl Members {
-    /// Only the own entry is known.
-    pub fn new(own: Member) -> Self {
-        let name = own.name.clone();
-        Self {
-            members: BTreeMap::from([(name.clone(), own)]),
-            own: name,
-        }
-    }
-
-    /// The own entry.
-    ///
-    /// # Panics
-    ///
-    /// Never: the own entry is never removed.
-    pub fn own(&self) -> &Member {
-        &self.members[&self.own]
-    }
-
-    /// All members, by name.
-    pub fn iter(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
-    }
-
-    /// A member by its life.
-    pub fn by_incarnation(&self, incarnation: name::Incarnation) -> Option<&Member> {
-        self.members
-            .values()
-            .find(|member| member.incarnation == incarnation)
-    }
-
-    /// The members that take part: live, and those that are only suspected.
-    pub fn active(&self) -> impl Iterator<Item = &Member> {
-        let takes_part =
-            |member: &&Member| matches!(member.standing, Standing::Live | Standing::Suspect);
-        self.members.values().filter(takes_part)
-    }
-
-    /// Puts a member in place of what was known of its name.
-    pub fn put(&mut self, member: Member) {
-        self.members.insert(member.name.clone(), member);
+impl Member {
+    /// Whether it takes part: live, or only suspected.
+    pub fn active(&self) -> bool {
+        matches!(self.standing, Standing::Live | Standing::Suspect)
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -2,14 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{membership, permit};
+use crate::{endpoint, membership, permit};
 
 /// A message between two entries. Every kind is idempotent: the network may
 /// lose, repeat and reorder it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Who is alive.
     Membership(membership::Message),
+    /// How endpoints are.
+    Endpoint(endpoint::Message),
     /// Places at endpoints.
     Permit(permit::Message),
 }
--- a/crates/entry/src/admin/authority.rs
+++ b/crates/entry/src/admin/authority.rs
@@ -20,6 +20,9 @@
     /// There is no such thing.
     #[error("there is no {0}")]
     NotFound(String),
+    /// The control side is just starting.
+    #[error("the control side of this entry is restarting, try again")]
+    Restarting,
     /// The store refused.
     #[error(transparent)]
     Refused(#[from] Refusal),
@@ -58,7 +61,7 @@
             Self::Refused(Refusal::Conflict { .. }) => admin::CONFLICT,
             Self::Refused(Refusal::Invalid(_)) => "invalid",
             Self::Refused(Refusal::IdentityReused(_)) => "identity_reused",
-            Self::Refused(Refusal::Busy) => "busy",
+            Self::Restarting | Self::Refused(Refusal::Busy) => "busy",
             Self::Refused(Refusal::Platform(_)) => "platform_out",
             Self::Refused(Refusal::Row(..)) => "unreadable_row",
         }
@@ -81,7 +84,9 @@
             Self::Refused(Refusal::Invalid(_) | Refusal::IdentityReused(_)) => {
                 StatusCode::UNPROCESSABLE_ENTITY
             }
-            Self::Refused(Refusal::Busy | Refusal::Platform(_)) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Restarting | Self::Refused(Refusal::Busy | Refusal::Platform(_)) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Refused(Refusal::Row(..)) => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -5,51 +5,99 @@
 use woodgap_core::admin::{Drain, Entry, EntryState, Status};
 use woodgap_core::clock::Millis;
 use woodgap_core::control::Event;
+use woodgap_core::membership::{Member, Standing};
 
 use crate::admin::authority::{Failure, operator};
+use crate::control::Snapshot;
 use crate::request::run::Worker;
+use crate::shared::Shared;
 
 /// `GET /admin/v1/status`.
-///
-/// TODO: list the other entries, once entries know of one another.
 pub(crate) async fn status(
     worker: Data<Worker>,
     request: HttpRequest,
 ) -> Result<Json<Status>, Failure> {
     let shared = &worker.shared;
     operator(shared, &request)?;
-    let catalog = shared.catalog.load_full();
-    let revision = catalog.as_ref().map_or(0, |catalog| catalog.revision());
-    let state = match (catalog, shared.stopping()) {
-        (_, true) => EntryState::Leaving,
-        (None, _) => EntryState::NotReady,
-        (Some(_), _) => EntryState::Live,
-    };
-    let own = Entry {
-        name: shared.settings.name.clone(),
-        data_centre: shared.settings.data_centre.clone(),
-        incarnation: shared.incarnation,
-        revision,
-        state,
-        age: Millis::ZERO,
-    };
+    let snapshot = snapshot(shared).await?;
+    let now = shared.clock.now();
+    let entries: Vec<Entry> = snapshot
+        .members
+        .iter()
+        .map(|member| entry(shared, member, now))
+        .collect();
+    let revisions = entries.iter().map(|entry| entry.revision);
     Ok(Json(Status {
-        revision,
-        entries: vec![own],
-        endpoints: Vec::new(),
+        revision: revisions.max().unwrap_or(0),
+        entries,
+        endpoints: snapshot.endpoints,
+        control: snapshot.control,
     }))
 }
 
+async fn snapshot(shared: &Shared) -> Result<Snapshot, Failure> {
+    let snapshot = shared.control.snapshot().await;
+    snapshot.ok_or(Failure::Restarting)
+}
+
+fn entry(shared: &Shared, member: &Member, now: Millis) -> Entry {
+    let own = member.incarnation == shared.incarnation;
+    let revision = if own {
+        let catalog = shared.catalog.load();
+        catalog.as_ref().map_or(0, |catalog| catalog.revision())
+    } else {
+        member.figures.revision
+    };
+    Entry {
+        name: member.name.clone(),
+        data_centre: member.data_centre.clone(),
+        incarnation: member.incarnation,
+        revision,
+        state: state(member),
+        age: if own {
+            Millis::ZERO
+        } else {
+            now - member.heard
+        },
+    }
+}
+
+fn state(member: &Member) -> EntryState {
+    match member.standing {
+        Standing::Gone => EntryState::Gone,
+        Standing::Leaving => EntryState::Leaving,
+        Standing::Suspect => EntryState::Suspect,
+        Standing::Live if member.figures.ready => EntryState::Live,
+        Standing::Live => EntryState::NotReady,
+    }
+}
+
 /// `POST /admin/v1/drain`.
 pub(crate) async fn drain(
     worker: Data<Worker>,
     request: HttpRequest,
     body: Json<Drain>,
 ) -> Result<Json<Drain>, Failure> {
-    operator(&worker.shared, &request)?;
-    worker
-        .shared
-        .control
-        .tell(Event::Drain(body.instance.clone()));
+    let shared = &worker.shared;
+    let operator = operator(shared, &request)?;
+    let snapshot = snapshot(shared).await?;
+    let name = body.instance.as_str();
+    let entry = || {
+        snapshot
+            .members
+            .iter()
+            .any(|known| known.name.as_str() == name)
+    };
+    let endpoint = || {
+        snapshot
+            .endpoints
+            .iter()
+            .any(|known| known.name.as_str() == name)
+    };
+    if !entry() && !endpoint() {
+        return Err(Failure::NotFound(format!("instance `{name}`")));
+    }
+    log::info!(operator = operator, instance = name; "instance drained");
+    shared.control.tell(Event::Drain(name.to_owned()));
     Ok(body)
 }
--- a/crates/entry/src/caller/authority.rs
+++ b/crates/entry/src/caller/authority.rs
@@ -9,6 +9,7 @@
 use woodgap_core::config::catalog::{Class, Workspace};
 use woodgap_core::name;
 
+use crate::caller::entries;
 use crate::request::{Code, Problem};
 use crate::shared::Shared;
 
@@ -39,16 +40,14 @@
     /// If the entry takes no new work, has no configuration, or does not know the key.
     pub fn of(shared: &Shared, request: &HttpRequest) -> Result<Self, Problem> {
         if shared.stopping() {
-            return Err(Problem::not_run(
-                Code::Stopping,
-                "this entry is stopping, use another",
-            ));
+            let another = entries::another(shared);
+            let message = format!("this entry takes no new work{another}");
+            return Err(Problem::not_run(Code::Stopping, message));
         }
         let catalog = shared.catalog.load_full().ok_or_else(|| {
-            Problem::not_run(
-                Code::NotReady,
-                "this entry has no confirmed configuration yet, use another",
-            )
+            let another = entries::another(shared);
+            let message = format!("this entry has no confirmed configuration yet{another}");
+            Problem::not_run(Code::NotReady, message)
         })?;
         Ok(Self {
             workspace: workspace(&catalog, request)?,
--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -6,7 +6,6 @@
 use actix::{AsyncContext, Context, WrapFuture};
 use woodgap_core::config::Catalog;
 use woodgap_core::control::Event;
-use woodgap_core::instance::{Role, State};
 use woodgap_platform::http::Platform;
 use woodgap_platform::instance::List;
 
@@ -73,13 +72,6 @@
     loop {
         match platform.list().await {
             Ok(instances) => {
-                let live = |role: Role, state: State| role == Role::Entry && state == State::Live;
-                let entries = instances
-                    .iter()
-                    .filter(|one| live(one.role, one.state))
-                    .cloned()
-                    .collect();
-                shared.entries.store(Arc::new(entries));
                 shared.control.tell(Event::Instances(instances));
             }
             Err(error) => log::warn!(error = error.to_string(); "can't read the instance list"),
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix::{ActorContext, AsyncContext, Context, Handler, Message, WrapFuture};
@@ -9,48 +10,66 @@
 use tokio::sync::oneshot;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::machine::TICK;
-use woodgap_core::control::{Action, Ask, Done, Event, Machine, Outcome};
+use woodgap_core::control::{Action, Ask, Done, Event, Machine, Outcome, Own};
+use woodgap_core::message;
 use woodgap_core::name;
-use woodgap_platform::clock::Clock;
 use woodgap_platform::endpoint::{LOAD_PATH, Load};
 
-use crate::control::Answer;
+use crate::control::outbox::Outbox;
+use crate::control::{Answer, Snapshot, Socket, meter, stream};
+use crate::shared::Shared;
 use crate::supervisor::Guard;
 
 /// How long a probe waits for an endpoint's answer.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often callers' side is shown the members.
+const SHOW_PERIOD: Duration = Duration::from_millis(100);
+/// How often the control side's counts are sent as gauges.
+const REPORT_PERIOD: Duration = Duration::from_secs(5);
+/// Wait before a socket that failed is read again.
+const SOCKET_BACKOFF: Duration = Duration::from_millis(100);
 
 /// Owns the machine and carries out what it decides.
 pub struct Actor {
     machine: Machine,
-    clock: Clock,
+    shared: Arc<Shared>,
+    socket: Arc<Socket>,
     client: Client,
     waiting: HashMap<name::Request, oneshot::Sender<Answer>>,
     actions: Vec<Action>,
+    outbox: Outbox,
     _guard: Guard,
 }
 
 impl Actor {
     /// An actor around a new machine.
-    pub fn new(machine: Machine, clock: Clock, guard: Guard) -> Self {
+    pub fn new(machine: Machine, shared: Arc<Shared>, socket: Arc<Socket>, guard: Guard) -> Self {
         let client = Client::builder().timeout(PROBE_TIMEOUT).finish();
         Self {
             machine,
-            clock,
+            shared,
+            socket,
             client,
             waiting: HashMap::new(),
             actions: Vec::new(),
+            outbox: Outbox::default(),
             _guard: guard,
         }
     }
 
-    fn tell(&mut self, event: Event, context: &mut Context<Self>) {
+    /// Tells the machine of events and carries out what it wants; what it sends
+    /// to one entry goes out together.
+    fn tell(&mut self, events: impl IntoIterator<Item = Event>, context: &mut Context<Self>) {
         let mut actions = std::mem::take(&mut self.actions);
-        self.machine.handle(self.clock.now(), event, &mut actions);
-        for action in actions.drain(..) {
-            self.carry_out(action, context);
+        for event in events {
+            let now = self.shared.clock.now();
+            self.machine.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action, context);
+            }
         }
         self.actions = actions;
+        self.outbox.flush(self.machine.members(), &self.socket);
     }
 
     fn carry_out(&mut self, action: Action, context: &mut Context<Self>) {
@@ -64,9 +83,13 @@
             Action::Refuse(request, refusal) => {
                 self.reply(request, Answer::Refuse(refusal));
             }
-            // TODO: there is no socket to other entries yet.
-            Action::Send(_, _) => {}
+            Action::Send(to, message) => self.outbox.put(to, message),
             Action::Probe(endpoint, address) => self.probe(endpoint, address, context),
+            Action::Leave => self.shared.stop(),
+            Action::Stop => {
+                log::error!("a later life of this entry has started: stopping this one");
+                self.shared.end();
+            }
         }
     }
 
@@ -92,6 +115,79 @@
         };
         context.spawn(future.into_actor(self));
     }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let catalog = self.shared.catalog.load();
+        let own = Own {
+            revision: catalog.as_ref().map_or(0, |catalog| catalog.revision()),
+            ready: catalog.is_some() && !self.shared.stopping(),
+            running: self.shared.running.count(),
+        };
+        drop(catalog);
+        self.tell([Event::Own(own), Event::Tick], context);
+    }
+
+    fn show_members(&self) {
+        let members = self.machine.members().iter().cloned().collect();
+        self.shared.members.store(Arc::new(members));
+    }
+
+    /// Starts reading what other entries send.
+    fn listen(&self, context: &mut Context<Self>) {
+        let own = context.address();
+        let socket = Arc::clone(&self.socket);
+        let datagrams = async move {
+            if let Err(error) = read_datagrams(&socket, &own).await {
+                log::error!(error = error.to_string(); "can't read datagrams");
+                tokio::time::sleep(SOCKET_BACKOFF).await;
+                own.do_send(Restart);
+            }
+        };
+        context.spawn(datagrams.into_actor(self));
+        let own = context.address();
+        let socket = Arc::clone(&self.socket);
+        let streams = async move {
+            if let Err(error) = accept_streams(&socket, &own).await {
+                log::error!(error = error.to_string(); "can't accept streams");
+                tokio::time::sleep(SOCKET_BACKOFF).await;
+                own.do_send(Restart);
+            }
+        };
+        context.spawn(streams.into_actor(self));
+    }
+}
+
+async fn read_datagrams(socket: &Socket, actor: &actix::Addr<Actor>) -> std::io::Result<()> {
+    let udp = socket.datagrams()?;
+    loop {
+        let frames = socket.receive(&udp).await?;
+        let events = frames.into_iter().flat_map(|frame| {
+            let from = frame.from;
+            let event = move |message| Event::Message(from, message);
+            frame.messages.into_iter().map(event)
+        });
+        actor.do_send(Received(events.collect()));
+    }
+}
+
+async fn accept_streams(socket: &Arc<Socket>, actor: &actix::Addr<Actor>) -> std::io::Result<()> {
+    let listener = socket.listener()?;
+    loop {
+        let (connection, from) = listener.accept().await?;
+        let socket = Arc::clone(socket);
+        let actor = actor.clone();
+        actix_rt::spawn(async move {
+            let hand_on = |life, messages: Vec<message::Message>| {
+                let event = |message| Event::Message(life, message);
+                actor.do_send(Received(messages.into_iter().map(event).collect()));
+            };
+            let meter_of = Arc::clone(&socket);
+            if let Err(error) = stream::receive(socket, connection, hand_on).await {
+                meter_of.meter().refused();
+                log::debug!(from = from.to_string(), error = error.to_string(); "stream refused");
+            }
+        });
+    }
 }
 
 /// The end of a grant that nobody waits for any more.
@@ -110,8 +206,16 @@
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Self::Context) {
-        context.run_interval(Duration::from_millis(TICK.0), |actor, context| {
-            actor.tell(Event::Tick, context);
+        self.listen(context);
+        // A new machine does not know that the entry is stopping.
+        if self.shared.stopping() {
+            self.tell([Event::Stop], context);
+        }
+        self.show_members();
+        context.run_interval(Duration::from_millis(TICK.0), Self::tick);
+        context.run_interval(SHOW_PERIOD, |actor, _| actor.show_members());
+        context.run_interval(REPORT_PERIOD, |actor, _| {
+            meter::report(&actor.socket.meter().read(), &actor.shared.metrics);
         });
     }
 }
@@ -121,6 +225,11 @@
 #[rtype(result = "()")]
 pub struct Tell(pub Event);
 
+/// Messages that came together.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Received(Vec<Event>);
+
 /// Asks for a place; the answer comes through the channel.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -131,6 +240,11 @@
     pub reply: oneshot::Sender<Answer>,
 }
 
+/// Asks what the machine knows; the answer comes through the channel.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Look(pub oneshot::Sender<Snapshot>);
+
 /// Ends the actor; the supervisor starts a new one.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -143,6 +257,14 @@
         if let Event::Withdraw(request) = &message.0 {
             self.waiting.remove(request);
         }
+        self.tell([message.0], context);
+    }
+}
+
+impl Handler<Received> for Actor {
+    type Result = ();
+
+    fn handle(&mut self, message: Received, context: &mut Self::Context) {
         self.tell(message.0, context);
     }
 }
@@ -152,7 +274,17 @@
 
     fn handle(&mut self, message: Place, context: &mut Self::Context) {
         self.waiting.insert(message.ask.request, message.reply);
-        self.tell(Event::Ask(message.ask), context);
+        self.tell([Event::Ask(message.ask)], context);
+    }
+}
+
+impl Handler<Look> for Actor {
+    type Result = ();
+
+    fn handle(&mut self, message: Look, _: &mut Self::Context) {
+        let control = self.socket.meter().read();
+        // Whoever asked may have gone meanwhile.
+        let _ = message.0.send(Snapshot::of(&self.machine, control));
     }
 }
 
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -6,7 +6,8 @@
 use woodgap_core::control::{Ask, Event, Grant, Refusal};
 use woodgap_core::name;
 
-use crate::control::actor::{Actor, Place, Tell};
+use crate::control::Snapshot;
+use crate::control::actor::{Actor, Look, Place, Tell};
 use crate::supervisor::Branch;
 
 /// Wait before asking again after the control branch ended under an ask.
@@ -57,6 +58,14 @@
         answer.await.ok()
     }
 
+    /// What the machine knows; none if the control branch is restarting.
+    pub async fn snapshot(&self) -> Option<Snapshot> {
+        let address = self.branch.address()?;
+        let (reply, answer) = oneshot::channel();
+        address.do_send(Look(reply));
+        answer.await.ok()
+    }
+
     /// Tells the machine of an event; lost if the control branch is restarting.
     pub fn tell(&self, event: Event) {
         if let Some(address) = self.branch.address() {
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -53,6 +53,7 @@
 
 /// Runs a request to its end, tells the caller, and accounts for it.
 pub async fn run(worker: Worker, request: Request<Received>, sink: Sink) {
+    let _running = worker.shared.running.enter();
     let head = request.head.clone();
     let mut account = Account::new(&worker.shared, &head);
     let ending = attempts(&worker, request, &sink, &mut account).await;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,14 +5,16 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
+use tokio::sync::Notify;
 use woodgap_core::burn;
 use woodgap_core::config::Catalog;
-use woodgap_core::instance::Instance;
+use woodgap_core::membership::Member;
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::entry::Entry as Settings;
 
 use crate::control::Handle;
+use crate::running::Running;
 
 /// The state that threads share; what decides stands in the control thread.
 pub struct Shared {
@@ -24,8 +26,10 @@
     pub clock: Clock,
     /// The configuration in force; none until one is confirmed.
     pub catalog: ArcSwapOption<Catalog>,
-    /// The live entries, for callers that ask which one to use.
-    pub entries: ArcSwap<Vec<Instance>>,
+    /// All entries, as the control thread last showed them.
+    pub members: ArcSwap<Vec<Member>>,
+    /// Requests that were taken and have not ended.
+    pub running: Running,
     /// Asks for places at endpoints.
     pub control: Handle,
     /// Counts for the burn report.
@@ -33,6 +37,7 @@
     /// Metrics.
     pub metrics: StatsdClient,
     stopping: AtomicBool,
+    end: Notify,
     sequence: AtomicU64,
 }
 
@@ -51,11 +56,13 @@
             incarnation,
             clock,
             catalog: ArcSwapOption::empty(),
-            entries: ArcSwap::default(),
+            members: ArcSwap::default(),
+            running: Running::default(),
             control,
             counts: Mutex::new(recorder),
             metrics,
             stopping: AtomicBool::new(false),
+            end: Notify::new(),
             sequence: AtomicU64::new(0),
         }
     }
@@ -78,4 +85,14 @@
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
     }
+
+    /// Has the process stop as planned.
+    pub fn end(&self) {
+        self.end.notify_one();
+    }
+
+    /// Waits until the process is to stop as planned.
+    pub async fn ended(&self) {
+        self.end.notified().await;
+    }
 }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use actix_rt::Arbiter;
@@ -11,19 +12,22 @@
 use serde::Serialize;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
-use woodgap_core::control::Machine;
+use woodgap_core::control::{Machine, Start};
+use woodgap_core::membership::{Figures, Member, Standing};
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::entry::Entry as Settings;
+use woodgap_wire::Key;
 
 use crate::configuration::{Watcher, watcher};
-use crate::control::{Actor, Handle};
+use crate::control::socket::Bound;
+use crate::control::{Actor, Handle, Socket};
 use crate::options::Options;
 use crate::recording::Recording;
 use crate::request::run::Worker;
 use crate::shared::Shared;
-use crate::supervisor::supervise;
-use crate::{admin, caller, recording, telemetry};
+use crate::supervisor::{Branch, supervise};
+use crate::{admin, caller, recording, stop, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -79,10 +83,17 @@
 async fn serve(settings: Settings) -> Result<(), Error> {
     let listener = listen(settings.listen)?;
     let address = listener.local_addr().map_err(Error::Server)?;
-    let peer = settings.peer_listen;
+    let peers = Bound::new(settings.peer_listen).map_err(|source| Error::Socket {
+        option: "peer_listen",
+        source,
+    })?;
+    let peer = peers.address().map_err(Error::Server)?;
     let workers = settings.workers;
     let control = Arbiter::new();
-    let shared = Arc::new(shared(settings, &control)?);
+    let branch = Branch::default();
+    let shared = Arc::new(shared(settings, Handle::new(branch.clone()))?);
+    let own = own(&shared, address, peer);
+    control_branch(&shared, &control, &branch, own, peers);
     let watched = Arc::clone(&shared);
     let _watcher = supervise(&control.handle(), "watcher", move |guard| {
         Watcher::new(Arc::clone(&watched), guard)
@@ -92,8 +103,12 @@
         Recording::new(Arc::clone(&recorded), guard)
     });
     let server = server(&shared, listener, workers)?;
+    let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
     announce(address, peer, &shared.settings.name);
     server.await.map_err(Error::Server)?;
+    if let Ok(stopped) = stopping.await {
+        stopped.map_err(Error::Server)?;
+    }
     recording::finish(&shared, LAST_COUNTS).await;
     Ok(())
 }
@@ -108,24 +123,62 @@
     })
 }
 
-fn shared(settings: Settings, control: &Arbiter) -> Result<Shared, Error> {
+/// Random bits of an incarnation, below the milliseconds at which it began: a
+/// later life has a larger number, and two entries that start in the same
+/// millisecond share one with a probability of one in four million.
+const RANDOM_BITS: u32 = 22;
+
+fn incarnation(clock: Clock) -> name::Incarnation {
+    let random: u64 = rand::random::<u64>() >> (u64::BITS - RANDOM_BITS);
+    name::Incarnation(clock.unix().0 << RANDOM_BITS | random)
+}
+
+fn shared(settings: Settings, control: Handle) -> Result<Shared, Error> {
     let clock = Clock::start();
-    let incarnation = name::Incarnation(rand::random());
-    let waiting_per_slot = settings.dispatch.waiting_per_slot;
-    let branch = supervise(&control.handle(), "control", move |guard| {
-        Actor::new(Machine::new(rand::random(), waiting_per_slot), clock, guard)
-    });
+    let incarnation = incarnation(clock);
     let metrics = telemetry::metrics::client(settings.metrics).map_err(|source| Error::Socket {
         option: "metrics",
         source,
     })?;
-    Ok(Shared::new(
-        settings,
-        incarnation,
-        Handle::new(branch),
-        clock,
-        metrics,
-    ))
+    Ok(Shared::new(settings, incarnation, control, clock, metrics))
+}
+
+/// The own entry, as the others are to know it.
+fn own(shared: &Shared, address: SocketAddr, peer: SocketAddr) -> Member {
+    Member {
+        name: shared.settings.name.clone(),
+        incarnation: shared.incarnation,
+        data_centre: shared.settings.data_centre.clone(),
+        peer,
+        http: shared.settings.advertise.unwrap_or(address),
+        standing: Standing::Live,
+        version: 0,
+        figures: Figures::default(),
+        heard: Millis::ZERO,
+    }
+}
+
+/// Starts the control branch; the sockets outlive its restarts.
+fn control_branch(
+    shared: &Arc<Shared>,
+    control: &Arbiter,
+    branch: &Branch<Actor>,
+    own: Member,
+    peers: Bound,
+) {
+    let key = Key::new(&shared.settings.fleet_key.0);
+    let socket = Arc::new(Socket::new(peers, key, shared.incarnation));
+    let shared = Arc::clone(shared);
+    let generation = AtomicU32::new(1);
+    branch.start(&control.handle(), "control", move |guard| {
+        let machine = Machine::new(Start {
+            own: own.clone(),
+            generation: generation.fetch_add(1, Ordering::Relaxed),
+            seed: rand::random(),
+            waiting_per_slot: shared.settings.dispatch.waiting_per_slot,
+        });
+        Actor::new(machine, Arc::clone(&shared), Arc::clone(&socket), guard)
+    });
 }
 
 /// Connections that one worker thread keeps to all endpoints together.
@@ -144,6 +197,9 @@
         .finish()
 }
 
+/// How long the last bytes of answers may take to reach slow callers.
+const LAST_BYTES: Duration = Duration::from_secs(30);
+
 fn server(
     shared: &Arc<Shared>,
     listener: TcpListener,
@@ -166,6 +222,8 @@
             .configure(admin::routes)
     })
     .workers(workers)
+    .disable_signals()
+    .shutdown_timeout(LAST_BYTES.as_secs())
     .max_connections(connections.div_ceil(workers))
     .client_request_timeout(header_timeout)
     .on_connect(caller::Presence::remember)
--- a/crates/entry/src/supervisor.rs
+++ b/crates/entry/src/supervisor.rs
@@ -35,12 +35,32 @@
     }
 }
 
+impl<A: Actor> Default for Branch<A> {
+    fn default() -> Self {
+        Self {
+            address: Arc::new(ArcSwapOption::empty()),
+        }
+    }
+}
+
 impl<A: Actor> Branch<A> {
     /// The address of the running actor; none between its end and its restart.
     pub fn address(&self) -> Option<Addr<A>> {
         let address = self.address.load_full()?;
         address.connected().then(|| Addr::clone(&address))
     }
+
+    /// Starts the branch's actor on a thread and keeps it running there.
+    pub fn start<F>(&self, arbiter: &ArbiterHandle, name: &'static str, make: F)
+    where
+        A: Actor<Context = Context<A>>,
+        F: Fn(Guard) -> A + Send + 'static,
+    {
+        let address = Arc::clone(&self.address);
+        arbiter.spawn_fn(move || {
+            actix_rt::spawn(keep_running(name, make, address));
+        });
+    }
 }
 
 /// Starts an actor on a thread and keeps it running there.
@@ -49,13 +69,8 @@
     A: Actor<Context = Context<A>>,
     F: Fn(Guard) -> A + Send + 'static,
 {
-    let address = Arc::new(ArcSwapOption::empty());
-    let branch = Branch {
-        address: Arc::clone(&address),
-    };
-    arbiter.spawn_fn(move || {
-        actix_rt::spawn(keep_running(name, make, address));
-    });
+    let branch = Branch::default();
+    branch.start(arbiter, name, make);
     branch
 }
 
