core: exchange of configuration between entries

Cause: with the change log alone, an outage of the table service would stop an accepted change from spreading, and an entry that starts then would have nothing to serve by. Change: an entry that hears of a higher revision asks its holder; changes come from a short tail, or everything in parts; a gap or an older whole is never applied. Ruled out: pushing each document to all (400 messages from one entry at the target size). Conclusion: pure part stands; the entry drives it once datagrams flow.

--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -1,5 +1,11 @@
 //! Which revision of the configuration is in force here, and whether it may be trusted.
 
+pub mod exchange;
+pub mod message;
+
+pub use exchange::Exchange;
+pub use message::Message;
+
 use std::collections::BTreeMap;
 
 use crate::clock::Millis;
--- /dev/null
+++ b/crates/core/src/revision/exchange.rs
@@ -0,0 +1,200 @@
+//! Passes changes on between entries, so that a revision spreads without the
+//! table service, and during its outages.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::clock::Millis;
+use crate::name;
+use crate::revision::message::{Change, Message, Part};
+use crate::revision::{Newer, Tracker};
+
+/// Changes kept to answer others; who is further behind gets everything. Some
+/// minutes of changes at 12,000 a day, and under 300 KB.
+const TAIL: usize = 256;
+/// Bytes of changes in one answer at most; who lacks more asks again.
+const ANSWER_BYTES: usize = 32 * 1024;
+/// How long an answer is waited for before another entry, or the same again, is asked.
+const ASK_AGAIN: Millis = Millis(300);
+
+/// What the exchange wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to an entry.
+    Send(name::Incarnation, Message),
+    /// Send everything that is in force to an entry.
+    SendAll(name::Incarnation),
+    /// Put changes in force, in their order.
+    Apply(Vec<Change>),
+    /// Put everything in force at once, in place of an older whole.
+    Replace {
+        /// The revision of the whole.
+        revision: u64,
+        /// The documents, as JSON, templates before workspaces.
+        documents: Vec<String>,
+    },
+}
+
+/// One entry's side of the exchange.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    tracker: Tracker,
+    tail: VecDeque<Change>,
+    parts: BTreeMap<u32, Part>,
+    asked: Option<Millis>,
+}
+
+impl Exchange {
+    /// Nothing is in force; a confirmation counts for as long as the limit.
+    pub fn new(limit: Millis) -> Self {
+        Self {
+            tracker: Tracker::new(limit),
+            tail: VecDeque::new(),
+            parts: BTreeMap::new(),
+            asked: None,
+        }
+    }
+
+    /// What is in force, and whether it may be trusted.
+    pub fn tracker(&self) -> &Tracker {
+        &self.tracker
+    }
+
+    /// The entry has put a revision in force, with the changes that led to it
+    /// where they are known.
+    pub fn in_force(&mut self, revision: u64, changes: &[Change]) {
+        if !self.tracker.applied(revision) {
+            return;
+        }
+        self.asked = None;
+        for change in changes {
+            let follows = self
+                .tail
+                .back()
+                .is_none_or(|last| last.revision + 1 == change.revision);
+            if !follows {
+                self.tail.clear();
+            }
+            self.tail.push_back(change.clone());
+        }
+        if self
+            .tail
+            .back()
+            .is_some_and(|last| last.revision != revision)
+        {
+            self.tail.clear();
+        }
+        while self.tail.len() > TAIL {
+            self.tail.pop_front();
+        }
+    }
+
+    /// The change log was read to its end; the read was sent at `asked`.
+    pub fn read(&mut self, asked: Millis) {
+        self.tracker.read(asked);
+    }
+
+    /// Another entry was heard of first hand.
+    pub fn heard(&mut self, now: Millis, from: name::Incarnation, revision: u64) {
+        self.tracker.heard(now, from, revision);
+    }
+
+    /// Another entry's life ended.
+    pub fn gone(&mut self, holder: name::Incarnation) {
+        self.tracker.gone(holder);
+    }
+
+    /// Asks for what is newer, if anything is.
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let Some(Newer { holder, .. }) = self.tracker.newer() else {
+            return;
+        };
+        if self.asked.is_some_and(|asked| now - asked < ASK_AGAIN) {
+            return;
+        }
+        self.asked = Some(now);
+        let after = self.tracker.in_force().unwrap_or(0);
+        out.push(Action::Send(holder, Message::Want(after)));
+    }
+
+    /// Takes in a message of another entry.
+    pub fn message(&mut self, from: name::Incarnation, message: Message, out: &mut Vec<Action>) {
+        match message {
+            Message::Want(after) => self.want(from, after, out),
+            Message::Changes(changes) => self.changes(changes, out),
+            Message::Part(part) => self.part(part, out),
+        }
+    }
+
+    fn want(&self, from: name::Incarnation, after: u64, out: &mut Vec<Action>) {
+        if self
+            .tracker
+            .in_force()
+            .is_none_or(|in_force| in_force <= after)
+        {
+            return;
+        }
+        let next = self
+            .tail
+            .iter()
+            .position(|change| change.revision == after + 1);
+        match next {
+            Some(next) if after > 0 => {
+                let mut bytes = 0;
+                let fits = |change: &&Change| {
+                    bytes += change.document.len();
+                    bytes <= ANSWER_BYTES || change.revision == after + 1
+                };
+                let changes = self
+                    .tail
+                    .iter()
+                    .skip(next)
+                    .take_while(fits)
+                    .cloned()
+                    .collect();
+                out.push(Action::Send(from, Message::Changes(changes)));
+            }
+            _ => out.push(Action::SendAll(from)),
+        }
+    }
+
+    fn changes(&mut self, mut changes: Vec<Change>, out: &mut Vec<Action>) {
+        let Some(in_force) = self.tracker.in_force() else {
+            return;
+        };
+        changes.retain(|change| change.revision > in_force);
+        let whole = (in_force + 1..)
+            .zip(&changes)
+            .all(|(expected, change)| expected == change.revision);
+        if whole && !changes.is_empty() {
+            out.push(Action::Apply(changes));
+        }
+    }
+
+    fn part(&mut self, part: Part, out: &mut Vec<Action>) {
+        let in_force = self.tracker.in_force();
+        if in_force.is_some_and(|in_force| part.revision <= in_force) {
+            return;
+        }
+        let other = |kept: &Part| (kept.revision, kept.of) != (part.revision, part.of);
+        if self.parts.values().next().is_some_and(other) {
+            self.parts.clear();
+        }
+        let (revision, of) = (part.revision, part.of);
+        self.parts.insert(part.index, part);
+        if self.parts.len() < of as usize {
+            return;
+        }
+        let parts = std::mem::take(&mut self.parts);
+        let documents = parts
+            .into_values()
+            .flat_map(|part| part.documents)
+            .collect();
+        out.push(Action::Replace {
+            revision,
+            documents,
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests;
