--- a/crates/ctl/src/apply/wait.rs
+++ b/crates/ctl/src/apply/wait.rs
@@ -1,6 +1,7 @@
 //! Waits until a revision is in force at every entry.
 
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 use woodgap_core::admin::{Entry, EntryState, Status};
 use woodgap_core::name;
@@ -23,15 +24,13 @@
 ) -> Result<(), Error> {
     let mut progress = Progress::new(revision);
     loop {
-        // An entry that can't answer now is no reason to give up.
-        if let Ok(answer) = client.ask(&status_call()).await {
-            progress.take(&answer.good("status")?, terminal);
+        let fleet = look(client).await?;
+        if !fleet.is_empty() {
+            progress.take(&fleet, terminal);
         }
         if progress.is_done() {
-            terminal.print(&format!(
-                "revision {revision} is in force at all {} entries",
-                progress.done.len()
-            ));
+            let count = progress.done.len();
+            terminal.print(&format!("revision {revision}: in force, entries: {count}"));
             return Ok(());
         }
         if !client.pause().await {
@@ -44,6 +43,30 @@
     }
 }
 
+/// The fleet as the entries that answer see it; one that can't answer now is no
+/// reason to give up.
+async fn look(client: &Client) -> Result<Vec<Entry>, Error> {
+    let mut seen = Vec::new();
+    for answer in client.ask_all(&status_call()).await {
+        let status: Status = answer.good("status")?;
+        seen.extend(status.entries);
+    }
+    Ok(newest(seen))
+}
+
+/// Of each entry the newest life, and of that the youngest news.
+fn newest(seen: Vec<Entry>) -> Vec<Entry> {
+    let newness = |entry: &Entry| (entry.incarnation, Reverse(entry.age));
+    let mut fleet: BTreeMap<name::Entry, Entry> = BTreeMap::new();
+    for entry in seen {
+        let known = fleet.get(&entry.name);
+        if known.is_none_or(|known| newness(known) < newness(&entry)) {
+            fleet.insert(entry.name.clone(), entry);
+        }
+    }
+    fleet.into_values().collect()
+}
+
 /// Which entries have the revision in force, by the newest answer.
 struct Progress {
     revision: u64,
@@ -60,8 +83,8 @@
         }
     }
 
-    fn take(&mut self, status: &Status, terminal: &mut Terminal<'_>) {
-        let serving = status.entries.iter().filter(|entry| serves(entry));
+    fn take(&mut self, fleet: &[Entry], terminal: &mut Terminal<'_>) {
+        let serving = fleet.iter().filter(|entry| serves(entry));
         let (done, left): (Vec<&Entry>, Vec<_>) =
             serving.partition(|entry| entry.revision >= self.revision);
         for entry in &done {
@@ -92,3 +115,6 @@
 fn serves(entry: &Entry) -> bool {
     matches!(entry.state, EntryState::Live | EntryState::Suspect)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ctl/src/check/together.rs
+++ b/crates/ctl/src/check/together.rs
@@ -10,7 +10,7 @@
 
 /// Prints what does not go together; returns the number of files with problems.
 pub fn check(files: &[(String, Checked)], terminal: &mut Terminal<'_>) -> usize {
-    entries(files, terminal) + documents(files, terminal)
+    entries(files, terminal) + documents(files, terminal) + keys(files, terminal)
 }
 
 /// Entries of one fleet, which are those with one platform, share a key and
@@ -77,6 +77,28 @@
     bad
 }
 
+/// A key names one workspace only.
+fn keys(files: &[(String, Checked)], terminal: &mut Terminal<'_>) -> usize {
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+    let mut bad = 0;
+    for (file, checked) in files {
+        let Checked::Document(Document::Workspace(values)) = checked else {
+            continue;
+        };
+        let mut fine = true;
+        for (index, key) in values.keys.iter().enumerate() {
+            if let Some(owner) = owners.insert(key, file) {
+                terminal.print(&format!(
+                    "{file}: keys[{index}]: found a key that {owner} has too, expected its own."
+                ));
+                fine = false;
+            }
+        }
+        bad += usize::from(!fine);
+    }
+    bad
+}
+
 fn templates(files: &[(String, Checked)]) -> BTreeMap<&str, &Template> {
     let mut templates = BTreeMap::new();
     for (_, checked) in files {
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -6,6 +6,7 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
+use futures_util::future::join_all;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep};
@@ -144,6 +145,13 @@
         Err(attempts)
     }
 
+    /// Asks every entry; those that answer are returned.
+    pub async fn ask_all(&self, call: &Call) -> Vec<Answer> {
+        let attempts = self.entries.iter().map(|entry| self.attempt(entry, call));
+        let answers = join_all(attempts).await;
+        answers.into_iter().filter_map(Result::ok).collect()
+    }
+
     /// Asks the entries round after round, until one answers or the time is over;
     /// at least one round.
     ///
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -58,7 +58,7 @@
     let call = Call::post(DRAIN_PATH, &Drain { instance });
     let answer = client.ask(&call).await.map_err(Error::Unreachable)?;
     let drain: Drain = answer.good("instance of this name")?;
-    terminal.print(&format!("{}: gets no new work", drain.instance));
+    terminal.print(&format!("{}: drain accepted", drain.instance));
     Ok(())
 }
 
--- a/crates/ctl/tests/calls/main.rs
+++ b/crates/ctl/tests/calls/main.rs
@@ -282,7 +282,7 @@
 async fn drain() {
     let fleet = Shared::default();
     let outcome = run(&fleet, false, &[Mood::Well], "drain story-1").await;
-    assert_eq!(outcome.out, "story-1: gets no new work\n");
+    assert_eq!(outcome.out, "story-1: drain accepted\n");
     let posted = Arc::clone(&fleet);
     assert_eq!(
         posted.lock().unwrap().posted,
--- a/crates/ctl/tests/check.rs
+++ b/crates/ctl/tests/check.rs
@@ -19,6 +19,11 @@
 #[case::alone("dublin", &["workspaces/murphy.json"], Code::Ok)]
 #[case::twin("dublin", &["entry-dub-a.jsonc", "../../crates/ctl/tests/files/twin.jsonc"], Code::Failed)]
 #[case::greedy("dublin", &["../../crates/ctl/tests/files/greedy.json", "templates/family.json"], Code::Failed)]
+#[case::thief(
+    "dublin",
+    &["workspaces/murphy.json", "../../crates/ctl/tests/files/thief.json", "templates/family.json"],
+    Code::Failed
+)]
 #[case::broken(
     "../crates/ctl/tests/files",
     &["broken.json", "other.jsonc", "none.jsonc", "murphy.json"],
--- a/crates/settings/src/burn.rs
+++ b/crates/settings/src/burn.rs
@@ -1,7 +1,6 @@
 //! The settings of `woodgap-burn`: shifts and objectives.
 
 use std::collections::BTreeMap;
-use std::fs;
 use std::path::Path;
 
 use jiff::civil::{Time, Weekday};
@@ -95,9 +94,7 @@
 ///
 /// All problems of the file at once, or the one that kept it from being read.
 pub fn load(path: &Path) -> Result<Burn, Problems> {
-    let file = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|error| Problems::unreadable(&file, &error))?;
-    parse(&text, &file)
+    reader::load(path, read)
 }
 
 fn read(section: &Section) -> Option<Burn> {
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -3,7 +3,6 @@
 //! A document is checked by itself here. Whether it goes with the documents in
 //! force is decided where it is applied.
 
-use std::fs;
 use std::path::Path;
 
 use serde_json::Value;
@@ -61,9 +60,7 @@
 ///
 /// All problems of the file at once, or the one that kept it from being read.
 pub fn load(path: &Path) -> Result<Document, Problems> {
-    let file = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|error| Problems::unreadable(&file, &error))?;
-    parse(&text, &file)
+    reader::load(path, read)
 }
 
 fn read(section: &Section) -> Option<Document> {
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -1,7 +1,6 @@
 //! The settings of one `woodgap-entry`.
 
 use std::fmt;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -138,9 +137,7 @@
 ///
 /// All problems of the file at once, or the one that kept it from being read.
 pub fn load(path: &Path) -> Result<Entry, Problems> {
-    let file = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|error| Problems::unreadable(&file, &error))?;
-    parse(&text, &file)
+    reader::load(path, read)
 }
 
 fn read(section: &Section) -> Option<Entry> {
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -5,6 +5,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
@@ -31,6 +33,13 @@
     })
 }
 
+/// Reads a whole file from its path by a reading function.
+pub fn load<T>(path: &Path, reading: impl FnOnce(&Section) -> Option<T>) -> Result<T, Problems> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|error| Problems::unreadable(&file, &error))?;
+    read(&text, &file, reading)
+}
+
 /// The keys of the file's object, whatever they are.
 pub fn keys(text: &str, file: &str) -> Result<Vec<String>, Problems> {
     report::with_root(text, file, |_, object| {
--- a/crates/settings/src/rule.rs
+++ b/crates/settings/src/rule.rs
@@ -60,6 +60,9 @@
             Value::StringLit(text) if self.secret => {
                 format!("a text of {} characters", text.value.chars().count())
             }
+            Value::StringLit(text) if text.value.contains("://") && text.value.contains('@') => {
+                "a URL with credentials".to_owned()
+            }
             Value::StringLit(text) => shortened(&text.value),
             Value::NumberLit(_) if self.secret => "a number".to_owned(),
             Value::NumberLit(number) => number.value.to_owned(),
--- a/crates/settings/tests/problems.rs
+++ b/crates/settings/tests/problems.rs
@@ -38,8 +38,8 @@
 /// A pasted secret must not reach a terminal or a log.
 #[test]
 fn secrets_stay_hidden() {
-    let text =
-        r#"{"fleet_key": "not-to-be-shown", "operators": [{"key_sha256": "not-to-be-shown"}]}"#;
+    let text = r#"{"platform": {"url": "http://a:not-to-be-shown@b"},
+        "fleet_key": "not-to-be-shown", "operators": [{"key_sha256": "not-to-be-shown"}]}"#;
     let problems = entry::parse(text, "secret.jsonc").unwrap_err();
     assert!(!format!("{problems} {problems:?}").contains("not-to-be-shown"));
 }
