Configuration in force moves only forward; keys name one workspace

Cause: every source of configuration replaced the catalog on its own, so that a slow one could have put an older revision in force; a new entry read the whole change log; a key that two workspaces had silently went to the later one; a slip in an unused template passed. Change: InForce takes changes without a gap or a newer whole, and serves by it only while it is confirmed; a new entry reads the documents; taken and malformed keys, and slips in unused templates, are refused before they are accepted. Ruled out: serving by the last configuration for ever when the table service is out.

--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -9,6 +9,9 @@
 use crate::name;
 use crate::tier::Tier;
 
+/// Hexadecimal digits of a key's SHA-256.
+const DIGEST_DIGITS: usize = 64;
+
 /// A workspace with every parameter filled in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
@@ -50,6 +53,27 @@
 }
 
 impl Catalog {
+    /// All documents of one revision, in any order.
+    ///
+    /// ```
+    /// use woodgap_core::config::Catalog;
+    ///
+    /// assert_eq!(Catalog::of(7, Vec::new()).revision(), 7);
+    /// ```
+    pub fn of(revision: u64, documents: Vec<Document>) -> Self {
+        let mut catalog = Self {
+            revision,
+            ..Self::default()
+        };
+        let (templates, workspaces): (Vec<_>, Vec<_>) = documents
+            .into_iter()
+            .partition(|document| matches!(document, Document::Template(_)));
+        for document in templates.into_iter().chain(workspaces) {
+            catalog.put(document);
+        }
+        catalog
+    }
+
     /// The revision of the newest change within.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -98,23 +122,66 @@
     /// What the change would break; empty if it can be accepted.
     pub fn check(&self, document: &Document) -> Vec<Problem> {
         match document {
-            Document::Template(template) => self
-                .values
-                .values()
-                .filter(|values| values.template == template.name)
-                .filter_map(|values| resolve(template, values).err())
-                .flatten()
-                .collect(),
-            Document::Workspace(values) => match self.templates.get(&values.template) {
-                Some(template) => resolve(template, values).err().unwrap_or_default(),
-                None => vec![Problem::NoTemplate {
-                    workspace: values.name.clone(),
-                    template: values.template.clone(),
-                }],
-            },
+            Document::Template(template) => self.check_template(template),
+            Document::Workspace(values) => self.check_values(values),
         }
     }
 
+    fn check_template(&self, template: &Template) -> Vec<Problem> {
+        let mut users = self
+            .values
+            .values()
+            .filter(|values| values.template == template.name);
+        let Some(first) = users.next() else {
+            // Nobody uses it yet: a slip must show all the same.
+            return resolve(template, &template.example())
+                .err()
+                .unwrap_or_default();
+        };
+        std::iter::once(first)
+            .chain(users)
+            .filter_map(|values| resolve(template, values).err())
+            .flatten()
+            .collect()
+    }
+
+    fn check_values(&self, values: &Values) -> Vec<Problem> {
+        let mut problems = match self.templates.get(&values.template) {
+            Some(template) => resolve(template, values).err().unwrap_or_default(),
+            None => vec![Problem::NoTemplate {
+                workspace: values.name.clone(),
+                template: values.template.clone(),
+            }],
+        };
+        problems.extend(
+            values
+                .keys
+                .iter()
+                .filter_map(|key| self.check_key(values, key)),
+        );
+        problems
+    }
+
+    /// A key names one workspace: a second one with it would take the first one's calls.
+    fn check_key(&self, values: &Values, key: &str) -> Option<Problem> {
+        let digest = key.len() == DIGEST_DIGITS
+            && key
+                .bytes()
+                .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        if !digest {
+            return Some(Problem::BadKey {
+                workspace: values.name.clone(),
+                found: key.to_owned(),
+            });
+        }
+        let other = self.by_key.get(key)?;
+        let taken = other.name.as_str() != values.name;
+        taken.then(|| Problem::KeyTaken {
+            workspace: values.name.clone(),
+            other: other.name.to_string(),
+        })
+    }
+
     /// Applies the change of one revision; an old revision changes nothing.
     ///
     /// Returns whether the change was applied.
@@ -123,11 +190,15 @@
             return false;
         }
         self.revision = revision;
+        self.put(document);
+        true
+    }
+
+    fn put(&mut self, document: Document) {
         match document {
             Document::Template(template) => self.put_template(template),
             Document::Workspace(values) => self.put_values(values),
         }
-        true
     }
 
     fn put_template(&mut self, template: Template) {
@@ -169,3 +240,6 @@
         self.workspaces.insert(values.name.clone(), workspace);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -60,6 +60,31 @@
     pub classes: BTreeMap<String, ClassTemplate>,
 }
 
+impl Template {
+    /// Values that any workspace could have: defaults, else the first allowed.
+    pub fn example(&self) -> Values {
+        let value = |(name, parameter): (&String, &Parameter)| (name.clone(), parameter.example());
+        Values {
+            name: "example".to_owned(),
+            template: self.name.clone(),
+            values: self.parameters.iter().map(value).collect(),
+            keys: Vec::new(),
+        }
+    }
+}
+
+impl Parameter {
+    fn example(&self) -> Value {
+        match self {
+            Self::Integer { min, default, .. } => Value::from(default.unwrap_or(*min)),
+            Self::Boolean { default } => Value::from(default.unwrap_or_default()),
+            Self::Choice { of, default } => {
+                Value::from(default.as_ref().or(of.first()).cloned().unwrap_or_default())
+            }
+        }
+    }
+}
+
 /// A parameter's type and bounds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
--- a/crates/core/src/config/resolve.rs
+++ b/crates/core/src/config/resolve.rs
@@ -50,6 +50,24 @@
         /// What would be accepted.
         expected: String,
     },
+    /// A key is no SHA-256 in lower-case hexadecimal.
+    #[error(
+        "workspace `{workspace}`: key `{found}` is no SHA-256 in lower-case hexadecimal, 64 digits"
+    )]
+    BadKey {
+        /// The workspace.
+        workspace: String,
+        /// What stands in place of the key.
+        found: String,
+    },
+    /// A key is another workspace's.
+    #[error("workspace `{workspace}`: one of its keys is already that of workspace `{other}`")]
+    KeyTaken {
+        /// The workspace.
+        workspace: String,
+        /// The workspace that has the key.
+        other: String,
+    },
     /// A field refers to a parameter that is not declared.
     #[error("template `{template}`: `{field}` refers to `${parameter}`, which is not declared")]
     Undeclared {
--- a/crates/entry/src/admin/change.rs
+++ b/crates/entry/src/admin/change.rs
@@ -1,7 +1,5 @@
 //! Operators' changes of the configuration.
 
-use std::sync::Arc;
-
 use actix_web::HttpRequest;
 use actix_web::web::{Data, Json, Path, Query};
 use serde::Deserialize;
@@ -23,11 +21,10 @@
     let shared = &worker.shared;
     let operator = operator(shared, &request)?;
     let store = Store::new(Platform::clone(&platform));
-    let known = shared
-        .catalog
-        .load_full()
-        .unwrap_or_else(|| Arc::new(Catalog::default()));
-    let mut catalog = Catalog::clone(&known);
+    let mut catalog = match shared.in_force.catalog() {
+        Some(known) => Catalog::clone(&known),
+        None => store.everything().await?,
+    };
     let applied = store
         .apply(&mut catalog, &body, operator, shared.clock.unix())
         .await?;
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -18,7 +18,7 @@
 ) -> Result<Json<Status>, Failure> {
     let shared = &worker.shared;
     operator(shared, &request)?;
-    let catalog = shared.catalog.load_full();
+    let catalog = shared.in_force.confirmed(shared.clock.now());
     let revision = catalog.as_ref().map_or(0, |catalog| catalog.revision());
     let state = match (catalog, shared.stopping()) {
         (_, true) => EntryState::Leaving,
--- a/crates/entry/src/caller/authority.rs
+++ b/crates/entry/src/caller/authority.rs
@@ -44,12 +44,15 @@
                 "this entry is stopping, use another",
             ));
         }
-        let catalog = shared.catalog.load_full().ok_or_else(|| {
-            Problem::not_run(
-                Code::NotReady,
-                "this entry has no confirmed configuration yet, use another",
-            )
-        })?;
+        let catalog = shared
+            .in_force
+            .confirmed(shared.clock.now())
+            .ok_or_else(|| {
+                Problem::not_run(
+                    Code::NotReady,
+                    "this entry has no confirmed configuration yet, use another",
+                )
+            })?;
         Ok(Self {
             workspace: workspace(&catalog, request)?,
             class: text(request, CLASS_HEADER)?.map(str::to_owned),
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -1,8 +1,10 @@
 //! Configuration: read from the platform, kept in force, changed by operators.
 
+pub mod in_force;
 pub mod record;
 pub mod store;
 pub mod watcher;
 
+pub use in_force::InForce;
 pub use store::Store;
 pub use watcher::Watcher;
--- a/crates/entry/src/configuration/record.rs
+++ b/crates/entry/src/configuration/record.rs
@@ -12,14 +12,19 @@
 use serde::{Deserialize, Serialize};
 use woodgap_core::clock::Millis;
 use woodgap_core::config::Document;
+use woodgap_core::revision::message;
 use woodgap_platform::table::Place;
 
+use crate::configuration::store::Refusal;
+
 /// The table of documents and the head.
 pub const DOCUMENTS: &str = "config";
 /// The table of changes by revision.
 pub const LOG: &str = "config_log";
 /// The table of changes by identity.
 pub const CHANGES: &str = "config_changes";
+/// What documents' keys begin with; templates first, since workspaces need them.
+pub const DOCUMENT_PREFIXES: [&str; 2] = ["template/", "workspace/"];
 /// The key of the head.
 pub const HEAD: &str = "head";
 
@@ -47,6 +52,22 @@
     pub document: Document,
 }
 
+impl Change {
+    /// The change as entries pass it on to one another.
+    ///
+    /// # Errors
+    ///
+    /// If the document can't be written as JSON.
+    pub fn pass_on(&self) -> Result<message::Change, Refusal> {
+        let document = serde_json::to_string(&self.document)
+            .map_err(|error| Refusal::Row(self.document.key(), error.to_string()))?;
+        Ok(message::Change {
+            revision: self.revision,
+            document,
+        })
+    }
+}
+
 /// The place of the head.
 pub fn head() -> Place {
     Place::new(DOCUMENTS, HEAD)
--- a/crates/entry/src/configuration/store.rs
+++ b/crates/entry/src/configuration/store.rs
@@ -77,6 +77,48 @@
             .collect()
     }
 
+    /// Everything in force, as one catalog.
+    ///
+    /// The documents are read after the head, and then the log from the head on:
+    /// a change that came in between is applied again, which changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// If the platform failed, or a row can't be read.
+    pub async fn everything(&self) -> Result<Catalog, Refusal> {
+        let rows = self.table.read(&[record::head()]).await?;
+        let head = match rows.first().and_then(Option::as_ref) {
+            Some(row) => decode::<Head>(&row.key, &row.value)?.revision,
+            None => 0,
+        };
+        let mut documents = Vec::new();
+        for prefix in record::DOCUMENT_PREFIXES {
+            self.documents(prefix, &mut documents).await?;
+        }
+        let mut catalog = Catalog::of(head, documents);
+        self.catch_up(&mut catalog).await?;
+        Ok(catalog)
+    }
+
+    async fn documents(&self, prefix: &str, documents: &mut Vec<Document>) -> Result<(), Refusal> {
+        let mut scan = Scan {
+            table: record::DOCUMENTS.to_owned(),
+            prefix: prefix.to_owned(),
+            after: String::new(),
+            limit: Scan::MOST,
+        };
+        loop {
+            let rows = self.table.scan(&scan).await?;
+            for row in &rows {
+                documents.push(decode::<Change>(&row.key, &row.value)?.document);
+            }
+            match rows.last() {
+                Some(last) if rows.len() == Scan::MOST => scan.after.clone_from(&last.key),
+                _ => return Ok(()),
+            }
+        }
+    }
+
     /// Brings a catalog up to the newest revision.
     ///
     /// # Errors
--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use actix::{AsyncContext, Context, WrapFuture};
-use woodgap_core::config::Catalog;
 use woodgap_core::control::Event;
 use woodgap_core::instance::{Role, State};
 use woodgap_platform::http::Platform;
 use woodgap_platform::instance::List;
+use woodgap_platform::table::Scan;
 
 use crate::configuration::Store;
+use crate::configuration::record::Change;
+use crate::configuration::store::Refusal;
 use crate::shared::Shared;
 use crate::supervisor::Guard;
 
@@ -50,24 +52,33 @@
 async fn watch_configuration(shared: Arc<Shared>) {
     let store = Store::new(platform(&shared));
     loop {
-        let mut catalog = shared
-            .catalog
-            .load_full()
-            .map_or_else(Catalog::default, |catalog| Catalog::clone(&catalog));
-        let before = catalog.revision();
-        match store.catch_up(&mut catalog).await {
-            Ok(()) => {
-                if catalog.revision() > before || shared.catalog.load().is_none() {
-                    log::info!(revision = catalog.revision(); "configuration in force");
-                    shared.catalog.store(Some(Arc::new(catalog)));
-                }
-            }
+        let asked = shared.clock.now();
+        match read(&shared, &store).await {
+            Ok(()) => shared
+                .in_force
+                .confirm_until(asked + shared.settings.dispatch.unconfirmed_limit),
             Err(error) => log::warn!(error = error.to_string(); "can't read the configuration"),
         }
         pause(&shared).await;
     }
 }
 
+/// Puts in force what the table service has, if it is newer.
+async fn read(shared: &Shared, store: &Store<Platform>) -> Result<(), Refusal> {
+    loop {
+        let Some(known) = shared.in_force.catalog() else {
+            shared.in_force.replace(store.everything().await?);
+            return Ok(());
+        };
+        let changes = store.after(known.revision()).await?;
+        let passed_on: Result<Vec<_>, _> = changes.iter().map(Change::pass_on).collect();
+        shared.in_force.apply(&passed_on?);
+        if changes.len() < Scan::MOST {
+            return Ok(());
+        }
+    }
+}
+
 async fn watch_instances(shared: Arc<Shared>) {
     let platform = platform(&shared);
     loop {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,17 +1,17 @@
 //! What every part of one entry can reach.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use cadence::StatsdClient;
 use woodgap_core::burn;
-use woodgap_core::config::Catalog;
 use woodgap_core::instance::Instance;
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::entry::Entry as Settings;
 
+use crate::configuration::InForce;
 use crate::control::Handle;
 
 /// The state that threads share; what decides stands in the control thread.
@@ -22,8 +22,8 @@
     pub incarnation: name::Incarnation,
     /// The entry's clock.
     pub clock: Clock,
-    /// The configuration in force; none until one is confirmed.
-    pub catalog: ArcSwapOption<Catalog>,
+    /// The configuration in force.
+    pub in_force: Arc<InForce>,
     /// The live entries, for callers that ask which one to use.
     pub entries: ArcSwap<Vec<Instance>>,
     /// Asks for places at endpoints.
@@ -50,7 +50,7 @@
             settings,
             incarnation,
             clock,
-            catalog: ArcSwapOption::empty(),
+            in_force: Arc::default(),
             entries: ArcSwap::default(),
             control,
             counts: Mutex::new(recorder),
