Merge main into member: the configuration in force, and the fleet's members

Both sides changed what the threads share: the catalog became InForce, the list of entries became the members. The control actor now reads the confirmed revision from it; an entry without one is shown as not ready and stays out of the address answer. Builds and lints clean.

--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -43,8 +43,8 @@
 fn entry(shared: &Shared, member: &Member, now: Millis) -> Entry {
     let own = member.incarnation == shared.incarnation;
     let revision = if own {
-        let catalog = shared.catalog.load();
-        catalog.as_ref().map_or(0, |catalog| catalog.revision())
+        let catalog = shared.in_force.confirmed(now);
+        catalog.map_or(0, |catalog| catalog.revision())
     } else {
         member.figures.revision
     };
--- a/crates/entry/src/caller/authority.rs
+++ b/crates/entry/src/caller/authority.rs
@@ -44,11 +44,14 @@
             let message = format!("this entry takes no new work{another}");
             return Err(Problem::not_run(Code::Stopping, message));
         }
-        let catalog = shared.catalog.load_full().ok_or_else(|| {
-            let another = entries::another(shared);
-            let message = format!("this entry has no confirmed configuration yet{another}");
-            Problem::not_run(Code::NotReady, message)
-        })?;
+        let catalog = shared
+            .in_force
+            .confirmed(shared.clock.now())
+            .ok_or_else(|| {
+                let another = entries::another(shared);
+                let message = format!("this entry has no confirmed configuration{another}");
+                Problem::not_run(Code::NotReady, message)
+            })?;
         Ok(Self {
             workspace: workspace(&catalog, request)?,
             class: text(request, CLASS_HEADER)?.map(str::to_owned),
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -117,13 +117,12 @@
     }
 
     fn tick(&mut self, context: &mut Context<Self>) {
-        let catalog = self.shared.catalog.load();
+        let catalog = self.shared.in_force.confirmed(self.shared.clock.now());
         let own = Own {
             revision: catalog.as_ref().map_or(0, |catalog| catalog.revision()),
             ready: catalog.is_some() && !self.shared.stopping(),
             running: self.shared.running.count(),
         };
-        drop(catalog);
         self.tell([Event::Own(own), Event::Tick], context);
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,18 +1,18 @@
 //! What every part of one entry can reach.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use cadence::StatsdClient;
 use tokio::sync::Notify;
 use woodgap_core::burn;
-use woodgap_core::config::Catalog;
 use woodgap_core::membership::Member;
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::entry::Entry as Settings;
 
+use crate::configuration::InForce;
 use crate::control::Handle;
 use crate::running::Running;
 
@@ -24,8 +24,8 @@
     pub incarnation: name::Incarnation,
     /// The entry's clock.
     pub clock: Clock,
-    /// The configuration in force; none until one is confirmed.
-    pub catalog: ArcSwapOption<Catalog>,
+    /// The configuration in force.
+    pub in_force: Arc<InForce>,
     /// All entries, as the control thread last showed them.
     pub members: ArcSwap<Vec<Member>>,
     /// Requests that were taken and have not ended.
@@ -55,7 +55,7 @@
             settings,
             incarnation,
             clock,
-            catalog: ArcSwapOption::empty(),
+            in_force: Arc::default(),
             members: ArcSwap::default(),
             running: Running::default(),
             control,
