Membership and endpoint liveness under faults, on machines with real frames

The protocols were written but not shown to hold.

crates/wire/tests/fleet is a small network in memory: several machines, frames sealed and opened by wire between them, and a fate for each datagram.

Found by it: at 24 entries a killed one was seen gone by all in more than 3 s, as late hearers of the suspicion start their clock late. News before a greeting was found to be needless and is gone.

--- a/crates/core/src/membership/detector/gossip.rs
+++ b/crates/core/src/membership/detector/gossip.rs
@@ -19,6 +19,9 @@
 const REPEATS: u32 = 3;
 /// Members that are told at once of a change that this entry found.
 const AT_ONCE: usize = 8;
+/// Members that are told at once of a change that this entry heard of. Passed on
+/// so, a change reaches nearly all of any fleet within a few round trips.
+const ONWARD: usize = 3;
 
 /// Changes that are still to be passed on.
 #[derive(Debug, Default)]
@@ -100,15 +103,26 @@
         })
     }
 
-    /// Tells some members at once of a change, and all by and by.
+    /// Tells some members at once of a change that this entry found, and all by
+    /// and by.
     pub(super) fn announce(&mut self, name: &name::Entry, step: &mut Step<'_>) {
+        self.tell(name, AT_ONCE, step);
+    }
+
+    /// Passes on a change that this entry heard of.
+    pub(super) fn pass_on(&mut self, name: &name::Entry, step: &mut Step<'_>) {
+        self.tell(name, ONWARD, step);
+    }
+
+    fn tell(&mut self, name: &name::Entry, count: usize, step: &mut Step<'_>) {
         let Some(news) = self.members.get(name).cloned() else {
             return;
         };
         self.gossip.put(name);
         let others = self.members.others();
-        let others = others.filter(|member| member.standing != Standing::Gone);
-        for member in others.choose_multiple(step.random, AT_ONCE) {
+        let others =
+            others.filter(|member| member.standing != Standing::Gone && member.name != *name);
+        for member in others.choose_multiple(step.random, count) {
             step.send(member, Message::News(vec![news.clone()]));
         }
     }
--- a/crates/core/src/membership/detector/greetings.rs
+++ b/crates/core/src/membership/detector/greetings.rs
@@ -53,15 +53,10 @@
     /// Greets some of those that are listed and not known, or gone.
     pub(super) fn greet(&mut self, count: usize, step: &mut Step<'_>) {
         let strangers = self.strangers();
-        for (name, peer) in strangers.into_iter().choose_multiple(step.random, count) {
-            // One that is held to be gone hears so first, and speaks up.
-            let gone = self.members.get(&name).cloned();
-            let news = gone.map(|gone| Message::News(vec![gone]));
+        for peer in strangers.into_values().choose_multiple(step.random, count) {
             let greeting = Message::Greeting(self.own_news(step.now));
-            for message in news.into_iter().chain([greeting]) {
-                let message = message::Message::Membership(message);
-                step.out.push(Action::Send(peer, message));
-            }
+            let greeting = message::Message::Membership(greeting);
+            step.out.push(Action::Send(peer, greeting));
         }
     }
 
--- a/crates/core/src/membership/detector/merge.rs
+++ b/crates/core/src/membership/detector/merge.rs
@@ -55,7 +55,6 @@
         if news.standing == Standing::Gone || self.members.count() >= MOST_MEMBERS {
             return;
         }
-        self.gossip.put(&news.name);
         self.join(news, step);
     }
 
@@ -68,9 +67,9 @@
             step.changes.push(Change::Gone(old.incarnation));
         }
         self.suspects.remove(&news.name);
-        self.gossip.put(&news.name);
         if news.standing == Standing::Gone {
             let heard = step.now;
+            self.gossip.put(&news.name);
             self.members.put(Member { heard, ..news });
         } else {
             self.join(news, step);
@@ -87,7 +86,9 @@
                 .insert(news.name.clone(), step.now + SUSPICION);
         }
         let heard = step.now;
+        let name = news.name.clone();
         self.members.put(Member { heard, ..news });
+        self.pass_on(&name, step);
     }
 
     /// Takes in news of the life that is known.
@@ -124,7 +125,7 @@
 
     /// Carries out what follows from a member's new standing.
     fn turn(&mut self, news: &Member, before: Standing, standing: Standing, step: &mut Step<'_>) {
-        self.gossip.put(&news.name);
+        self.pass_on(&news.name, step);
         self.suspects.remove(&news.name);
         let life = news.incarnation;
         if before == Standing::Gone && standing != Standing::Gone {
--- /dev/null
+++ b/crates/wire/tests/fleet/network.rs
@@ -0,0 +1,317 @@
+//! A network in memory: machines, frames on their way, and what goes wrong.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use woodgap_core::clock::Millis;
+use woodgap_core::control::machine::TICK;
+use woodgap_core::control::{Action, Event, Machine, Own, Start};
+use woodgap_core::instance::{Instance, Load, Role, State};
+use woodgap_core::membership::{Figures, Member, Standing};
+use woodgap_core::message::Message;
+use woodgap_core::name::{self, Incarnation};
+use woodgap_wire::frame::ANY;
+use woodgap_wire::{Key, Receiver, Sender};
+
+/// Datagrams that a frozen process's socket holds.
+const SOCKET_BUFFER: usize = 300;
+/// Bytes of IP and UDP headers.
+const HEADERS: u64 = 28;
+
+/// What becomes of a datagram: a delay for each copy that arrives.
+pub type Fate = Box<dyn FnMut(usize, usize, &mut ChaCha8Rng) -> Vec<Millis>>;
+
+/// One process.
+pub struct Node {
+    pub machine: Machine,
+    pub frozen: bool,
+    pub dead: bool,
+    /// What it wanted done, but for messages and probes.
+    pub wanted: Vec<Action>,
+    /// Probes that it sent to endpoints, and when.
+    pub probes: Vec<(Millis, name::Endpoint)>,
+    pub bytes: u64,
+    pub messages: u64,
+    sender: Sender,
+    receiver: Receiver,
+    held: VecDeque<Vec<u8>>,
+}
+
+/// All processes of a fleet.
+pub struct Network {
+    pub now: Millis,
+    pub nodes: Vec<Node>,
+    pub fate: Fate,
+    /// What endpoints answer; none for silence.
+    pub loads: BTreeMap<name::Endpoint, Option<Load>>,
+    random: ChaCha8Rng,
+    flying: BTreeMap<(Millis, u64), Flight>,
+    sequence: u64,
+}
+
+enum Flight {
+    Datagram(SocketAddr, Vec<u8>),
+    Probed(usize, Incarnation, name::Endpoint, Option<Load>),
+}
+
+/// Data centres are given out in turn.
+const DATA_CENTRES: [&str; 3] = ["dub-a", "dub-b", "dub-c"];
+
+pub fn address(node: usize) -> SocketAddr {
+    let node = u8::try_from(node).expect("few nodes");
+    SocketAddr::from(([10, 0, 0, node], 7070))
+}
+
+pub fn own(node: usize, life: u64) -> Member {
+    Member {
+        name: format!("entry-{node}").into(),
+        incarnation: Incarnation((1_785_000_000_000 + life) << 22 | node as u64),
+        data_centre: DATA_CENTRES[node % 3].into(),
+        peer: address(node),
+        http: SocketAddr::from((address(node).ip(), 8080)),
+        standing: Standing::Live,
+        version: 0,
+        figures: Figures::default(),
+        heard: Millis::ZERO,
+    }
+}
+
+impl Node {
+    pub fn new(own: Member, seed: u64) -> Self {
+        let key = Key::new(&[7; 32]);
+        Self {
+            sender: Sender::new(key.clone(), own.incarnation),
+            receiver: Receiver::new(key, own.incarnation),
+            machine: Machine::new(Start {
+                own,
+                generation: 1,
+                seed,
+                waiting_per_slot: 8,
+            }),
+            frozen: false,
+            dead: false,
+            wanted: Vec::new(),
+            probes: Vec::new(),
+            bytes: 0,
+            messages: 0,
+            held: VecDeque::new(),
+        }
+    }
+
+    pub fn sees(&self, node: usize) -> Option<Standing> {
+        let name = name::Entry::from(format!("entry-{node}"));
+        self.machine
+            .members()
+            .get(&name)
+            .map(|member| member.standing)
+    }
+}
+
+impl Network {
+    /// Entries that know of one another by the platform's list.
+    pub fn new(entries: usize, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut nodes = Vec::new();
+        for node in 0..entries {
+            nodes.push(Node::new(own(node, 0), random.random()));
+        }
+        let mut network = Self {
+            now: Millis(1_000),
+            nodes,
+            fate: Box::new(|_, _, _| vec![Millis(1)]),
+            loads: BTreeMap::new(),
+            random,
+            flying: BTreeMap::new(),
+            sequence: 0,
+        };
+        let list = network.entries();
+        network.list(&list);
+        network
+    }
+
+    /// Entries that have met, and an empty record of what they did.
+    pub fn met(entries: usize, seed: u64) -> Self {
+        let mut network = Self::new(entries, seed);
+        network.run(Millis(3_000));
+        network
+    }
+
+    pub fn entries(&self) -> Vec<Instance> {
+        let members = self.nodes.iter().map(|node| node.machine.members().own());
+        let instance = |member: &Member| Instance {
+            name: member.name.to_string(),
+            role: Role::Entry,
+            address: member.http,
+            data_centre: member.data_centre.clone(),
+            state: State::Live,
+            targets: Vec::new(),
+            slots: 0,
+            checks_fencing: false,
+            peer_address: Some(member.peer),
+        };
+        members.map(instance).collect()
+    }
+
+    /// Has all running entries read this list.
+    pub fn list(&mut self, instances: &[Instance]) {
+        for node in 0..self.nodes.len() {
+            self.tell(node, Event::Instances(instances.to_vec()));
+        }
+    }
+
+    /// Starts a new life of an entry in place of the old one.
+    pub fn restart(&mut self, node: usize, life: u64) {
+        let list = self.entries();
+        self.nodes[node] = Node::new(own(node, life), life);
+        self.tell(node, Event::Instances(list));
+    }
+
+    pub fn wake(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+        for bytes in std::mem::take(&mut self.nodes[node].held) {
+            self.receive(node, &bytes);
+        }
+    }
+
+    pub fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.deliver();
+            for node in 0..self.nodes.len() {
+                self.tell(node, Event::Tick);
+            }
+        }
+    }
+
+    /// Runs until a condition holds, and returns how long that took.
+    ///
+    /// # Panics
+    ///
+    /// If it does not hold within a span.
+    pub fn until(&mut self, within: Millis, condition: impl Fn(&Self) -> bool) -> Millis {
+        let start = self.now;
+        while !condition(self) {
+            assert!(self.now < start + within, "not within {within}");
+            self.run(TICK);
+        }
+        self.now - start
+    }
+
+    /// Whether all entries of a list see this standing of one.
+    pub fn all_see(&self, viewers: &[usize], node: usize, standing: Standing) -> bool {
+        viewers
+            .iter()
+            .all(|viewer| self.nodes[*viewer].sees(node) == Some(standing))
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.flying.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Flight::Datagram(to, bytes) => {
+                    let node = self
+                        .nodes
+                        .iter()
+                        .position(|node| node.machine.members().own().peer == to);
+                    if let Some(node) = node {
+                        self.receive(node, &bytes);
+                    }
+                }
+                Flight::Probed(node, life, endpoint, load) => {
+                    if self.nodes[node].machine.members().own().incarnation == life {
+                        self.tell(node, Event::Load(endpoint, load));
+                    }
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, index: usize, bytes: &[u8]) {
+        let node = &mut self.nodes[index];
+        if node.dead {
+            return;
+        }
+        if node.frozen {
+            if node.held.len() < SOCKET_BUFFER {
+                node.held.push_back(bytes.to_vec());
+            }
+            return;
+        }
+        if let Ok(frame) = node.receiver.open(bytes) {
+            for message in frame.messages {
+                self.tell(index, Event::Message(frame.from, message));
+            }
+        }
+    }
+
+    /// Tells a process of an event and carries out what it wants.
+    pub fn tell(&mut self, index: usize, event: Event) {
+        let node = &mut self.nodes[index];
+        if node.dead || node.frozen {
+            return;
+        }
+        let mut actions = Vec::new();
+        let own = Own {
+            revision: 1,
+            ready: true,
+            running: 0,
+        };
+        node.machine.handle(self.now, Event::Own(own), &mut actions);
+        node.machine.handle(self.now, event, &mut actions);
+        let mut outbox: BTreeMap<SocketAddr, Vec<Message>> = BTreeMap::new();
+        for action in actions {
+            match action {
+                Action::Send(to, message) => outbox.entry(to).or_default().push(message),
+                Action::Probe(endpoint, _) => self.probe(index, endpoint),
+                other => self.nodes[index].wanted.push(other),
+            }
+        }
+        for (to, messages) in outbox {
+            self.send(index, to, &messages);
+        }
+    }
+
+    fn send(&mut self, index: usize, to: SocketAddr, messages: &[Message]) {
+        let node = &mut self.nodes[index];
+        let life = node.machine.members().by_peer(to);
+        let life = life.map_or(ANY, |member| member.incarnation);
+        let parcel = node
+            .sender
+            .pack(life, messages)
+            .expect("messages are small");
+        assert!(parcel.large.is_empty(), "a message fits in no datagram");
+        node.messages += messages.len() as u64;
+        for bytes in parcel.datagrams {
+            self.nodes[index].bytes += bytes.len() as u64 + HEADERS;
+            let SocketAddr::V4(peer) = to else { continue };
+            let target = usize::from(peer.ip().octets()[3]);
+            for delay in (self.fate)(index, target, &mut self.random) {
+                self.fly(delay, Flight::Datagram(to, bytes.clone()));
+            }
+        }
+    }
+
+    fn probe(&mut self, index: usize, endpoint: name::Endpoint) {
+        let node = &mut self.nodes[index];
+        node.probes.push((self.now, endpoint.clone()));
+        let life = node.machine.members().own().incarnation;
+        let load = self.loads.get(&endpoint).cloned().flatten();
+        let delay = if load.is_some() {
+            Millis(2)
+        } else {
+            Millis(1_000)
+        };
+        self.fly(delay, Flight::Probed(index, life, endpoint, load));
+    }
+
+    fn fly(&mut self, delay: Millis, flight: Flight) {
+        self.sequence += 1;
+        self.flying
+            .insert((self.now + delay, self.sequence), flight);
+    }
+}
