woodgap-load changes: how changes of the configuration take hold

Cause: nothing measured how long an entry serves by an older revision after a change was accepted, nor whether one goes back, is lost or is applied twice. Change: operators that race and repeat under one identity, a caller per entry that notes the revision its answers are made by (GET /v1/models now says it in a header), and a tally. Ruled out: asking /admin/v1/status, which says what an entry knows, not what it serves by. Conclusion: measuring stands before the mechanism does.

--- a/crates/entry/src/caller/authority.rs
+++ b/crates/entry/src/caller/authority.rs
@@ -26,6 +26,8 @@
 pub struct Authority {
     /// The workspace.
     pub workspace: Arc<Workspace>,
+    /// The revision of the configuration that recognised it.
+    pub revision: u64,
     class: Option<String>,
     /// The request's identity, if it has one.
     pub identity: Option<String>,
@@ -55,6 +57,7 @@
             })?;
         Ok(Self {
             workspace: workspace(&catalog, request)?,
+            revision: catalog.revision(),
             class: text(request, CLASS_HEADER)?.map(str::to_owned),
             identity: identity(request)?,
         })
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use actix_web::web::{Bytes, Data, Json};
+use actix_web::web::{Bytes, Data};
 use actix_web::{HttpRequest, HttpResponse};
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -146,6 +146,9 @@
     })
 }
 
+/// Header with the revision of the configuration that an answer was made by.
+const REVISION_HEADER: &str = "x-woodgap-revision";
+
 /// The answer to `GET /v1/models`.
 #[derive(Debug, Serialize)]
 pub(crate) struct Models {
@@ -164,7 +167,7 @@
 pub(crate) async fn list(
     worker: Data<Worker>,
     request: HttpRequest,
-) -> Result<Json<Models>, Problem> {
+) -> Result<HttpResponse, Problem> {
     let authority = Authority::of(&worker.shared, &request)?;
     let mut data: Vec<Listed> = Vec::new();
     for (name, class) in &authority.workspace.classes {
@@ -179,8 +182,10 @@
             }
         }
     }
-    Ok(Json(Models {
-        object: "list",
-        data,
-    }))
+    Ok(HttpResponse::Ok()
+        .insert_header((REVISION_HEADER, authority.revision))
+        .json(Models {
+            object: "list",
+            data,
+        }))
 }
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -18,7 +18,7 @@
 use crate::run::Plan;
 use crate::totals::Totals;
 use crate::traffic::Traffic;
-use crate::{Error, loopback, record};
+use crate::{Error, changes, loopback, record};
 
 /// What the program is asked to do.
 #[derive(Clone, Debug)]
@@ -27,6 +27,8 @@
     Run(Run),
     /// Cross-check events with records.
     Check(Check),
+    /// Change the configuration and watch it take hold.
+    Changes(Changes),
 }
 
 /// Options of a run.
@@ -57,6 +59,16 @@
     record: Vec<String>,
 }
 
+/// Options of a run of configuration changes.
+#[derive(Clone, Debug)]
+pub struct Changes {
+    entry: Vec<String>,
+    operator_key_file: PathBuf,
+    workspace_key: String,
+    workspace: PathBuf,
+    count: usize,
+}
+
 /// The form of the report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Format {
@@ -79,8 +91,13 @@
         .descr("Compares events of runs with what the stand-ins for endpoints ran")
         .command("check")
         .map(Command::Check);
+    let changes = changes_options()
+        .to_options()
+        .descr("Changes a workspace's tier again and again, and watches each entry follow")
+        .command("changes")
+        .map(Command::Changes);
     let run = run_options().map(Command::Run);
-    construct!([check, run])
+    construct!([check, changes, run])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Sends bounded load to entries on loopback and checks each answer")
@@ -91,10 +108,7 @@
 }
 
 fn run_options() -> impl Parser<Run> {
-    let entry = long("entry")
-        .help("Base URL of an entry on loopback")
-        .argument::<String>("URL")
-        .some("name at least one entry by --entry URL");
+    let entry = entries();
     let traffic = long("traffic")
         .help("Description of the traffic, JSON with comments")
         .argument::<PathBuf>("FILE");
@@ -174,6 +188,37 @@
     })
 }
 
+fn entries() -> impl Parser<Vec<String>> {
+    long("entry")
+        .help("Base URL of an entry on loopback")
+        .argument::<String>("URL")
+        .some("name at least one entry by --entry URL")
+}
+
+fn changes_options() -> impl Parser<Changes> {
+    let entry = entries();
+    let operator_key_file = long("operator-key-file")
+        .help("File with an operator's key")
+        .argument::<PathBuf>("FILE");
+    let workspace_key = long("workspace-key")
+        .help("A key of the workspace, to ask the entries with")
+        .argument::<String>("KEY");
+    let workspace = long("workspace")
+        .help("The workspace's document, with a value `tier`")
+        .argument::<PathBuf>("FILE");
+    let count = long("changes")
+        .help("How many changes are made; every fifth is a race of two")
+        .argument::<usize>("N")
+        .fallback(60);
+    construct!(Changes {
+        entry,
+        operator_key_file,
+        workspace_key,
+        workspace,
+        changes
+    })
+}
+
 fn check_options() -> impl Parser<Check> {
     let events = long("events")
         .help("Events that a run wrote")
@@ -195,6 +240,7 @@
     let done = match parser().run() {
         Command::Run(options) => options.run(),
         Command::Check(options) => options.check(),
+        Command::Changes(options) => options.run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -307,6 +353,44 @@
     }
 }
 
+impl Changes {
+    fn run(self) -> Result<bool, Error> {
+        let findings = System::new().block_on(changes::run(self.plan()?))?;
+        print_line(&ChangesLine {
+            case: "configuration",
+            findings: &findings,
+        });
+        Ok(findings.all_well())
+    }
+
+    fn plan(&self) -> Result<changes::Plan, Error> {
+        let failed = |path: &Path, error| Error::File {
+            path: path.to_owned(),
+            error,
+        };
+        let read = |path: &Path| std::fs::read_to_string(path).map_err(|error| failed(path, error));
+        let document = read(&self.workspace)?;
+        let entries = self.entry.iter().map(|url| loopback::base(url));
+        Ok(changes::Plan {
+            entries: entries.collect::<Result<_, _>>()?,
+            operator_key: read(&self.operator_key_file)?.trim().to_owned(),
+            workspace_key: self.workspace_key.clone(),
+            workspace: serde_json::from_str(&document)
+                .map_err(|error| failed(&self.workspace, error.into()))?,
+            changes: self.count,
+            name: format!("c{:x}", Clock::start().unix().0),
+        })
+    }
+}
+
+/// The JSON line of a run of configuration changes.
+#[derive(Debug, Serialize)]
+struct ChangesLine<'a> {
+    case: &'a str,
+    #[serde(flatten)]
+    findings: &'a changes::Findings,
+}
+
 fn print_line(value: &impl Serialize) {
     // Our own types have only texts as keys, so this can't fail.
     let line = serde_json::to_string(value).expect("a value with text keys");
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod arrival;
 pub mod attempt;
 pub mod caller;
+pub mod changes;
 pub mod check;
 pub mod command;
 pub mod directory;
