--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -215,7 +215,7 @@
         operator_key_file,
         workspace_key,
         workspace,
-        changes
+        count
     })
 }
 
