Configuration spreads between entries, and is served by only while confirmed

Cause: each entry only polled the table service: an outage stopped an accepted change from spreading, and an entry that started meanwhile had nothing to serve by. Change: entries' news carries the revision in force; who lacks one asks its holder; the control machine says until when the configuration may be served by. A log read that lacks what another entry has confirms nothing. Ruled out: replacing the whole catalog after each change, which would clear the tail that answers others and send everything to everyone.

--- a/crates/core/src/control/action.rs
+++ b/crates/core/src/control/action.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Millis;
 use crate::message::Message;
-use crate::name;
+use crate::{name, revision};
 
 /// Leave to send a request to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +39,17 @@
     Refuse(name::Request, Refusal),
     /// Send a message to another entry.
     Send(SocketAddr, Message),
+    /// Put changes in force, and report it as an event.
+    Apply(Vec<revision::message::Change>),
+    /// Put everything in force at once, and report it as an event.
+    Replace {
+        /// The revision of the whole.
+        revision: u64,
+        /// The documents, as JSON.
+        documents: Vec<String>,
+    },
+    /// Send everything that is in force to another entry, in parts.
+    SendAll(SocketAddr),
     /// Ask an endpoint for its load, and report the answer as an event.
     Probe(name::Endpoint, SocketAddr),
     /// Take no new work from now on.
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -4,6 +4,7 @@
 use crate::instance::{Instance, Load};
 use crate::message::Message;
 use crate::name;
+use crate::revision;
 use crate::tier::Tier;
 
 /// A request's ask to be sent to an endpoint.
@@ -78,6 +79,15 @@
     Load(name::Endpoint, Option<Load>),
     /// A message of another entry, named by the life that sent it.
     Message(name::Incarnation, Message),
+    /// A configuration was put in force here.
+    InForce {
+        /// Its revision.
+        revision: u64,
+        /// The changes that led to it; empty if everything was replaced.
+        changes: Vec<revision::message::Change>,
+    },
+    /// The change log was read to its end, by a read sent at this time.
+    LogRead(Millis),
     /// An operator wants an instance to take no new work.
     Drain(String),
     /// What the other entries shall know of this one.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -13,6 +13,7 @@
 use crate::membership::{Change, Detector, Figures, Member, Members, detector};
 use crate::message::Message;
 use crate::name;
+use crate::revision::{self, Exchange};
 
 /// How often the machine wants to be told that time has passed.
 pub const TICK: Millis = Millis(50);
@@ -29,6 +30,8 @@
     pub seed: u64,
     /// The most requests that wait for a pool, per slot of it.
     pub waiting_per_slot: u32,
+    /// How long a configuration that nobody confirms is served by.
+    pub unconfirmed_limit: Millis,
 }
 
 /// The control side of one entry.
@@ -39,6 +42,7 @@
     directory: Directory,
     watch: Watch,
     alone: Alone,
+    exchange: Exchange,
 }
 
 impl Machine {
@@ -50,6 +54,7 @@
             directory: Directory::default(),
             watch: Watch::default(),
             alone: Alone::new(start.waiting_per_slot),
+            exchange: Exchange::new(start.unconfirmed_limit),
         }
     }
 
@@ -89,6 +94,7 @@
             Event::Tick => {
                 self.step(now, out, changes, Detector::tick);
                 self.watch(now, out, Watch::tick);
+                self.follow(now, out);
             }
             Event::Ask(ask) => self.alone.ask(&self.directory, &mut self.random, ask, out),
             Event::Withdraw(request) => self.alone.withdraw(request),
@@ -99,6 +105,8 @@
             }
             Event::Message(from, message) => self.receive(now, from, message, out, changes),
             Event::Drain(name) => self.drain(now, &name, out, changes),
+            Event::InForce { revision, changes } => self.exchange.in_force(revision, &changes),
+            Event::LogRead(asked) => self.exchange.read(asked),
             Event::Own(own) => self.own(own),
             Event::Stop => self.step(now, out, changes, Detector::leave),
             Event::End => self.step(now, out, changes, Detector::end),
@@ -182,6 +190,9 @@
     ) {
         match message {
             Message::Membership(message) => {
+                if let Some(sender) = message.first_hand(from) {
+                    self.exchange.heard(now, from, sender.figures.revision);
+                }
                 self.step(now, out, changes, |detector, step| {
                     detector.receive(from, message, step);
                 });
@@ -194,6 +205,11 @@
             Message::Endpoint(message) => {
                 self.watch(now, out, |watch, step| watch.receive(from, message, step));
             }
+            Message::Revision(message) => {
+                let mut wanted = Vec::new();
+                self.exchange.message(from, message, &mut wanted);
+                self.pass_on(wanted, out);
+            }
             // TODO: permits are not asked of other entries yet.
             Message::Permit(_) => {}
         }
@@ -215,13 +231,55 @@
         });
     }
 
+    /// Goes after a revision that another entry has and this one lacks.
+    fn follow(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let members = self.detector.members();
+        let own = members.own().incarnation;
+        for member in members.active().filter(|member| member.incarnation != own) {
+            self.exchange
+                .news(now, member.incarnation, member.figures.revision);
+        }
+        let mut wanted = Vec::new();
+        self.exchange.tick(now, &mut wanted);
+        self.pass_on(wanted, out);
+    }
+
+    fn pass_on(&self, wanted: Vec<revision::exchange::Action>, out: &mut Vec<Action>) {
+        use revision::exchange::Action as Wanted;
+        let address = |life| {
+            self.members()
+                .by_incarnation(life)
+                .map(|member| member.peer)
+        };
+        out.extend(wanted.into_iter().filter_map(|wanted| match wanted {
+            Wanted::Send(to, message) => {
+                address(to).map(|to| Action::Send(to, Message::Revision(message)))
+            }
+            Wanted::SendAll(to) => address(to).map(Action::SendAll),
+            Wanted::Apply(changes) => Some(Action::Apply(changes)),
+            Wanted::Replace {
+                revision,
+                documents,
+            } => Some(Action::Replace {
+                revision,
+                documents,
+            }),
+        }));
+    }
+
+    /// Until when the configuration in force may be served by.
+    pub fn trusted_until(&self) -> Option<Millis> {
+        self.exchange.tracker().trusted_until()
+    }
+
     /// Carries out what follows from a change among the entries.
     fn changed(&mut self, now: Millis, change: Change, out: &mut Vec<Action>) {
         let own = self.members().own().incarnation;
         match change {
             Change::Leaving(life) if life == own => out.push(Action::Leave),
             Change::Superseded => out.push(Action::Stop),
-            Change::Joined(_) | Change::Leaving(_) | Change::Gone(_) | Change::Returned => {}
+            Change::Gone(life) => self.exchange.gone(life),
+            Change::Joined(_) | Change::Leaving(_) | Change::Returned => {}
         }
         self.assign(now);
     }
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -45,3 +45,16 @@
     /// An operator wants the receiver to take no new work.
     Drain(name::Incarnation),
 }
+
+impl Message {
+    /// What a life says of itself in this message, if it sent it itself.
+    pub fn first_hand(&self, from: name::Incarnation) -> Option<&Member> {
+        match self {
+            Self::Probe { sender, .. }
+            | Self::Answer { sender, .. }
+            | Self::Greeting(sender)
+            | Self::Welcome(sender) => Some(sender).filter(|sender| sender.incarnation == from),
+            Self::Relay { .. } | Self::News(_) | Self::Drain(_) => None,
+        }
+    }
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{endpoint, membership, permit};
+use crate::{endpoint, membership, permit, revision};
 
 /// A message between two entries. Every kind is idempotent: the network may
 /// lose, repeat and reorder it.
@@ -14,4 +14,6 @@
     Endpoint(endpoint::Message),
     /// Places at endpoints.
     Permit(permit::Message),
+    /// Configuration.
+    Revision(revision::Message),
 }
--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -78,8 +78,24 @@
 
     /// The change log was read up to its end, and all of it is in force here.
     /// `asked` is when the read was sent, since its answer may be late.
+    ///
+    /// A log that lacks what another entry has in force was read in an old
+    /// state, and confirms nothing.
     pub fn read(&mut self, asked: Millis) {
-        self.confirm(asked);
+        if self.newer().is_none() {
+            self.confirm(asked);
+        }
+    }
+
+    /// Another entry is said to have a revision in force; confirms nothing.
+    pub fn news(&mut self, now: Millis, holder: name::Incarnation, revision: u64) {
+        let known = self
+            .others
+            .get(&holder)
+            .is_some_and(|(_, known)| *known >= revision);
+        if !known {
+            self.others.insert(holder, (now, revision));
+        }
     }
 
     /// Another entry was heard of first hand, with what it has in force.
@@ -124,15 +140,19 @@
         self.in_force
     }
 
+    /// Until when new work may be taken on the word of the last confirmation.
+    pub fn trusted_until(&self) -> Option<Millis> {
+        self.in_force?;
+        self.confirmed.map(|confirmed| confirmed + self.limit)
+    }
+
     /// Whether new work may be taken.
     pub fn standing(&self, now: Millis) -> Standing {
         if self.in_force.is_none() {
             return Standing::Empty;
         }
-        // A higher revision is known to exist: what is in force may be followed
-        // only as long as the last time that it was known to be the newest.
-        match self.confirmed {
-            Some(confirmed) if now - confirmed <= self.limit => Standing::Confirmed,
+        match self.trusted_until() {
+            Some(until) if now <= until => Standing::Confirmed,
             _ => Standing::Unconfirmed,
         }
     }
--- a/crates/core/src/revision/exchange.rs
+++ b/crates/core/src/revision/exchange.rs
@@ -93,6 +93,11 @@
         self.tracker.read(asked);
     }
 
+    /// Another entry is said to have a revision in force, by whomever.
+    pub fn news(&mut self, now: Millis, holder: name::Incarnation, revision: u64) {
+        self.tracker.news(now, holder, revision);
+    }
+
     /// Another entry was heard of first hand.
     pub fn heard(&mut self, now: Millis, from: name::Incarnation, revision: u64) {
         self.tracker.heard(now, from, revision);
--- a/crates/core/src/revision/tests.rs
+++ b/crates/core/src/revision/tests.rs
@@ -26,6 +26,7 @@
 #[case::an_equal_peer_confirms(&[Applied(3), Heard(9_000, 3)], 19_000, Standing::Confirmed)]
 #[case::an_older_peer_confirms(&[Applied(3), Heard(9_000, 2)], 19_000, Standing::Confirmed)]
 #[case::a_newer_peer_does_not(&[Applied(3), Read(0), Heard(9_000, 4)], 10_001, Standing::Unconfirmed)]
+#[case::an_old_state_of_the_log(&[Applied(3), Heard(0, 4), Read(500)], 600, Standing::Unconfirmed)]
 #[case::caught_up_with_it(&[Applied(3), Heard(9_000, 4), Applied(4), Heard(9_500, 4)], 19_500, Standing::Confirmed)]
 fn standing(#[case] steps: &[Step], #[case] now: u64, #[case] expected: Standing) {
     let mut tracker = Tracker::new(LIMIT);
--- a/crates/entry/src/admin/change.rs
+++ b/crates/entry/src/admin/change.rs
@@ -9,6 +9,7 @@
 
 use crate::admin::authority::{Failure, operator};
 use crate::configuration::Store;
+use crate::configuration::watcher::catch_up;
 use crate::request::run::Worker;
 
 /// `POST /admin/v1/apply`.
@@ -28,6 +29,11 @@
     let applied = store
         .apply(&mut catalog, &body, operator, shared.clock.unix())
         .await?;
+    // Callers of this entry see it at once, and the other entries hear of it; if
+    // this fails, the watcher does it a moment later.
+    if let Err(error) = catch_up(shared, &store).await {
+        log::warn!(error = error.to_string(); "an accepted change is not in force here yet");
+    }
     log::info!(
         operator = operator,
         document = body.document.key(),
--- a/crates/entry/src/configuration/in_force.rs
+++ b/crates/entry/src/configuration/in_force.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwapOption;
 use woodgap_core::clock::Millis;
 use woodgap_core::config::{Catalog, Document};
+use woodgap_core::control::Event;
 use woodgap_core::revision::message::Change;
 
 /// What is in force, read by every request, moved forward by whoever learns more.
@@ -27,6 +28,16 @@
     pub changes: Vec<Change>,
 }
 
+impl Step {
+    /// The step as the control machine is told of it.
+    pub fn event(self) -> Event {
+        Event::InForce {
+            revision: self.revision,
+            changes: self.changes,
+        }
+    }
+}
+
 impl InForce {
     /// The configuration in force, whether or not it is confirmed.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -10,6 +10,7 @@
 use woodgap_platform::table::Scan;
 
 use crate::configuration::Store;
+use crate::configuration::in_force::Step;
 use crate::configuration::record::Change;
 use crate::configuration::store::Refusal;
 use crate::shared::Shared;
@@ -52,10 +53,8 @@
     let store = Store::new(platform(&shared));
     loop {
         let asked = shared.clock.now();
-        match read(&shared, &store).await {
-            Ok(()) => shared
-                .in_force
-                .confirm_until(asked + shared.settings.dispatch.unconfirmed_limit),
+        match catch_up(&shared, &store).await {
+            Ok(()) => shared.control.tell(Event::LogRead(asked)),
             Err(error) => log::warn!(error = error.to_string(); "can't read the configuration"),
         }
         pause(&shared).await;
@@ -63,21 +62,32 @@
 }
 
 /// Puts in force what the table service has, if it is newer.
-async fn read(shared: &Shared, store: &Store<Platform>) -> Result<(), Refusal> {
+///
+/// # Errors
+///
+/// If the platform failed, or a row can't be read.
+pub async fn catch_up(shared: &Shared, store: &Store<Platform>) -> Result<(), Refusal> {
     loop {
         let Some(known) = shared.in_force.catalog() else {
-            shared.in_force.replace(store.everything().await?);
+            tell(shared, shared.in_force.replace(store.everything().await?));
             return Ok(());
         };
         let changes = store.after(known.revision()).await?;
         let passed_on: Result<Vec<_>, _> = changes.iter().map(Change::pass_on).collect();
-        shared.in_force.apply(&passed_on?);
+        tell(shared, shared.in_force.apply(&passed_on?));
         if changes.len() < Scan::MOST {
             return Ok(());
         }
     }
 }
 
+/// Tells the control machine of a step, so that other entries can follow.
+fn tell(shared: &Shared, step: Option<Step>) {
+    if let Some(step) = step {
+        shared.control.tell(step.event());
+    }
+}
+
 async fn watch_instances(shared: Arc<Shared>) {
     let platform = platform(&shared);
     loop {
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -11,10 +11,11 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::control::machine::TICK;
 use woodgap_core::control::{Action, Ask, Done, Event, Machine, Outcome, Own};
-use woodgap_core::message;
-use woodgap_core::name;
+use woodgap_core::revision::message::parts;
+use woodgap_core::{message, name, revision};
 use woodgap_platform::endpoint::{LOAD_PATH, Load};
 
+use crate::configuration::in_force::{self, Step};
 use crate::control::outbox::Outbox;
 use crate::control::{Answer, Snapshot, Socket, meter, stream};
 use crate::shared::Shared;
@@ -84,6 +85,19 @@
                 self.reply(request, Answer::Refuse(refusal));
             }
             Action::Send(to, message) => self.outbox.put(to, message),
+            Action::Apply(changes) => {
+                let step = self.shared.in_force.apply(&changes);
+                stepped(step, context);
+            }
+            Action::Replace {
+                revision,
+                documents,
+            } => {
+                let step = in_force::catalog(revision, &documents)
+                    .and_then(|catalog| self.shared.in_force.replace(catalog));
+                stepped(step, context);
+            }
+            Action::SendAll(to) => self.send_all(to),
             Action::Probe(endpoint, address) => self.probe(endpoint, address, context),
             Action::Leave => self.shared.stop(),
             Action::Stop => {
@@ -93,6 +107,22 @@
         }
     }
 
+    fn send_all(&mut self, to: SocketAddr) {
+        let Some(catalog) = self.shared.in_force.catalog() else {
+            return;
+        };
+        let documents = catalog
+            .documents()
+            .map(|document| serde_json::to_string(&document));
+        let documents: Vec<String> = documents.filter_map(Result::ok).collect();
+        for part in parts(catalog.revision(), documents) {
+            self.outbox.put(
+                to,
+                message::Message::Revision(revision::Message::Part(part)),
+            );
+        }
+    }
+
     fn reply(&mut self, request: name::Request, answer: Answer) -> bool {
         let Some(sender) = self.waiting.remove(&request) else {
             return false;
@@ -124,6 +154,9 @@
             running: self.shared.running.count(),
         };
         self.tell([Event::Own(own), Event::Tick], context);
+        if let Some(until) = self.machine.trusted_until() {
+            self.shared.in_force.confirm_until(until);
+        }
     }
 
     fn show_members(&self) {
@@ -189,6 +222,13 @@
     }
 }
 
+/// Reports a step that the machine itself wanted.
+fn stepped(step: Option<Step>, context: &mut Context<Actor>) {
+    if let Some(step) = step {
+        context.notify(Tell(step.event()));
+    }
+}
+
 /// The end of a grant that nobody waits for any more.
 fn unused(request: name::Request, permit: u64) -> Done {
     Done {
@@ -210,6 +250,17 @@
         if self.shared.stopping() {
             self.tell([Event::Stop], context);
         }
+        // Nor which configuration is in force.
+        if let Some(catalog) = self.shared.in_force.catalog() {
+            let revision = catalog.revision();
+            self.tell(
+                [Event::InForce {
+                    revision,
+                    changes: Vec::new(),
+                }],
+                context,
+            );
+        }
         self.show_members();
         context.run_interval(Duration::from_millis(TICK.0), Self::tick);
         context.run_interval(SHOW_PERIOD, |actor, _| actor.show_members());
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -176,6 +176,7 @@
             generation: generation.fetch_add(1, Ordering::Relaxed),
             seed: rand::random(),
             waiting_per_slot: shared.settings.dispatch.waiting_per_slot,
+            unconfirmed_limit: shared.settings.dispatch.unconfirmed_limit,
         });
         Actor::new(machine, Arc::clone(&shared), Arc::clone(&socket), guard)
     });
