Probe periods by the square root rule, within a second

A uniform period spends as many probes on engines that run for weeks as on those that crash every ten minutes and cause nearly all failures.

Adopted with the bound, which keeps an endpoint's own word that it is leaving within a second; equation 6 ruled out, as it saves probes by letting reports grow old. Load reports are ordered by their sender's clock: a count per endpoint began again when a pool came back to a home.

--- a/crates/core/src/endpoint/message.rs
+++ b/crates/core/src/endpoint/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
 use crate::endpoint::State;
 use crate::instance::Load;
 use crate::name;
@@ -20,8 +21,8 @@
 pub struct Report {
     /// The endpoint.
     pub endpoint: name::Endpoint,
-    /// Counts the prober's reports of this endpoint.
-    pub sequence: u32,
+    /// When it was sent, on the clock of the entry that probes.
+    pub at: Millis,
     /// The load; its age counts up to the sending.
     pub load: Load,
 }
--- a/crates/core/src/endpoint/watch.rs
+++ b/crates/core/src/endpoint/watch.rs
@@ -1,6 +1,9 @@
 //! Watches endpoints: each is probed by the home of its pool alone, which tells
 //! the other entries what it finds.
 
+mod loads;
+mod watched;
+
 use std::collections::BTreeMap;
 
 use rand::Rng;
@@ -10,53 +13,25 @@
 use crate::control::Directory;
 use crate::control::action::Action;
 use crate::control::directory::Endpoint;
-use crate::endpoint::{Message, Report, State};
-use crate::instance::{self, Load};
+use crate::endpoint::{Message, State, period};
+use crate::instance::Load;
 use crate::membership::{Member, Members, Standing};
 use crate::message;
 use crate::name::{self, Incarnation};
+use loads::Source;
+use watched::{LONGEST_PERIOD, Watched};
 
-/// How often each endpoint is probed.
+/// How often an endpoint is probed on average.
 pub const PROBE_PERIOD: Millis = Millis(500);
-/// How long a probe's outcome is waited for; above any timeout of it.
-const LOST: Millis = Millis::from_secs(5);
-/// Missed probes in a row after which an endpoint gets no new work.
-const MISSED_PROBES: u32 = 2;
-/// How long an endpoint must say that it is live before a mark that it is
-/// leaving is taken back; above the lag of any load report.
-const LIVE_AGAIN: Millis = Millis::from_secs(10);
+/// How often periods are computed anew from the lifetimes.
+const RENEWAL: Millis = Millis::from_secs(60);
 /// A changed state is sent once more after this span, should it have been lost.
 const REPEAT: Millis = Millis(300);
-/// Load reports go to this many entries each period; with more entries the
-/// period grows, so that the bytes a second do not.
-const LOAD_RECEIVERS: usize = 16;
-/// Load reports that did not change are sent again after this span.
-const LOAD_REFRESH: Millis = Millis::from_secs(2);
 /// How often an entry whose digest differs is sent all states.
 const SYNC_PERIOD: Millis = Millis(1_000);
 /// States or reports in one message: it fits in a datagram with the longest names.
 const IN_MESSAGE: usize = 8;
 
-/// An endpoint that this entry probes.
-#[derive(Debug)]
-struct Watched {
-    next: Millis,
-    /// Until when an answer is waited for.
-    waiting: Option<Millis>,
-    missed: u32,
-    live_since: Option<Millis>,
-    sequence: u32,
-    shared: Option<(Millis, Load)>,
-}
-
-/// Where a load report came from.
-#[derive(Clone, Copy, Debug)]
-struct Source {
-    from: Incarnation,
-    sequence: u32,
-    at: Millis,
-}
-
 /// One entry's watch over endpoints.
 #[derive(Debug, Default)]
 pub struct Watch {
@@ -65,6 +40,7 @@
     repeats: Vec<(Millis, State)>,
     synced: BTreeMap<Incarnation, Millis>,
     next_loads: Millis,
+    next_renewal: Millis,
 }
 
 /// What one step works with.
@@ -116,18 +92,13 @@
         let mut ours = BTreeMap::new();
         for endpoint in directory.iter().filter(|endpoint| is_ours(endpoint)) {
             let old = self.watched.remove(&endpoint.name);
-            let watched = old.unwrap_or_else(|| Watched {
-                // Spread, so that probes do not go out all at once.
-                next: now + Millis(random.random_range(0..PROBE_PERIOD.0)),
-                waiting: None,
-                missed: 0,
-                live_since: None,
-                sequence: 0,
-                shared: None,
-            });
+            // Spread, so that probes do not go out all at once.
+            let mut first = || now + Millis(random.random_range(0..PROBE_PERIOD.0));
+            let watched = old.unwrap_or_else(|| Watched::new(now, first()));
             ours.insert(endpoint.name.clone(), watched);
         }
         self.watched = ours;
+        self.renew_periods(now);
         self.sources.retain(|name, _| directory.get(name).is_some());
         self.synced
             .retain(|life, _| members.by_incarnation(*life).is_some());
@@ -135,6 +106,9 @@
 
     /// Time has passed.
     pub fn tick(&mut self, step: &mut Step<'_>) {
+        if step.now >= self.next_renewal {
+            self.renew_periods(step.now);
+        }
         self.probe(step);
         self.repeat(step);
         if step.now >= self.next_loads {
@@ -142,19 +116,31 @@
         }
     }
 
+    /// Probes endpoints that fail often more often than others, with as many
+    /// probes in all.
+    fn renew_periods(&mut self, now: Millis) {
+        self.next_renewal = now + RENEWAL;
+        let lifetimes: Vec<f64> = self
+            .watched
+            .values()
+            .map(|watched| watched.lifetime(now))
+            .collect();
+        let per_second = lifetimes.len() as f64 * 1_000.0 / PROBE_PERIOD.0 as f64;
+        let periods = period::least_latency(&lifetimes, per_second, LONGEST_PERIOD);
+        for (watched, period) in self.watched.values_mut().zip(periods) {
+            watched.set_period(period);
+        }
+    }
+
     fn probe(&mut self, step: &mut Step<'_>) {
         let now = step.now;
         for (name, watched) in &mut self.watched {
             let Some(endpoint) = step.directory.get(name) else {
                 continue;
             };
-            let waits = watched.waiting.is_some_and(|until| now < until);
-            if waits || watched.next > now {
-                continue;
+            if watched.due(now) {
+                step.out.push(Action::Probe(name.clone(), endpoint.address));
             }
-            watched.waiting = Some(now + LOST);
-            watched.next = now + PROBE_PERIOD;
-            step.out.push(Action::Probe(name.clone(), endpoint.address));
         }
     }
 
@@ -164,12 +150,12 @@
         let Some(watched) = self.watched.get_mut(name) else {
             return;
         };
-        watched.waiting = None;
         let changed = match load {
             Some(load) => watched.answered(name, load, step),
             None => watched.missed(name, step),
         };
         if changed {
+            self.renew_periods(step.now);
             self.changed(std::slice::from_ref(name), step);
         }
     }
@@ -213,34 +199,6 @@
         }
     }
 
-    /// Takes in another entry's load report, unless a newer one is known.
-    fn report(&mut self, from: Incarnation, report: Report, step: &mut Step<'_>) {
-        if self.watched.contains_key(&report.endpoint) {
-            return;
-        }
-        let known = self.sources.get(&report.endpoint);
-        let newer = known.is_none_or(|known| {
-            if known.from == from {
-                known.sequence < report.sequence
-            } else {
-                // The pool has another home now, or had: the old one's last
-                // words may be on their way still.
-                known.at + PROBE_PERIOD <= step.now
-            }
-        });
-        if !newer {
-            return;
-        }
-        let source = Source {
-            from,
-            sequence: report.sequence,
-            at: step.now,
-        };
-        self.sources.insert(report.endpoint.clone(), source);
-        step.directory
-            .loaded(step.now, &report.endpoint, report.load);
-    }
-
     /// Sends all states to an entry whose digest differs from ours.
     pub fn compare(&mut self, with: &Member, step: &mut Step<'_>) {
         if with.figures.endpoints == step.members.own().figures.endpoints {
@@ -254,95 +212,4 @@
         let states: Vec<State> = step.directory.states().collect();
         step.send_states(with, &states);
     }
-
-    fn share_loads(&mut self, step: &mut Step<'_>) {
-        let receivers = receivers(step.members);
-        let rounds = receivers.len().div_ceil(LOAD_RECEIVERS).max(1) as u64;
-        self.next_loads = step.now + Millis(PROBE_PERIOD.0 * rounds);
-        let reports: Vec<Report> = self
-            .watched
-            .iter_mut()
-            .filter_map(|(name, watched)| watched.report(step.now, step.directory.get(name)?))
-            .collect();
-        for member in receivers {
-            for reports in reports.chunks(IN_MESSAGE) {
-                step.send(member, Message::Loads(reports.to_vec()));
-            }
-        }
-    }
-}
-
-/// Who is told of loads: all entries of a small fleet, those of the own data
-/// centre in a large one.
-fn receivers(members: &Members) -> Vec<&Member> {
-    let all: Vec<&Member> = members.active_others().collect();
-    if all.len() <= LOAD_RECEIVERS {
-        return all;
-    }
-    let near = &members.own().data_centre;
-    all.into_iter()
-        .filter(|member| member.data_centre == *near)
-        .collect()
-}
-
-impl Watched {
-    /// The endpoint answered; says whether its marks changed.
-    fn answered(&mut self, name: &name::Endpoint, load: Load, step: &mut Step<'_>) -> bool {
-        self.missed = 0;
-        let live = load.state == instance::State::Live;
-        let since = if live {
-            *self.live_since.get_or_insert(step.now)
-        } else {
-            self.live_since = None;
-            step.now
-        };
-        let listed = step.directory.get(name).map(|endpoint| endpoint.listed);
-        let back = live && listed == Some(instance::State::Live) && step.now - since >= LIVE_AGAIN;
-        step.directory.loaded(step.now, name, load);
-        step.directory.mark(name, |marks| {
-            let recovered = marks.failing.set(false);
-            let turned = if live {
-                back && marks.leaving.set(false)
-            } else {
-                marks.leaving.set(true)
-            };
-            recovered || turned
-        })
-    }
-
-    /// The endpoint did not answer; says whether its marks changed.
-    fn missed(&mut self, name: &name::Endpoint, step: &mut Step<'_>) -> bool {
-        self.missed += 1;
-        self.live_since = None;
-        self.missed >= MISSED_PROBES && step.directory.mark(name, |marks| marks.failing.set(true))
-    }
-
-    /// The load report to share, if there is something new to say.
-    fn report(&mut self, now: Millis, endpoint: &Endpoint) -> Option<Report> {
-        let (at, load) = endpoint.load.as_ref()?;
-        let stale = |(shared, old): &(Millis, Load)| {
-            *shared + LOAD_REFRESH <= now || !same_figures(old, load)
-        };
-        if !self.shared.as_ref().is_none_or(stale) {
-            return None;
-        }
-        self.shared = Some((now, load.clone()));
-        self.sequence += 1;
-        Some(Report {
-            endpoint: endpoint.name.clone(),
-            sequence: self.sequence,
-            load: Load {
-                age: load.age + (now - *at),
-                ..load.clone()
-            },
-        })
-    }
-}
-
-/// Whether two reports say the same, their age aside.
-fn same_figures(one: &Load, other: &Load) -> bool {
-    Load {
-        age: other.age,
-        ..one.clone()
-    } == *other
 }
