--- a/crates/core/src/control/directory.rs
+++ b/crates/core/src/control/directory.rs
@@ -42,14 +42,19 @@
         self.targets.contains(target)
     }
 
-    /// The pool whose home probes it: that of the first target.
-    pub fn first_pool(&self) -> Option<name::Pool> {
-        Some(name::Pool {
-            target: self.targets.first()?.clone(),
+    /// The pools that it is of, in the order of its targets.
+    pub fn pools(&self) -> impl Iterator<Item = name::Pool> {
+        self.targets.iter().map(|target| name::Pool {
+            target: target.clone(),
             data_centre: self.data_centre.clone(),
         })
     }
 
+    /// The pool whose home probes it: that of the first target.
+    pub fn first_pool(&self) -> Option<name::Pool> {
+        self.pools().next()
+    }
+
     /// What other entries are told of it.
     pub fn state(&self) -> State {
         State {
--- a/crates/core/src/endpoint/message.rs
+++ b/crates/core/src/endpoint/message.rs
@@ -13,7 +13,12 @@
     /// Marks; of two, each side keeps what holds.
     States(Vec<State>),
     /// Load reports, by the entry that probes.
-    Loads(Vec<Report>),
+    Loads {
+        /// When they were sent, on the sender's clock.
+        at: Millis,
+        /// The reports.
+        reports: Vec<Report>,
+    },
 }
 
 /// A load report.
@@ -21,8 +26,6 @@
 pub struct Report {
     /// The endpoint.
     pub endpoint: name::Endpoint,
-    /// When it was sent, on the clock of the entry that probes.
-    pub at: Millis,
     /// The load; its age counts up to the sending.
     pub load: Load,
 }
--- a/crates/core/src/endpoint/watch.rs
+++ b/crates/core/src/endpoint/watch.rs
@@ -18,7 +18,7 @@
 use crate::membership::{Member, Members, Standing};
 use crate::message;
 use crate::name::{self, Incarnation};
-use loads::Source;
+use loads::{Pace, Source};
 use watched::{LONGEST_PERIOD, Watched};
 
 /// How often an endpoint is probed on average.
@@ -39,7 +39,7 @@
     sources: BTreeMap<name::Endpoint, Source>,
     repeats: Vec<(Millis, State)>,
     synced: BTreeMap<Incarnation, Millis>,
-    next_loads: Millis,
+    next_loads: Pace,
     next_renewal: Millis,
 }
 
@@ -111,9 +111,7 @@
         }
         self.probe(step);
         self.repeat(step);
-        if step.now >= self.next_loads {
-            self.share_loads(step);
-        }
+        self.share_loads(step);
     }
 
     /// Probes endpoints that fail often more often than others, with as many
@@ -191,9 +189,9 @@
                     step.directory.merge(&state);
                 }
             }
-            Message::Loads(reports) => {
+            Message::Loads { at, reports } => {
                 for report in reports {
-                    self.report(from, report, step);
+                    self.report(from, at, report, step);
                 }
             }
         }
--- a/crates/core/src/endpoint/watch/watched.rs
+++ b/crates/core/src/endpoint/watch/watched.rs
@@ -1,5 +1,7 @@
 //! One endpoint that this entry probes.
 
+use std::collections::BTreeMap;
+
 use crate::clock::Millis;
 use crate::control::directory::Endpoint;
 use crate::endpoint::watch::{PROBE_PERIOD, Step};
@@ -35,7 +37,17 @@
     waiting: Option<Millis>,
     missed: u32,
     live_since: Option<Millis>,
-    shared: Option<(Millis, Load)>,
+    /// What each audience was told last, and when.
+    told: BTreeMap<Audience, (Millis, Load)>,
+}
+
+/// Who is told of loads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Audience {
+    /// The homes of the endpoint's other pools.
+    Homes,
+    /// The other entries.
+    Others,
 }
 
 impl Watched {
@@ -48,7 +60,7 @@
             waiting: None,
             missed: 0,
             live_since: None,
-            shared: None,
+            told: BTreeMap::new(),
         }
     }
 
@@ -121,19 +133,22 @@
         step.directory.mark(name, |marks| marks.failing.set(true))
     }
 
-    /// The load report to share, if there is something new to say.
-    pub(super) fn report(&mut self, now: Millis, endpoint: &Endpoint) -> Option<Report> {
+    /// The load report for an audience, if there is something new to say.
+    pub(super) fn report(
+        &mut self,
+        now: Millis,
+        audience: Audience,
+        endpoint: &Endpoint,
+    ) -> Option<Report> {
         let (at, load) = endpoint.load.as_ref()?;
-        let stale = |(shared, old): &(Millis, Load)| {
-            *shared + LOAD_REFRESH <= now || !same_figures(old, load)
-        };
-        if !self.shared.as_ref().is_none_or(stale) {
+        let stale =
+            |(told, old): &(Millis, Load)| *told + LOAD_REFRESH <= now || !same_figures(old, load);
+        if !self.told.get(&audience).is_none_or(stale) {
             return None;
         }
-        self.shared = Some((now, load.clone()));
+        self.told.insert(audience, (now, load.clone()));
         Some(Report {
             endpoint: endpoint.name.clone(),
-            at: now,
             load: Load {
                 age: load.age + (now - *at),
                 ..load.clone()
--- a/crates/wire/tests/fleet/endpoints.rs
+++ b/crates/wire/tests/fleet/endpoints.rs
@@ -10,7 +10,7 @@
 use woodgap_core::instance::{Instance, Load, Role, State};
 use woodgap_core::name;
 
-use crate::network::Network;
+use crate::network::{Network, Node};
 
 /// The bound on new work at a leaving endpoint, from the first source.
 const PASSED_ON: Millis = Millis(2_000);
@@ -105,6 +105,37 @@
     assert!((300..=330).contains(&count), "two a second each: {count}");
 }
 
+#[test]
+fn the_homes_of_all_its_pools_know_an_engines_load_within_a_second() {
+    let (mut network, mut list) = fleet(6, 200);
+    let engines = list.iter_mut().filter(|one| one.role == Role::Engine);
+    engines.for_each(|engine| engine.targets.push("model-both".into()));
+    network.busy = true;
+    network.list(&list);
+    network.run(Millis(3_000));
+    for _ in 0..30 {
+        network.run(Millis(100));
+        check_homes(&network);
+    }
+}
+
+fn check_homes(network: &Network) {
+    let members = network.nodes[0].machine.members();
+    for engine in 0..200 {
+        for pool in endpoint(network, 0, engine).unwrap().pools() {
+            let home = members.home(&pool).unwrap().incarnation;
+            let is_home = |node: &Node| node.machine.members().own().incarnation == home;
+            let home = network.nodes.iter().position(is_home).unwrap();
+            let (at, _) = endpoint(network, home, engine)
+                .unwrap()
+                .load
+                .clone()
+                .unwrap();
+            assert!(network.now - at <= Millis(1_100), "{pool:?}");
+        }
+    }
+}
+
 #[test]
 fn another_entry_probes_when_the_home_is_gone() {
     let (mut network, _) = fleet(6, 10);
--- a/crates/wire/tests/fleet/network.rs
+++ b/crates/wire/tests/fleet/network.rs
@@ -46,6 +46,8 @@
     pub fate: Fate,
     /// What endpoints answer; none for silence.
     pub loads: BTreeMap<name::Endpoint, Option<Load>>,
+    /// Whether each load report differs from the one before.
+    pub busy: bool,
     random: ChaCha8Rng,
     flying: BTreeMap<(Millis, u64), Flight>,
     sequence: u64,
@@ -123,6 +125,7 @@
             nodes,
             fate: Box::new(|_, _, _| vec![Millis(1)]),
             loads: BTreeMap::new(),
+            busy: false,
             random,
             flying: BTreeMap::new(),
             sequence: 0,
@@ -301,7 +304,10 @@
         let node = &mut self.nodes[index];
         node.probes.push((self.now, endpoint.clone()));
         let life = node.machine.members().own().incarnation;
-        let load = self.loads.get(&endpoint).cloned().flatten();
+        let mut load = self.loads.get(&endpoint).cloned().flatten();
+        if let Some(load) = load.as_mut().filter(|_| self.busy) {
+            load.tokens_per_second = self.now.0 as f64;
+        }
         let delay = if load.is_some() {
             Millis(2)
         } else {
