An accepted change is in force at its entry at once

Change: the entry puts the change that it committed in force and tells three entries; the script's programs are ended by pid files too, since one started beside it was left over.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -1,6 +1,7 @@
 //! The machine: events in, actions out.
 
 use rand::SeedableRng;
+use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Millis;
@@ -18,6 +19,11 @@
 /// How often the machine wants to be told that time has passed.
 pub const TICK: Millis = Millis(50);
 
+/// Entries that are told at once of a revision. Three make an epidemic that
+/// reaches 400 entries in six or seven steps; whom it misses hears of it by
+/// membership's news.
+const ANNOUNCED: usize = 3;
+
 /// What a machine starts with.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -105,7 +111,10 @@
             }
             Event::Message(from, message) => self.receive(now, from, message, out, changes),
             Event::Drain(name) => self.drain(now, &name, out, changes),
-            Event::InForce { revision, changes } => self.exchange.in_force(revision, &changes),
+            Event::InForce { revision, changes } => {
+                self.exchange.in_force(revision, &changes);
+                self.announce(revision, out);
+            }
             Event::LogRead(asked) => self.exchange.read(asked),
             Event::Own(own) => self.own(own),
             Event::Stop => self.step(now, out, changes, Detector::leave),
@@ -207,7 +216,7 @@
             }
             Message::Revision(message) => {
                 let mut wanted = Vec::new();
-                self.exchange.message(from, message, &mut wanted);
+                self.exchange.message(now, from, message, &mut wanted);
                 self.pass_on(wanted, out);
             }
             // TODO: permits are not asked of other entries yet.
@@ -231,6 +240,21 @@
         });
     }
 
+    /// Tells some entries what has just come in force here; each that lacks it
+    /// fetches it and tells some in turn.
+    fn announce(&mut self, revision: u64, out: &mut Vec<Action>) {
+        let members = self.detector.members();
+        let own = members.own().incarnation;
+        let others: Vec<&Member> = members
+            .active()
+            .filter(|member| member.incarnation != own)
+            .collect();
+        for member in others.choose_multiple(&mut self.random, ANNOUNCED) {
+            let message = revision::Message::InForce(revision);
+            out.push(Action::Send(member.peer, Message::Revision(message)));
+        }
+    }
+
     /// Goes after a revision that another entry has and this one lacks.
     fn follow(&mut self, now: Millis, out: &mut Vec<Action>) {
         let members = self.detector.members();
--- a/crates/core/src/revision/exchange.rs
+++ b/crates/core/src/revision/exchange.rs
@@ -122,8 +122,18 @@
     }
 
     /// Takes in a message of another entry.
-    pub fn message(&mut self, from: name::Incarnation, message: Message, out: &mut Vec<Action>) {
+    pub fn message(
+        &mut self,
+        now: Millis,
+        from: name::Incarnation,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
         match message {
+            Message::InForce(revision) => {
+                self.tracker.heard(now, from, revision);
+                self.tick(now, out);
+            }
             Message::Want(after) => self.want(from, after, out),
             Message::Changes(changes) => self.changes(changes, out),
             Message::Part(part) => self.part(part, out),
--- a/crates/core/src/revision/exchange/tests.rs
+++ b/crates/core/src/revision/exchange/tests.rs
@@ -32,7 +32,7 @@
 #[case::everything(0, None)]
 fn an_entry_answers_what_is_wanted(#[case] after: u64, #[case] expected: Option<Vec<u64>>) {
     let mut out = Vec::new();
-    with(1..=5).message(Incarnation(2), Message::Want(after), &mut out);
+    with(1..=5).message(Millis::ZERO, Incarnation(2), Message::Want(after), &mut out);
     let sent = match out.pop() {
         Some(Action::SendAll(_)) => None,
         Some(Action::Send(_, Message::Changes(changes))) => {
@@ -47,14 +47,19 @@
 #[test]
 fn who_lacks_more_than_the_tail_gets_everything() {
     let mut out = Vec::new();
-    with(1..=1_000).message(Incarnation(2), Message::Want(10), &mut out);
+    with(1..=1_000).message(Millis::ZERO, Incarnation(2), Message::Want(10), &mut out);
     assert_eq!(out, [Action::SendAll(Incarnation(2))]);
 }
 
 #[test]
 fn a_gap_is_not_applied() {
     let mut out = Vec::new();
-    with(1..=3).message(Incarnation(2), Message::Changes(vec![change(5)]), &mut out);
+    with(1..=3).message(
+        Millis::ZERO,
+        Incarnation(2),
+        Message::Changes(vec![change(5)]),
+        &mut out,
+    );
     assert!(out.is_empty());
 }
 
@@ -63,11 +68,18 @@
     let mut out = Vec::new();
     let mut exchange = with(1..=8);
     for part in parts(7, vec!["x".to_owned()]) {
-        exchange.message(Incarnation(2), Message::Part(part), &mut out);
+        exchange.message(Millis::ZERO, Incarnation(2), Message::Part(part), &mut out);
     }
     assert!(out.is_empty());
 }
 
+#[test]
+fn what_is_said_to_be_in_force_is_asked_for_at_once() {
+    let mut out = Vec::new();
+    with(1..=3).message(Millis::ZERO, Incarnation(2), Message::InForce(4), &mut out);
+    assert_eq!(out, [Action::Send(Incarnation(2), Message::Want(3))]);
+}
+
 #[test]
 fn one_without_an_answer_is_asked_again_and_not_sooner() {
     let mut exchange = with(1..=3);
@@ -184,7 +196,7 @@
         let (from, to, message) = message;
         let from = Incarnation(u64::try_from(from).unwrap());
         let mut out = Vec::new();
-        nodes[to].exchange.message(from, message, &mut out);
+        nodes[to].exchange.message(now, from, message, &mut out);
         nodes[to].carry_out(to, out, network);
     }
 }
--- a/crates/core/src/revision/message.rs
+++ b/crates/core/src/revision/message.rs
@@ -5,6 +5,8 @@
 /// A message of the configuration exchange.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
+    /// Says what the sender has just put in force.
+    InForce(u64),
     /// Asks for what came after a revision; 0 asks for everything.
     Want(u64),
     /// Changes in the order of their revisions, without gap.
--- a/crates/entry/src/admin/change.rs
+++ b/crates/entry/src/admin/change.rs
@@ -9,8 +9,9 @@
 
 use crate::admin::authority::{Failure, operator};
 use crate::configuration::Store;
-use crate::configuration::watcher::catch_up;
+use crate::configuration::{record, watcher};
 use crate::request::run::Worker;
+use crate::shared::Shared;
 
 /// `POST /admin/v1/apply`.
 pub(crate) async fn apply(
@@ -26,14 +27,11 @@
         Some(known) => Catalog::clone(&known),
         None => store.everything().await?,
     };
-    let applied = store
+    let accepted = store
         .apply(&mut catalog, &body, operator, shared.clock.unix())
         .await?;
-    // Callers of this entry see it at once, and the other entries hear of it; if
-    // this fails, the watcher does it a moment later.
-    if let Err(error) = catch_up(shared, &store).await {
-        log::warn!(error = error.to_string(); "an accepted change is not in force here yet");
-    }
+    take_hold(shared, &store, &accepted.change).await;
+    let applied = accepted.applied();
     log::info!(
         operator = operator,
         document = body.document.key(),
@@ -44,6 +42,23 @@
     Ok(Json(applied))
 }
 
+/// Puts an accepted change in force here, so that callers of this entry see it at
+/// once and the other entries hear of it.
+///
+/// If changes before it are missing, the log is read; if that fails, the watcher
+/// does it a moment later.
+async fn take_hold(shared: &Shared, store: &Store<Platform>, change: &record::Change) {
+    let step = change
+        .pass_on()
+        .ok()
+        .and_then(|change| shared.in_force.apply(&[change]));
+    if step.is_some() {
+        watcher::tell(shared, step);
+    } else if let Err(error) = watcher::catch_up(shared, store).await {
+        log::warn!(error = error.to_string(); "an accepted change is not in force here yet");
+    }
+}
+
 /// `GET /admin/v1/documents/{key}`.
 pub(crate) async fn get(
     worker: Data<Worker>,
--- a/crates/entry/src/configuration/store.rs
+++ b/crates/entry/src/configuration/store.rs
@@ -42,6 +42,26 @@
     Row(String, String),
 }
 
+/// A change that is committed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Accepted {
+    /// The change.
+    pub change: Change,
+    /// Whether it had been committed before, under the same identity.
+    pub already: bool,
+}
+
+impl Accepted {
+    /// What its operator is told.
+    pub fn applied(&self) -> admin::Applied {
+        admin::Applied {
+            revision: self.change.revision,
+            version: self.change.version,
+            already: self.already,
+        }
+    }
+}
+
 /// The configuration in the table service.
 #[derive(Clone)]
 pub struct Store<T> {
@@ -163,11 +183,14 @@
         apply: &admin::Apply,
         operator: &str,
         at: Millis,
-    ) -> Result<admin::Applied, Refusal> {
+    ) -> Result<Accepted, Refusal> {
         for _ in 0..TRIES {
             let before = self.before(apply).await?;
             if let Some(done) = before.done(apply)? {
-                return Ok(done);
+                return Ok(Accepted {
+                    change: done.clone(),
+                    already: true,
+                });
             }
             before.check_version(apply)?;
             self.catch_up(catalog).await?;
@@ -181,9 +204,8 @@
             let change = before.change(apply, operator, at);
             match self.table.transact(&before.transaction(&change)?).await {
                 Ok(Outcome::Committed { .. }) => {
-                    return Ok(admin::Applied {
-                        revision: change.revision,
-                        version: change.version,
+                    return Ok(Accepted {
+                        change,
                         already: false,
                     });
                 }
@@ -239,18 +261,13 @@
         })
     }
 
-    fn done(&self, apply: &admin::Apply) -> Result<Option<admin::Applied>, Refusal> {
-        let Some(done) = &self.done else {
-            return Ok(None);
-        };
-        if done.document != apply.document {
-            return Err(Refusal::IdentityReused(done.document.key()));
+    fn done(&self, apply: &admin::Apply) -> Result<Option<&Change>, Refusal> {
+        match &self.done {
+            Some(done) if done.document != apply.document => {
+                Err(Refusal::IdentityReused(done.document.key()))
+            }
+            done => Ok(done.as_ref()),
         }
-        Ok(Some(admin::Applied {
-            revision: done.revision,
-            version: done.version,
-            already: true,
-        }))
     }
 
     fn version(&self) -> u64 {
--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -82,7 +82,7 @@
 }
 
 /// Tells the control machine of a step, so that other entries can follow.
-fn tell(shared: &Shared, step: Option<Step>) {
+pub fn tell(shared: &Shared, step: Option<Step>) {
     if let Some(step) = step {
         shared.control.tell(step.event());
     }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -64,6 +64,8 @@
     : >"$WORK/$name.out"
     "$BIN/$1" "${@:2}" >"$WORK/$name.out" 2>"$WORK/$name.log" &
     PID_OF[$name]=$!
+    # A part of a script that runs beside it may start programs too.
+    echo "$!" >"$WORK/$name.pid"
 }
 
 # Waits for a program's first line, and sets READY_LINE to it.
@@ -219,7 +221,10 @@
 
 # Ends everything that was started here, and forgets it.
 stop_all() {
-    local pid deadline=$((SECONDS + STOP_TIMEOUT))
+    local pid file deadline=$((SECONDS + STOP_TIMEOUT))
+    for file in "$WORK"/*.pid; do
+        [[ -f $file ]] && PID_OF[$(basename "$file" .pid)]=$(<"$file")
+    done
     for pid in "${PID_OF[@]}"; do
         kill -TERM "$pid" 2>/dev/null || true
     done
@@ -233,6 +238,7 @@
         done
         wait "$pid" 2>/dev/null || true
     done
+    rm -f "$WORK"/*.pid
     PID_OF=()
     PLATFORM=
     ENDPOINTS=()
