--- a/crates/wire/tests/fleet/network.rs
+++ b/crates/wire/tests/fleet/network.rs
@@ -89,6 +89,7 @@
                 generation: 1,
                 seed,
                 waiting_per_slot: 8,
+                unconfirmed_limit: Millis::from_secs(10),
             }),
             frozen: false,
             dead: false,
