Old rows are deleted; the last counts are written again until taken

Ruled out: one lease more for it, since two that delete the same rows do no harm. Conclusion: table growth is bounded.

--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -73,9 +73,19 @@
             return Ok(());
         };
         let changes = store.after(known.revision()).await?;
+        let Some(first) = changes.first() else {
+            return Ok(());
+        };
+        if first.revision > known.revision() + 1 {
+            // Who was away for very long finds the start of the log deleted.
+            tell(shared, shared.in_force.replace(store.everything().await?));
+            return Ok(());
+        }
         let passed_on: Result<Vec<_>, _> = changes.iter().map(Change::pass_on).collect();
-        tell(shared, shared.in_force.apply(&passed_on?));
-        if changes.len() < Scan::MOST {
+        let step = shared.in_force.apply(&passed_on?);
+        let last = step.is_none() || changes.len() < Scan::MOST;
+        tell(shared, step);
+        if last {
             return Ok(());
         }
     }
--- a/crates/entry/src/recording.rs
+++ b/crates/entry/src/recording.rs
@@ -16,6 +16,9 @@
 /// How often the recorder is asked for rows.
 const PERIOD: Duration = Duration::from_secs(1);
 
+/// Wait before last rows that were not taken are written again.
+const LAST_ROWS_AGAIN: Duration = Duration::from_millis(50);
+
 /// Writes what the recorder says is due.
 pub struct Recording {
     shared: Arc<Shared>,
@@ -44,7 +47,11 @@
 async fn keep_writing(shared: Arc<Shared>) {
     let platform = platform(&shared);
     loop {
-        let rows = with(&shared.counts, |recorder| recorder.due(shared.clock.unix()));
+        let entries = shared.members.load().len() as u64;
+        let rows = with(&shared.counts, |recorder| {
+            recorder.resize(entries.max(1));
+            recorder.due(shared.clock.unix())
+        });
         write(&shared, &platform, rows).await;
         tokio::time::sleep(PERIOD).await;
     }
@@ -53,14 +60,20 @@
 /// Writes the last rows, with the mark of a clean end, within the time given.
 pub async fn finish(shared: &Shared, within: Millis) {
     let platform = platform(shared);
-    let rows = with(&shared.counts, |recorder| {
-        recorder.finish(shared.clock.unix())
-    });
-    let writing = write(shared, &platform, rows);
-    if tokio::time::timeout(Duration::from_millis(within.0), writing)
-        .await
-        .is_err()
-    {
+    let writing = async {
+        loop {
+            let rows = with(&shared.counts, |recorder| {
+                recorder.finish(shared.clock.unix())
+            });
+            if rows.is_empty() {
+                return;
+            }
+            write(shared, &platform, rows).await;
+            tokio::time::sleep(LAST_ROWS_AGAIN).await;
+        }
+    };
+    let limit = Duration::from_millis(within.0);
+    if tokio::time::timeout(limit, writing).await.is_err() {
         log::warn!("the last counts for the burn report were not recorded in time");
     }
 }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -22,6 +22,7 @@
 use crate::configuration::{Watcher, watcher};
 use crate::control::socket::Bound;
 use crate::control::{Actor, Handle, Socket};
+use crate::housekeeping::Housekeeping;
 use crate::options::Options;
 use crate::recording::Recording;
 use crate::request::run::Worker;
@@ -102,6 +103,10 @@
     let _recording = supervise(&control.handle(), "recording", move |guard| {
         Recording::new(Arc::clone(&recorded), guard)
     });
+    let kept = Arc::clone(&shared);
+    let _housekeeping = supervise(&control.handle(), "housekeeping", move |guard| {
+        Housekeeping::new(Arc::clone(&kept), guard)
+    });
     let server = server(&shared, listener, workers)?;
     let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
     announce(address, peer, &shared.settings.name);
