--- a/crates/burn/src/options.rs
+++ b/crates/burn/src/options.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 pub mod moment;
+pub mod site;
 pub mod value;
 
 use std::path::PathBuf;
@@ -11,6 +12,7 @@
 use woodgap_core::name;
 
 use moment::Moment;
+use site::Site;
 
 use crate::objective::Objectives;
 use crate::shift::Shift;
@@ -47,6 +49,67 @@
     pub svg: Option<PathBuf>,
 }
 
+/// What the command line says, before a settings file fills the rest.
+#[derive(Clone, Debug)]
+struct Given {
+    settings: Option<Site>,
+    platform: Option<String>,
+    timeout: Option<Duration>,
+    since: Moment,
+    until: Moment,
+    workspace: Option<name::Workspace>,
+    objectives: Option<Objectives>,
+    windows: Vec<Window>,
+    shifts: Vec<Shift>,
+    time_zone: Option<TimeZone>,
+    format: Format,
+    svg: Option<PathBuf>,
+}
+
+impl Given {
+    /// The command line goes before the settings, the settings before what holds
+    /// where nothing is set.
+    fn fill(self) -> Result<Options, &'static str> {
+        let site = self.settings;
+        let platform = self
+            .platform
+            .or_else(|| Some(site.as_ref()?.platform.clone()));
+        let Some(platform) = platform else {
+            return Err("name the platform by --platform URL, or by --settings FILE");
+        };
+        let shifts = if self.shifts.is_empty() {
+            site.as_ref()
+                .map(|site| site.shifts.clone())
+                .unwrap_or_default()
+        } else {
+            self.shifts
+        };
+        let of_site = site.as_ref();
+        Ok(Options {
+            platform,
+            timeout: self
+                .timeout
+                .or(of_site.map(|site| site.timeout))
+                .unwrap_or(TIMEOUT),
+            since: self.since,
+            until: self.until,
+            workspace: self.workspace,
+            objectives: self
+                .objectives
+                .or(of_site.map(|site| site.objectives.clone()))
+                .unwrap_or_default(),
+            windows: self.windows,
+            shifts,
+            time_zone: self
+                .time_zone
+                .or(of_site.map(|site| site.time_zone.clone()))
+                .unwrap_or(TimeZone::UTC),
+            format: self.format,
+            svg: self.svg,
+        })
+    }
+}
+
 /// The form of the report on standard output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
@@ -58,6 +121,7 @@
 
 /// The parser of the command line.
 pub fn parser() -> OptionParser<Options> {
+    let settings = settings();
     let platform = platform();
     let timeout = timeout();
     let since = since();
@@ -69,7 +133,8 @@
     let time_zone = time_zone();
     let format = format();
     let svg = svg();
-    construct!(Options {
+    construct!(Given {
+        settings,
         platform,
         timeout,
         since,
@@ -82,6 +147,7 @@
         format,
         svg
     })
+    .parse(Given::fill)
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
     .descr("The report on service-level burn: attainment, goodput, wasted work and budget burn")
@@ -91,19 +157,31 @@
     )
 }
 
-fn platform() -> impl Parser<String> {
+fn settings() -> impl Parser<Option<Site>> {
+    long("settings")
+        .help(
+            "Settings in JSON with comments: platform, shifts, time zone, objectives; \
+             what the command line says goes before them",
+        )
+        .argument::<PathBuf>("FILE")
+        .parse(|file| site::read(&file).map_err(|error| format!("--settings: {error}")))
+        .optional()
+}
+
+fn platform() -> impl Parser<Option<String>> {
     long("platform")
         .help("Base URL of the platform's services, as http://HOST:PORT")
         .argument::<String>("URL")
         .parse(|text| value::url(&text).map_err(|error| format!("--platform: {error}")))
+        .optional()
 }
 
-fn timeout() -> impl Parser<Duration> {
+fn timeout() -> impl Parser<Option<Duration>> {
     long("timeout")
         .help("How long one call to the platform may take; 10s if left out")
         .argument::<String>("SPAN")
         .parse(|text| value::timeout(&text).map_err(|error| format!("--timeout: {error}")))
-        .fallback(TIMEOUT)
+        .optional()
 }
 
 fn since() -> impl Parser<Moment> {
@@ -133,7 +211,7 @@
         .optional()
 }
 
-fn objectives() -> impl Parser<Objectives> {
+fn objectives() -> impl Parser<Option<Objectives>> {
     long("objective")
         .help(
             "Share of requests that should meet their latency target, 0.95 if left out; \
@@ -141,7 +219,11 @@
         )
         .argument::<String>("SHARE")
         .many()
-        .parse(|texts| value::objectives(&texts).map_err(|error| format!("--objective: {error}")))
+        .parse(|texts| {
+            let objectives = value::objectives(&texts);
+            let given = objectives.map_err(|error| format!("--objective: {error}"))?;
+            Ok::<_, String>((!texts.is_empty()).then_some(given))
+        })
 }
 
 fn windows() -> impl Parser<Vec<Window>> {
@@ -163,12 +245,12 @@
         .parse(|texts| value::shifts(&texts).map_err(|error| format!("--shift: {error}")))
 }
 
-fn time_zone() -> impl Parser<TimeZone> {
+fn time_zone() -> impl Parser<Option<TimeZone>> {
     long("time-zone")
         .help("Time zone of the shifts and of the table's times, as Europe/Madrid; UTC if left out")
         .argument::<String>("ZONE")
         .parse(|text| value::time_zone(&text).map_err(|error| format!("--time-zone: {error}")))
-        .fallback(TimeZone::UTC)
+        .optional()
 }
 
 fn format() -> impl Parser<Format> {
--- a/crates/burn/src/shift.rs
+++ b/crates/burn/src/shift.rs
@@ -1,25 +1,13 @@
 //! Shifts: parts of the day in which a team is at work, by the clock on its wall.
 
-use jiff::civil::{Date, Time, Weekday};
+use jiff::civil::{Date, Time};
 use jiff::tz::TimeZone;
 use jiff::{Timestamp, ToSpan};
 use woodgap_core::clock::Millis;
+pub use woodgap_settings::burn::Shift;
 
 use crate::span::Span;
 
-/// A part of the day in which a team is at work.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Shift {
-    /// Unique among the shifts.
-    pub name: String,
-    /// Its start.
-    pub from: Time,
-    /// Its end, not included; at or before the start it is on the next day.
-    pub to: Time,
-    /// The days on which it starts.
-    pub days: Vec<Weekday>,
-}
-
 /// The shifts of a site and its time zone.
 #[derive(Clone, Debug)]
 pub struct Calendar {
--- a/crates/burn/tests/burn/forms.rs
+++ b/crates/burn/tests/burn/forms.rs
@@ -107,6 +107,7 @@
 #[case::shift_twice(&["--shift", "a=06:00-14:00", "--shift", "a=14:00-22:00"], "--shift")]
 #[case::time_zone(&["--time-zone", "Atlantis/Capital"], "--time-zone")]
 #[case::format(&["--format", "xml"], "--format")]
+#[case::settings(&["--settings", "no-such-file.jsonc"], "--settings")]
 #[case::unknown(&["--colour"], "--colour")]
 fn a_wrong_option_is_named(#[case] arguments: &[&str], #[case] option: &str) {
     let complete = self::arguments(arguments);
@@ -121,6 +122,36 @@
     }
 }
 
+const SITE: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../samples/navarra-aragon/burn.jsonc"
+);
+
+#[test]
+fn settings_fill_what_the_command_line_leaves_open() {
+    let options = parser().run_inner(&["--settings", SITE]).unwrap();
+    assert_eq!(options.platform, "http://10.2.0.2:8080");
+    assert_eq!(options.shifts.len(), 2);
+    assert_eq!(options.time_zone, madrid());
+    assert!((options.objectives.of(&"certificate".into()) - 0.99).abs() < f64::EPSILON);
+}
+
+#[test]
+fn the_command_line_goes_before_the_settings() {
+    let arguments = [
+        "--settings",
+        SITE,
+        "--shift",
+        "night=22:00-06:00",
+        "--objective",
+        "0.9",
+    ];
+    let options = parser().run_inner(&*self::arguments(&arguments)).unwrap();
+    assert_eq!(options.platform, "http://127.0.0.1:1");
+    assert_eq!(options.shifts[0].name, "night");
+    assert!((options.objectives.of(&"certificate".into()) - 0.9).abs() < f64::EPSILON);
+}
+
 #[rstest]
 #[case::backwards(&["--since", "5m", "--until", "10m"], "--since")]
 #[case::empty(&["--since", "0m"], "--since")]
