--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -8,7 +8,6 @@
 use actix_rt::Arbiter;
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::{App, HttpServer};
-use awc::{Client, Connector};
 use serde::Serialize;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
@@ -22,6 +21,7 @@
 use crate::configuration::{Watcher, watcher};
 use crate::control::socket::Bound;
 use crate::control::{Actor, Handle, Socket};
+use crate::endpoint::Client;
 use crate::housekeeping::Housekeeping;
 use crate::options::Options;
 use crate::recording::Recording;
@@ -187,22 +187,6 @@
     });
 }
 
-/// Connections that one worker thread keeps to all endpoints together.
-const ENDPOINT_CONNECTIONS: usize = 10_000;
-/// How long a connection to an endpoint may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
-fn client() -> Client {
-    let connector = Connector::new()
-        .limit(ENDPOINT_CONNECTIONS)
-        .timeout(CONNECT_TIMEOUT);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish()
-}
-
 /// How long the last bytes of answers may take to reach slow callers.
 const LAST_BYTES: Duration = Duration::from_secs(30);
 
@@ -222,7 +206,7 @@
             .app_data(Data::new(watcher::platform(&shared)))
             .app_data(Data::new(Worker {
                 shared: Arc::clone(&shared),
-                client: client(),
+                client: Client::new(),
             }))
             .configure(caller::routes)
             .configure(admin::routes)
