The face of a pool: what goes in, what it decides

Cause: the exchange of permits between entries is built beside the pool's decisions and needs their signatures.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod message;
 pub mod name;
 pub mod permit;
+pub mod pool;
 pub mod tier;
 pub mod verdict;
