--- /dev/null
+++ b/crates/core/src/pool/share.rs
@@ -0,0 +1,203 @@
+//! The small share of a pool's service that each waiting class is owed,
+//! whatever waits above it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::pool::tag::Tag;
+
+/// What a waiting class is owed, and who of it is next.
+#[derive(Debug, Default)]
+struct Owed {
+    /// Where on the scale of [`Shares::given`] the count of what it is owed starts.
+    since: f64,
+    /// Its flows by turn.
+    turns: BTreeSet<(u64, u32)>,
+    /// Its retries by arrival.
+    retries: BTreeSet<u64>,
+    /// The request that is next.
+    head: Option<u64>,
+    /// Where on the scale its next request is due.
+    due: Option<Tag>,
+}
+
+impl Owed {
+    fn is_empty(&self) -> bool {
+        self.turns.is_empty() && self.retries.is_empty()
+    }
+}
+
+/// The shares of all classes with waiting requests.
+#[derive(Debug)]
+pub struct Shares {
+    share: f64,
+    total: f64,
+    /// Tokens that each class would have got if it had always waited.
+    given: f64,
+    next_turn: u64,
+    owed: BTreeMap<u32, Owed>,
+    /// Where each class that went away in debt starts when it comes back.
+    debts: BTreeMap<u32, f64>,
+    due: BTreeSet<(Tag, u32)>,
+}
+
+impl Shares {
+    /// Shares of this size each, and of this size together, 0 to 1.
+    pub fn new(share: f64, total: f64) -> Self {
+        Self {
+            share,
+            total,
+            given: 0.0,
+            next_turn: 0,
+            owed: BTreeMap::new(),
+            debts: BTreeMap::new(),
+            due: BTreeSet::new(),
+        }
+    }
+
+    /// A flow of the class got its first waiting request; returns its turn.
+    pub fn join(&mut self, class: u32, flow: u32) -> u64 {
+        let turn = self.next_turn;
+        self.next_turn += 1;
+        self.enter(class).turns.insert((turn, flow));
+        turn
+    }
+
+    /// A flow of the class has no waiting request any more.
+    pub fn leave(&mut self, class: u32, flow: u32, turn: u64) {
+        if let Some(owed) = self.owed.get_mut(&class) {
+            owed.turns.remove(&(turn, flow));
+        }
+        self.drop_empty(class);
+    }
+
+    /// A flow had its turn; returns the next one.
+    pub fn rotate(&mut self, class: u32, flow: u32, turn: u64) -> u64 {
+        let next = self.next_turn;
+        self.next_turn += 1;
+        if let Some(owed) = self.owed.get_mut(&class)
+            && owed.turns.remove(&(turn, flow))
+        {
+            owed.turns.insert((next, flow));
+        }
+        next
+    }
+
+    /// A retry of the class waits.
+    pub fn add_retry(&mut self, class: u32, number: u64) {
+        self.enter(class).retries.insert(number);
+    }
+
+    /// A retry of the class waits no more.
+    pub fn remove_retry(&mut self, class: u32, number: u64) {
+        if let Some(owed) = self.owed.get_mut(&class) {
+            owed.retries.remove(&number);
+        }
+        self.drop_empty(class);
+    }
+
+    /// The class's oldest retry, for it has waited before; else the flow whose turn it is.
+    pub fn turn(&self, class: u32) -> Option<Turn> {
+        let owed = self.owed.get(&class)?;
+        let retry = owed.retries.first().copied().map(Turn::Retry);
+        retry.or_else(|| owed.turns.first().map(|(_, flow)| Turn::Flow(*flow)))
+    }
+
+    /// The class's next request.
+    pub fn head(&self, class: u32) -> Option<u64> {
+        self.owed.get(&class)?.head
+    }
+
+    /// Sets the class's next request and what it is expected to cost.
+    pub fn set_head(&mut self, class: u32, head: Option<u64>, cost: f64) {
+        let Some(owed) = self.owed.get_mut(&class) else {
+            return;
+        };
+        if let Some(due) = owed.due.take() {
+            self.due.remove(&(due, class));
+        }
+        owed.head = head;
+        if head.is_some() && self.share > 0.0 {
+            let due = Tag(owed.since + cost);
+            owed.due = Some(due);
+            self.due.insert((due, class));
+        }
+    }
+
+    /// The classes whose next request is due, the longest due first.
+    pub fn due(&self) -> impl Iterator<Item = u32> {
+        let given = Tag(self.given);
+        let due = self.due.iter().take_while(move |(due, _)| *due <= given);
+        due.map(|(_, class)| *class)
+    }
+
+    /// Classes with waiting requests.
+    pub fn classes(&self) -> usize {
+        self.owed.len()
+    }
+
+    /// Counts service given, or less if it was counted too high.
+    pub fn give(&mut self, cost: f64) {
+        let classes = self.owed.len().max(1) as f64;
+        let rate = self.share.min(self.total / classes);
+        self.given += rate * cost;
+    }
+
+    /// The class got service out of its share.
+    pub fn settle(&mut self, class: u32, cost: f64) {
+        if let Some(owed) = self.owed.get_mut(&class) {
+            owed.since += cost;
+        } else {
+            *self.debts.entry(class).or_insert(self.given) += cost;
+        }
+    }
+
+    /// The class got service by its tier's right: it is owed that much less,
+    /// but never goes into debt by it.
+    pub fn offset(&mut self, class: u32, cost: f64) {
+        if let Some(owed) = self.owed.get_mut(&class)
+            && owed.since < self.given
+        {
+            owed.since = (owed.since + cost).min(self.given);
+        }
+    }
+
+    /// Forgets debts that the service given since has paid.
+    pub fn forget_paid(&mut self) {
+        let given = self.given;
+        self.debts.retain(|_, debt| *debt > given);
+    }
+
+    fn enter(&mut self, class: u32) -> &mut Owed {
+        let given = self.given;
+        let debt = self.debts.remove(&class).unwrap_or(given);
+        self.owed.entry(class).or_insert_with(|| Owed {
+            since: debt.max(given),
+            ..Owed::default()
+        })
+    }
+
+    fn drop_empty(&mut self, class: u32) {
+        let Some(owed) = self.owed.get(&class) else {
+            return;
+        };
+        if !owed.is_empty() {
+            return;
+        }
+        if let Some(due) = owed.due {
+            self.due.remove(&(due, class));
+        }
+        if owed.since > self.given {
+            self.debts.insert(class, owed.since);
+        }
+        self.owed.remove(&class);
+    }
+}
+
+/// Whose turn it is within a class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// The retry of this number.
+    Retry(u64),
+    /// The oldest request of this flow.
+    Flow(u32),
+}
