Late means: not likely to meet its target any more

Cause: a request counted as live while a quarter of its class's runs would still have met its target, so that under overload most were sent too late to meet it. Change: the time needed is the 95th percentile of the class, half of the target at most. Ruled out: the median (a third of the gain), the longest run (one freak run decides).

--- a/crates/core/src/pool/class.rs
+++ b/crates/core/src/pool/class.rs
@@ -43,29 +43,30 @@
         self.target = self.target.max(left);
     }
 
-    /// Time that a request needs from its grant to meet its target.
+    /// Time that nearly every request needs from its grant to meet its target.
     ///
     /// An ask does not say whether the target is the first token or the whole
     /// answer. Where even a short answer takes longer than the target, it can
-    /// only be the first token.
+    /// only be the first token. Half of the target at most, so that a class
+    /// whose long answers miss it anyhow does not count as late from the start.
     pub fn need(&self) -> Millis {
-        let whole = self.history.short().unwrap_or(Millis::ZERO);
-        if whole <= self.target {
-            return whole;
-        }
-        self.history.first_token().unwrap_or(Millis::ZERO)
+        self.usual().min(Millis(self.target.0 / 2))
     }
 
     /// How many times slower than usual a request with this much time left may
     /// run and meet its target.
     pub fn spare(&self, left: Millis) -> f64 {
-        let whole = self.history.short().unwrap_or(Millis::ZERO);
-        let usual = if whole <= self.target {
+        left.0 as f64 / self.usual().0.max(1) as f64
+    }
+
+    fn usual(&self) -> Millis {
+        let short = self.history.short().unwrap_or(Millis::ZERO);
+        let usual = if short <= self.target {
             self.history.long()
         } else {
             self.history.first_token()
         };
-        left.0 as f64 / usual.map_or(1.0, |usual| usual.0.max(1) as f64)
+        usual.unwrap_or(Millis::ZERO)
     }
 
     /// Runs to be expected at once, by the arrivals of late; 0 if there was
