Slots are kept for short requests only where none comes free in time

Cause: slots kept by arrivals alone let a burst of short requests shut out everything longer. Change: what is kept counts what the short ones already use, and nothing is kept where longer runs end so often that a slot comes free within a tenth of the target.

--- a/crates/core/src/pool/class.rs
+++ b/crates/core/src/pool/class.rs
@@ -31,7 +31,7 @@
     /// Requests that wait or run.
     pub busy: u32,
     /// The time that its requests have when they come.
-    target: Millis,
+    pub target: Millis,
     seen: Millis,
 }
 
@@ -69,14 +69,11 @@
         usual.unwrap_or(Millis::ZERO)
     }
 
-    /// Runs to be expected at once, by the arrivals of late; 0 if there was
-    /// none for long.
-    pub fn runs_at_once(&self, now: Millis) -> f64 {
-        let mean = self.history.mean().unwrap_or(Millis::ZERO);
-        if now - self.seen > LATELY {
-            return 0.0;
-        }
-        self.rate.per_ms(now) * mean.0 as f64
+    /// Runs to be expected at once, by the arrivals of late (Little's law);
+    /// none if nothing came for long.
+    pub fn runs_at_once(&self, now: Millis) -> Option<f64> {
+        let mean = self.history.mean()?;
+        (now - self.seen <= LATELY).then(|| self.rate.per_ms(now) * mean.0 as f64)
     }
 
     /// Puts the class into the lane that its runs' length calls for.
--- a/crates/core/src/pool/dispatch.rs
+++ b/crates/core/src/pool/dispatch.rs
@@ -82,7 +82,7 @@
         if room > most {
             return [true; LANES];
         }
-        std::array::from_fn(|lane| room > self.reserve.held(tier, lane).min(most))
+        std::array::from_fn(|lane| room > self.reserve.held(tier, lane, most))
     }
 
     fn first_suited(
--- a/crates/core/src/pool/upkeep.rs
+++ b/crates/core/src/pool/upkeep.rs
@@ -22,13 +22,15 @@
     }
 
     /// Counts the runs to be expected at once of each class that has been
-    /// about of late (Little's law).
+    /// about of late.
     fn renew_reserve(&mut self, now: Millis) {
         self.reserve.clear();
         for class in self.classes.iter_mut() {
             class.renew_lane();
-            let runs = class.runs_at_once(now);
-            self.reserve.expect(class.tier, class.lane, runs);
+            if let Some(runs) = class.runs_at_once(now) {
+                let (tier, lane) = (class.tier, class.lane);
+                self.reserve.expect(tier, lane, runs, class.target);
+            }
         }
     }
 
