A flow with nothing but retries waiting is not idle

Cause: a flow whose only waiting requests were retries was forgotten after a while, and the next look at it panicked. Change: a flow counts its waiting retries. Ruled out: keeping idle flows for ever.

--- a/crates/core/src/pool/flow.rs
+++ b/crates/core/src/pool/flow.rs
@@ -22,6 +22,8 @@
     pub start: f64,
     /// Its runs.
     pub running: u32,
+    /// Its waiting retries, which stand outside the flow's own order.
+    pub retries: u32,
     /// Since when it has had nothing waiting and nothing running.
     pub idle_since: Millis,
     /// Its turn for the class's share.
@@ -64,6 +66,7 @@
             weight: 1.0,
             start: 0.0,
             running: 0,
+            retries: 0,
             idle_since: now,
             turn: 0,
             spot: None,
@@ -98,7 +101,7 @@
 
     /// Whether nothing waits and nothing runs.
     pub fn is_idle(&self) -> bool {
-        self.all.is_empty() && self.running == 0
+        self.all.is_empty() && self.retries == 0 && self.running == 0
     }
 
     /// The one that has waited longest.
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -149,6 +149,7 @@
         if entry.is_retry() {
             queue.retries.insert((deadline, number));
             queue.sheddable_retries.insert(number);
+            self.flows.get_mut(flow).retries += 1;
             self.shares.add_retry(class, number);
         } else {
             self.insert_fresh(flow, number, &entry.waiter);
@@ -178,6 +179,7 @@
         if entry.is_retry() {
             queue.retries.remove(&(ask.deadline, number));
             queue.sheddable_retries.remove(&number);
+            self.flows.get_mut(entry.flow).retries -= 1;
             self.shares.remove_retry(entry.class, number);
         } else {
             self.remove_fresh(entry.flow, number, ask.deadline);
