Retries take their place in their flow, by deadline; no budget

Ruled out: a lane of retries ahead of all flows (a class that always fails would take more than its share); a budget from the second retry on (it hardly ever binds). Change: a retry is a request of its flow; its deadline is earlier than those of fresh ones, so that it goes first within the flow's fair share, and it is shed last in its tier. Conclusion: the budget is rejected; fair shares bound what retries can take.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -20,7 +20,6 @@
 mod loan;
 pub mod place;
 pub mod reserve;
-pub mod retry;
 mod run;
 pub mod share;
 pub mod speed;
@@ -37,7 +36,6 @@
 use class::Classes;
 use place::{Places, Use};
 use reserve::{Rate, Reserve};
-use retry::Budget;
 use share::Shares;
 use speed::Usual;
 use waiting::Waiting;
@@ -79,7 +77,6 @@
     endpoints: Endpoints,
     places: Places,
     usual: Usual,
-    budget: Budget,
     reserve: Reserve,
     grants: Rate,
     /// Slots when there last were any.
@@ -99,7 +96,6 @@
             endpoints: Endpoints::new(limits.affinity, seed),
             places: Places::new(seed),
             usual: Usual::default(),
-            budget: Budget::new(limits.retry_share),
             reserve: Reserve::default(),
             grants: Rate::default(),
             known_slots: None,
--- a/crates/core/src/pool/dispatch.rs
+++ b/crates/core/src/pool/dispatch.rs
@@ -47,30 +47,17 @@
         false
     }
 
-    /// The request that a tier serves next, and where.
+    /// The request that a tier serves next, and where. The first one is all
+    /// that is looked at, unless no open endpoint suits it.
     fn next_of(&mut self, now: Millis, tier: Tier) -> Option<(u64, u32)> {
         let allowed = self.allowed(tier);
-        let retries_first = self.budget.allows();
-        if retries_first && let Some(found) = self.next_retry(now, tier, allowed) {
-            return Some(found);
+        for count in [1, LOOK] {
+            let next = self.waiting.next(now, &self.classes, tier, allowed, count);
+            if let Some(found) = self.first_suited(now, next) {
+                return Some(found);
+            }
         }
-        let fresh = self.waiting.next(now, &self.classes, tier, allowed);
-        if let Some(found) = self.first_suited(now, fresh) {
-            return Some(found);
-        }
-        if retries_first {
-            return None;
-        }
-        self.next_retry(now, tier, allowed)
-    }
-
-    fn next_retry(&self, now: Millis, tier: Tier, allowed: [bool; LANES]) -> Option<(u64, u32)> {
-        let lane = |number: &u64| {
-            let entry = self.waiting.get(*number);
-            self.classes.get(entry.class).lane
-        };
-        let retries = self.waiting.retries(tier).take(LOOK);
-        self.first_suited(now, retries.filter(|number| allowed[lane(number)]))
+        None
     }
 
     /// The lanes of which a tier may grant requests now: while room is short,
@@ -136,7 +123,7 @@
             endpoint.note_trial(now);
         });
         self.start(permit, place, run);
-        self.count(now, entry.is_retry());
+        self.grants.add(now);
         let endpoint = self.endpoints.get(id);
         out.extend(endpoint.address.map(|address| Decision::Grant {
             request: ask.request,
@@ -151,26 +138,17 @@
     /// Takes a request off the list and charges what it is expected to cost.
     fn take_out(&mut self, now: Millis, number: u64, shared: bool) -> Option<(Entry, f64)> {
         let entry = self.waiting.get(number);
-        let (class, flow, retry) = (entry.class, entry.flow, entry.is_retry());
+        let (class, flow) = (entry.class, entry.flow);
         let cost = self.classes.get(class).history.cost();
         self.waiting
             .charge(now, &self.classes, class, flow, cost, shared);
-        if shared && !retry {
+        if shared {
             self.waiting.rotate(now, &self.classes, class, flow);
         }
         let entry = self.waiting.remove(now, &self.classes, number)?;
         Some((entry, cost))
     }
 
-    fn count(&mut self, now: Millis, retry: bool) {
-        self.grants.add(now);
-        if retry {
-            self.budget.spend();
-        } else {
-            self.budget.earn();
-        }
-    }
-
     fn shed(&mut self, now: Millis, out: &mut Vec<Decision>) {
         let slots = self.known_slots.unwrap_or(UNKNOWN_SLOTS);
         let bound = slots.saturating_mul(self.limits.waiting_per_slot) as usize;
--- a/crates/core/src/pool/flow.rs
+++ b/crates/core/src/pool/flow.rs
@@ -22,8 +22,6 @@
     pub start: f64,
     /// Its runs.
     pub running: u32,
-    /// Its waiting retries, which stand outside the flow's own order.
-    pub retries: u32,
     /// Since when it has had nothing waiting and nothing running.
     pub idle_since: Millis,
     /// Its turn for the class's share.
@@ -32,28 +30,26 @@
     pub spot: Option<Spot>,
     /// Where it stands in the order of shedding.
     pub length: Option<(usize, u64)>,
-    all: BTreeSet<u64>,
-    live: BTreeSet<(Millis, u64)>,
-    late: BTreeSet<u64>,
+    /// Those that can still meet their target, by deadline.
+    live: BTreeSet<Place>,
+    /// Those that can't, by deadline.
+    late: BTreeSet<Place>,
+    /// Those that have not run yet.
+    fresh: BTreeSet<u64>,
     exempt: Option<u64>,
 }
 
+/// A request's place within its flow. A retry came before the fresh ones of
+/// its class, so that its deadline puts it first.
+type Place = (Millis, u64);
+
 /// The request of a flow that is to be served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Head {
     /// It can still meet its target, which passes at this time.
-    Live(Millis, u64),
+    Live(Millis),
     /// It can't.
-    Late(u64),
-}
-
-impl Head {
-    /// The request's number.
-    pub fn number(self) -> u64 {
-        match self {
-            Self::Live(_, number) | Self::Late(number) => number,
-        }
-    }
+    Late,
 }
 
 impl Flow {
@@ -66,29 +62,30 @@
             weight: 1.0,
             start: 0.0,
             running: 0,
-            retries: 0,
             idle_since: now,
             turn: 0,
             spot: None,
             length: None,
-            all: BTreeSet::new(),
             live: BTreeSet::new(),
             late: BTreeSet::new(),
+            fresh: BTreeSet::new(),
             exempt: None,
         }
     }
 
     /// Adds a request.
-    pub fn insert(&mut self, number: u64, deadline: Millis) {
-        self.all.insert(number);
+    pub fn insert(&mut self, number: u64, deadline: Millis, fresh: bool) {
         self.live.insert((deadline, number));
+        if fresh {
+            self.fresh.insert(number);
+        }
     }
 
     /// Takes a request out.
     pub fn remove(&mut self, number: u64, deadline: Millis) {
-        self.all.remove(&number);
         self.live.remove(&(deadline, number));
-        self.late.remove(&number);
+        self.late.remove(&(deadline, number));
+        self.fresh.remove(&number);
         if self.exempt == Some(number) {
             self.exempt = None;
         }
@@ -96,38 +93,44 @@
 
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
+        self.live.is_empty() && self.late.is_empty()
     }
 
     /// Whether nothing waits and nothing runs.
     pub fn is_idle(&self) -> bool {
-        self.all.is_empty() && self.retries == 0 && self.running == 0
+        self.is_empty() && self.running == 0
     }
 
-    /// The one that has waited longest.
+    /// The one whose deadline is first, which is the one that came first.
     pub fn oldest(&self) -> Option<u64> {
-        self.all.first().copied()
+        let oldest = self.late.first().or_else(|| self.live.first());
+        oldest.map(|(_, number)| *number)
     }
 
-    /// The one to be served first: the most urgent of those that can meet
-    /// their target if served by `earliest`, else the one that waited longest.
+    /// What its first request is like if it is served by `earliest`.
     pub fn head(&mut self, earliest: Millis) -> Option<Head> {
         self.age(earliest);
-        if let Some((deadline, number)) = self.live.first() {
-            return Some(Head::Live(*deadline, *number));
+        if let Some((deadline, _)) = self.live.first() {
+            return Some(Head::Live(*deadline));
         }
-        self.late.first().copied().map(Head::Late)
+        (!self.late.is_empty()).then_some(Head::Late)
+    }
+
+    /// Its requests in the order in which they are served: the most urgent of
+    /// those that can meet their target, then the others as they came.
+    pub fn order(&self) -> impl Iterator<Item = u64> {
+        let order = self.live.iter().chain(&self.late);
+        order.map(|(_, number)| *number)
     }
 
     /// The one to be shed first: the newest of those that can't meet their
-    /// target any more, else the newest.
+    /// target any more, else the newest. None that has run before.
     pub fn victim(&mut self, earliest: Millis) -> Option<u64> {
         self.age(earliest);
-        let exempt = self.exempt;
-        let sheddable = |number: &&u64| Some(**number) != exempt;
-        let late = self.late.iter().rev().find(sheddable);
-        late.or_else(|| self.all.iter().rev().find(sheddable))
-            .copied()
+        let sheddable = |number: &u64| Some(*number) != self.exempt && self.fresh.contains(number);
+        let mut late = self.late.iter().rev().map(|(_, number)| *number);
+        let mut fresh = self.fresh.iter().rev().copied();
+        late.find(sheddable).or_else(|| fresh.find(sheddable))
     }
 
     /// Says which request stands outside the bound, if any.
@@ -135,21 +138,24 @@
         self.exempt = exempt;
     }
 
-    /// How many may be shed, and the newest request.
+    /// How many fresh ones may be shed, and the newest of them.
     pub fn sheddable(&self) -> Option<(usize, u64)> {
-        let count = self.all.len() - usize::from(self.exempt.is_some());
-        let newest = self.all.last()?;
+        let exempt = self
+            .exempt
+            .is_some_and(|number| self.fresh.contains(&number));
+        let count = self.fresh.len() - usize::from(exempt);
+        let newest = self.fresh.last()?;
         (count > 0).then_some((count, *newest))
     }
 
     /// Sets aside those whose target passes before `earliest`.
     fn age(&mut self, earliest: Millis) {
-        while let Some((deadline, number)) = self.live.first().copied() {
-            if deadline >= earliest {
+        while let Some(place) = self.live.first().copied() {
+            if place.0 >= earliest {
                 return;
             }
             self.live.pop_first();
-            self.late.insert(number);
+            self.late.insert(place);
         }
     }
 }
--- a/crates/core/src/pool/limits.rs
+++ b/crates/core/src/pool/limits.rs
@@ -11,8 +11,6 @@
     pub share: f64,
     /// Bound of all classes' shares together, 0 to 1.
     pub share_total: f64,
-    /// Retries per grant beyond which they wait behind fresh requests, 0 to 1.
-    pub retry_share: f64,
     /// Share of the slots that may be kept free of long requests, 0 to 1.
     pub reserve: f64,
     /// Load above the mean up to which equal prompts go to one endpoint; 1 for none.
@@ -27,7 +25,6 @@
             waiting_per_slot: 8,
             share: 0.02,
             share_total: 0.2,
-            retry_share: 0.15,
             reserve: 0.25,
             affinity: 1.25,
             patience: Millis(2_000),
--- a/crates/core/src/pool/line.rs
+++ b/crates/core/src/pool/line.rs
@@ -75,11 +75,11 @@
         let class = classes.get(flow.class);
         let spot = match flow.head(now + class.need()) {
             None => None,
-            Some(Head::Late(_)) => Some(Spot::Late(class.lane, Tag(flow.start))),
-            Some(Head::Live(deadline, _)) if flow.start <= self.time => {
+            Some(Head::Late) => Some(Spot::Late(class.lane, Tag(flow.start))),
+            Some(Head::Live(deadline)) if flow.start <= self.time => {
                 Some(Spot::Ready(class.lane, deadline))
             }
-            Some(Head::Live(..)) => Some(Spot::Ahead(class.lane, Tag(flow.start))),
+            Some(Head::Live(_)) => Some(Spot::Ahead(class.lane, Tag(flow.start))),
         };
         if spot == flow.spot {
             return;
@@ -100,22 +100,28 @@
         flow.spot = spot;
     }
 
-    /// The flow to be served next among the lanes that may be; its head is current.
+    /// The flows to be served next among the lanes that may be, `count` at
+    /// most. The first one is where it belongs; the others may have become
+    /// late since they were last looked at.
     pub fn next(
         &mut self,
         now: Millis,
         allowed: [bool; LANES],
+        count: usize,
         flows: &mut Flows,
         classes: &Classes,
-    ) -> Option<u32> {
+    ) -> Vec<u32> {
         loop {
             self.admit(now, flows, classes);
-            let id = self.first(allowed)?;
+            let first = self.first(allowed, count);
+            let Some(id) = first.first().copied() else {
+                return first;
+            };
             let flow = flows.get_mut(id);
             let before = flow.spot;
             self.place(now, id, flow, classes);
             if flow.spot == before {
-                return Some(id);
+                return first;
             }
         }
     }
@@ -167,16 +173,30 @@
         }
     }
 
-    fn first(&self, allowed: [bool; LANES]) -> Option<u32> {
+    fn first(&self, allowed: [bool; LANES], count: usize) -> Vec<u32> {
         let lanes = || {
             let lanes = self.lanes.iter().zip(allowed);
             lanes.filter_map(|(lane, allowed)| allowed.then_some(lane))
         };
-        let ready = lanes().filter_map(|lane| lane.ready.first()).min();
-        let ahead = || lanes().filter_map(|lane| lane.ahead.first()).min();
-        let late = || lanes().filter_map(|lane| lane.late.first()).min();
-        let id = ready.map(|(_, id)| *id);
-        id.or_else(|| ahead().map(|(_, id)| *id))
-            .or_else(|| late().map(|(_, id)| *id))
+        let mut first = Vec::with_capacity(count);
+        merge(lanes().map(|lane| &lane.ready), count, &mut first);
+        merge(lanes().map(|lane| &lane.ahead), count, &mut first);
+        merge(lanes().map(|lane| &lane.late), count, &mut first);
+        first
     }
 }
+
+/// Adds the least of several sets, up to `count` in all.
+fn merge<'a, K: Ord + Copy + 'a>(
+    sets: impl Iterator<Item = &'a BTreeSet<(K, u32)>>,
+    count: usize,
+    first: &mut Vec<u32>,
+) {
+    let wanted = count - first.len();
+    if wanted == 0 {
+        return;
+    }
+    let mut least: Vec<_> = sets.flat_map(|set| set.iter().take(wanted)).collect();
+    least.sort_unstable();
+    first.extend(least.into_iter().take(wanted).map(|(_, id)| *id));
+}
--- a/crates/core/src/pool/share.rs
+++ b/crates/core/src/pool/share.rs
@@ -12,20 +12,12 @@
     since: f64,
     /// Its flows by turn.
     turns: BTreeSet<(u64, u32)>,
-    /// Its retries by arrival.
-    retries: BTreeSet<u64>,
     /// The request that is next.
     head: Option<u64>,
     /// Where on the scale its next request is due.
     due: Option<Tag>,
 }
 
-impl Owed {
-    fn is_empty(&self) -> bool {
-        self.turns.is_empty() && self.retries.is_empty()
-    }
-}
-
 /// The shares of all classes with waiting requests.
 #[derive(Debug)]
 pub struct Shares {
@@ -82,24 +74,10 @@
         next
     }
 
-    /// A retry of the class waits.
-    pub fn add_retry(&mut self, class: u32, number: u64) {
-        self.enter(class).retries.insert(number);
-    }
-
-    /// A retry of the class waits no more.
-    pub fn remove_retry(&mut self, class: u32, number: u64) {
-        if let Some(owed) = self.owed.get_mut(&class) {
-            owed.retries.remove(&number);
-        }
-        self.drop_empty(class);
-    }
-
-    /// The class's oldest retry, for it has waited before; else the flow whose turn it is.
-    pub fn turn(&self, class: u32) -> Option<Turn> {
-        let owed = self.owed.get(&class)?;
-        let retry = owed.retries.first().copied().map(Turn::Retry);
-        retry.or_else(|| owed.turns.first().map(|(_, flow)| Turn::Flow(*flow)))
+    /// The flow whose turn it is within the class.
+    pub fn turn(&self, class: u32) -> Option<u32> {
+        let (_, flow) = self.owed.get(&class)?.turns.first()?;
+        Some(*flow)
     }
 
     /// The class's next request.
@@ -180,7 +158,7 @@
         let Some(owed) = self.owed.get(&class) else {
             return;
         };
-        if !owed.is_empty() {
+        if !owed.turns.is_empty() {
             return;
         }
         if let Some(due) = owed.due {
@@ -192,12 +170,3 @@
         self.owed.remove(&class);
     }
 }
-
-/// Whose turn it is within a class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
-    /// The retry of this number.
-    Retry(u64),
-    /// The oldest request of this flow.
-    Flow(u32),
-}
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -6,10 +6,10 @@
 use crate::name;
 use crate::pool::class::Classes;
 use crate::pool::decision::Waiter;
-use crate::pool::flow::{Flow, Flows, Head};
+use crate::pool::flow::{Flow, Flows};
 use crate::pool::line::Line;
 use crate::pool::reserve::LANES;
-use crate::pool::share::{Shares, Turn};
+use crate::pool::share::Shares;
 use crate::tier::Tier;
 
 /// How long an idle flow that is ahead of its share is remembered.
@@ -39,8 +39,7 @@
 #[derive(Debug, Default)]
 struct Queue {
     line: Line,
-    retries: BTreeSet<(Millis, u64)>,
-    /// Flows by how many of their requests may be shed, and their newest.
+    /// Flows by how many of their fresh requests may be shed, and the newest.
     lengths: BTreeSet<(usize, u64, u32)>,
     /// Retries that may be shed, by arrival.
     sheddable_retries: BTreeSet<u64>,
@@ -136,24 +135,14 @@
         let flow = self.flow(now, classes, class, &waiter.ask.workspace);
         let number = self.next;
         self.next += 1;
-        self.by_request.insert(waiter.ask.request, number);
         let entry = Entry {
             waiter,
             class,
             flow,
             since: now,
         };
-        let queue = self.queues.entry(entry.waiter.ask.tier).or_default();
-        queue.count += 1;
-        let deadline = entry.waiter.ask.deadline;
-        if entry.is_retry() {
-            queue.retries.insert((deadline, number));
-            queue.sheddable_retries.insert(number);
-            self.flows.get_mut(flow).retries += 1;
-            self.shares.add_retry(class, number);
-        } else {
-            self.insert_fresh(flow, number, &entry.waiter);
-        }
+        self.join(&entry, number);
+        self.by_request.insert(entry.waiter.ask.request, number);
         self.entries.insert(number, entry);
         self.renew(now, classes, class, flow);
     }
@@ -172,18 +161,8 @@
     /// Takes a request out by number.
     pub fn remove(&mut self, now: Millis, classes: &Classes, number: u64) -> Option<Entry> {
         let entry = self.entries.remove(&number)?;
-        let ask = &entry.waiter.ask;
-        self.by_request.remove(&ask.request);
-        let queue = self.queues.entry(ask.tier).or_default();
-        queue.count -= 1;
-        if entry.is_retry() {
-            queue.retries.remove(&(ask.deadline, number));
-            queue.sheddable_retries.remove(&number);
-            self.flows.get_mut(entry.flow).retries -= 1;
-            self.shares.remove_retry(entry.class, number);
-        } else {
-            self.remove_fresh(entry.flow, number, ask.deadline);
-        }
+        self.by_request.remove(&entry.waiter.ask.request);
+        self.leave(&entry, number);
         self.renew(now, classes, entry.class, entry.flow);
         Some(entry)
     }
@@ -208,26 +187,23 @@
         due.filter_map(|class| self.shares.head(class))
     }
 
-    /// A tier's retries, the most urgent first.
-    pub fn retries(&self, tier: Tier) -> impl Iterator<Item = u64> {
-        let queue = self.queues.get(&tier);
-        let retries = queue.into_iter().flat_map(|queue| &queue.retries);
-        retries.map(|(_, number)| *number)
-    }
-
-    /// The fresh request that a tier serves next among the lanes that may be.
+    /// The requests that a tier serves next among the lanes that may be: the
+    /// first ones of the first flows, `count` of each at most.
     pub fn next(
         &mut self,
         now: Millis,
         classes: &Classes,
         tier: Tier,
         allowed: [bool; LANES],
-    ) -> Option<u64> {
-        let line = &mut self.queues.get_mut(&tier)?.line;
-        let flow = line.next(now, allowed, &mut self.flows, classes)?;
-        let flow = self.flows.get_mut(flow);
-        let need = classes.get(flow.class).need();
-        flow.head(now + need).map(Head::number)
+        count: usize,
+    ) -> Vec<u64> {
+        let Some(queue) = self.queues.get_mut(&tier) else {
+            return Vec::new();
+        };
+        let line = &mut queue.line;
+        let flows = line.next(now, allowed, count, &mut self.flows, classes);
+        let order = |id: u32| self.flows.get(id).order().take(count);
+        flows.into_iter().flat_map(order).collect()
     }
 
     /// The request that has to make room: of the lowest tier, of the flow with
@@ -303,25 +279,32 @@
         });
     }
 
-    fn insert_fresh(&mut self, id: u32, number: u64, waiter: &Waiter) {
-        let ask = &waiter.ask;
-        let flow = self.flows.get_mut(id);
+    fn join(&mut self, entry: &Entry, number: u64) {
+        let ask = &entry.waiter.ask;
+        let flow = self.flows.get_mut(entry.flow);
+        let queue = self.queues.entry(ask.tier).or_default();
+        queue.count += 1;
         if flow.is_empty() {
             flow.weight = ask.weight.max(1) as f64;
-            let queue = self.queues.entry(ask.tier).or_default();
             queue.line.join(flow);
-            flow.turn = self.shares.join(flow.class, id);
+            flow.turn = self.shares.join(entry.class, entry.flow);
+        }
+        flow.insert(number, ask.deadline, !entry.is_retry());
+        if entry.is_retry() {
+            queue.sheddable_retries.insert(number);
         }
-        flow.insert(number, ask.deadline);
     }
 
-    fn remove_fresh(&mut self, id: u32, number: u64, deadline: Millis) {
-        let flow = self.flows.get_mut(id);
-        flow.remove(number, deadline);
+    fn leave(&mut self, entry: &Entry, number: u64) {
+        let ask = &entry.waiter.ask;
+        let flow = self.flows.get_mut(entry.flow);
+        let queue = self.queues.entry(ask.tier).or_default();
+        queue.count -= 1;
+        queue.sheddable_retries.remove(&number);
+        flow.remove(number, ask.deadline);
         if flow.is_empty() {
-            let queue = self.queues.entry(flow.tier).or_default();
             queue.line.leave(flow);
-            self.shares.leave(flow.class, id, flow.turn);
+            self.shares.leave(entry.class, entry.flow, flow.turn);
         }
     }
 
@@ -337,11 +320,8 @@
     /// Finds the class's next request, which stands outside the bound.
     fn renew_head(&mut self, classes: &Classes, class: u32) {
         let old = self.shares.head(class);
-        let new = match self.shares.turn(class) {
-            None => None,
-            Some(Turn::Retry(number)) => Some(number),
-            Some(Turn::Flow(flow)) => self.flows.get(flow).oldest(),
-        };
+        let flow = self.shares.turn(class);
+        let new = flow.and_then(|flow| self.flows.get(flow).oldest());
         if old != new {
             old.inspect(|number| self.set_exempt(*number, false));
             new.inspect(|number| self.set_exempt(*number, true));
@@ -361,7 +341,6 @@
             } else {
                 queue.sheddable_retries.insert(number);
             }
-            return;
         }
         let flow = entry.flow;
         self.flows
