--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod name;
 pub mod permit;
+pub mod pool;
 pub mod revision;
 pub mod tier;
 pub mod verdict;
