core: the permit protocol, both sides

Cause: tier order is a statement about the fleet, so that one home per pool must decide for the requests that wait at all entries. Ruled out: a reliable link below it (sequence, acknowledgement and resend for each message); the asking side drives instead, by repeating asks and by a digest per second, so that a home keeps no timers for answers and all its state is soft. Asks are named by numbers drawn once per ask, which the permit keeps, so that an old grant can't serve a newer ask.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -8,5 +8,5 @@
 
 pub use action::{Action, Grant, Refusal};
 pub use directory::Directory;
-pub use event::{Ask, Done, Event, Outcome};
+pub use event::{Ask, Done, Event, Held, Outcome};
 pub use machine::Machine;
--- a/crates/core/src/control/action.rs
+++ b/crates/core/src/control/action.rs
@@ -19,6 +19,9 @@
     pub address: SocketAddr,
     /// The priority inside the engine, 0 (first) to 9 (last).
     pub priority: u8,
+    /// Granted without the pool's home, which is unreachable, out of the own
+    /// entry's fraction of the slots.
+    pub degraded: bool,
 }
 
 /// Why a request was refused; none of them ran.
@@ -37,6 +40,9 @@
     Grant(Grant),
     /// Refuse a local request.
     Refuse(name::Request, Refusal),
+    /// Another request with the same identity waits or runs at the entry of
+    /// this life; the local one is not served here.
+    Elsewhere(name::Request, name::Incarnation),
     /// Send a message to another entry.
     Send(SocketAddr, Message),
     /// Ask an endpoint for its load, and report the answer as an event.
--- a/crates/core/src/control/alone.rs
+++ b/crates/core/src/control/alone.rs
@@ -9,7 +9,7 @@
 use crate::clock::Millis;
 use crate::control::action::{Action, Grant, Refusal};
 use crate::control::directory::{Directory, Endpoint};
-use crate::control::event::{Ask, Done};
+use crate::control::event::{Ask, Done, Held};
 use crate::name;
 
 /// Choices that are weighed for each request.
@@ -66,6 +66,17 @@
         self.dispatch(directory, random, out);
     }
 
+    /// Takes in the permits that are older than this policy.
+    pub fn restore(&mut self, held: &[Held]) {
+        for held in held {
+            let run = (held.ask.request, held.endpoint.clone());
+            if self.running.insert(held.permit, run).is_none() {
+                *self.in_flight.entry(held.endpoint.clone()).or_default() += 1;
+            }
+            self.next_permit = self.next_permit.max(held.permit + 1);
+        }
+    }
+
     /// Forgets a waiting request.
     pub fn withdraw(&mut self, request: name::Request) {
         self.waiting.retain(|ask| ask.request != request);
@@ -155,6 +166,7 @@
             endpoint: endpoint.name.clone(),
             address: endpoint.address,
             priority: PRIORITY,
+            degraded: false,
         }));
     }
 }
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -1,5 +1,7 @@
 //! What the machine is told.
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::instance::{Instance, Load};
 use crate::message::Message;
@@ -32,7 +34,7 @@
 }
 
 /// How a granted request ended at its endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The whole answer came.
     Complete,
@@ -61,6 +63,18 @@
     pub elapsed: Millis,
 }
 
+/// A permit that a request of this entry still uses, as the entry noted it
+/// outside the control branch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// What was asked for.
+    pub ask: Ask,
+    /// The permit.
+    pub permit: u64,
+    /// Where the request runs.
+    pub endpoint: name::Endpoint,
+}
+
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -72,6 +86,9 @@
     Withdraw(name::Request),
     /// A granted request ended.
     Done(Done),
+    /// The control branch was started again: these permits are in use. To be
+    /// told after a list of instances, as what is not listed can't be counted.
+    Restore(Vec<Held>),
     /// The platform's instance list was read.
     Instances(Vec<Instance>),
     /// An endpoint was probed; none if it did not answer.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -46,6 +46,7 @@
             Event::Ask(ask) => self.alone.ask(&self.directory, &mut self.random, ask, out),
             Event::Withdraw(request) => self.alone.withdraw(request),
             Event::Done(done) => self.alone.done(&done),
+            Event::Restore(held) => self.alone.restore(&held),
             Event::Instances(instances) => self.directory.update(&instances),
             Event::Load(endpoint, load) => self.directory.probed(now, &endpoint, load),
             // TODO: entries do not talk to one another yet.
--- /dev/null
+++ b/crates/core/src/permit/broker.rs
@@ -0,0 +1,445 @@
+//! The asking side: gets places for this entry's requests and gives them back.
+//!
+//! It repeats what is not answered, so that lost messages cost time only.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Millis;
+use crate::control::action::{self, Action, Refusal};
+use crate::control::event::{Ask, Done, Held};
+use crate::name::{self, Incarnation};
+use crate::permit::message::{Call, End, Grant, Profile, Run};
+use crate::permit::post::Urgency;
+use crate::permit::{Context, Id, Post};
+use crate::pool::Limits;
+
+mod fallback;
+mod heartbeat;
+mod loan;
+mod movement;
+mod route;
+
+use fallback::Fallback;
+use loan::Loan;
+use route::Route;
+
+/// The first wait before an ask is repeated: beyond the tick within which a
+/// home answers.
+const FIRST_RETRY: Millis = Millis(100);
+/// The longest wait before an ask is repeated.
+const LONGEST_RETRY: Millis = Millis(800);
+/// Pools that are asked for one request, the nearest first.
+const MOST_POOLS: usize = 3;
+/// Wait before a request that could not be placed is placed again.
+const PLACE_AGAIN: Millis = Millis(100);
+/// Answers of entries that are not home, beyond which a pool counts as tried:
+/// entries agree on their members long before.
+const MOST_MISSES: u32 = 20;
+/// How long a request waits for the first list of endpoints after a start.
+const PATIENCE: Millis = Millis(2_000);
+
+/// One step: what it can see, and where its results go.
+pub struct Step<'a> {
+    /// What it can see.
+    pub context: Context<'a>,
+    /// Messages to other entries.
+    pub post: &'a mut Post,
+    /// What the entry is to do.
+    pub out: &'a mut Vec<Action>,
+}
+
+/// The asks and the permits of this entry's requests.
+#[derive(Debug)]
+pub struct Broker {
+    /// The number of the next ask.
+    next: u64,
+    wanted: BTreeMap<u64, Wanted>,
+    requests: BTreeMap<name::Request, u64>,
+    held: BTreeMap<u64, Holding>,
+    ends: BTreeMap<u64, Unconfirmed>,
+    heartbeats: BTreeMap<Incarnation, Millis>,
+    loans: BTreeMap<Id, Loan>,
+    /// The last loan of each pool that was settled; it is not taken up again.
+    settled: BTreeMap<Id, (Incarnation, u32)>,
+    fallback: Fallback,
+}
+
+/// A request that waits for a place.
+#[derive(Debug)]
+struct Wanted {
+    ask: Ask,
+    since: Millis,
+    /// Pools that had no place for it.
+    tried: Vec<Id>,
+    /// When to come back, as the pools that shed it said.
+    shed: Option<Millis>,
+    /// Answers of entries that are not home.
+    misses: u32,
+    place: Place,
+}
+
+/// Where a request waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// Nowhere until then.
+    Unplaced(Millis),
+    /// At a pool's home.
+    Asked {
+        home: Incarnation,
+        pool: Id,
+        /// The home said that it keeps the ask.
+        queued: bool,
+        again: Millis,
+        backoff: Millis,
+    },
+    /// At this entry, for its own fraction of a pool whose home is unreachable.
+    Alone(Id),
+}
+
+/// A permit in use.
+#[derive(Clone, Debug)]
+struct Holding {
+    pool: Id,
+    endpoint: Id,
+    profile: Profile,
+    identity: u64,
+    contended: bool,
+    source: Source,
+}
+
+/// Who counts a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// Nobody yet: it is older than the control branch.
+    Unknown,
+    /// A pool's home.
+    Home(Incarnation),
+    /// A loan of a pool's home.
+    Loan,
+    /// The own fraction of a pool whose home is unreachable, with its number there.
+    Alone(u64),
+}
+
+/// The end of a permit that its home has not confirmed.
+#[derive(Debug)]
+struct Unconfirmed {
+    home: Incarnation,
+    result: Run,
+    /// The message that carried it.
+    sent: u32,
+}
+
+impl Broker {
+    /// Nothing is asked for yet. The generation counts the restarts of the
+    /// control branch, so that no number is drawn twice.
+    pub fn new(limits: Limits, generation: u32) -> Self {
+        Self {
+            next: (u64::from(generation) << 40) + 1,
+            wanted: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            held: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            heartbeats: BTreeMap::new(),
+            loans: BTreeMap::new(),
+            settled: BTreeMap::new(),
+            fallback: Fallback::new(limits),
+        }
+    }
+
+    /// Requests that wait for a place.
+    pub fn waiting(&self) -> usize {
+        self.wanted.len()
+    }
+
+    /// Permits in use.
+    pub fn holding(&self) -> usize {
+        self.held.len()
+    }
+
+    /// A local request asks for a place.
+    pub fn ask(&mut self, step: &mut Step, ask: Ask) {
+        self.withdraw(step, ask.request);
+        let wanted = Wanted {
+            ask,
+            since: step.context.now,
+            tried: Vec::new(),
+            shed: None,
+            misses: 0,
+            place: Place::Unplaced(step.context.now),
+        };
+        if !self.grant_from_loan(step, &wanted.ask) {
+            self.place(step, wanted);
+        }
+    }
+
+    /// Takes in the permits that are older than the control branch.
+    pub fn restore(&mut self, step: &mut Step, held: Vec<Held>) {
+        for held in held {
+            let Some(endpoint) = step.context.directory.get(&held.endpoint) else {
+                continue;
+            };
+            let pool = name::Pool {
+                target: held.ask.target.clone(),
+                data_centre: endpoint.data_centre.clone(),
+            };
+            let holding = Holding {
+                pool: Id::of_pool(&pool),
+                endpoint: Id::of_endpoint(&held.endpoint),
+                profile: profile(&held.ask),
+                identity: held.ask.identity,
+                contended: false,
+                source: Source::Unknown,
+            };
+            self.held.insert(held.permit, holding);
+        }
+        self.update(step);
+    }
+
+    /// A local request no longer wants a place.
+    pub fn withdraw(&mut self, step: &mut Step, request: name::Request) {
+        let Some(number) = self.requests.remove(&request) else {
+            return;
+        };
+        if let Some(wanted) = self.wanted.remove(&number) {
+            self.leave(step, number, wanted.place);
+        }
+    }
+
+    /// A granted request ended.
+    pub fn done(&mut self, step: &mut Step, done: &Done) {
+        let Some(holding) = self.held.remove(&done.permit) else {
+            return;
+        };
+        let result = Run {
+            outcome: done.outcome,
+            tokens: done.tokens,
+            first_token: done.first_token,
+            elapsed: done.elapsed,
+        };
+        match holding.source {
+            Source::Unknown => {}
+            Source::Home(home) => {
+                let urgent = holding.contended || self.waits_for(holding.pool);
+                let urgency = if urgent { Urgency::Now } else { Urgency::Tick };
+                self.give_back(step, home, done.permit, result, urgency);
+            }
+            Source::Loan => self.end_loan_run(&holding, result),
+            Source::Alone(permit) => {
+                let done = Done {
+                    permit,
+                    ..done.clone()
+                };
+                let decisions = self.fallback.done(step, holding.pool, &done);
+                self.carry_out_alone(step, holding.pool, decisions);
+            }
+        }
+    }
+
+    /// A home granted a place.
+    pub fn grant(&mut self, step: &mut Step, from: Incarnation, grant: &Grant) {
+        let number = grant.permit;
+        let Some(pool) = self.asked(number, from) else {
+            if !self.held.contains_key(&number) {
+                // Not waited for any more, or by another home's answer.
+                self.give_back(step, from, number, Run::NONE, Urgency::Now);
+            }
+            return;
+        };
+        let Some(wanted) = self.take(number) else {
+            return;
+        };
+        if address(step, grant.endpoint).is_none() {
+            self.give_back(step, from, number, Run::NONE, Urgency::Now);
+            self.keep_unplaced(step, wanted);
+            return;
+        }
+        self.hold(step, number, &wanted.ask, pool, grant, Source::Home(from));
+    }
+
+    /// Keeps a permit and hands it to its request.
+    fn hold(
+        &mut self,
+        step: &mut Step,
+        number: u64,
+        ask: &Ask,
+        pool: Id,
+        grant: &Grant,
+        source: Source,
+    ) {
+        let Some((endpoint, address)) = address(step, grant.endpoint) else {
+            return;
+        };
+        let holding = Holding {
+            pool,
+            endpoint: grant.endpoint,
+            profile: profile(ask),
+            identity: ask.identity,
+            contended: grant.contended,
+            source,
+        };
+        self.held.insert(number, holding);
+        step.out.push(Action::Grant(action::Grant {
+            request: ask.request,
+            permit: number,
+            endpoint,
+            address,
+            priority: grant.priority,
+            degraded: matches!(source, Source::Alone(_)),
+        }));
+    }
+
+    /// A home keeps an ask.
+    pub fn queued(&mut self, from: Incarnation, number: u64) {
+        if self.asked(number, from).is_some()
+            && let Some(Wanted {
+                place: Place::Asked { queued, .. },
+                ..
+            }) = self.wanted.get_mut(&number)
+        {
+            *queued = true;
+        }
+    }
+
+    /// A pool has no place for an ask: the next one is tried.
+    pub fn turned_down(
+        &mut self,
+        step: &mut Step,
+        from: Incarnation,
+        number: u64,
+        shed: Option<Millis>,
+    ) {
+        let Some(pool) = self.asked(number, from) else {
+            return;
+        };
+        let Some(mut wanted) = self.take(number) else {
+            return;
+        };
+        wanted.tried.push(pool);
+        wanted.shed = wanted.shed.max(shed);
+        self.place(step, wanted);
+    }
+
+    /// Another request of the same identity waits or runs elsewhere.
+    pub fn elsewhere(&mut self, step: &mut Step, from: Incarnation, number: u64, at: Incarnation) {
+        if self.asked(number, from).is_none() {
+            return;
+        }
+        if let Some(wanted) = self.take(number) {
+            step.out.push(Action::Elsewhere(wanted.ask.request, at));
+        }
+    }
+
+    /// Finds a place to wait for a request, or refuses it.
+    fn place(&mut self, step: &mut Step, mut wanted: Wanted) {
+        match route::choose(step, &wanted) {
+            Route::Home(pool, home) => self.ask_home(step, wanted, pool, home),
+            Route::Alone(pool) => {
+                wanted.place = Place::Alone(pool);
+                let ask = wanted.ask.clone();
+                let number = self.keep(wanted);
+                self.ask_alone(step, pool, number, ask);
+            }
+            Route::Wait => self.keep_unplaced(step, wanted),
+            Route::Refuse => {
+                let refusal = wanted.shed.map_or(Refusal::NoEndpoint, Refusal::Overloaded);
+                step.out.push(Action::Refuse(wanted.ask.request, refusal));
+            }
+        }
+    }
+
+    fn ask_home(&mut self, step: &mut Step, mut wanted: Wanted, pool: Id, home: Incarnation) {
+        wanted.place = Place::Asked {
+            home,
+            pool,
+            queued: false,
+            again: step.context.now + FIRST_RETRY,
+            backoff: FIRST_RETRY,
+        };
+        let number = self.keep(wanted);
+        self.send_ask(step, number);
+    }
+
+    fn keep_unplaced(&mut self, step: &Step, mut wanted: Wanted) {
+        wanted.place = Place::Unplaced(step.context.now + PLACE_AGAIN);
+        self.keep(wanted);
+    }
+
+    /// Keeps a request under a new number.
+    fn keep(&mut self, wanted: Wanted) -> u64 {
+        let number = self.draw();
+        self.requests.insert(wanted.ask.request, number);
+        self.wanted.insert(number, wanted);
+        number
+    }
+
+    fn draw(&mut self) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        number
+    }
+
+    fn take(&mut self, number: u64) -> Option<Wanted> {
+        let wanted = self.wanted.remove(&number)?;
+        self.requests.remove(&wanted.ask.request);
+        Some(wanted)
+    }
+
+    /// The pool at whose home an ask waits, if it is that home.
+    fn asked(&self, number: u64, from: Incarnation) -> Option<Id> {
+        match self.wanted.get(&number)?.place {
+            Place::Asked { home, pool, .. } if home == from => Some(pool),
+            _ => None,
+        }
+    }
+
+    fn waits_for(&self, id: Id) -> bool {
+        let at = |wanted: &Wanted| matches!(wanted.place, Place::Asked { pool, .. } if pool == id);
+        self.wanted.values().any(at)
+    }
+
+    /// Tells a home of the end of an ask or a permit.
+    fn give_back(
+        &mut self,
+        step: &mut Step,
+        home: Incarnation,
+        permit: u64,
+        result: Run,
+        urgency: Urgency,
+    ) {
+        let end = Call::End(End { permit, result });
+        let sent = step.post.call(step.context.now, home, urgency, end);
+        if home != step.post.own() {
+            let unconfirmed = Unconfirmed { home, result, sent };
+            self.ends.insert(permit, unconfirmed);
+        }
+    }
+
+    /// Takes an ask back from where it waits.
+    fn leave(&mut self, step: &mut Step, number: u64, place: Place) {
+        match place {
+            Place::Unplaced(_) => {}
+            Place::Asked { home, .. } => {
+                self.give_back(step, home, number, Run::NONE, Urgency::Now);
+            }
+            Place::Alone(pool) => {
+                let decisions = self.fallback.withdraw(step, pool, number);
+                self.carry_out_alone(step, pool, decisions);
+            }
+        }
+    }
+}
+
+/// Name and address of an endpoint, if the directory has it.
+fn address(step: &Step, id: Id) -> Option<(name::Endpoint, std::net::SocketAddr)> {
+    let name = step.context.topology.endpoint(id)?;
+    let endpoint = step.context.directory.get(name)?;
+    Some((endpoint.name.clone(), endpoint.address))
+}
+
+fn profile(ask: &Ask) -> Profile {
+    Profile {
+        workspace: ask.workspace.clone(),
+        tier: ask.tier,
+        class: ask.class.clone(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/permit/broker/movement.rs
@@ -0,0 +1,166 @@
+//! Homes that move, fall silent or come back.
+
+use std::collections::BTreeSet;
+
+use crate::name::Incarnation;
+use crate::permit::Id;
+
+use super::{Broker, Holding, MOST_MISSES, PLACE_AGAIN, Place, Source, Step, Wanted};
+
+impl Broker {
+    /// Homes or entries have changed.
+    pub fn update(&mut self, step: &mut Step) {
+        self.ends.retain(|_, end| step.context.alive(end.home));
+        self.settle_moved_loans(step);
+        let mut moved = BTreeSet::new();
+        for holding in self.held.values_mut() {
+            let home = step.context.topology.home(holding.pool);
+            if let Some(home) = home
+                && holding.follow(home)
+            {
+                moved.insert((holding.pool, home));
+            }
+        }
+        for (pool, home) in moved {
+            self.sync(step, home, Some(pool));
+        }
+        self.move_asks(step, |step, home, pool| {
+            step.context.topology.home(pool) != Some(home)
+        });
+    }
+
+    /// Another entry says that it is home to a pool now.
+    pub fn claim(&mut self, step: &mut Step, from: Incarnation, pool: Id) {
+        if !step.context.alive(from) {
+            return;
+        }
+        self.settle_loan_for(pool, from);
+        for holding in self.held.values_mut() {
+            if holding.pool == pool {
+                holding.follow(from);
+            }
+        }
+        self.sync(step, from, Some(pool));
+        let elsewhere: Vec<u64> = self
+            .wanted
+            .iter()
+            .filter(|(_, wanted)| {
+                matches!(wanted.place, Place::Asked { home, pool: asked, .. }
+                    if asked == pool && home != from)
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in elsewhere {
+            self.move_ask(step, number, |broker, step, wanted| {
+                broker.ask_home(step, wanted, pool, from);
+            });
+        }
+    }
+
+    /// An entry that owes answers has said nothing for long.
+    pub fn silent(&mut self, step: &mut Step, peer: Incarnation) {
+        self.move_asks(step, |_, home, _| home == peer);
+    }
+
+    /// An entry that was taken for unreachable is heard again: what is served
+    /// alone of its pools goes back to it.
+    pub fn back(&mut self, step: &mut Step, peer: Incarnation) {
+        let mut pools = BTreeSet::new();
+        let mut counted = Vec::new();
+        for (number, holding) in &mut self.held {
+            let of_peer = step.context.topology.home(holding.pool) == Some(peer);
+            if of_peer && matches!(holding.source, Source::Alone(_)) {
+                holding.source = Source::Home(peer);
+                pools.insert(holding.pool);
+                counted.push((holding.pool, *number));
+            }
+        }
+        for (pool, number) in counted {
+            let decisions = self.fallback.withdraw(step, pool, number);
+            self.carry_out_alone(step, pool, decisions);
+        }
+        for pool in pools {
+            self.sync(step, peer, Some(pool));
+        }
+        let alone: Vec<u64> = self
+            .wanted
+            .iter()
+            .filter(|(_, wanted)| {
+                matches!(wanted.place, Place::Alone(pool)
+                    if step.context.topology.home(pool) == Some(peer))
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in alone {
+            self.move_ask(step, number, Self::place);
+        }
+    }
+
+    /// The entry that was asked is not home.
+    pub fn not_home(
+        &mut self,
+        step: &mut Step,
+        from: Incarnation,
+        number: u64,
+        hint: Option<Incarnation>,
+    ) {
+        let Some(pool) = self.asked(number, from) else {
+            return;
+        };
+        let Some(mut wanted) = self.take(number) else {
+            return;
+        };
+        wanted.misses += 1;
+        if wanted.misses > MOST_MISSES {
+            wanted.misses = 0;
+            wanted.tried.push(pool);
+            self.place(step, wanted);
+            return;
+        }
+        let hint = hint.filter(|hint| *hint != from && step.context.alive(*hint));
+        match hint {
+            // Every second time, so that two that name each other are not asked in circles.
+            Some(home) if wanted.misses % 2 == 1 => self.ask_home(step, wanted, pool, home),
+            _ => {
+                wanted.place = Place::Unplaced(step.context.now + PLACE_AGAIN);
+                self.keep(wanted);
+            }
+        }
+    }
+
+    /// Places asks anew whose home and pool fulfil a condition.
+    fn move_asks(&mut self, step: &mut Step, when: impl Fn(&Step, Incarnation, Id) -> bool) {
+        let asked = self.wanted.iter().filter(|(_, wanted)| {
+            matches!(wanted.place, Place::Asked { home, pool, .. } if when(step, home, pool))
+        });
+        let asked: Vec<u64> = asked.map(|(number, _)| *number).collect();
+        for number in asked {
+            self.move_ask(step, number, Self::place);
+        }
+    }
+
+    /// Takes an ask back from where it waits and has it wait elsewhere.
+    fn move_ask(
+        &mut self,
+        step: &mut Step,
+        number: u64,
+        to: impl FnOnce(&mut Self, &mut Step, Wanted),
+    ) {
+        if let Some(wanted) = self.take(number) {
+            self.leave(step, number, wanted.place);
+            to(self, step, wanted);
+        }
+    }
+}
+
+impl Holding {
+    /// Has another home count the permit. False: it did already, or it is
+    /// counted under a loan or alone.
+    fn follow(&mut self, home: Incarnation) -> bool {
+        let before = self.source;
+        if matches!(before, Source::Unknown | Source::Home(_)) {
+            self.source = Source::Home(home);
+        }
+        self.source != before
+    }
+}
--- /dev/null
+++ b/crates/core/src/permit/post.rs
@@ -0,0 +1,262 @@
+//! What goes between this entry and the others: counts, and what is to be sent.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::clock::Millis;
+use crate::name::Incarnation;
+use crate::permit::message::{Call, Message, Reply, Stamp};
+
+/// Sendings that are remembered by time: enough for a second of a busy pair.
+const REMEMBERED: usize = 256;
+/// Items in one message: a message of asks then fits in one datagram.
+const ITEMS: usize = 12;
+/// How long an entry that owes an answer may be silent before it counts as
+/// unreachable. Answers come within a tick; a busy instance may pause longer.
+const SILENCE: Millis = Millis(1_000);
+
+/// When something is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// At the end of this event.
+    Now,
+    /// With the next message to that entry, at the next tick at the latest.
+    Tick,
+}
+
+/// One message's worth of the pair's history.
+#[derive(Debug, Default)]
+struct Peer {
+    sent: u32,
+    times: VecDeque<(u32, Millis)>,
+    seen: Stamp,
+    calls: Vec<Call>,
+    replies: Vec<Reply>,
+    urgent: bool,
+    /// Since when an answer is owed and nothing was heard.
+    owed: Option<Millis>,
+    silent: bool,
+    round_trip: Option<Millis>,
+}
+
+/// What became known from the head of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Receipt {
+    /// The number of the message.
+    pub number: u32,
+    /// The newest own message that the sender has seen; 0 for none.
+    pub seen: u32,
+    /// When that own message was sent, if that is remembered.
+    pub seen_sent: Option<Millis>,
+    /// Whether no newer message came before.
+    pub newest: bool,
+    /// Whether the sender was taken for unreachable until now.
+    pub back: bool,
+}
+
+impl Receipt {
+    /// The receipt of what an entry says to itself.
+    pub const OWN: Self = Self {
+        number: 0,
+        seen: u32::MAX,
+        seen_sent: None,
+        newest: true,
+        back: false,
+    };
+}
+
+/// Something that this entry says to itself, being asker and home at once.
+#[derive(Debug)]
+pub enum Local {
+    /// To its home side.
+    Call(Call),
+    /// To its asking side.
+    Reply(Reply),
+}
+
+/// All pairs of this entry with another.
+#[derive(Debug)]
+pub struct Post {
+    own: Incarnation,
+    generation: u32,
+    peers: BTreeMap<Incarnation, Peer>,
+    local: VecDeque<Local>,
+    /// The largest number that a forgotten pair had reached. New pairs go on
+    /// from it, since a life that was forgotten may turn out to be alive.
+    reached: u32,
+}
+
+impl Post {
+    /// No messages yet. The generation counts the restarts of the control branch.
+    pub fn new(own: Incarnation, generation: u32) -> Self {
+        Self {
+            own,
+            generation,
+            peers: BTreeMap::new(),
+            local: VecDeque::new(),
+            reached: 0,
+        }
+    }
+
+    /// This life of the own entry.
+    pub fn own(&self) -> Incarnation {
+        self.own
+    }
+
+    /// Says something to a pool's home. The number is that of the message.
+    pub fn call(&mut self, now: Millis, to: Incarnation, urgency: Urgency, call: Call) -> u32 {
+        if to == self.own {
+            self.local.push_back(Local::Call(call));
+            return 0;
+        }
+        let peer = self.peer(to);
+        if matches!(call, Call::Ask(_) | Call::Digest(_)) {
+            peer.owed.get_or_insert(now);
+        }
+        peer.calls.push(call);
+        peer.urgent |= urgency == Urgency::Now;
+        peer.sent + 1
+    }
+
+    /// Says something to a request's entry. The number is that of the message.
+    pub fn reply(&mut self, to: Incarnation, urgency: Urgency, reply: Reply) -> u32 {
+        if to == self.own {
+            self.local.push_back(Local::Reply(reply));
+            return 0;
+        }
+        let peer = self.peer(to);
+        peer.replies.push(reply);
+        peer.urgent |= urgency == Urgency::Now;
+        peer.sent + 1
+    }
+
+    /// The next thing that this entry said to itself.
+    pub fn next_local(&mut self) -> Option<Local> {
+        self.local.pop_front()
+    }
+
+    /// Takes in the head of a message. None: it is of a time before the sender's
+    /// control branch restarted.
+    pub fn receive(
+        &mut self,
+        now: Millis,
+        from: Incarnation,
+        message: &Message,
+    ) -> Option<Receipt> {
+        let generation = self.generation;
+        let peer = self.peer(from);
+        if message.sent.generation < peer.seen.generation {
+            return None;
+        }
+        let newest = message.sent > peer.seen;
+        if newest {
+            peer.seen = message.sent;
+        }
+        let seen = if message.seen.generation == generation {
+            message.seen.number
+        } else {
+            0
+        };
+        let seen_sent = peer.sent_at(seen);
+        if let Some(sent) = seen_sent {
+            peer.measure(now - sent);
+        }
+        peer.owed = None;
+        Some(Receipt {
+            number: message.sent.number,
+            seen,
+            seen_sent,
+            newest,
+            back: std::mem::take(&mut peer.silent),
+        })
+    }
+
+    /// Whether an entry owes answers and has long said nothing.
+    pub fn silent(&self, entry: Incarnation) -> bool {
+        self.peers.get(&entry).is_some_and(|peer| peer.silent)
+    }
+
+    /// Entries that have become silent since the last call.
+    pub fn newly_silent(&mut self, now: Millis) -> Vec<Incarnation> {
+        let mut found = Vec::new();
+        for (entry, peer) in &mut self.peers {
+            let overdue = peer.owed.is_some_and(|since| now >= since + SILENCE);
+            if overdue && !peer.silent {
+                peer.silent = true;
+                found.push(*entry);
+            }
+        }
+        found
+    }
+
+    /// The shortest time seen between a message to an entry and one that had
+    /// seen it; zero if not measured.
+    pub fn round_trip(&self, entry: Incarnation) -> Millis {
+        let peer = self.peers.get(&entry);
+        peer.and_then(|peer| peer.round_trip)
+            .unwrap_or(Millis::ZERO)
+    }
+
+    /// Forgets the lives of entries that do not fulfil a condition.
+    pub fn forget_all_but(&mut self, alive: impl Fn(Incarnation) -> bool) {
+        let reached = &mut self.reached;
+        self.peers.retain(|entry, peer| {
+            *reached = peer.sent.max(*reached);
+            alive(*entry)
+        });
+    }
+
+    fn peer(&mut self, entry: Incarnation) -> &mut Peer {
+        let sent = self.reached;
+        self.peers.entry(entry).or_insert_with(|| Peer {
+            sent,
+            ..Peer::default()
+        })
+    }
+
+    /// The messages that are due, in order; at a tick, all that wait.
+    pub fn flush(&mut self, now: Millis, tick: bool) -> Vec<(Incarnation, Message)> {
+        let mut out = Vec::new();
+        for (entry, peer) in &mut self.peers {
+            if !(peer.urgent || tick) {
+                continue;
+            }
+            peer.urgent = false;
+            while !(peer.calls.is_empty() && peer.replies.is_empty()) {
+                out.push((*entry, peer.next(now, self.generation)));
+            }
+        }
+        out
+    }
+}
+
+impl Peer {
+    fn next(&mut self, now: Millis, generation: u32) -> Message {
+        self.sent += 1;
+        self.times.push_back((self.sent, now));
+        if self.times.len() > REMEMBERED {
+            self.times.pop_front();
+        }
+        let calls = self.calls.len().min(ITEMS);
+        let replies = self.replies.len().min(ITEMS);
+        Message {
+            sent: Stamp {
+                generation,
+                number: self.sent,
+            },
+            seen: self.seen,
+            calls: self.calls.drain(..calls).collect(),
+            replies: self.replies.drain(..replies).collect(),
+        }
+    }
+
+    fn sent_at(&self, number: u32) -> Option<Millis> {
+        let (first, _) = self.times.front()?;
+        let index = usize::try_from(number.checked_sub(*first)?).ok()?;
+        self.times.get(index).map(|(_, at)| *at)
+    }
+
+    fn measure(&mut self, sample: Millis) {
+        let best = self.round_trip.map_or(sample, |best| best.min(sample));
+        self.round_trip = Some(best);
+    }
+}
