--- a/crates/core/src/permit/agent.rs
+++ b/crates/core/src/permit/agent.rs
@@ -143,7 +143,7 @@
             return;
         };
         if receipt.back {
-            self.step(view, out, |broker, step| broker.back(step, from));
+            self.step(view, out, Broker::rejoin);
         }
         for call in &message.calls {
             self.call(view, from, receipt, call);
--- a/crates/core/src/permit/broker.rs
+++ b/crates/core/src/permit/broker.rs
@@ -406,6 +406,9 @@
         result: Run,
         urgency: Urgency,
     ) {
+        if !step.context.alive(home) {
+            return;
+        }
         let end = Call::End(End { permit, result });
         let sent = step.post.call(step.context.now, home, urgency, end);
         if home != step.post.own() {
--- a/crates/core/src/permit/broker/movement.rs
+++ b/crates/core/src/permit/broker/movement.rs
@@ -1,6 +1,6 @@
 //! Homes that move, fall silent or come back.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::name::Incarnation;
 use crate::permit::Id;
@@ -27,6 +27,7 @@
         self.move_asks(step, |step, home, pool| {
             step.context.topology.home(pool) != Some(home)
         });
+        self.rejoin(step);
     }
 
     /// Another entry says that it is home to a pool now.
@@ -41,16 +42,11 @@
             }
         }
         self.sync(step, from, Some(pool));
-        let elsewhere: Vec<u64> = self
-            .wanted
-            .iter()
-            .filter(|(_, wanted)| {
-                matches!(wanted.place, Place::Asked { home, pool: asked, .. }
-                    if asked == pool && home != from)
-            })
-            .map(|(number, _)| *number)
-            .collect();
-        for number in elsewhere {
+        let elsewhere = |wanted: &Wanted| {
+            matches!(wanted.place, Place::Asked { home, pool: asked, .. }
+                if asked == pool && home != from)
+        };
+        for number in self.numbers(elsewhere) {
             self.move_ask(step, number, |broker, step, wanted| {
                 broker.ask_home(step, wanted, pool, from);
             });
@@ -62,38 +58,38 @@
         self.move_asks(step, |_, home, _| home == peer);
     }
 
-    /// An entry that was taken for unreachable is heard again: what is served
-    /// alone of its pools goes back to it.
-    pub fn back(&mut self, step: &mut Step, peer: Incarnation) {
-        let mut pools = BTreeSet::new();
+    /// What is served alone goes back to homes that can be reached again.
+    pub fn rejoin(&mut self, step: &mut Step) {
+        let reached: BTreeMap<Id, Incarnation> = self
+            .fallback
+            .pools()
+            .into_iter()
+            .filter_map(|pool| Some((pool, step.context.topology.home(pool)?)))
+            .filter(|(_, home)| !step.post.silent(*home))
+            .collect();
+        for (pool, home) in reached {
+            self.hand_over_runs(step, pool, home);
+            self.sync(step, home, Some(pool));
+            let waits = |wanted: &Wanted| wanted.place == Place::Alone(pool);
+            for number in self.numbers(waits) {
+                self.move_ask(step, number, Self::place);
+            }
+        }
+    }
+
+    /// Has a home count what runs of its pool out of the own fraction.
+    fn hand_over_runs(&mut self, step: &mut Step, pool: Id, home: Incarnation) {
         let mut counted = Vec::new();
         for (number, holding) in &mut self.held {
-            let of_peer = step.context.topology.home(holding.pool) == Some(peer);
-            if of_peer && matches!(holding.source, Source::Alone(_)) {
-                holding.source = Source::Home(peer);
-                pools.insert(holding.pool);
-                counted.push((holding.pool, *number));
+            if holding.pool == pool && matches!(holding.source, Source::Alone(_)) {
+                holding.source = Source::Home(home);
+                counted.push(*number);
             }
         }
-        for (pool, number) in counted {
+        for number in counted {
             let decisions = self.fallback.withdraw(step, pool, number);
             self.carry_out_alone(step, pool, decisions);
         }
-        for pool in pools {
-            self.sync(step, peer, Some(pool));
-        }
-        let alone: Vec<u64> = self
-            .wanted
-            .iter()
-            .filter(|(_, wanted)| {
-                matches!(wanted.place, Place::Alone(pool)
-                    if step.context.topology.home(pool) == Some(peer))
-            })
-            .map(|(number, _)| *number)
-            .collect();
-        for number in alone {
-            self.move_ask(step, number, Self::place);
-        }
     }
 
     /// The entry that was asked is not home.
@@ -130,15 +126,19 @@
 
     /// Places asks anew whose home and pool fulfil a condition.
     fn move_asks(&mut self, step: &mut Step, when: impl Fn(&Step, Incarnation, Id) -> bool) {
-        let asked = self.wanted.iter().filter(|(_, wanted)| {
+        let asked = |wanted: &Wanted| {
             matches!(wanted.place, Place::Asked { home, pool, .. } if when(step, home, pool))
-        });
-        let asked: Vec<u64> = asked.map(|(number, _)| *number).collect();
-        for number in asked {
+        };
+        for number in self.numbers(asked) {
             self.move_ask(step, number, Self::place);
         }
     }
 
+    fn numbers(&self, when: impl Fn(&Wanted) -> bool) -> Vec<u64> {
+        let found = self.wanted.iter().filter(|(_, wanted)| when(wanted));
+        found.map(|(number, _)| *number).collect()
+    }
+
     /// Takes an ask back from where it waits and has it wait elsewhere.
     fn move_ask(
         &mut self,
--- a/crates/core/src/permit/home.rs
+++ b/crates/core/src/permit/home.rs
@@ -105,6 +105,7 @@
             self.carry_out(post, id, decisions);
             self.recall(context, post, id);
         }
+        self.audit(context.now, post);
     }
 
     /// Frees what an entry of this home stood for.
--- a/crates/core/src/permit/home/audit.rs
+++ b/crates/core/src/permit/home/audit.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::clock::Millis;
 use crate::name::Incarnation;
 use crate::permit::message::{Digest, End, Grant, Held, Reply, Run, Sync};
 use crate::permit::post::{Receipt, Urgency};
@@ -11,6 +12,9 @@
 use super::seat::{Entry, Holder, Phase, State};
 use super::{Home, request};
 
+/// How long an entry that has something here may compare no notes. It does so
+/// each second, unless it believes that it has nothing here.
+const UNAUDITED: Millis = Millis(3_000);
 /// The mark of permits that were adopted: pools draw their own without it.
 const ADOPTED: u64 = 1 << 63;
 
@@ -20,8 +24,11 @@
         if !receipt.newest {
             return;
         }
-        let holder = self.holders.get(&from);
-        let expected = holder.map_or(Digest::default(), |holder| holder.digest(receipt.seen));
+        let holder = self.holders.get_mut(&from);
+        let expected = holder.map_or(Digest::default(), |holder| {
+            holder.audited = None;
+            holder.digest(receipt.seen)
+        });
         if digest == expected {
             post.reply(from, Urgency::Tick, Reply::Agreed(receipt.number));
         } else {
@@ -30,6 +37,17 @@
         self.repeat_grants(post, from, receipt);
     }
 
+    /// Asks entries that compare no notes for what they have here.
+    pub(super) fn audit(&mut self, now: Millis, post: &mut Post) {
+        for (entry, holder) in &mut self.holders {
+            let since = *holder.audited.get_or_insert(now);
+            if now >= since + UNAUDITED {
+                holder.audited = Some(now);
+                post.reply(*entry, Urgency::Tick, Reply::Resync);
+            }
+        }
+    }
+
     /// Sends the grants again that an entry has not seen.
     fn repeat_grants(&mut self, post: &mut Post, from: Incarnation, receipt: Receipt) {
         let Some(holder) = self.holders.get_mut(&from) else {
--- a/crates/core/src/permit/home/seat.rs
+++ b/crates/core/src/permit/home/seat.rs
@@ -74,6 +74,9 @@
 pub struct Holder {
     /// By number.
     pub entries: BTreeMap<u64, Entry>,
+    /// When notes were last compared, or were last asked for; none before the
+    /// first tick.
+    pub audited: Option<Millis>,
 }
 
 /// One ask of an entry, from its arrival to its end.
--- a/crates/core/src/permit/post.rs
+++ b/crates/core/src/permit/post.rs
@@ -32,12 +32,19 @@
     calls: Vec<Call>,
     replies: Vec<Reply>,
     urgent: bool,
-    /// Since when an answer is owed and nothing was heard.
-    owed: Option<Millis>,
+    /// The oldest and the newest message that want an answer and got none.
+    owed: Option<(Owed, Owed)>,
     silent: bool,
     round_trip: Option<Millis>,
 }
 
+/// A message that wants an answer.
+#[derive(Clone, Copy, Debug)]
+struct Owed {
+    number: u32,
+    since: Millis,
+}
+
 /// What became known from the head of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Receipt {
@@ -110,7 +117,7 @@
         }
         let peer = self.peer(to);
         if matches!(call, Call::Ask(_) | Call::Digest(_)) {
-            peer.owed.get_or_insert(now);
+            peer.owe(now);
         }
         peer.calls.push(call);
         peer.urgent |= urgency == Urgency::Now;
@@ -160,13 +167,13 @@
         if let Some(sent) = seen_sent {
             peer.measure(now - sent);
         }
-        peer.owed = None;
+        let answered = peer.answered(now, seen);
         Some(Receipt {
             number: message.sent.number,
             seen,
             seen_sent,
             newest,
-            back: std::mem::take(&mut peer.silent),
+            back: answered && std::mem::take(&mut peer.silent),
         })
     }
 
@@ -179,7 +186,9 @@
     pub fn newly_silent(&mut self, now: Millis) -> Vec<Incarnation> {
         let mut found = Vec::new();
         for (entry, peer) in &mut self.peers {
-            let overdue = peer.owed.is_some_and(|since| now >= since + SILENCE);
+            let overdue = peer
+                .owed
+                .is_some_and(|(oldest, _)| now >= oldest.since + SILENCE);
             if overdue && !peer.silent {
                 peer.silent = true;
                 found.push(*entry);
@@ -249,6 +258,34 @@
         }
     }
 
+    /// The message that is about to be sent wants an answer.
+    fn owe(&mut self, now: Millis) {
+        let newest = Owed {
+            number: self.sent + 1,
+            since: now,
+        };
+        let oldest = self.owed.map_or(newest, |(oldest, _)| oldest);
+        self.owed = Some((oldest, newest));
+    }
+
+    /// The other entry has seen messages up to a number. False: it did not see
+    /// the oldest that wants an answer. Hearing of it alone is no answer: it may
+    /// speak, but ignore what it is told.
+    fn answered(&mut self, now: Millis, seen: u32) -> bool {
+        let Some((oldest, newest)) = self.owed else {
+            return true;
+        };
+        if seen < oldest.number {
+            return false;
+        }
+        let rest = Owed {
+            since: now,
+            ..newest
+        };
+        self.owed = (seen < newest.number).then_some((rest, newest));
+        true
+    }
+
     fn sent_at(&self, number: u32) -> Option<Millis> {
         let (first, _) = self.times.front()?;
         let index = usize::try_from(number.checked_sub(*first)?).ok()?;
