--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -3,10 +3,12 @@
 pub mod action;
 pub mod alone;
 pub mod directory;
+pub mod dispatch;
 pub mod event;
 pub mod machine;
 
 pub use action::{Action, Grant, Refusal};
 pub use directory::Directory;
-pub use event::{Ask, Done, Event, Held, Outcome};
-pub use machine::Machine;
+pub use dispatch::Policy;
+pub use event::{Ask, Done, Event, Held, Outcome, Own};
+pub use machine::{Machine, Start};
--- a/crates/core/src/control/alone.rs
+++ b/crates/core/src/control/alone.rs
@@ -77,14 +77,23 @@
         }
     }
 
-    /// Forgets a waiting request.
+    /// Forgets a waiting request, and takes back the permit that it may have
+    /// been granted meanwhile.
     pub fn withdraw(&mut self, request: name::Request) {
         self.waiting.retain(|ask| ask.request != request);
+        let granted = self.running.iter().find(|(_, run)| run.0 == request);
+        if let Some(permit) = granted.map(|(permit, _)| *permit) {
+            self.release(permit);
+        }
     }
 
     /// Takes a permit back.
     pub fn done(&mut self, done: &Done) {
-        let Some((_, endpoint)) = self.running.remove(&done.permit) else {
+        self.release(done.permit);
+    }
+
+    fn release(&mut self, permit: u64) {
+        let Some((_, endpoint)) = self.running.remove(&permit) else {
             return;
         };
         if let Some(count) = self.in_flight.get_mut(&endpoint) {
--- a/crates/core/src/permit/agent.rs
+++ b/crates/core/src/permit/agent.rs
@@ -128,6 +128,21 @@
         self.finish(view, out, false);
     }
 
+    /// Some endpoints came to be usable, or no longer are.
+    pub fn endpoints_changed(&mut self, view: View, out: &mut Vec<Action>) {
+        let context = view.context(&self.topology);
+        self.home.update_endpoints(&context, &mut self.post, None);
+        self.finish(view, out, false);
+    }
+
+    /// Requests that run at an endpoint: all of them if this entry is home to
+    /// its pool, else the own ones.
+    pub fn in_flight(&self, endpoint: &name::Endpoint) -> u32 {
+        self.home
+            .in_flight(endpoint)
+            .max(self.broker.in_flight(endpoint))
+    }
+
     /// Takes in a message of another entry.
     pub fn message(
         &mut self,
@@ -199,7 +214,7 @@
         match call {
             Call::Ask(ask) => home.ask(&context, post, from, ask),
             Call::End(end) => home.end(&context, post, from, end),
-            Call::Digest(digest) => home.digest(post, from, receipt, *digest),
+            Call::Digest(digest) => home.digest(view.now, post, from, receipt, *digest),
             Call::Sync(sync) => home.sync(&context, post, from, receipt, sync),
             Call::Usage(usage) => home.usage(&context, post, from, receipt, usage),
         }
--- a/crates/core/src/permit/broker.rs
+++ b/crates/core/src/permit/broker.rs
@@ -18,16 +18,24 @@
 mod loan;
 mod movement;
 mod route;
+mod state;
 
 use fallback::Fallback;
 use loan::Loan;
 use route::Route;
+use state::{Holding, Place, Source, Unconfirmed, Wanted};
 
+/// Numbers of one control branch are below this power of two, those of the next
+/// one above it; the first ones are small, and so are the messages.
+const GENERATION_BITS: u32 = 40;
 /// The first wait before an ask is repeated: beyond the tick within which a
 /// home answers.
 const FIRST_RETRY: Millis = Millis(100);
 /// The longest wait before an ask is repeated.
 const LONGEST_RETRY: Millis = Millis(800);
+/// How long the end of a run may wait for something to go with, while nobody
+/// waits and half of the pool's slots are free.
+const UNHURRIED: Millis = Millis(500);
 /// Pools that are asked for one request, the nearest first.
 const MOST_POOLS: usize = 3;
 /// Wait before a request that could not be placed is placed again.
@@ -64,77 +72,12 @@
     fallback: Fallback,
 }
 
-/// A request that waits for a place.
-#[derive(Debug)]
-struct Wanted {
-    ask: Ask,
-    since: Millis,
-    /// Pools that had no place for it.
-    tried: Vec<Id>,
-    /// When to come back, as the pools that shed it said.
-    shed: Option<Millis>,
-    /// Answers of entries that are not home.
-    misses: u32,
-    place: Place,
-}
-
-/// Where a request waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Place {
-    /// Nowhere until then.
-    Unplaced(Millis),
-    /// At a pool's home.
-    Asked {
-        home: Incarnation,
-        pool: Id,
-        /// The home said that it keeps the ask.
-        queued: bool,
-        again: Millis,
-        backoff: Millis,
-    },
-    /// At this entry, for its own fraction of a pool whose home is unreachable.
-    Alone(Id),
-}
-
-/// A permit in use.
-#[derive(Clone, Debug)]
-struct Holding {
-    pool: Id,
-    endpoint: Id,
-    profile: Profile,
-    identity: u64,
-    contended: bool,
-    source: Source,
-}
-
-/// Who counts a permit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// Nobody yet: it is older than the control branch.
-    Unknown,
-    /// A pool's home.
-    Home(Incarnation),
-    /// A loan of a pool's home.
-    Loan,
-    /// The own fraction of a pool whose home is unreachable, with its number there.
-    Alone(u64),
-}
-
-/// The end of a permit that its home has not confirmed.
-#[derive(Debug)]
-struct Unconfirmed {
-    home: Incarnation,
-    result: Run,
-    /// The message that carried it.
-    sent: u32,
-}
-
 impl Broker {
     /// Nothing is asked for yet. The generation counts the restarts of the
     /// control branch, so that no number is drawn twice.
     pub fn new(limits: Limits, generation: u32) -> Self {
         Self {
-            next: (u64::from(generation) << 40) + 1,
+            next: (u64::from(generation.saturating_sub(1)) << GENERATION_BITS) + 1,
             wanted: BTreeMap::new(),
             requests: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -156,6 +99,13 @@
         self.held.len()
     }
 
+    /// Permits of this entry at an endpoint.
+    pub fn in_flight(&self, endpoint: &name::Endpoint) -> u32 {
+        let id = Id::of_endpoint(endpoint);
+        let here = self.held.values().filter(|holding| holding.endpoint == id);
+        u32::try_from(here.count()).unwrap_or(u32::MAX)
+    }
+
     /// A local request asks for a place.
     pub fn ask(&mut self, step: &mut Step, ask: Ask) {
         self.withdraw(step, ask.request);
@@ -183,6 +133,7 @@
                 data_centre: endpoint.data_centre.clone(),
             };
             let holding = Holding {
+                request: held.ask.request,
                 pool: Id::of_pool(&pool),
                 endpoint: Id::of_endpoint(&held.endpoint),
                 profile: profile(&held.ask),
@@ -190,12 +141,14 @@
                 contended: false,
                 source: Source::Unknown,
             };
+            self.requests.insert(held.ask.request, held.permit);
             self.held.insert(held.permit, holding);
         }
         self.update(step);
     }
 
-    /// A local request no longer wants a place.
+    /// A local request no longer wants a place, nor the one that it may have
+    /// been granted meanwhile.
     pub fn withdraw(&mut self, step: &mut Step, request: name::Request) {
         let Some(number) = self.requests.remove(&request) else {
             return;
@@ -203,33 +156,42 @@
         if let Some(wanted) = self.wanted.remove(&number) {
             self.leave(step, number, wanted.place);
         }
+        self.release(step, number, Run::NONE);
     }
 
     /// A granted request ended.
     pub fn done(&mut self, step: &mut Step, done: &Done) {
-        let Some(holding) = self.held.remove(&done.permit) else {
-            return;
-        };
         let result = Run {
             outcome: done.outcome,
             tokens: done.tokens,
             first_token: done.first_token,
             elapsed: done.elapsed,
         };
+        self.release(step, done.permit, result);
+    }
+
+    /// Gives a permit back to whoever counts it.
+    fn release(&mut self, step: &mut Step, number: u64, result: Run) {
+        let Some(holding) = self.held.remove(&number) else {
+            return;
+        };
+        if self.requests.get(&holding.request) == Some(&number) {
+            self.requests.remove(&holding.request);
+        }
         match holding.source {
             Source::Unknown => {}
             Source::Home(home) => {
                 let urgent = holding.contended || self.waits_for(holding.pool);
-                let urgency = if urgent { Urgency::Now } else { Urgency::Tick };
-                self.give_back(step, home, done.permit, result, urgency);
+                let urgency = if urgent {
+                    Urgency::Now
+                } else {
+                    Urgency::By(step.context.now + UNHURRIED)
+                };
+                self.give_back(step, home, number, result, urgency);
             }
             Source::Loan => self.end_loan_run(&holding, result),
             Source::Alone(permit) => {
-                let done = Done {
-                    permit,
-                    ..done.clone()
-                };
-                let decisions = self.fallback.done(step, holding.pool, &done);
+                let decisions = self.fallback.done(step, holding.pool, permit, result);
                 self.carry_out_alone(step, holding.pool, decisions);
             }
         }
@@ -270,6 +232,7 @@
             return;
         };
         let holding = Holding {
+            request: ask.request,
             pool,
             endpoint: grant.endpoint,
             profile: profile(ask),
@@ -277,6 +240,7 @@
             contended: grant.contended,
             source,
         };
+        self.requests.insert(ask.request, number);
         self.held.insert(number, holding);
         step.out.push(Action::Grant(action::Grant {
             request: ask.request,
--- a/crates/core/src/permit/broker/fallback.rs
+++ b/crates/core/src/permit/broker/fallback.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 
 use crate::control::directory::Endpoint;
-use crate::control::event::{Ask, Done};
+use crate::control::event::Ask;
 use crate::name::{self, Incarnation};
-use crate::permit::message::Grant;
+use crate::permit::message::{Grant, Run};
 use crate::permit::{Context, Id};
 use crate::pool::{Decision, Limits, Pool, Waiter};
 
@@ -76,10 +76,11 @@
     }
 
     /// A run ended.
-    pub fn done(&mut self, step: &Step, id: Id, done: &Done) -> Vec<Decision> {
+    pub fn done(&mut self, step: &Step, id: Id, permit: u64, run: Run) -> Vec<Decision> {
         let mut decisions = Vec::new();
         if let Some(pool) = self.pools.get_mut(&id) {
-            pool.done(step.context.now, done, &mut decisions);
+            let done = run.done(request(step.post.own(), 0), permit);
+            pool.done(step.context.now, &done, &mut decisions);
         }
         decisions
     }
--- a/crates/core/src/permit/broker/heartbeat.rs
+++ b/crates/core/src/permit/broker/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Repeating what was not answered, and comparing notes with each home.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::clock::Millis;
 use crate::control::event::Ask;
@@ -14,6 +14,9 @@
 /// How often notes are compared with a home. The longest time for which a lost
 /// message can keep a slot idle, or a grant from its request, is about this.
 const HEARTBEAT: Millis = Millis(1_000);
+/// How much longer a digest may wait for an ask to go with, while only permits
+/// are held.
+const PATIENCE: Millis = Millis(1_000);
 /// Items in one [`Sync`], so that it fits in one datagram.
 pub(super) const CHUNK: usize = 10;
 
@@ -73,6 +76,13 @@
         };
         let call = Call::Ask(pack(&step.context, number, pool, &wanted.ask));
         step.post.call(step.context.now, home, Urgency::Now, call);
+        if self
+            .heartbeats
+            .get(&home)
+            .is_some_and(|due| step.context.now >= *due)
+        {
+            self.send_digest(step, home);
+        }
     }
 
     /// The home does not know an ask that it said it keeps.
@@ -91,56 +101,57 @@
     fn beat(&mut self, step: &mut Step) {
         let now = step.context.now;
         let peers = self.peers(step);
-        self.heartbeats.retain(|peer, _| peers.contains(peer));
-        for peer in peers {
-            let due = self.heartbeats.entry(peer).or_insert(now + HEARTBEAT);
-            if now < *due {
-                continue;
+        self.heartbeats.retain(|peer, _| peers.contains_key(peer));
+        for (peer, urgent) in peers {
+            let due = *self.heartbeats.entry(peer).or_insert(now + HEARTBEAT);
+            let due = if urgent { due } else { due + PATIENCE };
+            if now >= due {
+                self.send_digest(step, peer);
             }
-            *due = now + HEARTBEAT;
-            let digest = self.digest(peer);
-            step.post
-                .call(now, peer, Urgency::Now, Call::Digest(digest));
         }
     }
 
-    /// The homes with which notes are to be compared.
-    fn peers(&self, step: &Step) -> BTreeSet<Incarnation> {
+    fn send_digest(&mut self, step: &mut Step, peer: Incarnation) {
+        let now = step.context.now;
+        self.heartbeats.insert(peer, now + HEARTBEAT);
+        let digest = Call::Digest(self.digest(peer));
+        step.post.call(now, peer, Urgency::Now, digest);
+    }
+
+    /// The homes with which notes are to be compared, and whether at once when
+    /// it is time: asks wait there, or it is silent and has to answer something.
+    fn peers(&self, step: &Step) -> BTreeMap<Incarnation, bool> {
         let asked = self
             .wanted
             .values()
             .filter_map(|wanted| match wanted.place {
-                Place::Asked { home, .. } => Some(home),
+                Place::Asked { home, .. } => Some((home, true)),
                 _ => None,
             });
         let held = self
             .held
             .values()
             .filter_map(|holding| match holding.source {
-                Source::Home(home) => Some(home),
+                Source::Home(home) => Some((home, false)),
                 _ => None,
             });
-        let ended = self.ends.values().map(|end| end.home);
-        // A silent home is asked until it answers.
-        let silent = step
-            .context
-            .members
-            .active()
-            .map(|member| member.incarnation);
-        let silent = silent.filter(|entry| step.post.silent(*entry));
-        let own = step.post.own();
-        asked
-            .chain(held)
-            .chain(ended)
-            .chain(silent)
-            .filter(|peer| *peer != own)
-            .collect()
+        let ended = self.ends.values().map(|end| (end.home, false));
+        let members = step.context.members.active();
+        let silent = members.map(|member| (member.incarnation, true));
+        let silent = silent.filter(|(entry, _)| step.post.silent(*entry));
+        let mut peers = BTreeMap::new();
+        for (peer, urgent) in held.chain(ended).chain(asked).chain(silent) {
+            *peers.entry(peer).or_default() |= urgent;
+        }
+        peers
     }
 
     fn digest(&self, peer: Incarnation) -> Digest {
         let mut digest = Digest::default();
-        for number in self.waiting_at(peer, None) {
-            digest.add(number, false);
+        for (number, queued) in self.asked_of(peer, None) {
+            if queued {
+                digest.add(number, false);
+            }
         }
         for (number, _) in self.held_of(peer, None) {
             digest.add(number, true);
@@ -169,10 +180,8 @@
 
     /// Tells a home all that this entry waits for and holds there.
     pub(super) fn sync(&self, step: &mut Step, home: Incarnation, scope: Option<Id>) {
-        let mut items: Vec<(u64, Option<Held>)> = self
-            .waiting_at(home, scope)
-            .map(|number| (number, None))
-            .collect();
+        let asked = self.asked_of(home, scope);
+        let mut items: Vec<(u64, Option<Held>)> = asked.map(|(number, _)| (number, None)).collect();
         let held = self.held_of(home, scope);
         items.extend(held.map(|(number, holding)| (number, Some(pack_held(number, holding)))));
         items.sort_by_key(|(number, _)| *number);
@@ -202,20 +211,17 @@
         }
     }
 
-    /// Asks that a home said it keeps.
-    fn waiting_at(&self, peer: Incarnation, scope: Option<Id>) -> impl Iterator<Item = u64> {
+    /// Asks that wait for a home's answer, and whether it said that it keeps them.
+    fn asked_of(&self, peer: Incarnation, scope: Option<Id>) -> impl Iterator<Item = (u64, bool)> {
         self.wanted.iter().filter_map(move |(number, wanted)| {
             let Place::Asked {
-                home,
-                pool,
-                queued: true,
-                ..
+                home, pool, queued, ..
             } = wanted.place
             else {
                 return None;
             };
             let of = home == peer && scope.is_none_or(|scope| scope == pool);
-            of.then_some(*number)
+            of.then_some((*number, queued))
         })
     }
 
--- a/crates/core/src/permit/broker/loan.rs
+++ b/crates/core/src/permit/broker/loan.rs
@@ -170,24 +170,23 @@
     }
 
     /// Ends loans of homes that have moved; their runs are told to the new homes.
-    pub(super) fn settle_moved_loans(&mut self, step: &Step) {
+    pub(super) fn drop_moved_loans(&mut self, step: &Step) {
         let moved = self.loans.iter().filter(|(pool, loan)| {
             let home = step.context.topology.home(**pool);
             home.is_some_and(|home| home != loan.home)
         });
         let moved: Vec<(Id, Incarnation)> = moved.map(|(pool, loan)| (*pool, loan.home)).collect();
         for (pool, home) in moved {
-            self.loans.remove(&pool);
-            self.keep_runs(pool, home);
+            self.drop_loan(pool, home);
         }
     }
 
-    /// Ends the loan of a pool, unless its home is the given one.
-    pub(super) fn settle_loan_for(&mut self, pool: Id, home: Incarnation) {
-        let lender = self.loans.get(&pool).map(|loan| loan.home);
-        if let Some(lender) = lender.filter(|lender| *lender != home) {
-            self.loans.remove(&pool);
-            self.keep_runs(pool, lender);
+    /// Ends a loan of which the home knows nothing any more; its runs are to
+    /// count as permits of a home.
+    pub(super) fn drop_loan(&mut self, pool: Id, home: Incarnation) {
+        if let Some(loan) = self.loans.remove(&pool) {
+            self.settled.insert(pool, (loan.home, loan.number));
+            self.keep_runs(pool, home);
         }
     }
 
--- a/crates/core/src/permit/broker/movement.rs
+++ b/crates/core/src/permit/broker/movement.rs
@@ -11,7 +11,7 @@
     /// Homes or entries have changed.
     pub fn update(&mut self, step: &mut Step) {
         self.ends.retain(|_, end| step.context.alive(end.home));
-        self.settle_moved_loans(step);
+        self.drop_moved_loans(step);
         let mut moved = BTreeSet::new();
         for holding in self.held.values_mut() {
             let home = step.context.topology.home(holding.pool);
@@ -35,7 +35,7 @@
         if !step.context.alive(from) {
             return;
         }
-        self.settle_loan_for(pool, from);
+        self.drop_loan(pool, from);
         for holding in self.held.values_mut() {
             if holding.pool == pool {
                 holding.follow(from);
@@ -126,9 +126,7 @@
 
     /// Places asks anew whose home and pool fulfil a condition.
     fn move_asks(&mut self, step: &mut Step, when: impl Fn(&Step, Incarnation, Id) -> bool) {
-        let asked = |wanted: &Wanted| {
-            matches!(wanted.place, Place::Asked { home, pool, .. } if when(step, home, pool))
-        };
+        let asked = |wanted: &Wanted| matches!(wanted.place, Place::Asked { home, pool, .. } if when(step, home, pool));
         for number in self.numbers(asked) {
             self.move_ask(step, number, Self::place);
         }
--- a/crates/core/src/permit/home.rs
+++ b/crates/core/src/permit/home.rs
@@ -4,9 +4,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::control::event::{self, Done};
+use crate::control::event;
 use crate::name::{self, Incarnation};
-use crate::permit::message::{Ask, End, Grant, Reply, Run};
+use crate::permit::message::{Ask, End, Grant, Reply};
 use crate::permit::post::Urgency;
 use crate::permit::{Context, Id, Post};
 use crate::pool::{Decision, Limits, Waiter};
@@ -47,6 +47,14 @@
         self.seats.iter().map(|(id, seat)| (*id, &seat.pool))
     }
 
+    /// Requests that run at an endpoint, and places lent there, in this home's pools.
+    pub fn in_flight(&self, endpoint: &name::Endpoint) -> u32 {
+        let pools = self.seats.values().map(|seat| seat.pool.stats());
+        pools
+            .filter_map(|stats| stats.in_flight.get(endpoint).copied())
+            .sum()
+    }
+
     /// Takes in an ask of an entry.
     pub fn ask(&mut self, context: &Context, post: &mut Post, from: Incarnation, ask: &Ask) {
         if !self.seats.contains_key(&ask.pool) {
@@ -132,7 +140,7 @@
                 seat.pool.withdraw(context.now, request, &mut decisions);
             }
             State::Held { permit, .. } => {
-                let done = done(request, *permit, end.result);
+                let done = end.result.done(request, *permit);
                 seat.pool.done(context.now, &done, &mut decisions);
             }
         }
@@ -251,17 +259,6 @@
     }
 }
 
-fn done(request: name::Request, permit: u64, run: Run) -> Done {
-    Done {
-        request,
-        permit,
-        outcome: run.outcome,
-        tokens: run.tokens,
-        first_token: run.first_token,
-        elapsed: run.elapsed,
-    }
-}
-
 /// An ask in the form that pools take.
 fn unpack(context: &Context, from: Incarnation, ask: &Ask, pool: &name::Pool) -> event::Ask {
     let slack = crate::clock::Millis(ask.slack.unsigned_abs());
--- a/crates/core/src/permit/home/audit.rs
+++ b/crates/core/src/permit/home/audit.rs
@@ -15,12 +15,22 @@
 /// How long an entry that has something here may compare no notes. It does so
 /// each second, unless it believes that it has nothing here.
 const UNAUDITED: Millis = Millis(3_000);
+/// How long the answer to a right digest may wait for something to go with:
+/// well below the time after which this entry would count as silent.
+const AGREEMENT: Millis = Millis(400);
 /// The mark of permits that were adopted: pools draw their own without it.
 const ADOPTED: u64 = 1 << 63;
 
 impl Home {
     /// Compares a digest of what an entry waits for and holds.
-    pub fn digest(&mut self, post: &mut Post, from: Incarnation, receipt: Receipt, digest: Digest) {
+    pub fn digest(
+        &mut self,
+        now: Millis,
+        post: &mut Post,
+        from: Incarnation,
+        receipt: Receipt,
+        digest: Digest,
+    ) {
         if !receipt.newest {
             return;
         }
@@ -30,7 +40,8 @@
             holder.digest(receipt.seen)
         });
         if digest == expected {
-            post.reply(from, Urgency::Tick, Reply::Agreed(receipt.number));
+            let urgency = Urgency::By(now + AGREEMENT);
+            post.reply(from, urgency, Reply::Agreed(receipt.number));
         } else {
             post.reply(from, Urgency::Now, Reply::Resync);
         }
@@ -77,7 +88,7 @@
         }
         self.drop_unlisted(context, post, from, receipt, sync);
         for held in &sync.held {
-            self.adopt(context, from, held);
+            self.adopt(context, from, held, None);
         }
         for permit in &sync.waiting {
             self.confirm_waiting(post, from, *permit);
@@ -118,8 +129,15 @@
         }
     }
 
-    /// Takes over a permit that this home did not grant, or lent.
-    pub(super) fn adopt(&mut self, context: &Context, from: Incarnation, held: &Held) {
+    /// Takes over a permit that this home did not grant, or a run under a place
+    /// that it lent.
+    pub(super) fn adopt(
+        &mut self,
+        context: &Context,
+        from: Incarnation,
+        held: &Held,
+        lent: Option<u64>,
+    ) {
         let known = self.entry(from, held.permit).map(|entry| entry.state);
         if matches!(known, Some(State::Held { .. })) {
             return;
@@ -134,7 +152,7 @@
                 .waiting
                 .retain(|waiter| waiter.ask.request != request);
         }
-        let permit = ADOPTED | u64::from(drawn);
+        let permit = lent.unwrap_or(ADOPTED | u64::from(drawn));
         if let Some(endpoint) = context.topology.endpoint(held.endpoint) {
             let adopted = pool::Held {
                 request,
--- a/crates/core/src/permit/home/lending.rs
+++ b/crates/core/src/permit/home/lending.rs
@@ -9,14 +9,14 @@
 use crate::permit::{Context, Id, Post};
 
 use super::seat::{Lent, Phase, Rate, Seat};
-use super::{Home, done, request};
+use super::{Home, request};
 
 /// How long a loan lasts for its borrower. The longer, the fewer messages, and
 /// the longer a cut-off borrower may go on while a higher tier waits.
 pub const LIFE: Millis = Millis(1_000);
-/// How much longer the home counts the places as taken, so that the report of
-/// what still runs can be lost once and repeated.
-pub const GRACE: Millis = Millis(1_000);
+/// How much longer the pool is told that it lasts, so that the report of what
+/// still runs can be lost once and repeated; the pool adds as much again.
+pub const GRACE: Millis = Millis(500);
 /// The span over which asks are counted.
 const SPAN: Millis = Millis(1_000);
 /// Asks within the span from which on an entry is lent places: two messages a
@@ -91,7 +91,8 @@
             seat.learn(context, from, usage);
         }
         for held in &usage.held {
-            self.adopt(context, from, held);
+            let permit = self.lent_permit(context, from, usage.pool, held.endpoint);
+            self.adopt(context, from, held, permit);
         }
         if usage.over {
             self.take_back(context, post, from, usage);
@@ -100,6 +101,19 @@
         }
     }
 
+    /// Takes a place out of a loan, for a run that outlasts it.
+    fn lent_permit(
+        &mut self,
+        context: &Context,
+        from: Incarnation,
+        pool: Id,
+        endpoint: Id,
+    ) -> Option<u64> {
+        let lent = self.seats.get_mut(&pool)?.loans.get_mut(&from)?;
+        let endpoint = context.topology.endpoint(endpoint)?;
+        lent.permits.get_mut(endpoint)?.pop_first()
+    }
+
     /// Ends a loan. What still ran of it was adopted before.
     fn take_back(&mut self, context: &Context, post: &mut Post, from: Incarnation, usage: &Usage) {
         let Some(seat) = self.seats.get_mut(&usage.pool) else {
@@ -155,7 +169,7 @@
         let Some(seat) = self.seats.get_mut(&id) else {
             return;
         };
-        if seat.loans.is_empty() || !seat.someone_waits() {
+        if seat.loans.is_empty() || !seat.pool.waits() {
             return;
         }
         for (borrower, lent) in &mut seat.loans {
@@ -224,7 +238,7 @@
                 .endpoint(record.endpoint)
                 .and_then(|endpoint| lent.permits.get(endpoint)?.first());
             if let (Some(profile), Some(permit)) = (profile, permit) {
-                let done = done(request(from, 0), *permit, record.result);
+                let done = record.result.done(request(from, 0), *permit);
                 self.pool
                     .learn(context.now, profile.tier, &profile.class, &done);
             }
--- a/crates/core/src/permit/home/seat.rs
+++ b/crates/core/src/permit/home/seat.rs
@@ -8,6 +8,8 @@
 use crate::permit::message::{Digest, Grant};
 use crate::pool::{Pool, Waiter};
 
+use super::lending::GRACE;
+
 /// One pool of this home.
 #[derive(Debug)]
 pub struct Seat {
@@ -147,12 +149,7 @@
 impl Seat {
     /// Forgets loans that the pool has taken back.
     pub fn drop_ended_loans(&mut self, now: Millis) {
-        self.loans.retain(|_, lent| now <= lent.until);
-    }
-
-    /// Whether an ask waits that a lent place could serve.
-    pub fn someone_waits(&self) -> bool {
-        !self.pool.stats().waiting.is_empty()
+        self.loans.retain(|_, lent| now <= lent.until + GRACE);
     }
 }
 
--- a/crates/core/src/permit/message.rs
+++ b/crates/core/src/permit/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::control::event::Outcome;
+use crate::control::event::{Done, Outcome};
 use crate::name;
 use crate::permit::Id;
 use crate::tier::Tier;
@@ -105,6 +105,18 @@
 }
 
 impl Run {
+    /// The end in the form that pools take.
+    pub fn done(self, request: name::Request, permit: u64) -> Done {
+        Done {
+            request,
+            permit,
+            outcome: self.outcome,
+            tokens: self.tokens,
+            first_token: self.first_token,
+            elapsed: self.elapsed,
+        }
+    }
+
     /// A run that never was: the ask was withdrawn, or its grant not used.
     pub const NONE: Self = Self {
         outcome: Outcome::Cancelled,
@@ -151,7 +163,7 @@
     pub from: u64,
     /// The last number of the range.
     pub to: u64,
-    /// Asks that the receiver said it keeps.
+    /// Asks without an answer.
     pub waiting: Vec<u64>,
     /// Permits.
     pub held: Vec<Held>,
--- a/crates/core/src/permit/post.rs
+++ b/crates/core/src/permit/post.rs
@@ -21,6 +21,9 @@
     Now,
     /// With the next message to that entry, at the next tick at the latest.
     Tick,
+    /// With the next message to that entry, at the first tick from then on at
+    /// the latest.
+    By(Millis),
 }
 
 /// One message's worth of the pair's history.
@@ -32,6 +35,8 @@
     calls: Vec<Call>,
     replies: Vec<Reply>,
     urgent: bool,
+    /// When what waits is to go at the latest.
+    due: Option<Millis>,
     /// The oldest and the newest message that want an answer and got none.
     owed: Option<(Owed, Owed)>,
     silent: bool,
@@ -120,7 +125,7 @@
             peer.owe(now);
         }
         peer.calls.push(call);
-        peer.urgent |= urgency == Urgency::Now;
+        peer.hurry(urgency);
         peer.sent + 1
     }
 
@@ -132,7 +137,7 @@
         }
         let peer = self.peer(to);
         peer.replies.push(reply);
-        peer.urgent |= urgency == Urgency::Now;
+        peer.hurry(urgency);
         peer.sent + 1
     }
 
@@ -222,14 +227,16 @@
         })
     }
 
-    /// The messages that are due, in order; at a tick, all that wait.
+    /// The messages that are due, in order; some only at a tick.
     pub fn flush(&mut self, now: Millis, tick: bool) -> Vec<(Incarnation, Message)> {
         let mut out = Vec::new();
         for (entry, peer) in &mut self.peers {
-            if !(peer.urgent || tick) {
+            let due = peer.due.is_some_and(|due| tick && now >= due);
+            if !(peer.urgent || due) {
                 continue;
             }
             peer.urgent = false;
+            peer.due = None;
             while !(peer.calls.is_empty() && peer.replies.is_empty()) {
                 out.push((*entry, peer.next(now, self.generation)));
             }
@@ -239,6 +246,18 @@
 }
 
 impl Peer {
+    fn hurry(&mut self, urgency: Urgency) {
+        let due = match urgency {
+            Urgency::Now => {
+                self.urgent = true;
+                return;
+            }
+            Urgency::Tick => Millis::ZERO,
+            Urgency::By(due) => due,
+        };
+        self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
+    }
+
     fn next(&mut self, now: Millis, generation: u32) -> Message {
         self.sent += 1;
         self.times.push_back((self.sent, now));
--- a/crates/core/tests/permits.rs
+++ b/crates/core/tests/permits.rs
@@ -1,12 +1,17 @@
 //! The permit protocol between several entries, under faults.
 
+#[path = "permits/faults.rs"]
+mod faults;
 #[path = "permits/network.rs"]
 mod network;
 
-use network::{CALM, Leftovers, Network, STORM};
+use std::collections::BTreeSet;
+
+use network::{CALM, Fate, Leftovers, Network, Request, STORM};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
+use woodgap_core::clock::Millis;
 use woodgap_core::membership::Standing;
 use woodgap_core::permit::message::{Call, Message, Reply};
 
@@ -33,7 +38,10 @@
 }
 
 fn ends(message: &Message) -> bool {
-    message.calls.iter().any(|call| matches!(call, Call::End(_)))
+    message
+        .calls
+        .iter()
+        .any(|call| matches!(call, Call::End(_)))
 }
 
 fn settles(message: &Message) -> bool {
@@ -85,6 +93,16 @@
     network.resume(home);
 }
 
+fn home_restarted(network: &mut Network) {
+    let home = network.home(0, 0);
+    network.restart(home);
+}
+
+fn holder_restarted(network: &mut Network) {
+    let home = network.home(0, 0);
+    network.restart((home + 1) % ENTRIES);
+}
+
 fn holder_killed(network: &mut Network) {
     let home = network.home(0, 0);
     network.kill((home + 1) % ENTRIES);
@@ -109,9 +127,9 @@
     // Two entries lose each other's messages; both live in the eyes of all.
     let home = network.home(0, 0);
     let other = (home + 3) % ENTRIES;
-    network.cut(home, other, true);
+    network.cut_off(home, other);
     network.load(5_000, 100, 3);
-    network.cut(home, other, false);
+    network.merge_all();
 }
 
 /// Every ask has its end, and when all has come to rest nothing is held. The
@@ -125,6 +143,8 @@
 #[case::ends_lost(ends_lost, 0)]
 #[case::settlements_lost(settlements_lost, 0)]
 #[case::holder_killed(holder_killed, 0)]
+#[case::holder_restarted(holder_restarted, 0)]
+#[case::home_restarted(home_restarted, 0)]
 #[case::home_killed(home_killed, 1)]
 #[case::home_killed_twice(home_killed_twice, 1)]
 #[case::home_paused(home_paused, 1)]
@@ -132,7 +152,7 @@
 #[case::home_frozen(home_frozen, 2)]
 #[case::two_homes(two_homes, 2)]
 #[case::parted(parted, 2)]
-fn faults(
+fn recovers(
     #[case] fault: fn(&mut Network),
     #[case] bound: usize,
     #[values(40, 150)] rate: u64,
@@ -149,6 +169,88 @@
     assert!(over <= bound * SLOTS as usize, "{over} above the slots");
 }
 
+/// While no message is lost, no request is shed while a lower tier waits at the
+/// same homes, but for the one of each class that is next for its share.
+#[rstest]
+fn sheds_the_lowest_tier(#[values(150, 300)] rate: u64, #[values(1, 2, 3)] seed: u64) {
+    let mut network = network(seed);
+    let mut refused = BTreeSet::new();
+    for _ in 0..400 {
+        network.load(50, rate, 3);
+        let (now, waits) = (network.now, |state: &Request| state.fate == Fate::Waiting);
+        // What asked this long ago was at a home when the last ones were shed.
+        let settled = |state: &Request| waits(state) && now >= state.asked + Millis(300);
+        for (request, state) in &network.requests {
+            if !matches!(state.fate, Fate::Refused(_)) || !refused.insert(*request) {
+                continue;
+            }
+            let lower = network
+                .requests
+                .values()
+                .filter(|other| other.tier > state.tier);
+            let passed_over = lower.filter(|other| settled(other)).count();
+            let next_for_share = CENTRES * usize::from(3 - state.tier);
+            assert!(
+                passed_over <= next_for_share,
+                "{passed_over} of lower tiers wait"
+            );
+        }
+    }
+    assert!(!refused.is_empty());
+}
+
+/// A second request of an identity is sent to where the first waits or runs.
+#[test]
+fn names_the_entry_of_an_identity() {
+    let mut network = network(1);
+    let first = network.ask(0, 1, 77).unwrap();
+    network.run(1_200);
+    network.service = (5_000, 5_000);
+    let first_again = network.ask(0, 1, 77).unwrap();
+    network.run(100);
+    let second = network.ask(3, 1, 77).unwrap();
+    network.run(100);
+    assert_eq!(network.requests[&first].fate, Fate::Complete);
+    assert_eq!(network.requests[&first_again].fate, Fate::Running);
+    assert_eq!(
+        network.requests[&second].fate,
+        Fate::Elsewhere(network::incarnation(0))
+    );
+}
+
+/// Bytes of a datagram beside its messages: the frame's header and code, and the
+/// headers of IP and UDP.
+const DATAGRAM: usize = 41 + 28;
+
+/// Bytes of all entries for each request, with all headers.
+fn bytes_per_request(rate: u64, service: (u64, u64)) -> usize {
+    let mut network = Network::new(1, ENTRIES, 6, 1, 16);
+    network.service = service;
+    network.load(5_000, rate, 3);
+    network.sent = (0, 0);
+    let before = network.requests.len();
+    network.load(30_000, rate, 3);
+    let (bytes, messages) = network.sent;
+    (bytes + messages * DATAGRAM) / (network.requests.len() - before)
+}
+
+/// At 35 requests a second and entry, the budget of 11 KB a second leaves 314
+/// bytes for a request; membership and configuration need their part of them.
+#[test]
+fn spends_few_bytes() {
+    let lent = bytes_per_request(210, (50, 150));
+    let contended = bytes_per_request(210, (300, 620));
+    println!("{lent} lent, {contended} contended");
+    assert!(
+        lent <= 60,
+        "{lent} bytes for a request while places are lent"
+    );
+    assert!(
+        contended <= 300,
+        "{contended} bytes for a contended request"
+    );
+}
+
 /// A schedule's steps: what happens, and how long the load goes on after it.
 #[derive(Clone, Debug)]
 enum Step {
@@ -205,7 +307,11 @@
 fn config() -> ProptestConfig {
     let default = ProptestConfig::default();
     ProptestConfig {
-        cases: if std::env::var_os("PROPTEST_CASES").is_some() { default.cases } else { 40 },
+        cases: if std::env::var_os("PROPTEST_CASES").is_some() {
+            default.cases
+        } else {
+            40
+        },
         rng_seed: RngSeed::Fixed(7),
         failure_persistence: None,
         ..default
--- a/crates/core/tests/permits/network.rs
+++ b/crates/core/tests/permits/network.rs
@@ -1,5 +1,4 @@
-//! A network of entries and engines inside the test: seeded, in its own time,
-//! with losses, delays, partitions, frozen and killed entries.
+//! A network of entries and engines inside the test: seeded, in its own time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -7,45 +6,45 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use woodgap_core::clock::Millis;
-use woodgap_core::control::{Action, Ask, Directory, Done, Outcome, Refusal};
+use woodgap_core::control::{Action, Ask, Directory, Done, Held, Outcome, Refusal};
 use woodgap_core::instance::{Instance, Role, State};
-use woodgap_core::membership::{Member, Members, Standing};
+use woodgap_core::membership::{Figures, Member, Members, Standing};
 use woodgap_core::message::Message;
 use woodgap_core::name::{self, Incarnation};
-use woodgap_core::permit::message::Reply;
 use woodgap_core::permit::{self, Agent, View};
-use woodgap_core::pool::Limits;
+use woodgap_core::pool::{Limits, Pool};
 use woodgap_core::tier::Tier;
 
 /// The tick of the control thread.
 const TICK: u64 = 50;
 /// The only model.
-pub const TARGET: &str = "m";
+const TARGET: &str = "m";
+/// The incarnation of the first entry.
+const FIRST: u64 = 100;
 
 /// One entry.
-struct Node {
+pub struct Node {
     agent: Agent,
-    members: Members,
+    pub members: Members,
     directory: Directory,
-    alive: bool,
-    frozen: bool,
+    pub alive: bool,
+    pub frozen: bool,
     /// What happened to it while it was frozen.
-    backlog: Vec<What>,
+    pub backlog: Vec<What>,
     /// What runs for it: request and engine by permit.
     running: BTreeMap<u64, (name::Request, name::Endpoint)>,
 }
 
 /// One engine.
 pub struct Engine {
-    pub slots: usize,
-    running: BTreeSet<(usize, u64)>,
+    slots: usize,
+    pub running: BTreeSet<(usize, u64)>,
     /// The most requests that ran at once.
-    pub peak: usize,
+    peak: usize,
 }
 
 /// Something that will happen.
-#[derive(Clone)]
-enum What {
+pub enum What {
     Tick(usize),
     Deliver(usize, Incarnation, Box<permit::Message>),
     Finish(usize, u64),
@@ -59,6 +58,7 @@
     Running,
     Complete,
     Refused(Refusal),
+    Elsewhere(Incarnation),
     /// Its entry was killed, or its caller went away.
     Lost,
 }
@@ -68,17 +68,16 @@
 pub struct Request {
     pub tier: u8,
     pub asked: Millis,
-    pub granted: Option<Millis>,
     pub fate: Fate,
 }
 
 /// How the network treats messages.
 #[derive(Clone, Copy, Debug)]
 pub struct Weather {
-    pub loss: f64,
-    pub duplicate: f64,
+    loss: f64,
+    duplicate: f64,
     /// Milliseconds on the way, at least and at most.
-    pub delay: (u64, u64),
+    delay: (u64, u64),
 }
 
 pub const CALM: Weather = Weather {
@@ -110,61 +109,85 @@
     pub weather: Weather,
     pub requests: BTreeMap<name::Request, Request>,
     pub engines: BTreeMap<name::Endpoint, Engine>,
-    /// Bytes and messages sent, as postcard.
+    pub nodes: Vec<Node>,
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Bytes of the messages sent, as postcard; and how many there were.
     pub sent: (usize, usize),
-    /// Loans, as stated by homes.
-    pub loans: usize,
     /// How long engines run a request.
     pub service: (u64, u64),
     /// Drops messages that it says true to.
     pub filter: Box<dyn FnMut(&permit::Message) -> bool>,
     random: ChaCha8Rng,
-    nodes: Vec<Node>,
     agenda: BTreeMap<(Millis, u64), What>,
     scheduled: u64,
-    cut: BTreeSet<(usize, usize)>,
     sequence: u64,
 }
 
-fn incarnation(node: usize) -> Incarnation {
-    Incarnation(100 + node as u64)
+pub fn incarnation(node: usize) -> Incarnation {
+    Incarnation(FIRST + node as u64)
+}
+
+fn node_of(life: Incarnation) -> usize {
+    usize::try_from(life.0 - FIRST).unwrap()
 }
 
 fn peer(node: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1_000 + u16::try_from(node).unwrap()))
 }
 
+fn centre(index: usize, centres: usize) -> name::DataCentre {
+    format!("dc{}", index % centres).into()
+}
+
 fn member(node: usize, centres: usize) -> Member {
     Member {
-        name: format!("e{node}").as_str().into(),
+        name: format!("e{node}").into(),
         incarnation: incarnation(node),
-        data_centre: format!("dc{}", node % centres).as_str().into(),
+        data_centre: centre(node, centres),
         peer: peer(node),
         http: peer(node),
         standing: Standing::Live,
+        version: 0,
+        figures: Figures::default(),
         heard: Millis::ZERO,
     }
 }
 
-fn engines(count: usize, centres: usize, slots: u32) -> Vec<Instance> {
-    let engine = |index: usize| Instance {
+fn instance(index: usize, centres: usize, slots: u32) -> Instance {
+    Instance {
         name: format!("m{index}"),
         role: Role::Engine,
         address: peer(5_000 + index),
-        data_centre: format!("dc{}", index % centres).as_str().into(),
+        data_centre: centre(index, centres),
         state: State::Live,
         targets: vec![TARGET.into()],
         slots,
         checks_fencing: false,
         peer_address: None,
-    };
-    (0..count).map(engine).collect()
+    }
+}
+
+fn ask(request: name::Request, state: &Request, identity: u64) -> Ask {
+    Ask {
+        request,
+        target: TARGET.into(),
+        workspace: "cairde-grianghraf".into(),
+        tier: Tier::new(state.tier).unwrap(),
+        class: "share-link".into(),
+        weight: 1,
+        deadline: state.asked + Millis(500),
+        avoid: Vec::new(),
+        prefix: 0,
+        identity,
+    }
 }
 
 impl Network {
     /// Entries and engines, spread over data centres; all know one another.
-    pub fn new(seed: u64, entries: usize, count: usize, centres: usize, slots: u32) -> Self {
-        let instances = engines(count, centres, slots);
+    pub fn new(seed: u64, entries: usize, engines: usize, centres: usize, slots: u32) -> Self {
+        let list: Vec<Instance> = (0..engines)
+            .map(|index| instance(index, centres, slots))
+            .collect();
         let engine = |instance: &Instance| {
             let engine = Engine {
                 slots: slots as usize,
@@ -177,16 +200,15 @@
             now: Millis(1_000),
             weather: CALM,
             requests: BTreeMap::new(),
-            engines: instances.iter().map(engine).collect(),
+            engines: list.iter().map(engine).collect(),
+            nodes: Vec::new(),
+            cut: BTreeSet::new(),
             sent: (0, 0),
-            loans: 0,
             service: (50, 400),
             filter: Box::new(|_| false),
             random: ChaCha8Rng::seed_from_u64(seed),
-            nodes: Vec::new(),
             agenda: BTreeMap::new(),
             scheduled: 0,
-            cut: BTreeSet::new(),
             sequence: 0,
         };
         for node in 0..entries {
@@ -195,7 +217,7 @@
                 members.put(member(other, centres));
             }
             let mut directory = Directory::default();
-            directory.update(&instances);
+            directory.update(&list);
             network.nodes.push(Node {
                 agent: Agent::new(incarnation(node), 1, &Limits::default()),
                 members,
@@ -207,33 +229,24 @@
             });
         }
         for node in 0..entries {
-            network.act(node, |agent, view, out| agent.listed(view, out));
+            network.act(node, Agent::listed);
             network.schedule(Millis(node as u64 % TICK), What::Tick(node));
         }
         network
     }
 
-    /// The entry that is home to a pool in the eyes of another entry.
-    pub fn home(&self, node: usize, centre: usize) -> usize {
+    /// The entry that is home to a data centre's pool in the eyes of another.
+    pub fn home(&self, node: usize, index: usize) -> usize {
         let pool = name::Pool {
             target: TARGET.into(),
-            data_centre: format!("dc{centre}").as_str().into(),
+            data_centre: centre(index, usize::MAX),
         };
-        let home = self.nodes[node].members.home(&pool).unwrap().incarnation;
-        usize::try_from(home.0 - 100).unwrap()
-    }
-
-    pub fn entries(&self) -> usize {
-        self.nodes.len()
-    }
-
-    pub fn up(&self, node: usize) -> bool {
-        self.nodes[node].alive && !self.nodes[node].frozen
+        node_of(self.nodes[node].members.home(&pool).unwrap().incarnation)
     }
 
-    /// A caller sends a request to an entry.
-    pub fn ask(&mut self, node: usize, tier: u8) -> Option<name::Request> {
-        if !self.up(node) {
+    /// A caller sends a request to an entry, if that is up.
+    pub fn ask(&mut self, node: usize, tier: u8, identity: u64) -> Option<name::Request> {
+        if !self.nodes[node].alive || self.nodes[node].frozen {
             return None;
         }
         self.sequence += 1;
@@ -244,144 +257,44 @@
         let state = Request {
             tier,
             asked: self.now,
-            granted: None,
             fate: Fate::Waiting,
         };
         self.requests.insert(request, state);
-        let ask = Ask {
-            request,
-            target: TARGET.into(),
-            workspace: "cairde-grianghraf".into(),
-            tier: Tier::new(tier).unwrap(),
-            class: "share-link".into(),
-            weight: 1,
-            deadline: self.now + Millis(500),
-            avoid: Vec::new(),
-            prefix: 0,
-            identity: 0,
-        };
+        let ask = ask(request, &state, identity);
         self.act(node, |agent, view, out| agent.ask(view, ask, out));
         Some(request)
     }
 
     /// The caller of a waiting request goes away.
     pub fn withdraw(&mut self, request: name::Request) {
-        let node = usize::try_from(request.incarnation.0 - 100).unwrap();
-        let fate = self.requests.get_mut(&request).unwrap();
-        if fate.fate == Fate::Waiting && !self.nodes[node].frozen {
-            fate.fate = Fate::Lost;
+        let node = node_of(request.incarnation);
+        if !self.nodes[node].frozen {
+            self.requests.get_mut(&request).unwrap().fate = Fate::Lost;
             self.act(node, |agent, view, out| agent.withdraw(view, request, out));
         }
     }
 
-    /// An entry's process ends; so do its connections to engines.
-    pub fn kill(&mut self, node: usize) {
-        self.nodes[node].alive = false;
-        for engine in self.engines.values_mut() {
-            engine.running.retain(|(holder, _)| *holder != node);
-        }
-        for (request, state) in &mut self.requests {
-            let open = matches!(state.fate, Fate::Waiting | Fate::Running);
-            if request.incarnation == incarnation(node) && open {
-                state.fate = Fate::Lost;
-            }
-        }
-        self.others_see(node, Standing::Gone, 2_000, 3_000);
-    }
-
-    /// An entry's process stops running, for now.
-    pub fn freeze(&mut self, node: usize) {
-        self.nodes[node].frozen = true;
-        self.others_see(node, Standing::Gone, 2_000, 3_000);
-    }
-
-    /// An entry's process stops running, too short for anyone to notice.
-    pub fn pause(&mut self, node: usize) {
-        self.nodes[node].frozen = true;
-    }
-
-    /// A paused entry runs again.
-    pub fn resume(&mut self, node: usize) {
-        self.nodes[node].frozen = false;
-        for what in std::mem::take(&mut self.nodes[node].backlog) {
-            self.happen(what);
-        }
-    }
-
-    /// All entries run again.
-    pub fn wake_all(&mut self) {
-        for node in 0..self.nodes.len() {
-            self.wake(node);
-        }
-    }
-
-    /// All entries reach one another again.
-    pub fn merge_all(&mut self) {
-        let pairs: Vec<(usize, usize)> = std::mem::take(&mut self.cut).into_iter().collect();
-        for (one, other) in pairs {
-            self.see(one, other, Standing::Live, 3_000, 4_000);
-        }
-    }
-
-    /// The callers of some waiting requests go away.
-    pub fn withdraw_some(&mut self, count: usize) {
-        let waiting = |(_, state): &(&name::Request, &Request)| state.fate == Fate::Waiting;
-        let found = self.requests.iter().filter(waiting).take(count);
-        let found: Vec<name::Request> = found.map(|(request, _)| *request).collect();
-        for request in found {
-            self.withdraw(request);
-        }
-    }
-
-    /// A frozen entry runs again.
-    pub fn wake(&mut self, node: usize) {
-        if self.nodes[node].alive && self.nodes[node].frozen {
-            self.resume(node);
-            // Later than the last that held it to be gone.
-            self.others_see(node, Standing::Live, 3_000, 4_000);
-        }
-    }
-
-    /// Two groups of entries no longer reach one another.
-    pub fn part(&mut self, left: &[usize]) {
-        self.across(left, |network, one, other| {
-            network.cut.insert((one, other));
-            network.see(one, other, Standing::Gone, 2_000, 3_000);
+    /// The control branch of an entry ends and starts again; what runs goes on,
+    /// and what waits asks again.
+    pub fn restart(&mut self, node: usize) {
+        let running = &self.nodes[node].running;
+        let held = running.iter().map(|(permit, (request, endpoint))| Held {
+            ask: ask(*request, &self.requests[request], 0),
+            permit: *permit,
+            endpoint: endpoint.clone(),
         });
-    }
-
-    /// All entries reach one another again.
-
-    /// Messages between two entries are lost, which no other entry notices.
-    pub fn cut(&mut self, one: usize, other: usize, cut: bool) {
-        for pair in [(one, other), (other, one)] {
-            if cut {
-                self.cut.insert(pair);
-            } else {
-                self.cut.remove(&pair);
-            }
-        }
-    }
-
-    /// One entry comes to see another in some standing, within a span from now.
-    pub fn see(&mut self, viewer: usize, seen: usize, standing: Standing, least: u64, most: u64) {
-        let delay = Millis(self.random.random_range(least..=most));
-        self.schedule(delay, What::See(viewer, seen, standing));
-    }
-
-    fn others_see(&mut self, seen: usize, standing: Standing, least: u64, most: u64) {
-        for viewer in (0..self.nodes.len()).filter(|viewer| *viewer != seen) {
-            self.see(viewer, seen, standing, least, most);
-        }
-    }
-
-    fn across(&mut self, left: &[usize], act: impl Fn(&mut Self, usize, usize)) {
-        for one in 0..self.nodes.len() {
-            for other in 0..self.nodes.len() {
-                if left.contains(&one) != left.contains(&other) {
-                    act(self, one, other);
-                }
-            }
+        let held: Vec<Held> = held.collect();
+        self.nodes[node].agent = Agent::new(incarnation(node), 2, &Limits::default());
+        self.act(node, Agent::listed);
+        self.act(node, |agent, view, out| agent.restore(view, held, out));
+        let waiting = self.requests.iter().filter(|(request, state)| {
+            request.incarnation == incarnation(node) && state.fate == Fate::Waiting
+        });
+        let again: Vec<Ask> = waiting
+            .map(|(request, state)| ask(*request, state, 0))
+            .collect();
+        for ask in again {
+            self.act(node, |agent, view, out| agent.ask(view, ask, out));
         }
     }
 
@@ -406,24 +319,32 @@
             self.run(1_000 / rate);
             let node = self.random.random_range(0..self.nodes.len());
             let tier = self.random.random_range(1..=tiers);
-            self.ask(node, tier);
+            self.ask(node, tier, 0);
         }
     }
 
+    /// A number within a range.
+    pub fn draw(&mut self, least: u64, most: u64) -> u64 {
+        self.random.random_range(least..=most)
+    }
+
     /// What is left.
     pub fn leftovers(&self) -> Leftovers {
         let open = |state: &&Request| matches!(state.fate, Fate::Waiting | Fate::Running);
         let alive = || self.nodes.iter().filter(|node| node.alive);
         let brokers = alive().map(|node| node.agent.broker());
         let pools = alive().flat_map(|node| node.agent.home().pools());
-        let taken = |(_, pool): (_, &woodgap_core::pool::Pool)| {
+        let taken = |(_, pool): (_, &Pool)| {
             let stats = pool.stats();
             stats.slots - stats.free + stats.waiting.values().sum::<u32>()
         };
+        let runs = self.engines.values().map(|engine| engine.running.len());
         Leftovers {
             requests: self.requests.values().filter(open).count(),
-            asks: brokers.map(|broker| broker.holding() + broker.waiting()).sum(),
-            runs: self.engines.values().map(|engine| engine.running.len()).sum(),
+            asks: brokers
+                .map(|broker| broker.holding() + broker.waiting())
+                .sum(),
+            runs: runs.sum(),
             slots: pools.map(taken).sum(),
         }
     }
@@ -434,16 +355,12 @@
         self.engines.values().map(over).max().unwrap()
     }
 
-    pub fn count(&self, when: impl Fn(&Request) -> bool) -> usize {
-        self.requests.values().filter(|state| when(state)).count()
-    }
-
-    fn schedule(&mut self, delay: Millis, what: What) {
+    pub fn schedule(&mut self, delay: Millis, what: What) {
         self.scheduled += 1;
         self.agenda.insert((self.now + delay, self.scheduled), what);
     }
 
-    fn happen(&mut self, what: What) {
+    pub fn happen(&mut self, what: What) {
         let (What::Tick(node)
         | What::Deliver(node, ..)
         | What::Finish(node, _)
@@ -460,11 +377,13 @@
             What::Tick(_) => {
                 self.schedule(Millis(TICK), What::Tick(node));
                 if !self.nodes[node].frozen {
-                    self.act(node, |agent, view, out| agent.tick(view, out));
+                    self.act(node, Agent::tick);
                 }
             }
             What::Deliver(_, from, message) => {
-                self.act(node, |agent, view, out| agent.message(view, from, &message, out));
+                self.act(node, |agent, view, out| {
+                    agent.message(view, from, &message, out);
+                });
             }
             What::Finish(_, permit) => self.finish(node, permit),
             What::See(_, seen, standing) => self.seen(node, seen, standing),
@@ -478,14 +397,15 @@
         // A killed entry does not come back.
         member.standing = if alive { standing } else { Standing::Gone };
         members.put(member);
-        self.act(node, |agent, view, out| agent.members_changed(view, out));
+        self.act(node, Agent::members_changed);
     }
 
     fn finish(&mut self, node: usize, permit: u64) {
         let Some((request, engine)) = self.nodes[node].running.remove(&permit) else {
             return;
         };
-        self.engines.get_mut(&engine).unwrap().running.remove(&(node, permit));
+        let engine = self.engines.get_mut(&engine).unwrap();
+        engine.running.remove(&(node, permit));
         self.requests.get_mut(&request).unwrap().fate = Fate::Complete;
         let done = Done {
             request,
@@ -520,42 +440,43 @@
     fn carry_out(&mut self, node: usize, action: Action) {
         match action {
             Action::Grant(grant) => {
-                let state = self.requests.get_mut(&grant.request).unwrap();
-                assert_eq!(state.fate, Fate::Waiting, "{} granted", grant.request);
-                state.fate = Fate::Running;
-                state.granted = Some(self.now);
+                self.answer(grant.request, Fate::Running);
                 let engine = self.engines.get_mut(&grant.endpoint).unwrap();
-                assert!(engine.running.insert((node, grant.permit)), "permit used twice");
+                let fresh = engine.running.insert((node, grant.permit));
+                assert!(fresh, "permit {} used twice", grant.permit);
                 engine.peak = engine.peak.max(engine.running.len());
                 let run = (grant.request, grant.endpoint);
                 self.nodes[node].running.insert(grant.permit, run);
-                let span = self.random.random_range(self.service.0..=self.service.1);
+                let span = self.draw(self.service.0, self.service.1);
                 self.schedule(Millis(span), What::Finish(node, grant.permit));
             }
-            Action::Refuse(request, refusal) => {
-                let state = self.requests.get_mut(&request).unwrap();
-                assert_eq!(state.fate, Fate::Waiting, "{request} refused");
-                state.fate = Fate::Refused(refusal);
-            }
-            Action::Send(to, Message::Permit(message)) => self.send(node, to, message),
+            Action::Refuse(request, refusal) => self.answer(request, Fate::Refused(refusal)),
+            Action::Elsewhere(request, life) => self.answer(request, Fate::Elsewhere(life)),
+            Action::Send(to, Message::Permit(message)) => self.send(node, to, &message),
             other => panic!("unexpected {other:?}"),
         }
     }
 
-    fn send(&mut self, from: usize, to: SocketAddr, message: permit::Message) {
+    /// Each ask has one answer.
+    fn answer(&mut self, request: name::Request, fate: Fate) {
+        let state = self.requests.get_mut(&request).unwrap();
+        assert_eq!(state.fate, Fate::Waiting, "{request} is answered {fate:?}");
+        state.fate = fate;
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: &permit::Message) {
         let to = usize::from(to.port() - 1_000);
-        self.sent.0 += postcard::to_stdvec(&message).unwrap().len();
+        self.sent.0 += postcard::to_stdvec(message).unwrap().len();
         self.sent.1 += 1;
-        let loan = |reply: &&Reply| matches!(reply, Reply::Loan(_));
-        self.loans += message.replies.iter().filter(loan).count();
         let lost = self.random.random_bool(self.weather.loss);
-        if lost || self.cut.contains(&(from, to)) || (self.filter)(&message) {
+        if lost || self.cut.contains(&(from, to)) || (self.filter)(message) {
             return;
         }
         let copies = 1 + usize::from(self.random.random_bool(self.weather.duplicate));
         for _ in 0..copies {
-            let delay = self.random.random_range(self.weather.delay.0..=self.weather.delay.1);
-            let deliver = What::Deliver(to, incarnation(from), Box::new(message.clone()));
+            let delay = self.draw(self.weather.delay.0, self.weather.delay.1);
+            let message = Box::new(message.clone());
+            let deliver = What::Deliver(to, incarnation(from), message);
             self.schedule(Millis(delay), deliver);
         }
     }
--- a/crates/fake/src/engine/answer.rs
+++ b/crates/fake/src/engine/answer.rs
@@ -105,10 +105,12 @@
             due: None,
         },
     };
-    match question.stream {
-        _ if fault == Some(Fault::Hang) => answer.run.hang().await,
-        true => answer.stream(),
-        false => answer.whole().await,
+    match fault {
+        Some(Fault::Hang) => answer.run.hang().await,
+        // Not even the head of the answer goes out.
+        Some(Fault::Crash(0)) => answer.whole().await,
+        _ if question.stream => answer.stream(),
+        _ => answer.whole().await,
     }
 }
 
@@ -179,10 +181,9 @@
                 Next::Token(number) => text.push_str(&self.token(number)),
                 Next::Last => finished = true,
                 Next::Garbage => return response.body(GARBAGE),
-                Next::Cut => return cut(),
-                // A cancelled run has no answer; a shortened one has a part.
+                // A shortened run has a part of its answer, a cancelled one none.
                 Next::Over if self.run.fault == Some(Fault::Truncate) => break,
-                Next::Over => return cut(),
+                Next::Over | Next::Cut => return cut(),
                 Next::Done => break,
             }
         }
--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -33,6 +33,8 @@
     pub lose_acks: u32,
     /// Calls that neither take effect nor are answered.
     pub lose_requests: u32,
+    /// Answers that announce their length and are cut half-way.
+    pub cut_answers: u32,
     /// How late the instance list shows a change.
     pub list_lag_ms: Millis,
     /// Reads and scans show the state of this long ago.
@@ -147,7 +149,7 @@
     next: Next<BoxBody>,
 ) -> Result<ServiceResponse, actix_web::Error> {
     let write = is_write(request.method(), request.path());
-    let now = platform.clock.now();
+    let now = platform.now();
     let gate = platform.lock().gate(now, request.path(), write);
     match gate {
         Gate::Pass => {}
@@ -160,8 +162,12 @@
     let delay = platform.lock().faults.delay_ms;
     sleep(delay).await;
     if write && take(&mut platform.lock().faults.lose_acks) {
-        let (request, _) = response.into_parts();
-        return Ok(ServiceResponse::new(request, server::cut()));
+        return Ok(response.into_response(server::cut()));
+    }
+    if take(&mut platform.lock().faults.cut_answers) {
+        let (request, response) = response.into_parts();
+        let response = server::cut_half(response).await;
+        return Ok(ServiceResponse::new(request, response));
     }
     Ok(response)
 }
@@ -183,3 +189,6 @@
 pub async fn counts(platform: Data<Platform>) -> Json<Counts> {
     Json(platform.lock().counts.clone())
 }
+
+#[cfg(test)]
+mod tests;
