--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -178,6 +178,7 @@
             seed: rand::random(),
             policy: policy(&shared.settings.dispatch),
             limits: limits(&shared.settings.dispatch),
+            unconfirmed_limit: shared.settings.dispatch.unconfirmed_limit,
         });
         Actor::new(machine, Arc::clone(&shared), Arc::clone(&socket), guard)
     });
