--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -199,6 +199,11 @@
         !self.waiting.is_empty() || self.endpoints.room() * 2 < self.endpoints.slots()
     }
 
+    /// Whether somebody waits.
+    pub fn waits(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// The pool's figures.
     pub fn stats(&self) -> Stats {
         let in_use = self.endpoints.in_use();
--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use actix::{AsyncContext, Context, WrapFuture};
-use woodgap_core::control::Event;
 use woodgap_platform::http::Platform;
 use woodgap_platform::instance::List;
 use woodgap_platform::table::Scan;
@@ -103,7 +102,7 @@
     loop {
         match platform.list().await {
             Ok(instances) => {
-                shared.control.tell(Event::Instances(instances));
+                shared.control.listed(instances);
             }
             Err(error) => log::warn!(error = error.to_string(); "can't read the instance list"),
         }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,6 +2,7 @@
 
 pub mod actor;
 pub mod handle;
+pub mod ledger;
 pub mod meter;
 mod outbox;
 pub mod permit;
@@ -11,6 +12,7 @@
 
 pub use actor::Actor;
 pub use handle::{Answer, Handle};
+pub use ledger::Ledger;
 pub use meter::Meter;
 pub use permit::Permit;
 pub use snapshot::Snapshot;
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -11,11 +11,12 @@
 use serde::Serialize;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
-use woodgap_core::control::{Machine, Start};
+use woodgap_core::control::{Machine, Policy, Start};
 use woodgap_core::membership::{Figures, Member, Standing};
 use woodgap_core::name;
+use woodgap_core::pool::Limits;
 use woodgap_platform::clock::Clock;
-use woodgap_settings::entry::Entry as Settings;
+use woodgap_settings::entry::{Dispatch, Entry as Settings, dispatch};
 use woodgap_wire::Key;
 
 use crate::configuration::{Watcher, watcher};
@@ -180,13 +181,29 @@
             own: own.clone(),
             generation: generation.fetch_add(1, Ordering::Relaxed),
             seed: rand::random(),
-            waiting_per_slot: shared.settings.dispatch.waiting_per_slot,
+            policy: policy(&shared.settings.dispatch),
+            limits: limits(&shared.settings.dispatch),
             unconfirmed_limit: shared.settings.dispatch.unconfirmed_limit,
         });
         Actor::new(machine, Arc::clone(&shared), Arc::clone(&socket), guard)
     });
 }
 
+fn policy(dispatch: &Dispatch) -> Policy {
+    match dispatch.policy {
+        dispatch::Policy::Permits => Policy::Permits,
+        dispatch::Policy::TwoChoices => Policy::TwoChoices,
+    }
+}
+
+fn limits(dispatch: &Dispatch) -> Limits {
+    Limits {
+        waiting_per_slot: dispatch.waiting_per_slot,
+        share: dispatch.share,
+        ..Limits::default()
+    }
+}
+
 /// How long the last bytes of answers may take to reach slow callers.
 const LAST_BYTES: Duration = Duration::from_secs(30);
 
