--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -1,23 +1,31 @@
 //! The machine: events in, actions out.
 
 use rand::SeedableRng;
+use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Millis;
 use crate::control::action::Action;
-use crate::control::alone::Alone;
 use crate::control::directory::Directory;
+use crate::control::dispatch::{self, Dispatch, News, Policy};
 use crate::control::event::{Event, Own};
 use crate::endpoint::{self, Watch};
 use crate::instance::Instance;
 use crate::membership::{Change, Detector, Figures, Member, Members, detector};
 use crate::message::Message;
 use crate::name;
+use crate::permit::View;
+use crate::pool::Limits;
 use crate::revision::{self, Exchange};
 
 /// How often the machine wants to be told that time has passed.
 pub const TICK: Millis = Millis(50);
 
+/// Entries that are told at once of a revision. Three make an epidemic that
+/// reaches 400 entries in six or seven steps; whom it misses hears of it by
+/// membership's news.
+const ANNOUNCED: usize = 3;
+
 /// What a machine starts with.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -28,8 +36,10 @@
     pub generation: u32,
     /// Where random numbers start.
     pub seed: u64,
-    /// The most requests that wait for a pool, per slot of it.
-    pub waiting_per_slot: u32,
+    /// Who decides where a request goes.
+    pub policy: Policy,
+    /// The numbers that shape a pool's decisions.
+    pub limits: Limits,
     /// How long a configuration that nobody confirms is served by.
     pub unconfirmed_limit: Millis,
 }
@@ -41,19 +51,20 @@
     detector: Detector,
     directory: Directory,
     watch: Watch,
-    alone: Alone,
+    dispatch: Dispatch,
     exchange: Exchange,
 }
 
 impl Machine {
     /// A machine that knows nothing yet.
     pub fn new(start: Start) -> Self {
+        let dispatch = Dispatch::new(&start);
         Self {
             random: ChaCha8Rng::seed_from_u64(start.seed),
             detector: Detector::new(start.own),
             directory: Directory::default(),
             watch: Watch::default(),
-            alone: Alone::new(start.waiting_per_slot),
+            dispatch,
             exchange: Exchange::new(start.unconfirmed_limit),
         }
     }
@@ -70,17 +81,30 @@
 
     /// Requests that run at an endpoint, as far as this entry knows.
     pub fn in_flight(&self, endpoint: &name::Endpoint) -> u32 {
-        self.alone.in_flight(endpoint)
+        self.dispatch.in_flight(endpoint)
     }
 
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         let mut changes = Vec::new();
+        let states = self.members().own().figures.endpoints;
+        let news = News::of(&event);
         self.take(now, event, out, &mut changes);
+        let moved = !changes.is_empty();
         for change in changes {
             self.changed(now, change, out);
         }
-        self.alone.dispatch(&self.directory, &mut self.random, out);
+        if moved {
+            self.dispatch(now, out, |dispatch, step| {
+                dispatch.news(&News::Members, step);
+            });
+        }
+        let news = if states == self.members().own().figures.endpoints {
+            news
+        } else {
+            News::Endpoints
+        };
+        self.dispatch(now, out, |dispatch, step| dispatch.news(&news, step));
     }
 
     fn take(
@@ -94,18 +118,29 @@
             Event::Tick => {
                 self.step(now, out, changes, Detector::tick);
                 self.watch(now, out, Watch::tick);
+                self.dispatch(now, out, Dispatch::tick);
                 self.follow(now, out);
             }
-            Event::Ask(ask) => self.alone.ask(&self.directory, &mut self.random, ask, out),
-            Event::Withdraw(request) => self.alone.withdraw(request),
-            Event::Done(done) => self.alone.done(&done),
+            Event::Ask(ask) => self.dispatch(now, out, |dispatch, step| dispatch.ask(ask, step)),
+            Event::Withdraw(request) => {
+                self.dispatch(now, out, |dispatch, step| dispatch.withdraw(request, step));
+            }
+            Event::Done(done) => {
+                self.dispatch(now, out, |dispatch, step| dispatch.done(&done, step));
+            }
+            Event::Restore(held) => {
+                self.dispatch(now, out, |dispatch, step| dispatch.restore(held, step));
+            }
             Event::Instances(instances) => self.listed(now, &instances, out, changes),
             Event::Load(name, load) => {
                 self.watch(now, out, |watch, step| watch.probed(&name, load, step));
             }
             Event::Message(from, message) => self.receive(now, from, message, out, changes),
             Event::Drain(name) => self.drain(now, &name, out, changes),
-            Event::InForce { revision, changes } => self.exchange.in_force(revision, &changes),
+            Event::InForce { revision, changes } => {
+                self.exchange.in_force(revision, &changes);
+                self.announce(revision, out);
+            }
             Event::LogRead(asked) => self.exchange.read(asked),
             Event::Own(own) => self.own(own),
             Event::Stop => self.step(now, out, changes, Detector::leave),
@@ -129,6 +164,24 @@
         act(&mut self.detector, &mut step);
     }
 
+    fn dispatch(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<Action>,
+        act: impl FnOnce(&mut Dispatch, &mut dispatch::Step<'_>),
+    ) {
+        let mut step = dispatch::Step {
+            view: View {
+                now,
+                members: self.detector.members(),
+                directory: &self.directory,
+            },
+            random: &mut self.random,
+            out,
+        };
+        act(&mut self.dispatch, &mut step);
+    }
+
     /// Lets the watch act, and tells the detector what came of it.
     fn watch(
         &mut self,
@@ -207,11 +260,14 @@
             }
             Message::Revision(message) => {
                 let mut wanted = Vec::new();
-                self.exchange.message(from, message, &mut wanted);
+                self.exchange.message(now, from, message, &mut wanted);
                 self.pass_on(wanted, out);
             }
-            // TODO: permits are not asked of other entries yet.
-            Message::Permit(_) => {}
+            Message::Permit(message) => {
+                self.dispatch(now, out, |dispatch, step| {
+                    dispatch.message(from, &message, step);
+                });
+            }
         }
     }
 
@@ -231,6 +287,21 @@
         });
     }
 
+    /// Tells some entries what has just come in force here; each that lacks it
+    /// fetches it and tells some in turn.
+    fn announce(&mut self, revision: u64, out: &mut Vec<Action>) {
+        let members = self.detector.members();
+        let own = members.own().incarnation;
+        let others: Vec<&Member> = members
+            .active()
+            .filter(|member| member.incarnation != own)
+            .collect();
+        for member in others.choose_multiple(&mut self.random, ANNOUNCED) {
+            let message = revision::Message::InForce(revision);
+            out.push(Action::Send(member.peer, Message::Revision(message)));
+        }
+    }
+
     /// Goes after a revision that another entry has and this one lacks.
     fn follow(&mut self, now: Millis, out: &mut Vec<Action>) {
         let members = self.detector.members();
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -4,10 +4,11 @@
 
 use tokio::sync::oneshot;
 use woodgap_core::control::{Ask, Event, Grant, Refusal};
+use woodgap_core::instance::Instance;
 use woodgap_core::name;
 
-use crate::control::Snapshot;
 use crate::control::actor::{Actor, Look, Place, Tell};
+use crate::control::{Ledger, Snapshot};
 use crate::supervisor::Branch;
 
 /// Wait before asking again after the control branch ended under an ask.
@@ -20,18 +21,28 @@
     Grant(Grant),
     /// Refused; the request did not run.
     Refuse(Refusal),
+    /// Another request with the same identity waits or runs at the entry of
+    /// this life; this one did not run.
+    Elsewhere(name::Incarnation),
 }
 
 /// Reaches the control actor, whichever life of it is running.
 #[derive(Clone)]
 pub struct Handle {
     branch: Branch<Actor>,
+    ledger: Ledger,
 }
 
 impl Handle {
     /// A handle of a supervised control actor.
     pub fn new(branch: Branch<Actor>) -> Self {
-        Self { branch }
+        let ledger = Ledger::default();
+        Self { branch, ledger }
+    }
+
+    /// What outlives a restart of the control branch.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
     }
 
     /// Asks for a place and waits for the answer, over restarts of the control branch.
@@ -66,6 +77,12 @@
         answer.await.ok()
     }
 
+    /// Tells the machine of the platform's list, now and after each restart.
+    pub fn listed(&self, instances: Vec<Instance>) {
+        self.ledger.listed(instances.clone());
+        self.tell(Event::Instances(instances));
+    }
+
     /// Tells the machine of an event; lost if the control branch is restarting.
     pub fn tell(&self, event: Event) {
         if let Some(address) = self.branch.address() {
@@ -83,6 +100,7 @@
 impl Drop for Withdrawal<'_> {
     fn drop(&mut self) {
         if let Some(request) = self.request {
+            self.handle.ledger.ended(request);
             self.handle.tell(Event::Withdraw(request));
         }
     }
--- a/crates/entry/src/request/life.rs
+++ b/crates/entry/src/request/life.rs
@@ -9,9 +9,12 @@
 use woodgap_core::tier::Tier;
 
 use crate::control::{Answer, Permit};
-use crate::request::{Call, Problem};
+use crate::request::{Call, Code, Problem};
 use crate::shared::Shared;
 
+/// When to come back for a request that waits or runs at another entry.
+const ELSEWHERE_RETRY: Millis = Millis(1_000);
+
 /// What stays the same through a request's life.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -95,6 +98,12 @@
         match shared.control.ask(ask).await {
             Answer::Grant(grant) => Ok(self.granted(grant, shared)),
             Answer::Refuse(refusal) => Err(refusal.into()),
+            // TODO: relay the answer of the other entry instead.
+            Answer::Elsewhere(_) => Err(Problem::not_run(
+                Code::Overloaded,
+                "a request with the same identity waits or runs at another entry",
+            )
+            .retry_after(ELSEWHERE_RETRY)),
         }
     }
 
