--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -3,8 +3,8 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::message::Message;
-use woodgap_core::name::{Incarnation, Request};
-use woodgap_core::permit;
+use woodgap_core::name::Incarnation;
+use woodgap_core::revision;
 use woodgap_wire::frame::{ANY, DATAGRAM_BYTES};
 use woodgap_wire::window::SPAN;
 use woodgap_wire::{Error, Frame, Key, Receiver, Sender, Window};
@@ -14,10 +14,7 @@
 }
 
 fn message(sequence: u64) -> Message {
-    Message::Permit(permit::Message::Withdraw(Request {
-        incarnation: Incarnation(5),
-        sequence,
-    }))
+    Message::Revision(revision::Message::Want(sequence))
 }
 
 fn frame(to: Incarnation, sequence: u64) -> Frame {
--- a/crates/wire/tests/stream.rs
+++ b/crates/wire/tests/stream.rs
@@ -3,8 +3,8 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::message::Message;
-use woodgap_core::name::{Incarnation, Request};
-use woodgap_core::permit;
+use woodgap_core::name::Incarnation;
+use woodgap_core::revision;
 use woodgap_wire::stream::{Acceptor, Decoder, Encoder, FRAME_BYTES, HELLO_BYTES, connect};
 use woodgap_wire::{Error, Key};
 
@@ -16,10 +16,7 @@
 }
 
 fn message(sequence: u64) -> Message {
-    Message::Permit(permit::Message::Withdraw(Request {
-        incarnation: OURS,
-        sequence,
-    }))
+    Message::Revision(revision::Message::Want(sequence))
 }
 
 fn acceptor(nonce: u8) -> Acceptor {
