woodgap-load: inversions, and runs put side by side as one JSON line

The measured cases set a policy against the baseline of the same run, and `tiers` needs inversions counted from what callers and engines saw.

Ruled out: jq or awk over reports, which a fresh machine may lack; asking the entries themselves, which would let the judged count its own faults.

The change: `inversion` counts requests shed or preempted while a lower tier's request of the pool waited, or was admitted within a second. What lies within 50 ms of the decision is left out: callers and engines see it that much late. Beside the literal count stands one that allows each lower class the share it is owed (one waiting, its part admitted), since serving every class in the end makes the literal count above zero by itself.

--- a/crates/load/src/check.rs
+++ b/crates/load/src/check.rs
@@ -1,14 +1,15 @@
 //! Compares what callers were told with what endpoints ran.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::event::{End, Event, How};
+use crate::inversion;
 use crate::record::Run;
 
 /// What the comparison found.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Findings {
     /// Requests that may not be repeated and ran more than once.
     pub doubled: u64,
@@ -22,6 +23,8 @@
     pub tokens_delivered: u64,
     /// Share of the tokens made that reached no caller in a whole answer.
     pub wasted: f64,
+    /// Requests that were passed over for a lower tier's.
+    pub inversion: inversion::Count,
     /// The first few tags found wrong, with what is wrong.
     pub examples: Vec<String>,
 }
@@ -30,10 +33,14 @@
 const EXAMPLES: usize = 10;
 
 /// Compares events with records. Runs of tags that no event has are left out:
-/// they belong to other traffic.
-pub fn compare(events: &[Event], runs: &[Run]) -> Findings {
+/// they belong to other traffic. `share` is the part of a pool's service that
+/// each class is owed.
+pub fn compare(events: &[Event], runs: &[Run], share: f64) -> Findings {
     let by_tag = by_tag(runs);
-    let mut findings = Findings::default();
+    let mut findings = Findings {
+        inversion: inversion::count(events, &by_tag, share),
+        ..Findings::default()
+    };
     let mut delivered = HashMap::<&str, u64>::new();
     for event in events {
         let runs = by_tag
@@ -45,7 +52,7 @@
         }
     }
     findings.delivered_twice = delivered.values().filter(|times| **times > 1).count() as u64;
-    findings.wasted = share(
+    findings.wasted = part(
         findings
             .tokens_generated
             .saturating_sub(findings.tokens_delivered),
@@ -55,8 +62,8 @@
 }
 
 /// Runs that got a slot, by the tag of their request.
-fn by_tag(runs: &[Run]) -> HashMap<&str, Vec<&Run>> {
-    let mut by_tag = HashMap::<&str, Vec<&Run>>::new();
+fn by_tag(runs: &[Run]) -> BTreeMap<&str, Vec<&Run>> {
+    let mut by_tag = BTreeMap::<&str, Vec<&Run>>::new();
     for run in runs.iter().filter(|run| run.started_ms.is_some()) {
         if let Some(tag) = &run.prompt_tag {
             by_tag.entry(tag).or_default().push(run);
@@ -95,11 +102,11 @@
     event.end == End::RefusedNotRun && (event.identity || !sent_before)
 }
 
-fn share(part: u64, whole: u64) -> f64 {
+fn part(some: u64, whole: u64) -> f64 {
     if whole == 0 {
         0.0
     } else {
-        part as f64 / whole as f64
+        some as f64 / whole as f64
     }
 }
 
--- a/crates/load/src/check/tests.rs
+++ b/crates/load/src/check/tests.rs
@@ -67,7 +67,7 @@
     #[case] expected: (u64, u64, f64),
 ) {
     let runs: Vec<_> = tokens.iter().map(|tokens| run("a", *tokens)).collect();
-    let found = compare(&[event(repeatable, end, how)], &runs);
+    let found = compare(&[event(repeatable, end, how)], &runs, 0.0);
     let (doubled, not_run_but_ran, wasted) = expected;
     assert_eq!(
         (found.doubled, found.not_run_but_ran),
@@ -85,6 +85,7 @@
     let found = compare(
         &[event(true, End::RefusedNotRun, &[How::Refused])],
         &[queued],
+        0.0,
     );
     assert_eq!(found, Findings::default());
 }
@@ -94,6 +95,7 @@
     let found = compare(
         &[event(true, End::Complete, &[How::Complete])],
         &[run("a", 10), run("b", 90)],
+        0.0,
     );
     assert_eq!(found.tokens_generated, 10);
 }
--- a/crates/load/src/event.rs
+++ b/crates/load/src/event.rs
@@ -1,5 +1,7 @@
 //! What became of each request: one JSON line each, for cross-checks.
 
+pub mod file;
+
 use serde::{Deserialize, Serialize};
 use woodgap_core::clock::Millis;
 use woodgap_core::verdict::Verdict;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -1,11 +1,11 @@
 //! What a run found, by class and tier.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::event::Event;
 use crate::totals::Totals;
@@ -16,7 +16,7 @@
 const LONGEST: u64 = 3_600_000_000;
 
 /// Everything that is said about a run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
     /// The run's name, which all its tags begin with.
     pub run: String,
@@ -35,12 +35,14 @@
 }
 
 /// The figures of one class.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Row {
     /// The class's name in the traffic description.
     pub class: String,
     /// Its workspace's tier.
     pub tier: u8,
+    /// Whether its rate changes over time.
+    pub bursts: bool,
     /// Counts of requests by what became of them.
     #[serde(flatten)]
     pub totals: Totals,
@@ -59,7 +61,7 @@
 }
 
 /// Delays in milliseconds at some percentiles; 0 if there was none.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Delays {
     /// Half are shorter.
     pub p50_ms: f64,
@@ -125,6 +127,8 @@
     pub events: Vec<Event>,
     /// Times between tokens by class.
     pub gaps: BTreeMap<String, Recorder>,
+    /// Classes whose rate changes over time.
+    pub bursting: BTreeSet<String>,
 }
 
 impl Report {
@@ -139,7 +143,11 @@
         let rows: Vec<_> = groups
             .into_iter()
             .map(|((tier, class), events)| {
-                Row::new(tier, class, &events, findings.gaps.get(class), span)
+                let gaps = findings.gaps.get(class);
+                Row {
+                    bursts: findings.bursting.contains(class),
+                    ..Row::new(tier, class, &events, gaps, span)
+                }
             })
             .collect();
         Self {
@@ -167,6 +175,7 @@
         Self {
             class: class.to_owned(),
             tier,
+            bursts: false,
             totals,
             met,
             attainment: share(met as f64, totals.sent as f64),
--- a/crates/load/src/report/tests.rs
+++ b/crates/load/src/report/tests.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use woodgap_core::clock::Millis;
@@ -59,6 +59,7 @@
             event("captions", 2, End::Complete, How::Complete, 80.0),
         ],
         gaps: BTreeMap::from([("captions".to_owned(), gaps)]),
+        bursting: BTreeSet::from(["captions".to_owned()]),
     }
 }
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -91,6 +91,7 @@
             span,
             events: Vec::new(),
             gaps: BTreeMap::new(),
+            bursting: plan.traffic.bursting(),
         };
         for worker in workers {
             let found = worker.join().map_err(|_| Error::Worker)?;
--- a/crates/load/src/totals.rs
+++ b/crates/load/src/totals.rs
@@ -1,6 +1,6 @@
 //! Sums over a run, as one JSON line for scripts.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::event::{End, Event, How};
 
@@ -8,7 +8,7 @@
 ///
 /// `sent` is `complete` + `refused_not_run` + `may_have_run` + `lost`; the
 /// others count requests that stand in one of these too.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Totals {
     /// All requests.
     pub sent: u64,
--- a/crates/load/src/traffic.rs
+++ b/crates/load/src/traffic.rs
@@ -1,5 +1,6 @@
 //! The description of the traffic: JSON with comments.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 
 use jsonc_parser::ParseOptions;
@@ -158,6 +159,21 @@
         })
     }
 
+    /// The names of the classes that have bursts.
+    pub fn bursting(&self) -> BTreeSet<String> {
+        let bursting = self.classes.iter().filter(|class| !class.bursts.is_empty());
+        bursting.map(|class| class.name.clone()).collect()
+    }
+
+    /// Leaves out all bursts; classes are still known as those that had some.
+    pub fn calm(&mut self) {
+        for class in &mut self.classes {
+            for burst in &mut class.bursts {
+                burst.factor = 1.0;
+            }
+        }
+    }
+
     fn problem(&self) -> Option<String> {
         for (index, class) in self.classes.iter().enumerate() {
             let twice = self.classes[..index]
