--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures one case on loopback and prints one JSON line last.
 #
-#   scripts/bench.sh CASE
+#   scripts/bench.sh CASE [OPTION...]
 #
 # Each case stands in scripts/cases/CASE.sh and defines run_case.
 set -euo pipefail
@@ -21,4 +21,4 @@
 source "scripts/cases/$CASE.sh"
 build
 begin
-run_case
+run_case "${@:2}"
