A load report counts whatever its content type

The probe read the report as JSON only under a JSON content type, which the stand-in (and many a plain service) does not send, so the endpoint counted as failing. Ruled out: the rest after a failed attempt (250 ms, over by then), the avoid list (given up when all are on it), the closing of the connection (the same with it kept). Change: the body is read for itself. Conclusion: a report is judged by what it says.

--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use actix::{ActorContext, AsyncContext, Context, Handler, Message, WrapFuture};
-use awc::Client;
+use awc::error::PayloadError;
+use awc::{Client, ClientResponse};
+use bytes::Bytes;
 use cadence::prelude::*;
+use futures_util::Stream;
 use tokio::sync::oneshot;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::machine::TICK;
@@ -161,7 +164,7 @@
         let own = context.address();
         let future = async move {
             let load = match call.await {
-                Ok(mut response) => response.json::<Load>().await.ok(),
+                Ok(response) => report(response).await,
                 Err(_) => None,
             };
             own.do_send(Tell(Event::Load(endpoint, load)));
@@ -252,6 +255,15 @@
     }
 }
 
+/// Reads a load report, whatever content type it claims to be.
+async fn report<S>(mut response: ClientResponse<S>) -> Option<Load>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let body = response.body().await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
 /// The end of a grant that nobody waits for any more.
 fn unused(request: name::Request, permit: u64) -> Done {
     Done {
