wire: sample messages of the permit protocol as it is now

Cause: the frame tests used a message that the permit protocol no longer has, and the fleet's machines are started with a policy. Ruled out: keeping an unused message for the tests' sake. Change: the samples carry the end of a permit; the fleet tests start with permits. Figures: wire's tests pass, 71 of the fleet among them. Conclusion: no test was eased.

--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix::{AsyncContext, Context, WrapFuture};
+use woodgap_core::control::Event;
 use woodgap_platform::http::Platform;
 use woodgap_platform::instance::List;
 use woodgap_platform::table::Scan;
--- a/crates/wire/tests/fleet/network.rs
+++ b/crates/wire/tests/fleet/network.rs
@@ -7,11 +7,12 @@
 use rand_chacha::ChaCha8Rng;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::machine::TICK;
-use woodgap_core::control::{Action, Event, Machine, Own, Start};
+use woodgap_core::control::{Action, Event, Machine, Own, Policy, Start};
 use woodgap_core::instance::{Instance, Load, Role, State};
 use woodgap_core::membership::{Figures, Member, Standing};
 use woodgap_core::message::Message;
 use woodgap_core::name::{self, Incarnation};
+use woodgap_core::pool::Limits;
 use woodgap_wire::frame::ANY;
 use woodgap_wire::{Key, Receiver, Sender};
 
@@ -88,7 +89,8 @@
                 own,
                 generation: 1,
                 seed,
-                waiting_per_slot: 8,
+                policy: Policy::Permits,
+                limits: Limits::default(),
                 unconfirmed_limit: Millis(10_000),
             }),
             frozen: false,
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -3,8 +3,9 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::message::Message;
-use woodgap_core::name::{Incarnation, Request};
+use woodgap_core::name::Incarnation;
 use woodgap_core::permit;
+use woodgap_core::permit::message::{Call, End, Run};
 use woodgap_wire::frame::{ANY, DATAGRAM_BYTES};
 use woodgap_wire::window::SPAN;
 use woodgap_wire::{Error, Frame, Key, Receiver, Sender, Window};
@@ -14,10 +15,13 @@
 }
 
 fn message(sequence: u64) -> Message {
-    Message::Permit(permit::Message::Withdraw(Request {
-        incarnation: Incarnation(5),
-        sequence,
-    }))
+    Message::Permit(permit::Message {
+        calls: vec![Call::End(End {
+            permit: sequence,
+            result: Run::NONE,
+        })],
+        ..permit::Message::default()
+    })
 }
 
 fn frame(to: Incarnation, sequence: u64) -> Frame {
--- a/crates/wire/tests/stream.rs
+++ b/crates/wire/tests/stream.rs
@@ -3,8 +3,9 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::message::Message;
-use woodgap_core::name::{Incarnation, Request};
+use woodgap_core::name::Incarnation;
 use woodgap_core::permit;
+use woodgap_core::permit::message::{Call, End, Run};
 use woodgap_wire::stream::{Acceptor, Decoder, Encoder, FRAME_BYTES, HELLO_BYTES, connect};
 use woodgap_wire::{Error, Key};
 
@@ -16,10 +17,13 @@
 }
 
 fn message(sequence: u64) -> Message {
-    Message::Permit(permit::Message::Withdraw(Request {
-        incarnation: OURS,
-        sequence,
-    }))
+    Message::Permit(permit::Message {
+        calls: vec![Call::End(End {
+            permit: sequence,
+            result: Run::NONE,
+        })],
+        ..permit::Message::default()
+    })
 }
 
 fn acceptor(nonce: u8) -> Acceptor {
