--- a/crates/harness/src/entry.rs
+++ b/crates/harness/src/entry.rs
@@ -67,6 +67,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Ends the process at once (SIGKILL), and leaves it to be waited for.
+    pub fn crash(&self) {
+        self.signal(Signal::KILL);
+    }
+
     /// Asks for a planned stop (SIGTERM).
     pub fn stop(&self) {
         self.signal(Signal::TERM);
