What runs out of a class's share is marked by its engine priority

Cause: shares gave their runs their tier's own priority, so that neither an engine nor a measurement from outside could tell them from the tier's regular work; and limits learnt from reports rose again before their effect could be seen in reports two seconds late. Change: shares run at priority 8, behind every tier; limits rise one by one, five seconds apart; a report of fewer slots holds while it is fresh; a class's known target may fall.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -40,14 +40,23 @@
 use speed::Usual;
 use waiting::Waiting;
 
-/// The priority inside an engine of a request of this tier, 0 first.
-///
-/// What runs out of its class's share has its own tier's priority too, so that
-/// it never preempts a higher tier. It is not starved either, for a pool sends
+/// The priority inside an engine of what runs out of its class's share: behind
+/// every tier, so that it preempts nothing. It is not starved, for a pool sends
 /// an endpoint no more than it has proved to run at once: see
 /// [`endpoint::Endpoint::limit`].
-pub fn priority(tier: Tier) -> u8 {
-    tier.number()
+pub const SHARED: u8 = Tier::LOWEST.number() + 1;
+
+/// The priority inside an engine, 0 first.
+///
+/// ```
+/// use woodgap_core::pool::priority;
+/// use woodgap_core::tier::Tier;
+///
+/// assert_eq!(priority(Tier::HIGHEST, false), 1);
+/// assert_eq!(priority(Tier::HIGHEST, true), 8);
+/// ```
+pub fn priority(tier: Tier, shared: bool) -> u8 {
+    if shared { SHARED } else { tier.number() }
 }
 
 /// One pool: its waiting list and its endpoints' slots.
--- a/crates/core/src/pool/class.rs
+++ b/crates/core/src/pool/class.rs
@@ -13,6 +13,8 @@
 /// Span without arrivals after which nothing is kept for a class: over the
 /// gaps of a class with a request or two a minute.
 const LATELY: Millis = Millis::from_secs(60);
+/// Share of the difference by which a class's target falls with each request.
+const FALL: u64 = 256;
 /// The lane of a class that has never run: the middle one.
 const UNKNOWN_LANE: usize = 3;
 
@@ -40,7 +42,10 @@
     pub fn arrive(&mut self, now: Millis, left: Millis) {
         self.rate.add(now);
         self.seen = now;
-        self.target = self.target.max(left);
+        // The target is what one has that has just come; others have less.
+        // It falls slowly, in case operators set a lower one.
+        let fallen = self.target - Millis((self.target - left).0 / FALL);
+        self.target = fallen.max(left);
     }
 
     /// Time that nearly every request needs from its grant to meet its target.
--- a/crates/core/src/pool/dispatch.rs
+++ b/crates/core/src/pool/dispatch.rs
@@ -131,7 +131,7 @@
             permit,
             endpoint: endpoint.name.clone(),
             address,
-            priority: priority(ask.tier),
+            priority: priority(ask.tier, shared),
         }));
     }
 
--- a/crates/core/src/pool/endpoint.rs
+++ b/crates/core/src/pool/endpoint.rs
@@ -40,6 +40,8 @@
     failures: u32,
     /// What it has proved to run at once, where that is less than its word.
     ceiling: u32,
+    /// When that last changed.
+    moved: Millis,
     /// What others run there, by its last report.
     foreign: u32,
     reported: Option<Millis>,
@@ -64,6 +66,7 @@
             rests_until: Millis::ZERO,
             failures: 0,
             ceiling: u32::MAX,
+            moved: Millis::ZERO,
             foreign: 0,
             reported: None,
             pace: Pace::default(),
@@ -103,17 +106,19 @@
             self.foreign = 0;
             return;
         }
+        if load.slots > 0 {
+            self.slots = self.slots.min(load.slots);
+        }
         if self.reported == Some(at) {
             return;
         }
         self.reported = Some(at);
-        self.slots = self.slots.min(load.slots.max(1));
         let own = self.peaks.highest(now, age).max(self.used);
         self.foreign = (load.running + load.queued).saturating_sub(own);
         if load.queued > 0 {
-            self.ceiling = load.running.max(1);
+            self.lower(now, load.running);
         } else {
-            self.raise();
+            self.raise(now);
         }
     }
 
@@ -135,11 +140,11 @@
     }
 
     /// A run ended well.
-    pub fn succeed(&mut self) {
+    pub fn succeed(&mut self, now: Millis) {
         self.failures /= 2;
         // Where there are reports, these say better whether it can take more.
         if self.reported.is_none() {
-            self.raise();
+            self.raise(now);
         }
     }
 
@@ -156,7 +161,7 @@
 
     /// It refused a run, so that it runs fewer at once than was thought.
     pub fn refuse(&mut self, now: Millis) {
-        self.ceiling = self.used.max(1);
+        self.lower(now, self.used);
         self.rests_until = self.rests_until.max(now + PAUSE);
     }
 
@@ -241,11 +246,17 @@
         slots.max(1)
     }
 
-    fn raise(&mut self) {
-        if self.ceiling < self.slots {
+    fn lower(&mut self, now: Millis, running: u32) {
+        self.ceiling = running.max(1);
+        self.moved = now;
+    }
+
+    /// Tries one more at once, but not before the last change can be seen in
+    /// the reports.
+    fn raise(&mut self, now: Millis) {
+        if self.ceiling < self.slots && now - self.moved >= STALE {
             self.ceiling += 1;
-        } else {
-            self.ceiling = u32::MAX;
+            self.moved = now;
         }
     }
 }
--- a/crates/core/src/pool/run.rs
+++ b/crates/core/src/pool/run.rs
@@ -41,9 +41,8 @@
     pub fn learn(&mut self, now: Millis, tier: Tier, class: &name::Class, done: &Done) {
         let id = self.classes.id(now, tier, class);
         let endpoint = self.places.get(done.permit).map(|place| place.endpoint);
-        self.classes
-            .get_mut(id)
-            .arrive(now - done.elapsed, Millis::ZERO);
+        let class = self.classes.get_mut(id);
+        class.arrive(now, class.target);
         if let Some(endpoint) = endpoint {
             self.learn_from(now, endpoint, id, done, false);
         }
@@ -90,7 +89,7 @@
             permit,
             endpoint: endpoint.name.clone(),
             address: endpoint.address?,
-            priority: priority(run.tier),
+            priority: priority(run.tier, run.shared),
         })
     }
 
@@ -137,7 +136,7 @@
                 class.history.add(done);
                 self.usual.add(done);
                 self.endpoints.change(now, endpoint, |endpoint| {
-                    endpoint.succeed();
+                    endpoint.succeed(now);
                     if let Some(expected) = expected {
                         endpoint.pace(expected, done.elapsed.0 as f64);
                     }
