--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_rt::Arbiter;
+use actix_web::middleware::from_fn;
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::{App, HttpServer};
 use serde::Serialize;
@@ -214,6 +215,7 @@
 ) -> Result<actix_web::dev::Server, Error> {
     let limits = &shared.settings.limits;
     let header_timeout = Duration::from_millis(limits.header_timeout.0);
+    let caller_timeout = Duration::from_millis(limits.caller_timeout.0);
     let body_bytes = limits.body_bytes;
     let connections = limits.connections;
     let shared = Arc::clone(shared);
@@ -227,13 +229,16 @@
             }))
             .configure(caller::routes)
             .configure(admin::routes)
+            .wrap(from_fn(caller::guard::guard))
     })
     .workers(workers)
     .disable_signals()
     .shutdown_timeout(LAST_BYTES.as_secs())
     .max_connections(connections.div_ceil(workers))
     .client_request_timeout(header_timeout)
-    .on_connect(caller::Presence::remember)
+    // A caller that closes its sending half has given up, as HTTP clients do.
+    .h1_allow_half_closed(false)
+    .on_connect(caller::presence::watcher(caller_timeout))
     .listen(listener)
     .map_err(Error::Server)?;
     Ok(server.run())
