Grants say whether they ran out of a class's share

Ruled out: a default. Change: what a loan serves or a new home adopts is not out of a share. Conclusion: builds.

--- a/crates/core/src/permit/broker/loan.rs
+++ b/crates/core/src/permit/broker/loan.rs
@@ -72,7 +72,7 @@
         let grant = Grant {
             permit: number,
             endpoint,
-            priority: pool::priority(ask.tier),
+            priority: pool::priority(ask.tier, false),
             contended: false,
         };
         self.hold(step, number, ask, pool, &grant, Source::Loan);
--- a/crates/core/src/permit/home/audit.rs
+++ b/crates/core/src/permit/home/audit.rs
@@ -168,7 +168,7 @@
         let grant = Grant {
             permit: held.permit,
             endpoint: held.endpoint,
-            priority: pool::priority(held.profile.tier),
+            priority: pool::priority(held.profile.tier, false),
             contended: true,
         };
         let mut entry = Entry::waiting(held.pool, held.identity);
