--- a/crates/core/src/endpoint/message.rs
+++ b/crates/core/src/endpoint/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
 use crate::endpoint::State;
 use crate::instance::Load;
 use crate::name;
@@ -12,7 +13,12 @@
     /// Marks; of two, each side keeps what holds.
     States(Vec<State>),
     /// Load reports, by the entry that probes.
-    Loads(Vec<Report>),
+    Loads {
+        /// When they were sent, on the sender's clock.
+        at: Millis,
+        /// The reports.
+        reports: Vec<Report>,
+    },
 }
 
 /// A load report.
@@ -20,8 +26,6 @@
 pub struct Report {
     /// The endpoint.
     pub endpoint: name::Endpoint,
-    /// Counts the prober's reports of this endpoint.
-    pub sequence: u32,
     /// The load; its age counts up to the sending.
     pub load: Load,
 }
--- a/crates/entry/src/control/permit.rs
+++ b/crates/entry/src/control/permit.rs
@@ -76,6 +76,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.handle.ledger().ended(self.grant.request);
         self.handle.tell(Event::Done(Done {
             request: self.grant.request,
             permit: self.grant.permit,
--- /dev/null
+++ b/crates/entry/tests/contract/main.rs
@@ -0,0 +1,12 @@
+//! The contract with callers and endpoints, fault by fault: a real entry
+//! process between stand-ins whose own records are compared with what callers
+//! were told.
+
+mod callers;
+mod engines;
+mod exchange;
+mod presence;
+mod raw;
+mod seen;
+mod services;
+mod site;
--- a/crates/wire/tests/fleet/network.rs
+++ b/crates/wire/tests/fleet/network.rs
@@ -7,11 +7,12 @@
 use rand_chacha::ChaCha8Rng;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::machine::TICK;
-use woodgap_core::control::{Action, Event, Machine, Own, Start};
+use woodgap_core::control::{Action, Event, Machine, Own, Policy, Start};
 use woodgap_core::instance::{Instance, Load, Role, State};
 use woodgap_core::membership::{Figures, Member, Standing};
 use woodgap_core::message::Message;
 use woodgap_core::name::{self, Incarnation};
+use woodgap_core::pool::Limits;
 use woodgap_wire::frame::ANY;
 use woodgap_wire::{Key, Receiver, Sender};
 
@@ -46,6 +47,8 @@
     pub fate: Fate,
     /// What endpoints answer; none for silence.
     pub loads: BTreeMap<name::Endpoint, Option<Load>>,
+    /// Whether each load report differs from the one before.
+    pub busy: bool,
     random: ChaCha8Rng,
     flying: BTreeMap<(Millis, u64), Flight>,
     sequence: u64,
@@ -88,8 +91,9 @@
                 own,
                 generation: 1,
                 seed,
-                waiting_per_slot: 8,
-                unconfirmed_limit: Millis::from_secs(10),
+                policy: Policy::Permits,
+                limits: Limits::default(),
+                unconfirmed_limit: Millis(10_000),
             }),
             frozen: false,
             dead: false,
@@ -123,6 +127,7 @@
             nodes,
             fate: Box::new(|_, _, _| vec![Millis(1)]),
             loads: BTreeMap::new(),
+            busy: false,
             random,
             flying: BTreeMap::new(),
             sequence: 0,
@@ -301,7 +306,10 @@
         let node = &mut self.nodes[index];
         node.probes.push((self.now, endpoint.clone()));
         let life = node.machine.members().own().incarnation;
-        let load = self.loads.get(&endpoint).cloned().flatten();
+        let mut load = self.loads.get(&endpoint).cloned().flatten();
+        if let Some(load) = load.as_mut().filter(|_| self.busy) {
+            load.tokens_per_second = self.now.0 as f64;
+        }
         let delay = if load.is_some() {
             Millis(2)
         } else {
