core: at most once as pure machines, with their random orders

Cause: a request that may not be repeated needs one decision on who may send it, which holds when acknowledgements are lost, writes land late, entries die or freeze and callers come back elsewhere. Ruled out: a claim that lapses or is taken over (a paused holder sends after it), a "sent" mark in the row before dispatch (one more write on the way of each request, and it still can't tell a crash before the send from one after it), using a given-up claim as it stands (a delete still on its way then frees the identity under the run). Change: core::once: Claiming (write, read back, settle), Closing (delete or end, always against the version read), Notes of what this life gave up unsent, Issued identities with a keyed code, Sightings (when "not run" may be said without the table).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod membership;
 pub mod message;
 pub mod name;
+pub mod once;
 pub mod permit;
 pub mod tier;
 pub mod verdict;
