--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod name;
 pub mod once;
 pub mod permit;
+pub mod revision;
 pub mod tier;
 pub mod verdict;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,17 +1,17 @@
 //! What every part of one entry can reach.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use cadence::StatsdClient;
 use woodgap_core::burn;
-use woodgap_core::config::Catalog;
 use woodgap_core::instance::Instance;
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::entry::Entry as Settings;
 
+use crate::configuration::InForce;
 use crate::control::Handle;
 
 /// The state that threads share; what decides stands in the control thread.
@@ -22,14 +22,14 @@
     pub incarnation: name::Incarnation,
     /// The entry's clock.
     pub clock: Clock,
-    /// The configuration in force; none until one is confirmed.
-    pub catalog: ArcSwapOption<Catalog>,
+    /// The configuration in force.
+    pub in_force: Arc<InForce>,
     /// The live entries, for callers that ask which one to use.
     pub entries: ArcSwap<Vec<Instance>>,
     /// Asks for places at endpoints.
     pub control: Handle,
     /// Counts for the burn report.
-    pub counts: Mutex<burn::Ledger>,
+    pub counts: Mutex<burn::Recorder>,
     /// Metrics.
     pub metrics: StatsdClient,
     stopping: AtomicBool,
@@ -45,14 +45,15 @@
         clock: Clock,
         metrics: StatsdClient,
     ) -> Self {
+        let recorder = burn::Recorder::new(settings.name.clone(), incarnation);
         Self {
             settings,
             incarnation,
             clock,
-            catalog: ArcSwapOption::empty(),
+            in_force: Arc::default(),
             entries: ArcSwap::default(),
             control,
-            counts: Mutex::default(),
+            counts: Mutex::new(recorder),
             metrics,
             stopping: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
