entry: a call whose connection closes after it was sent may have run

Cause: awc reports a connection that closes under a sent request as an error of connecting, and the entry took each of those for "never left": it asked for another place and sent the call again, also one that may not be repeated. It also took the end of the connection for the end of a body, so that a cut answer passed for a whole. Ruled out: naming the one error in `unsent` (the cut body would stay). Change: the connections to endpoints are the platform crate's strict ones, on which the early end of a connection is an error of its own.

--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -184,7 +184,8 @@
     }
 }
 
-/// A request that never left did not run; any other may have.
+/// A request that never left did not run; any other may have. Over strict
+/// connections, one that closes under a sent request is no error of connecting.
 pub(super) fn unsent(error: &SendRequestError) -> Attempt {
     match error {
         SendRequestError::Connect(_) | SendRequestError::Url(_) => Attempt::Refused,
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -7,13 +7,14 @@
 use actix_rt::Arbiter;
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::{App, HttpServer};
-use awc::{Client, Connector};
+use awc::Client;
 use serde::Serialize;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::Machine;
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
+use woodgap_platform::connect;
 use woodgap_settings::entry::Entry as Settings;
 
 use crate::configuration::{Watcher, watcher};
@@ -134,7 +135,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 fn client() -> Client {
-    let connector = Connector::new()
+    let connector = connect::strict()
         .limit(ENDPOINT_CONNECTIONS)
         .timeout(CONNECT_TIMEOUT);
     Client::builder()
