--- a/crates/entry/src/caller/authority.rs
+++ b/crates/entry/src/caller/authority.rs
@@ -9,6 +9,7 @@
 use woodgap_core::config::catalog::{Class, Workspace};
 use woodgap_core::name;
 
+use crate::caller::entries;
 use crate::request::{Code, Problem};
 use crate::shared::Shared;
 
@@ -26,6 +27,8 @@
 pub struct Authority {
     /// The workspace.
     pub workspace: Arc<Workspace>,
+    /// The revision of the configuration that recognised it.
+    pub revision: u64,
     class: Option<String>,
     /// The request's identity, if it has one.
     pub identity: Option<String>,
@@ -39,22 +42,21 @@
     /// If the entry takes no new work, has no configuration, or does not know the key.
     pub fn of(shared: &Shared, request: &HttpRequest) -> Result<Self, Problem> {
         if shared.stopping() {
-            return Err(Problem::not_run(
-                Code::Stopping,
-                "this entry is stopping, use another",
-            ));
+            let another = entries::another(shared);
+            let message = format!("this entry takes no new work{another}");
+            return Err(Problem::not_run(Code::Stopping, message));
         }
         let catalog = shared
             .in_force
             .confirmed(shared.clock.now())
             .ok_or_else(|| {
-                Problem::not_run(
-                    Code::NotReady,
-                    "this entry has no confirmed configuration yet, use another",
-                )
+                let another = entries::another(shared);
+                let message = format!("this entry has no confirmed configuration{another}");
+                Problem::not_run(Code::NotReady, message)
             })?;
         Ok(Self {
             workspace: workspace(&catalog, request)?,
+            revision: catalog.revision(),
             class: text(request, CLASS_HEADER)?.map(str::to_owned),
             identity: identity(request)?,
         })
