entry: at most once, kept answers, identities issued by an entry

Cause: a request that may not be repeated was sent by every entry that it came to, and a caller that lost its connection had no way to the answer. Ruled out: a permit first and the claim after it (a shed request would cost no write, but a retry would wait in the queue, and could be told "not run", while another entry runs it); one transaction per claim; a lease on the claim; a verdict "not run" in an outage without asking the other entries. Change: requests that carry an identity go through entry::once: the claim (core's machines over batched transactions), a recording of the answer that any number of submissions follow, questions between entries on the callers' port under the fleet key, whole answers in the object store, and the claim closed with the end or taken back. Run, Sink and the two kinds of calls are as before for requests without an identity.

--- a/crates/core/src/once/claiming.rs
+++ b/crates/core/src/once/claiming.rs
@@ -32,21 +32,26 @@
 #[derive(Clone, Debug)]
 pub struct Claiming {
     request: name::Request,
+    soon: Millis,
     deadline: Millis,
     wait: Millis,
     over: u64,
     may_stand: bool,
+    answered: bool,
 }
 
 impl Claiming {
-    /// Claims for a submission, which is settled by the deadline.
-    pub fn new(request: name::Request, deadline: Millis) -> (Self, Step<Settled>) {
+    /// Claims for a submission, which is settled by the deadline; by the sooner
+    /// time if the table service did nothing until then but refuse.
+    pub fn new(request: name::Request, soon: Millis, deadline: Millis) -> (Self, Step<Settled>) {
         let claiming = Self {
             request,
+            soon,
             deadline,
             wait: FIRST_WAIT,
             over: 0,
             may_stand: false,
+            answered: false,
         };
         let first = Step::Write {
             over: 0,
@@ -59,7 +64,10 @@
     pub fn written(&mut self, now: Millis, written: Written) -> Step<Settled> {
         match written {
             Written::Committed(version) => Step::Done(Settled::Mine(version)),
-            Written::Conflict => self.read(now, Millis::ZERO),
+            Written::Conflict => {
+                self.answered = true;
+                self.read(now, Millis::ZERO)
+            }
             Written::Unknown => {
                 self.may_stand = true;
                 self.read(now, Millis::ZERO)
@@ -108,7 +116,12 @@
     }
 
     fn unless_late(&self, now: Millis, step: Step<Settled>) -> Step<Settled> {
-        if now < self.deadline {
+        let deadline = if self.may_stand || self.answered {
+            self.deadline
+        } else {
+            self.soon
+        };
+        if now < deadline {
             return step;
         }
         Step::Done(Settled::Unsettled {
--- a/crates/core/src/once/claiming/tests.rs
+++ b/crates/core/src/once/claiming/tests.rs
@@ -4,6 +4,7 @@
 use crate::name::{Incarnation, Request};
 use crate::once::Digest;
 
+const SOON: Millis = Millis(200);
 const DEADLINE: Millis = Millis(1_000);
 
 /// This life's submission, one that it gave up, one that it may have sent, and
@@ -36,11 +37,13 @@
     Written(Written),
     Seen(Option<Request>),
     Unseen,
+    /// From here on the sooner time has passed.
+    Soon,
     /// From here on the deadline has passed.
     Late,
 }
 
-use Input::{Late, Seen, Unseen};
+use Input::{Late, Seen, Soon, Unseen};
 
 const COMMITTED: Input = Input::Written(Written::Committed(5));
 const CONFLICT: Input = Input::Written(Written::Conflict);
@@ -50,11 +53,15 @@
 fn play(script: &[Input]) -> String {
     let mut notes = Notes::new(Incarnation(1));
     notes.give_up(GIVEN_UP);
-    let (mut claiming, first) = Claiming::new(OWN, DEADLINE);
+    let (mut claiming, first) = Claiming::new(OWN, SOON, DEADLINE);
     let mut told = vec![short(&first)];
     let mut now = Millis::ZERO;
     for input in script {
         let step = match *input {
+            Soon => {
+                now = SOON;
+                continue;
+            }
             Late => {
                 now = DEADLINE;
                 continue;
@@ -105,7 +112,12 @@
     &[UNAVAILABLE, UNAVAILABLE, COMMITTED],
     "write(0)+0 write(0)+10 write(0)+20 mine(5)"
 )]
-#[case::out(&[UNAVAILABLE, Late, UNAVAILABLE], "write(0)+0 write(0)+10 unsettled(false)")]
+#[case::out(&[UNAVAILABLE, Soon, UNAVAILABLE], "write(0)+0 write(0)+10 unsettled(false)")]
+#[case::slow(
+    &[Soon, UNKNOWN, Seen(None), COMMITTED],
+    "write(0)+0 read+0 write(0)+10 mine(5)"
+)]
+#[case::busy(&[Soon, CONFLICT, Seen(Some(OTHER))], "write(0)+0 read+0 held(9)")]
 #[case::out_after_an_unknown_write(
     &[UNKNOWN, Unseen, Late, Unseen],
     "write(0)+0 read+0 read+10 unsettled(true)"
--- a/crates/core/src/once/sightings.rs
+++ b/crates/core/src/once/sightings.rs
@@ -9,23 +9,32 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::name::Incarnation;
 
-/// How long a life that went is held against a verdict: as long as callers are
-/// expected to come back with the same identity.
+/// How long a life that went is held against a verdict, and how long each life
+/// remembers what it ran: as long as callers may come back with an identity.
 pub const HORIZON: Millis = Millis::from_secs(600);
-/// How much younger than its first sighting an entry may be without counting as
-/// restarted: the platform may list an instance before its process is up.
-const SLACK: Millis = Millis(5_000);
+
+/// Whether a life knows of an identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Knowledge {
+    /// It never sent it to an endpoint, and has no submission that it could send.
+    None,
+    /// It may send it yet, or has forgotten some of what it sent.
+    Unsure,
+    /// It has the running answer, the kept one, or the verdict.
+    Has,
+}
 
 /// What an entry answers to the question whether it knows of an identity.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
-    /// Whether this life took a submission of the identity.
-    pub knows: bool,
-    /// How long this life has been up.
-    pub up: Millis,
-    /// Addresses whose lives went, as this entry saw it.
-    pub gone: Vec<SocketAddr>,
+    /// The life that answers.
+    pub life: Incarnation,
+    /// What it knows.
+    pub knowledge: Knowledge,
+    /// The lives that it has seen within the horizon.
+    pub seen: Vec<Incarnation>,
 }
 
 /// What all answers come to.
@@ -33,78 +42,70 @@
 pub enum Finding {
     /// The entry at this address has the identity.
     Found(SocketAddr),
-    /// No life took a submission of the identity.
+    /// No life has sent it, or can.
     Clear,
-    /// A life that could have is gone or did not answer.
+    /// A life that could have is gone, did not answer, or is not sure.
     Doubt,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Sighting {
-    first: Millis,
+    address: SocketAddr,
     last: Millis,
 }
 
-/// The other entries that one entry has seen, and when.
-#[derive(Clone, Debug, Default)]
+/// The lives of other entries that one life has seen.
+#[derive(Clone, Debug)]
 pub struct Sightings {
-    seen: BTreeMap<SocketAddr, Sighting>,
-    listed: Vec<SocketAddr>,
+    own: Incarnation,
+    seen: BTreeMap<Incarnation, Sighting>,
 }
 
 impl Sightings {
-    /// Takes in the addresses of the other entries as they are listed now.
-    pub fn list(&mut self, now: Millis, listed: Vec<SocketAddr>) {
-        for address in &listed {
-            let first = Sighting {
-                first: now,
-                last: now,
-            };
-            self.seen.entry(*address).or_insert(first).last = now;
+    /// A new life, which has seen no other.
+    pub fn new(own: Incarnation) -> Self {
+        Self {
+            own,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the lives that are there now.
+    pub fn see(&mut self, now: Millis, lives: impl IntoIterator<Item = (Incarnation, SocketAddr)>) {
+        for (life, address) in lives {
+            if life != self.own {
+                let last = now;
+                self.seen.insert(life, Sighting { address, last });
+            }
         }
-        self.listed = listed;
         self.seen
             .retain(|_, sighting| now < sighting.last + HORIZON);
     }
 
-    /// The addresses to be asked: all that were seen within the horizon.
+    /// Where to ask: every life that was seen within the horizon.
     pub fn to_ask(&self) -> impl Iterator<Item = SocketAddr> {
-        self.seen.keys().copied()
+        self.seen.values().map(|sighting| sighting.address)
     }
 
-    /// The lives that went, as an entry tells the one that asks. The asker itself
-    /// is one of them if it is younger than its address is known.
-    pub fn gone(&self, now: Millis, asker: SocketAddr, up: Millis) -> Vec<SocketAddr> {
-        let is_gone = |address: &SocketAddr, sighting: &Sighting| {
-            if *address == asker {
-                return sighting.restarted(now, up);
-            }
-            !self.listed.contains(address)
-        };
-        let seen = self.seen.iter();
-        let gone = seen.filter(|(address, sighting)| is_gone(address, sighting));
-        gone.map(|(address, _)| *address).collect()
+    /// The lives that were seen within the horizon.
+    pub fn seen(&self) -> Vec<Incarnation> {
+        self.seen.keys().copied().collect()
     }
 
-    /// What the answers come to; an address without one did not answer.
-    pub fn find(&self, now: Millis, replies: &BTreeMap<SocketAddr, Reply>) -> Finding {
-        let knows = replies.iter().find(|(_, reply)| reply.knows);
-        if let Some((address, _)) = knows {
-            return Finding::Found(*address);
+    /// What the answers come to.
+    pub fn find(&self, replies: &[Reply]) -> Finding {
+        let has = |reply: &&Reply| reply.knowledge == Knowledge::Has;
+        let found = replies.iter().find(has);
+        if let Some(sighting) = found.and_then(|reply| self.seen.get(&reply.life)) {
+            return Finding::Found(sighting.address);
         }
-        let answered = |address: &SocketAddr, sighting: &Sighting| {
-            let reply = replies.get(address);
-            reply.is_some_and(|reply| !sighting.restarted(now, reply.up))
-        };
-        let all_answered = self
-            .seen
-            .iter()
-            .all(|(address, sighting)| answered(address, sighting));
-        let gone = |reply: &Reply| {
-            let mut gone = reply.gone.iter();
-            gone.any(|address| !replies.contains_key(address))
+        let cleared = |life: &Incarnation| {
+            let mut replies = replies.iter();
+            *life == self.own
+                || replies.any(|one| one.life == *life && one.knowledge == Knowledge::None)
         };
-        if all_answered && !replies.values().any(gone) {
+        let theirs = replies.iter().flat_map(|reply| &reply.seen);
+        if self.seen.keys().chain(theirs).all(cleared) {
             Finding::Clear
         } else {
             Finding::Doubt
@@ -112,13 +113,5 @@
     }
 }
 
-impl Sighting {
-    /// Whether a life this young came after the address was first seen, so
-    /// that another went.
-    fn restarted(&self, now: Millis, up: Millis) -> bool {
-        up < HORIZON && up + SLACK < now - self.first
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/once/sightings/tests.rs
+++ b/crates/core/src/once/sightings/tests.rs
@@ -2,73 +2,65 @@
 
 use super::*;
 
-const A: u16 = 1;
-const B: u16 = 2;
-const C: u16 = 3;
+/// The life that asks, two that it sees, an earlier life of the second, one that
+/// it never saw.
+const OWN: u64 = 1;
+const A: u64 = 2;
+const B: u64 = 3;
+const B_BEFORE: u64 = 4;
+const C: u64 = 5;
 
-fn address(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
+fn life(number: u64) -> (Incarnation, SocketAddr) {
+    let port = 8_000 + u16::try_from(number).unwrap();
+    (
+        Incarnation(number),
+        SocketAddr::from(([127, 0, 0, 1], port)),
+    )
 }
 
-fn addresses(ports: &[u16]) -> Vec<SocketAddr> {
-    ports.iter().copied().map(address).collect()
-}
-
-fn reply(up: u64, gone: &[u16]) -> Reply {
+fn reply(number: u64, knowledge: Knowledge, seen: &[u64]) -> Reply {
     Reply {
-        knows: false,
-        up: Millis::from_secs(up),
-        gone: addresses(gone),
+        life: Incarnation(number),
+        knowledge,
+        seen: seen.iter().copied().map(Incarnation).collect(),
     }
 }
 
-/// A life that lists A and B from 10 s on asks at 100 s.
-fn listed() -> Sightings {
-    let mut sightings = Sightings::default();
-    sightings.list(Millis::from_secs(10), addresses(&[A, B]));
-    sightings.list(Millis::from_secs(99), addresses(&[A, B]));
+fn none(number: u64, seen: &[u64]) -> Reply {
+    reply(number, Knowledge::None, seen)
+}
+
+fn sightings() -> Sightings {
+    let mut sightings = Sightings::new(Incarnation(OWN));
+    sightings.see(Millis(1), [OWN, A, B].map(life));
     sightings
 }
 
 #[rstest]
-#[case::all_answer(vec![(A, reply(200, &[])), (B, reply(90, &[]))], Finding::Clear)]
-#[case::one_is_silent(vec![(A, reply(200, &[]))], Finding::Doubt)]
-#[case::one_has_restarted(vec![(A, reply(200, &[])), (B, reply(20, &[]))], Finding::Doubt)]
-#[case::one_has_seen_a_life_go(vec![(A, reply(200, &[C])), (B, reply(200, &[]))], Finding::Doubt)]
-#[case::it_went_from_one_list_only(
-    vec![(A, reply(200, &[B])), (B, reply(200, &[]))],
-    Finding::Clear
-)]
-#[case::one_knows(
-    vec![(A, Reply { knows: true, ..reply(200, &[]) })],
-    Finding::Found(address(A))
-)]
-fn findings(#[case] replies: Vec<(u16, Reply)>, #[case] finding: Finding) {
-    let replies = replies
-        .into_iter()
-        .map(|(port, reply)| (address(port), reply));
-    let now = Millis::from_secs(100);
-    assert_eq!(listed().find(now, &replies.collect()), finding);
+#[case::all_answer(&[none(A, &[OWN, B]), none(B, &[OWN, A])], Finding::Clear)]
+#[case::one_is_silent(&[none(A, &[OWN, B])], Finding::Doubt)]
+#[case::one_is_another_life(&[none(A, &[]), none(B_BEFORE, &[])], Finding::Doubt)]
+#[case::one_saw_a_life_go(&[none(A, &[C]), none(B, &[])], Finding::Doubt)]
+#[case::one_saw_the_asker_before(&[none(A, &[0, OWN]), none(B, &[])], Finding::Doubt)]
+#[case::one_is_not_sure(&[none(A, &[]), reply(B, Knowledge::Unsure, &[])], Finding::Doubt)]
+#[case::one_has_it(&[reply(B, Knowledge::Has, &[])], Finding::Found(life(B).1))]
+fn findings(#[case] replies: &[Reply], #[case] finding: Finding) {
+    assert_eq!(sightings().find(replies), finding);
 }
 
-#[rstest]
-#[case::at_once(101, vec![B])]
-#[case::within_the_horizon(698, vec![B])]
-#[case::after_it(700, vec![])]
-fn a_life_that_went_is_remembered(#[case] now: u64, #[case] gone: Vec<u16>) {
-    let mut sightings = listed();
-    let now = Millis::from_secs(now);
-    sightings.list(now, addresses(&[A]));
-    let asker = address(A);
-    assert_eq!(sightings.gone(now, asker, HORIZON), addresses(&gone));
-    assert_eq!(sightings.to_ask().count(), 1 + gone.len());
+#[test]
+fn alone_there_is_no_doubt() {
+    assert_eq!(Sightings::new(Incarnation(OWN)).find(&[]), Finding::Clear);
 }
 
 #[rstest]
-#[case::as_old_as_its_address(90, vec![])]
-#[case::restarted(20, vec![B])]
-fn the_asker_may_have_had_another_life(#[case] up: u64, #[case] gone: Vec<u16>) {
-    let now = Millis::from_secs(100);
-    let told = listed().gone(now, address(B), Millis::from_secs(up));
-    assert_eq!(told, addresses(&gone));
+#[case::at_once(Millis(2), vec![A, B])]
+#[case::within_the_horizon(HORIZON, vec![A, B])]
+#[case::after_it(HORIZON + Millis(1), vec![A])]
+fn a_life_that_went_is_remembered(#[case] now: Millis, #[case] seen: Vec<u64>) {
+    let mut sightings = sightings();
+    sightings.see(now, [life(A)]);
+    let seen: Vec<Incarnation> = seen.into_iter().map(Incarnation).collect();
+    assert_eq!(sightings.seen(), seen);
+    assert_eq!(sightings.to_ask().count(), seen.len());
 }
--- a/crates/core/tests/once/world.rs
+++ b/crates/core/tests/once/world.rs
@@ -130,7 +130,7 @@
             incarnation: self.lives[life].incarnation,
             sequence: self.submissions.len() as u64,
         };
-        let (claiming, first) = Claiming::new(request, self.now + PATIENCE);
+        let (claiming, first) = Claiming::new(request, self.now + PATIENCE, self.now + PATIENCE);
         self.lives[life].current = Some(self.submissions.len());
         self.submissions.push(Submission {
             request,
@@ -303,7 +303,8 @@
             Some(holder) if self.lives[holder].notes.gave_up(claim.request) => {
                 self.lives[holder].close(claim.request, None);
                 let request = self.submissions[index].request;
-                let (claiming, first) = Claiming::new(request, self.now + PATIENCE);
+                let (claiming, first) =
+                    Claiming::new(request, self.now + PATIENCE, self.now + PATIENCE);
                 self.submissions[index].phase = Phase::Claiming(claiming, first);
             }
             Some(holder) if holder != life && self.lives[holder].current.is_some() => {
--- a/crates/entry/src/caller/answer.rs
+++ b/crates/entry/src/caller/answer.rs
@@ -14,6 +14,7 @@
 use crate::caller::refusal::{self, Body, ENTRY_HEADER, REQUEST_HEADER};
 use crate::endpoint::Chunk;
 use crate::endpoint::events::DONE;
+use crate::once::Kind;
 use crate::request::call::Form;
 use crate::request::sink::Source;
 use crate::request::{Code, Item, Problem};
@@ -23,7 +24,7 @@
 pub struct Shape {
     /// Chat or completion.
     pub form: Form,
-    /// The request.
+    /// The request, unless the source knows better.
     pub id: name::Request,
     /// The model asked for.
     pub model: String,
@@ -38,10 +39,10 @@
 /// Never: errors are rendered with the request's name.
 pub async fn streamed(mut source: Source, shape: Shape) -> Result<HttpResponse, Problem> {
     let first = source.recv().await.unwrap_or_else(|| Item::Failed(lost()));
+    let id = source.request().unwrap_or(shape.id);
     if let Item::Failed(problem) = &first {
-        return Ok(refusal::response(problem, Some(shape.id)));
+        return Ok(refusal::response(problem, Some(id)));
     }
-    let id = shape.id;
     let items = stream::once(std::future::ready(first)).chain(rest_of(source));
     let body = items.map(move |item| Ok::<_, Problem>(render(item, id)));
     Ok(builder(StatusCode::OK, id, &shape.shared)
@@ -91,22 +92,25 @@
 /// Never: errors are rendered with the request's name.
 pub async fn whole(mut source: Source, shape: Shape) -> Result<HttpResponse, Problem> {
     let mut whole = Whole::default();
-    loop {
-        match source.recv().await {
-            Some(Item::Event { data, .. }) => {
-                if let Err(problem) = whole.add(&data, shape.shared.settings.limits.answer_bytes) {
-                    return Ok(refusal::response(&problem, Some(shape.id)));
+    let limit = shape.shared.settings.limits.answer_bytes;
+    let gathered = loop {
+        let item = source.recv().await.unwrap_or_else(|| Item::Failed(lost()));
+        match item {
+            Item::Event { data, .. } => {
+                if let Err(problem) = whole.add(&data, limit) {
+                    break Err(problem);
                 }
             }
-            Some(Item::Complete) => break,
-            Some(Item::Failed(problem)) => {
-                return Ok(refusal::response(&problem, Some(shape.id)));
-            }
-            Some(Item::Head { .. } | Item::Body(_)) => {}
-            None => return Ok(refusal::response(&lost(), Some(shape.id))),
+            Item::Complete => break Ok(()),
+            Item::Failed(problem) => break Err(problem),
+            Item::Head { .. } | Item::Body(_) => {}
         }
-    }
-    Ok(builder(StatusCode::OK, shape.id, &shape.shared).json(whole.render(&shape)))
+    };
+    let id = source.request().unwrap_or(shape.id);
+    Ok(match gathered {
+        Ok(()) => builder(StatusCode::OK, id, &shape.shared).json(whole.render(&shape)),
+        Err(problem) => refusal::response(&problem, Some(id)),
+    })
 }
 
 #[derive(Debug, Default)]
@@ -162,6 +166,38 @@
     }
 }
 
+/// An answer in the form that goes with its kind.
+///
+/// # Errors
+///
+/// Never: errors are rendered with the request's name.
+pub async fn shown(
+    source: Source,
+    kind: Kind,
+    id: name::Request,
+    shared: Arc<Shared>,
+) -> Result<HttpResponse, Problem> {
+    let Kind::Model {
+        form,
+        model,
+        stream,
+    } = kind
+    else {
+        return relayed(source, id, &shared).await;
+    };
+    let shape = Shape {
+        form,
+        id,
+        model,
+        shared,
+    };
+    if stream {
+        streamed(source, shape).await
+    } else {
+        whole(source, shape).await
+    }
+}
+
 /// A plain service's answer, relayed as it comes.
 ///
 /// # Errors
@@ -172,7 +208,9 @@
     id: name::Request,
     shared: &Shared,
 ) -> Result<HttpResponse, Problem> {
-    let (status, content_type) = match source.recv().await {
+    let first = source.recv().await;
+    let id = source.request().unwrap_or(id);
+    let (status, content_type) = match first {
         Some(Item::Head {
             status,
             content_type,
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -7,10 +7,11 @@
 use serde::Serialize;
 use serde_json::{Map, Value};
 
-use crate::caller::{Authority, Presence, answer};
+use crate::caller::{self, Authority};
+use crate::once::Kind;
 use crate::request::call::{Form, Model};
-use crate::request::run::{self, Worker};
-use crate::request::{Call, Code, Head, Problem, Received, Request, Sink};
+use crate::request::run::Worker;
+use crate::request::{Call, Code, Head, Problem};
 use crate::shared::Shared;
 
 /// Bytes of a prompt's start that are hashed to find a warm cache.
@@ -43,23 +44,12 @@
     let authority = Authority::of(&worker.shared, request)?;
     let parsed = Parsed::read(body, form)?;
     let head = head(&worker.shared, &authority, &parsed, form)?;
-    let (sink, source) = Sink::new(Presence::of(request));
-    let shape = answer::Shape {
+    let kind = Kind::Model {
         form,
-        id: head.id,
-        model: parsed.target.clone(),
-        shared: worker.shared.clone(),
+        model: parsed.target,
+        stream: parsed.stream,
     };
-    actix_web::rt::spawn(run::run(
-        worker.clone(),
-        Request::<Received>::new(head),
-        sink,
-    ));
-    if parsed.stream {
-        answer::streamed(source, shape).await
-    } else {
-        answer::whole(source, shape).await
-    }
+    caller::carry_out(worker, request, &authority, head, kind).await
 }
 
 /// The parts of a body that the entry needs.
@@ -124,25 +114,16 @@
     parsed: &Parsed,
     form: Form,
 ) -> Result<Head, Problem> {
-    let (name, class) = authority.class(&parsed.target)?;
-    authority.check_identity(class)?;
+    let class = authority.class(&parsed.target)?;
+    authority.check_identity(class.1)?;
+    let target = parsed.target.as_str().into();
+    let call = Call::Model(Model {
+        form,
+        body: parsed.body.clone(),
+    });
     Ok(Head {
-        id: shared.next_request(),
-        workspace: authority.workspace.name.clone(),
-        tier: authority.workspace.tier,
-        class: name.clone(),
-        weight: class.weight,
-        target: parsed.target.as_str().into(),
-        arrived: shared.clock.now(),
-        latency: class.target,
-        measure: class.measure,
-        repeatable: class.repeatable,
         prefix: parsed.prefix,
-        identity: 0,
-        call: Call::Model(Model {
-            form,
-            body: parsed.body.clone(),
-        }),
+        ..Head::new(shared, &authority.workspace, class, target, call)
     })
 }
 
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -3,10 +3,11 @@
 use actix_web::web::{Bytes, Data, Path};
 use actix_web::{HttpRequest, HttpResponse};
 
-use crate::caller::{Authority, Presence, answer};
+use crate::caller::{self, Authority};
+use crate::once::Kind;
 use crate::request::call::Service;
-use crate::request::run::{self, Worker};
-use crate::request::{Call, Head, Problem, Received, Request, Sink};
+use crate::request::run::Worker;
+use crate::request::{Call, Head, Problem};
 
 /// `ANY /v1/services/{name}/{path}`.
 pub(crate) async fn call(
@@ -17,40 +18,21 @@
 ) -> Result<HttpResponse, Problem> {
     let (target, path) = path.into_inner();
     let authority = Authority::of(&worker.shared, &request)?;
-    let (name, class) = authority.class(&target)?;
-    authority.check_identity(class)?;
+    let class = authority.class(&target)?;
+    authority.check_identity(class.1)?;
     let content_type = request.headers().get("content-type");
-    let head = Head {
-        id: worker.shared.next_request(),
-        workspace: authority.workspace.name.clone(),
-        tier: authority.workspace.tier,
-        class: name.clone(),
-        weight: class.weight,
-        target: target.as_str().into(),
-        arrived: worker.shared.clock.now(),
-        latency: class.target,
-        measure: class.measure,
-        repeatable: class.repeatable,
-        prefix: 0,
-        identity: 0,
-        call: Call::Service(Service {
-            method: request.method().clone(),
-            path: with_query(path, request.query_string()),
-            content_type: content_type
-                .and_then(|value| value.to_str().ok())
-                .map(str::to_owned),
-            identity: authority.identity.clone(),
-            body,
-        }),
-    };
-    let id = head.id;
-    let (sink, source) = Sink::new(Presence::of(&request));
-    actix_web::rt::spawn(run::run(
-        worker.get_ref().clone(),
-        Request::<Received>::new(head),
-        sink,
-    ));
-    answer::relayed(source, id, &worker.shared).await
+    let call = Call::Service(Service {
+        method: request.method().clone(),
+        path: with_query(path, request.query_string()),
+        content_type: content_type
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned),
+        identity: authority.identity.clone(),
+        body,
+    });
+    let target = target.as_str().into();
+    let head = Head::new(&worker.shared, &authority.workspace, class, target, call);
+    caller::carry_out(&worker, &request, &authority, head, Kind::Service).await
 }
 
 fn with_query(path: String, query: &str) -> String {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod control;
 pub mod endpoint;
+pub mod once;
 pub mod options;
 pub mod recording;
 pub mod request;
--- a/crates/entry/src/request/call.rs
+++ b/crates/entry/src/request/call.rs
@@ -2,9 +2,10 @@
 
 use actix_web::http::Method;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 /// The body of a request, with what it takes to send it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Call {
     /// A request to a model.
     Model(Model),
@@ -13,7 +14,7 @@
 }
 
 /// A request to a model.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Model {
     /// Which of the two forms it has.
     pub form: Form,
@@ -22,7 +23,7 @@
 }
 
 /// The forms of model requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Form {
     /// `/v1/chat/completions`.
     Chat,
@@ -41,9 +42,10 @@
 }
 
 /// A call to a plain service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Service {
     /// The method.
+    #[serde(with = "method")]
     pub method: Method,
     /// Path and query below the service.
     pub path: String,
@@ -54,3 +56,24 @@
     /// The body.
     pub body: Bytes,
 }
+
+/// A method as text.
+mod method {
+    use actix_web::http::Method;
+    use serde::de::Error;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(
+        method: &Method,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(method.as_str())
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Method, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
--- a/crates/entry/src/request/ending.rs
+++ b/crates/entry/src/request/ending.rs
@@ -1,14 +1,14 @@
 //! How requests end, and what their callers are told.
 
 use actix_web::http::StatusCode;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::Refusal;
 use woodgap_core::verdict::Verdict;
 
 /// Stable codes of errors; `docs/INTERFACES.md` lists them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Code {
     /// No workspace has this key.
@@ -43,6 +43,8 @@
     UnknownIdentity,
     /// The entry that ran this identity is gone.
     UnknownOutcome,
+    /// The request ran, and its answer is no longer kept.
+    AnswerGone,
 }
 
 impl Code {
@@ -65,6 +67,7 @@
             Self::BadAnswer => "bad_answer",
             Self::UnknownIdentity => "unknown_identity",
             Self::UnknownOutcome => "unknown_outcome",
+            Self::AnswerGone => "answer_gone",
         }
     }
 
@@ -83,12 +86,13 @@
             }
             Self::EndpointFailed | Self::BadAnswer => StatusCode::BAD_GATEWAY,
             Self::UnknownOutcome => StatusCode::CONFLICT,
+            Self::AnswerGone => StatusCode::GONE,
         }
     }
 }
 
 /// Why a request got no whole answer.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[error("{message}")]
 pub struct Problem {
     /// The stable code.
--- a/crates/entry/src/request/life.rs
+++ b/crates/entry/src/request/life.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use woodgap_core::clock::Millis;
+use woodgap_core::config::catalog::{Class, Workspace};
 use woodgap_core::config::document::Measure;
 use woodgap_core::control::{Ask, Grant, Outcome};
 use woodgap_core::name;
@@ -43,6 +44,34 @@
     pub call: Call,
 }
 
+impl Head {
+    /// The head of a request that has just come, without prefix and identity.
+    pub fn new(
+        shared: &Shared,
+        workspace: &Workspace,
+        class: (&name::Class, &Class),
+        target: name::Target,
+        call: Call,
+    ) -> Self {
+        let (name, class) = class;
+        Self {
+            id: shared.next_request(),
+            workspace: workspace.name.clone(),
+            tier: workspace.tier,
+            class: name.clone(),
+            weight: class.weight,
+            target,
+            arrived: shared.clock.now(),
+            latency: class.target,
+            measure: class.measure,
+            repeatable: class.repeatable,
+            prefix: 0,
+            identity: 0,
+            call,
+        }
+    }
+}
+
 /// A request in one of its states.
 pub struct Request<S> {
     /// What stays the same.
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -9,6 +9,7 @@
 use woodgap_core::control::Outcome;
 use woodgap_core::verdict::Verdict;
 use woodgap_platform::endpoint::REQUEST_HEADER;
+use woodgap_platform::http::Platform;
 
 use crate::control::Permit;
 use crate::request::account::Account;
@@ -23,8 +24,10 @@
 pub struct Worker {
     /// The entry's shared state.
     pub shared: Arc<Shared>,
-    /// This thread's client to endpoints.
+    /// This thread's client to endpoints and other entries.
     pub client: Client,
+    /// This thread's client to the platform.
+    pub platform: Platform,
 }
 
 impl Worker {
@@ -90,7 +93,7 @@
         account.dispatched(granted.permit().endpoint());
         let attempt = tokio::select! {
             attempt = attempt(worker, &head, granted.permit(), &mut progress, &mut started, sink) => attempt,
-            () = sink.gone() => Attempt::Gone,
+            () = sink.abandoned() => Attempt::Gone,
         };
         account.attempted(granted.permit(), &attempt, progress.offset);
         match next(worker, granted, attempt, started) {
--- a/crates/entry/src/request/sink.rs
+++ b/crates/entry/src/request/sink.rs
@@ -1,16 +1,20 @@
-//! Where an answer goes: to one caller, with backpressure.
+//! Where an answer goes: straight to one caller, with backpressure, or into a
+//! recording that any number of callers follow.
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
+use woodgap_core::name;
 
 use crate::caller::Presence;
+use crate::once::{Reader, Recorder};
 use crate::request::Problem;
 
 /// Items that may wait between an endpoint's stream and a slow caller.
 const DEPTH: usize = 8;
 
 /// A part of an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Item {
     /// The head of a plain service's answer.
     Head {
@@ -34,24 +38,48 @@
     Failed(Problem),
 }
 
+impl Item {
+    /// Whether nothing comes after it.
+    pub fn is_last(&self) -> bool {
+        matches!(self, Self::Complete | Self::Failed(_))
+    }
+}
+
 /// The caller went away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gone;
 
-/// The sending side of one answer.
-pub struct Sink {
-    sender: mpsc::Sender<Item>,
-    presence: Presence,
+/// The writing side of one answer.
+pub enum Sink {
+    /// To one caller.
+    Direct {
+        /// What the caller reads.
+        sender: mpsc::Sender<Item>,
+        /// Whether the caller is there.
+        presence: Presence,
+    },
+    /// Into a recording.
+    Recorded(Recorder),
 }
 
-/// The receiving side of one answer.
-pub type Source = mpsc::Receiver<Item>;
+/// The reading side of one answer.
+pub enum Source {
+    /// Straight from the run.
+    Direct(mpsc::Receiver<Item>),
+    /// From a recording.
+    Recorded(Reader),
+}
 
 impl Sink {
     /// A sink for a caller, and what the caller reads from.
     pub fn new(presence: Presence) -> (Self, Source) {
         let (sender, source) = mpsc::channel(DEPTH);
-        (Self { sender, presence }, source)
+        (Self::Direct { sender, presence }, Source::Direct(source))
+    }
+
+    /// A sink into a recording.
+    pub fn recorded(recorder: Recorder) -> Self {
+        Self::Recorded(recorder)
     }
 
     /// Passes on an item, and waits while the caller is slow.
@@ -60,14 +88,53 @@
     ///
     /// [`Gone`] if the caller went away.
     pub async fn send(&self, item: Item) -> Result<(), Gone> {
-        self.sender.send(item).await.map_err(|_| Gone)
+        match self {
+            Self::Direct { sender, .. } => sender.send(item).await.map_err(|_| Gone),
+            Self::Recorded(recorder) => {
+                recorder.send(item).await;
+                Ok(())
+            }
+        }
     }
 
-    /// Waits until the caller goes away.
+    /// Waits until every caller is gone, before the request is sent.
     pub async fn gone(&self) {
-        tokio::select! {
-            () = self.sender.closed() => {}
-            () = self.presence.gone() => {}
+        match self {
+            Self::Direct { sender, presence } => {
+                tokio::select! {
+                    () = sender.closed() => {}
+                    () = presence.gone() => {}
+                }
+            }
+            Self::Recorded(recorder) => recorder.gone().await,
+        }
+    }
+
+    /// Waits until every caller is gone and the run is to be stopped. One that may
+    /// not be repeated goes on, and its answer is kept.
+    pub async fn abandoned(&self) {
+        match self {
+            Self::Direct { .. } => self.gone().await,
+            Self::Recorded(recorder) => recorder.abandoned().await,
+        }
+    }
+}
+
+impl Source {
+    /// The next item; none if the run ended without its last item, or the caller
+    /// is gone.
+    pub async fn recv(&mut self) -> Option<Item> {
+        match self {
+            Self::Direct(receiver) => receiver.recv().await,
+            Self::Recorded(reader) => reader.recv().await,
+        }
+    }
+
+    /// The request that is answered, where it may be another one than was sent.
+    pub fn request(&self) -> Option<name::Request> {
+        match self {
+            Self::Direct(_) => None,
+            Self::Recorded(reader) => Some(reader.request()),
         }
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! What every part of one entry can reach.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -14,6 +15,7 @@
 
 use crate::configuration::InForce;
 use crate::control::Handle;
+use crate::once::Once;
 use crate::running::Running;
 
 /// The state that threads share; what decides stands in the control thread.
@@ -32,6 +34,8 @@
     pub running: Running,
     /// Asks for places at endpoints.
     pub control: Handle,
+    /// Requests that carry an identity.
+    pub once: Once,
     /// Counts for the burn report.
     pub counts: Mutex<burn::Recorder>,
     /// Metrics.
@@ -42,15 +46,17 @@
 }
 
 impl Shared {
-    /// The state of an entry that has just started.
+    /// The state of an entry that has just started and takes requests at an address.
     pub fn new(
         settings: Settings,
         incarnation: name::Incarnation,
         control: Handle,
         clock: Clock,
         metrics: StatsdClient,
+        address: SocketAddr,
     ) -> Self {
         let recorder = burn::Recorder::new(settings.name.clone(), incarnation);
+        let once = Once::new(&settings, incarnation, address);
         Self {
             settings,
             incarnation,
@@ -59,6 +65,7 @@
             members: ArcSwap::default(),
             running: Running::default(),
             control,
+            once,
             counts: Mutex::new(recorder),
             metrics,
             stopping: AtomicBool::new(false),
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -23,6 +23,8 @@
 use crate::configuration::{Watcher, watcher};
 use crate::control::socket::Bound;
 use crate::control::{Actor, Handle, Socket};
+use crate::once::internal;
+use crate::once::table::Table;
 use crate::options::Options;
 use crate::recording::Recording;
 use crate::request::run::Worker;
@@ -92,8 +94,8 @@
     let workers = settings.workers;
     let control = Arbiter::new();
     let branch = Branch::default();
-    let shared = Arc::new(shared(settings, Handle::new(branch.clone()))?);
-    let own = own(&shared, address, peer);
+    let shared = Arc::new(shared(settings, Handle::new(branch.clone()), address)?);
+    let own = own(&shared, peer);
     control_branch(&shared, &control, &branch, own, peers);
     let watched = Arc::clone(&shared);
     let _watcher = supervise(&control.handle(), "watcher", move |guard| {
@@ -103,6 +105,11 @@
     let _recording = supervise(&control.handle(), "recording", move |guard| {
         Recording::new(Arc::clone(&recorded), guard)
     });
+    let claimed = Arc::clone(&shared);
+    let table = shared.once.table.branch.clone();
+    table.start(&control.handle(), "claims", move |guard| {
+        Table::new(Arc::clone(&claimed), guard)
+    });
     let server = server(&shared, listener, workers)?;
     let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
     announce(address, peer, &shared.settings.name);
@@ -134,24 +141,32 @@
     name::Incarnation(clock.unix().0 << RANDOM_BITS | random)
 }
 
-fn shared(settings: Settings, control: Handle) -> Result<Shared, Error> {
+fn shared(settings: Settings, control: Handle, bound: SocketAddr) -> Result<Shared, Error> {
     let clock = Clock::start();
     let incarnation = incarnation(clock);
     let metrics = telemetry::metrics::client(settings.metrics).map_err(|source| Error::Socket {
         option: "metrics",
         source,
     })?;
-    Ok(Shared::new(settings, incarnation, control, clock, metrics))
+    let address = settings.advertise.unwrap_or(bound);
+    Ok(Shared::new(
+        settings,
+        incarnation,
+        control,
+        clock,
+        metrics,
+        address,
+    ))
 }
 
 /// The own entry, as the others are to know it.
-fn own(shared: &Shared, address: SocketAddr, peer: SocketAddr) -> Member {
+fn own(shared: &Shared, peer: SocketAddr) -> Member {
     Member {
         name: shared.settings.name.clone(),
         incarnation: shared.incarnation,
         data_centre: shared.settings.data_centre.clone(),
         peer,
-        http: shared.settings.advertise.unwrap_or(address),
+        http: shared.once.address,
         standing: Standing::Live,
         version: 0,
         figures: Figures::default(),
@@ -218,8 +233,10 @@
             .app_data(Data::new(Worker {
                 shared: Arc::clone(&shared),
                 client: client(),
+                platform: watcher::platform(&shared),
             }))
             .configure(caller::routes)
+            .configure(|config| internal::routes(config, body_bytes))
             .configure(admin::routes)
     })
     .workers(workers)
--- a/crates/entry/tests/once/caller.rs
+++ b/crates/entry/tests/once/caller.rs
@@ -1,5 +1,7 @@
 //! A caller of one entry.
 
+use std::net::SocketAddr;
+
 use awc::http::Method;
 use awc::{Client, ClientRequest};
 use serde_json::{Value, json};
@@ -71,7 +73,12 @@
 impl Call<'_> {
     /// Sends the call and waits for the end of the answer.
     pub async fn send(self, entry: &Entry) -> Answer {
-        let request = self.request(entry);
+        self.send_to(entry.address).await
+    }
+
+    /// Sends the call to an address, which may go away.
+    pub async fn send_to(self, address: SocketAddr) -> Answer {
+        let request = self.request(address);
         if self.class == "flux" || self.class == "look-up" {
             return read(request.send_body("flux 4 kg")).await;
         }
@@ -84,7 +91,7 @@
         read(Client::default().get(url).bearer_auth(self.key).send()).await
     }
 
-    fn request(self, entry: &Entry) -> ClientRequest {
+    fn request(self, address: SocketAddr) -> ClientRequest {
         let path = if self.class == "flux" || self.class == "look-up" {
             format!(
                 "/v1/services/{}/corrections?{}",
@@ -96,7 +103,7 @@
         };
         let client = Client::builder().disable_timeout().finish();
         let request = client
-            .request(Method::POST, entry.url(&path))
+            .request(Method::POST, format!("http://{address}{path}"))
             .bearer_auth(self.key)
             .insert_header(("x-woodgap-class", self.class));
         if self.identity.is_empty() {
@@ -133,6 +140,7 @@
     };
     answer.body = String::from_utf8_lossy(&body).into_owned();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-    answer.code = body["error"]["code"].as_str().unwrap_or("").to_owned();
+    let code = body["error"]["code"].as_str().unwrap_or("");
+    code.clone_into(&mut answer.code);
     answer
 }
--- a/crates/harness/src/documents.rs
+++ b/crates/harness/src/documents.rs
@@ -30,7 +30,7 @@
         "platform": {"url": platform, "timeout_ms": 1_000, "poll_ms": 50},
         "fleet_key": FLEET_KEY,
         "operators": [{"name": "orla", "key_sha256": OPERATOR_SHA256}],
-        "log_level": "warn",
+        "log_level": "error",
     })
 }
 
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -10,6 +10,8 @@
 
 /// The data centre of everything.
 const DATA_CENTRE: &str = "dub-a";
+/// Engine and service.
+const ENDPOINTS: usize = 2;
 
 /// The whole fleet; it stops when it is dropped.
 #[derive(Debug)]
@@ -99,7 +101,7 @@
             .await;
     }
 
-    /// Waits until every entry knows the configuration and all entries.
+    /// Waits until every entry knows the configuration, all entries and all endpoints.
     pub async fn ready(&self) {
         for entry in &self.entries {
             until("the entry is ready", async || self.is_ready(entry).await).await;
@@ -117,7 +119,12 @@
         let entries = client.get(entry.url("/v1/entries")).send().await;
         let entries: Value = entries.ok()?.json().await.ok()?;
         let known = entries["entries"].as_array()?.len();
-        (known == self.entries.len()).then_some(())
+        let status = client
+            .get(entry.url("/admin/v1/status"))
+            .bearer_auth(documents::OPERATOR);
+        let status: Value = status.send().await.ok()?.json().await.ok()?;
+        let endpoints = status["endpoints"].as_array()?.len();
+        (known == self.entries.len() && endpoints == ENDPOINTS).then_some(())
     }
 }
 
