entry: calls of the table service may run a little ahead of their spacing

Cause: a strict 25 ms between two transactions made single requests at 20 a second wait for the calls that close earlier claims: median 26 ms against 6 ms without a claim. Ruled out: a smaller spacing (seven busy entries would take all of the platform's writes), a separate queue for closing (twice the calls). Change: the spacing is kept on average, with ten calls ahead after a pause. A test counts the platform's writes for each kind of request and prints the median times.

--- a/crates/entry/src/once/table.rs
+++ b/crates/entry/src/once/table.rs
@@ -16,10 +16,12 @@
 use crate::shared::Shared;
 use crate::supervisor::{Branch, Guard};
 
-/// The least time between two calls of one kind: a call after a pause goes at
-/// once, and a busy entry makes at most forty transactions a second, so that
-/// seven entries leave the platform's few hundred writes a second their room.
+/// The time between two calls of one kind at a busy entry, which so makes at most
+/// forty transactions a second: seven entries leave the platform's few hundred
+/// writes a second their room.
 const SPACING: Duration = Duration::from_millis(25);
+/// How far calls may run ahead of that: ten calls after a pause go at once.
+const AHEAD: Duration = Duration::from_millis(250);
 /// How long a change that nobody waits for may wait for others.
 const LAZY: Duration = Duration::from_millis(200);
 /// The most rows of one call.
@@ -92,6 +94,7 @@
 struct Queue<T> {
     waiting: Vec<T>,
     calls: usize,
+    /// When the next call would go if all went at their spacing.
     next: Instant,
     due: Option<Instant>,
 }
@@ -108,7 +111,8 @@
 
     /// When the next call may go.
     fn when(&self) -> Option<Instant> {
-        (!self.waiting.is_empty() && self.calls < MOST_CALLS).then_some(self.next)
+        let may_go = !self.waiting.is_empty() && self.calls < MOST_CALLS;
+        may_go.then(|| self.next.checked_sub(AHEAD).unwrap_or(self.next))
     }
 
     /// Whether a look at the queue is to be had at this time and not before.
@@ -122,7 +126,7 @@
 
     fn called(&mut self) {
         self.calls += 1;
-        self.next = Instant::now() + SPACING;
+        self.next = self.next.max(Instant::now()) + SPACING;
     }
 }
 
@@ -199,9 +203,6 @@
                 Fate::Again => again.push(write),
             }
         }
-        if !again.is_empty() {
-            self.writes.next = Instant::now();
-        }
         again.append(&mut self.writes.waiting);
         self.writes.waiting = again;
         self.write(context);
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -7,6 +7,8 @@
 mod caller;
 #[path = "once/claims.rs"]
 mod claims;
+#[path = "once/cost.rs"]
+mod cost;
 #[path = "once/issued.rs"]
 mod issued;
 #[path = "once/outage.rs"]
--- a/crates/entry/tests/once/issued.rs
+++ b/crates/entry/tests/once/issued.rs
@@ -9,7 +9,7 @@
 use crate::caller::{Call, FLUX, NARRATION};
 use crate::watch::runs;
 
-async fn issue(fleet: &Fleet, index: usize) -> String {
+pub async fn issue(fleet: &Fleet, index: usize) -> String {
     let call = awc::Client::default().post(fleet.entries[index].url("/v1/identities"));
     let mut response = call.bearer_auth(documents::MURPHY).send().await.unwrap();
     let answer: Value = response.json().await.unwrap();
