--- a/crates/core/src/control/action.rs
+++ b/crates/core/src/control/action.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Millis;
 use crate::message::Message;
-use crate::name;
+use crate::{name, revision};
 
 /// Leave to send a request to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +19,9 @@
     pub address: SocketAddr,
     /// The priority inside the engine, 0 (first) to 9 (last).
     pub priority: u8,
+    /// Granted without the pool's home, which is unreachable, out of the own
+    /// entry's fraction of the slots.
+    pub degraded: bool,
 }
 
 /// Why a request was refused; none of them ran.
@@ -37,8 +40,22 @@
     Grant(Grant),
     /// Refuse a local request.
     Refuse(name::Request, Refusal),
+    /// Another request with the same identity waits or runs at the entry of
+    /// this life; the local one is not served here.
+    Elsewhere(name::Request, name::Incarnation),
     /// Send a message to another entry.
     Send(SocketAddr, Message),
+    /// Put changes in force, and report it as an event.
+    Apply(Vec<revision::message::Change>),
+    /// Put everything in force at once, and report it as an event.
+    Replace {
+        /// The revision of the whole.
+        revision: u64,
+        /// The documents, as JSON.
+        documents: Vec<String>,
+    },
+    /// Send everything that is in force to another entry, in parts.
+    SendAll(SocketAddr),
     /// Ask an endpoint for its load, and report the answer as an event.
     Probe(name::Endpoint, SocketAddr),
     /// Take no new work from now on.
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -1,9 +1,12 @@
 //! What the machine is told.
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::instance::{Instance, Load};
 use crate::message::Message;
 use crate::name;
+use crate::revision;
 use crate::tier::Tier;
 
 /// A request's ask to be sent to an endpoint.
@@ -32,7 +35,7 @@
 }
 
 /// How a granted request ended at its endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The whole answer came.
     Complete,
@@ -61,6 +64,18 @@
     pub elapsed: Millis,
 }
 
+/// A permit that a request of this entry still uses, as the entry noted it
+/// outside the control branch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// What was asked for.
+    pub ask: Ask,
+    /// The permit.
+    pub permit: u64,
+    /// Where the request runs.
+    pub endpoint: name::Endpoint,
+}
+
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -72,12 +87,24 @@
     Withdraw(name::Request),
     /// A granted request ended.
     Done(Done),
+    /// The control branch was started again: these permits are in use. To be
+    /// told after a list of instances, as what is not listed can't be counted.
+    Restore(Vec<Held>),
     /// The platform's instance list was read.
     Instances(Vec<Instance>),
     /// An endpoint was probed; none if it did not answer.
     Load(name::Endpoint, Option<Load>),
     /// A message of another entry, named by the life that sent it.
     Message(name::Incarnation, Message),
+    /// A configuration was put in force here.
+    InForce {
+        /// Its revision.
+        revision: u64,
+        /// The changes that led to it; empty if everything was replaced.
+        changes: Vec<revision::message::Change>,
+    },
+    /// The change log was read to its end, by a read sent at this time.
+    LogRead(Millis),
     /// An operator wants an instance to take no new work.
     Drain(String),
     /// What the other entries shall know of this one.
--- a/crates/core/src/revision/exchange.rs
+++ b/crates/core/src/revision/exchange.rs
@@ -93,6 +93,11 @@
         self.tracker.read(asked);
     }
 
+    /// Another entry is said to have a revision in force, by whomever.
+    pub fn news(&mut self, now: Millis, holder: name::Incarnation, revision: u64) {
+        self.tracker.news(now, holder, revision);
+    }
+
     /// Another entry was heard of first hand.
     pub fn heard(&mut self, now: Millis, from: name::Incarnation, revision: u64) {
         self.tracker.heard(now, from, revision);
@@ -117,8 +122,18 @@
     }
 
     /// Takes in a message of another entry.
-    pub fn message(&mut self, from: name::Incarnation, message: Message, out: &mut Vec<Action>) {
+    pub fn message(
+        &mut self,
+        now: Millis,
+        from: name::Incarnation,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
         match message {
+            Message::InForce(revision) => {
+                self.tracker.heard(now, from, revision);
+                self.tick(now, out);
+            }
             Message::Want(after) => self.want(from, after, out),
             Message::Changes(changes) => self.changes(changes, out),
             Message::Part(part) => self.part(part, out),
--- a/crates/entry/src/caller/answers.rs
+++ b/crates/entry/src/caller/answers.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use woodgap_core::once::Key;
 
-use crate::caller::{Authority, Presence, answer};
+use crate::caller::{Authority, answer};
 use crate::once::{self, Kind};
 use crate::request::Problem;
 use crate::request::run::Worker;
@@ -27,7 +27,7 @@
 ) -> Result<HttpResponse, Problem> {
     let authority = Authority::of(&worker.shared, &request)?;
     let key = Key::new(&authority.workspace.name, &identity);
-    let found = once::find(&worker, &key, Presence::of(&request)).await?;
+    let found = once::find(&worker, &key).await?;
     let id = found.reader.request();
     let kind = shown_as(found.kind, wanted.stream);
     let source = Source::Recorded(found.reader);
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde_json::{Map, Value};
 
-use crate::caller::{self, Authority};
+use crate::caller::{self, Authority, Body};
 use crate::once::Kind;
 use crate::request::call::{Form, Model};
 use crate::request::run::Worker;
@@ -21,18 +21,18 @@
 pub(crate) async fn chat(
     worker: Data<Worker>,
     request: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse, Problem> {
-    take(&worker, &request, &body, Form::Chat).await
+    take(&worker, &request, &body.0, Form::Chat).await
 }
 
 /// `POST /v1/completions`.
 pub(crate) async fn completion(
     worker: Data<Worker>,
     request: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse, Problem> {
-    take(&worker, &request, &body, Form::Completion).await
+    take(&worker, &request, &body.0, Form::Completion).await
 }
 
 async fn take(
@@ -49,7 +49,7 @@
         model: parsed.target,
         stream: parsed.stream,
     };
-    caller::carry_out(worker, request, &authority, head, kind).await
+    caller::carry_out(worker, &authority, head, kind).await
 }
 
 /// The parts of a body that the entry needs.
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -1,9 +1,9 @@
 //! Calls to plain services.
 
-use actix_web::web::{Bytes, Data, Path};
+use actix_web::web::{Data, Path};
 use actix_web::{HttpRequest, HttpResponse};
 
-use crate::caller::{self, Authority};
+use crate::caller::{self, Authority, Body};
 use crate::once::Kind;
 use crate::request::call::Service;
 use crate::request::run::Worker;
@@ -14,7 +14,7 @@
     worker: Data<Worker>,
     request: HttpRequest,
     path: Path<(String, String)>,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse, Problem> {
     let (target, path) = path.into_inner();
     let authority = Authority::of(&worker.shared, &request)?;
@@ -28,11 +28,11 @@
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned),
         identity: authority.identity.clone(),
-        body,
+        body: body.0,
     });
     let target = target.as_str().into();
     let head = Head::new(&worker.shared, &authority.workspace, class, target, call);
-    caller::carry_out(&worker, &request, &authority, head, Kind::Service).await
+    caller::carry_out(&worker, &authority, head, Kind::Service).await
 }
 
 fn with_query(path: String, query: &str) -> String {
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -6,15 +6,20 @@
 use std::time::Duration;
 
 use actix::{ActorContext, AsyncContext, Context, Handler, Message, WrapFuture};
-use awc::Client;
+use awc::error::PayloadError;
+use awc::{Client, ClientResponse};
+use bytes::Bytes;
+use cadence::prelude::*;
+use futures_util::Stream;
 use tokio::sync::oneshot;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::machine::TICK;
-use woodgap_core::control::{Action, Ask, Done, Event, Machine, Outcome, Own};
-use woodgap_core::message;
-use woodgap_core::name;
+use woodgap_core::control::{Action, Ask, Done, Event, Grant, Held, Machine, Outcome, Own};
+use woodgap_core::revision::message::parts;
+use woodgap_core::{message, name, revision};
 use woodgap_platform::endpoint::{LOAD_PATH, Load};
 
+use crate::configuration::in_force::{self, Step};
 use crate::control::outbox::Outbox;
 use crate::control::{Answer, Snapshot, Socket, meter, stream};
 use crate::shared::Shared;
@@ -35,7 +40,7 @@
     shared: Arc<Shared>,
     socket: Arc<Socket>,
     client: Client,
-    waiting: HashMap<name::Request, oneshot::Sender<Answer>>,
+    waiting: HashMap<name::Request, Place>,
     actions: Vec<Action>,
     outbox: Outbox,
     _guard: Guard,
@@ -76,14 +81,26 @@
         match action {
             Action::Grant(grant) => {
                 let (request, permit) = (grant.request, grant.permit);
-                if !self.reply(request, Answer::Grant(grant)) {
+                if !self.grant(grant) {
                     context.notify(Tell(Event::Done(unused(request, permit))));
                 }
             }
-            Action::Refuse(request, refusal) => {
-                self.reply(request, Answer::Refuse(refusal));
-            }
+            Action::Refuse(request, refusal) => self.reply(request, Answer::Refuse(refusal)),
+            Action::Elsewhere(request, life) => self.reply(request, Answer::Elsewhere(life)),
             Action::Send(to, message) => self.outbox.put(to, message),
+            Action::Apply(changes) => {
+                let step = self.shared.in_force.apply(&changes);
+                stepped(step, context);
+            }
+            Action::Replace {
+                revision,
+                documents,
+            } => {
+                let step = in_force::catalog(revision, &documents)
+                    .and_then(|catalog| self.shared.in_force.replace(catalog));
+                stepped(step, context);
+            }
+            Action::SendAll(to) => self.send_all(to),
             Action::Probe(endpoint, address) => self.probe(endpoint, address, context),
             Action::Leave => self.shared.stop(),
             Action::Stop => {
@@ -93,11 +110,50 @@
         }
     }
 
-    fn reply(&mut self, request: name::Request, answer: Answer) -> bool {
-        let Some(sender) = self.waiting.remove(&request) else {
+    fn send_all(&mut self, to: SocketAddr) {
+        let Some(catalog) = self.shared.in_force.catalog() else {
+            return;
+        };
+        let documents = catalog
+            .documents()
+            .map(|document| serde_json::to_string(&document));
+        let documents: Vec<String> = documents.filter_map(Result::ok).collect();
+        for part in parts(catalog.revision(), documents) {
+            self.outbox.put(
+                to,
+                message::Message::Revision(revision::Message::Part(part)),
+            );
+        }
+    }
+
+    /// Hands a grant to its request. False: nobody waits for it any more.
+    fn grant(&mut self, grant: Grant) -> bool {
+        let Some(Place { ask, reply }) = self.waiting.remove(&grant.request) else {
             return false;
         };
-        sender.send(answer).is_ok()
+        if grant.degraded {
+            // A lost metric is no reason to stop.
+            let _ = self.shared.metrics.incr("control.granted_alone");
+        }
+        let request = grant.request;
+        let ledger = self.shared.control.ledger();
+        ledger.granted(Held {
+            ask,
+            permit: grant.permit,
+            endpoint: grant.endpoint.clone(),
+        });
+        let taken = reply.send(Answer::Grant(grant)).is_ok();
+        if !taken {
+            ledger.ended(request);
+        }
+        taken
+    }
+
+    fn reply(&mut self, request: name::Request, answer: Answer) {
+        if let Some(place) = self.waiting.remove(&request) {
+            // Whoever asked may have gone meanwhile.
+            let _ = place.reply.send(answer);
+        }
     }
 
     fn probe(&self, endpoint: name::Endpoint, address: SocketAddr, context: &mut Context<Self>) {
@@ -108,7 +164,7 @@
         let own = context.address();
         let future = async move {
             let load = match call.await {
-                Ok(mut response) => response.json::<Load>().await.ok(),
+                Ok(response) => report(response).await,
                 Err(_) => None,
             };
             own.do_send(Tell(Event::Load(endpoint, load)));
@@ -124,6 +180,9 @@
             running: self.shared.running.count(),
         };
         self.tell([Event::Own(own), Event::Tick], context);
+        if let Some(until) = self.machine.trusted_until() {
+            self.shared.in_force.confirm_until(until);
+        }
     }
 
     fn show_members(&self) {
@@ -189,6 +248,22 @@
     }
 }
 
+/// Reports a step that the machine itself wanted.
+fn stepped(step: Option<Step>, context: &mut Context<Actor>) {
+    if let Some(step) = step {
+        context.notify(Tell(step.event()));
+    }
+}
+
+/// Reads a load report, whatever content type it claims to be.
+async fn report<S>(mut response: ClientResponse<S>) -> Option<Load>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let body = response.body().await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
 /// The end of a grant that nobody waits for any more.
 fn unused(request: name::Request, permit: u64) -> Done {
     Done {
@@ -206,10 +281,23 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         self.listen(context);
-        // A new machine does not know that the entry is stopping.
+        // A new machine does not know what an earlier one did, nor that the
+        // entry is stopping.
+        self.tell(self.shared.control.ledger().events(), context);
         if self.shared.stopping() {
             self.tell([Event::Stop], context);
         }
+        // Nor which configuration is in force.
+        if let Some(catalog) = self.shared.in_force.catalog() {
+            let revision = catalog.revision();
+            self.tell(
+                [Event::InForce {
+                    revision,
+                    changes: Vec::new(),
+                }],
+                context,
+            );
+        }
         self.show_members();
         context.run_interval(Duration::from_millis(TICK.0), Self::tick);
         context.run_interval(SHOW_PERIOD, |actor, _| actor.show_members());
@@ -272,8 +360,9 @@
     type Result = ();
 
     fn handle(&mut self, message: Place, context: &mut Self::Context) {
-        self.waiting.insert(message.ask.request, message.reply);
-        self.tell([Event::Ask(message.ask)], context);
+        let ask = message.ask.clone();
+        self.waiting.insert(ask.request, message);
+        self.tell([Event::Ask(ask)], context);
     }
 }
 
--- a/crates/entry/src/once/find.rs
+++ b/crates/entry/src/once/find.rs
@@ -7,7 +7,6 @@
 use woodgap_core::once::{Digest, Key, identity};
 use woodgap_core::verdict::Verdict;
 
-use crate::caller::Presence;
 use crate::once::follow::{self, Opened};
 use crate::once::message::Question;
 use crate::once::record::{Kind, Record};
@@ -29,12 +28,12 @@
 /// # Errors
 ///
 /// The verdict, if there is no answer.
-pub async fn find(worker: &Worker, key: &Key, presence: Presence) -> Result<Found, Problem> {
-    let known = worker.shared.once.registry().attach(key, presence.clone());
+pub async fn find(worker: &Worker, key: &Key) -> Result<Found, Problem> {
+    let known = worker.shared.once.registry().attach(key);
     if let Some((record, reader)) = known {
         let reader = match reader {
             Some(reader) => reader,
-            None => kept(worker, key, presence).await?,
+            None => kept(worker, key).await?,
         };
         let kind = record.kind.clone();
         return Ok(Found { reader, kind });
@@ -44,7 +43,7 @@
     } else {
         claimed(worker, key).await?
     };
-    open(worker, key, opened, presence)
+    open(worker, key, opened)
 }
 
 /// A reader of an answer that only the object store still has.
@@ -52,14 +51,10 @@
 /// # Errors
 ///
 /// If it has not.
-pub(super) async fn kept(
-    worker: &Worker,
-    key: &Key,
-    presence: Presence,
-) -> Result<Reader, Problem> {
+pub(super) async fn kept(worker: &Worker, key: &Key) -> Result<Reader, Problem> {
     let kept = super::kept::load(worker, key).await;
     let kept = kept.ok_or_else(follow::gone)?;
-    let found = open(worker, key, Opened::Whole(kept), presence)?;
+    let found = open(worker, key, Opened::Whole(kept))?;
     Ok(found.reader)
 }
 
@@ -107,7 +102,7 @@
 }
 
 /// Follows an opened answer for one caller.
-fn open(worker: &Worker, key: &Key, opened: Opened, presence: Presence) -> Result<Found, Problem> {
+fn open(worker: &Worker, key: &Key, opened: Opened) -> Result<Found, Problem> {
     let (request, kind) = match &opened {
         Opened::Running { request, kind, .. } => (*request, kind.clone()),
         Opened::Whole(kept) => (kept.request, kept.kind.clone()),
@@ -121,7 +116,7 @@
     let body = Digest::of([""; 0]);
     let record = Record::new(key.clone(), own, body, kind.clone(), false, tape);
     let record = Arc::new(record);
-    let reader = record.tape.attach(presence).ok_or_else(follow::gone)?;
+    let reader = record.tape.attach().ok_or_else(follow::gone)?;
     let recorder = Recorder::new(worker.clone(), record);
     actix_web::rt::spawn(async move { follow::feed(&recorder, opened).await });
     Ok(Found { reader, kind })
--- a/crates/entry/src/once/internal.rs
+++ b/crates/entry/src/once/internal.rs
@@ -8,7 +8,6 @@
 use woodgap_core::name;
 use woodgap_core::once::{Digest, Key};
 
-use crate::caller::Presence;
 use crate::once::message::{Frame, Question, Submission};
 use crate::once::seal::{Chain, HEADER};
 use crate::once::{Reader, Record, claims};
@@ -37,21 +36,23 @@
     Long(Frame, Reader),
 }
 
-async fn answer(worker: Data<Worker>, request: HttpRequest, body: Bytes) -> HttpResponse {
+async fn answer(
+    worker: Data<Worker>,
+    request: HttpRequest,
+    body: Bytes,
+) -> Result<HttpResponse, Problem> {
     let shared = &worker.shared;
     let header = request.headers().get(HEADER);
     let header = header.and_then(|value| value.to_str().ok()).unwrap_or("");
-    let mut chain = match shared.once.sealer.open(shared.clock.unix(), header, &body) {
-        Ok(chain) => chain,
-        Err(broken) => return HttpResponse::Unauthorized().body(broken.to_string()),
-    };
-    let Ok(question) = postcard::from_bytes(&body) else {
-        return HttpResponse::BadRequest().finish();
-    };
-    match reply(&worker, question).await {
+    let opened = shared.once.sealer.open(shared.clock.unix(), header, &body);
+    let mut chain =
+        opened.map_err(|broken| Problem::not_run(Code::UnknownKey, broken.to_string()))?;
+    let question = postcard::from_bytes(&body)
+        .map_err(|error| Problem::not_run(Code::BadRequest, error.to_string()))?;
+    Ok(match reply(&worker, question).await {
         Answer::Short(frame) => HttpResponse::Ok().body(chain.write(&frame)),
         Answer::Long(first, reader) => HttpResponse::Ok().streaming(frames(chain, first, reader)),
-    }
+    })
 }
 
 async fn reply(worker: &Worker, question: Question) -> Answer {
@@ -71,7 +72,7 @@
     body: Option<Digest>,
 ) -> Answer {
     let once = &worker.shared.once;
-    let known = once.registry().attach(key, Presence::default());
+    let known = once.registry().attach(key);
     let asked = |record: &Record| request.is_none_or(|one| one == record.request);
     let Some((record, reader)) = known.filter(|(record, _)| asked(record)) else {
         return unknown(worker, key, request).await;
@@ -140,7 +141,7 @@
             submission.call,
         )
     };
-    let reader = super::submit(worker, head, key, submission.kind, Presence::default()).await?;
+    let reader = super::submit(worker, head, key, submission.kind).await?;
     Ok(Some(reader))
 }
 
@@ -160,7 +161,6 @@
             let bytes = chain.write(&Frame::Waiting);
             return Some((Ok(bytes), (chain, None, Some(reader))));
         };
-        let item = item?;
         let last = item.is_last();
         let bytes = chain.write(&Frame::Item(item));
         Some((Ok(bytes), (chain, None, (!last).then_some(reader))))
--- a/crates/entry/src/once/peer.rs
+++ b/crates/entry/src/once/peer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use awc::error::PayloadError;
+use awc::http::Method;
 use bytes::{Bytes, BytesMut};
 use futures_util::future::join_all;
 use futures_util::{Stream, StreamExt};
@@ -94,7 +95,7 @@
     let (header, chain) = shared.once.sealer.seal(shared.clock.unix(), nonce, &body);
     let call = worker
         .client
-        .post(format!("http://{address}{PATH}"))
+        .request(Method::POST, &format!("http://{address}{PATH}"), false)
         .insert_header((HEADER, header));
     let response = call.send_body(body).await.map_err(|_| Silent)?;
     if !response.status().is_success() {
--- a/crates/entry/src/once/recorder.rs
+++ b/crates/entry/src/once/recorder.rs
@@ -14,8 +14,6 @@
 use crate::request::run::Worker;
 use crate::request::{Code, Item, Problem};
 
-/// How long a reader may hold up a run that goes on without it.
-const PATIENCE: Duration = Duration::from_secs(30);
 /// How long a planned stop waits for claims to be closed.
 const STOP_WAITS: Duration = Duration::from_secs(5);
 /// The most claims that wait to be closed. A claim that is left open is safe: when
@@ -90,7 +88,7 @@
         match item {
             Item::Complete | Item::Failed(_) => self.conclude(item),
             item => {
-                let patience = self.role.get().goes_on().then_some(PATIENCE);
+                let patience = self.worker.caller_timeout();
                 self.record.tape.write(item, patience).await;
             }
         }
--- a/crates/entry/src/once/registry.rs
+++ b/crates/entry/src/once/registry.rs
@@ -8,7 +8,6 @@
 use woodgap_core::once::Key;
 use woodgap_core::once::sightings::{HORIZON, Knowledge};
 
-use crate::caller::Presence;
 use crate::once::{Reader, Record};
 
 /// The most identities known at once; some 40 MB without their answers.
@@ -56,10 +55,10 @@
     }
 
     /// Puts a submission's record in, or attaches to the one that is known.
-    pub fn enter(&mut self, now: Millis, record: Record, presence: Presence) -> Entered {
+    pub fn enter(&mut self, now: Millis, record: Record) -> Entered {
         if let Some(known) = self.records.get(&record.key) {
             let same = known.body == record.body;
-            let reader = same.then(|| known.tape.attach(presence)).flatten();
+            let reader = same.then(|| known.tape.attach()).flatten();
             return Entered::Known(Arc::clone(known), reader);
         }
         if self.records.len() >= self.most && !self.make_room(now) {
@@ -72,9 +71,9 @@
 
     /// Attaches to the record of an identity; the reader is missing if its answer is
     /// no longer held.
-    pub fn attach(&self, key: &Key, presence: Presence) -> Option<(Arc<Record>, Option<Reader>)> {
+    pub fn attach(&self, key: &Key) -> Option<(Arc<Record>, Option<Reader>)> {
         let record = self.records.get(key)?;
-        Some((Arc::clone(record), record.tape.attach(presence)))
+        Some((Arc::clone(record), record.tape.attach()))
     }
 
     /// Takes a record out that nobody reads; false if somebody does. Readers attach
--- a/crates/entry/src/once/registry/tests.rs
+++ b/crates/entry/src/once/registry/tests.rs
@@ -28,7 +28,7 @@
 }
 
 fn first(registry: &mut Registry, record: Record) -> Arc<Record> {
-    match registry.enter(Millis::ZERO, record, Presence::default()) {
+    match registry.enter(Millis::ZERO, record) {
         Entered::First(record) => record,
         other => panic!("{other:?}"),
     }
@@ -43,7 +43,7 @@
 fn a_second_submission_attaches_to_the_first() {
     let mut registry = small();
     let known = first(&mut registry, record("a", 1, false));
-    let entered = registry.enter(Millis::ZERO, record("a", 2, false), Presence::default());
+    let entered = registry.enter(Millis::ZERO, record("a", 2, false));
     let Entered::Known(found, Some(reader)) = entered else {
         panic!("{entered:?}");
     };
@@ -62,9 +62,9 @@
     known.tape.finish(Item::Complete);
     registry.end(Millis(5), &known);
     registry.sweep(Millis(4) + KEPT);
-    assert!(registry.attach(&key("a"), Presence::default()).is_some());
+    assert!(registry.attach(&key("a")).is_some());
     registry.sweep(Millis(5) + KEPT);
-    assert!(registry.attach(&key("a"), Presence::default()).is_none());
+    assert!(registry.attach(&key("a")).is_none());
 }
 
 #[test]
@@ -74,9 +74,7 @@
     registry.end(Millis::ZERO, &binding);
     let claimed = first(&mut registry, record("claimed", 2, false));
     registry.end(Millis::ZERO, &claimed);
-    let enter = |registry: &mut Registry| {
-        registry.enter(Millis(1), record("new", 3, false), Presence::default())
-    };
+    let enter = |registry: &mut Registry| registry.enter(Millis(1), record("new", 3, false));
     assert!(matches!(enter(&mut registry), Entered::Full));
     registry.remove(&binding.key, binding.request);
     registry.ended.pop_front();
--- a/crates/entry/src/once/submit.rs
+++ b/crates/entry/src/once/submit.rs
@@ -9,7 +9,6 @@
 use woodgap_core::once::{Digest, Issued, Key, Settled, identity};
 use woodgap_core::verdict::Verdict;
 
-use crate::caller::Presence;
 use crate::once::follow::Opened;
 use crate::once::message::{Question, Submission};
 use crate::once::record::{Kind, Record};
@@ -46,13 +45,7 @@
 ///
 /// If the identity was not issued to the workspace, or was used for another
 /// request, or its answer is no longer kept.
-pub async fn submit(
-    worker: &Worker,
-    head: Head,
-    key: Key,
-    kind: Kind,
-    presence: Presence,
-) -> Result<Reader, Problem> {
+pub async fn submit(worker: &Worker, head: Head, key: Key, kind: Kind) -> Result<Reader, Problem> {
     let shared = &worker.shared;
     let once = &shared.once;
     let way = way(worker, &head, &key)?;
@@ -61,19 +54,19 @@
     let tape = once.tape(head.id);
     let record = Record::new(key, head.id, body.clone(), kind, binding, tape);
     let now = shared.clock.now();
-    let entered = once.registry().enter(now, record, presence.clone());
+    let entered = once.registry().enter(now, record);
     let record = match entered {
         Entered::First(record) => record,
         Entered::Known(known, _) if known.body != body => return Err(reused()),
         Entered::Known(_, Some(reader)) => return Ok(reader),
-        Entered::Known(known, None) => return find::kept(worker, &known.key, presence).await,
+        Entered::Known(known, None) => return find::kept(worker, &known.key).await,
         Entered::Full => return Err(full()),
     };
     if let Err(problem) = may_begin(worker, &way) {
         once.registry().remove(&record.key, record.request);
         return Err(problem);
     }
-    let reader = record.tape.attach(presence).ok_or_else(follow::gone);
+    let reader = record.tape.attach().ok_or_else(follow::gone);
     actix_web::rt::spawn(drive(worker.clone(), head, way, record));
     reader
 }
--- a/crates/entry/src/once/tape.rs
+++ b/crates/entry/src/once/tape.rs
@@ -8,7 +8,6 @@
 use woodgap_core::name;
 use woodgap_core::verdict::Verdict;
 
-use crate::caller::Presence;
 use crate::once::Room;
 use crate::request::{Code, Item, Problem};
 
@@ -78,17 +77,13 @@
 
     /// Records an item that is not the last. Waits for slow readers if the answer
     /// is beyond its bounds; those that are slower than the patience are cut off.
-    pub async fn write(&self, item: Item, patience: Option<Duration>) {
+    pub async fn write(&self, item: Item, patience: Duration) {
         loop {
             let changed = self.changed.notified();
             if self.push(&item) {
                 self.changed.notify_waiters();
                 return;
             }
-            let Some(patience) = patience else {
-                changed.await;
-                continue;
-            };
             if tokio::time::timeout(patience, changed).await.is_err() {
                 self.lock().cut_slowest();
             }
@@ -145,7 +140,7 @@
     }
 
     /// A reader from the first item on; none if that is no longer held.
-    pub fn attach(self: &Arc<Self>, presence: Presence) -> Option<Reader> {
+    pub fn attach(self: &Arc<Self>) -> Option<Reader> {
         let mut state = self.lock();
         let next = match &state.end {
             // Of a failed answer the failure alone is of use.
@@ -159,7 +154,6 @@
         Some(Reader {
             tape: Arc::clone(self),
             id,
-            presence,
         })
     }
 
@@ -245,26 +239,22 @@
     text + OVERHEAD
 }
 
-/// One reader of a recorded answer.
+/// One reader of a recorded answer; dropped once its caller is gone.
 #[derive(Debug)]
 pub struct Reader {
     tape: Arc<Tape>,
     id: u64,
-    presence: Presence,
 }
 
 impl Reader {
-    /// The next item; none once the caller is gone.
-    pub async fn recv(&mut self) -> Option<Item> {
+    /// The next item; the last one comes again and again.
+    pub async fn recv(&mut self) -> Item {
         loop {
             let changed = self.tape.changed.notified();
             if let Some(item) = self.next() {
-                return Some(item);
-            }
-            tokio::select! {
-                () = changed => {}
-                () = self.presence.gone() => return None,
+                return item;
             }
+            changed.await;
         }
     }
 
--- a/crates/entry/src/once/tape/tests.rs
+++ b/crates/entry/src/once/tape/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 
 const HASTE: Duration = Duration::from_millis(20);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 fn request() -> name::Request {
     name::Request {
@@ -33,19 +34,19 @@
 
 async fn write(tape: &Tape, offsets: impl IntoIterator<Item = u64>) {
     for offset in offsets {
-        tape.write(event(offset), Some(HASTE)).await;
+        tape.write(event(offset), HASTE).await;
     }
 }
 
 fn attach(tape: &Arc<Tape>) -> Option<Reader> {
-    tape.attach(Presence::default())
+    tape.attach()
 }
 
 /// Reads to the end; offsets, and how it ended.
 async fn read(mut reader: Reader) -> (Vec<u64>, Item) {
     let mut offsets = Vec::new();
     loop {
-        match reader.recv().await.unwrap() {
+        match reader.recv().await {
             Item::Event { offset, .. } => offsets.push(offset),
             last => return (offsets, last),
         }
@@ -78,7 +79,7 @@
     let reader = attach(&tape).unwrap();
     let reading = actix_rt::spawn(read(reader));
     for offset in 1..=100 {
-        tape.write(event(offset), None).await;
+        tape.write(event(offset), PATIENCE).await;
     }
     tape.finish(Item::Complete);
     assert_eq!(
@@ -104,7 +105,7 @@
 async fn without_a_reader_a_run_is_not_held_up() {
     let tape = tape(3, &room(100));
     for offset in 1..=100 {
-        tape.write(event(offset), None).await;
+        tape.write(event(offset), PATIENCE).await;
     }
     tape.finish(Item::Complete);
     assert!(attach(&tape).is_none());
--- a/crates/entry/src/request/sink.rs
+++ b/crates/entry/src/request/sink.rs
@@ -1,12 +1,14 @@
 //! Where an answer goes: straight to one caller, with backpressure, or into a
 //! recording that any number of callers follow.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::TrySendError};
+use tokio::time::timeout;
 use woodgap_core::name;
 
-use crate::caller::Presence;
 use crate::once::{Reader, Recorder};
 use crate::request::Problem;
 
@@ -45,7 +47,7 @@
     }
 }
 
-/// The caller went away.
+/// The caller went away, or took nothing for too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gone;
 
@@ -55,8 +57,8 @@
     Direct {
         /// What the caller reads.
         sender: mpsc::Sender<Item>,
-        /// Whether the caller is there.
-        presence: Presence,
+        /// How long the caller may take nothing.
+        patience: Duration,
     },
     /// Into a recording.
     Recorded(Recorder),
@@ -71,10 +73,11 @@
 }
 
 impl Sink {
-    /// A sink for a caller, and what the caller reads from.
-    pub fn new(presence: Presence) -> (Self, Source) {
+    /// A sink for a caller that may take nothing for so long, and what the caller
+    /// reads from.
+    pub fn new(patience: Duration) -> (Self, Source) {
         let (sender, source) = mpsc::channel(DEPTH);
-        (Self::Direct { sender, presence }, Source::Direct(source))
+        (Self::Direct { sender, patience }, Source::Direct(source))
     }
 
     /// A sink into a recording.
@@ -86,26 +89,31 @@
     ///
     /// # Errors
     ///
-    /// [`Gone`] if the caller went away.
+    /// [`Gone`] if the caller went away or took nothing for too long.
     pub async fn send(&self, item: Item) -> Result<(), Gone> {
-        match self {
-            Self::Direct { sender, .. } => sender.send(item).await.map_err(|_| Gone),
+        let (sender, patience) = match self {
+            Self::Direct { sender, patience } => (sender, *patience),
             Self::Recorded(recorder) => {
                 recorder.send(item).await;
-                Ok(())
+                return Ok(());
             }
+        };
+        // Most callers keep up, and need no timer.
+        let item = match sender.try_send(item) {
+            Ok(()) => return Ok(()),
+            Err(TrySendError::Closed(_)) => return Err(Gone),
+            Err(TrySendError::Full(item)) => item,
+        };
+        match timeout(patience, sender.send(item)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(Gone),
         }
     }
 
     /// Waits until every caller is gone, before the request is sent.
     pub async fn gone(&self) {
         match self {
-            Self::Direct { sender, presence } => {
-                tokio::select! {
-                    () = sender.closed() => {}
-                    () = presence.gone() => {}
-                }
-            }
+            Self::Direct { sender, .. } => sender.closed().await,
             Self::Recorded(recorder) => recorder.gone().await,
         }
     }
@@ -121,12 +129,11 @@
 }
 
 impl Source {
-    /// The next item; none if the run ended without its last item, or the caller
-    /// is gone.
+    /// The next item; none if the run ended without its last item.
     pub async fn recv(&mut self) -> Option<Item> {
         match self {
             Self::Direct(receiver) => receiver.recv().await,
-            Self::Recorded(reader) => reader.recv().await,
+            Self::Recorded(reader) => Some(reader.recv().await),
         }
     }
 
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -6,23 +6,25 @@
 use std::time::Duration;
 
 use actix_rt::Arbiter;
+use actix_web::middleware::from_fn;
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::{App, HttpServer};
-use awc::Client;
 use serde::Serialize;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
-use woodgap_core::control::{Machine, Start};
+use woodgap_core::control::{Machine, Policy, Start};
 use woodgap_core::membership::{Figures, Member, Standing};
 use woodgap_core::name;
+use woodgap_core::pool::Limits;
 use woodgap_platform::clock::Clock;
-use woodgap_platform::connect;
-use woodgap_settings::entry::Entry as Settings;
+use woodgap_settings::entry::{Dispatch, Entry as Settings, dispatch};
 use woodgap_wire::Key;
 
 use crate::configuration::{Watcher, watcher};
 use crate::control::socket::Bound;
 use crate::control::{Actor, Handle, Socket};
+use crate::endpoint::Client;
+use crate::housekeeping::Housekeeping;
 use crate::once::internal;
 use crate::once::table::Table;
 use crate::options::Options;
@@ -110,6 +112,10 @@
     table.start(&control.handle(), "claims", move |guard| {
         Table::new(Arc::clone(&claimed), guard)
     });
+    let kept = Arc::clone(&shared);
+    let _housekeeping = supervise(&control.handle(), "housekeeping", move |guard| {
+        Housekeeping::new(Arc::clone(&kept), guard)
+    });
     let server = server(&shared, listener, workers)?;
     let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
     announce(address, peer, &shared.settings.name);
@@ -191,26 +197,27 @@
             own: own.clone(),
             generation: generation.fetch_add(1, Ordering::Relaxed),
             seed: rand::random(),
-            waiting_per_slot: shared.settings.dispatch.waiting_per_slot,
+            policy: policy(&shared.settings.dispatch),
+            limits: limits(&shared.settings.dispatch),
+            unconfirmed_limit: shared.settings.dispatch.unconfirmed_limit,
         });
         Actor::new(machine, Arc::clone(&shared), Arc::clone(&socket), guard)
     });
 }
 
-/// Connections that one worker thread keeps to all endpoints together.
-const ENDPOINT_CONNECTIONS: usize = 10_000;
-/// How long a connection to an endpoint may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+fn policy(dispatch: &Dispatch) -> Policy {
+    match dispatch.policy {
+        dispatch::Policy::Permits => Policy::Permits,
+        dispatch::Policy::TwoChoices => Policy::TwoChoices,
+    }
+}
 
-fn client() -> Client {
-    let connector = connect::strict()
-        .limit(ENDPOINT_CONNECTIONS)
-        .timeout(CONNECT_TIMEOUT);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish()
+fn limits(dispatch: &Dispatch) -> Limits {
+    Limits {
+        waiting_per_slot: dispatch.waiting_per_slot,
+        share: dispatch.share,
+        ..Limits::default()
+    }
 }
 
 /// How long the last bytes of answers may take to reach slow callers.
@@ -223,6 +230,7 @@
 ) -> Result<actix_web::dev::Server, Error> {
     let limits = &shared.settings.limits;
     let header_timeout = Duration::from_millis(limits.header_timeout.0);
+    let caller_timeout = Duration::from_millis(limits.caller_timeout.0);
     let body_bytes = limits.body_bytes;
     let connections = limits.connections;
     let shared = Arc::clone(shared);
@@ -232,19 +240,22 @@
             .app_data(Data::new(watcher::platform(&shared)))
             .app_data(Data::new(Worker {
                 shared: Arc::clone(&shared),
-                client: client(),
+                client: Client::new(),
                 platform: watcher::platform(&shared),
             }))
             .configure(caller::routes)
             .configure(|config| internal::routes(config, body_bytes))
             .configure(admin::routes)
+            .wrap(from_fn(caller::guard::guard))
     })
     .workers(workers)
     .disable_signals()
     .shutdown_timeout(LAST_BYTES.as_secs())
     .max_connections(connections.div_ceil(workers))
     .client_request_timeout(header_timeout)
-    .on_connect(caller::Presence::remember)
+    // A caller that closes its sending half has given up, as HTTP clients do.
+    .h1_allow_half_closed(false)
+    .on_connect(caller::presence::watcher(caller_timeout))
     .listen(listener)
     .map_err(Error::Server)?;
     Ok(server.run())
