entry: old claims are deleted, with the answers that they name

Cause: claims and the kept answers of entries that died stayed in the platform for ever. Ruled out: deleting by each entry's own clock (a clock that is ahead would delete young claims, and their requests could run again), a row per day to scan by time (one more write for each request). A followed submission's own claim counts as given up, should its write land late. Tests also of odd identities in paths and of a planned stop.

--- a/crates/entry/src/housekeeping.rs
+++ b/crates/entry/src/housekeeping.rs
@@ -9,10 +9,12 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::membership::Standing;
 use woodgap_platform::Error;
+use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
 
 use crate::configuration::record;
 use crate::configuration::watcher::platform;
+use crate::once::sweep::{self, Sweep};
 use crate::shared::Shared;
 use crate::supervisor::Guard;
 
@@ -53,6 +55,7 @@
 
 async fn keep_house(shared: Arc<Shared>) {
     let platform = platform(&shared);
+    let mut claims = Sweep::new();
     loop {
         tokio::time::sleep(PERIOD).await;
         if !is_first(&shared) {
@@ -62,6 +65,7 @@
         for round in [
             old_counts(&platform, unix).await,
             old_changes(&platform, unix).await,
+            old_claims(&shared, &platform, &mut claims).await,
         ] {
             match round {
                 Ok(0) => {}
@@ -72,6 +76,17 @@
     }
 }
 
+async fn old_claims(
+    shared: &Arc<Shared>,
+    platform: &Platform,
+    claims: &mut Sweep,
+) -> Result<usize, Error> {
+    if !sweep::clock_agrees(shared).await {
+        return Ok(0);
+    }
+    claims.round(platform, shared.clock.unix()).await
+}
+
 /// Whether this entry is the first of the live ones by name. Two that both think
 /// so delete the same rows, which does no harm.
 fn is_first(shared: &Shared) -> bool {
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -18,6 +18,7 @@
 pub mod room;
 pub mod seal;
 pub mod submit;
+pub mod sweep;
 pub mod table;
 pub mod tape;
 
--- a/crates/entry/src/once/kept.rs
+++ b/crates/entry/src/once/kept.rs
@@ -30,7 +30,7 @@
 }
 
 /// The key of an answer in the object store.
-fn object(key: &Key) -> String {
+pub fn object(key: &Key) -> String {
     format!("answers/{}", key.digest())
 }
 
@@ -72,9 +72,8 @@
     postcard::from_bytes(&object.body).ok()
 }
 
-/// Deletes an answer whose time has passed.
-///
-/// NB: an answer whose entry went before that stays until it is deleted by hand.
+/// Deletes an answer whose time has passed. One whose entry went before that goes
+/// with its claim.
 pub async fn delete(worker: &Worker, key: &Key) {
     if let Err(error) = worker.platform.delete(&object(key)).await {
         log::warn!(error = error.to_string(); "kept answer not deleted");
--- a/crates/entry/src/once/submit.rs
+++ b/crates/entry/src/once/submit.rs
@@ -167,6 +167,12 @@
                 let record = recorder.record();
                 let opened = follow::claimed(&worker, &record.key, claim, Some(&record.body)).await;
                 if follow::feed(&recorder, opened).await {
+                    // A write of this submission's claim may yet land.
+                    worker
+                        .shared
+                        .once
+                        .notes()
+                        .give_up(recorder.record().request);
                     return;
                 }
             }
@@ -175,7 +181,7 @@
             }
         }
     }
-    unsettled(&worker, &head, &recorder, false).await;
+    unsettled(&worker, &head, &recorder, true).await;
 }
 
 /// The claim can't be settled: the submission is given up, and its caller is told
--- a/crates/entry/tests/once/answers.rs
+++ b/crates/entry/tests/once/answers.rs
@@ -223,3 +223,34 @@
     let forged = call.insert_header(("x-woodgap-seal", "0-0-00000000000000000000000000000000"));
     assert_eq!(forged.send_body("x").await.unwrap().status(), 401);
 }
+
+#[actix_rt::test]
+async fn any_identity_can_be_asked_for() {
+    let fleet = Fleet::start(ENTRY, 2).await;
+    let call = Call {
+        identity: "a/b%2Fc?d=1&e+f#g:[h]~\"{|}",
+        ..NARRATION
+    };
+    let answer = call.send(&fleet.entries[0]).await;
+    assert_eq!(answer.text(), TALE);
+    for entry in &fleet.entries {
+        assert_eq!(call.collect(entry).await, answer);
+    }
+}
+
+/// A planned stop finishes what may not be repeated, also if its caller is gone.
+#[actix_rt::test]
+async fn a_planned_stop_keeps_the_answer() {
+    let mut fleet = Fleet::start(ENTRY, 2).await;
+    fleet.engine.fault(json!({"late_ms": 1_000})).await;
+    let url = fleet.entries[0].address;
+    let caller = spawn(async move { NARRATION.send_to(url).await });
+    until_runs(&fleet, 1).await;
+    caller.abort();
+    fleet.entries[0].stop();
+    assert_eq!(fleet.entries[0].wait(), Some(0));
+    let collected = NARRATION.collect(&fleet.entries[1]).await;
+    assert_eq!(collected.text(), TALE);
+    assert_eq!(NARRATION.send(&fleet.entries[1]).await, collected);
+    assert_eq!(runs(&fleet).await, 1);
+}
--- a/crates/entry/tests/once/caller.rs
+++ b/crates/entry/tests/once/caller.rs
@@ -87,7 +87,8 @@
 
     /// Asks for the answer of the identity.
     pub async fn collect(self, entry: &Entry) -> Answer {
-        let url = entry.url(&format!("/v1/answers/{}", self.identity));
+        let identity: String = self.identity.bytes().map(encoded).collect();
+        let url = entry.url(&format!("/v1/answers/{identity}"));
         read(Client::default().get(url).bearer_auth(self.key).send()).await
     }
 
@@ -117,6 +118,15 @@
     }
 }
 
+/// A byte as it stands in a path.
+fn encoded(byte: u8) -> String {
+    if byte.is_ascii_alphanumeric() {
+        char::from(byte).to_string()
+    } else {
+        format!("%{byte:02X}")
+    }
+}
+
 async fn read(sent: awc::SendClientRequest) -> Answer {
     let Ok(mut response) = sent.await else {
         return Answer::default();
