--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod message;
 pub mod name;
+pub mod once;
 pub mod permit;
 pub mod pool;
 pub mod revision;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod endpoint;
 pub mod housekeeping;
+pub mod once;
 pub mod options;
 pub mod recording;
 pub mod request;
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -9,6 +9,7 @@
 use woodgap_core::control::Outcome;
 use woodgap_core::verdict::Verdict;
 use woodgap_platform::endpoint::REQUEST_HEADER;
+use woodgap_platform::http::Platform;
 
 use crate::control::Permit;
 use crate::endpoint::{Client, client};
@@ -24,8 +25,10 @@
 pub struct Worker {
     /// The entry's shared state.
     pub shared: Arc<Shared>,
-    /// This thread's client to endpoints.
+    /// This thread's client to endpoints and other entries.
     pub client: Client,
+    /// This thread's client to the platform.
+    pub platform: Platform,
 }
 
 impl Worker {
@@ -96,7 +99,7 @@
         account.dispatched(granted.permit().endpoint());
         let attempt = tokio::select! {
             attempt = attempt(worker, &head, granted.permit(), &mut progress, &mut started, sink) => attempt,
-            () = sink.gone() => Attempt::Gone,
+            () = sink.abandoned() => Attempt::Gone,
         };
         account.attempted(granted.permit(), &attempt, progress.offset);
         match next(worker, granted, attempt, started) {
@@ -191,7 +194,8 @@
     }
 }
 
-/// A request that never left did not run; any other may have.
+/// A request that never left did not run; any other may have. Over strict
+/// connections, one that closes under a sent request is no error of connecting.
 pub(super) fn unsent(error: &SendRequestError) -> Attempt {
     if client::unsent(error) {
         Attempt::Refused
