entry: one policy of attempts, bounded refusals, answers that never mix

Cause: refused attempts were repeated at once and without end (409 of an engine that can't resume, 404 of one that no longer holds the model, an unusable URL), and used up the attempts that failures may have. A resumed attempt that began from the start was spliced to the part passed on, whatever its text. A refusal after an earlier attempt could claim that nothing ran (400 on a resumed request). An event of several data lines reached the caller broken, and an answer that lacked only its mark was run again. Ruled out: a deadline for waiting (a request whose target passed is still served; the waiting list, the caller and the bound on refusals end it); failing at once where an engine can't resume (a deterministic engine gives the same text again, and the offsets and a running hash of the text show whether it did); starting over for a caller that has nothing yet, which needs a way to take items back (left for later). Conclusion: the verdict of every ending follows from the attempts, in one place.

--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// What is known about the execution of a request that got no whole answer.
+/// What is known about the execution of a request that got no whole answer; the
+/// greater one has run more.
 ///
 /// ```
 /// use woodgap_core::verdict::Verdict;
@@ -11,7 +12,7 @@
 /// assert!(!Verdict::MayHaveRun.safe_to_repeat());
 /// assert_eq!(Verdict::NotRun.as_str(), "not_run");
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// No endpoint has started it, and none will.
--- a/crates/entry/src/caller/answer.rs
+++ b/crates/entry/src/caller/answer.rs
@@ -127,9 +127,7 @@
             self.created = chunk.created;
         }
         if let Some(choice) = chunk.choices.into_iter().next() {
-            let delta = choice.delta.and_then(|delta| delta.content);
-            self.text
-                .push_str(&delta.or(choice.text).unwrap_or_default());
+            self.text.push_str(choice.content());
             if let Some(reason) = choice.finish_reason {
                 self.finish_reason = reason.into_owned();
             }
--- a/crates/entry/src/endpoint/events.rs
+++ b/crates/entry/src/endpoint/events.rs
@@ -56,6 +56,14 @@
     pub finish_reason: Option<Cow<'a, str>>,
 }
 
+impl Choice<'_> {
+    /// The text, in either form.
+    pub fn content(&self) -> &str {
+        let delta = self.delta.as_ref().and_then(|delta| delta.content.as_ref());
+        delta.or(self.text.as_ref()).map_or("", AsRef::as_ref)
+    }
+}
+
 /// New text of a chat answer.
 #[derive(Debug, Deserialize)]
 pub struct Delta<'a> {
--- a/crates/entry/src/request/account.rs
+++ b/crates/entry/src/request/account.rs
@@ -8,8 +8,8 @@
 use woodgap_core::verdict::Verdict;
 
 use crate::control::Permit;
-use crate::request::run::{Attempt, within};
-use crate::request::{Ending, Head};
+use crate::request::run::within;
+use crate::request::{Attempt, Ending, Head};
 use crate::shared::Shared;
 
 /// What is known so far about one request's cost.
@@ -21,7 +21,7 @@
     first_token: Option<Millis>,
     tokens_produced: u64,
     tokens_passed_on: u64,
-    may_have_run: bool,
+    verdict: Verdict,
 }
 
 impl<'a> Account<'a> {
@@ -35,7 +35,7 @@
             first_token: None,
             tokens_produced: 0,
             tokens_passed_on: 0,
-            may_have_run: false,
+            verdict: Verdict::NotRun,
         }
     }
 
@@ -52,17 +52,12 @@
             Attempt::Complete => offset.max(1),
             _ => offset,
         };
-        self.may_have_run |= !matches!(attempt, Attempt::Refused | Attempt::Rejected(_));
+        self.verdict = self.verdict.max(attempt.verdict());
         if self.first_token.is_none() {
             self.first_token = permit.first_token_at();
         }
     }
 
-    /// Whether an endpoint may have started the request.
-    pub fn may_have_run(&self) -> bool {
-        self.may_have_run
-    }
-
     /// Closes the account.
     pub fn close(self, ending: &Ending) {
         let latency = self.shared.clock.now() - self.head.arrived;
@@ -112,7 +107,7 @@
         let (end, code, verdict) = match ending {
             Ending::Complete => ("complete", "", Verdict::Ran.as_str()),
             Ending::Failed(problem) => ("failed", problem.code.as_str(), problem.verdict.as_str()),
-            Ending::Abandoned => ("abandoned", "", self.abandoned_verdict().as_str()),
+            Ending::Abandoned => ("abandoned", "", self.verdict.as_str()),
         };
         log::info!(
             request = self.head.id.to_string(),
@@ -131,14 +126,6 @@
         );
     }
 
-    fn abandoned_verdict(&self) -> Verdict {
-        if self.attempts > 0 {
-            Verdict::MayHaveRun
-        } else {
-            Verdict::NotRun
-        }
-    }
-
     fn measure(&self, ending: &Ending, latency: Millis) {
         let end = match ending {
             Ending::Complete => "complete",
--- a/crates/entry/src/request/life.rs
+++ b/crates/entry/src/request/life.rs
@@ -43,14 +43,16 @@
     pub call: Call,
 }
 
+/// Endpoints that a request avoids at most, the last ones that failed it: they
+/// travel with each ask.
+const AVOIDED: usize = 8;
+
 /// A request in one of its states.
 pub struct Request<S> {
     /// What stays the same.
     pub head: Rc<Head>,
     /// Endpoints that failed it.
     avoid: Vec<name::Endpoint>,
-    /// Attempts that were sent to an endpoint.
-    attempts: u32,
     state: S,
 }
 
@@ -68,7 +70,6 @@
         Self {
             head: Rc::new(head),
             avoid: Vec::new(),
-            attempts: 0,
             state: Received,
         }
     }
@@ -77,8 +78,8 @@
     ///
     /// # Errors
     ///
-    /// Why there is none.
-    pub async fn ask(self, shared: &Shared) -> Result<Request<Granted>, Problem> {
+    /// The request as it was, and why there is none.
+    pub async fn ask(self, shared: &Shared) -> Result<Request<Granted>, (Self, Problem)> {
         let head = &self.head;
         let ask = Ask {
             request: head.id,
@@ -94,7 +95,7 @@
         };
         match shared.control.ask(ask).await {
             Answer::Grant(grant) => Ok(self.granted(grant, shared)),
-            Answer::Refuse(refusal) => Err(refusal.into()),
+            Answer::Refuse(refusal) => Err((self, refusal.into())),
         }
     }
 
@@ -103,7 +104,6 @@
         Request {
             head: self.head,
             avoid: self.avoid,
-            attempts: self.attempts + 1,
             state: Granted { permit },
         }
     }
@@ -115,26 +115,26 @@
         &mut self.state.permit
     }
 
-    /// Attempts so far, this one included.
-    pub fn attempts(&self) -> u32 {
-        self.attempts
-    }
-
-    /// Gives the place back after an attempt that failed; the request waits again.
-    pub fn failed(mut self, outcome: Outcome) -> Request<Received> {
+    /// Gives the place back after an attempt; the request can wait again.
+    pub fn give_back(mut self, outcome: Outcome) -> Request<Received> {
         let permit = self.state.permit;
-        self.avoid.push(permit.endpoint().clone());
+        if matches!(outcome, Outcome::Refused | Outcome::Failed) {
+            avoid(&mut self.avoid, permit.endpoint());
+        }
         permit.finish(outcome);
         Request {
             head: self.head,
             avoid: self.avoid,
-            attempts: self.attempts,
             state: Received,
         }
     }
+}
 
-    /// Gives the place back for good.
-    pub fn finish(self, outcome: Outcome) {
-        self.state.permit.finish(outcome);
+/// Adds an endpoint to those avoided, the oldest of which may go.
+fn avoid(avoided: &mut Vec<name::Endpoint>, endpoint: &name::Endpoint) {
+    avoided.retain(|known| known != endpoint);
+    avoided.push(endpoint.clone());
+    if avoided.len() > AVOIDED {
+        avoided.remove(0);
     }
 }
--- a/crates/entry/src/request/model.rs
+++ b/crates/entry/src/request/model.rs
@@ -12,17 +12,9 @@
 use crate::endpoint::Chunk;
 use crate::endpoint::events::{DONE, Events, Problem};
 use crate::request::call::Model;
-use crate::request::run::{Attempt, Worker};
-use crate::request::{Head, Item, Sink};
-
-/// How far an answer has come, over all attempts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Progress {
-    /// The offset of the last event passed on.
-    pub offset: u64,
-    /// Whether the last chunk of the answer was passed on.
-    pub finished: bool,
-}
+use crate::request::progress::{Cursor, Fault, Step};
+use crate::request::run::{Worker, check_identity, unsent};
+use crate::request::{Attempt, Head, Item, Progress, Sink};
 
 /// Sends a model request to the endpoint of the permit and relays the answer.
 pub async fn attempt(
@@ -40,42 +32,45 @@
         .insert_header(("content-type", "application/json"))
         .insert_header((REQUEST_HEADER, head.id.to_string()))
         .insert_header((PRIORITY_HEADER, permit.priority().to_string()));
-    if progress.offset > 0 {
-        request = request.insert_header((RESUME_HEADER, progress.offset.to_string()));
+    if let Some(offset) = progress.resume_after() {
+        request = request.insert_header((RESUME_HEADER, offset.to_string()));
     }
     let timeout = worker.endpoint_timeout();
     let response = match tokio::time::timeout(timeout, request.send_body(model.body.clone())).await
     {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return super::run::unsent(&error),
+        Ok(Err(error)) => return unsent(&error),
         Err(_) => return Attempt::Broken("no answer in time".to_owned()),
     };
     match check(&response, head) {
-        Ok(()) => relay(timeout, response, permit, progress, sink).await,
+        Ok(()) => relay(timeout, response, permit, progress.attempt(), sink).await,
         Err(attempt) => attempt,
     }
 }
 
 /// Whether the head of an answer is that of this request's answer.
 fn check<S>(response: &ClientResponse<S>, head: &Head) -> Result<(), Attempt> {
-    match response.status() {
-        StatusCode::OK => {}
-        StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            return Err(Attempt::Refused);
-        }
-        status if status.is_client_error() => {
-            return Err(Attempt::Rejected(format!("the engine answered {status}")));
+    let status = response.status();
+    let text = format!("the engine answered {status}");
+    match status {
+        StatusCode::OK => check_identity(response, head),
+        StatusCode::CONFLICT => Err(Attempt::NoResume),
+        // 404: the engine does not hold the model any more.
+        StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            Err(Attempt::Refused(text))
         }
-        status => return Err(Attempt::Broken(format!("the engine answered {status}"))),
+        StatusCode::BAD_REQUEST
+        | StatusCode::PAYLOAD_TOO_LARGE
+        | StatusCode::UNPROCESSABLE_ENTITY => Err(Attempt::Rejected(text)),
+        _ => Err(Attempt::Broken(text)),
     }
-    super::run::check_identity(response, head)
 }
 
 async fn relay<S>(
     timeout: Duration,
     response: ClientResponse<S>,
     permit: &mut Permit,
-    progress: &mut Progress,
+    mut cursor: Cursor<'_>,
     sink: &Sink,
 ) -> Attempt
 where
@@ -83,21 +78,24 @@
 {
     let mut events = Events::new(response);
     loop {
-        let event = match tokio::time::timeout(timeout, events.next()).await {
-            Err(_) => return Attempt::Broken("the stream hangs".to_owned()),
-            Ok(None) => return Attempt::Broken("the stream ended early".to_owned()),
-            Ok(Some(Err(problem))) => return broken(&problem),
+        let next = tokio::time::timeout(timeout, events.next()).await;
+        let event = match next {
             Ok(Some(Ok(event))) => event,
+            // The last chunk has come, and only the mark after it is missing.
+            _ if cursor.finished() => return Attempt::Complete,
+            Ok(Some(Err(problem))) => return broken(&problem),
+            Ok(None) => return Attempt::Broken("the stream ended early".to_owned()),
+            Err(_) => return Attempt::Broken("the stream hangs".to_owned()),
         };
         if event.data == DONE {
-            return done(*progress);
+            return done(&cursor);
         }
-        match take(&event.id, &event.data, permit, progress) {
-            Ok(false) => {}
-            Ok(true) => {
+        match take(&event.id, &event.data, permit, &mut cursor) {
+            Ok(Step::Old) => {}
+            Ok(Step::New) => {
                 let item = Item::Event {
-                    offset: progress.offset,
-                    data: event.data,
+                    offset: cursor.offset(),
+                    data: one_line(event.data),
                 };
                 if sink.send(item).await.is_err() {
                     return Attempt::Gone;
@@ -108,6 +106,16 @@
     }
 }
 
+/// A chunk on one line, as each event that we send has it: line breaks in JSON
+/// stand between its tokens only.
+fn one_line(data: String) -> String {
+    if data.contains('\n') {
+        data.replace('\n', " ")
+    } else {
+        data
+    }
+}
+
 fn broken(problem: &Problem) -> Attempt {
     match problem {
         Problem::Broken(text) => Attempt::Broken(text.clone()),
@@ -115,34 +123,28 @@
     }
 }
 
-fn done(progress: Progress) -> Attempt {
-    if progress.finished {
+fn done(cursor: &Cursor<'_>) -> Attempt {
+    if cursor.finished() {
         Attempt::Complete
     } else {
         Attempt::Garbage("the end came before the last chunk".to_owned())
     }
 }
 
-/// Checks one event against the offsets; says whether it is new.
+/// Checks one event against what was passed on.
 fn take(
     id: &str,
     data: &str,
     permit: &mut Permit,
-    progress: &mut Progress,
-) -> Result<bool, Attempt> {
+    cursor: &mut Cursor<'_>,
+) -> Result<Step, Attempt> {
     let chunk = Chunk::parse(data).map_err(|problem| broken(&problem))?;
     let offset: u64 = id
         .parse()
         .map_err(|_| Attempt::Garbage(format!("`{id}` is no event offset")))?;
     permit.count_token();
-    if offset <= progress.offset {
-        return Ok(false);
-    }
-    if offset != progress.offset + 1 {
-        let text = format!("event {offset} follows event {}", progress.offset);
-        return Err(Attempt::Garbage(text));
-    }
-    progress.offset = offset;
-    progress.finished |= chunk.finishes();
-    Ok(true)
+    cursor.take(offset, &chunk).map_err(|fault| match fault {
+        Fault::Gap { .. } => Attempt::Garbage(fault.to_string()),
+        Fault::Differs => Attempt::Differs(fault.to_string()),
+    })
 }
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -6,16 +6,14 @@
 use awc::ClientResponse;
 use awc::error::SendRequestError;
 use woodgap_core::clock::Millis;
-use woodgap_core::control::Outcome;
-use woodgap_core::verdict::Verdict;
 use woodgap_platform::endpoint::REQUEST_HEADER;
 
 use crate::control::Permit;
 use crate::endpoint::{Client, client};
 use crate::request::account::Account;
-use crate::request::model::{self, Progress};
+use crate::request::retry::{Attempt, Next, Tally, Terms};
 use crate::request::{
-    Call, Code, Ending, Granted, Head, Item, Problem, Received, Request, Sink, service,
+    Call, Ending, Granted, Head, Item, Progress, Received, Request, Sink, model, service,
 };
 use crate::shared::Shared;
 
@@ -40,23 +38,6 @@
     }
 }
 
-/// How one attempt ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Attempt {
-    /// The whole answer was passed on.
-    Complete,
-    /// The endpoint did not start it.
-    Refused,
-    /// The endpoint says that the request itself is wrong.
-    Rejected(String),
-    /// The endpoint failed after it may have started.
-    Broken(String),
-    /// The endpoint sent what can't be relayed.
-    Garbage(String),
-    /// The caller went away.
-    Gone,
-}
-
 /// Runs a request to its end, tells the caller, and accounts for it.
 pub async fn run(worker: Worker, request: Request<Received>, sink: Sink) {
     let head = request.head.clone();
@@ -81,100 +62,68 @@
     account: &mut Account<'_>,
 ) -> Ending {
     let mut progress = Progress::default();
-    let mut started = false;
+    let mut tally = Tally::new(Terms {
+        repeatable: request.head.repeatable,
+        attempts: worker.shared.settings.dispatch.retries,
+    });
     loop {
         let asked = tokio::select! {
             asked = request.ask(&worker.shared) => asked,
             () = sink.gone() => return Ending::Abandoned,
         };
-        let mut granted = match asked {
-            Ok(granted) => granted,
-            Err(problem) => return Ending::Failed(after_start(problem, account)),
-        };
-        let head = granted.head.clone();
-        account.dispatched(granted.permit().endpoint());
-        let attempt = tokio::select! {
-            attempt = attempt(worker, &head, granted.permit(), &mut progress, &mut started, sink) => attempt,
-            () = sink.gone() => Attempt::Gone,
+        let next;
+        (request, next) = match asked {
+            Ok(granted) => one(worker, granted, &mut tally, &mut progress, sink, account).await,
+            Err((request, problem)) => (request, tally.declined(problem)),
         };
-        account.attempted(granted.permit(), &attempt, progress.offset);
-        match next(worker, granted, attempt, started) {
-            Next::Again(again) => request = again,
+        match next {
+            Next::Again(pause) => tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(pause.0)) => {}
+                () = sink.gone() => return Ending::Abandoned,
+            },
             Next::End(ending) => return ending,
         }
     }
 }
 
+/// Makes one attempt and gives its place back.
+async fn one(
+    worker: &Worker,
+    mut granted: Request<Granted>,
+    tally: &mut Tally,
+    progress: &mut Progress,
+    sink: &Sink,
+    account: &mut Account<'_>,
+) -> (Request<Received>, Next) {
+    let head = granted.head.clone();
+    let permit = granted.permit();
+    account.dispatched(permit.endpoint());
+    let attempt = tokio::select! {
+        attempt = attempt(worker, &head, permit, tally, progress, sink) => attempt,
+        () = sink.gone() => Attempt::Gone,
+    };
+    if attempt == Attempt::NoResume {
+        progress.start_over();
+    }
+    account.attempted(permit, &attempt, progress.offset());
+    let request = granted.give_back(attempt.outcome());
+    (request, tally.attempted(attempt))
+}
+
 async fn attempt(
     worker: &Worker,
     head: &Head,
     permit: &mut Permit,
+    tally: &mut Tally,
     progress: &mut Progress,
-    started: &mut bool,
     sink: &Sink,
 ) -> Attempt {
     match &head.call {
         Call::Model(call) => model::attempt(worker, head, call, permit, progress, sink).await,
-        Call::Service(call) => service::attempt(worker, head, call, permit, started, sink).await,
+        Call::Service(call) => service::attempt(worker, head, call, permit, tally, sink).await,
     }
 }
 
-enum Next {
-    Again(Request<Received>),
-    End(Ending),
-}
-
-/// Decides after an attempt whether there is another.
-fn next(worker: &Worker, granted: Request<Granted>, attempt: Attempt, started: bool) -> Next {
-    let more = granted.attempts() < worker.shared.settings.dispatch.retries;
-    let repeat = granted.head.repeatable && more && !started;
-    match attempt {
-        Attempt::Complete => {
-            granted.finish(Outcome::Complete);
-            Next::End(Ending::Complete)
-        }
-        Attempt::Gone => {
-            granted.finish(Outcome::Cancelled);
-            Next::End(Ending::Abandoned)
-        }
-        // Nothing ran, so that asking again is safe for any request; the waiting
-        // list, not a count of attempts, bounds it.
-        Attempt::Refused => Next::Again(granted.failed(Outcome::Refused)),
-        Attempt::Rejected(text) => {
-            granted.finish(Outcome::Refused);
-            Next::End(Ending::Failed(Problem::not_run(Code::BadRequest, text)))
-        }
-        Attempt::Broken(_) | Attempt::Garbage(_) if repeat => {
-            Next::Again(granted.failed(Outcome::Failed))
-        }
-        Attempt::Broken(text) => {
-            granted.finish(Outcome::Failed);
-            Next::End(Ending::Failed(Problem::new(
-                Code::EndpointFailed,
-                Verdict::MayHaveRun,
-                text,
-            )))
-        }
-        Attempt::Garbage(text) => {
-            granted.finish(Outcome::Failed);
-            Next::End(Ending::Failed(Problem::new(
-                Code::BadAnswer,
-                Verdict::Ran,
-                text,
-            )))
-        }
-    }
-}
-
-/// A refusal of a later attempt must not claim that nothing ran.
-fn after_start(mut problem: Problem, account: &Account<'_>) -> Problem {
-    if account.may_have_run() {
-        problem.code = Code::EndpointFailed;
-        problem.verdict = Verdict::MayHaveRun;
-    }
-    problem
-}
-
 /// An answer must carry the identity of the request that it answers.
 pub(super) fn check_identity<S>(response: &ClientResponse<S>, head: &Head) -> Result<(), Attempt> {
     let identity = response
@@ -192,10 +141,10 @@
 
 /// A request that never left did not run; any other may have.
 pub(super) fn unsent(error: &SendRequestError) -> Attempt {
-    if client::unsent(error) {
-        Attempt::Refused
-    } else {
-        Attempt::Broken(error.to_string())
+    match error {
+        error if client::unsent(error) => Attempt::Refused(error.to_string()),
+        SendRequestError::Url(_) => Attempt::Rejected(error.to_string()),
+        _ => Attempt::Broken(error.to_string()),
     }
 }
 
--- a/crates/entry/src/request/service.rs
+++ b/crates/entry/src/request/service.rs
@@ -8,18 +8,20 @@
 use crate::caller::refusal::VERDICT_HEADER;
 use crate::control::Permit;
 use crate::request::call::Service;
-use crate::request::run::{Attempt, Worker, check_identity, unsent};
-use crate::request::{Head, Item, Sink};
+use crate::request::retry::Tally;
+use crate::request::run::{Worker, check_identity, unsent};
+use crate::request::{Attempt, Head, Item, Sink};
 
 /// Sends a call to the endpoint of the permit and relays the answer.
 ///
-/// `started` is set once a part of the answer was passed on.
+/// Once a part of the answer was passed on, the tally is sealed: another answer
+/// could not go on after it.
 pub async fn attempt(
     worker: &Worker,
     head: &Head,
     service: &Service,
     permit: &mut Permit,
-    started: &mut bool,
+    tally: &mut Tally,
     sink: &Sink,
 ) -> Attempt {
     let url = format!(
@@ -45,13 +47,13 @@
             Err(_) => return Attempt::Broken("no answer in time".to_owned()),
         };
     if refused(&response) {
-        return Attempt::Refused;
+        return Attempt::Refused(format!("the service answered {}", response.status()));
     }
     if let Err(attempt) = check_identity(&response, head) {
         return attempt;
     }
     permit.count_token();
-    *started = true;
+    tally.seal();
     if sink.send(head_of(&response)).await.is_err() {
         return Attempt::Gone;
     }
--- a/crates/entry/tests/contract/raw.rs
+++ b/crates/entry/tests/contract/raw.rs
@@ -14,6 +14,8 @@
     r#"{"age":0,"running":0,"queued":0,"slots":8,"tokens_per_second":0.0,"state":"live"}"#;
 /// Stands in an answer for the identity of the request.
 const IDENTITY: &str = "{id}";
+/// What follows in an answer is sent as one chunk and the last one.
+const CHUNKED: &str = "{chunked}";
 
 /// The endpoint.
 pub struct Raw {
@@ -101,7 +103,7 @@
         served += 1;
         let identity = header(&head, "x-woodgap-request").unwrap_or_default();
         let answer = state.lock().unwrap().take(head);
-        let answer = answer.replace(IDENTITY, &identity);
+        let answer = encoded(&answer.replace(IDENTITY, &identity));
         let written = stream.write_all(answer.as_bytes()).await;
         if written.is_err() || !answer.contains("keep-alive") {
             return;
@@ -120,6 +122,13 @@
     }
 }
 
+fn encoded(answer: &str) -> String {
+    let Some((head, body)) = answer.split_once(CHUNKED) else {
+        return answer.to_owned();
+    };
+    format!("{head}{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+}
+
 /// Reads one request; returns its head.
 async fn request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
     loop {
