--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -6,7 +6,7 @@
 use crate::caller::{Authority, Body, answer};
 use crate::request::call::Service;
 use crate::request::run::{self, Worker};
-use crate::request::{Call, Head, Problem, Received, Request, Sink};
+use crate::request::{Call, Code, Head, Problem, Received, Request, Sink};
 
 /// `ANY /v1/services/{name}/{path}`.
 pub(crate) async fn call(
@@ -15,7 +15,12 @@
     path: Path<(String, String)>,
     body: Body,
 ) -> Result<HttpResponse, Problem> {
-    let (target, path) = path.into_inner();
+    let (target, decoded) = path.into_inner();
+    if is_control(&decoded) {
+        let message = "an endpoint's control calls are not for callers";
+        return Err(Problem::not_run(Code::UnknownPath, message));
+    }
+    let path = raw_path(&request);
     let authority = Authority::of(&worker.shared, &request)?;
     let (name, class) = authority.class(&target)?;
     authority.check_identity(class)?;
@@ -35,7 +40,7 @@
         identity: 0,
         call: Call::Service(Service {
             method: request.method().clone(),
-            path: with_query(path, request.query_string()),
+            path,
             content_type: content_type
                 .and_then(|value| value.to_str().ok())
                 .map(str::to_owned),
@@ -53,10 +58,29 @@
     answer::relayed(source, id, &worker.shared).await
 }
 
-fn with_query(path: String, query: &str) -> String {
-    if query.is_empty() {
-        path
-    } else {
-        format!("{path}?{query}")
+/// Slashes before the service's own path, in `/v1/services/{name}/{path}`.
+const SLASHES: usize = 4;
+
+/// Path and query below the service, byte for byte as the caller wrote them.
+fn raw_path(request: &HttpRequest) -> String {
+    let whole = request
+        .uri()
+        .path_and_query()
+        .map_or("", |path| path.as_str());
+    let below = whole.splitn(SLASHES + 1, '/').nth(SLASHES);
+    below.unwrap_or_default().to_owned()
+}
+
+/// Whether an endpoint could take a decoded path for one of its control calls.
+fn is_control(path: &str) -> bool {
+    let path = path.to_ascii_lowercase().replace("%2f", "/");
+    let mut segments = Vec::new();
+    for segment in path.split(['/', '\\']) {
+        match segment {
+            "" | "." => {}
+            ".." => drop(segments.pop()),
+            _ => segments.push(segment),
+        }
     }
+    segments.first() == Some(&"control")
 }
--- a/crates/entry/tests/contract/engines.rs
+++ b/crates/entry/tests/contract/engines.rs
@@ -151,6 +151,28 @@
     until(&format!("the runs are {ends:?}"), same).await;
 }
 
+/// An endpoint that is no longer there costs nothing, and its pool says so when
+/// it was the last.
+#[rstest]
+#[case::one_of_two(vec![Stand::engine(engine())], "200 whole")]
+#[case::the_last(vec![], "503 no_endpoint not_run retry after 2")]
+#[actix_rt::test]
+async fn an_endpoint_that_is_gone(
+    #[case] endpoints: Vec<Stand>,
+    #[case] expected: &str,
+    #[values("caption", "narration")] class: &str,
+) {
+    let site = Site::start(Plan {
+        endpoints,
+        raw: vec![Raw::gone().await],
+        ..Plan::default()
+    })
+    .await;
+    let seen = site.ask(class, &question(10)).await;
+    check(&site, &seen, 10).await;
+    assert_eq!(seen.to_string(), expected, "{seen:?}");
+}
+
 /// More faults than attempts: the caller learns the last one.
 #[rstest]
 #[case::crashes(json!({"crash_after_tokens": 2, "crash_runs": 9}), "200 endpoint_failed may_have_run")]
--- a/crates/entry/tests/contract/raw.rs
+++ b/crates/entry/tests/contract/raw.rs
@@ -43,6 +43,15 @@
         Self::with(&[answer], true).await
     }
 
+    /// An endpoint that is listed, and no longer there.
+    pub async fn gone() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self {
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+        }
+    }
+
     async fn with(answers: &[&'static str], closing: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
