entry: a crash of one part leaves the others' requests alone

Cause: after a restart of the control branch the machine knew no endpoint until the next look at the instance list, so that waiting and new requests were refused with no_endpoint, through a whole outage of the platform; a panic while a request ran left it uncounted and unlogged, and its caller with a closed channel's message. Ruled out: holding requests until the next list (they would hang while the platform is out); a way to order a panic in the product (the test's own logger panics on a debug line that is useful anyway). Change: the handle of the control branch remembers the last instance list, a new life begins with it; a panic in a request is caught where the request runs, told as entry_failed and accounted for. Debug lines for the begin and end of each attempt. Conclusion: permits of the former life are unknown to the new machine until they are given back, so that endpoints may be overbooked for as long as those requests run.

--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -15,6 +15,7 @@
 use woodgap_platform::endpoint::{LOAD_PATH, Load};
 
 use crate::control::Answer;
+use crate::control::handle::Known;
 use crate::supervisor::Guard;
 
 /// How long a probe waits for an endpoint's answer.
@@ -27,12 +28,14 @@
     client: Client,
     waiting: HashMap<name::Request, oneshot::Sender<Answer>>,
     actions: Vec<Action>,
+    known: Known,
     _guard: Guard,
 }
 
 impl Actor {
-    /// An actor around a new machine.
-    pub fn new(machine: Machine, clock: Clock, guard: Guard) -> Self {
+    /// An actor around a new machine, which begins with the last instance list
+    /// known: requests that come before the next one need not be refused.
+    pub fn new(machine: Machine, clock: Clock, known: Known, guard: Guard) -> Self {
         let client = Client::builder().timeout(PROBE_TIMEOUT).finish();
         Self {
             machine,
@@ -40,6 +43,7 @@
             client,
             waiting: HashMap::new(),
             actions: Vec::new(),
+            known,
             _guard: guard,
         }
     }
@@ -110,6 +114,9 @@
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Self::Context) {
+        if let Some(instances) = self.known.load_full() {
+            self.tell(Event::Instances(instances.to_vec()), context);
+        }
         context.run_interval(Duration::from_millis(TICK.0), |actor, context| {
             actor.tell(Event::Tick, context);
         });
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -1,9 +1,12 @@
 //! How the other threads reach the control thread.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use tokio::sync::oneshot;
 use woodgap_core::control::{Ask, Event, Grant, Refusal};
+use woodgap_core::instance::Instance;
 use woodgap_core::name;
 
 use crate::control::actor::{Actor, Place, Tell};
@@ -21,16 +24,20 @@
     Refuse(Refusal),
 }
 
+/// The last instance list, which outlives a life of the control actor.
+pub type Known = Arc<ArcSwapOption<Vec<Instance>>>;
+
 /// Reaches the control actor, whichever life of it is running.
 #[derive(Clone)]
 pub struct Handle {
     branch: Branch<Actor>,
+    known: Known,
 }
 
 impl Handle {
     /// A handle of a supervised control actor.
-    pub fn new(branch: Branch<Actor>) -> Self {
-        Self { branch }
+    pub fn new(branch: Branch<Actor>, known: Known) -> Self {
+        Self { branch, known }
     }
 
     /// Asks for a place and waits for the answer, over restarts of the control branch.
@@ -59,6 +66,9 @@
 
     /// Tells the machine of an event; lost if the control branch is restarting.
     pub fn tell(&self, event: Event) {
+        if let Event::Instances(instances) = &event {
+            self.known.store(Some(Arc::new(instances.clone())));
+        }
         if let Some(address) = self.branch.address() {
             address.do_send(Tell(event));
         }
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -1,13 +1,16 @@
 //! Carries a request from its arrival to its end, over as many attempts as it may have.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
 use awc::ClientResponse;
 use awc::error::SendRequestError;
+use futures_util::FutureExt;
 use woodgap_core::clock::Millis;
 use woodgap_platform::endpoint::REQUEST_HEADER;
 
+use crate::caller::guard;
 use crate::control::Permit;
 use crate::endpoint::{Client, client};
 use crate::request::account::Account;
@@ -42,7 +45,10 @@
 pub async fn run(worker: Worker, request: Request<Received>, sink: Sink) {
     let head = request.head.clone();
     let mut account = Account::new(&worker.shared, &head);
-    let ending = attempts(&worker, request, &sink, &mut account).await;
+    // A panic ends this request only, and not without a word to its caller.
+    let attempts = AssertUnwindSafe(attempts(&worker, request, &sink, &mut account));
+    let ending = attempts.catch_unwind().await;
+    let ending = ending.unwrap_or_else(|_| Ending::Failed(guard::panicked()));
     let told = match &ending {
         Ending::Complete => sink.send(Item::Complete).await,
         Ending::Failed(problem) => sink.send(Item::Failed(problem.clone())).await,
@@ -98,10 +104,12 @@
     let head = granted.head.clone();
     let permit = granted.permit();
     account.dispatched(permit.endpoint());
+    log::debug!(request = head.id.to_string(), endpoint = permit.endpoint().as_str(); "attempt begins");
     let attempt = tokio::select! {
         attempt = attempt(worker, &head, permit, tally, progress, sink) => attempt,
         () = sink.gone() => Attempt::Gone,
     };
+    log::debug!(request = head.id.to_string(), verdict = attempt.verdict().as_str(); "attempt ended");
     if attempt == Attempt::NoResume {
         progress.start_over();
     }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -17,6 +17,7 @@
 use woodgap_settings::entry::Entry as Settings;
 
 use crate::configuration::{Watcher, watcher};
+use crate::control::handle::Known;
 use crate::control::{Actor, Handle};
 use crate::endpoint::Client;
 use crate::options::Options;
@@ -113,8 +114,11 @@
     let clock = Clock::start();
     let incarnation = name::Incarnation(rand::random());
     let waiting_per_slot = settings.dispatch.waiting_per_slot;
+    let known = Known::default();
+    let last = Known::clone(&known);
     let branch = supervise(&control.handle(), "control", move |guard| {
-        Actor::new(Machine::new(rand::random(), waiting_per_slot), clock, guard)
+        let machine = Machine::new(rand::random(), waiting_per_slot);
+        Actor::new(machine, clock, Known::clone(&last), guard)
     });
     let metrics = telemetry::metrics::client(settings.metrics).map_err(|source| Error::Socket {
         option: "metrics",
@@ -123,13 +127,18 @@
     Ok(Shared::new(
         settings,
         incarnation,
-        Handle::new(branch),
+        Handle::new(branch, known),
         clock,
         metrics,
     ))
 }
 
-fn server(
+/// The HTTP server of an entry.
+///
+/// # Errors
+///
+/// If the socket can't be used.
+pub fn server(
     shared: &Arc<Shared>,
     listener: TcpListener,
     workers: usize,
--- a/crates/entry/tests/contract/main.rs
+++ b/crates/entry/tests/contract/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod engines;
 mod exchange;
+mod logs;
 mod presence;
 mod raw;
 mod seen;
--- a/crates/entry/tests/contract/site.rs
+++ b/crates/entry/tests/contract/site.rs
@@ -1,5 +1,6 @@
 //! A platform, endpoints of any kind and one entry, ready to take requests.
 
+use std::cell::Cell;
 use std::path::Path;
 
 use awc::{Client, ClientRequest};
@@ -32,6 +33,7 @@
     pub endpoints: Vec<Stand>,
     client: Client,
     platform: Stand,
+    identities: Cell<u32>,
 }
 
 /// An engine with fast answers.
@@ -100,6 +102,7 @@
                 .timeout(STUCK)
                 .finish(),
             platform,
+            identities: Cell::new(0),
         };
         site.configure().await;
         site.ready().await;
@@ -151,7 +154,7 @@
     pub async fn ask(&self, class: &str, body: &Value) -> Seen {
         let request = self.post("/v1/completions");
         let request = request.insert_header(("x-woodgap-class", class));
-        let request = request.insert_header(("idempotency-key", "one"));
+        let request = request.insert_header(("idempotency-key", self.identity()));
         Seen::of(request.send_json(body).await).await
     }
 
@@ -159,10 +162,16 @@
     pub async fn call(&self, class: &str, path: &str) -> Seen {
         let request = self.post(&format!("/v1/services/{}/{path}", documents::SERVICE));
         let request = request.insert_header(("x-woodgap-class", class));
-        let request = request.insert_header(("idempotency-key", "one"));
+        let request = request.insert_header(("idempotency-key", self.identity()));
         Seen::of(request.send_body("flux +2").await).await
     }
 
+    /// An identity that no other request of the site has.
+    fn identity(&self) -> String {
+        self.identities.set(self.identities.get() + 1);
+        format!("request-{}", self.identities.get())
+    }
+
     /// Orders faults of every endpoint, whichever is chosen first.
     pub async fn fault(&self, faults: &Value) {
         for endpoint in &self.endpoints {
