--- a/crates/entry/src/request/life.rs
+++ b/crates/entry/src/request/life.rs
@@ -74,6 +74,9 @@
         }
     }
 }
+/// Endpoints that a request avoids at most, the last ones that failed it: they
+/// travel with each ask.
+const AVOIDED: usize = 8;
 
 /// A request in one of its states.
 pub struct Request<S> {
@@ -81,8 +84,6 @@
     pub head: Rc<Head>,
     /// Endpoints that failed it.
     avoid: Vec<name::Endpoint>,
-    /// Attempts that were sent to an endpoint.
-    attempts: u32,
     state: S,
 }
 
@@ -100,7 +101,6 @@
         Self {
             head: Rc::new(head),
             avoid: Vec::new(),
-            attempts: 0,
             state: Received,
         }
     }
@@ -109,8 +109,8 @@
     ///
     /// # Errors
     ///
-    /// Why there is none.
-    pub async fn ask(self, shared: &Shared) -> Result<Request<Granted>, Problem> {
+    /// The request as it was, and why there is none.
+    pub async fn ask(self, shared: &Shared) -> Result<Request<Granted>, (Self, Problem)> {
         let head = &self.head;
         let ask = Ask {
             request: head.id,
@@ -126,13 +126,9 @@
         };
         match shared.control.ask(ask).await {
             Answer::Grant(grant) => Ok(self.granted(grant, shared)),
-            Answer::Refuse(refusal) => Err(refusal.into()),
+            Answer::Refuse(refusal) => Err((self, refusal.into())),
             // TODO: relay the answer of the other entry instead.
-            Answer::Elsewhere(_) => Err(Problem::not_run(
-                Code::Overloaded,
-                "a request with the same identity waits or runs at another entry",
-            )
-            .retry_after(ELSEWHERE_RETRY)),
+            Answer::Elsewhere(_) => Err((self, elsewhere())),
         }
     }
 
@@ -141,38 +137,43 @@
         Request {
             head: self.head,
             avoid: self.avoid,
-            attempts: self.attempts + 1,
             state: Granted { permit },
         }
     }
 }
 
+/// TODO: relay the answer of the other entry instead.
+fn elsewhere() -> Problem {
+    let message = "a request with the same identity waits or runs at another entry";
+    Problem::not_run(Code::Overloaded, message).retry_after(ELSEWHERE_RETRY)
+}
+
 impl Request<Granted> {
     /// The place, for the attempt that uses it.
     pub fn permit(&mut self) -> &mut Permit {
         &mut self.state.permit
     }
 
-    /// Attempts so far, this one included.
-    pub fn attempts(&self) -> u32 {
-        self.attempts
-    }
-
-    /// Gives the place back after an attempt that failed; the request waits again.
-    pub fn failed(mut self, outcome: Outcome) -> Request<Received> {
+    /// Gives the place back after an attempt; the request can wait again.
+    pub fn give_back(mut self, outcome: Outcome) -> Request<Received> {
         let permit = self.state.permit;
-        self.avoid.push(permit.endpoint().clone());
+        if matches!(outcome, Outcome::Refused | Outcome::Failed) {
+            avoid(&mut self.avoid, permit.endpoint());
+        }
         permit.finish(outcome);
         Request {
             head: self.head,
             avoid: self.avoid,
-            attempts: self.attempts,
             state: Received,
         }
     }
+}
 
-    /// Gives the place back for good.
-    pub fn finish(self, outcome: Outcome) {
-        self.state.permit.finish(outcome);
+/// Adds an endpoint to those avoided, the oldest of which may go.
+fn avoid(avoided: &mut Vec<name::Endpoint>, endpoint: &name::Endpoint) {
+    avoided.retain(|known| known != endpoint);
+    avoided.push(endpoint.clone());
+    if avoided.len() > AVOIDED {
+        avoided.remove(0);
     }
 }
--- a/crates/entry/tests/contract/site.rs
+++ b/crates/entry/tests/contract/site.rs
@@ -1,7 +1,7 @@
 //! A platform, endpoints of any kind and one entry, ready to take requests.
 
+use std::cell::Cell;
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 use awc::{Client, ClientRequest};
 use serde_json::{Value, json};
@@ -33,7 +33,7 @@
     pub endpoints: Vec<Stand>,
     client: Client,
     platform: Stand,
-    identities: AtomicU32,
+    identities: Cell<u32>,
 }
 
 /// An engine with fast answers.
@@ -102,7 +102,7 @@
                 .timeout(STUCK)
                 .finish(),
             platform,
-            identities: AtomicU32::new(1),
+            identities: Cell::new(0),
         };
         site.configure().await;
         site.ready().await;
@@ -150,12 +150,6 @@
         request.bearer_auth(documents::MURPHY)
     }
 
-    /// An identity of its own for each request: another body under a used one is refused.
-    fn identity(&self) -> String {
-        let identity = self.identities.fetch_add(1, Ordering::Relaxed);
-        identity.to_string()
-    }
-
     /// Sends a model request in a class.
     pub async fn ask(&self, class: &str, body: &Value) -> Seen {
         let request = self.post("/v1/completions");
@@ -172,6 +166,12 @@
         Seen::of(request.send_body("flux +2").await).await
     }
 
+    /// An identity that no other request of the site has.
+    fn identity(&self) -> String {
+        self.identities.set(self.identities.get() + 1);
+        format!("request-{}", self.identities.get())
+    }
+
     /// Orders faults of every endpoint, whichever is chosen first.
     pub async fn fault(&self, faults: &Value) {
         for endpoint in &self.endpoints {
