entry: callers that retry through a storm of deaths, freezes and outages

Cause: each fault had its test, but not their coming together and twice. Ruled out: random faults (a failure could not be brought about again). Change: 80 callers with a request each retry through three entries as they are told, while acknowledgements are lost, entries are killed and restarted, frozen and woken, and the table service is out or late. At every `not_run` the endpoints' record must have no run; at the end complete means one run, anything else at most one.

--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -13,6 +13,8 @@
 mod issued;
 #[path = "once/outage.rs"]
 mod outage;
+#[path = "once/storm.rs"]
+mod storm;
 #[path = "once/watch.rs"]
 mod watch;
 
