--- a/crates/entry/src/once/submit.rs
+++ b/crates/entry/src/once/submit.rs
@@ -259,5 +259,5 @@
 
 fn full() -> Problem {
     let message = "this entry knows too many identities, use another";
-    Problem::not_run(Code::Overloaded, message).retry_after(FULL_RETRY)
+    Problem::not_run(Code::NotReady, message).retry_after(FULL_RETRY)
 }
