Benches for the target size; the endpoints' digest is kept

Cause: the benches stopped at 24 entries, and the fleet in memory at 256; a machine looked at all endpoints at each event to make the digest of their marks. Ruled out: a digest per data centre, as it changes what entries compare. The directory makes its digest anew only where marks change.

--- a/crates/core/src/control/directory.rs
+++ b/crates/core/src/control/directory.rs
@@ -69,6 +69,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     endpoints: BTreeMap<name::Endpoint, Endpoint>,
+    /// Made anew where marks change: it is asked for at every event, and
+    /// thousands of endpoints would have to be looked at.
+    digest: u32,
 }
 
 impl Directory {
@@ -82,12 +85,14 @@
             .collect();
         self.endpoints
             .retain(|name, _| listed.contains(name.as_str()));
-        instances
+        let leaving = instances
             .iter()
             .filter(|instance| instance.role != Role::Entry)
             .filter(|instance| self.update_one(instance))
             .map(|instance| name::Endpoint::from(instance.name.as_str()))
-            .collect()
+            .collect();
+        self.digest = self.compute_digest();
+        leaving
     }
 
     fn update_one(&mut self, instance: &Instance) -> bool {
@@ -121,8 +126,15 @@
     /// Changes an endpoint's marks; says whether that changed any. An endpoint
     /// that is not listed has none.
     pub fn mark(&mut self, name: &name::Endpoint, change: impl FnOnce(&mut Marks) -> bool) -> bool {
-        let endpoint = self.endpoints.get_mut(name);
-        endpoint.is_some_and(|endpoint| change(&mut endpoint.marks))
+        let Some(endpoint) = self.endpoints.get_mut(name) else {
+            return false;
+        };
+        let before = endpoint.marks;
+        let changed = change(&mut endpoint.marks);
+        if endpoint.marks != before {
+            self.digest = self.compute_digest();
+        }
+        changed
     }
 
     /// Takes in what another entry knows; says whether that changed anything.
@@ -161,6 +173,10 @@
 
     /// A digest of which endpoints get no new work and why; 0 if all do.
     pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    fn compute_digest(&self) -> u32 {
         let mut hasher = blake3::Hasher::new();
         let mut any = false;
         for endpoint in self.endpoints.values() {
--- a/crates/wire/benches/control.rs
+++ b/crates/wire/benches/control.rs
@@ -1,107 +1,87 @@
 //! What the control side of one entry costs a second, by entries and endpoints:
-//! bytes and messages sent, and processor time of machine and codec, without
-//! that of the system's calls. `cargo bench -p woodgap-wire --bench control`.
+//! bytes and messages sent, processor time of machine and codec without that of
+//! the system's calls, and memory. `cargo bench -p woodgap-wire --bench control`;
+//! with `ENTRIES:ENDPOINTS` of sizes to measure others than the usual ones.
 
-#[path = "../tests/fleet/network.rs"]
-#[allow(dead_code, missing_docs)]
-mod network;
+#[path = "fleet/world.rs"]
+mod world;
 
-use std::net::SocketAddr;
-
-use rustix::time::{ClockId, clock_gettime};
 use woodgap_core::clock::Millis;
-use woodgap_core::instance::{Instance, Load, Role, State};
 
-use network::Network;
+use world::{Size, reset, resident_kb, spread};
 
 /// How long each fleet is looked at, in seconds.
 const SECONDS: u64 = 60;
-/// Models, each at every third endpoint of its data centre.
-const MODELS: usize = 10;
-
-fn endpoint(number: usize) -> Instance {
-    let [_, _, high, low] = u32::try_from(number).expect("few endpoints").to_be_bytes();
-    Instance {
-        name: format!("engine-{number}"),
-        role: Role::Engine,
-        address: SocketAddr::from(([10, 1, high, low], 9000)),
-        data_centre: ["dub-a", "dub-b", "dub-c"][number % 3].into(),
-        state: State::Live,
-        targets: vec![format!("model-{}", number / 3 % MODELS).as_str().into()],
-        slots: 8,
-        checks_fencing: false,
-        peer_address: None,
-    }
-}
+/// The same for fleets whose simulation is slow.
+const LARGE_SECONDS: u64 = 10;
+/// Entries of a fleet whose simulation is slow.
+const LARGE: usize = 100;
+/// Sizes that take a minute in all.
+const USUAL: [(usize, usize); 18] = [
+    (3, 0),
+    (6, 0),
+    (12, 0),
+    (24, 0),
+    (48, 0),
+    (100, 0),
+    (3, 50),
+    (6, 50),
+    (12, 50),
+    (24, 50),
+    (48, 50),
+    (6, 200),
+    (24, 200),
+    (6, 800),
+    (24, 800),
+    (48, 800),
+    (100, 800),
+    (100, 1_400),
+];
 
-fn fleet(entries: usize, endpoints: usize) -> Network {
-    let mut network = Network::met(entries, 1);
-    let mut list = network.entries();
-    let load = Load {
-        age: Millis(1_000),
-        running: 1,
-        queued: 0,
+fn measure(entries: usize, endpoints: usize) {
+    let size = Size {
+        entries,
+        endpoints,
         slots: 8,
-        tokens_per_second: 40.0,
-        state: State::Live,
     };
-    for instance in (0..endpoints).map(endpoint) {
-        network
-            .loads
-            .insert(instance.name.as_str().into(), Some(load.clone()));
-        list.push(instance);
-    }
-    network.busy = true;
-    network.list(&list);
-    network.run(Millis::from_secs(5));
-    network
-}
-
-fn cpu_us() -> u64 {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    let whole = u64::try_from(time.tv_sec).unwrap_or(0) * 1_000_000;
-    whole + u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000
-}
-
-fn measure(entries: usize, endpoints: usize) {
-    let mut network = fleet(entries, endpoints);
-    for node in &mut network.nodes {
-        (node.bytes, node.messages) = (0, 0);
-        node.probes.clear();
-    }
-    let before = cpu_us();
-    network.run(Millis::from_secs(SECONDS));
-    let cpu = cpu_us() - before;
-    let share = |sum: u64| sum as f64 / SECONDS as f64 / entries as f64;
-    let bytes: u64 = network.nodes.iter().map(|node| node.bytes).sum();
-    let most = network.nodes.iter().map(|node| node.bytes).max();
-    let messages: u64 = network.nodes.iter().map(|node| node.messages).sum();
-    let probes: usize = network.nodes.iter().map(|node| node.probes.len()).sum();
+    let before = resident_kb();
+    let mut network = size.fleet();
+    // What is kept of past sizes may be used again: a lower bound then.
+    let memory = resident_kb().saturating_sub(before) as f64 / entries as f64;
+    reset(&mut network);
+    let seconds = if entries < LARGE {
+        SECONDS
+    } else {
+        LARGE_SECONDS
+    };
+    network.run(Millis::from_secs(seconds));
+    let span = seconds as f64;
+    let (most, mean) = spread(&network, span, |node| node.bytes);
+    let (received_most, _) = spread(&network, span, |node| node.received);
+    let (_, messages) = spread(&network, span, |node| node.messages);
+    let (probes_most, probes) = spread(&network, span, |node| node.probes.len() as u64);
+    let (cpu_most, cpu) = spread(&network, span, |node| node.cpu_ns);
     println!(
-        "{entries:7} {endpoints:9} {:12.0} {:12.0} {:10.1} {:8.1} {:9.0}",
-        share(bytes),
-        most.unwrap_or(0) as f64 / SECONDS as f64,
-        share(messages),
-        share(probes as u64),
-        share(cpu),
+        "{entries:7} {endpoints:9} {mean:12.0} {most:12.0} {received_most:13.0} {messages:10.1} \
+         {probes:8.1} {probes_most:13.1} {:11.0} {:11.0} {memory:9.0}",
+        cpu / 1e3,
+        cpu_most / 1e3,
     );
 }
 
 fn main() {
-    println!("entries endpoints bytes/s mean  bytes/s most messages/s probes/s cpu us/s");
-    for (entries, endpoints) in [
-        (3, 0),
-        (6, 0),
-        (12, 0),
-        (24, 0),
-        (3, 50),
-        (6, 50),
-        (12, 50),
-        (24, 50),
-        (6, 200),
-        (6, 800),
-        (24, 800),
-    ] {
-        measure(entries, endpoints);
+    println!(
+        "entries endpoints bytes/s mean bytes/s most received most messages/s probes/s \
+         probes/s most cpu us/s mean cpu us/s most KiB/entry"
+    );
+    let named: Vec<(usize, usize)> = std::env::args()
+        .filter_map(|size| {
+            let (entries, endpoints) = size.split_once(':')?;
+            Some((entries.parse().ok()?, endpoints.parse().ok()?))
+        })
+        .collect();
+    let sizes = if named.is_empty() { &USUAL[..] } else { &named };
+    for (entries, endpoints) in sizes {
+        measure(*entries, *endpoints);
     }
 }
--- a/crates/wire/tests/fleet/network.rs
+++ b/crates/wire/tests/fleet/network.rs
@@ -13,6 +13,7 @@
 use woodgap_core::message::Message;
 use woodgap_core::name::{self, Incarnation};
 use woodgap_core::pool::Limits;
+use woodgap_core::revision::message::Change;
 use woodgap_wire::frame::ANY;
 use woodgap_wire::{Key, Receiver, Sender};
 
@@ -21,6 +22,9 @@
 /// Bytes of IP and UDP headers.
 const HEADERS: u64 = 28;
 
+/// Bytes of the headers and of the handshake of a stream, roughly.
+const STREAM: u64 = 600;
+
 /// What becomes of a datagram: a delay for each copy that arrives.
 pub type Fate = Box<dyn FnMut(usize, usize, &mut ChaCha8Rng) -> Vec<Millis>>;
 
@@ -33,8 +37,15 @@
     pub wanted: Vec<Action>,
     /// Probes that it sent to endpoints, and when.
     pub probes: Vec<(Millis, name::Endpoint)>,
+    /// What it sent, with headers.
     pub bytes: u64,
+    /// What came to it, with headers.
+    pub received: u64,
     pub messages: u64,
+    /// Processor time of machine and codec, if the network measures it.
+    pub cpu_ns: u64,
+    /// The revision that it has in force.
+    pub revision: u64,
     sender: Sender,
     receiver: Receiver,
     held: VecDeque<Vec<u8>>,
@@ -49,6 +60,10 @@
     pub loads: BTreeMap<name::Endpoint, Option<Load>>,
     /// Whether each load report differs from the one before.
     pub busy: bool,
+    /// Whether messages that fit in no datagram are sent on: as by a stream.
+    pub streams: bool,
+    /// Reads the processor time of this thread, in nanoseconds.
+    pub meter: fn() -> u64,
     random: ChaCha8Rng,
     flying: BTreeMap<(Millis, u64), Flight>,
     sequence: u64,
@@ -56,6 +71,7 @@
 
 enum Flight {
     Datagram(SocketAddr, Vec<u8>),
+    Streamed(usize, Incarnation, Message),
     Probed(usize, Incarnation, name::Endpoint, Option<Load>),
 }
 
@@ -63,8 +79,17 @@
 const DATA_CENTRES: [&str; 3] = ["dub-a", "dub-b", "dub-c"];
 
 pub fn address(node: usize) -> SocketAddr {
-    let node = u8::try_from(node).expect("few nodes");
-    SocketAddr::from(([10, 0, 0, node], 7070))
+    let [high, low] = u16::try_from(node).expect("few nodes").to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7070))
+}
+
+/// The node at an address.
+fn at(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else {
+        return None;
+    };
+    let [_, _, high, low] = address.ip().octets();
+    Some(usize::from(u16::from_be_bytes([high, low])))
 }
 
 pub fn own(node: usize, life: u64) -> Member {
@@ -100,7 +125,10 @@
             wanted: Vec::new(),
             probes: Vec::new(),
             bytes: 0,
+            received: 0,
             messages: 0,
+            cpu_ns: 0,
+            revision: 1,
             held: VecDeque::new(),
         }
     }
@@ -117,10 +145,15 @@
 impl Network {
     /// Entries that know of one another by the platform's list.
     pub fn new(entries: usize, seed: u64) -> Self {
+        Self::of((0..entries).map(|node| own(node, 0)), seed)
+    }
+
+    /// These entries, which know of one another by the platform's list.
+    pub fn of(entries: impl Iterator<Item = Member>, seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut nodes = Vec::new();
-        for node in 0..entries {
-            nodes.push(Node::new(own(node, 0), random.random()));
+        for own in entries {
+            nodes.push(Node::new(own, random.random()));
         }
         let mut network = Self {
             now: Millis(1_000),
@@ -128,6 +161,8 @@
             fate: Box::new(|_, _, _| vec![Millis(1)]),
             loads: BTreeMap::new(),
             busy: false,
+            streams: false,
+            meter: || 0,
             random,
             flying: BTreeMap::new(),
             sequence: 0,
@@ -232,14 +267,15 @@
             }
             match entry.remove() {
                 Flight::Datagram(to, bytes) => {
-                    let node = self
-                        .nodes
-                        .iter()
-                        .position(|node| node.machine.members().own().peer == to);
+                    let known = |node: &usize| *node < self.nodes.len();
+                    let node = at(to).filter(known);
                     if let Some(node) = node {
                         self.receive(node, &bytes);
                     }
                 }
+                Flight::Streamed(node, from, message) => {
+                    self.tell(node, Event::Message(from, message));
+                }
                 Flight::Probed(node, life, endpoint, load) => {
                     if self.nodes[node].machine.members().own().incarnation == life {
                         self.tell(node, Event::Load(endpoint, load));
@@ -260,7 +296,11 @@
             }
             return;
         }
-        if let Ok(frame) = node.receiver.open(bytes) {
+        node.received += bytes.len() as u64 + HEADERS;
+        let started = (self.meter)();
+        let frame = node.receiver.open(bytes);
+        node.cpu_ns += (self.meter)() - started;
+        if let Ok(frame) = frame {
             for message in frame.messages {
                 self.tell(index, Event::Message(frame.from, message));
             }
@@ -273,41 +313,67 @@
         if node.dead || node.frozen {
             return;
         }
+        let started = (self.meter)();
         let mut actions = Vec::new();
-        let own = Own {
-            revision: 1,
-            ready: true,
-            running: 0,
-        };
-        node.machine.handle(self.now, Event::Own(own), &mut actions);
+        if event == Event::Tick {
+            let own = Own {
+                revision: node.revision,
+                ready: true,
+                running: 0,
+            };
+            node.machine.handle(self.now, Event::Own(own), &mut actions);
+        }
         node.machine.handle(self.now, event, &mut actions);
+        node.cpu_ns += (self.meter)() - started;
         let mut outbox: BTreeMap<SocketAddr, Vec<Message>> = BTreeMap::new();
+        let mut in_force = Vec::new();
         for action in actions {
             match action {
                 Action::Send(to, message) => outbox.entry(to).or_default().push(message),
                 Action::Probe(endpoint, _) => self.probe(index, endpoint),
+                Action::Apply(changes) => in_force.extend(changes),
                 other => self.nodes[index].wanted.push(other),
             }
         }
         for (to, messages) in outbox {
             self.send(index, to, &messages);
         }
+        self.apply(index, in_force);
+    }
+
+    /// Puts changes in force at an entry, in their order.
+    pub fn apply(&mut self, index: usize, changes: Vec<Change>) {
+        let Some(last) = changes.last() else { return };
+        let revision = last.revision;
+        self.nodes[index].revision = revision;
+        self.tell(index, Event::InForce { revision, changes });
     }
 
     fn send(&mut self, index: usize, to: SocketAddr, messages: &[Message]) {
         let node = &mut self.nodes[index];
         let life = node.machine.members().by_peer(to);
         let life = life.map_or(ANY, |member| member.incarnation);
+        let started = (self.meter)();
         let parcel = node
             .sender
             .pack(life, messages)
             .expect("messages are small");
-        assert!(parcel.large.is_empty(), "a message fits in no datagram");
+        node.cpu_ns += (self.meter)() - started;
+        let small = parcel.large.is_empty();
+        assert!(small || self.streams, "a message fits in no datagram");
         node.messages += messages.len() as u64;
+        let from = node.machine.members().own().incarnation;
+        for message in parcel.large {
+            let bytes = postcard::to_allocvec(&message).expect("a message");
+            self.nodes[index].bytes += bytes.len() as u64 + STREAM;
+            let Some(target) = at(to) else { continue };
+            for delay in (self.fate)(index, target, &mut self.random) {
+                self.fly(delay, Flight::Streamed(target, from, message.clone()));
+            }
+        }
         for bytes in parcel.datagrams {
             self.nodes[index].bytes += bytes.len() as u64 + HEADERS;
-            let SocketAddr::V4(peer) = to else { continue };
-            let target = usize::from(peer.ip().octets()[3]);
+            let Some(target) = at(to) else { continue };
             for delay in (self.fate)(index, target, &mut self.random) {
                 self.fly(delay, Flight::Datagram(to, bytes.clone()));
             }
