Leases: states, renewal, takeover by watching the record's version

Deferred work and orders need one acting entry at a time, without clocks that agree and without a coordination service. A lease is a record, renewed by compare-and-set, and a mark, written only by a take; the mark's version is the fence and stands in the checks of every write.

--- /dev/null
+++ b/crates/core/src/lease/free.rs
@@ -0,0 +1,205 @@
+//! A lease that is not ours: watched, and taken once nobody can hold it.
+
+use crate::clock::Millis;
+use crate::lease::row::Takes;
+use crate::lease::{
+    Answer, Expired, Fence, Held, Holder, Lease, Mark, Record, Seen, Tenure, Term, Write,
+};
+
+/// Not ours.
+#[derive(Clone, Debug, Default)]
+pub struct Free {
+    watch: Option<Watch>,
+}
+
+/// A take was sent, and nobody knows what became of it.
+#[derive(Clone, Debug)]
+pub struct Doubt {
+    take: Take,
+}
+
+/// The state that the record was last seen in.
+#[derive(Clone, Debug)]
+struct Watch {
+    version: u64,
+    /// When this version was first seen without a gap since.
+    since: Millis,
+    /// When it was last seen.
+    last: Millis,
+    /// How long it must be seen; nothing for a lease that nobody holds.
+    wait: Millis,
+    /// The longest time between two looks.
+    gap: Millis,
+}
+
+/// A take that is under way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Take {
+    /// When it was sent; the lease counts from here.
+    pub sent: Millis,
+    /// What to write.
+    pub write: Write,
+}
+
+/// What a read made of a lease that was not ours.
+#[derive(Clone, Debug)]
+pub enum Sighted {
+    /// It is not ours.
+    Free(Lease<Free>),
+    /// It is ours after all, by a take that was given up: renew it.
+    Expired(Lease<Expired>),
+}
+
+/// What became of a take.
+#[derive(Clone, Debug)]
+pub enum Took {
+    /// The lease is ours.
+    Held(Lease<Held>),
+    /// It is ours, but its time is over already.
+    Expired(Lease<Expired>),
+    /// It is not ours.
+    Free(Lease<Free>),
+    /// The rows must be read.
+    Doubt(Lease<Doubt>),
+}
+
+impl Lease<Free> {
+    /// A lease of which nothing is known. `first_take` is drawn at random, so
+    /// that no take of another life of the caller is mistaken for its own.
+    pub fn new(own: Holder, term: Term, first_take: u64) -> Self {
+        Self {
+            own,
+            term,
+            takes: Takes::new(first_take),
+            state: Free::default(),
+        }
+    }
+
+    /// Takes in a read, answered now.
+    ///
+    /// A longer time than `gap` between two looks starts the watch again: after
+    /// an outage of the table service, its holder may renew first.
+    pub fn seen(mut self, now: Millis, seen: &Seen, gap: Millis) -> Sighted {
+        let own = seen.take_of(&self.own);
+        if let Some((take, fence)) = own.filter(|(take, _)| self.takes.contains(*take)) {
+            let tenure = tenure(fence, seen.version(), take);
+            return Sighted::Expired(self.with(Expired { tenure }));
+        }
+        self.watch(now, seen, gap);
+        Sighted::Free(self)
+    }
+
+    fn watch(&mut self, now: Millis, seen: &Seen, gap: Millis) {
+        let version = seen.version();
+        let before = self.state.watch.as_ref();
+        if before.is_some_and(|watch| version < watch.version) {
+            return;
+        }
+        let same = before.filter(|watch| watch.version == version && now - watch.last <= gap);
+        let since = same.map_or(now, |watch| watch.since);
+        let wait = match (&seen.record, seen.holder()) {
+            (Some(record), Some(_)) => Term::new(record.value.duration).wait(),
+            _ => Millis::ZERO,
+        };
+        self.state.watch = Some(Watch {
+            version,
+            since,
+            last: now,
+            wait,
+            gap,
+        });
+    }
+
+    /// When the lease may be taken, if it stays as it was seen.
+    pub fn ripe_at(&self) -> Option<Millis> {
+        let watch = self.state.watch.as_ref()?;
+        Some(watch.since + watch.wait)
+    }
+
+    /// A take, if nobody can hold the lease now.
+    pub fn take(&mut self, now: Millis) -> Option<Take> {
+        let watch = self.state.watch.as_ref()?;
+        let ripe = watch.since + watch.wait;
+        if now < ripe || now - watch.last > watch.gap {
+            return None;
+        }
+        let take = self.takes.next();
+        let mark = Mark {
+            holder: self.own.clone(),
+            take,
+        };
+        let record = Record {
+            holder: Some(self.own.clone()),
+            take,
+            duration: self.term.duration(),
+        };
+        Some(Take {
+            sent: now,
+            write: Write {
+                over: watch.version,
+                record,
+                mark: Some(mark),
+            },
+        })
+    }
+
+    /// Takes in what became of a take.
+    pub fn took(mut self, now: Millis, take: Take, answer: Answer) -> Took {
+        match answer {
+            Answer::Committed {
+                version,
+                fence: Some(fence),
+            } => {
+                let tenure = tenure(fence, version, take.write.record.take);
+                Took::start(self, now, take.sent, tenure)
+            }
+            Answer::Conflict => {
+                self.state.watch = None;
+                Took::Free(self)
+            }
+            Answer::Unavailable => Took::Free(self),
+            Answer::Unknown | Answer::Committed { fence: None, .. } => {
+                Took::Doubt(self.with(Doubt { take }))
+            }
+        }
+    }
+}
+
+impl Took {
+    fn start<S>(lease: Lease<S>, now: Millis, sent: Millis, tenure: Tenure) -> Self {
+        let held = Held::new(tenure, sent, lease.term);
+        match lease.with(held).expire(now) {
+            Ok(held) => Self::Held(held),
+            Err(expired) => Self::Expired(expired),
+        }
+    }
+}
+
+impl Lease<Doubt> {
+    /// Takes in a read, answered now.
+    ///
+    /// A take that the read does not show may still take effect; a later read
+    /// then finds it.
+    pub fn seen(self, now: Millis, seen: &Seen, gap: Millis) -> Took {
+        let wanted = self.state.take.write.record.take;
+        let own = seen.take_of(&self.own);
+        if let Some((take, fence)) = own.filter(|(take, _)| *take == wanted) {
+            let sent = self.state.take.sent;
+            return Took::start(self, now, sent, tenure(fence, seen.version(), take));
+        }
+        match self.with(Free::default()).seen(now, seen, gap) {
+            Sighted::Free(free) => Took::Free(free),
+            Sighted::Expired(expired) => Took::Expired(expired),
+        }
+    }
+}
+
+fn tenure(fence: Fence, version: u64, take: u64) -> Tenure {
+    Tenure {
+        fence,
+        version,
+        take,
+        doubt: None,
+        unclear: false,
+    }
+}
--- /dev/null
+++ b/crates/core/src/lease/tests.rs
@@ -0,0 +1,388 @@
+//! Every order in which takes, renewals, pauses and losses can come.
+
+use std::collections::VecDeque;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::machine::{Machine, Step, View, Want};
+use super::row::{Answer, Mark, Record, Seen, Versioned, Write};
+use super::{Fence, Holder, Term};
+use crate::clock::Millis;
+use crate::name::Incarnation;
+
+const TERM: Term = Term::new(Millis(1_000));
+const HOLD: Want = Want::Hold { look: Millis(250) };
+
+/// The two rows, with every state that they were in.
+#[derive(Debug, Default)]
+struct Rows {
+    version: u64,
+    states: Vec<Seen>,
+    /// Who took the lease, in order.
+    takes: Vec<(Fence, Incarnation)>,
+}
+
+impl Rows {
+    fn now(&self) -> Seen {
+        self.states.last().cloned().unwrap_or_default()
+    }
+
+    fn write(&mut self, write: &Write) -> Answer {
+        let mut seen = self.now();
+        if seen.version() != write.over {
+            return Answer::Conflict;
+        }
+        self.version += 1;
+        seen.record = Some(Versioned {
+            value: write.record.clone(),
+            version: self.version,
+        });
+        let version = self.version;
+        if let Some(mark) = &write.mark {
+            self.version += 1;
+            let holder = mark.holder.incarnation;
+            self.takes.push((Fence(self.version), holder));
+            seen.mark = Some(Versioned {
+                value: mark.clone(),
+                version: self.version,
+            });
+        }
+        let fence = write.mark.as_ref().map(|_| Fence(self.version));
+        self.states.push(seen);
+        Answer::Committed { version, fence }
+    }
+}
+
+fn holder(number: u64) -> Holder {
+    Holder {
+        entry: "dub-a-1".into(),
+        incarnation: Incarnation(number),
+    }
+}
+
+fn machine(number: u64) -> Machine {
+    Machine::new(holder(number), TERM, number * 1_000)
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Good,
+    /// Nothing is done, and the caller knows.
+    Unavailable,
+    /// It takes effect, and the caller does not know.
+    AckLost,
+    /// It has no effect, and the caller does not know.
+    RequestLost,
+    /// A read shows the state before the last write.
+    Stale,
+}
+
+/// Makes one step; true if a call was made.
+fn step(machine: &mut Machine, rows: &mut Rows, now: Millis, want: Want, fate: Fate) -> bool {
+    match machine.step(now, want) {
+        Step::Rest(until) => {
+            assert!(until > now, "a rest must end later, or the caller spins");
+            false
+        }
+        Step::Read => {
+            let seen = match fate {
+                Fate::Good => Some(rows.now()),
+                Fate::Stale => Some(rows.states.iter().rev().nth(1).cloned().unwrap_or_default()),
+                _ => None,
+            };
+            machine.read(now, seen.as_ref());
+            true
+        }
+        Step::Write(write) => {
+            let answer = match fate {
+                Fate::Good | Fate::Stale => rows.write(&write),
+                Fate::Unavailable => Answer::Unavailable,
+                Fate::RequestLost => Answer::Unknown,
+                Fate::AckLost => {
+                    rows.write(&write);
+                    Answer::Unknown
+                }
+            };
+            machine.wrote(now, answer);
+            true
+        }
+    }
+}
+
+/// Makes steps until nothing is left to do now.
+fn settle(machine: &mut Machine, rows: &mut Rows, now: Millis, want: Want) {
+    for _ in 0..8 {
+        if !step(machine, rows, now, want, Fate::Good) {
+            return;
+        }
+    }
+    panic!("calls without end");
+}
+
+/// Runs a machine undisturbed from one time to another.
+fn run(machine: &mut Machine, rows: &mut Rows, from: u64, to: u64, want: Want) {
+    for now in (from..=to).step_by(10) {
+        settle(machine, rows, Millis(now), want);
+    }
+}
+
+fn holds(machine: &Machine, now: u64) -> bool {
+    machine.view().check(Millis(now)).is_ok()
+}
+
+#[test]
+fn a_free_lease_is_taken_renewed_and_given_back() {
+    let (mut first, mut second, mut rows) = (machine(1), machine(2), Rows::default());
+    settle(&mut first, &mut rows, Millis(0), HOLD);
+    assert!(holds(&first, 0));
+    run(&mut first, &mut rows, 10, 5_000, HOLD);
+    run(&mut second, &mut rows, 10, 100, HOLD);
+    assert!(holds(&first, 5_000) && !holds(&second, 5_000));
+    // One write to take, and one at each third of the duration.
+    assert_eq!(rows.states.len(), 1 + 5_000 / 330);
+    settle(&mut first, &mut rows, Millis(5_010), Want::Release);
+    assert_eq!(first.view(), View::Away);
+    run(&mut second, &mut rows, 5_010, 5_300, HOLD);
+    assert!(holds(&second, 5_300));
+    assert!(rows.takes[0].0 < rows.takes[1].0);
+}
+
+/// A call of the take is disturbed: in the end it is held, by one take.
+#[rstest]
+#[case::read_fails(0, Fate::Unavailable)]
+#[case::write_refused(1, Fate::Unavailable)]
+#[case::write_lost(1, Fate::RequestLost)]
+#[case::ack_lost(1, Fate::AckLost)]
+fn a_disturbed_take(#[case] call: usize, #[case] fate: Fate) {
+    let (mut machine, mut rows) = (machine(1), Rows::default());
+    for index in 0..=call {
+        let fate = if index == call { fate } else { Fate::Good };
+        assert!(step(&mut machine, &mut rows, Millis(0), HOLD, fate));
+    }
+    run(&mut machine, &mut rows, 10, 200, HOLD);
+    assert!(holds(&machine, 200));
+    assert_eq!(rows.takes.len(), 1);
+}
+
+/// The time of a take whose acknowledgement was lost counts from when it was sent.
+#[test]
+fn a_take_settled_late_is_over_early() {
+    let (mut machine, mut rows) = (machine(1), Rows::default());
+    step(&mut machine, &mut rows, Millis(0), HOLD, Fate::Good);
+    step(&mut machine, &mut rows, Millis(0), HOLD, Fate::AckLost);
+    step(&mut machine, &mut rows, Millis(600), HOLD, Fate::Good);
+    let View::Held { until, .. } = machine.view() else {
+        panic!("{:?}", machine.view());
+    };
+    assert_eq!(until, TERM.hold());
+}
+
+/// A renewal is disturbed; how long the holder may act is what is asked.
+#[rstest]
+#[case::good(Fate::Good, 330 + 660)]
+#[case::refused(Fate::Unavailable, 660)]
+#[case::lost(Fate::RequestLost, 660)]
+#[case::ack_lost(Fate::AckLost, 660)]
+fn a_disturbed_renewal(#[case] fate: Fate, #[case] until: u64) {
+    let (mut machine, mut rows) = (machine(1), Rows::default());
+    settle(&mut machine, &mut rows, Millis(0), HOLD);
+    assert!(step(&mut machine, &mut rows, Millis(330), HOLD, fate));
+    assert!(holds(&machine, until - 1) && !holds(&machine, until));
+    // Read back, or written again, it is held on, with the same fence.
+    run(&mut machine, &mut rows, 340, 3_000, HOLD);
+    assert!(holds(&machine, 3_000));
+    assert_eq!(rows.takes.len(), 1);
+}
+
+/// The time of a renewal whose acknowledgement was lost is that of the earliest
+/// one that may be in force.
+#[test]
+fn of_renewals_in_doubt_the_earliest_counts() {
+    let (mut machine, mut rows) = (machine(1), Rows::default());
+    settle(&mut machine, &mut rows, Millis(0), HOLD);
+    step(
+        &mut machine,
+        &mut rows,
+        Millis(330),
+        HOLD,
+        Fate::RequestLost,
+    );
+    step(&mut machine, &mut rows, Millis(400), HOLD, Fate::Good);
+    step(&mut machine, &mut rows, Millis(400), HOLD, Fate::AckLost);
+    step(&mut machine, &mut rows, Millis(500), HOLD, Fate::Good);
+    assert!(holds(&machine, 330 + 659) && !holds(&machine, 330 + 660));
+}
+
+/// Frozen at some point of its life, the holder finds that its time is over, and
+/// a second one has the lease with a higher fence.
+#[rstest]
+fn a_holder_that_pauses(#[values(0, 10, 329, 330, 400, 659)] at: u64) {
+    let (mut first, mut second, mut rows) = (machine(1), machine(2), Rows::default());
+    settle(&mut first, &mut rows, Millis(0), HOLD);
+    run(&mut first, &mut rows, 10, at, HOLD);
+    run(&mut second, &mut rows, 0, at + 2_000, HOLD);
+    assert!(holds(&second, at + 2_000));
+    assert!(!holds(&first, at + 2_000), "before any call");
+    run(&mut first, &mut rows, at + 2_000, at + 2_500, HOLD);
+    assert_eq!(first.view(), View::Away);
+    let [before, after] = rows.takes[..] else {
+        panic!("{:?}", rows.takes);
+    };
+    assert!(before.0 < after.0);
+}
+
+/// Paused between its clock and its write, a renewal no longer takes effect.
+#[test]
+fn a_renewal_sent_late_is_refused() {
+    let (mut first, mut second, mut rows) = (machine(1), machine(2), Rows::default());
+    settle(&mut first, &mut rows, Millis(0), HOLD);
+    let Step::Write(write) = first.step(Millis(330), HOLD) else {
+        panic!("a renewal is due");
+    };
+    run(&mut second, &mut rows, 0, 1_500, HOLD);
+    first.wrote(Millis(1_500), rows.write(&write));
+    run(&mut first, &mut rows, 1_500, 2_000, HOLD);
+    assert!(!holds(&first, 2_000) && holds(&second, 1_500));
+}
+
+/// An outage longer than the lease: nobody acts, and the holder goes on after it.
+#[test]
+fn an_outage_of_the_table_service() {
+    let (mut first, mut second, mut rows) = (machine(1), machine(2), Rows::default());
+    settle(&mut first, &mut rows, Millis(0), HOLD);
+    settle(&mut second, &mut rows, Millis(0), HOLD);
+    for now in (10..10_000).step_by(10) {
+        step(&mut first, &mut rows, Millis(now), HOLD, Fate::Unavailable);
+        step(&mut second, &mut rows, Millis(now), HOLD, Fate::Unavailable);
+    }
+    assert!(matches!(first.view(), View::Expired(_)) && !holds(&second, 10_000));
+    // The second sees the row first, but its watch starts again.
+    settle(&mut second, &mut rows, Millis(10_000), HOLD);
+    run(&mut first, &mut rows, 10_010, 10_200, HOLD);
+    assert!(holds(&first, 10_200));
+    assert_eq!(rows.takes.len(), 1);
+}
+
+/// A record that another life of the same branch left is another holder's.
+#[test]
+fn a_former_life_of_the_branch_is_waited_out() {
+    let (mut former, mut rows) = (machine(1), Rows::default());
+    settle(&mut former, &mut rows, Millis(0), HOLD);
+    let mut next = Machine::new(holder(1), TERM, 77_000);
+    run(&mut next, &mut rows, 0, 1_090, HOLD);
+    assert!(!holds(&next, 1_090));
+    run(&mut next, &mut rows, 1_100, 1_400, HOLD);
+    assert!(holds(&next, 1_400));
+}
+
+/// Rows that were read at different times, or that are of an older state, make
+/// nobody a holder.
+#[test]
+fn torn_and_stale_reads() {
+    let mut machine = machine(1);
+    let record = Record {
+        holder: Some(holder(1)),
+        take: 1_000,
+        duration: TERM.duration(),
+    };
+    let mark = Mark {
+        holder: holder(2),
+        take: 2_000,
+    };
+    machine.step(Millis(0), HOLD);
+    let torn = Seen {
+        record: Some(Versioned {
+            value: record,
+            version: 9,
+        }),
+        mark: Some(Versioned {
+            value: mark,
+            version: 8,
+        }),
+    };
+    machine.read(Millis(0), Some(&torn));
+    assert_eq!(machine.view(), View::Away);
+}
+
+/// A move of the random test: what one of the machines does next.
+#[derive(Clone, Copy, Debug)]
+struct Move {
+    who: usize,
+    want: Want,
+    fate: Fate,
+    after: u64,
+    /// Writes that reach the rows only after so many further moves; 0 for at once.
+    late: usize,
+}
+
+fn any_move() -> impl Strategy<Value = Move> {
+    let want = prop_oneof![
+        8 => Just(HOLD),
+        1 => Just(Want::Idle),
+        1 => Just(Want::Release),
+    ];
+    let fate = prop_oneof![
+        6 => Just(Fate::Good),
+        1 => Just(Fate::Unavailable),
+        1 => Just(Fate::AckLost),
+        1 => Just(Fate::RequestLost),
+        1 => Just(Fate::Stale),
+    ];
+    let after = prop_oneof![6 => 0_u64..200, 1 => 200_u64..3_000];
+    let late = prop_oneof![6 => Just(0_usize), 1 => 1_usize..12];
+    (0_usize..3, want, fate, after, late).prop_map(|(who, want, fate, after, late)| Move {
+        who,
+        want,
+        fate,
+        after,
+        late,
+    })
+}
+
+proptest! {
+    /// Whatever comes: never two holders at once, and fences grow.
+    #[test]
+    fn one_holder_at_a_time(moves in prop::collection::vec(any_move(), 1..300)) {
+        let mut machines = [machine(1), machine(2), machine(3)];
+        let mut rows = Rows::default();
+        let mut on_their_way: VecDeque<(usize, Write)> = VecDeque::new();
+        let mut now = 0;
+        for (index, made) in moves.iter().enumerate() {
+            now += made.after;
+            while on_their_way.front().is_some_and(|(due, _)| *due <= index) {
+                let (_, write) = on_their_way.pop_front().unwrap();
+                rows.write(&write);
+            }
+            let machine = &mut machines[made.who];
+            match machine.step(Millis(now), made.want) {
+                Step::Write(write) if made.late > 0 => {
+                    on_their_way.push_back((index + made.late, write));
+                    machine.wrote(Millis(now), Answer::Unknown);
+                }
+                Step::Write(write) => {
+                    let answer = match made.fate {
+                        Fate::Good | Fate::Stale => rows.write(&write),
+                        Fate::Unavailable => Answer::Unavailable,
+                        Fate::RequestLost => Answer::Unknown,
+                        Fate::AckLost => { rows.write(&write); Answer::Unknown }
+                    };
+                    machine.wrote(Millis(now), answer);
+                }
+                Step::Read => {
+                    let seen = match made.fate {
+                        Fate::Good | Fate::AckLost => Some(rows.now()),
+                        Fate::Stale => Some(rows.states.iter().rev().nth(2).cloned().unwrap_or_default()),
+                        _ => None,
+                    };
+                    machine.read(Millis(now), seen.as_ref());
+                }
+                Step::Rest(until) => prop_assert!(until > Millis(now)),
+            }
+            let holders = machines.iter().filter(|machine| holds(machine, now)).count();
+            prop_assert!(holders <= 1, "{holders} holders at {now}");
+            prop_assert!(rows.takes.windows(2).all(|pair| pair[0].0 < pair[1].0));
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod control;
 pub mod instance;
+pub mod lease;
 pub mod membership;
 pub mod message;
 pub mod name;
