settings: leases, deferred work and orders

The background work needs a lease's length, its pauses and its bounds. Checked together: a lease must outlast three calls of the platform, and three sends of an order, so that one that times out does not cost the lease.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -11,11 +11,17 @@
 use crate::reader::{self, Section};
 use crate::rule;
 
+pub mod deferred;
 pub mod dispatch;
+pub mod lease;
 pub mod limits;
+pub mod orders;
 
+pub use deferred::Deferred;
 pub use dispatch::{Dispatch, Policy};
+pub use lease::Lease;
 pub use limits::Limits;
+pub use orders::Orders;
 
 /// The most worker threads: an entry instance is small.
 const MOST_WORKERS: usize = 64;
@@ -46,6 +52,12 @@
     pub limits: Limits,
     /// How requests are queued and given to endpoints.
     pub dispatch: Dispatch,
+    /// Leases on background work.
+    pub lease: Lease,
+    /// Requests that are recorded and carried out later.
+    pub deferred: Deferred,
+    /// Orders to endpoints.
+    pub orders: Orders,
     /// Where metrics go, as statsd over UDP.
     pub metrics: Option<SocketAddr>,
     /// The least severe lines that are logged.
@@ -151,6 +163,9 @@
     let operators = section.each("operators", operator);
     let limits = section.within("limits", Limits::read);
     let dispatch = section.within("dispatch", Dispatch::read);
+    let lease = section.within("lease", Lease::read);
+    let deferred = section.within("deferred", Deferred::read);
+    let orders = section.within("orders", Orders::read);
     let metrics = section.optional("metrics", &rule::address());
     let log_level = section.or(
         "log_level",
@@ -161,6 +176,12 @@
     check_addresses(section, listen, advertise, peer_listen);
     check_operators(section, &operators);
     check_confirmation(section, platform.as_ref(), dispatch.as_ref());
+    if let (Some(lease), Some(platform)) = (lease, &platform) {
+        lease.check(section, platform);
+    }
+    if let (Some(orders), Some(lease)) = (orders, lease) {
+        orders.check(section, lease);
+    }
     Some(Entry {
         name: name?.into(),
         data_centre: data_centre?.into(),
@@ -172,6 +193,9 @@
         operators,
         limits: limits?,
         dispatch: dispatch?,
+        lease: lease?,
+        deferred: deferred?,
+        orders: orders?,
         metrics,
         log_level,
         workers,
