--- /dev/null
+++ b/crates/core/src/deferred/shard.rs
@@ -0,0 +1,79 @@
+//! Parts of the deferred work, and which entries are preferred for them.
+
+use std::fmt;
+
+use crate::deferred::Id;
+use crate::name;
+
+/// How many parts the work is cut into. Enough that seven entries share it
+/// evenly; few enough that an idle fleet's looks are a few reads a second. The
+/// number is part of the rows' keys, and can't change while work is recorded.
+pub const SHARDS: u16 = 32;
+
+/// One part of the work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Shard(u16);
+
+impl Shard {
+    /// The shard that a request belongs to.
+    pub(super) fn of(id: &Id) -> Self {
+        let hash = blake3::hash(id.as_str().as_bytes());
+        let bytes = hash.as_bytes();
+        Self(u16::from_le_bytes([bytes[0], bytes[1]]) % SHARDS)
+    }
+
+    /// All shards.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..SHARDS).map(Self)
+    }
+
+    /// The shard's number, from 0.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// The name of the shard's lease.
+    pub fn lease(self) -> String {
+        format!("deferred/{self}")
+    }
+
+    /// What the keys of the shard's rows begin with.
+    pub fn prefix(self) -> String {
+        format!("{self}/")
+    }
+
+    /// How many of the entries are preferred to this one: 0 for the first.
+    ///
+    /// Entries that see the same others agree; when one goes, only the shards
+    /// that it was first for move.
+    ///
+    /// ```
+    /// use woodgap_core::deferred::Shard;
+    ///
+    /// let entries = ["a", "b", "c"].map(|name| name.into());
+    /// for shard in Shard::all() {
+    ///     let ranks = entries.each_ref().map(|own| shard.rank(own, &entries));
+    ///     assert_eq!(ranks.iter().sum::<usize>(), 0 + 1 + 2);
+    /// }
+    /// ```
+    pub fn rank(self, own: &name::Entry, entries: &[name::Entry]) -> usize {
+        let mine = self.score(own);
+        let before = |entry: &&name::Entry| *entry != own && self.score(entry) > mine;
+        entries.iter().filter(before).count()
+    }
+
+    fn score(self, entry: &name::Entry) -> ([u8; 8], &name::Entry) {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.0.to_le_bytes());
+        hasher.update(entry.as_str().as_bytes());
+        let mut bytes = [0; 8];
+        hasher.finalize_xof().fill(&mut bytes);
+        (bytes, entry)
+    }
+}
+
+impl fmt::Display for Shard {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:02}", self.0)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod deferred;
 pub mod instance;
 pub mod lease;
 pub mod membership;
