--- a/crates/core/src/deferred/end.rs
+++ b/crates/core/src/deferred/end.rs
@@ -3,8 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::deferred::job::MOST_ATTEMPTS;
+use crate::deferred::job::{MOST_ATTEMPTS, request_object};
 use crate::deferred::{Id, Job, Key};
+use crate::name;
 use crate::verdict::Verdict;
 
 /// The wait after a run that was refused or broke off; it doubles with each.
@@ -65,6 +66,8 @@
 pub struct Receipt {
     /// Hash of the request's body.
     pub body: Id,
+    /// The submission that was recorded.
+    pub submission: name::Request,
     /// The key of the job's row, which is gone once the request has ended.
     pub job: String,
     /// When it was recorded, in milliseconds since the Unix epoch.
@@ -86,6 +89,7 @@
     pub fn new(job: &Job) -> Self {
         Self {
             body: job.body.clone(),
+            submission: job.submission,
             job: job.row(),
             created: job.created,
             end: None,
@@ -106,7 +110,7 @@
 
     /// Every object that may be left of the request.
     pub fn objects(&self, key: &Key) -> Vec<String> {
-        let request = format!("deferred/{}/request-{}", key.id(), self.body);
+        let request = request_object(key, self.submission);
         let answers = (1..=self.attempts).map(|attempt| Job::answer_object(key, attempt));
         answers.chain([request]).collect()
     }
--- a/crates/core/src/deferred/job.rs
+++ b/crates/core/src/deferred/job.rs
@@ -53,6 +53,8 @@
     pub prefix: u64,
     /// Hash of the request's body.
     pub body: Id,
+    /// Names the submission that was recorded; no two share one.
+    pub submission: name::Request,
     /// When it was recorded, in milliseconds since the Unix epoch.
     #[serde(rename = "created_ms")]
     pub created: Millis,
@@ -62,6 +64,11 @@
     pub stage: Stage,
 }
 
+/// The key of the object that holds the body of a submission.
+pub(super) fn request_object(key: &Key, submission: name::Request) -> String {
+    format!("deferred/{}/request-{submission}", key.id())
+}
+
 /// How far a request that has not ended has come.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "stage", rename_all = "snake_case")]
@@ -118,10 +125,10 @@
         format!("{}/{}/", key.shard(), key.workspace)
     }
 
-    /// The key of the object that holds the request's body. Another body has
-    /// another key, so that two first submissions never mix.
+    /// The key of the object that holds the request's body. Each submission has
+    /// its own, so that one that is not recorded can be removed.
     pub fn request_object(&self) -> String {
-        format!("deferred/{}/request-{}", self.key.id(), self.body)
+        request_object(&self.key, self.submission)
     }
 
     /// The key of the object that holds an attempt's answer. Each attempt
@@ -133,18 +140,18 @@
     /// What the holder with this fence does next; `sent` is what it knows of the
     /// job under this fence.
     pub fn next(&self, now_unix: Millis, kept: Millis, fence: Fence, sent: Sent) -> Next {
+        if sent == Sent::Runs {
+            // Whatever older state of the row was read.
+            return Next::Runs;
+        }
         match &self.stage {
             Stage::Queued if now_unix >= self.created + kept => Next::Settle(self.overdue()),
             Stage::Queued => Next::Start,
             Stage::Started { fence: other, .. } => match other.cmp(&fence) {
                 Ordering::Greater => Next::Leave,
-                Ordering::Equal => match sent {
-                    Sent::Runs => Next::Runs,
-                    // Its own write took effect late.
-                    Sent::Never => Next::Start,
-                    Sent::Broke => self.taken_over(),
-                },
-                Ordering::Less => self.taken_over(),
+                // Its own write took effect late.
+                Ordering::Equal if sent == Sent::Never => Next::Start,
+                Ordering::Equal | Ordering::Less => self.taken_over(),
             },
         }
     }
--- a/crates/core/src/deferred/tests.rs
+++ b/crates/core/src/deferred/tests.rs
@@ -33,6 +33,10 @@
         measure: Measure::Complete,
         prefix: 0,
         body: super::Id::of(["{}"]),
+        submission: name::Request {
+            incarnation: Incarnation(1),
+            sequence: 1,
+        },
         created: Millis(100),
         attempts: 0,
         stage: Stage::Queued,
@@ -62,6 +66,7 @@
 #[rstest]
 #[case::queued(job(true), Fence(9), Sent::Never, Next::Start)]
 #[case::ours_and_sent(started(false, 1), Fence(5), Sent::Runs, Next::Runs)]
+#[case::sent_though_an_older_state_is_read(job(false), Fence(5), Sent::Runs, Next::Runs)]
 #[case::ours_by_a_late_write(started(false, 1), Fence(5), Sent::Never, Next::Start)]
 #[case::ours_and_broke_off(started(true, 1), Fence(5), Sent::Broke, Next::Start)]
 #[case::of_a_later_holder(started(true, 1), Fence(4), Sent::Never, Next::Leave)]
