--- a/crates/entry/tests/interleavings/world.rs
+++ b/crates/entry/tests/interleavings/world.rs
@@ -29,7 +29,7 @@
 /// How long answers are kept, and jobs may wait.
 pub const KEPT: Millis = Millis::from_secs(3_600);
 /// More than any of these stories takes.
-const STUCK: Duration = Duration::from_secs(1_800);
+const STUCK: Duration = Duration::from_mins(30);
 
 /// The virtual clock of the test's runtime.
 #[derive(Clone, Copy)]
@@ -212,7 +212,7 @@
     }
 
     /// Nothing lost, nothing answered twice, nothing run that must not be.
-    pub async fn check(&self, story: &str) {
+    pub async fn check(&self, tale: &str) {
         let store = self.store(&Rc::default());
         for job in &self.jobs {
             let identity = &job.key.identity;
@@ -226,25 +226,25 @@
             match &state {
                 State::Done(object) => {
                     let answer = store.answer(object).await.unwrap();
-                    let answer = answer.unwrap_or_else(|| panic!("{story}: no answer"));
+                    let answer = answer.unwrap_or_else(|| panic!("{tale}: no answer"));
                     let expected = format!("to {identity} run ");
                     assert!(
                         answer.starts_with(expected.as_bytes()),
-                        "{story}: {answer:?}"
+                        "{tale}: {answer:?}"
                     );
                 }
                 State::Failed { verdict, .. } => {
-                    assert!(!job.repeatable, "{story}: given up: {state:?}");
+                    assert!(!job.repeatable, "{tale}: given up: {state:?}");
                     assert!(
                         *verdict != Verdict::NotRun || runs == 0,
-                        "{story}: {state:?}"
+                        "{tale}: {state:?}"
                     );
                 }
-                _ => panic!("{story}: {state:?}"),
+                _ => panic!("{tale}: {state:?}"),
             }
             assert!(
                 job.repeatable || runs <= 1,
-                "{story}: {identity} ran {runs} times"
+                "{tale}: {identity} ran {runs} times"
             );
             let row = job.key.row();
             let ends = self
@@ -254,9 +254,9 @@
                 .iter()
                 .filter(|end| **end == row)
                 .count();
-            assert_eq!(ends, 1, "{story}: {identity}");
+            assert_eq!(ends, 1, "{tale}: {identity}");
         }
-        assert!(self.memory.borrow().keys(rows::JOBS).is_empty(), "{story}");
+        assert!(self.memory.borrow().keys(rows::JOBS).is_empty(), "{tale}");
     }
 
     /// Once the answers' time is over, nothing is left.
