--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -2,14 +2,18 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{membership, permit};
+use crate::{endpoint, membership, permit, revision};
 
 /// A message between two entries. Every kind is idempotent: the network may
 /// lose, repeat and reorder it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Who is alive.
     Membership(membership::Message),
+    /// How endpoints are.
+    Endpoint(endpoint::Message),
     /// Places at endpoints.
     Permit(permit::Message),
+    /// Configuration.
+    Revision(revision::Message),
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,11 +7,15 @@
 pub mod control;
 pub mod deferred;
 pub mod endpoint;
+
+pub mod housekeeping;
 pub mod lease;
 pub mod options;
 pub mod recording;
 pub mod request;
+pub mod running;
 pub mod shared;
 pub mod start;
+pub mod stop;
 pub mod supervisor;
 pub mod telemetry;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,18 +1,20 @@
 //! What every part of one entry can reach.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use cadence::StatsdClient;
+use tokio::sync::Notify;
 use woodgap_core::burn;
-use woodgap_core::config::Catalog;
-use woodgap_core::instance::Instance;
+use woodgap_core::membership::Member;
 use woodgap_core::name;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::entry::Entry as Settings;
 
+use crate::configuration::InForce;
 use crate::control::Handle;
+use crate::running::Running;
 
 /// The state that threads share; what decides stands in the control thread.
 pub struct Shared {
@@ -22,10 +24,12 @@
     pub incarnation: name::Incarnation,
     /// The entry's clock.
     pub clock: Clock,
-    /// The configuration in force; none until one is confirmed.
-    pub catalog: ArcSwapOption<Catalog>,
-    /// The live entries, for callers that ask which one to use.
-    pub entries: ArcSwap<Vec<Instance>>,
+    /// The configuration in force.
+    pub in_force: Arc<InForce>,
+    /// All entries, as the control thread last showed them.
+    pub members: ArcSwap<Vec<Member>>,
+    /// Requests that were taken and have not ended.
+    pub running: Running,
     /// Asks for places at endpoints.
     pub control: Handle,
     /// Counts for the burn report.
@@ -33,6 +37,7 @@
     /// Metrics.
     pub metrics: StatsdClient,
     stopping: AtomicBool,
+    end: Notify,
     sequence: AtomicU64,
 }
 
@@ -50,12 +55,14 @@
             settings,
             incarnation,
             clock,
-            catalog: ArcSwapOption::empty(),
-            entries: ArcSwap::default(),
+            in_force: Arc::default(),
+            members: ArcSwap::default(),
+            running: Running::default(),
             control,
             counts: Mutex::new(recorder),
             metrics,
             stopping: AtomicBool::new(false),
+            end: Notify::new(),
             sequence: AtomicU64::new(0),
         }
     }
@@ -78,4 +85,14 @@
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
     }
+
+    /// Has the process stop as planned.
+    pub fn end(&self) {
+        self.end.notify_one();
+    }
+
+    /// Waits until the process is to stop as planned.
+    pub async fn ended(&self) {
+        self.end.notified().await;
+    }
 }
