Deferred requests through the daemon: routes, the branch, the normal way of a run

Deferred requests were carried out by tests only. Ruled out: running them in the control thread (their answers pass through it, and its time is counted apart) and counting each refusal as the request's end (it is tried again, so the burn report would show misses that no caller saw). One branch in a thread of its own works on all shards; each run goes the way of any request, so that tiers and permits apply; a planned stop waits for what runs and for what must be recorded, then gives the leases back.

--- a/crates/entry/src/caller/answer.rs
+++ b/crates/entry/src/caller/answer.rs
@@ -89,24 +89,29 @@
 /// # Errors
 ///
 /// Never: errors are rendered with the request's name.
-pub async fn whole(mut source: Source, shape: Shape) -> Result<HttpResponse, Problem> {
+pub async fn whole(source: Source, shape: Shape) -> Result<HttpResponse, Problem> {
+    Ok(match gather(source, &shape).await {
+        Ok(answer) => builder(StatusCode::OK, shape.id, &shape.shared).json(answer),
+        Err(problem) => refusal::response(&problem, Some(shape.id)),
+    })
+}
+
+/// The whole answer as one value.
+///
+/// # Errors
+///
+/// Why there is none.
+pub async fn gather(mut source: Source, shape: &Shape) -> Result<Value, Problem> {
     let mut whole = Whole::default();
+    let limit = shape.shared.settings.limits.answer_bytes;
     loop {
-        match source.recv().await {
-            Some(Item::Event { data, .. }) => {
-                if let Err(problem) = whole.add(&data, shape.shared.settings.limits.answer_bytes) {
-                    return Ok(refusal::response(&problem, Some(shape.id)));
-                }
-            }
-            Some(Item::Complete) => break,
-            Some(Item::Failed(problem)) => {
-                return Ok(refusal::response(&problem, Some(shape.id)));
-            }
-            Some(Item::Head { .. } | Item::Body(_)) => {}
-            None => return Ok(refusal::response(&lost(), Some(shape.id))),
+        match source.recv().await.unwrap_or_else(|| Item::Failed(lost())) {
+            Item::Event { data, .. } => whole.add(&data, limit)?,
+            Item::Complete => return Ok(whole.render(shape)),
+            Item::Failed(problem) => return Err(problem),
+            Item::Head { .. } | Item::Body(_) => {}
         }
     }
-    Ok(builder(StatusCode::OK, shape.id, &shape.shared).json(whole.render(&shape)))
 }
 
 #[derive(Debug, Default)]
--- a/crates/entry/src/caller/authority.rs
+++ b/crates/entry/src/caller/authority.rs
@@ -92,6 +92,30 @@
         }
     }
 
+    /// The class that a deferred request is in, for a target.
+    ///
+    /// # Errors
+    ///
+    /// If the workspace lacks the class, or no class that may be deferred may use
+    /// the target.
+    pub fn deferrable(&self, target: &str) -> Result<(&name::Class, &Class), Problem> {
+        let refused = |message: String| Problem::not_run(Code::NotDeferrable, message);
+        if let Some(wanted) = &self.class {
+            let (name, class) = self.class(target)?;
+            if class.deferrable {
+                return Ok((name, class));
+            }
+            return Err(refused(format!("class `{wanted}` may not be deferred")));
+        }
+        let serves = |class: &Class| class.targets.iter().any(|known| known.as_str() == target);
+        let mut classes = self.workspace.classes.iter();
+        if !classes.clone().any(|(_, class)| serves(class)) {
+            return Err(unknown_target(target));
+        }
+        let found = classes.find(|(_, class)| class.deferrable && serves(class));
+        found.ok_or_else(|| refused(format!("no class for `{target}` may be deferred")))
+    }
+
     /// The identity, which a class whose requests may not be repeated requires.
     ///
     /// # Errors
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -63,15 +63,15 @@
 }
 
 /// The parts of a body that the entry needs.
-struct Parsed {
-    target: String,
+pub(super) struct Parsed {
+    pub(super) target: String,
     stream: bool,
-    prefix: u64,
-    body: Bytes,
+    pub(super) prefix: u64,
+    pub(super) body: Bytes,
 }
 
 impl Parsed {
-    fn read(body: &[u8], form: Form) -> Result<Self, Problem> {
+    pub(super) fn read(body: &[u8], form: Form) -> Result<Self, Problem> {
         let bad = |message: String| Problem::not_run(Code::BadRequest, message);
         let mut fields: Map<String, Value> = serde_json::from_slice(body)
             .map_err(|error| bad(format!("the body is not a JSON object: {error}")))?;
--- a/crates/entry/src/deferred.rs
+++ b/crates/entry/src/deferred.rs
@@ -2,6 +2,9 @@
 //! and their answers kept for collection.
 
 pub mod accept;
+pub mod branch;
+pub mod engine;
+pub mod handle;
 pub mod rows;
 pub mod run;
 pub mod shard;
@@ -11,6 +14,8 @@
 pub mod work;
 
 pub use accept::Accept;
+pub use branch::Branch;
+pub use handle::Handle;
 pub use run::Runner;
 pub use shard::Worker;
 pub use storage::Storage;
--- a/crates/entry/src/deferred/shard.rs
+++ b/crates/entry/src/deferred/shard.rs
@@ -5,10 +5,8 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, watch};
 use tokio::task::{Id, JoinSet};
 use woodgap_core::clock::Millis;
 use woodgap_core::deferred::{Backoff, Duty, Row, Sent, Shard};
@@ -17,7 +15,7 @@
 use woodgap_platform::table::Scan;
 
 use crate::deferred::work::Report;
-use crate::deferred::{Runner, Storage, Store};
+use crate::deferred::{Handle, Runner, Storage, Store};
 use crate::lease::{Hold, Time};
 
 /// The wait after a call that failed.
@@ -28,10 +26,8 @@
 pub struct Surroundings {
     /// The entries that take part, as far as is known.
     pub entries: Rc<dyn Fn() -> Vec<name::Entry>>,
-    /// By shard: tells that a job was recorded here.
-    pub recorded: Arc<Vec<Notify>>,
-    /// Becomes true when the entry stops.
-    pub stopping: watch::Receiver<bool>,
+    /// Tells of recorded jobs and of the entry's stop.
+    pub handle: Handle,
 }
 
 /// The bounds that a shard's worker keeps to.
@@ -110,7 +106,8 @@
 
     /// Works until the entry stops and nothing runs any more.
     pub async fn run(mut self) {
-        let recorded = Arc::clone(&self.around.recorded);
+        let handle = self.around.handle.clone();
+        let mut stop = handle.stopping();
         // Looks of all shards and entries at the same moment would be a burst.
         let phase = rand::random_range(0..=self.bounds.poll.0);
         self.look_at = self.time.now() + Millis(phase);
@@ -129,16 +126,16 @@
             tokio::select! {
                 () = tokio::time::sleep(rest) => {}
                 () = self.hold.changed() => {}
-                () = recorded[self.shard.index()].notified() => self.look_at = self.time.now(),
+                () = handle.recorded(self.shard) => self.look_at = self.time.now(),
                 Some(ended) = self.jobs.join_next_with_id() => self.take_report(ended),
-                Ok(()) = self.around.stopping.changed() => {}
+                Ok(()) = stop.changed() => {}
             }
         }
         self.give_back().await;
     }
 
     fn stopping(&self) -> bool {
-        *self.around.stopping.borrow()
+        *self.around.handle.stopping().borrow()
     }
 
     /// Notices that the lease is another one than before: what was done under
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod control;
 pub mod deferred;
 pub mod endpoint;
-
 pub mod housekeeping;
 pub mod lease;
 pub mod options;
--- a/crates/entry/src/request/ending.rs
+++ b/crates/entry/src/request/ending.rs
@@ -25,6 +25,10 @@
     IdentityRequired,
     /// The identity was used with another body.
     IdentityReused,
+    /// The class may not be deferred.
+    NotDeferrable,
+    /// The workspace has too much recorded that waits.
+    QueueFull,
     /// Shed.
     Overloaded,
     /// Nothing serves the target now.
@@ -56,6 +60,8 @@
             Self::ClassNotBought => "class_not_bought",
             Self::IdentityRequired => "identity_required",
             Self::IdentityReused => "identity_reused",
+            Self::NotDeferrable => "not_deferrable",
+            Self::QueueFull => "queue_full",
             Self::Overloaded => "overloaded",
             Self::NoEndpoint => "no_endpoint",
             Self::PlatformOut => "platform_out",
@@ -75,9 +81,9 @@
             Self::BadRequest | Self::IdentityRequired => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownTarget | Self::UnknownIdentity => StatusCode::NOT_FOUND,
-            Self::ClassNotBought => StatusCode::FORBIDDEN,
+            Self::ClassNotBought | Self::NotDeferrable => StatusCode::FORBIDDEN,
             Self::IdentityReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+            Self::Overloaded | Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             Self::NoEndpoint | Self::PlatformOut | Self::Stopping | Self::NotReady => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -54,6 +54,25 @@
 
 /// Runs a request to its end, tells the caller, and accounts for it.
 pub async fn run(worker: Worker, request: Request<Received>, sink: Sink) {
+    carry_out(worker, request, sink, |_| true).await;
+}
+
+/// Runs a deferred request once. A refusal is not its end, since it is tried
+/// again, and so is not accounted for.
+pub async fn run_deferred(worker: Worker, request: Request<Received>, sink: Sink) {
+    let counts = |ending: &Ending| match ending {
+        Ending::Failed(problem) => problem.verdict != Verdict::NotRun,
+        Ending::Complete | Ending::Abandoned => true,
+    };
+    carry_out(worker, request, sink, counts).await;
+}
+
+async fn carry_out(
+    worker: Worker,
+    request: Request<Received>,
+    sink: Sink,
+    counts: impl Fn(&Ending) -> bool,
+) {
     let _running = worker.shared.running.enter();
     let head = request.head.clone();
     let mut account = Account::new(&worker.shared, &head);
@@ -63,11 +82,14 @@
         Ending::Failed(problem) => sink.send(Item::Failed(problem.clone())).await,
         Ending::Abandoned => Ok(()),
     };
-    account.close(if told.is_ok() {
-        &ending
+    let ending = if told.is_ok() {
+        ending
     } else {
-        &Ending::Abandoned
-    });
+        Ending::Abandoned
+    };
+    if counts(&ending) {
+        account.close(&ending);
+    }
 }
 
 async fn attempts(
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,7 @@
 
 use crate::configuration::InForce;
 use crate::control::Handle;
+use crate::deferred;
 use crate::running::Running;
 
 /// The state that threads share; what decides stands in the control thread.
@@ -32,6 +33,8 @@
     pub running: Running,
     /// Asks for places at endpoints.
     pub control: Handle,
+    /// The background work on deferred requests.
+    pub deferred: deferred::Handle,
     /// Counts for the burn report.
     pub counts: Mutex<burn::Recorder>,
     /// Metrics.
@@ -59,6 +62,7 @@
             members: ArcSwap::default(),
             running: Running::default(),
             control,
+            deferred: deferred::Handle::default(),
             counts: Mutex::new(recorder),
             metrics,
             stopping: AtomicBool::new(false),
@@ -84,6 +88,7 @@
     /// Takes no new work from now on.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
+        self.deferred.stop();
     }
 
     /// Has the process stop as planned.
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -28,7 +28,7 @@
 use crate::request::run::Worker;
 use crate::shared::Shared;
 use crate::supervisor::{Branch, supervise};
-use crate::{admin, caller, recording, stop, telemetry};
+use crate::{admin, caller, deferred, recording, stop, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -107,6 +107,12 @@
     let _housekeeping = supervise(&control.handle(), "housekeeping", move |guard| {
         Housekeeping::new(Arc::clone(&kept), guard)
     });
+    // Its answers pass through this thread: kept apart from the control's.
+    let background = Arbiter::new();
+    let deferring = Arc::clone(&shared);
+    let _deferred = supervise(&background.handle(), "deferred", move |guard| {
+        deferred::Branch::new(Arc::clone(&deferring), guard)
+    });
     let server = server(&shared, listener, workers)?;
     let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
     announce(address, peer, &shared.settings.name);
@@ -114,6 +120,7 @@
     if let Ok(stopped) = stopping.await {
         stopped.map_err(Error::Server)?;
     }
+    deferred::branch::finish(&shared).await;
     recording::finish(&shared, LAST_COUNTS).await;
     Ok(())
 }
--- a/crates/entry/tests/interleavings/main.rs
+++ b/crates/entry/tests/interleavings/main.rs
@@ -160,7 +160,7 @@
         while world.runs.borrow().is_empty() {
             sleep(Duration::from_millis(10)).await;
         }
-        first.stop.send(true).unwrap();
+        first.handle.stop();
         first.task.await.unwrap();
         let started = world.runs.borrow().len();
         assert!(started < 4, "all had been started");
--- a/crates/entry/tests/interleavings/world.rs
+++ b/crates/entry/tests/interleavings/world.rs
@@ -2,24 +2,22 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use tokio::sync::{Notify, watch};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 use woodgap_core::clock::Millis;
 use woodgap_core::config::document::Measure;
-use woodgap_core::deferred::{Form, Id, Job, Key, Outcome, SHARDS, Shard, Stage, State};
+use woodgap_core::deferred::{Form, Id, Job, Key, Outcome, Shard, Stage, State};
 use woodgap_core::lease::{Answer, Holder, Mark, Record, Term, Write};
 use woodgap_core::name::{self, Incarnation};
 use woodgap_core::tier::Tier;
 use woodgap_core::verdict::Verdict;
 use woodgap_entry::deferred::shard::{Bounds, Surroundings};
 use woodgap_entry::deferred::store::Under;
-use woodgap_entry::deferred::{Accept, Runner, Store, Worker, rows, sweep};
+use woodgap_entry::deferred::{Accept, Handle, Runner, Store, Worker, rows, sweep};
 use woodgap_entry::lease::{self, Time};
 
 use crate::memory::{Client, Memory, Script};
@@ -80,7 +78,7 @@
 /// A running entry.
 pub struct Entry {
     pub script: Rc<Script>,
-    pub stop: watch::Sender<bool>,
+    pub handle: Handle,
     pub task: JoinHandle<()>,
 }
 
@@ -158,12 +156,11 @@
 
     /// Starts the entry that so many others are preferred to.
     pub fn start(&self, rank: usize, incarnation: u64, script: Rc<Script>) -> Entry {
-        let (stop, stopping) = watch::channel(false);
+        let handle = Handle::default();
         let names = self.names.clone();
         let around = Surroundings {
             entries: Rc::new(move || names.clone()),
-            recorded: Arc::new((0..SHARDS).map(|_| Notify::new()).collect()),
-            stopping,
+            handle: handle.clone(),
         };
         let bounds = Bounds {
             poll: Millis(500),
@@ -190,7 +187,11 @@
                 () = dying.killed.notified() => {}
             }
         });
-        Entry { script, stop, task }
+        Entry {
+            script,
+            handle,
+            task,
+        }
     }
 
     /// Waits until every job has ended.
