--- a/crates/core/src/control/alone.rs
+++ b/crates/core/src/control/alone.rs
@@ -9,7 +9,7 @@
 use crate::clock::Millis;
 use crate::control::action::{Action, Grant, Refusal};
 use crate::control::directory::{Directory, Endpoint};
-use crate::control::event::{Ask, Done};
+use crate::control::event::{Ask, Done, Held};
 use crate::name;
 
 /// Choices that are weighed for each request.
@@ -66,14 +66,34 @@
         self.dispatch(directory, random, out);
     }
 
-    /// Forgets a waiting request.
+    /// Takes in the permits that are older than this policy.
+    pub fn restore(&mut self, held: &[Held]) {
+        for held in held {
+            let run = (held.ask.request, held.endpoint.clone());
+            if self.running.insert(held.permit, run).is_none() {
+                *self.in_flight.entry(held.endpoint.clone()).or_default() += 1;
+            }
+            self.next_permit = self.next_permit.max(held.permit + 1);
+        }
+    }
+
+    /// Forgets a waiting request, and takes back the permit that it may have
+    /// been granted meanwhile.
     pub fn withdraw(&mut self, request: name::Request) {
         self.waiting.retain(|ask| ask.request != request);
+        let granted = self.running.iter().find(|(_, run)| run.0 == request);
+        if let Some(permit) = granted.map(|(permit, _)| *permit) {
+            self.release(permit);
+        }
     }
 
     /// Takes a permit back.
     pub fn done(&mut self, done: &Done) {
-        let Some((_, endpoint)) = self.running.remove(&done.permit) else {
+        self.release(done.permit);
+    }
+
+    fn release(&mut self, permit: u64) {
+        let Some((_, endpoint)) = self.running.remove(&permit) else {
             return;
         };
         if let Some(count) = self.in_flight.get_mut(&endpoint) {
@@ -155,6 +175,7 @@
             endpoint: endpoint.name.clone(),
             address: endpoint.address,
             priority: PRIORITY,
+            degraded: false,
         }));
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 pub mod message;
 pub mod name;
+pub mod once;
 pub mod permit;
 pub mod pool;
 pub mod revision;
--- a/crates/entry/src/caller/deferred.rs
+++ b/crates/entry/src/caller/deferred.rs
@@ -12,10 +12,10 @@
 use woodgap_core::verdict::Verdict;
 use woodgap_platform::http::Platform;
 
-use crate::caller::Authority;
 use crate::caller::authority::IDENTITY_HEADER;
 use crate::caller::model::Parsed;
 use crate::caller::refusal::ENTRY_HEADER;
+use crate::caller::{Authority, Body};
 use crate::deferred::accept::Refusal;
 use crate::deferred::{Accept, Store};
 use crate::request::call::Form;
@@ -81,9 +81,9 @@
     worker: Data<Worker>,
     platform: Data<Platform>,
     request: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse, Problem> {
-    take(&worker.shared, &platform, &request, &body, Form::Chat).await
+    take(&worker.shared, &platform, &request, &body.0, Form::Chat).await
 }
 
 /// `POST /v1/deferred/completions`.
@@ -91,9 +91,16 @@
     worker: Data<Worker>,
     platform: Data<Platform>,
     request: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse, Problem> {
-    take(&worker.shared, &platform, &request, &body, Form::Completion).await
+    take(
+        &worker.shared,
+        &platform,
+        &request,
+        &body.0,
+        Form::Completion,
+    )
+    .await
 }
 
 async fn take(
--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -103,7 +103,7 @@
     loop {
         match platform.list().await {
             Ok(instances) => {
-                shared.control.tell(Event::Instances(instances));
+                shared.control.listed(instances);
             }
             Err(error) => log::warn!(error = error.to_string(); "can't read the instance list"),
         }
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -6,11 +6,15 @@
 use std::time::Duration;
 
 use actix::{ActorContext, AsyncContext, Context, Handler, Message, WrapFuture};
-use awc::Client;
+use awc::error::PayloadError;
+use awc::{Client, ClientResponse};
+use bytes::Bytes;
+use cadence::prelude::*;
+use futures_util::Stream;
 use tokio::sync::oneshot;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::machine::TICK;
-use woodgap_core::control::{Action, Ask, Done, Event, Machine, Outcome, Own};
+use woodgap_core::control::{Action, Ask, Done, Event, Grant, Held, Machine, Outcome, Own};
 use woodgap_core::revision::message::parts;
 use woodgap_core::{message, name, revision};
 use woodgap_platform::endpoint::{LOAD_PATH, Load};
@@ -36,7 +40,7 @@
     shared: Arc<Shared>,
     socket: Arc<Socket>,
     client: Client,
-    waiting: HashMap<name::Request, oneshot::Sender<Answer>>,
+    waiting: HashMap<name::Request, Place>,
     actions: Vec<Action>,
     outbox: Outbox,
     _guard: Guard,
@@ -77,13 +81,12 @@
         match action {
             Action::Grant(grant) => {
                 let (request, permit) = (grant.request, grant.permit);
-                if !self.reply(request, Answer::Grant(grant)) {
+                if !self.grant(grant) {
                     context.notify(Tell(Event::Done(unused(request, permit))));
                 }
             }
-            Action::Refuse(request, refusal) => {
-                self.reply(request, Answer::Refuse(refusal));
-            }
+            Action::Refuse(request, refusal) => self.reply(request, Answer::Refuse(refusal)),
+            Action::Elsewhere(request, life) => self.reply(request, Answer::Elsewhere(life)),
             Action::Send(to, message) => self.outbox.put(to, message),
             Action::Apply(changes) => {
                 let step = self.shared.in_force.apply(&changes);
@@ -123,11 +126,34 @@
         }
     }
 
-    fn reply(&mut self, request: name::Request, answer: Answer) -> bool {
-        let Some(sender) = self.waiting.remove(&request) else {
+    /// Hands a grant to its request. False: nobody waits for it any more.
+    fn grant(&mut self, grant: Grant) -> bool {
+        let Some(Place { ask, reply }) = self.waiting.remove(&grant.request) else {
             return false;
         };
-        sender.send(answer).is_ok()
+        if grant.degraded {
+            // A lost metric is no reason to stop.
+            let _ = self.shared.metrics.incr("control.granted_alone");
+        }
+        let request = grant.request;
+        let ledger = self.shared.control.ledger();
+        ledger.granted(Held {
+            ask,
+            permit: grant.permit,
+            endpoint: grant.endpoint.clone(),
+        });
+        let taken = reply.send(Answer::Grant(grant)).is_ok();
+        if !taken {
+            ledger.ended(request);
+        }
+        taken
+    }
+
+    fn reply(&mut self, request: name::Request, answer: Answer) {
+        if let Some(place) = self.waiting.remove(&request) {
+            // Whoever asked may have gone meanwhile.
+            let _ = place.reply.send(answer);
+        }
     }
 
     fn probe(&self, endpoint: name::Endpoint, address: SocketAddr, context: &mut Context<Self>) {
@@ -138,7 +164,7 @@
         let own = context.address();
         let future = async move {
             let load = match call.await {
-                Ok(mut response) => response.json::<Load>().await.ok(),
+                Ok(response) => report(response).await,
                 Err(_) => None,
             };
             own.do_send(Tell(Event::Load(endpoint, load)));
@@ -229,6 +255,15 @@
     }
 }
 
+/// Reads a load report, whatever content type it claims to be.
+async fn report<S>(mut response: ClientResponse<S>) -> Option<Load>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let body = response.body().await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
 /// The end of a grant that nobody waits for any more.
 fn unused(request: name::Request, permit: u64) -> Done {
     Done {
@@ -246,7 +281,9 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         self.listen(context);
-        // A new machine does not know that the entry is stopping.
+        // A new machine does not know what an earlier one did, nor that the
+        // entry is stopping.
+        self.tell(self.shared.control.ledger().events(), context);
         if self.shared.stopping() {
             self.tell([Event::Stop], context);
         }
@@ -323,8 +360,9 @@
     type Result = ();
 
     fn handle(&mut self, message: Place, context: &mut Self::Context) {
-        self.waiting.insert(message.ask.request, message.reply);
-        self.tell([Event::Ask(message.ask)], context);
+        let ask = message.ask.clone();
+        self.waiting.insert(ask.request, message);
+        self.tell([Event::Ask(ask)], context);
     }
 }
 
--- a/crates/entry/src/deferred/branch.rs
+++ b/crates/entry/src/deferred/branch.rs
@@ -56,6 +56,7 @@
         let engine = Rc::new(Engine::new(run::Worker {
             shared: Arc::clone(shared),
             client: Client::new(),
+            platform: platform(shared),
         }));
         for shard in Shard::all() {
             let worker = worker(shared, shard, store.clone(), Rc::clone(&engine));
--- a/crates/entry/src/deferred/engine.rs
+++ b/crates/entry/src/deferred/engine.rs
@@ -7,7 +7,7 @@
 use woodgap_core::deferred::{self, Job, Outcome};
 use woodgap_core::verdict::Verdict;
 
-use crate::caller::{Presence, answer};
+use crate::caller::answer;
 use crate::deferred::Runner;
 use crate::request::call::{Form, Model};
 use crate::request::run::{self, Worker};
@@ -34,10 +34,10 @@
             model: job.target.to_string(),
             shared: shared.clone(),
         };
-        let (sink, source) = Sink::new(Presence::default());
+        let (sink, mut source) = Sink::new(self.worker.caller_timeout());
         let request = Request::<Received>::new(head);
         let running = run::run_deferred(self.worker.clone(), request, sink);
-        let ((), gathered) = tokio::join!(running, answer::gather(source, &shape));
+        let ((), gathered) = tokio::join!(running, answer::gather(&mut source, &shape));
         let text = serde_json::to_vec(&gathered?);
         text.map_err(|error| Problem::new(Code::BadAnswer, Verdict::Ran, error.to_string()))
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoint;
 pub mod housekeeping;
 pub mod lease;
+pub mod once;
 pub mod options;
 pub mod recording;
 pub mod request;
--- a/crates/entry/src/request/ending.rs
+++ b/crates/entry/src/request/ending.rs
@@ -1,14 +1,14 @@
 //! How requests end, and what their callers are told.
 
 use actix_web::http::StatusCode;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::Refusal;
 use woodgap_core::verdict::Verdict;
 
 /// Stable codes of errors; `docs/INTERFACES.md` lists them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Code {
     /// No workspace has this key.
@@ -17,6 +17,14 @@
     BadRequest,
     /// The body is above the limit.
     BodyTooLarge,
+    /// The header is above the limit.
+    HeaderTooLarge,
+    /// The request did not come in time.
+    RequestTimeout,
+    /// There is no such call.
+    UnknownPath,
+    /// The call has another method.
+    MethodNotAllowed,
     /// No class of the workspace may use the target.
     UnknownTarget,
     /// The workspace does not have the class.
@@ -39,6 +47,8 @@
     Stopping,
     /// This entry has no confirmed configuration.
     NotReady,
+    /// The entry itself failed.
+    EntryFailed,
     /// The endpoint failed.
     EndpointFailed,
     /// The endpoint's answer can't be relayed.
@@ -47,6 +57,8 @@
     UnknownIdentity,
     /// The entry that ran this identity is gone.
     UnknownOutcome,
+    /// The request ran, and its answer is no longer kept.
+    AnswerGone,
 }
 
 impl Code {
@@ -56,6 +68,10 @@
             Self::UnknownKey => "unknown_key",
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
+            Self::HeaderTooLarge => "header_too_large",
+            Self::RequestTimeout => "request_timeout",
+            Self::UnknownPath => "unknown_path",
+            Self::MethodNotAllowed => "method_not_allowed",
             Self::UnknownTarget => "unknown_target",
             Self::ClassNotBought => "class_not_bought",
             Self::IdentityRequired => "identity_required",
@@ -67,10 +83,12 @@
             Self::PlatformOut => "platform_out",
             Self::Stopping => "stopping",
             Self::NotReady => "not_ready",
+            Self::EntryFailed => "entry_failed",
             Self::EndpointFailed => "endpoint_failed",
             Self::BadAnswer => "bad_answer",
             Self::UnknownIdentity => "unknown_identity",
             Self::UnknownOutcome => "unknown_outcome",
+            Self::AnswerGone => "answer_gone",
         }
     }
 
@@ -80,21 +98,28 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BadRequest | Self::IdentityRequired => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::UnknownTarget | Self::UnknownIdentity => StatusCode::NOT_FOUND,
+            Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::UnknownPath | Self::UnknownTarget | Self::UnknownIdentity => {
+                StatusCode::NOT_FOUND
+            }
+            Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             Self::ClassNotBought | Self::NotDeferrable => StatusCode::FORBIDDEN,
             Self::IdentityReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Overloaded | Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             Self::NoEndpoint | Self::PlatformOut | Self::Stopping | Self::NotReady => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            Self::EntryFailed => StatusCode::INTERNAL_SERVER_ERROR,
             Self::EndpointFailed | Self::BadAnswer => StatusCode::BAD_GATEWAY,
             Self::UnknownOutcome => StatusCode::CONFLICT,
+            Self::AnswerGone => StatusCode::GONE,
         }
     }
 }
 
 /// Why a request got no whole answer.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[error("{message}")]
 pub struct Problem {
     /// The stable code.
--- a/crates/entry/src/request/life.rs
+++ b/crates/entry/src/request/life.rs
@@ -3,15 +3,19 @@
 use std::rc::Rc;
 
 use woodgap_core::clock::Millis;
+use woodgap_core::config::catalog::{Class, Workspace};
 use woodgap_core::config::document::Measure;
 use woodgap_core::control::{Ask, Grant, Outcome};
 use woodgap_core::name;
 use woodgap_core::tier::Tier;
 
 use crate::control::{Answer, Permit};
-use crate::request::{Call, Problem};
+use crate::request::{Call, Code, Problem};
 use crate::shared::Shared;
 
+/// When to come back for a request that waits or runs at another entry.
+const ELSEWHERE_RETRY: Millis = Millis(1_000);
+
 /// What stays the same through a request's life.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -43,6 +47,34 @@
     pub call: Call,
 }
 
+impl Head {
+    /// The head of a request that has just come, without prefix and identity.
+    pub fn new(
+        shared: &Shared,
+        workspace: &Workspace,
+        class: (&name::Class, &Class),
+        target: name::Target,
+        call: Call,
+    ) -> Self {
+        let (name, class) = class;
+        Self {
+            id: shared.next_request(),
+            workspace: workspace.name.clone(),
+            tier: workspace.tier,
+            class: name.clone(),
+            weight: class.weight,
+            target,
+            arrived: shared.clock.now(),
+            latency: class.target,
+            measure: class.measure,
+            repeatable: class.repeatable,
+            prefix: 0,
+            identity: 0,
+            call,
+        }
+    }
+}
+
 /// A request in one of its states.
 pub struct Request<S> {
     /// What stays the same.
@@ -95,6 +127,12 @@
         match shared.control.ask(ask).await {
             Answer::Grant(grant) => Ok(self.granted(grant, shared)),
             Answer::Refuse(refusal) => Err(refusal.into()),
+            // TODO: relay the answer of the other entry instead.
+            Answer::Elsewhere(_) => Err(Problem::not_run(
+                Code::Overloaded,
+                "a request with the same identity waits or runs at another entry",
+            )
+            .retry_after(ELSEWHERE_RETRY)),
         }
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! What every part of one entry can reach.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -15,6 +16,7 @@
 use crate::configuration::InForce;
 use crate::control::Handle;
 use crate::deferred;
+use crate::once::Once;
 use crate::running::Running;
 
 /// The state that threads share; what decides stands in the control thread.
@@ -35,6 +37,8 @@
     pub control: Handle,
     /// The background work on deferred requests.
     pub deferred: deferred::Handle,
+    /// Requests that carry an identity.
+    pub once: Once,
     /// Counts for the burn report.
     pub counts: Mutex<burn::Recorder>,
     /// Metrics.
@@ -45,15 +49,17 @@
 }
 
 impl Shared {
-    /// The state of an entry that has just started.
+    /// The state of an entry that has just started and takes requests at an address.
     pub fn new(
         settings: Settings,
         incarnation: name::Incarnation,
         control: Handle,
         clock: Clock,
         metrics: StatsdClient,
+        address: SocketAddr,
     ) -> Self {
         let recorder = burn::Recorder::new(settings.name.clone(), incarnation);
+        let once = Once::new(&settings, incarnation, address);
         Self {
             settings,
             incarnation,
@@ -63,6 +69,7 @@
             running: Running::default(),
             control,
             deferred: deferred::Handle::default(),
+            once,
             counts: Mutex::new(recorder),
             metrics,
             stopping: AtomicBool::new(false),
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -6,16 +6,18 @@
 use std::time::Duration;
 
 use actix_rt::Arbiter;
+use actix_web::middleware::from_fn;
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::{App, HttpServer};
 use serde::Serialize;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
-use woodgap_core::control::{Machine, Start};
+use woodgap_core::control::{Machine, Policy, Start};
 use woodgap_core::membership::{Figures, Member, Standing};
 use woodgap_core::name;
+use woodgap_core::pool::Limits;
 use woodgap_platform::clock::Clock;
-use woodgap_settings::entry::Entry as Settings;
+use woodgap_settings::entry::{Dispatch, Entry as Settings, dispatch};
 use woodgap_wire::Key;
 
 use crate::configuration::{Watcher, watcher};
@@ -23,6 +25,8 @@
 use crate::control::{Actor, Handle, Socket};
 use crate::endpoint::Client;
 use crate::housekeeping::Housekeeping;
+use crate::once::internal;
+use crate::once::table::Table;
 use crate::options::Options;
 use crate::recording::Recording;
 use crate::request::run::Worker;
@@ -92,8 +96,8 @@
     let workers = settings.workers;
     let control = Arbiter::new();
     let branch = Branch::default();
-    let shared = Arc::new(shared(settings, Handle::new(branch.clone()))?);
-    let own = own(&shared, address, peer);
+    let shared = Arc::new(shared(settings, Handle::new(branch.clone()), address)?);
+    let own = own(&shared, peer);
     control_branch(&shared, &control, &branch, own, peers);
     let watched = Arc::clone(&shared);
     let _watcher = supervise(&control.handle(), "watcher", move |guard| {
@@ -103,6 +107,11 @@
     let _recording = supervise(&control.handle(), "recording", move |guard| {
         Recording::new(Arc::clone(&recorded), guard)
     });
+    let claimed = Arc::clone(&shared);
+    let table = shared.once.table.branch.clone();
+    table.start(&control.handle(), "claims", move |guard| {
+        Table::new(Arc::clone(&claimed), guard)
+    });
     let kept = Arc::clone(&shared);
     let _housekeeping = supervise(&control.handle(), "housekeeping", move |guard| {
         Housekeeping::new(Arc::clone(&kept), guard)
@@ -145,24 +154,32 @@
     name::Incarnation(clock.unix().0 << RANDOM_BITS | random)
 }
 
-fn shared(settings: Settings, control: Handle) -> Result<Shared, Error> {
+fn shared(settings: Settings, control: Handle, bound: SocketAddr) -> Result<Shared, Error> {
     let clock = Clock::start();
     let incarnation = incarnation(clock);
     let metrics = telemetry::metrics::client(settings.metrics).map_err(|source| Error::Socket {
         option: "metrics",
         source,
     })?;
-    Ok(Shared::new(settings, incarnation, control, clock, metrics))
+    let address = settings.advertise.unwrap_or(bound);
+    Ok(Shared::new(
+        settings,
+        incarnation,
+        control,
+        clock,
+        metrics,
+        address,
+    ))
 }
 
 /// The own entry, as the others are to know it.
-fn own(shared: &Shared, address: SocketAddr, peer: SocketAddr) -> Member {
+fn own(shared: &Shared, peer: SocketAddr) -> Member {
     Member {
         name: shared.settings.name.clone(),
         incarnation: shared.incarnation,
         data_centre: shared.settings.data_centre.clone(),
         peer,
-        http: shared.settings.advertise.unwrap_or(address),
+        http: shared.once.address,
         standing: Standing::Live,
         version: 0,
         figures: Figures::default(),
@@ -187,13 +204,29 @@
             own: own.clone(),
             generation: generation.fetch_add(1, Ordering::Relaxed),
             seed: rand::random(),
-            waiting_per_slot: shared.settings.dispatch.waiting_per_slot,
+            policy: policy(&shared.settings.dispatch),
+            limits: limits(&shared.settings.dispatch),
             unconfirmed_limit: shared.settings.dispatch.unconfirmed_limit,
         });
         Actor::new(machine, Arc::clone(&shared), Arc::clone(&socket), guard)
     });
 }
 
+fn policy(dispatch: &Dispatch) -> Policy {
+    match dispatch.policy {
+        dispatch::Policy::Permits => Policy::Permits,
+        dispatch::Policy::TwoChoices => Policy::TwoChoices,
+    }
+}
+
+fn limits(dispatch: &Dispatch) -> Limits {
+    Limits {
+        waiting_per_slot: dispatch.waiting_per_slot,
+        share: dispatch.share,
+        ..Limits::default()
+    }
+}
+
 /// How long the last bytes of answers may take to reach slow callers.
 const LAST_BYTES: Duration = Duration::from_secs(30);
 
@@ -204,6 +237,7 @@
 ) -> Result<actix_web::dev::Server, Error> {
     let limits = &shared.settings.limits;
     let header_timeout = Duration::from_millis(limits.header_timeout.0);
+    let caller_timeout = Duration::from_millis(limits.caller_timeout.0);
     let body_bytes = limits.body_bytes;
     let connections = limits.connections;
     let shared = Arc::clone(shared);
@@ -214,16 +248,21 @@
             .app_data(Data::new(Worker {
                 shared: Arc::clone(&shared),
                 client: Client::new(),
+                platform: watcher::platform(&shared),
             }))
             .configure(caller::routes)
+            .configure(|config| internal::routes(config, body_bytes))
             .configure(admin::routes)
+            .wrap(from_fn(caller::guard::guard))
     })
     .workers(workers)
     .disable_signals()
     .shutdown_timeout(LAST_BYTES.as_secs())
     .max_connections(connections.div_ceil(workers))
     .client_request_timeout(header_timeout)
-    .on_connect(caller::Presence::remember)
+    // A caller that closes its sending half has given up, as HTTP clients do.
+    .h1_allow_half_closed(false)
+    .on_connect(caller::presence::watcher(caller_timeout))
     .listen(listener)
     .map_err(Error::Server)?;
     Ok(server.run())
