Deferred and ordinary requests share one identity

An identity used directly and deferred could have run twice, once by each way. Ruled out: a second check in the batch of claims (its fates go by one check each). The row of a deferred request that may not be repeated is written together with a closed claim of its identity: whichever way is first wins, and the other is told identity_reused. Keys and digests are those of core::once. GET /v1/answers/{identity} tells of deferred requests too.

--- a/crates/core/src/deferred.rs
+++ b/crates/core/src/deferred.rs
@@ -11,7 +11,6 @@
 pub mod duty;
 pub mod end;
 pub mod job;
-pub mod key;
 pub mod queue;
 pub mod shard;
 
@@ -19,7 +18,6 @@
 pub use duty::Duty;
 pub use end::{After, End, Outcome, Receipt, State};
 pub use job::{Form, Job, Next, Sent, Stage};
-pub use key::{Id, Key};
 pub use queue::{Row, Slot, choose};
 pub use shard::{SHARDS, Shard};
 
--- a/crates/core/src/deferred/end.rs
+++ b/crates/core/src/deferred/end.rs
@@ -3,9 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::deferred::Job;
 use crate::deferred::job::{MOST_ATTEMPTS, request_object};
-use crate::deferred::{Id, Job, Key};
 use crate::name;
+use crate::once::{Digest, Key};
 use crate::verdict::Verdict;
 
 /// The wait after a run that was refused or broke off; it doubles with each.
@@ -65,7 +66,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Receipt {
     /// Hash of the request's body.
-    pub body: Id,
+    pub body: Digest,
     /// The submission that was recorded.
     pub submission: name::Request,
     /// The key of the job's row, which is gone once the request has ended.
--- a/crates/core/src/deferred/job.rs
+++ b/crates/core/src/deferred/job.rs
@@ -6,9 +6,10 @@
 
 use crate::clock::Millis;
 use crate::config::document::Measure;
-use crate::deferred::{End, Id, Key};
+use crate::deferred::{End, Shard};
 use crate::lease::{Fence, Holder};
 use crate::name;
+use crate::once::{Digest, Key};
 use crate::tier::Tier;
 use crate::verdict::Verdict;
 
@@ -52,7 +53,7 @@
     /// Hash of the prompt's start; 0 for none.
     pub prefix: u64,
     /// Hash of the request's body.
-    pub body: Id,
+    pub body: Digest,
     /// Names the submission that was recorded; no two share one.
     pub submission: name::Request,
     /// When it was recorded, in milliseconds since the Unix epoch.
@@ -66,7 +67,7 @@
 
 /// The key of the object that holds the body of a submission.
 pub(super) fn request_object(key: &Key, submission: name::Request) -> String {
-    format!("deferred/{}/request-{submission}", key.id())
+    format!("deferred/{}/request-{submission}", key.digest())
 }
 
 /// How far a request that has not ended has come.
@@ -111,18 +112,18 @@
 impl Job {
     /// The key of the job's row: those of a workspace in the order in which they came.
     pub fn row(&self) -> String {
-        let shard = self.key.shard();
+        let shard = Shard::of(&self.key);
         let created = self.created.0;
         format!(
             "{shard}/{}/{created:013}-{}",
             self.key.workspace,
-            self.key.id()
+            self.key.digest()
         )
     }
 
     /// What the keys of a workspace's rows in a shard begin with.
     pub fn prefix_of(key: &Key) -> String {
-        format!("{}/{}/", key.shard(), key.workspace)
+        format!("{}/{}/", Shard::of(key), key.workspace)
     }
 
     /// The key of the object that holds the request's body. Each submission has
@@ -134,7 +135,7 @@
     /// The key of the object that holds an attempt's answer. Each attempt
     /// belongs to one fence, so that no two holders write to the same object.
     pub fn answer_object(key: &Key, attempt: u32) -> String {
-        format!("deferred/{}/answer-{attempt}", key.id())
+        format!("deferred/{}/answer-{attempt}", key.digest())
     }
 
     /// What the holder with this fence does next; `sent` is what it knows of the
--- a/crates/core/src/deferred/shard.rs
+++ b/crates/core/src/deferred/shard.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
-use crate::deferred::Id;
 use crate::name;
+use crate::once::Key;
 
 /// How many parts the work is cut into. Enough that seven entries share it
 /// evenly; few enough that an idle fleet's looks are a few reads a second. The
@@ -16,10 +16,13 @@
 
 impl Shard {
     /// The shard that a request belongs to.
-    pub(super) fn of(id: &Id) -> Self {
-        let hash = blake3::hash(id.as_str().as_bytes());
-        let bytes = hash.as_bytes();
-        Self(u16::from_le_bytes([bytes[0], bytes[1]]) % SHARDS)
+    ///
+    /// # Panics
+    ///
+    /// Never: the rest of a division by their number is the number of a shard.
+    pub fn of(key: &Key) -> Self {
+        let rest = key.hash() % u64::from(SHARDS);
+        Self(u16::try_from(rest).expect("below the number of shards"))
     }
 
     /// All shards.
--- a/crates/core/src/deferred/tests.rs
+++ b/crates/core/src/deferred/tests.rs
@@ -4,13 +4,14 @@
 
 use super::job::MOST_ATTEMPTS;
 use super::{
-    After, Backoff, Duty, End, Form, Job, Key, Next, Outcome, Receipt, Row, SHARDS, Sent, Shard,
-    Slot, Stage, State, choose,
+    After, Backoff, Duty, End, Form, Job, Next, Outcome, Receipt, Row, SHARDS, Sent, Shard, Slot,
+    Stage, State, choose,
 };
 use crate::clock::Millis;
 use crate::config::document::Measure;
 use crate::lease::{Fence, Holder, Term, Want};
 use crate::name::{self, Incarnation};
+use crate::once::{Digest, Key};
 use crate::tier::Tier;
 use crate::verdict::Verdict;
 
@@ -32,7 +33,7 @@
         latency: Millis(60_000),
         measure: Measure::Complete,
         prefix: 0,
-        body: super::Id::of(["{}"]),
+        body: Digest::of(["{}"]),
         submission: name::Request {
             incarnation: Incarnation(1),
             sequence: 1,
--- a/crates/entry/src/caller/answers.rs
+++ b/crates/entry/src/caller/answers.rs
@@ -1,11 +1,11 @@
-//! Answers by their identity.
+//! Answers by their identity, of deferred requests and of others.
 
 use actix_web::web::{Data, Path, Query};
 use actix_web::{HttpRequest, HttpResponse};
 use serde::Deserialize;
 use woodgap_core::once::Key;
 
-use crate::caller::{Authority, answer};
+use crate::caller::{Authority, answer, deferred};
 use crate::once::{self, Kind};
 use crate::request::Problem;
 use crate::request::run::Worker;
@@ -27,6 +27,9 @@
 ) -> Result<HttpResponse, Problem> {
     let authority = Authority::of(&worker.shared, &request)?;
     let key = Key::new(&authority.workspace.name, &identity);
+    if let Some(response) = deferred::collect(&worker, &key).await? {
+        return Ok(response);
+    }
     let found = once::find(&worker, &key).await?;
     let id = found.reader.request();
     let kind = shown_as(found.kind, wanted.stream);
--- a/crates/entry/src/caller/deferred.rs
+++ b/crates/entry/src/caller/deferred.rs
@@ -8,7 +8,9 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 use woodgap_core::clock::Millis;
-use woodgap_core::deferred::{self, Id, Job, Key, Stage, State};
+use woodgap_core::deferred::{self, Job, Shard, Stage, State};
+use woodgap_core::once::identity::PREFIX;
+use woodgap_core::once::{Digest, Key};
 use woodgap_core::verdict::Verdict;
 use woodgap_platform::http::Platform;
 
@@ -79,43 +81,39 @@
 /// `POST /v1/deferred/chat/completions`.
 pub(crate) async fn chat(
     worker: Data<Worker>,
-    platform: Data<Platform>,
     request: HttpRequest,
     body: Body,
 ) -> Result<HttpResponse, Problem> {
-    take(&worker.shared, &platform, &request, &body.0, Form::Chat).await
+    take(&worker, &request, &body.0, Form::Chat).await
 }
 
 /// `POST /v1/deferred/completions`.
 pub(crate) async fn completion(
     worker: Data<Worker>,
-    platform: Data<Platform>,
     request: HttpRequest,
     body: Body,
 ) -> Result<HttpResponse, Problem> {
-    take(
-        &worker.shared,
-        &platform,
-        &request,
-        &body.0,
-        Form::Completion,
-    )
-    .await
+    take(&worker, &request, &body.0, Form::Completion).await
 }
 
 async fn take(
-    shared: &Arc<Shared>,
-    platform: &Platform,
+    worker: &Worker,
     request: &HttpRequest,
     body: &Bytes,
     form: Form,
 ) -> Result<HttpResponse, Problem> {
+    let shared = &worker.shared;
     let authority = Authority::of(shared, request)?;
     let parsed = Parsed::read(body, form)?;
     let job = job(shared, &authority, &parsed, form)?;
     let key = job.key.clone();
     // A caller that goes away must not leave its request half recorded.
-    let recording = record(Arc::clone(shared), platform.clone(), job, parsed.body);
+    let recording = record(
+        Arc::clone(shared),
+        worker.platform.clone(),
+        job,
+        parsed.body,
+    );
     let recorded = actix_web::rt::spawn(recording).await;
     let state = recorded
         .map_err(|_| lost(&key))?
@@ -134,7 +132,7 @@
     let bound = shared.settings.deferred.queue_per_workspace;
     let accept = Accept::new(&store, &shared.clock, bound);
     let state = accept.record(&job, body).await?;
-    shared.deferred.record(job.key.shard());
+    shared.deferred.record(Shard::of(&job.key));
     Ok(state)
 }
 
@@ -146,6 +144,14 @@
 ) -> Result<Job, Problem> {
     let (name, class) = authority.deferrable(&parsed.target)?;
     authority.check_identity(class)?;
+    if authority
+        .identity
+        .as_ref()
+        .is_some_and(|identity| identity.starts_with(PREFIX))
+    {
+        let message = "an identity that an entry has issued can't be deferred: use one of your own";
+        return Err(Problem::not_run(Code::BadRequest, message));
+    }
     let submission = shared.next_request();
     let given = || format!("{GIVEN}{submission}");
     let identity = authority.identity.clone().unwrap_or_else(given);
@@ -163,7 +169,7 @@
         latency: class.target,
         measure: class.measure,
         prefix: parsed.prefix,
-        body: Id::of([form.path().as_bytes(), &parsed.body]),
+        body: Digest::of([form.path().as_bytes(), &parsed.body]),
         submission,
         created: shared.clock.unix(),
         attempts: 0,
@@ -180,7 +186,7 @@
 fn refused(refusal: &Refusal, key: &Key) -> Problem {
     let message = refusal.to_string();
     match refusal {
-        Refusal::Reused => Problem::not_run(Code::IdentityReused, message),
+        Refusal::Reused | Refusal::Claimed => Problem::not_run(Code::IdentityReused, message),
         Refusal::Full => Problem::not_run(Code::QueueFull, message).retry_after(FULL_RETRY),
         Refusal::NotRecorded(_) => {
             Problem::not_run(Code::PlatformOut, message).retry_after(OUT_RETRY)
@@ -197,33 +203,45 @@
 /// `GET /v1/deferred/{identity}`.
 pub(crate) async fn get(
     worker: Data<Worker>,
-    platform: Data<Platform>,
     request: HttpRequest,
     identity: Path<String>,
 ) -> Result<HttpResponse, Problem> {
-    let shared = &worker.shared;
-    let authority = Authority::of(shared, &request)?;
+    let authority = Authority::of(&worker.shared, &request)?;
     let key = Key::new(&authority.workspace.name, &identity);
-    let store = Store::new(Platform::clone(&platform));
-    let state = store
-        .lookup(&key)
-        .await
-        .map_err(|error| unreadable(&error))?;
-    let state = state.ok_or_else(|| unknown(&identity))?;
-    let mut told = Told::new(&identity, &state);
-    let mut builder = answer(shared, StatusCode::OK, &identity);
+    match collect(&worker, &key).await? {
+        Some(response) => Ok(response),
+        None => Err(unknown(&identity)),
+    }
+}
+
+/// How far a deferred request has come, with its answer; none if the identity is
+/// not that of one.
+///
+/// # Errors
+///
+/// If that can't be found out now.
+pub async fn collect(worker: &Worker, key: &Key) -> Result<Option<HttpResponse>, Problem> {
+    let store = Store::new(worker.platform.clone());
+    let found = store.lookup(key).await;
+    let Some(state) = found.map_err(|error| unreadable(&error))? else {
+        return Ok(None);
+    };
+    let identity = key.identity.as_str();
+    let mut told = Told::new(identity, &state);
+    let mut builder = answer(&worker.shared, StatusCode::OK, identity);
     let State::Done(object) = &state else {
-        return Ok(builder.json(told));
+        return Ok(Some(builder.json(told)));
+    };
+    let kept = store.answer(object).await;
+    let kept = kept.map_err(|error| unreadable(&error))?;
+    // Its time was over between the two reads.
+    let Some(kept) = kept else {
+        return Ok(None);
     };
-    let kept = store
-        .answer(object)
-        .await
-        .map_err(|error| unreadable(&error))?;
-    let kept = kept.ok_or_else(|| unknown(&identity))?;
     let raw: &RawValue = serde_json::from_slice(&kept)
         .map_err(|error| Problem::new(Code::BadAnswer, Verdict::Ran, error.to_string()))?;
     told.answer = Some(raw);
-    Ok(builder.json(told))
+    Ok(Some(builder.json(told)))
 }
 
 fn answer(shared: &Shared, status: StatusCode, identity: &str) -> actix_web::HttpResponseBuilder {
--- a/crates/entry/src/deferred/accept.rs
+++ b/crates/entry/src/deferred/accept.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
-use woodgap_core::deferred::{Job, Key, SHARDS, State};
+use woodgap_core::deferred::{Job, SHARDS, State};
+use woodgap_core::once::Key;
 use woodgap_platform::Error as PlatformError;
 
 use crate::deferred::{Storage, Store};
@@ -22,6 +23,9 @@
     /// The identity was used with another body.
     #[error("the identity was used with another request body")]
     Reused,
+    /// The identity was used for an ordinary request.
+    #[error("the identity was used for a request that was not deferred")]
+    Claimed,
     /// The workspace has too much recorded that has not ended.
     #[error("the workspace has too many deferred requests waiting")]
     Full,
@@ -146,8 +150,15 @@
                         self.discard_unless(found.ours, job).await;
                         return Ok(found.state);
                     }
-                    // The conflict says that there is a row: the read is an older state.
-                    Ok(None) => PlatformError::Unknown("a stale read".to_owned()),
+                    Ok(None) => match self.store.is_claimed(&job.key).await {
+                        Ok(true) => {
+                            self.discard_unless(false, job).await;
+                            return Err(Refusal::Claimed);
+                        }
+                        // The conflict says that there is a row: the read is an older state.
+                        Ok(false) => PlatformError::Unknown("a stale read".to_owned()),
+                        Err(error) => PlatformError::Unknown(error.to_string()),
+                    },
                     Err(Refusal::NotRecorded(error)) => PlatformError::Unknown(error.to_string()),
                     Err(refusal) => {
                         self.discard_unless(false, job).await;
--- a/crates/entry/src/deferred/rows.rs
+++ b/crates/entry/src/deferred/rows.rs
@@ -5,17 +5,25 @@
 //! | `deferred` | workspace and identity | [`Receipt`]: by which the caller finds the request |
 //! | `deferred_jobs` | shard, workspace, time, id | [`Job`], until it has ended |
 //! | `deferred_ended` | shard, time, id | [`Key`], until the answer's time is over |
+//! | `claims` | workspace and identity | a closed [`Claim`], where the request may not be repeated |
 //!
 //! Objects are below `deferred/` and the request's id: `request-…` and `answer-…`.
 
+use std::net::{Ipv4Addr, SocketAddr};
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use woodgap_core::clock::Millis;
-use woodgap_core::deferred::{Id, Job, Key, Receipt, Row, Shard};
+use woodgap_core::deferred::{Job, Receipt, Row, Shard};
+use woodgap_core::once::{Claim, Digest, End, Key};
+use woodgap_core::verdict::Verdict;
 use woodgap_platform::Error;
 use woodgap_platform::table::{self, Place, Scan, Transaction};
 
+use crate::once::claims;
+use crate::request::Code;
+
 /// The table of receipts.
 pub const RECEIPTS: &str = "deferred";
 /// The table of jobs.
@@ -34,7 +42,7 @@
 }
 
 /// The place by which an ended request is found when its time is over.
-fn ended(shard: Shard, at: Millis, id: &Id) -> Place {
+fn ended(shard: Shard, at: Millis, id: &Digest) -> Place {
     Place::new(ENDED, &format!("{}{:013}-{id}", shard.prefix(), at.0))
 }
 
@@ -50,15 +58,41 @@
 
 /// Records a job; takes effect only if its identity is not in use.
 ///
+/// A job that may not be repeated also takes the claim of its identity, closed,
+/// so that the same identity is not run a second time as an ordinary request.
+///
 /// # Errors
 ///
 /// If a value has no form in JSON.
 pub fn record(new: &Job) -> Result<Transaction, Error> {
     let receipt = receipt(&new.key);
-    Ok(Transaction::default()
+    let transaction = Transaction::default()
         .check(receipt.clone(), 0)
         .put(receipt, encode(&Receipt::new(new))?)
-        .put(job(&new.row()), encode(new)?))
+        .put(job(&new.row()), encode(new)?);
+    if new.repeatable {
+        return Ok(transaction);
+    }
+    let claim = claims::place(&new.key);
+    Ok(transaction
+        .check(claim.clone(), 0)
+        .put(claim, encode(&closed_claim(new))?))
+}
+
+/// The claim that tells an ordinary submission that the identity is taken.
+fn closed_claim(new: &Job) -> Claim {
+    Claim {
+        request: new.submission,
+        // Nobody asks there: the claim has ended.
+        address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+        body: new.body.clone(),
+        at: new.created,
+        end: Some(End::Failed {
+            code: Code::IdentityReused.as_str().to_owned(),
+            verdict: Verdict::NotRun,
+            message: "the identity was used for a deferred request".to_owned(),
+        }),
+    }
 }
 
 /// Puts a job in another state over the version that was read.
@@ -85,7 +119,7 @@
 ) -> Result<Transaction, Error> {
     let key = &row.job.key;
     let place = job(&row.key);
-    let ended = ended(key.shard(), ended_receipt.ended, &key.id());
+    let ended = ended(Shard::of(key), ended_receipt.ended, &key.digest());
     Ok(transaction
         .check(place.clone(), row.version)
         .delete(place)
--- a/crates/entry/src/deferred/store.rs
+++ b/crates/entry/src/deferred/store.rs
@@ -2,14 +2,16 @@
 
 use bytes::Bytes;
 use woodgap_core::clock::Millis;
-use woodgap_core::deferred::{End, Job, Key, Receipt, Row, Shard, Stage, State};
+use woodgap_core::deferred::{End, Job, Receipt, Row, Shard, Stage, State};
 use woodgap_core::lease::Fence;
+use woodgap_core::once::Key;
 use woodgap_platform::Error;
 use woodgap_platform::object::Condition;
 use woodgap_platform::table::{Outcome, Scan, Transaction};
 
 use crate::deferred::{Storage, rows};
 use crate::lease::rows::under;
+use crate::once::claims;
 
 /// A lease with the fence under which it is held.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -141,6 +143,16 @@
         Ok(matches!(outcome, Outcome::Committed { .. }))
     }
 
+    /// Whether an identity was claimed for an ordinary request.
+    ///
+    /// # Errors
+    ///
+    /// If the platform failed.
+    pub async fn is_claimed(&self, key: &Key) -> Result<bool, Error> {
+        let found = self.storage.read(&[claims::place(key)]).await?;
+        Ok(found.first().is_some_and(Option::is_some))
+    }
+
     /// Puts jobs in other states; all of them or none.
     pub async fn change(&self, under: &Under, changes: &[(u64, Job)]) -> Moved {
         let mut transaction = Ok(under.transaction());
--- a/crates/entry/src/deferred/sweep.rs
+++ b/crates/entry/src/deferred/sweep.rs
@@ -1,7 +1,8 @@
 //! Removes ended requests whose answers have been kept long enough.
 
 use woodgap_core::clock::Millis;
-use woodgap_core::deferred::{Key, Receipt, Shard};
+use woodgap_core::deferred::{Receipt, Shard};
+use woodgap_core::once::Key;
 use woodgap_platform::Error;
 use woodgap_platform::table::{Place, Transaction};
 
--- a/crates/entry/src/once/claims.rs
+++ b/crates/entry/src/once/claims.rs
@@ -21,7 +21,8 @@
 /// The part of that time after which a platform that only refuses is given up.
 const SOON: u64 = 4;
 
-fn place(key: &Key) -> Place {
+/// The place of an identity's claim.
+pub fn place(key: &Key) -> Place {
     Place::new(TABLE, &key.row())
 }
 
--- a/crates/entry/tests/deferred/main.rs
+++ b/crates/entry/tests/deferred/main.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use woodgap_harness::{documents, until};
 
-use site::{KEY, check, collect, ends, start, started_by, submit, submit_all, until_it_runs};
+use site::{KEY, check, collect, ends, run, start, started_by, submit, submit_all, until_it_runs};
 
 /// Tokens of a request that takes a second at the engine.
 const LONG: u32 = 1_000;
@@ -70,6 +70,29 @@
     assert_eq!(known.body["error"]["code"], "unknown_identity");
 }
 
+/// What may not be repeated runs once, whether it comes deferred or not.
+#[actix_rt::test]
+async fn one_identity_by_both_ways() {
+    let fleet = start(2).await;
+    let [first, second] = &fleet.entries[..] else {
+        panic!("two entries");
+    };
+    submit(first, "memorial", Some("m-1"), "len=2 echo=m")
+        .await
+        .unwrap();
+    let refused = run(second, "memorial", "m-1", "len=2 echo=m").await;
+    assert_eq!(refused.body["error"]["code"], "identity_reused");
+    let jobs = [("m-1".to_owned(), "memorial")].into();
+    assert_eq!(ends(second, &jobs).await["m-1"]["state"], "done");
+    let answered = run(second, "memorial", "m-2", "len=2 echo=n").await;
+    assert_eq!(answered.status, StatusCode::OK);
+    let refused = submit(first, "memorial", Some("m-2"), "len=2 echo=n")
+        .await
+        .unwrap();
+    assert_eq!(refused.body["error"]["code"], "identity_reused");
+    assert_eq!(fleet.engine.started().await.len(), 2);
+}
+
 #[actix_rt::test]
 async fn the_holder_is_killed() {
     let mut fleet = start(3).await;
--- a/crates/entry/tests/deferred/site.rs
+++ b/crates/entry/tests/deferred/site.rs
@@ -81,10 +81,25 @@
     })
 }
 
+/// Sends an ordinary request with an identity.
+pub async fn run(entry: &Entry, class: &str, identity: &str, prompt: &str) -> Answer {
+    let call = Client::default()
+        .post(entry.url("/v1/completions"))
+        .bearer_auth(KEY)
+        .insert_header(("x-woodgap-class", class))
+        .insert_header(("idempotency-key", identity));
+    let body = json!({"model": documents::MODEL, "prompt": prompt});
+    let mut response = call.send_json(&body).await.unwrap();
+    Answer {
+        status: response.status(),
+        body: response.json().await.unwrap(),
+    }
+}
+
 /// Asks how far a request has come; none if the entry did not answer.
 pub async fn collect(entry: &Entry, key: &str, identity: &str) -> Option<Answer> {
     let call = Client::default()
-        .get(entry.url(&format!("/v1/deferred/{identity}")))
+        .get(entry.url(&format!("/v1/answers/{identity}")))
         .bearer_auth(key);
     let mut response = call.send().await.ok()?;
     Some(Answer {
@@ -142,7 +157,8 @@
             assert!(runs <= 1, "{identity} ran {runs} times");
         }
         if end["state"] == "done" {
-            let text: String = (1..=tokens).map(|n| format!("{identity}:{n} ")).collect();
+            let words: Vec<String> = (1..=tokens).map(|n| format!("{identity}:{n} ")).collect();
+            let text = words.concat();
             assert_eq!(end["answer"]["choices"][0]["text"], text);
             assert!(fresh.count() >= 1, "{identity} was answered and never ran");
         } else {
--- a/crates/entry/tests/interleavings/main.rs
+++ b/crates/entry/tests/interleavings/main.rs
@@ -14,7 +14,8 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 use woodgap_core::clock::Millis;
-use woodgap_core::deferred::{End, State};
+use woodgap_core::deferred::{End, Shard, State};
+use woodgap_core::once::Digest;
 use woodgap_entry::deferred::Accept;
 use woodgap_entry::deferred::accept::Refusal;
 use woodgap_entry::deferred::store::Moved;
@@ -23,7 +24,7 @@
 use world::World;
 
 /// A lapsed lease, a late write and a slow look-out are all over by then.
-const AFTERMATH: Duration = Duration::from_secs(120);
+const AFTERMATH: Duration = Duration::from_mins(2);
 
 /// Every call of the holder fails in turn, the ones after it well or badly; the
 /// next entry, and the holder itself if it lives, bring every job to its one end.
@@ -217,7 +218,7 @@
         let accept = Accept::new(&sound, &world.time, 4_096);
         let second = accept.record(&again, Bytes::from_static(b"to job-1")).await;
         assert_eq!(second, Ok(State::Accepted));
-        let row = sound.look(job.key.shard(), "").await.unwrap();
+        let row = sound.look(Shard::of(&job.key), "").await.unwrap();
         let [row] = row.as_slice() else {
             panic!("{row:?}")
         };
@@ -260,15 +261,15 @@
     let first = world::job("job-1", false);
     let mut second = first.clone();
     second.submission.sequence += 1;
-    second.body = woodgap_core::deferred::Id::of([body]);
+    second.body = Digest::of([body]);
     let mut first = first;
-    first.body = woodgap_core::deferred::Id::of(["a"]);
+    first.body = Digest::of(["a"]);
     let (one, two) = tokio::join!(
         accept.record(&first, Bytes::from_static(b"first")),
         accept.record(&second, Bytes::from_static(b"second")),
     );
     assert_eq!((one, two), (Ok(State::Accepted), expected));
-    let rows = store.look(first.key.shard(), "").await.unwrap();
+    let rows = store.look(Shard::of(&first.key), "").await.unwrap();
     let [row] = rows.as_slice() else {
         panic!("{rows:?}")
     };
@@ -287,15 +288,15 @@
     let recorded = accept.record(&job, Bytes::new()).await;
     assert_eq!(recorded, Ok(State::Accepted));
     let mut other = job.clone();
-    other.body = woodgap_core::deferred::Id::of(["another"]);
+    other.body = Digest::of(["another"]);
     assert_eq!(
         accept.record(&other, Bytes::new()).await,
         Err(Refusal::Reused)
     );
     assert_eq!(accept.record(&job, Bytes::new()).await, Ok(State::Accepted));
-    let shard = job.key.shard();
+    let shard = Shard::of(&job.key);
     let mut others = (2..).map(|number| world::job(&format!("job-{number}"), true));
-    let neighbour = others.find(|other| other.key.shard() == shard).unwrap();
+    let neighbour = others.find(|other| Shard::of(&other.key) == shard).unwrap();
     assert_eq!(
         accept.record(&neighbour, Bytes::new()).await,
         Err(Refusal::Full)
--- a/crates/entry/tests/interleavings/world.rs
+++ b/crates/entry/tests/interleavings/world.rs
@@ -10,9 +10,10 @@
 use tokio::time::{Instant, sleep};
 use woodgap_core::clock::Millis;
 use woodgap_core::config::document::Measure;
-use woodgap_core::deferred::{Form, Id, Job, Key, Outcome, Shard, Stage, State};
+use woodgap_core::deferred::{Form, Job, Outcome, Shard, Stage, State};
 use woodgap_core::lease::{Answer, Holder, Mark, Record, Term, Write};
 use woodgap_core::name::{self, Incarnation};
+use woodgap_core::once::{Digest, Key};
 use woodgap_core::tier::Tier;
 use woodgap_core::verdict::Verdict;
 use woodgap_entry::deferred::shard::{Bounds, Surroundings};
@@ -90,7 +91,7 @@
         let all = names.clone();
         names.sort_by_key(|own| shard.rank(own, &all));
         let identities = (0..).map(|number| format!("job-{number}"));
-        let in_shard = identities.filter(|identity| key(identity).shard() == shard);
+        let in_shard = identities.filter(|identity| Shard::of(&key(identity)) == shard);
         let jobs = in_shard.take(4).enumerate();
         Self {
             memory: Rc::default(),
@@ -290,7 +291,7 @@
         latency: Millis(60_000),
         measure: Measure::Complete,
         prefix: 0,
-        body: Id::of([identity]),
+        body: Digest::of([identity]),
         submission: name::Request {
             incarnation: Incarnation(9),
             sequence: 1,
