Orders to endpoints: documents, whom they are meant for, what is sent next

Operators had no way to say which models an endpoint shall hold. Ruled out: a lease for each pool, as first designed (an endpoint in two pools would meet two rows of numbers, and an order may move it to another pool or to none); the lease is that of its data centre, which never changes. And orders that are done once (a lost one, or one undone by a late order of a former holder, would stay so). Every look compares the endpoints' states with what is wanted; a new fence is shown to all that check it, also where nothing differs; those that do not check wait for one longest send after a takeover; loads are bounded, least tried first. 17 tables on order, repeat, bound and fence; Duty and rank moved to core::lease, which deferred work shares.

--- a/crates/core/src/deferred/shard.rs
+++ b/crates/core/src/deferred/shard.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use crate::lease;
 use crate::name;
 use crate::once::Key;
 
@@ -46,32 +47,8 @@
     }
 
     /// How many of the entries are preferred to this one: 0 for the first.
-    ///
-    /// Entries that see the same others agree; when one goes, only the shards
-    /// that it was first for move.
-    ///
-    /// ```
-    /// use woodgap_core::deferred::Shard;
-    ///
-    /// let entries = ["a", "b", "c"].map(|name| name.into());
-    /// for shard in Shard::all() {
-    ///     let ranks = entries.each_ref().map(|own| shard.rank(own, &entries));
-    ///     assert_eq!(ranks.iter().sum::<usize>(), 0 + 1 + 2);
-    /// }
-    /// ```
     pub fn rank(self, own: &name::Entry, entries: &[name::Entry]) -> usize {
-        let mine = self.score(own);
-        let before = |entry: &&name::Entry| *entry != own && self.score(entry) > mine;
-        entries.iter().filter(before).count()
-    }
-
-    fn score(self, entry: &name::Entry) -> ([u8; 8], &name::Entry) {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&self.0.to_le_bytes());
-        hasher.update(entry.as_str().as_bytes());
-        let mut bytes = [0; 8];
-        hasher.finalize_xof().fill(&mut bytes);
-        (bytes, entry)
+        lease::rank(&self.lease(), own, entries)
     }
 }
 
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -15,6 +15,7 @@
 use crate::clock::Millis;
 use crate::name;
 
+pub mod duty;
 pub mod expired;
 pub mod free;
 pub mod held;
@@ -22,6 +23,7 @@
 pub mod row;
 pub mod tenure;
 
+pub use duty::Duty;
 pub use expired::{Expired, Revived};
 pub use free::{Doubt, Free, Sighted, Take, Took};
 pub use held::{Held, Kept};
@@ -124,5 +126,32 @@
     }
 }
 
+/// How many of the entries come before one for some work, each by its own order:
+/// 0 for the first. Entries that see the same others agree; when one goes, only
+/// what it was first for moves.
+///
+/// ```
+/// use woodgap_core::lease::rank;
+///
+/// let entries = ["a", "b", "c"].map(|name| name.into());
+/// let ranks = entries.each_ref().map(|own| rank("deferred/07", own, &entries));
+/// assert_eq!(ranks.iter().sum::<usize>(), 0 + 1 + 2);
+/// ```
+pub fn rank(work: &str, own: &name::Entry, entries: &[name::Entry]) -> usize {
+    let mine = score(work, own);
+    let before = |entry: &&name::Entry| *entry != own && score(work, entry) > mine;
+    entries.iter().filter(before).count()
+}
+
+fn score<'a>(work: &str, entry: &'a name::Entry) -> ([u8; 8], &'a name::Entry) {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(work.len() as u64).to_le_bytes());
+    hasher.update(work.as_bytes());
+    hasher.update(entry.as_str().as_bytes());
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    (bytes, entry)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/deferred/duty.rs
+++ b/crates/core/src/lease/duty.rs
@@ -1,4 +1,4 @@
-//! Which entry cares for a shard: the one preferred for it, and others if it does not.
+//! Which entry cares for some work: the one preferred for it, and others if it does not.
 
 use crate::clock::Millis;
 use crate::lease::{Term, Want};
@@ -9,10 +9,10 @@
 /// The rank from which on entries no longer look more rarely.
 const LAST_RANK: usize = 3;
 /// A holder that is not the preferred one steps back after this many looks:
-/// should the preferred one be back, the shard is its own again.
+/// should the preferred one be back, the work is its own again.
 const TURN: u64 = 10;
 
-/// One entry's part in one shard.
+/// One entry's part in work that is done under a lease.
 #[derive(Clone, Debug)]
 pub struct Duty {
     poll: Millis,
@@ -55,8 +55,8 @@
         self.work = work.then_some(self.work.unwrap_or(now));
     }
 
-    /// What is wanted of the shard's lease. `held` says whether it is held, and
-    /// `running` whether jobs run under it.
+    /// What is wanted of the lease. `held` says whether it is held, and `running`
+    /// whether something runs under it.
     pub fn want(&mut self, now: Millis, held: bool, running: bool) -> Want {
         let wanted = Want::Hold { look: self.watch() };
         if self.rank == 0 {
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Whether new jobs may be started, if the lease is held.
+    /// Whether something new may be started, if the lease is held.
     pub fn starts(&self, now: Millis) -> bool {
         self.rank == 0 || !self.turn_is_over(now)
     }
@@ -103,3 +103,6 @@
         Millis(self.term.duration().0 / RARER * self.rarer())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod message;
 pub mod name;
 pub mod once;
+pub mod orders;
 pub mod permit;
 pub mod pool;
 pub mod revision;
--- a/crates/entry/src/deferred/shard.rs
+++ b/crates/entry/src/deferred/shard.rs
@@ -9,8 +9,8 @@
 
 use tokio::task::{Id, JoinSet};
 use woodgap_core::clock::Millis;
-use woodgap_core::deferred::{Backoff, Duty, Row, Sent, Shard};
-use woodgap_core::lease::{Fence, Holder, Term, View, Want};
+use woodgap_core::deferred::{Backoff, Row, Sent, Shard};
+use woodgap_core::lease::{Duty, Fence, Holder, Term, View, Want};
 use woodgap_core::name;
 use woodgap_platform::table::Scan;
 
--- a/crates/platform/src/endpoint.rs
+++ b/crates/platform/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 pub use woodgap_core::instance::Load;
+pub use woodgap_core::orders::Wanted;
 
 /// Path of the load report: `GET` returns a [`Load`].
 pub const LOAD_PATH: &str = "/control/load";
@@ -24,20 +25,11 @@
     pub request: String,
 }
 
-/// The state wanted of an endpoint; orders are whole states, so repeating one is harmless.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Wanted {
-    /// Models to hold, with adapters as `model+adapter` and versions as `model@version`.
-    pub models: Vec<String>,
-    /// The role: `serve`, `prefill`, `decode` or `idle`.
-    pub role: String,
-}
-
 /// An order under a fencing number.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
-    /// Grows with each holder of the pool's lease. Endpoints that check it answer
-    /// 409 to a lower one than they have seen.
+    /// Grows with each holder of the lease for the endpoint's data centre. Endpoints
+    /// that check it answer 409 to a lower one than they have seen.
     pub fence: u64,
     /// The state wanted.
     pub wanted: Wanted,
