--- a/crates/core/benches/catalog.rs
+++ b/crates/core/benches/catalog.rs
@@ -94,7 +94,13 @@
     let change = least_us(|| {
         revision += 1;
         let mut next = Catalog::clone(&catalog);
-        next.apply(revision, workspace(workspaces / 2, revision as usize));
+        next.apply(
+            revision,
+            workspace(
+                workspaces / 2,
+                usize::try_from(revision).unwrap_or(usize::MAX),
+            ),
+        );
         catalog = Arc::new(next);
     });
     let both = resident_kb().saturating_sub(kept);
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -32,7 +32,7 @@
 use crate::request::run::Worker;
 use crate::shared::Shared;
 use crate::supervisor::{Branch, supervise};
-use crate::{admin, caller, recording, stop, telemetry};
+use crate::{admin, caller, deferred, recording, stop, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -97,6 +97,12 @@
     let control = Arbiter::new();
     let life = incarnation(Clock::start());
     let Parts { shared, .. } = Parts::start(settings, life, address, peers, &control)?;
+    // Its answers pass through this thread: kept apart from the control's.
+    let background = Arbiter::new();
+    let deferring = Arc::clone(&shared);
+    supervise(&background.handle(), "deferred", move |guard| {
+        deferred::Branch::new(Arc::clone(&deferring), guard)
+    });
     let server = server(&shared, listener, workers)?;
     let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
     announce(address, peer, &shared.settings.name);
@@ -104,6 +110,7 @@
     if let Ok(stopped) = stopping.await {
         stopped.map_err(Error::Server)?;
     }
+    deferred::branch::finish(&shared).await;
     recording::finish(&shared, LAST_COUNTS).await;
     Ok(())
 }
