GET /v1/answers tells what an entry knows while the table service is out

Ruled out: looking at entries first, since a deferred request's claim would be found there. Change: if the deferred look-up can't be made, the entries are asked.

--- a/crates/entry/src/caller/answers.rs
+++ b/crates/entry/src/caller/answers.rs
@@ -7,9 +7,9 @@
 
 use crate::caller::{Authority, answer, deferred};
 use crate::once::{self, Kind};
-use crate::request::Problem;
 use crate::request::run::Worker;
 use crate::request::sink::Source;
+use crate::request::{Code, Problem};
 
 /// How the caller wants the answer.
 #[derive(Debug, Deserialize)]
@@ -27,8 +27,12 @@
 ) -> Result<HttpResponse, Problem> {
     let authority = Authority::of(&worker.shared, &request)?;
     let key = Key::new(&authority.workspace.name, &identity);
-    if let Some(response) = deferred::collect(&worker, &key).await? {
-        return Ok(response);
+    match deferred::collect(&worker, &key).await {
+        Ok(Some(response)) => return Ok(response),
+        Ok(None) => {}
+        // Whether it is deferred can't be told now; an entry may know it all the same.
+        Err(problem) if problem.code == Code::PlatformOut => {}
+        Err(problem) => return Err(problem),
     }
     let found = once::find(&worker, &key).await?;
     let id = found.reader.request();
