--- a/crates/entry/src/once/recorder.rs
+++ b/crates/entry/src/once/recorder.rs
@@ -9,6 +9,7 @@
 use woodgap_core::once::{Claim, End, Key};
 use woodgap_core::verdict::Verdict;
 
+use crate::once::follow::{self, Opened};
 use crate::once::record::{Phase, Record};
 use crate::once::{claims, kept};
 use crate::request::run::Worker;
@@ -83,6 +84,22 @@
         self.record.enter(Phase::GivenUp);
     }
 
+    /// Passes on the answer of another life of an entry; false if it can't be had.
+    /// Only what may be repeated is followed: for any other this life has the claim.
+    pub async fn follow(&self, life: name::Incarnation) -> bool {
+        if self.role.get() != Role::Repeatable {
+            return false;
+        }
+        // Before it is asked for, so that two entries never follow one another.
+        self.record.enter(Phase::Elsewhere);
+        let opened = follow::at_life(&self.worker, &self.record, life).await;
+        if matches!(opened, Opened::Failed(_) | Opened::Released) {
+            self.record.enter(Phase::Own);
+            return false;
+        }
+        follow::feed(self, opened).await
+    }
+
     /// Records an item.
     pub async fn send(&self, item: Item) {
         match item {
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -95,27 +95,8 @@
     let peer = peers.address().map_err(Error::Server)?;
     let workers = settings.workers;
     let control = Arbiter::new();
-    let branch = Branch::default();
-    let shared = Arc::new(shared(settings, Handle::new(branch.clone()), address)?);
-    let own = own(&shared, peer);
-    control_branch(&shared, &control, &branch, own, peers);
-    let watched = Arc::clone(&shared);
-    let _watcher = supervise(&control.handle(), "watcher", move |guard| {
-        Watcher::new(Arc::clone(&watched), guard)
-    });
-    let recorded = Arc::clone(&shared);
-    let _recording = supervise(&control.handle(), "recording", move |guard| {
-        Recording::new(Arc::clone(&recorded), guard)
-    });
-    let claimed = Arc::clone(&shared);
-    let table = shared.once.table.branch.clone();
-    table.start(&control.handle(), "claims", move |guard| {
-        Table::new(Arc::clone(&claimed), guard)
-    });
-    let kept = Arc::clone(&shared);
-    let _housekeeping = supervise(&control.handle(), "housekeeping", move |guard| {
-        Housekeeping::new(Arc::clone(&kept), guard)
-    });
+    let life = incarnation(Clock::start());
+    let Parts { shared, .. } = Parts::start(settings, life, address, peers, &control)?;
     let server = server(&shared, listener, workers)?;
     let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
     announce(address, peer, &shared.settings.name);
@@ -127,6 +108,59 @@
     Ok(())
 }
 
+/// The parts of an entry behind its HTTP server.
+pub struct Parts {
+    /// What they share.
+    pub shared: Arc<Shared>,
+    /// The branch that decides.
+    pub control: Branch<Actor>,
+}
+
+impl Parts {
+    /// Starts them on the control thread, for one life of an entry whose server
+    /// takes requests at this address.
+    ///
+    /// # Errors
+    ///
+    /// If a socket of the settings could not be opened.
+    pub fn start(
+        settings: Settings,
+        life: name::Incarnation,
+        address: SocketAddr,
+        peers: Bound,
+        thread: &Arbiter,
+    ) -> Result<Self, Error> {
+        let peer = peers.address().map_err(Error::Server)?;
+        let control = Branch::default();
+        let shared = Arc::new(shared(
+            settings,
+            life,
+            Handle::new(control.clone()),
+            address,
+        )?);
+        let own = own(&shared, peer);
+        control_branch(&shared, thread, &control, own, peers);
+        let watched = Arc::clone(&shared);
+        supervise(&thread.handle(), "watcher", move |guard| {
+            Watcher::new(Arc::clone(&watched), guard)
+        });
+        let recorded = Arc::clone(&shared);
+        supervise(&thread.handle(), "recording", move |guard| {
+            Recording::new(Arc::clone(&recorded), guard)
+        });
+        let claimed = Arc::clone(&shared);
+        let table = shared.once.table.branch.clone();
+        table.start(&thread.handle(), "claims", move |guard| {
+            Table::new(Arc::clone(&claimed), guard)
+        });
+        let kept = Arc::clone(&shared);
+        supervise(&thread.handle(), "housekeeping", move |guard| {
+            Housekeeping::new(Arc::clone(&kept), guard)
+        });
+        Ok(Self { shared, control })
+    }
+}
+
 /// How long the last counts may take to be written at a planned stop.
 const LAST_COUNTS: Millis = Millis::from_secs(3);
 
@@ -147,9 +181,13 @@
     name::Incarnation(clock.unix().0 << RANDOM_BITS | random)
 }
 
-fn shared(settings: Settings, control: Handle, bound: SocketAddr) -> Result<Shared, Error> {
+fn shared(
+    settings: Settings,
+    incarnation: name::Incarnation,
+    control: Handle,
+    bound: SocketAddr,
+) -> Result<Shared, Error> {
     let clock = Clock::start();
-    let incarnation = incarnation(clock);
     let metrics = telemetry::metrics::client(settings.metrics).map_err(|source| Error::Socket {
         option: "metrics",
         source,
@@ -223,7 +261,12 @@
 /// How long the last bytes of answers may take to reach slow callers.
 const LAST_BYTES: Duration = Duration::from_secs(30);
 
-fn server(
+/// The HTTP server of an entry.
+///
+/// # Errors
+///
+/// If the socket can't be used.
+pub fn server(
     shared: &Arc<Shared>,
     listener: TcpListener,
     workers: usize,
--- a/crates/entry/tests/once/answers.rs
+++ b/crates/entry/tests/once/answers.rs
@@ -18,7 +18,7 @@
 #[actix_rt::test]
 async fn a_retry_while_it_runs_follows_the_answer(
     #[case] second: usize,
-    #[values(NARRATION, FLUX)] call: Call<'static>,
+    #[values(NARRATION, FLUX, CAPTION)] call: Call<'static>,
 ) {
     let fleet = Fleet::start(ENTRY, 2).await;
     slow_endpoints(&fleet).await;
