entry: another request under a running identity is refused at every entry

Cause: a second request under an identity whose first one, which may be repeated, ran at another entry was asked for again until it gave up, and then told `may_have_run`. Ruled out: nothing else; the other entry says which it is. Change: its refusal is passed on. A recorded item is no longer copied on its way in.

--- a/crates/entry/src/once/recorder.rs
+++ b/crates/entry/src/once/recorder.rs
@@ -93,7 +93,12 @@
         // Before it is asked for, so that two entries never follow one another.
         self.record.enter(Phase::Elsewhere);
         let opened = follow::at_life(&self.worker, &self.record, life).await;
-        if matches!(opened, Opened::Failed(_) | Opened::Released) {
+        let may_pass = match &opened {
+            Opened::Failed(problem) => problem.code == Code::IdentityReused,
+            Opened::Released => false,
+            Opened::Running { .. } | Opened::Whole(_) => true,
+        };
+        if !may_pass {
             self.record.enter(Phase::Own);
             return false;
         }
--- a/crates/entry/src/once/tape.rs
+++ b/crates/entry/src/once/tape.rs
@@ -77,35 +77,36 @@
 
     /// Records an item that is not the last. Waits for slow readers if the answer
     /// is beyond its bounds; those that are slower than the patience are cut off.
-    pub async fn write(&self, item: Item, patience: Duration) {
+    pub async fn write(&self, mut item: Item, patience: Duration) {
         loop {
             let changed = self.changed.notified();
-            if self.push(&item) {
-                self.changed.notify_waiters();
-                return;
-            }
+            item = match self.push(item) {
+                Ok(()) => return self.changed.notify_waiters(),
+                Err(item) => item,
+            };
             if tokio::time::timeout(patience, changed).await.is_err() {
                 self.lock().cut_slowest();
             }
         }
     }
 
-    fn push(&self, item: &Item) -> bool {
-        let size = size(item);
+    /// Records an item, or gives it back while readers are too slow.
+    fn push(&self, item: Item) -> Result<(), Item> {
+        let size = size(&item);
         let mut state = self.lock();
         if state.whole && (state.bytes + size > self.most || !self.room.take(size)) {
             state.whole = false;
         } else if state.whole {
             state.push(item, size);
-            return true;
+            return Ok(());
         }
         self.room.give(state.drop_passed());
         if state.items.len() >= WINDOW {
-            return false;
+            return Err(item);
         }
         self.room.force(size);
         state.push(item, size);
-        true
+        Ok(())
     }
 
     /// Records the last item.
@@ -186,8 +187,8 @@
 }
 
 impl State {
-    fn push(&mut self, item: &Item, size: usize) {
-        self.items.push_back(item.clone());
+    fn push(&mut self, item: Item, size: usize) {
+        self.items.push_back(item);
         self.bytes += size;
     }
 
--- a/crates/entry/tests/once/answers.rs
+++ b/crates/entry/tests/once/answers.rs
@@ -224,6 +224,25 @@
     assert_eq!(forged.send_body("x").await.unwrap().status(), 401);
 }
 
+/// The same, while the first request may be repeated and still runs elsewhere.
+#[actix_rt::test]
+async fn another_request_under_a_running_identity_is_refused() {
+    let fleet = Fleet::start(ENTRY, 2).await;
+    slow_endpoints(&fleet).await;
+    let other = Call {
+        text: "tag=other",
+        ..CAPTION
+    };
+    let retry = async {
+        until_runs(&fleet, 1).await;
+        other.send(&fleet.entries[1]).await
+    };
+    let (one, other) = join(CAPTION.send(&fleet.entries[0]), retry).await;
+    assert_eq!(one.text(), TALE);
+    assert_eq!(other.end(), "identity_reused not_run");
+    assert_eq!(runs(&fleet).await, 1);
+}
+
 #[actix_rt::test]
 async fn any_identity_can_be_asked_for() {
     let fleet = Fleet::start(ENTRY, 2).await;
