--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -4,6 +4,7 @@
 pub mod answers;
 pub mod authority;
 pub mod body;
+pub mod deferred;
 pub mod entries;
 pub mod guard;
 pub mod identities;
@@ -29,6 +30,8 @@
 pub fn routes(config: &mut web::ServiceConfig) {
     let chat = web::post().to(model::chat);
     let completion = web::post().to(model::completion);
+    let defer_chat = web::post().to(deferred::chat);
+    let defer_completion = web::post().to(deferred::completion);
     config
         .service(only(Form::Chat.path(), Method::POST, chat))
         .service(only(Form::Completion.path(), Method::POST, completion))
@@ -48,6 +51,17 @@
             Method::GET,
             web::get().to(answers::get),
         ))
+        .service(only(deferred::CHAT_PATH, Method::POST, defer_chat))
+        .service(only(
+            deferred::COMPLETION_PATH,
+            Method::POST,
+            defer_completion,
+        ))
+        .service(only(
+            deferred::ANSWER_PATH,
+            Method::GET,
+            web::get().to(deferred::get),
+        ))
         .route("/v1/services/{name}/{path:.*}", web::to(service::call));
 }
 
--- a/crates/entry/src/caller/answer.rs
+++ b/crates/entry/src/caller/answer.rs
@@ -91,28 +91,32 @@
 ///
 /// Never: errors are rendered with the request's name.
 pub async fn whole(mut source: Source, shape: Shape) -> Result<HttpResponse, Problem> {
-    let mut whole = Whole::default();
-    let limit = shape.shared.settings.limits.answer_bytes;
-    let gathered = loop {
-        let item = source.recv().await.unwrap_or_else(|| Item::Failed(lost()));
-        match item {
-            Item::Event { data, .. } => {
-                if let Err(problem) = whole.add(&data, limit) {
-                    break Err(problem);
-                }
-            }
-            Item::Complete => break Ok(()),
-            Item::Failed(problem) => break Err(problem),
-            Item::Head { .. } | Item::Body(_) => {}
-        }
-    };
+    let gathered = gather(&mut source, &shape).await;
     let id = source.request().unwrap_or(shape.id);
     Ok(match gathered {
-        Ok(()) => builder(StatusCode::OK, id, &shape.shared).json(whole.render(&shape)),
+        Ok(answer) => builder(StatusCode::OK, id, &shape.shared).json(answer),
         Err(problem) => refusal::response(&problem, Some(id)),
     })
 }
 
+/// The whole answer as one value.
+///
+/// # Errors
+///
+/// Why there is none.
+pub async fn gather(source: &mut Source, shape: &Shape) -> Result<Value, Problem> {
+    let mut whole = Whole::default();
+    let limit = shape.shared.settings.limits.answer_bytes;
+    loop {
+        match source.recv().await.unwrap_or_else(|| Item::Failed(lost())) {
+            Item::Event { data, .. } => whole.add(&data, limit)?,
+            Item::Complete => return Ok(whole.render(shape)),
+            Item::Failed(problem) => return Err(problem),
+            Item::Head { .. } | Item::Body(_) => {}
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Whole {
     id: String,
--- a/crates/entry/src/request/ending.rs
+++ b/crates/entry/src/request/ending.rs
@@ -33,6 +33,10 @@
     IdentityRequired,
     /// The identity was used with another body.
     IdentityReused,
+    /// The class may not be deferred.
+    NotDeferrable,
+    /// The workspace has too much recorded that waits.
+    QueueFull,
     /// Shed.
     Overloaded,
     /// Nothing serves the target now.
@@ -72,6 +76,8 @@
             Self::ClassNotBought => "class_not_bought",
             Self::IdentityRequired => "identity_required",
             Self::IdentityReused => "identity_reused",
+            Self::NotDeferrable => "not_deferrable",
+            Self::QueueFull => "queue_full",
             Self::Overloaded => "overloaded",
             Self::NoEndpoint => "no_endpoint",
             Self::PlatformOut => "platform_out",
@@ -98,9 +104,9 @@
                 StatusCode::NOT_FOUND
             }
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
-            Self::ClassNotBought => StatusCode::FORBIDDEN,
+            Self::ClassNotBought | Self::NotDeferrable => StatusCode::FORBIDDEN,
             Self::IdentityReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+            Self::Overloaded | Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             Self::NoEndpoint | Self::PlatformOut | Self::Stopping | Self::NotReady => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
 
 use crate::configuration::InForce;
 use crate::control::Handle;
+use crate::deferred;
 use crate::once::Once;
 use crate::running::Running;
 
@@ -34,6 +35,8 @@
     pub running: Running,
     /// Asks for places at endpoints.
     pub control: Handle,
+    /// The background work on deferred requests.
+    pub deferred: deferred::Handle,
     /// Requests that carry an identity.
     pub once: Once,
     /// Counts for the burn report.
@@ -65,6 +68,7 @@
             members: ArcSwap::default(),
             running: Running::default(),
             control,
+            deferred: deferred::Handle::default(),
             once,
             counts: Mutex::new(recorder),
             metrics,
@@ -91,6 +95,7 @@
     /// Takes no new work from now on.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
+        self.deferred.stop();
     }
 
     /// Has the process stop as planned.
