--- a/crates/entry/src/once/internal.rs
+++ b/crates/entry/src/once/internal.rs
@@ -6,6 +6,7 @@
 use actix_web::{HttpRequest, HttpResponse};
 use futures_util::{Stream, stream};
 use woodgap_core::name;
+use woodgap_core::once::sightings::Knowledge;
 use woodgap_core::once::{Digest, Key};
 
 use crate::once::message::{Frame, Question, Submission};
@@ -73,7 +74,10 @@
 ) -> Answer {
     let once = &worker.shared.once;
     let known = once.registry().attach(key);
-    let asked = |record: &Record| request.is_none_or(|one| one == record.request);
+    let asked = |record: &Record| match request {
+        Some(request) => request == record.request,
+        None => record.knowledge() == Knowledge::Has,
+    };
     let Some((record, reader)) = known.filter(|(record, _)| asked(record)) else {
         return unknown(worker, key, request).await;
     };
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -13,7 +13,7 @@
 
 pub use call::Call;
 pub use ending::{Code, Ending, Problem};
-pub use life::{Granted, Head, Received, Request};
+pub use life::{Declined, Granted, Head, Received, Request};
 pub use progress::Progress;
 pub use retry::Attempt;
 pub use sink::{Item, Sink};
--- a/crates/entry/src/request/retry/tests.rs
+++ b/crates/entry/src/request/retry/tests.rs
@@ -8,7 +8,7 @@
 
 /// What happened, one letter each: C complete, R refused, N no resume, J
 /// rejected, B broken, G garbage, D differs, X gone; o the pool sheds, n the
-/// pool has no endpoint; s a service's answer began.
+/// pool has no endpoint; e the identity is elsewhere; s a service's answer began.
 fn follow(repeatable: bool, story: &str) -> String {
     let mut tally = Tally::new(Terms {
         repeatable,
@@ -32,6 +32,10 @@
                 last = Some(tally.declined(Problem::from(refusal)));
                 continue;
             }
+            'e' => {
+                last = Some(tally.elsewhere());
+                continue;
+            }
             'C' => Attempt::Complete,
             'R' => Attempt::Refused(text()),
             'N' => Attempt::NoResume,
@@ -64,6 +68,8 @@
 #[case("RRRRRR", "again after 160", "again after 160")]
 #[case("RRRRRRR", "again after 200", "again after 200")]
 #[case("RC", "complete", "complete")]
+#[case("e", "again after 0", "again after 0")]
+#[case("eeC", "complete", "complete")]
 #[case("RJ", "bad_request not_run", "bad_request not_run")]
 #[case("Ro", "overloaded not_run back 1000", "overloaded not_run back 1000")]
 #[case("Rn", "no_endpoint not_run back 2000", "no_endpoint not_run back 2000")]
@@ -113,6 +119,16 @@
     assert_eq!(follow(true, &story(count)), expected);
 }
 
+/// Another entry that has the identity and can't be followed may be running it,
+/// unless this entry holds its claim.
+#[rstest]
+#[case(true, "overloaded may_have_run back 2000")]
+#[case(false, "no_endpoint not_run back 2000")]
+fn endlessly_elsewhere(#[case] repeatable: bool, #[case] expected: &str) {
+    let story = "e".repeat(REFUSALS as usize);
+    assert_eq!(follow(repeatable, &story), expected);
+}
+
 /// A caller that goes while its request waits is told apart by what came before.
 #[test]
 fn the_verdict_so_far() {
--- a/crates/entry/src/request/sink.rs
+++ b/crates/entry/src/request/sink.rs
@@ -110,6 +110,15 @@
         }
     }
 
+    /// Passes on the answer of another life of an entry, to its end; false if it
+    /// can't be had.
+    pub async fn follow(&self, life: name::Incarnation) -> bool {
+        match self {
+            Self::Direct { .. } => false,
+            Self::Recorded(recorder) => recorder.follow(life).await,
+        }
+    }
+
     /// Waits until every caller is gone, before the request is sent.
     pub async fn gone(&self) {
         match self {
