--- a/crates/entry/src/request/ending.rs
+++ b/crates/entry/src/request/ending.rs
@@ -1,14 +1,14 @@
 //! How requests end, and what their callers are told.
 
 use actix_web::http::StatusCode;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::Refusal;
 use woodgap_core::verdict::Verdict;
 
 /// Stable codes of errors; `docs/INTERFACES.md` lists them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Code {
     /// No workspace has this key.
@@ -33,6 +33,10 @@
     IdentityRequired,
     /// The identity was used with another body.
     IdentityReused,
+    /// The class may not be deferred.
+    NotDeferrable,
+    /// The workspace has too much recorded that waits.
+    QueueFull,
     /// Shed.
     Overloaded,
     /// Nothing serves the target now.
@@ -53,6 +57,8 @@
     UnknownIdentity,
     /// The entry that ran this identity is gone.
     UnknownOutcome,
+    /// The request ran, and its answer is no longer kept.
+    AnswerGone,
 }
 
 impl Code {
@@ -70,6 +76,8 @@
             Self::ClassNotBought => "class_not_bought",
             Self::IdentityRequired => "identity_required",
             Self::IdentityReused => "identity_reused",
+            Self::NotDeferrable => "not_deferrable",
+            Self::QueueFull => "queue_full",
             Self::Overloaded => "overloaded",
             Self::NoEndpoint => "no_endpoint",
             Self::PlatformOut => "platform_out",
@@ -80,6 +88,7 @@
             Self::BadAnswer => "bad_answer",
             Self::UnknownIdentity => "unknown_identity",
             Self::UnknownOutcome => "unknown_outcome",
+            Self::AnswerGone => "answer_gone",
         }
     }
 
@@ -95,21 +104,22 @@
                 StatusCode::NOT_FOUND
             }
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
-            Self::ClassNotBought => StatusCode::FORBIDDEN,
+            Self::ClassNotBought | Self::NotDeferrable => StatusCode::FORBIDDEN,
             Self::IdentityReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+            Self::Overloaded | Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             Self::NoEndpoint | Self::PlatformOut | Self::Stopping | Self::NotReady => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::EntryFailed => StatusCode::INTERNAL_SERVER_ERROR,
             Self::EndpointFailed | Self::BadAnswer => StatusCode::BAD_GATEWAY,
             Self::UnknownOutcome => StatusCode::CONFLICT,
+            Self::AnswerGone => StatusCode::GONE,
         }
     }
 }
 
 /// Why a request got no whole answer.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[error("{message}")]
 pub struct Problem {
     /// The stable code.
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -25,12 +25,14 @@
 use crate::control::{Actor, Handle, Socket};
 use crate::endpoint::Client;
 use crate::housekeeping::Housekeeping;
+use crate::once::internal;
+use crate::once::table::Table;
 use crate::options::Options;
 use crate::recording::Recording;
 use crate::request::run::Worker;
 use crate::shared::Shared;
 use crate::supervisor::{Branch, supervise};
-use crate::{admin, caller, recording, stop, telemetry};
+use crate::{admin, caller, deferred, recording, stop, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -93,21 +95,13 @@
     let peer = peers.address().map_err(Error::Server)?;
     let workers = settings.workers;
     let control = Arbiter::new();
-    let branch = Branch::default();
-    let shared = Arc::new(shared(settings, Handle::new(branch.clone()))?);
-    let own = own(&shared, address, peer);
-    control_branch(&shared, &control, &branch, own, peers);
-    let watched = Arc::clone(&shared);
-    let _watcher = supervise(&control.handle(), "watcher", move |guard| {
-        Watcher::new(Arc::clone(&watched), guard)
-    });
-    let recorded = Arc::clone(&shared);
-    let _recording = supervise(&control.handle(), "recording", move |guard| {
-        Recording::new(Arc::clone(&recorded), guard)
-    });
-    let kept = Arc::clone(&shared);
-    let _housekeeping = supervise(&control.handle(), "housekeeping", move |guard| {
-        Housekeeping::new(Arc::clone(&kept), guard)
+    let life = incarnation(Clock::start());
+    let Parts { shared, .. } = Parts::start(settings, life, address, peers, &control)?;
+    // Its answers pass through this thread: kept apart from the control's.
+    let background = Arbiter::new();
+    let deferring = Arc::clone(&shared);
+    supervise(&background.handle(), "deferred", move |guard| {
+        deferred::Branch::new(Arc::clone(&deferring), guard)
     });
     let server = server(&shared, listener, workers)?;
     let stopping = actix_rt::spawn(stop::on_signal(Arc::clone(&shared), server.handle()));
@@ -116,10 +110,64 @@
     if let Ok(stopped) = stopping.await {
         stopped.map_err(Error::Server)?;
     }
+    deferred::branch::finish(&shared).await;
     recording::finish(&shared, LAST_COUNTS).await;
     Ok(())
 }
 
+/// The parts of an entry behind its HTTP server.
+pub struct Parts {
+    /// What they share.
+    pub shared: Arc<Shared>,
+    /// The branch that decides.
+    pub control: Branch<Actor>,
+}
+
+impl Parts {
+    /// Starts them on the control thread, for one life of an entry whose server
+    /// takes requests at this address.
+    ///
+    /// # Errors
+    ///
+    /// If a socket of the settings could not be opened.
+    pub fn start(
+        settings: Settings,
+        life: name::Incarnation,
+        address: SocketAddr,
+        peers: Bound,
+        thread: &Arbiter,
+    ) -> Result<Self, Error> {
+        let peer = peers.address().map_err(Error::Server)?;
+        let control = Branch::default();
+        let shared = Arc::new(shared(
+            settings,
+            life,
+            Handle::new(control.clone()),
+            address,
+        )?);
+        let own = own(&shared, peer);
+        control_branch(&shared, thread, &control, own, peers);
+        let watched = Arc::clone(&shared);
+        supervise(&thread.handle(), "watcher", move |guard| {
+            Watcher::new(Arc::clone(&watched), guard)
+        });
+        let recorded = Arc::clone(&shared);
+        supervise(&thread.handle(), "recording", move |guard| {
+            Recording::new(Arc::clone(&recorded), guard)
+        });
+        let claimed = Arc::clone(&shared);
+        let table = shared.once.table.branch.clone();
+        table.start(&thread.handle(), "claims", move |guard| {
+            Table::new(Arc::clone(&claimed), guard)
+        });
+        let kept = Arc::clone(&shared);
+        supervise(&thread.handle(), "housekeeping", move |guard| {
+            Housekeeping::new(Arc::clone(&kept), guard)
+        });
+        Ok(Self { shared, control })
+    }
+}
+
 /// How long the last counts may take to be written at a planned stop.
 const LAST_COUNTS: Millis = Millis::from_secs(3);
 
@@ -140,24 +188,36 @@
     name::Incarnation(clock.unix().0 << RANDOM_BITS | random)
 }
 
-fn shared(settings: Settings, control: Handle) -> Result<Shared, Error> {
+fn shared(
+    settings: Settings,
+    incarnation: name::Incarnation,
+    control: Handle,
+    bound: SocketAddr,
+) -> Result<Shared, Error> {
     let clock = Clock::start();
-    let incarnation = incarnation(clock);
     let metrics = telemetry::metrics::client(settings.metrics).map_err(|source| Error::Socket {
         option: "metrics",
         source,
     })?;
-    Ok(Shared::new(settings, incarnation, control, clock, metrics))
+    let address = settings.advertise.unwrap_or(bound);
+    Ok(Shared::new(
+        settings,
+        incarnation,
+        control,
+        clock,
+        metrics,
+        address,
+    ))
 }
 
 /// The own entry, as the others are to know it.
-fn own(shared: &Shared, address: SocketAddr, peer: SocketAddr) -> Member {
+fn own(shared: &Shared, peer: SocketAddr) -> Member {
     Member {
         name: shared.settings.name.clone(),
         incarnation: shared.incarnation,
         data_centre: shared.settings.data_centre.clone(),
         peer,
-        http: shared.settings.advertise.unwrap_or(address),
+        http: shared.once.address,
         standing: Standing::Live,
         version: 0,
         figures: Figures::default(),
@@ -208,7 +268,12 @@
 /// How long the last bytes of answers may take to reach slow callers.
 const LAST_BYTES: Duration = Duration::from_secs(30);
 
-fn server(
+/// The HTTP server of an entry.
+///
+/// # Errors
+///
+/// If the socket can't be used.
+pub fn server(
     shared: &Arc<Shared>,
     listener: TcpListener,
     workers: usize,
@@ -226,8 +291,10 @@
             .app_data(Data::new(Worker {
                 shared: Arc::clone(&shared),
                 client: Client::new(),
+                platform: watcher::platform(&shared),
             }))
             .configure(caller::routes)
+            .configure(|config| internal::routes(config, body_bytes))
             .configure(admin::routes)
             .wrap(from_fn(caller::guard::guard))
     })
