scripts: the case faults, and records that outlive a killed engine

The case needed evidence of what ran, and an engine that is killed took its record along. A copy by GET before the kill was ruled out: it misses what starts in between. The stand-in now writes each start and end to a file (--record-file), and the process started in its place goes on with it.

scripts/fleet.sh starts killed entries and engines anew at their addresses, and keeps one key between entries for all data centres: three calls of start_entries gave three keys. woodgap-load adds starved classes, uncertain requests that may be repeated, and unreadable answers to its line, and reads what was done to the fleet (--acts) and what permits cost (permits).

--- a/crates/entry/src/request/account.rs
+++ b/crates/entry/src/request/account.rs
@@ -1,5 +1,7 @@
 //! Accounts for one request: counts for the burn report, a log line, metrics.
 
+use std::time::Duration;
+
 use cadence::prelude::*;
 use woodgap_core::burn;
 use woodgap_core::clock::Millis;
@@ -18,6 +20,7 @@
     head: &'a Head,
     endpoint: Option<name::Endpoint>,
     attempts: u32,
+    permit_wait: Duration,
     first_token: Option<Millis>,
     tokens_produced: u64,
     tokens_passed_on: u64,
@@ -32,6 +35,7 @@
             head,
             endpoint: None,
             attempts: 0,
+            permit_wait: Duration::ZERO,
             first_token: None,
             tokens_produced: 0,
             tokens_passed_on: 0,
@@ -39,6 +43,11 @@
         }
     }
 
+    /// Waited this long for a permit, granted or not; waits of several attempts add up.
+    pub fn asked(&mut self, wait: Duration) {
+        self.permit_wait += wait;
+    }
+
     /// An attempt was sent to an endpoint.
     pub fn dispatched(&mut self, endpoint: &name::Endpoint) {
         self.endpoint = Some(endpoint.clone());
@@ -126,7 +135,8 @@
             end = end,
             code = code,
             verdict = verdict,
-            latency_ms = latency.0;
+            latency_ms = latency.0,
+            permit_us = u64::try_from(self.permit_wait.as_micros()).unwrap_or(u64::MAX);
             "request ended"
         );
     }
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -1,7 +1,7 @@
 //! Carries a request from its arrival to its end, over as many attempts as it may have.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::ClientResponse;
 use awc::error::SendRequestError;
@@ -87,10 +87,12 @@
     let mut progress = Progress::default();
     let mut started = false;
     loop {
+        let asked_at = Instant::now();
         let asked = tokio::select! {
             asked = request.ask(&worker.shared) => asked,
             () = sink.gone() => return Ending::Abandoned,
         };
+        account.asked(asked_at.elapsed());
         let mut granted = match asked {
             Ok(granted) => granted,
             Err(problem) => return Ending::Failed(after_start(problem, account)),
--- a/crates/entry/tests/contract/site.rs
+++ b/crates/entry/tests/contract/site.rs
@@ -50,6 +50,7 @@
         report_lag_ms: 0,
         checks_fencing: false,
         no_resume: false,
+        record_file: None,
         data_centre: "dub-a".to_owned(),
     }
 }
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -1,11 +1,13 @@
 //! What engines and plain services have in common: slots, load report, cancels and the record.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use actix_web::http::header::HeaderMap;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::sync::Notify;
 use tokio::sync::oneshot::Receiver;
 use woodgap_core::clock::Millis;
@@ -14,6 +16,7 @@
 use woodgap_platform::endpoint::{Load, Order, REQUEST_HEADER};
 use woodgap_platform::instance::{Instance, Role, State};
 
+use crate::journal::Journal;
 use crate::meter::Meter;
 use crate::queue::{Key, Queue};
 use crate::record::{End, Ordered, Run, Summary, summary};
@@ -29,6 +32,7 @@
     queue: Queue,
     meter: Meter,
     runs: Vec<Run<D>>,
+    journal: Option<Journal>,
     orders: Vec<Ordered>,
     live: HashMap<usize, Arc<Notify>>,
     leaving: bool,
@@ -74,13 +78,14 @@
     Order(Ordered),
 }
 
-impl<D: Clone> Endpoint<D> {
+impl<D: Clone + Serialize> Endpoint<D> {
     /// An idle endpoint.
     pub fn new(slots: u32, report_lag: Millis) -> Self {
         let inner = Inner {
             queue: Queue::new(slots),
             meter: Meter::new(report_lag),
             runs: Vec::new(),
+            journal: None,
             orders: Vec::new(),
             live: HashMap::new(),
             leaving: false,
@@ -92,6 +97,25 @@
         }
     }
 
+    /// The same endpoint with its record in a file: what an earlier process wrote
+    /// there is part of the record.
+    ///
+    /// # Errors
+    ///
+    /// A file that can't be opened, or that holds something else.
+    pub fn recorded(self, path: &Path) -> io::Result<Self>
+    where
+        D: DeserializeOwned,
+    {
+        let (journal, runs) = Journal::open(path)?;
+        {
+            let mut inner = self.lock();
+            inner.journal = Some(journal);
+            inner.runs = runs;
+        }
+        Ok(self)
+    }
+
     /// Takes a request in: it waits for its slot, or has it.
     pub fn enter(self: &Arc<Self>, arrival: Arrival<D>) -> Ticket<D> {
         let mut inner = self.lock();
@@ -201,7 +225,13 @@
     }
 }
 
-impl<D> Inner<D> {
+impl<D: Serialize> Inner<D> {
+    /// Writes a run as it stands, if the record is kept in a file.
+    fn write(&mut self, index: usize) {
+        if let Some(journal) = &mut self.journal {
+            journal.write(index, &self.runs[index]);
+        }
+    }
     fn note(&mut self, now: Millis) {
         let running = self.queue.running();
         let queued = self.queue.waiting();
@@ -215,7 +245,7 @@
 
 /// A request inside the endpoint. Dropped before its end, it counts as
 /// disconnected and gives its slot back.
-pub struct Ticket<D: Clone> {
+pub struct Ticket<D: Clone + Serialize> {
     endpoint: Arc<Endpoint<D>>,
     index: usize,
     key: Key,
@@ -223,7 +253,7 @@
     cancel: Arc<Notify>,
 }
 
-impl<D: Clone> Ticket<D> {
+impl<D: Clone + Serialize> Ticket<D> {
     /// Waits for the slot.
     ///
     /// # Errors
@@ -240,7 +270,9 @@
             _ = &mut self.admitted => {}
         }
         let now = self.endpoint.clock.unix();
-        self.endpoint.lock().runs[self.index].started_ms = Some(now);
+        let mut inner = self.endpoint.lock();
+        inner.runs[self.index].started_ms = Some(now);
+        inner.write(self.index);
         Ok(())
     }
 
@@ -282,12 +314,13 @@
         let run = &mut inner.runs[self.index];
         run.end = end;
         run.ended_ms = Some(self.endpoint.clock.unix());
+        inner.write(self.index);
         inner.queue.leave(self.key);
         inner.note(self.endpoint.clock.now());
     }
 }
 
-impl<D: Clone> Drop for Ticket<D> {
+impl<D: Clone + Serialize> Drop for Ticket<D> {
     fn drop(&mut self) {
         self.end(End::Disconnected);
     }
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -10,12 +10,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use actix_web::dev::AppConfig;
 use actix_web::web::{self, Data, Json, Query, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 use woodgap_core::clock::Millis;
 use woodgap_platform::endpoint::{CANCEL_PATH, Cancel, LOAD_PATH, Load, ORDER_PATH};
@@ -55,10 +56,12 @@
     pub no_resume: bool,
     /// Data centre, as in the instance list.
     pub data_centre: String,
+    /// Where the record is kept, to outlive the process.
+    pub record_file: Option<PathBuf>,
 }
 
 /// What a run is recorded by.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Detail {
     /// The model asked for.
     pub model: String,
@@ -83,17 +86,22 @@
 }
 
 impl Engine {
-    fn new(options: Options) -> Self {
+    fn new(options: Options) -> io::Result<Self> {
         let state = State {
             faults: Faults::default(),
             orders: Orders::new(options.models.clone(), options.checks_fencing),
             prefixes: Prefixes::new(options.prefix_cache_entries),
         };
-        Self {
-            endpoint: Arc::new(Endpoint::new(options.slots, Millis(options.report_lag_ms))),
+        let endpoint = Endpoint::new(options.slots, Millis(options.report_lag_ms));
+        let endpoint = match &options.record_file {
+            Some(path) => endpoint.recorded(path)?,
+            None => endpoint,
+        };
+        Ok(Self {
+            endpoint: Arc::new(endpoint),
             options,
             state: Mutex::new(state),
-        }
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -105,9 +113,9 @@
 ///
 /// # Errors
 ///
-/// When the address can't be bound.
+/// When the address can't be bound, or the record's file can't be opened.
 pub fn bind(listen: SocketAddr, options: Options) -> io::Result<Bound> {
-    let engine = Data::new(Engine::new(options));
+    let engine = Data::new(Engine::new(options)?);
     server::bind(listen, "engine", move |config| {
         config.app_data(engine.clone());
         routes(config);
--- a/crates/fake/src/engine/faults.rs
+++ b/crates/fake/src/engine/faults.rs
@@ -56,7 +56,7 @@
 }
 
 /// The fault of one run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// Refused before the start.
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod endpoint;
 pub mod engine;
 pub mod faults;
+pub mod journal;
 pub mod meter;
 pub mod options;
 pub mod platform;
--- a/crates/fake/src/options.rs
+++ b/crates/fake/src/options.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, construct, long};
 
@@ -112,6 +113,10 @@
         .help("Answer 409 to a request to resume")
         .switch();
     let data_centre = data_centre();
+    let record_file = long("record-file")
+        .help("Keeps the record in this file, and goes on with what is in it")
+        .argument::<PathBuf>("FILE")
+        .optional();
     construct!(engine::Options {
         models,
         slots,
@@ -125,6 +130,7 @@
         checks_fencing,
         no_resume,
         data_centre,
+        record_file,
     })
     .map(Role::Engine)
 }
--- a/crates/fake/src/record.rs
+++ b/crates/fake/src/record.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use woodgap_core::clock::Millis;
 use woodgap_platform::endpoint::Order;
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
     /// Not yet.
@@ -18,12 +18,12 @@
     Cancelled,
     /// The caller closed the connection.
     Disconnected,
-    /// By an ordered fault.
+    /// By an ordered fault, or with the whole process.
     Crashed,
 }
 
 /// One run; times are Unix milliseconds.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Run<D> {
     /// The request's identity, empty if the caller gave none.
     pub request: String,
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -35,6 +35,7 @@
         checks_fencing: false,
         no_resume: false,
         data_centre: "dub-a".to_owned(),
+        record_file: None,
     }
 }
 
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -141,6 +141,7 @@
         report_lag_ms: 0,
         checks_fencing: true,
         no_resume: false,
+        record_file: None,
         data_centre: DATA_CENTRE.to_owned(),
     }
 }
--- a/crates/load/src/command/run.rs
+++ b/crates/load/src/command/run.rs
@@ -10,24 +10,32 @@
 use crate::arrival::Bounds;
 use crate::case::Measured;
 use crate::check::{self, Findings};
-use crate::event::{Event, file};
+use crate::event::{End, Event, file};
 use crate::options::{Format, Run};
 use crate::report::Report;
 use crate::run::Plan;
 use crate::totals::Totals;
 use crate::traffic::Traffic;
-use crate::{Error, loopback, record};
+use crate::{Error, act, loopback, record};
 
 /// The JSON line of a run.
 #[derive(Debug, Serialize)]
 struct Line<'a> {
     case: &'a str,
+    seed: u64,
     #[serde(flatten)]
     totals: Totals,
     #[serde(skip_serializing_if = "Option::is_none")]
     not_run_but_ran: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     wasted: Option<f64>,
+    starved: u64,
+    /// Requests that may be repeated and yet ended as uncertain.
+    may_have_run_repeatable: u64,
+    /// Requests of which an answer could not be read.
+    garbled: u64,
+    #[serde(flatten)]
+    acts: Option<act::Findings>,
 }
 
 /// Carries out the command; false if requests were to be complete and are not.
@@ -50,9 +58,16 @@
         let check = measured.check.as_ref();
         print_line(&Line {
             case,
+            seed: options.seed,
             totals,
             not_run_but_ran: check.map(|check| check.not_run_but_ran),
             wasted: check.map(|check| check.wasted),
+            starved: measured.report.starved(),
+            may_have_run_repeatable: count(&findings.events, |event| {
+                event.repeatable && event.end == End::MayHaveRun
+            }),
+            garbled: count(&findings.events, |event| event.faults.garbled),
+            acts: acts(options)?,
         });
     }
     Ok(!options.expect_complete || totals.all_well())
@@ -91,6 +106,19 @@
     Ok(Some(check::compare(events, &runs, options.share)))
 }
 
+fn acts(options: &Run) -> Result<Option<act::Findings>, Error> {
+    let Some(path) = &options.acts else {
+        return Ok(None);
+    };
+    let acts = act::read(path)?;
+    let records = System::new().block_on(act::records(&acts))?;
+    Ok(Some(act::compare(&acts, &records)))
+}
+
+fn count(events: &[Event], of: impl Fn(&Event) -> bool) -> u64 {
+    events.iter().filter(|event| of(event)).count() as u64
+}
+
 fn print(measured: &Measured, format: Format) {
     match format {
         Format::Json => print_line(measured),
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -54,6 +54,14 @@
         /// What is wrong with it.
         message: String,
     },
+    /// An entry does not tell its status.
+    #[error("the status of {url}: {message}")]
+    Status {
+        /// Where it was asked for.
+        url: String,
+        /// What went wrong.
+        message: String,
+    },
     /// A worker thread ended early.
     #[error("a worker thread failed")]
     Worker,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,6 +1,7 @@
 //! A small open-loop load tool for loopback: seeded arrivals, checked answers,
 //! callers that retry as `docs/INTERFACES.md` tells them.
 
+pub mod act;
 pub mod answer;
 pub mod arrival;
 pub mod attempt;
@@ -15,6 +16,7 @@
 pub mod inversion;
 pub mod loopback;
 pub mod options;
+pub mod permits;
 pub mod record;
 pub mod report;
 pub mod request;
--- a/crates/load/src/options.rs
+++ b/crates/load/src/options.rs
@@ -17,6 +17,8 @@
     Changes(Changes),
     /// Put the reports of several runs side by side.
     Case(Case),
+    /// Measure what permits cost.
+    Permits(Permits),
 }
 
 /// Options of a run.
@@ -52,6 +54,8 @@
     pub format: Format,
     /// The name in the JSON line that is printed last.
     pub case: Option<String>,
+    /// File of what was done to the fleet meanwhile.
+    pub acts: Option<PathBuf>,
     /// Whether the run fails unless all requests are complete.
     pub expect_complete: bool,
     /// Whether bursts are left out.
@@ -101,6 +105,25 @@
     pub baseline_calm: Option<PathBuf>,
 }
 
+/// Options of a measurement of permits.
+#[derive(Clone, Debug)]
+pub struct Permits {
+    /// Base URLs of entries.
+    pub entry: Vec<String>,
+    /// File with an operator's key.
+    pub operator_key_file: PathBuf,
+    /// Traffic that finds free slots.
+    pub lent: PathBuf,
+    /// Traffic above the capacity.
+    pub contended: PathBuf,
+    /// The entries' logs, at level info.
+    pub log: Vec<PathBuf>,
+    /// Fixes arrivals, lengths and retries.
+    pub seed: u64,
+    /// Span of each of the three parts.
+    pub duration_ms: u64,
+}
+
 /// The form of the report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
@@ -135,8 +158,13 @@
         .descr("Puts the JSON reports of several runs side by side, as one JSON line")
         .command("case")
         .map(Command::Case);
+    let permits = permits_options()
+        .to_options()
+        .descr("Measures what permits cost: bytes between entries, and the wait for them")
+        .command("permits")
+        .map(Command::Permits);
     let run = run_options().map(Command::Run);
-    construct!([check, changes, case, run])
+    construct!([check, changes, case, permits, run])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Sends bounded load to entries on loopback and checks each answer")
@@ -151,10 +179,7 @@
     let traffic = long("traffic")
         .help("Description of the traffic, JSON with comments")
         .argument::<PathBuf>("FILE");
-    let seed = long("seed")
-        .help("Fixes arrivals, lengths and retries")
-        .argument::<u64>("N")
-        .fallback(1);
+    let seed = seed();
     let duration_ms = long("duration-ms")
         .help("Span of the arrivals; 10 s if neither this nor a count is given")
         .argument::<u64>("N")
@@ -204,6 +229,10 @@
         .help("Prints the totals last, as one JSON line with this name")
         .argument::<String>("NAME")
         .optional();
+    let acts = long("acts")
+        .help("JSON lines of what was done to the fleet meanwhile; read at the end")
+        .argument::<PathBuf>("FILE")
+        .optional();
     let expect_complete = long("expect-complete")
         .help("Fails unless each request got its own whole answer once")
         .switch();
@@ -227,12 +256,20 @@
         record,
         format,
         case,
+        acts,
         expect_complete,
         no_bursts,
         share,
     })
 }
 
+fn seed() -> impl Parser<u64> {
+    long("seed")
+        .help("Fixes arrivals, lengths and retries")
+        .argument::<u64>("N")
+        .fallback(1)
+}
+
 fn entries() -> impl Parser<Vec<String>> {
     long("entry")
         .help("Base URL of an entry on loopback")
@@ -264,6 +301,33 @@
     })
 }
 
+fn permits_options() -> impl Parser<Permits> {
+    let entry = entries();
+    let operator_key_file = long("operator-key-file")
+        .help("File with an operator's key")
+        .argument::<PathBuf>("FILE");
+    let lent = report("lent", "Traffic that finds free slots");
+    let contended = report("contended", "Traffic above the capacity");
+    let log = long("log")
+        .help("Log of an entry at level info")
+        .argument::<PathBuf>("FILE")
+        .some("name the entries' logs by --log FILE");
+    let seed = seed();
+    let duration_ms = long("duration-ms")
+        .help("Span of each part: idle, lent, contended")
+        .argument::<u64>("N")
+        .fallback(20_000);
+    construct!(Permits {
+        entry,
+        operator_key_file,
+        lent,
+        contended,
+        log,
+        seed,
+        duration_ms
+    })
+}
+
 fn check_options() -> impl Parser<Check> {
     let events = long("events")
         .help("Events that a run wrote")
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -98,13 +98,19 @@
         }
     }
 
+    /// How many delays were added.
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+
     fn add_ms(&mut self, delay: Option<f64>) {
         if let Some(delay) = delay {
             self.add(Duration::from_secs_f64(delay / 1e3));
         }
     }
 
-    fn delays(&self) -> Delays {
+    /// The quantiles, in milliseconds.
+    pub fn delays(&self) -> Delays {
         let at = |quantile| self.0.value_at_quantile(quantile) as f64 / 1e3;
         Delays {
             p50_ms: at(0.50),
@@ -162,6 +168,14 @@
     }
 }
 
+impl Report {
+    /// Classes of tiers that were sent and of which nothing was completed.
+    pub fn starved(&self) -> u64 {
+        let starved = |row: &&Row| row.totals.sent > 0 && row.totals.complete == 0;
+        self.rows.iter().filter(starved).count() as u64
+    }
+}
+
 impl Row {
     fn new(tier: u8, class: &str, events: &[&Event], gaps: Option<&Recorder>, span: f64) -> Self {
         let totals = Totals::of(events.iter().copied());
--- a/scripts/cases/configuration.sh
+++ b/scripts/cases/configuration.sh
@@ -33,35 +33,21 @@
 DOCUMENT
 }
 
-fault() {
-    http POST "$PLATFORM/fake/faults" "$1" >/dev/null || fail "the platform refused $1"
-}
-
 faults() {
     sleep 1
-    fault '{"lose_acks": 3}'
+    platform_fault '{"lose_acks": 3}'
     sleep 2
-    fault '{"stale_reads_ms": 1500}'
+    platform_fault '{"stale_reads_ms": 1500}'
     sleep 3
-    fault '{"stale_reads_ms": 0}'
+    platform_fault '{"stale_reads_ms": 0}'
     kill -STOP "${PID_OF[dub-a-3]}"
     sleep 2
-    fault '{"table_down": true}'
+    platform_fault '{"table_down": true}'
     kill -KILL "${PID_OF[dub-a-2]}"
     sleep 1
-    again dub-a-2
+    restart_entry dub-a-2
     sleep 4
-    fault '{"table_down": false}'
+    platform_fault '{"table_down": false}'
     sleep 6
     kill -CONT "${PID_OF[dub-a-3]}"
 }
-
-# Starts a killed entry anew, at its old addresses.
-again() {
-    await_ready "$1"
-    sed -e "s/\"listen\": \"[^\"]*\"/\"listen\": \"$(field ready)\"/" \
-        -e "s/\"peer_listen\": \"[^\"]*\"/\"peer_listen\": \"$(field peer)\"/" \
-        -i "$WORK/$1.jsonc"
-    launch "$1" woodgap-entry --settings "$WORK/$1.jsonc"
-    await_ready "$1"
-}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -49,7 +49,7 @@
     local code=$?
     trap - EXIT INT TERM
     stop_all
-    if [[ $code -eq 0 || -n ${DISCARD_LOGS:-} ]]; then
+    if [[ -z ${KEEP_LOGS:-} && ($code -eq 0 || -n ${DISCARD_LOGS:-}) ]]; then
         rm -rf "$WORK"
     else
         say "logs are kept in $WORK"
@@ -123,7 +123,8 @@
     local prefix=$1 count=$2 number
     shift 2
     for ((number = 1; number <= count; number++)); do
-        launch "$prefix-$number" woodgap-fake engine --listen 127.0.0.1:0 --seed "$number" "$@"
+        launch "$prefix-$number" woodgap-fake engine --listen 127.0.0.1:0 --seed "$number" \
+            ${KEEP_RECORDS:+--record-file "$WORK/$prefix-$number.record"} "$@"
     done
     for ((number = 1; number <= count; number++)); do
         await_ready "$prefix-$number"
@@ -146,6 +147,12 @@
     cat "$WORK/operator.key"
 }
 
+# The key between entries; all data centres of a fleet have the same.
+fleet_key() {
+    [[ -f $WORK/fleet.key ]] || random_hex >"$WORK/fleet.key"
+    cat "$WORK/fleet.key"
+}
+
 random_hex() {
     od -An -tx1 -v -N32 /dev/urandom | tr -d ' \n'
 }
@@ -157,7 +164,7 @@
 # start_entries COUNT POLICY [DATA_CENTRE]: adds their base URLs to ENTRIES.
 start_entries() {
     local count=$1 policy=$2 data_centre=${3:-dub-a} number name fleet_key
-    fleet_key=$(random_hex)
+    fleet_key=$(fleet_key)
     operator_key >/dev/null
     for ((number = 1; number <= count; number++)); do
         name=$data_centre-$number
@@ -173,6 +180,45 @@
     done
 }
 
+# restart_entry NAME: starts one that has ended anew, at its old addresses.
+restart_entry() {
+    await_first_line "$1"
+    sed -e "s/\"listen\": \"[^\"]*\"/\"listen\": \"$(field ready)\"/" \
+        -e "s/\"peer_listen\": \"[^\"]*\"/\"peer_listen\": \"$(field peer)\"/" \
+        -i "$WORK/$1.jsonc"
+    relaunch "$1" woodgap-entry --settings "$WORK/$1.jsonc"
+}
+
+# restart_engine NAME ARGUMENT...: the same for an engine, with its record.
+restart_engine() {
+    await_first_line "$1"
+    relaunch "$1" woodgap-fake engine --listen "$(field ready)" --seed "${1##*-}" \
+        ${KEEP_RECORDS:+--record-file "$WORK/$1.record"} "${@:2}"
+}
+
+# What a program said when it was ready; it may have ended since.
+await_first_line() {
+    read -r READY_LINE <"$WORK/$1.out"
+}
+
+# relaunch NAME PROGRAM ARGUMENT...: keeps the log of the one that ended.
+relaunch() {
+    cat "$WORK/$1.log" >>"$WORK/$1.earlier.log"
+    launch "$@"
+    await_ready "$1"
+}
+
+# kill_now NAME: ends a program in the middle of whatever it does.
+kill_now() {
+    kill -KILL "${PID_OF[$1]}"
+    wait "${PID_OF[$1]}" 2>/dev/null || true
+}
+
+# platform_fault JSON
+platform_fault() {
+    http POST "$PLATFORM/fake/faults" "$1" >/dev/null || fail "the platform refused $1"
+}
+
 # settings NAME DATA_CENTRE POLICY FLEET_KEY: prints an entry's settings.
 settings() {
     cat <<SETTINGS
