--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -2,7 +2,7 @@
 
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::ClientResponse;
 use awc::error::SendRequestError;
@@ -105,10 +105,12 @@
         attempts: worker.shared.settings.dispatch.retries,
     });
     loop {
+        let asked_at = Instant::now();
         let asked = tokio::select! {
             asked = request.ask(&worker.shared) => asked,
             () = sink.gone() => return Some(Ending::Abandoned),
         };
+        account.asked(asked_at.elapsed());
         let next;
         (request, next) = match asked {
             Ok(granted) => one(worker, granted, &mut tally, &mut progress, sink, account).await,
--- a/crates/entry/tests/supervision.rs
+++ b/crates/entry/tests/supervision.rs
@@ -128,6 +128,7 @@
         checks_fencing: false,
         no_resume: false,
         data_centre: "dub-a".to_owned(),
+        record_file: None,
     }
 }
 
