Tests of a pool set load reports on the endpoints themselves

Change: the tables keep their own endpoints and set the public field. Ruled out: the same for the simulation, whose baseline reads the directory.

--- a/crates/core/tests/pool/home.rs
+++ b/crates/core/tests/pool/home.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use woodgap_core::clock::Millis;
+use woodgap_core::control::directory::Endpoint;
 use woodgap_core::control::{Ask, Directory, Done, Outcome};
 use woodgap_core::instance::{Instance, Role, State};
 use woodgap_core::name::{self, Incarnation, Request};
@@ -14,7 +15,7 @@
 /// A pool of endpoints `e0`, `e1`, … with its clock.
 pub struct Home {
     pub pool: Pool,
-    pub directory: Directory,
+    pub endpoints: Vec<Endpoint>,
     pub now: Millis,
     pub out: Vec<Decision>,
 }
@@ -30,7 +31,7 @@
         directory.update(&instances);
         let mut home = Self {
             pool: Pool::new(limits, 1),
-            directory,
+            endpoints: directory.iter().cloned().collect(),
             now: Millis(10_000),
             out: Vec::new(),
         };
@@ -39,7 +40,7 @@
     }
 
     pub fn list(&mut self) {
-        let usable: Vec<_> = self.directory.iter().collect();
+        let usable: Vec<_> = self.endpoints.iter().collect();
         self.pool.set_endpoints(self.now, &usable, &mut self.out);
     }
 
--- a/crates/core/tests/pool_endpoints.rs
+++ b/crates/core/tests/pool_endpoints.rs
@@ -9,7 +9,7 @@
 use woodgap_core::instance::{Load, State};
 use woodgap_core::pool::Decision;
 
-use home::{Home, ask, avoiding, name};
+use home::{Home, ask, avoiding};
 
 #[rstest]
 #[case::another(2, &[0], 0, true)]
@@ -186,6 +186,6 @@
         tokens_per_second: 0.0,
         state: State::Live,
     };
-    home.directory.probed(home.now, &name(endpoint), Some(load));
+    home.endpoints[endpoint].load = Some((home.now, load));
     home.list();
 }
