--- a/crates/entry/src/once/follow.rs
+++ b/crates/entry/src/once/follow.rs
@@ -12,7 +12,7 @@
 use crate::once::message::{Frame, Question};
 use crate::once::peer::{self, Frames, Silent};
 use crate::once::record::Kind;
-use crate::once::{Recorder, kept};
+use crate::once::{Record, Recorder, kept};
 use crate::request::run::Worker;
 use crate::request::{Code, Item, Problem};
 use crate::shared::Shared;
@@ -82,6 +82,21 @@
     at(worker, claim.address, &question, claim.holder()).await
 }
 
+/// Opens the answer that a life of an entry has to a record's identity.
+pub async fn at_life(worker: &Worker, record: &Record, life: name::Incarnation) -> Opened {
+    let members = worker.shared.members.load_full();
+    let member = members.iter().find(|member| member.incarnation == life);
+    let Some(member) = member else {
+        return Opened::Failed(unknown_outcome(&worker.shared, life));
+    };
+    let question = Question::Follow {
+        key: record.key.clone(),
+        request: None,
+        body: Some(record.body.clone()),
+    };
+    at(worker, member.http, &question, life).await
+}
+
 /// Opens what the entry at an address, the life that is said to have it, answers.
 pub async fn at(
     worker: &Worker,
--- a/crates/entry/src/once/submit.rs
+++ b/crates/entry/src/once/submit.rs
@@ -142,8 +142,7 @@
     let _running = worker.shared.running.enter();
     let recorder = Recorder::new(worker.clone(), record);
     match way {
-        // TODO: at another entry a repeatable request runs again; the pool's home
-        // could name the entry that runs it.
+        // The pool's home names the entry where it waits or runs already.
         Way::Repeatable => send(worker, head, recorder, Role::Repeatable).await,
         Way::Issued(_) => send(worker, head, recorder, Role::Issued).await,
         Way::Claim => claim(worker, head, recorder).await,
--- a/crates/entry/src/request/life.rs
+++ b/crates/entry/src/request/life.rs
@@ -10,12 +10,9 @@
 use woodgap_core::tier::Tier;
 
 use crate::control::{Answer, Permit};
-use crate::request::{Call, Code, Problem};
+use crate::request::{Call, Problem};
 use crate::shared::Shared;
 
-/// When to come back for a request that waits or runs at another entry.
-const ELSEWHERE_RETRY: Millis = Millis(1_000);
-
 /// What stays the same through a request's life.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -74,10 +71,20 @@
         }
     }
 }
+
 /// Endpoints that a request avoids at most, the last ones that failed it: they
 /// travel with each ask.
 const AVOIDED: usize = 8;
 
+/// Why there is no place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Declined {
+    /// The pool refused.
+    Refused(Problem),
+    /// The identity waits or runs at this life of an entry.
+    Elsewhere(name::Incarnation),
+}
+
 /// A request in one of its states.
 pub struct Request<S> {
     /// What stays the same.
@@ -110,7 +117,7 @@
     /// # Errors
     ///
     /// The request as it was, and why there is none.
-    pub async fn ask(self, shared: &Shared) -> Result<Request<Granted>, (Self, Problem)> {
+    pub async fn ask(self, shared: &Shared) -> Result<Request<Granted>, (Self, Declined)> {
         let head = &self.head;
         let ask = Ask {
             request: head.id,
@@ -126,9 +133,8 @@
         };
         match shared.control.ask(ask).await {
             Answer::Grant(grant) => Ok(self.granted(grant, shared)),
-            Answer::Refuse(refusal) => Err((self, refusal.into())),
-            // TODO: relay the answer of the other entry instead.
-            Answer::Elsewhere(_) => Err((self, elsewhere())),
+            Answer::Refuse(refusal) => Err((self, Declined::Refused(refusal.into()))),
+            Answer::Elsewhere(life) => Err((self, Declined::Elsewhere(life))),
         }
     }
 
@@ -142,12 +148,6 @@
     }
 }
 
-/// TODO: relay the answer of the other entry instead.
-fn elsewhere() -> Problem {
-    let message = "a request with the same identity waits or runs at another entry";
-    Problem::not_run(Code::Overloaded, message).retry_after(ELSEWHERE_RETRY)
-}
-
 impl Request<Granted> {
     /// The place, for the attempt that uses it.
     pub fn permit(&mut self) -> &mut Permit {
--- a/crates/entry/src/request/retry.rs
+++ b/crates/entry/src/request/retry.rs
@@ -139,6 +139,16 @@
         self.refused(&problem.message)
     }
 
+    /// Decides after the pool named another entry, whose answer can't be followed:
+    /// it may have just ended there.
+    pub fn elsewhere(&mut self) -> Next {
+        match self.refused("the identity waits or runs at another entry") {
+            // It may be running there, if it may run more than once.
+            Next::End(_) if self.terms.repeatable => Next::End(Ending::Failed(elsewhere())),
+            next => next,
+        }
+    }
+
     /// Nothing ran, so that asking again is safe for any request.
     fn refused(&mut self, text: &str) -> Next {
         self.refusals += 1;
@@ -171,6 +181,11 @@
     }
 }
 
+fn elsewhere() -> Problem {
+    let message = "a request with the same identity waits or runs at another entry";
+    Problem::new(Code::Overloaded, Verdict::MayHaveRun, message).retry_after(COME_BACK)
+}
+
 fn pause(refusals: u32) -> Millis {
     let Some(doublings) = refusals.checked_sub(2) else {
         return Millis::ZERO;
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -2,7 +2,7 @@
 
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::ClientResponse;
 use awc::error::SendRequestError;
@@ -18,7 +18,7 @@
 use crate::request::account::Account;
 use crate::request::retry::{Attempt, Next, Tally, Terms};
 use crate::request::{
-    Call, Ending, Granted, Head, Item, Progress, Received, Request, Sink, model, service,
+    Call, Declined, Ending, Granted, Head, Item, Progress, Received, Request, Sink, model, service,
 };
 use crate::shared::Shared;
 
@@ -72,7 +72,11 @@
     // A panic ends this request only, and not without a word to its caller.
     let attempts = AssertUnwindSafe(attempts(&worker, request, &sink, &mut account));
     let ending = attempts.catch_unwind().await;
-    let ending = ending.unwrap_or_else(|_| Ending::Failed(guard::panicked()));
+    let panicked = |_| Some(Ending::Failed(guard::panicked()));
+    let Some(ending) = ending.unwrap_or_else(panicked) else {
+        // The entry that ran it has told how it ended, and accounts for it.
+        return;
+    };
     let told = match &ending {
         Ending::Complete => sink.send(Item::Complete).await,
         Ending::Failed(problem) => sink.send(Item::Failed(problem.clone())).await,
@@ -88,33 +92,42 @@
     }
 }
 
+/// How the request ended; none if another entry's answer to it was passed on.
 async fn attempts(
     worker: &Worker,
     mut request: Request<Received>,
     sink: &Sink,
     account: &mut Account<'_>,
-) -> Ending {
+) -> Option<Ending> {
     let mut progress = Progress::default();
     let mut tally = Tally::new(Terms {
         repeatable: request.head.repeatable,
         attempts: worker.shared.settings.dispatch.retries,
     });
     loop {
+        let asked_at = Instant::now();
         let asked = tokio::select! {
             asked = request.ask(&worker.shared) => asked,
-            () = sink.gone() => return Ending::Abandoned,
+            () = sink.gone() => return Some(Ending::Abandoned),
         };
+        account.asked(asked_at.elapsed());
         let next;
         (request, next) = match asked {
             Ok(granted) => one(worker, granted, &mut tally, &mut progress, sink, account).await,
-            Err((request, problem)) => (request, tally.declined(problem)),
+            Err((request, Declined::Refused(problem))) => (request, tally.declined(problem)),
+            Err((request, Declined::Elsewhere(life))) => {
+                if progress.offset() == 0 && sink.follow(life).await {
+                    return None;
+                }
+                (request, tally.elsewhere())
+            }
         };
         match next {
             Next::Again(pause) => tokio::select! {
                 () = tokio::time::sleep(Duration::from_millis(pause.0)) => {}
-                () = sink.gone() => return Ending::Abandoned,
+                () = sink.gone() => return Some(Ending::Abandoned),
             },
-            Next::End(ending) => return ending,
+            Next::End(ending) => return Some(ending),
         }
     }
 }
