woodgap-load: a plain service's own error is an answer

An error status that the service itself gave is relayed like any other answer, by docs/INTERFACES.md; the tool took it for a broken refusal and sent the call again until it was counted as lost.

Ruled out: counting it as met or checking its tag; it has none.

The change: an error without X-Woodgap-Verdict on a service call counts as complete if it came whole. The tests start the stand-ins by their command line, so that a new option of theirs does not break these.

--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -17,6 +17,8 @@
 use crate::sse;
 use crate::traffic::Kind;
 
+/// Header that each error of an entry carries.
+const VERDICT_HEADER: &str = "x-woodgap-verdict";
 /// The largest error body that is read, in bytes.
 const ERROR_LIMIT: usize = 64 * 1024;
 
@@ -90,11 +92,33 @@
         Ok(response) if response.status().is_success() => {
             Follower::new(request, patience).follow(response).await
         }
+        Ok(response) if is_services_own(request, &response) => {
+            services_own(response, patience).await
+        }
         Ok(response) => refusal(response, patience).await,
         Err(error) => unsent(&error),
     }
 }
 
+/// Whether an error is the plain service's own answer, which is relayed as any
+/// other: those of entries have a verdict.
+fn is_services_own<S>(request: &Request<'_>, response: &ClientResponse<S>) -> bool {
+    let is_entrys = response.headers().contains_key(VERDICT_HEADER);
+    request.class.kind == Kind::Service && !is_entrys
+}
+
+/// An error of the plain service's own is an answer, if it comes whole.
+async fn services_own<S>(mut response: ClientResponse<S>, patience: Duration) -> Reply
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let status = response.status().to_string();
+    match timeout(patience, response.body().limit(ERROR_LIMIT)).await {
+        Ok(Ok(_)) => Reply::bare(How::Complete, Some(status)),
+        _ => Reply::bare(How::Broken, Some(status)),
+    }
+}
+
 /// Tells what was surely not sent from what may have been: awc reports a
 /// connection closed before the answer's head as a failure to connect, too.
 fn unsent(error: &SendRequestError) -> Reply {
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -7,42 +7,53 @@
 use awc::Client;
 use rstest::rstest;
 use serde_json::{Value, json};
-use woodgap_fake::engine::{self, Options};
+use woodgap_fake::options;
 use woodgap_load::arrival::Bounds;
 use woodgap_load::check;
 use woodgap_load::event::Event;
 use woodgap_load::record;
 use woodgap_load::run::Plan;
 use woodgap_load::totals::Totals;
-use woodgap_load::traffic::Traffic;
+use woodgap_load::traffic::{Kind, Traffic};
 
 /// Requests of each run.
 const SENT: usize = 20;
 
-/// Starts an engine with these faults.
-async fn engine(faults: Value) -> String {
-    let options = Options {
-        models: vec!["m".to_owned()],
-        slots: 64,
-        tokens_per_second: 2_000.0,
-        first_token_ms: 1,
-        prefill_ms: 0,
-        prefix_cache_entries: 0,
-        jitter_percent: 0,
-        seed: 7,
-        report_lag_ms: 0,
-        checks_fencing: false,
-        no_resume: false,
-        data_centre: "dub-a".to_owned(),
-    };
-    let bound = engine::bind("127.0.0.1:0".parse().unwrap(), options).unwrap();
+/// Starts a stand-in as its command line says.
+fn start(arguments: &'static [&'static str]) -> String {
+    let options = options::parser().run_inner(arguments).unwrap();
+    let bound = woodgap_fake::bind(options).unwrap();
     let base = format!("http://{}", bound.address);
     actix_rt::spawn(bound.server);
-    let call = Client::default().post(format!("{base}/fake/faults"));
-    assert!(call.send_json(&faults).await.unwrap().status().is_success());
     base
 }
 
+/// Starts an engine with these faults.
+async fn engine(faults: Value) -> String {
+    let base = start(&[
+        "engine",
+        "--models=m",
+        "--slots=64",
+        "--tokens-per-second=2000",
+        "--first-token-ms=1",
+    ]);
+    fail(&base, faults).await;
+    base
+}
+
+/// Starts a plain service with these faults.
+async fn service(faults: Value) -> String {
+    let base = start(&["service", "--name=s", "--slots=64", "--latency-ms=1"]);
+    fail(&base, faults).await;
+    base
+}
+
+async fn fail(base: &str, faults: Value) {
+    let call = Client::default().post(format!("{base}/fake/faults"));
+    let response = call.send_json(&faults).await.unwrap();
+    assert!(response.status().is_success());
+}
+
 fn traffic(stream: bool, repeatable: bool) -> Traffic {
     let text = json!({"classes": [{
         "name": "captions", "workspace": "murphy", "key": "k", "class": "caption",
@@ -150,6 +161,25 @@
     assert_eq!(check::compare(&events, &runs, 0.0).doubled, 0);
 }
 
+#[rstest]
+#[case::none(json!({}), "20 of 20, may 0, broken 0, lost 0, doubled 0, crossed 0, cut 0")]
+#[case::its_own_error(
+    json!({"fail_after_run": 3}),
+    "20 of 20, may 0, broken 0, lost 0, doubled 0, crossed 0, cut 0"
+)]
+#[case::cut_after_the_run(
+    json!({"cut_after_run": 3}),
+    "17 of 20, may 3, broken 3, lost 0, doubled 0, crossed 0, cut 0"
+)]
+#[actix_rt::test]
+async fn answers_of_plain_services(#[case] faults: Value, #[case] expected: &str) {
+    let base = service(faults).await;
+    let mut traffic = traffic(false, false);
+    traffic.classes[0].kind = Kind::Service;
+    let events = run(&base, traffic, 6).await;
+    assert_eq!(shown(&Totals::of(&events)), expected);
+}
+
 #[actix_rt::test]
 async fn the_record_tells_wasted_tokens() {
     let base = engine(json!({"crash_after_tokens": 4, "crash_runs": 3})).await;
