load: callers in doubt come back when the entry says so; the case stops

The entry sends Retry-After with it and asks for the same key, but docs/INTERFACES.md listed the code as not_run only, and the callers gave up. Answering not_run there was ruled out: a dead life may have run it.

Two entries of the same fault stay: what a killed entry had sent, and a killed engine's.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -82,6 +82,7 @@
         how: reply.how,
         verdict: reply.verdict,
         code: reply.code.as_deref(),
+        told_to_return: reply.retry_after.is_some(),
     }
 }
 
--- a/crates/load/src/retry.rs
+++ b/crates/load/src/retry.rs
@@ -35,6 +35,8 @@
     pub verdict: Option<Verdict>,
     /// The error's code.
     pub code: Option<&'a str>,
+    /// Whether the entry said when to come back.
+    pub told_to_return: bool,
 }
 
 /// What may be done with a request.
@@ -54,7 +56,7 @@
 /// use woodgap_load::event::{End, How};
 /// use woodgap_load::retry::{Outcome, Rules, end};
 ///
-/// let broken = Outcome { how: How::Broken, verdict: None, code: None };
+/// let broken = Outcome { how: How::Broken, verdict: None, code: None, told_to_return: false };
 /// let rules = Rules { repeatable: true, identity: false, left: 1 };
 /// assert_eq!(end(broken, rules), None);
 /// assert_eq!(end(broken, Rules { left: 0, ..rules }), Some(End::Lost));
@@ -74,6 +76,10 @@
             let is_final = outcome.code.is_some_and(|code| FINAL_CODES.contains(&code));
             (is_final || rules.left == 0).then_some(End::RefusedNotRun)
         }
+        // The entry says that coming back helps, and the identity makes that safe.
+        Some(Verdict::MayHaveRun) if outcome.told_to_return && rules.identity => {
+            (rules.left == 0).then_some(End::MayHaveRun)
+        }
         Some(Verdict::MayHaveRun | Verdict::Ran) => Some(End::MayHaveRun),
         None => broken(rules),
     }
--- a/crates/load/src/retry/tests.rs
+++ b/crates/load/src/retry/tests.rs
@@ -58,7 +58,12 @@
     #[case] with: Option<End>,
     #[case] without: Option<End>,
 ) {
-    let outcome = Outcome { how, verdict, code };
+    let outcome = Outcome {
+        how,
+        verdict,
+        code,
+        told_to_return: false,
+    };
     for (repeatable, identity) in [(true, false), (true, true), (false, true)] {
         let rules = |left| Rules {
             repeatable,
@@ -82,6 +87,7 @@
         how,
         verdict: None,
         code: None,
+        told_to_return: false,
     };
     let rules = Rules {
         repeatable: false,
@@ -91,6 +97,31 @@
     assert_eq!(end(outcome, rules), expected);
 }
 
+#[rstest]
+#[case::with_identity(true, MayHaveRun, 3, None)]
+#[case::without_identity(false, MayHaveRun, 3, Some(End::MayHaveRun))]
+#[case::no_retries_left(true, MayHaveRun, 0, Some(End::MayHaveRun))]
+#[case::it_ran(true, Ran, 3, Some(End::MayHaveRun))]
+fn a_caller_in_doubt_comes_back_only_when_told_to_and_by_its_identity(
+    #[case] identity: bool,
+    #[case] verdict: Verdict,
+    #[case] left: u32,
+    #[case] expected: Option<End>,
+) {
+    let outcome = Outcome {
+        how: Refused,
+        verdict: Some(verdict),
+        code: Some("platform_out"),
+        told_to_return: true,
+    };
+    let rules = Rules {
+        repeatable: false,
+        identity,
+        left,
+    };
+    assert_eq!(end(outcome, rules), expected);
+}
+
 #[rstest]
 #[case::told(Some(2_000), 0, 2_000)]
 #[case::told_too_much(Some(60_000), 0, 5_000)]
--- a/scripts/cases/stops.sh
+++ b/scripts/cases/stops.sh
@@ -9,6 +9,8 @@
 run_case() {
     local name
     start_mixed
+    say "waiting until the list is older than its lag"
+    sleep $((LIST_LAG / 1000 + 1))
     platform_fault "{\"list_lag_ms\": $LIST_LAG}"
     : >"$WORK/acts"
     begin_load 80 --acts "$WORK/acts"
