--- a/crates/core/benches/policy/sim.rs
+++ b/crates/core/benches/policy/sim.rs
@@ -126,7 +126,7 @@
         if now.0.is_multiple_of(REPORT.0) {
             for (index, engine) in self.site.engines.iter_mut().enumerate() {
                 let load = engine.report(now);
-                self.directory.probed(now, &endpoint(index), Some(load));
+                self.directory.loaded(now, &endpoint(index), load);
             }
         }
         let orders = self.router.tick(now, &self.directory);
