Capacity at the target size, and the case that reads control's cost

Cause: nothing said what an entry would cost before 5,600 endpoints in 400 entries, or which parts would not hold.

--- a/crates/core/benches/catalog.rs
+++ b/crates/core/benches/catalog.rs
@@ -42,7 +42,7 @@
     serde_json::from_value(document).expect("a template")
 }
 
-fn workspace(number: usize, tier: usize) -> Document {
+fn workspace(number: usize, tier: u64) -> Document {
     let key = blake3::hash(format!("key-{number}").as_bytes());
     Document::Workspace(Values {
         name: format!("workspace-{number:05}"),
@@ -55,7 +55,7 @@
 fn documents(workspaces: usize) -> Vec<Document> {
     let templates = (0..TEMPLATES).map(template);
     templates
-        .chain((0..workspaces).map(|number| workspace(number, number)))
+        .chain((0..workspaces).map(|number| workspace(number, number as u64)))
         .collect()
 }
 
@@ -94,7 +94,7 @@
     let change = least_us(|| {
         revision += 1;
         let mut next = Catalog::clone(&catalog);
-        next.apply(revision, workspace(workspaces / 2, revision as usize));
+        next.apply(revision, workspace(workspaces / 2, revision));
         catalog = Arc::new(next);
     });
     let both = resident_kb().saturating_sub(kept);
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -3,6 +3,7 @@
 mod case;
 mod changes;
 mod check;
+mod control;
 mod run;
 
 use std::process::ExitCode;
@@ -18,6 +19,7 @@
         Command::Check(options) => check::run(&options),
         Command::Changes(options) => changes::run(&options),
         Command::Case(options) => case::run(&options),
+        Command::Control(options) => control::run(&options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod changes;
 pub mod check;
 pub mod command;
+pub mod control;
 pub mod directory;
 pub mod error;
 pub mod event;
--- a/crates/load/src/options.rs
+++ b/crates/load/src/options.rs
@@ -17,6 +17,8 @@
     Changes(Changes),
     /// Put the reports of several runs side by side.
     Case(Case),
+    /// Read what the control side of entries costs.
+    Control(Control),
 }
 
 /// Options of a run.
@@ -86,6 +88,23 @@
     pub count: usize,
 }
 
+/// Options of a reading of the control side's cost.
+#[derive(Clone, Debug)]
+pub struct Control {
+    /// Base URLs of entries.
+    pub entry: Vec<String>,
+    /// File with an operator's key.
+    pub operator_key_file: PathBuf,
+    /// Time between the two readings.
+    pub span_ms: u64,
+    /// Requests a second that are sent meanwhile.
+    pub rate: f64,
+    /// Probes a second that the most loaded home sends.
+    pub probes: f64,
+    /// Workspaces in force.
+    pub workspaces: u64,
+}
+
 /// Options of a comparison of runs.
 #[derive(Clone, Debug)]
 pub struct Case {
@@ -135,8 +154,13 @@
         .descr("Puts the JSON reports of several runs side by side, as one JSON line")
         .command("case")
         .map(Command::Case);
+    let control = control_options()
+        .to_options()
+        .descr("Reads twice what the control side of entries costs; prints the most loaded one")
+        .command("control")
+        .map(Command::Control);
     let run = run_options().map(Command::Run);
-    construct!([check, changes, case, run])
+    construct!([check, changes, case, control, run])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Sends bounded load to entries on loopback and checks each answer")
@@ -240,11 +264,15 @@
         .some("name at least one entry by --entry URL")
 }
 
+fn operator_key_file() -> impl Parser<PathBuf> {
+    long("operator-key-file")
+        .help("File with an operator's key")
+        .argument::<PathBuf>("FILE")
+}
+
 fn changes_options() -> impl Parser<Changes> {
     let entry = entries();
-    let operator_key_file = long("operator-key-file")
-        .help("File with an operator's key")
-        .argument::<PathBuf>("FILE");
+    let operator_key_file = operator_key_file();
     let workspace_key = long("workspace-key")
         .help("A key of the workspace, to ask the entries with")
         .argument::<String>("KEY");
@@ -264,6 +292,35 @@
     })
 }
 
+fn control_options() -> impl Parser<Control> {
+    let entry = entries();
+    let operator_key_file = operator_key_file();
+    let span_ms = long("span-ms")
+        .help("Time between the two readings")
+        .argument::<u64>("N")
+        .fallback(30_000);
+    let rate = long("rate")
+        .help("Requests a second that are sent to all entries meanwhile")
+        .argument::<f64>("N")
+        .fallback(0.0);
+    let probes = long("probes")
+        .help("Probes a second that the most loaded home sends: two for each endpoint of its pools")
+        .argument::<f64>("N")
+        .fallback(0.0);
+    let workspaces = long("workspaces")
+        .help("Workspaces in force")
+        .argument::<u64>("N")
+        .fallback(1);
+    construct!(Control {
+        entry,
+        operator_key_file,
+        span_ms,
+        rate,
+        probes,
+        workspaces
+    })
+}
+
 fn check_options() -> impl Parser<Check> {
     let events = long("events")
         .help("Events that a run wrote")
