--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -3,6 +3,7 @@
 mod case;
 mod changes;
 mod check;
+mod control;
 mod permits;
 mod run;
 
@@ -20,6 +21,7 @@
         Command::Changes(options) => changes::run(&options),
         Command::Case(options) => case::run(&options),
         Command::Permits(options) => permits::run(&options),
+        Command::Control(options) => control::run(&options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/load/src/options.rs
+++ b/crates/load/src/options.rs
@@ -19,6 +19,8 @@
     Case(Case),
     /// Measure what permits cost.
     Permits(Permits),
+    /// Read what the control side of entries costs.
+    Control(Control),
 }
 
 /// Options of a run.
@@ -90,6 +92,23 @@
     pub count: usize,
 }
 
+/// Options of a reading of the control side's cost.
+#[derive(Clone, Debug)]
+pub struct Control {
+    /// Base URLs of entries.
+    pub entry: Vec<String>,
+    /// File with an operator's key.
+    pub operator_key_file: PathBuf,
+    /// Time between the two readings.
+    pub span_ms: u64,
+    /// Requests a second that are sent meanwhile.
+    pub rate: f64,
+    /// Probes a second that the most loaded home sends.
+    pub probes: f64,
+    /// Workspaces in force.
+    pub workspaces: u64,
+}
+
 /// Options of a comparison of runs.
 #[derive(Clone, Debug)]
 pub struct Case {
@@ -163,8 +182,13 @@
         .descr("Measures what permits cost: bytes between entries, and the wait for them")
         .command("permits")
         .map(Command::Permits);
+    let control = control_options()
+        .to_options()
+        .descr("Reads twice what the control side of entries costs; prints the most loaded one")
+        .command("control")
+        .map(Command::Control);
     let run = run_options().map(Command::Run);
-    construct!([check, changes, case, permits, run])
+    construct!([check, changes, case, permits, control, run])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Sends bounded load to entries on loopback and checks each answer")
@@ -277,11 +301,15 @@
         .some("name at least one entry by --entry URL")
 }
 
+fn operator_key_file() -> impl Parser<PathBuf> {
+    long("operator-key-file")
+        .help("File with an operator's key")
+        .argument::<PathBuf>("FILE")
+}
+
 fn changes_options() -> impl Parser<Changes> {
     let entry = entries();
-    let operator_key_file = long("operator-key-file")
-        .help("File with an operator's key")
-        .argument::<PathBuf>("FILE");
+    let operator_key_file = operator_key_file();
     let workspace_key = long("workspace-key")
         .help("A key of the workspace, to ask the entries with")
         .argument::<String>("KEY");
@@ -303,9 +331,7 @@
 
 fn permits_options() -> impl Parser<Permits> {
     let entry = entries();
-    let operator_key_file = long("operator-key-file")
-        .help("File with an operator's key")
-        .argument::<PathBuf>("FILE");
+    let operator_key_file = operator_key_file();
     let lent = report("lent", "Traffic that finds free slots");
     let contended = report("contended", "Traffic above the capacity");
     let log = long("log")
@@ -328,6 +354,35 @@
     })
 }
 
+fn control_options() -> impl Parser<Control> {
+    let entry = entries();
+    let operator_key_file = operator_key_file();
+    let span_ms = long("span-ms")
+        .help("Time between the two readings")
+        .argument::<u64>("N")
+        .fallback(30_000);
+    let rate = long("rate")
+        .help("Requests a second that are sent to all entries meanwhile")
+        .argument::<f64>("N")
+        .fallback(0.0);
+    let probes = long("probes")
+        .help("Probes a second that the most loaded home sends: two for each endpoint of its pools")
+        .argument::<f64>("N")
+        .fallback(0.0);
+    let workspaces = long("workspaces")
+        .help("Workspaces in force")
+        .argument::<u64>("N")
+        .fallback(1);
+    construct!(Control {
+        entry,
+        operator_key_file,
+        span_ms,
+        rate,
+        probes,
+        workspaces
+    })
+}
+
 fn check_options() -> impl Parser<Check> {
     let events = long("events")
         .help("Events that a run wrote")
