Pools find their homes once for all changes among the entries

Ruled out: once a tick, which would leave the old homes in use for up to 50 ms. Change: changes that come by one message are taken in together, then homes are worked out.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -92,9 +92,11 @@
         self.take(now, event, out, &mut changes);
         let moved = !changes.is_empty();
         for change in changes {
-            self.changed(now, change, out);
+            self.changed(change, out);
         }
         if moved {
+            // Once for all changes: when regions meet again, many come together.
+            self.assign(now);
             self.dispatch(now, out, |dispatch, step| {
                 dispatch.news(&News::Members, step);
             });
@@ -344,7 +346,7 @@
     }
 
     /// Carries out what follows from a change among the entries.
-    fn changed(&mut self, now: Millis, change: Change, out: &mut Vec<Action>) {
+    fn changed(&mut self, change: Change, out: &mut Vec<Action>) {
         let own = self.members().own().incarnation;
         match change {
             Change::Leaving(life) if life == own => out.push(Action::Leave),
@@ -352,7 +354,6 @@
             Change::Gone(life) => self.exchange.gone(life),
             Change::Joined(_) | Change::Leaving(_) | Change::Returned => {}
         }
-        self.assign(now);
     }
 
     fn assign(&mut self, now: Millis) {
