permit: one fault and one means at a time

Cause: the table of faults passed with some means taken out, since others made up for them later; so it did not show what each is for. Change: a small test per means. One found that asks reached a home that was back before the runs that it was to count: they now leave, the runs are told, then they ask.

--- a/crates/core/src/permit/broker/movement.rs
+++ b/crates/core/src/permit/broker/movement.rs
@@ -42,14 +42,12 @@
             }
         }
         self.sync(step, from, Some(pool));
-        let elsewhere = |wanted: &Wanted| {
+        let moved = self.take_back(step, |_, wanted| {
             matches!(wanted.place, Place::Asked { home, pool: asked, .. }
                 if asked == pool && home != from)
-        };
-        for number in self.numbers(elsewhere) {
-            self.move_ask(step, number, |broker, step, wanted| {
-                broker.ask_home(step, wanted, pool, from);
-            });
+        });
+        for wanted in moved {
+            self.ask_home(step, wanted, pool, from);
         }
     }
 
@@ -68,13 +66,15 @@
             .filter(|(_, home)| !step.post.silent(*home))
             .collect();
         for (pool, home) in reached {
-            // First what waits: else it would be granted what is handed over.
-            let waits = |wanted: &Wanted| wanted.place == Place::Alone(pool);
-            for number in self.numbers(waits) {
-                self.move_ask(step, number, Self::place);
-            }
+            // What waits must leave first, else it would be granted the places
+            // that are handed over; and ask last, when the home counts them.
+            let waits = |_: &Step, wanted: &Wanted| wanted.place == Place::Alone(pool);
+            let waiting = self.take_back(step, waits);
             self.hand_over_runs(step, pool, home);
             self.sync(step, home, Some(pool));
+            for wanted in waiting {
+                self.place(step, wanted);
+            }
         }
     }
 
@@ -127,28 +127,26 @@
 
     /// Places asks anew whose home and pool fulfil a condition.
     fn move_asks(&mut self, step: &mut Step, when: impl Fn(&Step, Incarnation, Id) -> bool) {
-        let asked = |wanted: &Wanted| matches!(wanted.place, Place::Asked { home, pool, .. } if when(step, home, pool));
-        for number in self.numbers(asked) {
-            self.move_ask(step, number, Self::place);
+        let moved = self.take_back(step, |step, wanted| {
+            matches!(wanted.place, Place::Asked { home, pool, .. } if when(step, home, pool))
+        });
+        for wanted in moved {
+            self.place(step, wanted);
         }
     }
 
-    fn numbers(&self, when: impl Fn(&Wanted) -> bool) -> Vec<u64> {
-        let found = self.wanted.iter().filter(|(_, wanted)| when(wanted));
-        found.map(|(number, _)| *number).collect()
-    }
-
-    /// Takes an ask back from where it waits and has it wait elsewhere.
-    fn move_ask(
-        &mut self,
-        step: &mut Step,
-        number: u64,
-        to: impl FnOnce(&mut Self, &mut Step, Wanted),
-    ) {
-        if let Some(wanted) = self.take(number) {
-            self.leave(step, number, wanted.place);
-            to(self, step, wanted);
+    /// Takes asks back from where they wait.
+    fn take_back(&mut self, step: &mut Step, when: impl Fn(&Step, &Wanted) -> bool) -> Vec<Wanted> {
+        let found = self.wanted.iter().filter(|(_, wanted)| when(step, wanted));
+        let found: Vec<u64> = found.map(|(number, _)| *number).collect();
+        let mut taken = Vec::new();
+        for number in found {
+            if let Some(wanted) = self.take(number) {
+                self.leave(step, number, wanted.place);
+                taken.push(wanted);
+            }
         }
+        taken
     }
 }
 
--- a/crates/core/tests/permits/network.rs
+++ b/crates/core/tests/permits/network.rs
@@ -70,6 +70,9 @@
 pub struct Request {
     pub tier: u8,
     pub asked: Millis,
+    pub granted: Option<Millis>,
+    /// Granted out of its entry's own fraction of the slots.
+    pub alone: bool,
     pub fate: Fate,
 }
 
@@ -260,6 +263,8 @@
         let state = Request {
             tier,
             asked: self.now,
+            granted: None,
+            alone: false,
             fate: Fate::Waiting,
         };
         self.requests.insert(request, state);
@@ -466,6 +471,7 @@
         match action {
             Action::Grant(grant) => {
                 self.answer(grant.request, Fate::Running);
+                self.requests.get_mut(&grant.request).unwrap().alone = grant.degraded;
                 let homes = self.homes(&grant.endpoint);
                 let engine = self.engines.get_mut(&grant.endpoint).unwrap();
                 let fresh = engine.running.insert((node, grant.permit));
@@ -489,6 +495,7 @@
         let state = self.requests.get_mut(&request).unwrap();
         assert_eq!(state.fate, Fate::Waiting, "{request} is answered {fate:?}");
         state.fate = fate;
+        state.granted = (fate == Fate::Running).then_some(self.now);
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, message: &permit::Message) {
--- /dev/null
+++ b/crates/core/tests/permits/single.rs
@@ -0,0 +1,121 @@
+//! One fault and the one means against it at a time.
+
+use woodgap_core::clock::Millis;
+use woodgap_core::membership::Standing;
+use woodgap_core::permit::message::Reply;
+
+use crate::network::{Fate, Leftovers, Network, incarnation};
+
+/// Three entries and one engine in one data centre; an entry, and then the home.
+fn small(slots: u32) -> (Network, usize, usize) {
+    let network = Network::new(1, 3, 1, 1, slots);
+    let home = network.home(0, 0);
+    (network, (home + 1) % 3, home)
+}
+
+#[test]
+fn a_second_request_of_an_identity_is_sent_to_the_first() {
+    let (mut network, one, home) = small(4);
+    let other = 3 - one - home;
+    let first = network.ask(one, 1, 77).unwrap();
+    network.run(1_200);
+    assert_eq!(network.requests[&first].fate, Fate::Complete);
+    network.service = (5_000, 5_000);
+    let again = network.ask(one, 1, 77).unwrap();
+    network.run(100);
+    assert_eq!(network.requests[&again].fate, Fate::Running);
+    let second = network.ask(other, 1, 77).unwrap();
+    network.run(100);
+    let fate = network.requests[&second].fate;
+    assert_eq!(fate, Fate::Elsewhere(incarnation(one)));
+}
+
+#[test]
+fn a_dead_home_is_left_before_it_is_held_to_be_gone() {
+    let (mut network, entry, home) = small(6);
+    network.kill(home);
+    let request = network.ask(entry, 1, 0).unwrap();
+    network.run(700);
+    assert_eq!(network.requests[&request].fate, Fate::Running);
+}
+
+#[test]
+fn a_grant_that_its_holder_forgot_is_freed() {
+    let (mut network, entry, home) = small(1);
+    let grants = |reply: &Reply| matches!(reply, Reply::Grant(_));
+    network.filter = Box::new(move |message| message.replies.iter().any(grants));
+    network.ask(entry, 1, 0);
+    network.run(20);
+    // The entry gives the home up for a moment, and so has nothing to compare.
+    network.see(entry, home, Standing::Gone, 0, 0);
+    network.run(20);
+    network.see(entry, home, Standing::Live, 0, 0);
+    network.filter = Box::new(|_| false);
+    network.run(10_000);
+    assert_eq!(network.leftovers(), Leftovers::default());
+}
+
+#[test]
+fn a_grant_is_not_used_after_a_freeze() {
+    let (mut network, entry, home) = small(1);
+    network.service = (1_000, 1_000);
+    network.ask(home, 1, 0);
+    network.run(1_100);
+    network.ask(home, 1, 0);
+    let request = network.ask(entry, 1, 0).unwrap();
+    network.run(100);
+    network.freeze(entry);
+    network.run(4_000);
+    // Meanwhile the home granted it, and freed the place of what it held to be gone.
+    network.ask(home, 1, 0);
+    network.wake(entry);
+    assert_eq!(network.requests[&request].fate, Fate::Waiting);
+    assert_eq!(network.overbooked(), 0);
+}
+
+#[test]
+fn what_runs_without_a_home_is_handed_over_to_it() {
+    let (mut network, entry, home) = small(6);
+    network.service = (20_000, 20_000);
+    network.pause(home);
+    for _ in 0..10 {
+        network.ask(entry, 1, 0);
+    }
+    network.run(1_000);
+    let running = network
+        .requests
+        .values()
+        .filter(|state| state.fate == Fate::Running);
+    assert_eq!(running.count(), 2, "a third of the slots");
+    network.resume(home);
+    network.run(100);
+    for _ in 0..10 {
+        network.ask(home, 1, 0);
+    }
+    network.run(100);
+    assert_eq!(network.overbooked(), 0);
+}
+
+#[test]
+fn a_cut_off_borrower_stops_at_the_end_of_its_loan() {
+    let (mut network, entry, home) = small(32);
+    network.service = (20, 20);
+    let start = |network: &mut Network| {
+        network.run(20);
+        network.ask(entry, 3, 0)
+    };
+    for _ in 0..100 {
+        start(&mut network);
+    }
+    network.cut_off(entry, home);
+    let cut = network.now;
+    let lent = (0..200).filter_map(|_| start(&mut network));
+    let lent: Vec<_> = lent.collect();
+    let at_once = lent.iter().filter(|request| {
+        let state = &network.requests[*request];
+        !state.alone && state.granted == Some(state.asked)
+    });
+    let last = at_once.max().unwrap();
+    let used = network.requests[last].asked - cut;
+    assert!(used > Millis(300) && used <= Millis(1_000), "{used}");
+}
