--- a/crates/fake/src/journal.rs
+++ b/crates/fake/src/journal.rs
@@ -51,11 +51,11 @@
     /// When the file can't be written: evidence that is lost must not pass unseen.
     pub fn write<D: Serialize>(&mut self, index: usize, run: &Run<D>) {
         let life = self.life;
-        let mut line =
+        let mut text =
             serde_json::to_vec(&Line { life, index, run }).expect("runs have simple keys");
-        line.push(b'\n');
+        text.push(b'\n');
         self.file
-            .write_all(&line)
+            .write_all(&text)
             .expect("the record can be written");
     }
 }
