Orders to endpoints through the daemon, and loads that take time in the stand-in

Orders were decided but not kept, sent or shown. Ruled out: a status row for each endpoint (writes for what the endpoints say of themselves; GET /admin/v1/orders asks them) and a lease held all the time (it is taken when something differs or another holder left it behind, and given back). POST /admin/v1/orders accepts a change once; the desk of each data centre compares, sends under the fence with the clock read before each send, and reads back. The fake engine's fault load_ms makes loads last; an order in the middle of a load takes that load's room. Six tests with real entries: bounded loads, a killed and a frozen holder, a late order refused where numbers are checked and undone where not, a clock that alone stops a holder (seen failing without the check).

--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -6,7 +6,9 @@
 
 use crate::clock::Millis;
 use crate::config::Document;
+use crate::lease::Fence;
 use crate::name;
+use crate::orders::{self, Order, Wanted};
 use crate::tier::Tier;
 use crate::verdict::Verdict;
 
@@ -23,6 +25,10 @@
 /// `GET` of this path and a request's id returns [`Request`], or 404.
 pub const REQUESTS_PATH: &str = "/admin/v1/requests/";
 
+/// `POST` takes an [`ApplyOrder`]: 200 with [`AppliedOrder`], 409 with
+/// [`OrderConflict`], 422 with [`Refused`]. `GET` returns [`Orders`].
+pub const ORDERS_PATH: &str = "/admin/v1/orders";
+
 /// The code of [`Fault`] in a [`Conflict`].
 pub const CONFLICT: &str = "conflict";
 
@@ -261,3 +267,87 @@
     /// Its caller went away first.
     Abandoned,
 }
+
+/// A change of one order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyOrder {
+    /// The change's identity: the same one sent twice is applied once.
+    pub change: String,
+    /// The order as it shall be; one without a state withdraws it.
+    pub order: Order,
+    /// The version that the order must have now, 0 for "not there"; none accepts any.
+    #[serde(default)]
+    pub expect: Option<u64>,
+}
+
+/// The order is committed; endpoints come to it one after the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppliedOrder {
+    /// The order's new version.
+    pub version: u64,
+    /// Whether the change had been applied before by the same identity.
+    pub already: bool,
+}
+
+/// The order does not have the version expected; nothing was changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderConflict {
+    /// The code is [`CONFLICT`].
+    pub error: Fault,
+    /// The order as it stands, if there is one.
+    pub current: Option<orders::Kept>,
+    /// Its version; 0 where there is none.
+    pub version: u64,
+}
+
+/// All orders, and how far the endpoints have come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// The orders, by their scope.
+    pub orders: Vec<orders::Kept>,
+    /// The endpoints that an order is meant for, by name.
+    pub endpoints: Vec<Ordered>,
+    /// Who gives orders now, by data centre.
+    pub holders: Vec<OrderHolder>,
+}
+
+/// An endpoint that an order is meant for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ordered {
+    /// The endpoint.
+    pub endpoint: name::Endpoint,
+    /// Its data centre.
+    pub data_centre: name::DataCentre,
+    /// The order that is meant for it.
+    pub order: String,
+    /// Whether the endpoint says that it is in the state wanted.
+    pub state: OrderState,
+    /// What the endpoint says is in force; none if it does not answer.
+    pub in_force: Option<Wanted>,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+/// How far an endpoint has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderState {
+    /// It is in the state wanted.
+    InForce,
+    /// It is in another state.
+    Pending,
+    /// It does not answer.
+    Unreachable,
+}
+
+/// Who gives a data centre's endpoints orders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderHolder {
+    /// The data centre.
+    pub data_centre: name::DataCentre,
+    /// The entry that holds the lease; none while nothing is to be done.
+    pub entry: Option<name::Entry>,
+    /// The last fencing number.
+    pub fence: Fence,
+}
--- a/crates/core/src/orders/progress.rs
+++ b/crates/core/src/orders/progress.rs
@@ -98,13 +98,15 @@
         // Those that were tried least come first, then by name, so that the next
         // holder begins with the endpoints that the former one had load.
         wanted.sort_by_key(|place| (self.times(place), place.endpoint.clone()));
-        let mut free = self.bounds.loads.saturating_sub(self.loading(now, places));
+        let loading = self.loading(now, places);
+        let mut free = self.bounds.loads.saturating_sub(loading.len());
         wanted.retain(|place| {
-            let loads = loads(place);
-            let room = !loads || free > 0;
-            if loads && room {
-                free -= 1;
+            // Another order in place of a load takes that load's room.
+            if !loads(place) || loading.contains(&&place.endpoint) {
+                return true;
             }
+            let room = free > 0;
+            free = free.saturating_sub(1);
             room
         });
         wanted
@@ -141,9 +143,8 @@
         sent.filter(|sent| sent.wanted.same(&place.wanted))
     }
 
-    /// How many endpoints load now, also those whose load was ordered and is not
-    /// wanted any more.
-    fn loading(&self, now: Millis, places: &[Place]) -> usize {
+    /// The endpoints that load now, also those whose load is not wanted any more.
+    fn loading<'a>(&'a self, now: Millis, places: &[Place]) -> Vec<&'a name::Endpoint> {
         let done = |name: &name::Endpoint, sent: &Sent| {
             let place = places.iter().find(|place| place.endpoint == *name);
             let in_force = place.and_then(|place| place.in_force.as_ref());
@@ -152,7 +153,7 @@
         let loading = self.sent.iter().filter(|(name, sent)| {
             sent.loads && now < sent.at + self.bounds.load && !done(name, sent)
         });
-        loading.count()
+        loading.map(|(name, _)| name).collect()
     }
 
     /// An order was sent at a time and answered.
--- a/crates/core/src/orders/tests.rs
+++ b/crates/core/src/orders/tests.rs
@@ -109,6 +109,8 @@
         place("e-2", &["a"], &["b"], true),
     ];
     progress.sent(Millis(0), &places[0], Answer::Taken);
+    places[0].wanted = wanted(&["c"]);
+    assert_eq!(due(&progress, 10, &places), ["e-1"], "in place of its load");
     places[0].wanted = wanted(&["a"]);
     assert_eq!(due(&progress, 10, &places), ["e-1"], "no load: at once");
     progress.sent(Millis(10), &places[0], Answer::Taken);
--- a/crates/entry/src/admin/authority.rs
+++ b/crates/entry/src/admin/authority.rs
@@ -9,6 +9,7 @@
 
 use crate::caller::authority::digest;
 use crate::configuration::store::Refusal;
+use crate::orders::store as orders;
 use crate::shared::Shared;
 
 /// Why an operator's call failed.
@@ -26,6 +27,9 @@
     /// The store refused.
     #[error(transparent)]
     Refused(#[from] Refusal),
+    /// The store of orders refused.
+    #[error(transparent)]
+    Order(#[from] orders::Refusal),
 }
 
 /// The name of the operator that calls.
@@ -64,6 +68,7 @@
             Self::Restarting | Self::Refused(Refusal::Busy) => "busy",
             Self::Refused(Refusal::Platform(_)) => "platform_out",
             Self::Refused(Refusal::Row(..)) => "unreadable_row",
+            Self::Order(refusal) => refusal.code(),
         }
     }
 
@@ -77,17 +82,13 @@
 
 impl ResponseError for Failure {
     fn status_code(&self) -> StatusCode {
-        match self {
-            Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::NotFound(_) => StatusCode::NOT_FOUND,
-            Self::Refused(Refusal::Conflict { .. }) => StatusCode::CONFLICT,
-            Self::Refused(Refusal::Invalid(_) | Refusal::IdentityReused(_)) => {
-                StatusCode::UNPROCESSABLE_ENTITY
-            }
-            Self::Restarting | Self::Refused(Refusal::Busy | Refusal::Platform(_)) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
-            Self::Refused(Refusal::Row(..)) => StatusCode::INTERNAL_SERVER_ERROR,
+        match self.code() {
+            "unknown_key" => StatusCode::UNAUTHORIZED,
+            "not_found" => StatusCode::NOT_FOUND,
+            admin::CONFLICT => StatusCode::CONFLICT,
+            "invalid" | "identity_reused" => StatusCode::UNPROCESSABLE_ENTITY,
+            "busy" | "platform_out" => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -104,6 +105,16 @@
             Self::Refused(Refusal::Invalid(problems)) => builder.json(admin::Refused {
                 problems: problems.iter().map(ToString::to_string).collect(),
             }),
+            Self::Order(orders::Refusal::Conflict { current, version }) => {
+                builder.json(admin::OrderConflict {
+                    error: self.fault(),
+                    current: current.as_deref().cloned(),
+                    version: *version,
+                })
+            }
+            Self::Order(orders::Refusal::Invalid(problems)) => builder.json(admin::Refused {
+                problems: problems.clone(),
+            }),
             _ => builder.json(admin::Failure {
                 error: self.fault(),
             }),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod once;
 pub mod options;
+pub mod orders;
 pub mod recording;
 pub mod request;
 pub mod running;
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -32,7 +32,7 @@
 use crate::request::run::Worker;
 use crate::shared::Shared;
 use crate::supervisor::{Branch, supervise};
-use crate::{admin, caller, deferred, recording, stop, telemetry};
+use crate::{admin, caller, deferred, orders, recording, stop, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -116,6 +116,10 @@
     let _housekeeping = supervise(&control.handle(), "housekeeping", move |guard| {
         Housekeeping::new(Arc::clone(&kept), guard)
     });
+    let ordering = Arc::clone(&shared);
+    let _orders = supervise(&control.handle(), "orders", move |guard| {
+        orders::Branch::new(Arc::clone(&ordering), guard)
+    });
     // Its answers pass through this thread: kept apart from the control's.
     let background = Arbiter::new();
     let deferring = Arc::clone(&shared);
--- a/crates/entry/tests/interleavings/memory.rs
+++ b/crates/entry/tests/interleavings/memory.rs
@@ -114,6 +114,8 @@
     pub calls: Cell<usize>,
     /// Faults by the number of the call.
     pub fates: RefCell<BTreeMap<usize, Fate>>,
+    /// Whether every call fails.
+    pub out: Cell<bool>,
     /// Whether the entry is to be killed.
     pub killed: Notify,
     frozen: Cell<bool>,
@@ -152,7 +154,8 @@
         // A call takes time: others may come in between.
         tokio::task::yield_now().await;
         let call = self.calls.replace(self.calls.get() + 1);
-        let fate = self.fates.borrow().get(&call).copied();
+        let planned = self.fates.borrow().get(&call).copied();
+        let fate = planned.or(self.out.get().then_some(Fate::Unavailable));
         match fate {
             Some(Fate::KillBefore) => self.die().await,
             Some(Fate::PauseBefore) => self.freeze().await,
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -143,7 +143,8 @@
 
 async fn instance(engine: Data<Engine>, request: HttpRequest) -> Json<Instance> {
     let config: &AppConfig = request.app_config();
-    let models = engine.lock().orders.models().to_vec();
+    let now = engine.endpoint.unix();
+    let models = engine.lock().orders.models(now).to_vec();
     let options = &engine.options;
     let data_centre = &options.data_centre;
     let address = config.local_addr();
--- a/crates/fake/src/engine/answer.rs
+++ b/crates/fake/src/engine/answer.rs
@@ -53,7 +53,8 @@
     question: &Question,
     kind: Kind,
 ) -> HttpResponse {
-    let held = engine.lock().orders.models().contains(&question.model);
+    let now = engine.endpoint.unix();
+    let held = engine.lock().orders.models(now).contains(&question.model);
     if !held {
         return HttpResponse::NotFound().body("this model is not held here");
     }
--- a/crates/fake/src/engine/faults.rs
+++ b/crates/fake/src/engine/faults.rs
@@ -13,6 +13,8 @@
     pub slow: f64,
     /// Added to the time to the first token.
     pub late_ms: Millis,
+    /// How long an order takes that loads a model.
+    pub load_ms: Millis,
     /// Says so in the load report; requests are still taken.
     pub leaving: bool,
     /// Where the crashed runs are cut: after this many tokens; at 0 before the
@@ -41,6 +43,7 @@
         Self {
             slow: 1.0,
             late_ms: Millis::ZERO,
+            load_ms: Millis::ZERO,
             leaving: false,
             crash_after_tokens: 0,
             crash_runs: 0,
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -128,7 +128,8 @@
     }
 }
 
-fn engine() -> engine::Options {
+/// What the fleet's engine is like.
+pub fn engine() -> engine::Options {
     engine::Options {
         models: vec![documents::MODEL.to_owned()],
         slots: 8,
