--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -32,7 +32,7 @@
 use crate::request::run::Worker;
 use crate::shared::Shared;
 use crate::supervisor::{Branch, supervise};
-use crate::{admin, caller, deferred, recording, stop, telemetry};
+use crate::{admin, caller, deferred, orders, recording, stop, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -164,6 +164,10 @@
         supervise(&thread.handle(), "housekeeping", move |guard| {
             Housekeeping::new(Arc::clone(&kept), guard)
         });
+        let ordering = Arc::clone(&shared);
+        supervise(&thread.handle(), "orders", move |guard| {
+            orders::Branch::new(Arc::clone(&ordering), guard)
+        });
         Ok(Self { shared, control })
     }
 }
