Work without end is supervised by one actor, not by one each

Ruled out: leaving actors out (a panic must restart the work, and the guard's drop tells it); deferred work keeps its own, since it begins several pieces. Change: supervisor::keep_doing takes the future's beginning; start lists name and work. Conclusion: same restarts, one place.

--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -9,4 +9,3 @@
 pub use in_force::InForce;
 pub use pace::Pace;
 pub use store::Store;
-pub use watcher::Watcher;
--- a/crates/entry/src/configuration/watcher.rs
+++ b/crates/entry/src/configuration/watcher.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{AsyncContext, Context, WrapFuture};
+use futures_util::future::join;
 use woodgap_core::clock::Millis;
 use woodgap_core::control::Event;
 use woodgap_platform::http::Platform;
@@ -15,33 +15,14 @@
 use crate::configuration::store::Refusal;
 use crate::configuration::{Pace, Store};
 use crate::shared::Shared;
-use crate::supervisor::Guard;
 
-/// Reads the platform at the period of the settings, or more slowly in a large fleet.
-pub struct Watcher {
-    shared: Arc<Shared>,
-    _guard: Guard,
-}
-
-impl Watcher {
-    /// A watcher for this entry.
-    pub fn new(shared: Arc<Shared>, guard: Guard) -> Self {
-        Self {
-            shared,
-            _guard: guard,
-        }
-    }
-}
-
-impl actix::Actor for Watcher {
-    type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Self::Context) {
-        let shared = Arc::clone(&self.shared);
-        context.spawn(watch_configuration(shared).into_actor(self));
-        let shared = Arc::clone(&self.shared);
-        context.spawn(watch_instances(shared).into_actor(self));
-    }
+/// Reads the platform at the period of the settings, without end.
+pub async fn watch(shared: Arc<Shared>) {
+    join(
+        watch_configuration(Arc::clone(&shared)),
+        watch_instances(shared),
+    )
+    .await;
 }
 
 /// A client of the platform for this thread.
--- a/crates/entry/src/housekeeping.rs
+++ b/crates/entry/src/housekeeping.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{AsyncContext, Context, WrapFuture};
 use serde::Deserialize;
 use woodgap_core::burn;
 use woodgap_core::clock::Millis;
@@ -16,7 +15,6 @@
 use crate::configuration::watcher::platform;
 use crate::once::sweep::{self, Sweep};
 use crate::shared::Shared;
-use crate::supervisor::Guard;
 
 /// How often old rows are looked for. At 400 entries 576,000 rows of counts come
 /// in a day: a round of each table must keep up with 400 a minute.
@@ -28,32 +26,8 @@
 /// How long changes of the configuration are kept; documents stay for ever.
 const CHANGES_KEPT: Millis = Millis::from_secs(365 * 24 * 3_600);
 
-/// Deletes old rows, at one entry of the fleet.
-pub struct Housekeeping {
-    shared: Arc<Shared>,
-    _guard: Guard,
-}
-
-impl Housekeeping {
-    /// The housekeeping of this entry.
-    pub fn new(shared: Arc<Shared>, guard: Guard) -> Self {
-        Self {
-            shared,
-            _guard: guard,
-        }
-    }
-}
-
-impl actix::Actor for Housekeeping {
-    type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Self::Context) {
-        let shared = Arc::clone(&self.shared);
-        context.spawn(keep_house(shared).into_actor(self));
-    }
-}
-
-async fn keep_house(shared: Arc<Shared>) {
+/// Deletes old rows, at one entry of the fleet, without end.
+pub async fn keep_house(shared: Arc<Shared>) {
     let platform = platform(&shared);
     let mut claims = Sweep::new();
     loop {
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -5,5 +5,4 @@
 pub mod store;
 pub mod wire;
 
-pub use branch::Branch;
 pub use store::Store;
--- a/crates/entry/src/orders/branch.rs
+++ b/crates/entry/src/orders/branch.rs
@@ -1,10 +1,9 @@
-//! The supervised branch that carries out orders.
+//! The supervised work that carries out orders.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{AsyncContext, Context, WrapFuture};
 use woodgap_core::clock::Millis;
 use woodgap_core::instance::Instance;
 use woodgap_core::lease::{Holder, Term};
@@ -20,36 +19,15 @@
 use crate::orders::desk::{Desk, Surroundings};
 use crate::orders::wire::Wire;
 use crate::shared::Shared;
-use crate::supervisor::Guard;
 
 /// The shortest pause between two rounds.
 const SHORTEST: Millis = Millis(20);
 /// How long giving the leases back may take at a planned stop.
 const GIVE_BACK: Duration = Duration::from_secs(3);
 
-/// Carries out orders.
-pub struct Branch {
-    shared: Arc<Shared>,
-    _guard: Guard,
-}
-
-impl Branch {
-    /// The orders of this entry.
-    pub fn new(shared: Arc<Shared>, guard: Guard) -> Self {
-        Self {
-            shared,
-            _guard: guard,
-        }
-    }
-}
-
-impl actix::Actor for Branch {
-    type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Self::Context) {
-        let office = Office::new(Arc::clone(&self.shared));
-        context.spawn(office.run().into_actor(self));
-    }
+/// Carries out the orders of this entry, without end.
+pub async fn run(shared: Arc<Shared>) {
+    Office::new(shared).run().await;
 }
 
 /// All desks of one entry: that of its own data centre, and those of data centres
--- a/crates/entry/src/recording.rs
+++ b/crates/entry/src/recording.rs
@@ -3,7 +3,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use actix::{AsyncContext, Context, WrapFuture};
 use woodgap_core::burn::{Recorder, Row, TABLE};
 use woodgap_core::clock::Millis;
 use woodgap_platform::http::Platform;
@@ -11,7 +10,6 @@
 
 use crate::configuration::watcher::platform;
 use crate::shared::Shared;
-use crate::supervisor::Guard;
 
 /// How often the recorder is asked for rows.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -19,32 +17,8 @@
 /// Wait before last rows that were not taken are written again.
 const LAST_ROWS_AGAIN: Duration = Duration::from_millis(50);
 
-/// Writes what the recorder says is due.
-pub struct Recording {
-    shared: Arc<Shared>,
-    _guard: Guard,
-}
-
-impl Recording {
-    /// The recording of this entry's counts.
-    pub fn new(shared: Arc<Shared>, guard: Guard) -> Self {
-        Self {
-            shared,
-            _guard: guard,
-        }
-    }
-}
-
-impl actix::Actor for Recording {
-    type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Self::Context) {
-        let shared = Arc::clone(&self.shared);
-        context.spawn(keep_writing(shared).into_actor(self));
-    }
-}
-
-async fn keep_writing(shared: Arc<Shared>) {
+/// Writes what the recorder says is due, without end.
+pub async fn keep_writing(shared: Arc<Shared>) {
     let platform = platform(&shared);
     loop {
         let entries = shared.members.load().len() as u64;
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -9,6 +9,8 @@
 use actix_web::middleware::from_fn;
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::{App, HttpServer};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
@@ -20,19 +22,17 @@
 use woodgap_settings::entry::{Dispatch, Entry as Settings, dispatch};
 use woodgap_wire::Key;
 
-use crate::configuration::{Watcher, watcher};
+use crate::configuration::watcher;
 use crate::control::socket::Bound;
 use crate::control::{Actor, Handle, Socket};
 use crate::endpoint::Client;
-use crate::housekeeping::Housekeeping;
 use crate::once::internal;
 use crate::once::table::Table;
 use crate::options::Options;
-use crate::recording::Recording;
 use crate::request::run::Worker;
 use crate::shared::Shared;
-use crate::supervisor::{Branch, supervise};
-use crate::{admin, caller, deferred, orders, recording, stop, telemetry};
+use crate::supervisor::{Branch, keep_doing, supervise};
+use crate::{admin, caller, deferred, housekeeping, orders, recording, stop, telemetry};
 
 /// Why the entry could not run.
 #[derive(Debug, Error)]
@@ -147,27 +147,23 @@
         )?);
         let own = own(&shared, peer);
         control_branch(&shared, thread, &control, own, peers);
-        let watched = Arc::clone(&shared);
-        supervise(&thread.handle(), "watcher", move |guard| {
-            Watcher::new(Arc::clone(&watched), guard)
-        });
-        let recorded = Arc::clone(&shared);
-        supervise(&thread.handle(), "recording", move |guard| {
-            Recording::new(Arc::clone(&recorded), guard)
-        });
         let claimed = Arc::clone(&shared);
         let table = shared.once.table.branch.clone();
         table.start(&thread.handle(), "claims", move |guard| {
             Table::new(Arc::clone(&claimed), guard)
         });
-        let kept = Arc::clone(&shared);
-        supervise(&thread.handle(), "housekeeping", move |guard| {
-            Housekeeping::new(Arc::clone(&kept), guard)
+        let keep = |name, begin: fn(Arc<Shared>) -> LocalBoxFuture<'static, ()>| {
+            let shared = Arc::clone(&shared);
+            keep_doing(&thread.handle(), name, move || begin(Arc::clone(&shared)));
+        };
+        keep("watcher", |shared| watcher::watch(shared).boxed_local());
+        keep("recording", |shared| {
+            recording::keep_writing(shared).boxed_local()
         });
-        let ordering = Arc::clone(&shared);
-        supervise(&thread.handle(), "orders", move |guard| {
-            orders::Branch::new(Arc::clone(&ordering), guard)
+        keep("housekeeping", |shared| {
+            housekeeping::keep_house(shared).boxed_local()
         });
+        keep("orders", |shared| orders::branch::run(shared).boxed_local());
         Ok(Self { shared, control })
     }
 }
--- a/crates/entry/src/supervisor.rs
+++ b/crates/entry/src/supervisor.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, Addr, Context};
+use actix::{Actor, Addr, AsyncContext, Context, WrapFuture};
 use actix_rt::ArbiterHandle;
 use arc_swap::ArcSwapOption;
 use tokio::sync::oneshot;
@@ -74,6 +74,37 @@
     branch
 }
 
+/// An actor that does one piece of work without end.
+struct Work<F> {
+    begin: F,
+    _guard: Guard,
+}
+
+impl<F, W> Actor for Work<F>
+where
+    F: Fn() -> W + Unpin + 'static,
+    W: Future<Output = ()> + 'static,
+{
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        let work = (self.begin)();
+        context.spawn(work.into_actor(self));
+    }
+}
+
+/// Begins a piece of work on a thread, and again whenever it panics.
+pub fn keep_doing<F, W>(arbiter: &ArbiterHandle, name: &'static str, begin: F)
+where
+    F: Fn() -> W + Clone + Send + Unpin + 'static,
+    W: Future<Output = ()> + 'static,
+{
+    supervise(arbiter, name, move |guard| Work {
+        begin: begin.clone(),
+        _guard: guard,
+    });
+}
+
 async fn keep_running<A, F>(name: &'static str, make: F, slot: Arc<ArcSwapOption<Addr<A>>>)
 where
     A: Actor<Context = Context<A>>,
