woodgap-ctl order: apply, withdraw, show; order files are checked

Orders could be submitted by hand-made HTTP calls only. Ruled out: a state of null in the file for a withdrawal (easily written by mistake; withdraw is a command of its own). Files are JSON with comments, read whole with every problem reported, and known to woodgap-ctl check; a lost answer is settled by the change's identity, as for configuration documents. A sample order stands beside Dublin's documents.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -7,7 +7,7 @@
 use woodgap_core::config::Document;
 use woodgap_settings::document;
 
-use crate::client::{Answer, Attempt, Call, Client};
+use crate::client::{Answer, Call, Client};
 use crate::difference::Difference;
 use crate::error::Error;
 use crate::options::Apply;
@@ -88,7 +88,7 @@
     let call = Call::post(APPLY_PATH, change);
     let answer = match client.insist(&call).await {
         Ok(answer) => answer,
-        Err(attempts) => return Err(unsettled(key, &change.change, attempts)),
+        Err(attempts) => return Err(Error::unsettled(&key, &change.change, attempts)),
     };
     match answer.status {
         StatusCode::CONFLICT => Err(conflict(&answer, change, terminal)),
@@ -101,18 +101,6 @@
     }
 }
 
-fn unsettled(key: String, identity: &str, attempts: Vec<Attempt>) -> Error {
-    if attempts.iter().any(|attempt| attempt.sent) {
-        Error::Unsettled {
-            key,
-            identity: identity.to_owned(),
-            attempts,
-        }
-    } else {
-        Error::Unreachable(attempts)
-    }
-}
-
 fn conflict(
     answer: &Answer,
     change: &woodgap_core::admin::Apply,
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -5,7 +5,7 @@
 
 use woodgap_core::config::Document;
 use woodgap_settings::entry::Entry;
-use woodgap_settings::{Kind, Problem, Problems, burn, document, entry};
+use woodgap_settings::{Kind, Problem, Problems, burn, document, entry, order};
 
 use crate::error::Error;
 use crate::terminal::Terminal;
@@ -20,6 +20,8 @@
     Burn,
     /// A configuration document.
     Document(Document),
+    /// An order to endpoints.
+    Order,
 }
 
 /// Prints what each file was taken for and everything that is wrong.
@@ -70,6 +72,7 @@
         Kind::Entry => entry::parse(&text, file).map(|entry| Checked::Entry(Box::new(entry))),
         Kind::Burn => burn::parse(&text, file).map(|_| Checked::Burn),
         Kind::Document => document::parse(&text, file).map(Checked::Document),
+        Kind::Order => order::parse(&text, file).map(|_| Checked::Order),
     };
     match checked {
         Ok(checked) => Ok((kind, checked)),
@@ -84,7 +87,7 @@
         path: String::new(),
         found: "the keys of no kind of file".to_owned(),
         expected: "settings with `listen`, a report's settings with `time_zone`, \
-            or a document with `kind`"
+            a document with `kind`, or an order with `wanted`"
             .to_owned(),
         fix: String::new(),
     };
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -132,6 +132,20 @@
 }
 
 impl Error {
+    /// A change that no entry has answered: it may have been accepted if it was
+    /// sent to any.
+    pub fn unsettled(key: &str, identity: &str, attempts: Vec<Attempt>) -> Self {
+        if attempts.iter().any(|attempt| attempt.sent) {
+            Self::Unsettled {
+                key: key.to_owned(),
+                identity: identity.to_owned(),
+                attempts,
+            }
+        } else {
+            Self::Unreachable(attempts)
+        }
+    }
+
     /// The exit code that goes with the error.
     pub fn code(&self) -> Code {
         match self {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod key;
 pub mod options;
+pub mod order;
 pub mod table;
 pub mod terminal;
 
@@ -95,6 +96,10 @@
             connection,
             instance,
         } => fleet::drain(&connect(connection)?, instance, terminal).await,
+        Command::Order {
+            connection,
+            command,
+        } => order::run(&connect(connection)?, &command, terminal).await,
         Command::Request {
             connection,
             json,
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -5,9 +5,11 @@
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
+use woodgap_core::orders::Scope;
 
 use crate::exit;
 
+mod orders;
 pub mod target;
 
 pub use target::{Base, DocumentKey};
@@ -67,6 +69,13 @@
         /// The instance's name.
         instance: String,
     },
+    /// Submit, withdraw and show orders to endpoints.
+    Order {
+        /// The entries to call.
+        connection: Connection,
+        /// Which of these.
+        command: OrderCommand,
+    },
     /// Show what became of a request.
     Request {
         /// The entries to call.
@@ -102,6 +111,39 @@
     pub files: Vec<PathBuf>,
 }
 
+/// What is to be done with orders to endpoints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderCommand {
+    /// Submit one.
+    Apply {
+        /// How.
+        change: Change,
+        /// The file.
+        file: PathBuf,
+    },
+    /// Withdraw one: the endpoints stay as they are.
+    Withdraw {
+        /// How.
+        change: Change,
+        /// The order.
+        scope: Scope,
+    },
+    /// Show them, and how far the endpoints have come.
+    Show {
+        /// For machines.
+        json: bool,
+    },
+}
+
+/// How one change is submitted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The change's identity; drawn at random if none is given.
+    pub identity: Option<String>,
+    /// The version that must be there now.
+    pub expect_version: Option<u64>,
+}
+
 /// The parser of the command line.
 ///
 /// ```
@@ -118,12 +160,15 @@
     let history = history();
     let status = status();
     let drain = drain();
+    let order = orders::parser();
     let request = request();
-    construct!([check, apply, get, diff, history, status, drain, request])
-        .to_options()
-        .descr("The operators' command: checks files, changes the configuration, shows the fleet.")
-        .footer(exit::HELP)
-        .version(env!("CARGO_PKG_VERSION"))
+    construct!([
+        check, apply, get, diff, history, status, drain, order, request
+    ])
+    .to_options()
+    .descr("The operators' command: checks files, changes the configuration, shows the fleet.")
+    .footer(exit::HELP)
+    .version(env!("CARGO_PKG_VERSION"))
 }
 
 fn command(
@@ -149,15 +194,8 @@
     let wait = long("wait")
         .help("Wait until every live entry has the changes in force")
         .switch();
-    let identity = long("identity")
-        .help("Identity of the change: the same one is never applied twice; random if left out")
-        .argument::<String>("TEXT")
-        .parse(target::identity)
-        .optional();
-    let expect_version = long("expect-version")
-        .help("Change the document only if it has this version now, 0 for a new one; see `get`")
-        .argument::<u64>("N")
-        .optional();
+    let identity = identity();
+    let expect_version = expect_version();
     let files = files("Configuration documents, applied in this order");
     let apply = construct!(Apply {
         wait,
@@ -173,6 +211,21 @@
     )
 }
 
+fn identity() -> impl Parser<Option<String>> {
+    long("identity")
+        .help("Identity of the change: the same one is never applied twice; random if left out")
+        .argument::<String>("TEXT")
+        .parse(target::identity)
+        .optional()
+}
+
+fn expect_version() -> impl Parser<Option<u64>> {
+    long("expect-version")
+        .help("Change it only if it has this version now, 0 for a new one")
+        .argument::<u64>("N")
+        .optional()
+}
+
 fn get() -> impl Parser<Command> {
     let connection = connection();
     let key = document_key();
--- a/crates/ctl/tests/calls/main.rs
+++ b/crates/ctl/tests/calls/main.rs
@@ -6,7 +6,7 @@
 
 use rstest::{Context, rstest};
 use serde_json::{Value, json};
-use woodgap_core::admin::{HISTORY_PATH, STATUS_PATH};
+use woodgap_core::admin::{HISTORY_PATH, ORDERS_PATH, STATUS_PATH};
 use woodgap_ctl::{Code, Terminal};
 
 use stub::{Entry, KEY, Mood, Shared};
@@ -42,8 +42,9 @@
         urls.insert(0, NOWHERE);
     }
     let mut arguments: Vec<&str> = line.split(' ').collect();
+    let command_words = if arguments[0] == "order" { 2 } else { 1 };
     for url in &urls {
-        arguments.splice(1..1, ["--entry", url]);
+        arguments.splice(command_words..command_words, ["--entry", url]);
     }
     let (mut out, mut err) = (Vec::new(), Vec::new());
     let mut terminal = Terminal {
@@ -244,8 +245,20 @@
 #[case::request("request 00000000000000ab-7")]
 #[case::request_json("request --json 00000000000000ab-7")]
 #[case::request_missing("request 00000000000000ab-8")]
+#[case::orders("order show")]
 #[actix_rt::test]
 async fn reads(#[context] context: Context, #[case] line: &str) {
+    let wanted = json!({"models": ["story-7b"], "role": "serve"});
+    let pool = json!({"target": "story-7b", "data_centre": "dub-a"});
+    let orders = json!({
+        "orders": [{"order": {"pool": pool, "wanted": wanted}, "version": 2,
+                    "operator": "orla", "change": "c-1", "at": 1_774_000_000_123_u64}],
+        "endpoints": [{"endpoint": "story-1", "data_centre": "dub-a", "state": "pending",
+                       "order": "pool/dub-a/story-7b", "checks_fencing": true,
+                       "in_force": {"models": [], "role": "idle"}},
+                      {"endpoint": "story-2", "data_centre": "dub-a", "state": "unreachable",
+                       "order": "pool/dub-a/story-7b", "checks_fencing": false, "in_force": null}],
+        "holders": [{"data_centre": "dub-a", "entry": "dub-a-1", "fence": 812}]});
     let kept = json!({"document": murphy(1), "version": 4, "revision": 10});
     let change = json!({"revision": 10, "key": "workspace/murphy", "operator": "orla",
         "change": "c-0", "at": 1_774_000_000_123_u64});
@@ -257,6 +270,7 @@
             "/admin/v1/documents/workspace/murphy".to_owned(),
             (200, kept),
         ),
+        (ORDERS_PATH.to_owned(), (200, orders)),
         (HISTORY_PATH.to_owned(), (200, json!([change]))),
         (
             format!("{HISTORY_PATH}?key=workspace/murphy"),
--- a/crates/ctl/tests/check.rs
+++ b/crates/ctl/tests/check.rs
@@ -7,7 +7,8 @@
 #[case::dublin(
     "dublin",
     &["entry-dub-a.jsonc", "entry-dub-b.jsonc", "entry-dub-c.jsonc", "burn.jsonc",
-      "templates/family.json", "templates/album.json", "workspaces/murphy.json"],
+      "templates/family.json", "templates/album.json", "workspaces/murphy.json",
+      "orders/story-pool.jsonc"],
     Code::Ok
 )]
 #[case::navarra_aragon(
--- a/crates/ctl/tests/options.rs
+++ b/crates/ctl/tests/options.rs
@@ -18,6 +18,9 @@
 #[case::status("status --entry http://10.1.1.11:8080 --json")]
 #[case::drain("drain --entry http://10.1.1.11:8080 story-3")]
 #[case::request("request --entry http://10.1.1.11:8080 00000000000000ab-7")]
+#[case::order_apply("order apply --entry http://10.1.1.11:8080 --identity c-1 order.jsonc")]
+#[case::order_withdraw("order withdraw --entry http://10.1.1.11:8080 pool/dub-a/story-7b")]
+#[case::order_show("order show --entry http://10.1.1.11:8080 --json")]
 fn accepted(#[context] context: Context, #[case] line: &str) {
     let arguments: Vec<&str> = line.split(' ').collect();
     let command = options::parser().run_inner(arguments.as_slice()).unwrap();
@@ -39,6 +42,10 @@
     "get --entry http://a:1 family",
     "KEY: expected template/NAME or workspace/NAME"
 )]
+#[case::order_key(
+    "order withdraw --entry http://a:1 engine-1",
+    "KEY: expected endpoint/NAME or pool/DATA_CENTRE/TARGET"
+)]
 #[case::key_name("get --entry http://a:1 template/../x", "KEY: expected template/NAME")]
 #[case::identity(
     "apply --entry http://a:1 --identity= a.json",
--- a/crates/settings/src/kind.rs
+++ b/crates/settings/src/kind.rs
@@ -14,12 +14,15 @@
     Burn,
     /// A configuration document: a template or a workspace's values.
     Document,
+    /// An order to endpoints.
+    Order,
 }
 
 impl Kind {
     /// Each kind with keys that no other kind has.
     const SIGNATURES: &[(Self, &[&str])] = &[
         (Self::Document, &["kind", "template", "classes"]),
+        (Self::Order, &["wanted", "endpoint", "pool"]),
         (Self::Burn, &["shifts", "objectives", "time_zone"]),
         (
             Self::Entry,
@@ -55,6 +58,7 @@
             Self::Entry => "settings of an entry",
             Self::Burn => "settings of the burn report",
             Self::Document => "a configuration document",
+            Self::Order => "an order to endpoints",
         })
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod document;
 pub mod entry;
 pub mod kind;
+pub mod order;
 pub mod platform;
 pub mod problem;
 mod reader;
--- a/crates/settings/tests/problems.rs
+++ b/crates/settings/tests/problems.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use rstest::rstest;
-use woodgap_settings::{Problems, burn, document, entry};
+use woodgap_settings::{Problems, burn, document, entry, order};
 
 #[rstest]
 fn entry_problems(#[files("tests/broken/entry-*.jsonc")] path: PathBuf) {
@@ -21,6 +21,11 @@
     report(&path, |text, file| document::parse(text, file).err());
 }
 
+#[rstest]
+fn order_problems(#[files("tests/broken/order-*.jsonc")] path: PathBuf) {
+    report(&path, |text, file| order::parse(text, file).err());
+}
+
 fn report(path: &PathBuf, parse: impl Fn(&str, &str) -> Option<Problems>) {
     let text = fs::read_to_string(path).unwrap();
     let file = path.file_name().unwrap().to_string_lossy();
