woodgap-load overhead: what an entry adds to streams

Cause: the relay's cost has to be known beside a direct connection in the same run. Ruled out: comparing two runs (the machine's load differs between them); timestamps in the engine's events (our stand-in would have to know of the measurement). Change: bursts of streams go directly and through the entry in turn, each with new connections; quantiles of the time to the first token and between tokens on both sides, what is added, and the entry's resident memory per stream above its idle one.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+pub mod overhead;
+
 use std::fs::File;
 use std::io::{BufRead, BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
@@ -27,6 +29,8 @@
     Run(Run),
     /// Cross-check events with records.
     Check(Check),
+    /// Measure what an entry adds to streams.
+    Overhead(overhead::Options),
 }
 
 /// Options of a run.
@@ -79,8 +83,13 @@
         .descr("Compares events of runs with what the stand-ins for endpoints ran")
         .command("check")
         .map(Command::Check);
+    let overhead = overhead::options()
+        .to_options()
+        .descr("Measures what an entry adds to streams, beside direct ones in the same run")
+        .command("overhead")
+        .map(Command::Overhead);
     let run = run_options().map(Command::Run);
-    construct!([check, run])
+    construct!([check, overhead, run])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Sends bounded load to entries on loopback and checks each answer")
@@ -195,6 +204,7 @@
     let done = match parser().run() {
         Command::Run(options) => options.run(),
         Command::Check(options) => options.check(),
+        Command::Overhead(options) => overhead::run(options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod event;
 pub mod loopback;
+pub mod overhead;
 pub mod record;
 pub mod report;
 pub mod request;
