--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod check;
 mod control;
+pub mod overhead;
 mod permits;
 mod run;
 
@@ -22,6 +23,7 @@
         Command::Case(options) => case::run(&options),
         Command::Permits(options) => permits::run(&options),
         Command::Control(options) => control::run(&options),
+        Command::Overhead(options) => overhead::run(options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod inversion;
 pub mod loopback;
 pub mod options;
+pub mod overhead;
 pub mod permits;
 pub mod record;
 pub mod report;
--- a/crates/load/src/options.rs
+++ b/crates/load/src/options.rs
@@ -5,6 +5,7 @@
 use bpaf::{OptionParser, Parser, construct, long, positional};
 
 use crate::case::Kind;
+use crate::command::overhead;
 
 /// What the program is asked to do.
 #[derive(Clone, Debug)]
@@ -21,6 +22,8 @@
     Permits(Permits),
     /// Read what the control side of entries costs.
     Control(Control),
+    /// Measure what an entry adds to streams.
+    Overhead(overhead::Options),
 }
 
 /// Options of a run.
@@ -187,8 +190,13 @@
         .descr("Reads twice what the control side of entries costs; prints the most loaded one")
         .command("control")
         .map(Command::Control);
+    let overhead = overhead::options()
+        .to_options()
+        .descr("Measures what an entry adds to streams, beside direct ones in the same run")
+        .command("overhead")
+        .map(Command::Overhead);
     let run = run_options().map(Command::Run);
-    construct!([check, changes, case, permits, control, run])
+    construct!([check, changes, case, permits, control, overhead, run])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Sends bounded load to entries on loopback and checks each answer")
