--- a/crates/core/src/lease/duty.rs
+++ b/crates/core/src/lease/duty.rs
@@ -6,9 +6,8 @@
 /// How much rarer an entry looks, and how much longer it waits, with each entry
 /// that is preferred to it.
 const RARER: u64 = 4;
-/// The rank from which on entries no longer look more rarely: hours then lie
-/// between two looks, so that what a large fleet asks does not grow with it.
-const LAST_RANK: usize = 6;
+/// The rank from which on entries no longer look more rarely.
+const LAST_RANK: usize = 3;
 /// A holder that is not the preferred one steps back after this many looks:
 /// should the preferred one be back, the work is its own again.
 const TURN: u64 = 10;
--- a/crates/core/src/lease/duty/tests.rs
+++ b/crates/core/src/lease/duty/tests.rs
@@ -19,8 +19,7 @@
 #[case(0, 0)]
 #[case(1, 400)]
 #[case(2, 1_600)]
-#[case(3, 6_400)]
-#[case(9, 409_600)]
+#[case(9, 6_400)]
 fn duty(#[case] rank: usize, #[case] after: u64) {
     let mut duty = Duty::new(POLL, TERM);
     duty.rank(rank);
--- a/crates/entry/src/deferred/branch.rs
+++ b/crates/entry/src/deferred/branch.rs
@@ -17,7 +17,7 @@
 use crate::configuration::watcher::platform;
 use crate::deferred::engine::Engine;
 use crate::deferred::shard::{Bounds, Surroundings};
-use crate::deferred::{Outlook, Store, Worker, sweep};
+use crate::deferred::{Store, Worker, sweep};
 use crate::endpoint::Client;
 use crate::request::run;
 use crate::shared::Shared;
@@ -53,14 +53,13 @@
     fn started(&mut self, context: &mut Self::Context) {
         let shared = &self.shared;
         let store = Store::new(platform(shared));
-        let outlook = Rc::new(Outlook::new(store, shared.clock));
         let engine = Rc::new(Engine::new(run::Worker {
             shared: Arc::clone(shared),
             client: Client::new(),
             platform: platform(shared),
         }));
         for shard in Shard::all() {
-            let worker = worker(shared, shard, Rc::clone(&outlook), Rc::clone(&engine));
+            let worker = worker(shared, shard, store.clone(), Rc::clone(&engine));
             let working = shared.deferred.enter();
             let work = async move {
                 worker.run().await;
@@ -75,7 +74,7 @@
 fn worker(
     entry: &Arc<Shared>,
     shard: Shard,
-    outlook: Rc<Outlook<Platform, Clock>>,
+    store: Store<Platform>,
     engine: Rc<Engine>,
 ) -> Worker<Platform, Engine, Clock> {
     let settings = &entry.settings;
@@ -94,7 +93,7 @@
         entries: Rc::new(move || active(&members)),
         handle: entry.deferred.clone(),
     };
-    Worker::new(shard, own, bounds, outlook, engine, entry.clock, around)
+    Worker::new(shard, own, bounds, store, engine, entry.clock, around)
 }
 
 /// The entries that take part, this one included.
--- a/crates/entry/src/deferred/shard.rs
+++ b/crates/entry/src/deferred/shard.rs
@@ -12,9 +12,10 @@
 use woodgap_core::deferred::{Backoff, Row, Sent, Shard};
 use woodgap_core::lease::{Duty, Fence, Holder, Term, View, Want};
 use woodgap_core::name;
+use woodgap_platform::table::Scan;
 
 use crate::deferred::work::Report;
-use crate::deferred::{Handle, Outlook, Runner, Storage, Store};
+use crate::deferred::{Handle, Runner, Storage, Store};
 use crate::lease::{Hold, Time};
 
 /// The wait after a call that failed.
@@ -47,7 +48,6 @@
     shard: Shard,
     own: Holder,
     bounds: Bounds,
-    outlook: Rc<Outlook<S, C>>,
     store: Store<S>,
     runner: Rc<R>,
     time: C,
@@ -61,8 +61,6 @@
     /// Where the next look goes on; empty for the start.
     after: String,
     look_at: Millis,
-    /// What is looked at must be as new: jobs were moved here since.
-    moved_at: Millis,
     jobs: JoinSet<Report>,
     running: HashMap<Id, Row>,
     /// What was started under the fence, by row.
@@ -77,19 +75,17 @@
         shard: Shard,
         own: Holder,
         bounds: Bounds,
-        outlook: Rc<Outlook<S, C>>,
+        store: Store<S>,
         runner: Rc<R>,
         time: C,
         around: Surroundings,
     ) -> Self {
-        let store = outlook.store().clone();
         let table = store.storage().clone();
         let hold = Hold::start(shard.lease(), table, time.clone(), own.clone(), bounds.term);
         Self {
             shard,
             own,
             bounds,
-            outlook,
             store,
             runner,
             time,
@@ -101,7 +97,6 @@
             rows: Vec::new(),
             after: String::new(),
             look_at: Millis::ZERO,
-            moved_at: Millis::ZERO,
             jobs: JoinSet::new(),
             running: HashMap::new(),
             sent: HashMap::new(),
@@ -131,7 +126,7 @@
             tokio::select! {
                 () = tokio::time::sleep(rest) => {}
                 () = self.hold.changed() => {}
-                () = handle.recorded(self.shard) => self.look_anew(),
+                () = handle.recorded(self.shard) => self.look_at = self.time.now(),
                 Some(ended) = self.jobs.join_next_with_id() => self.take_report(ended),
                 Ok(()) = stop.changed() => {}
             }
@@ -160,16 +155,10 @@
         // Another holder may have moved everything.
         self.rows.clear();
         if fence.is_some() {
-            self.look_anew();
+            self.look_at = self.time.now();
         }
     }
 
-    /// Has the jobs looked at now, as they are now.
-    fn look_anew(&mut self) {
-        self.look_at = self.time.now();
-        self.moved_at = self.look_at;
-    }
-
     async fn look_if_due(&mut self) {
         let now = self.time.now();
         if now < self.look_at || self.stopping() {
@@ -177,21 +166,19 @@
         }
         let entries = (self.around.entries)();
         self.duty.rank(self.shard.rank(&self.own.entry, &entries));
-        let not_before = self.moved_at.max(now - self.bounds.poll);
-        let page = self.outlook.look(self.shard, &self.after, not_before);
-        let Ok(page) = page.await else {
+        let Ok(rows) = self.store.look(self.shard, &self.after).await else {
             self.look_at = self.time.now() + PAUSE.max(self.bounds.poll);
             return;
         };
         let now = self.time.now();
-        let work = !page.rows.is_empty() || !self.after.is_empty();
-        self.duty.looked(now, work);
+        self.duty
+            .looked(now, !rows.is_empty() || !self.after.is_empty());
         // A full page goes on at the next look; another one begins anew.
-        self.after = match page.rows.last() {
-            Some(last) if page.more => last.key.clone(),
+        self.after = match rows.last() {
+            Some(last) if rows.len() == Scan::MOST => last.key.clone(),
             _ => String::new(),
         };
-        self.rows = page.rows;
+        self.rows = rows;
         self.look_at = now + self.duty.look_every();
     }
 
--- a/crates/entry/src/deferred/shard/report.rs
+++ b/crates/entry/src/deferred/shard/report.rs
@@ -18,7 +18,6 @@
         let Some(row) = self.running.remove(&id) else {
             return;
         };
-        self.moved_at = self.time.now();
         match report {
             Some(Report::Ended) => {
                 self.backoff.passed(&row.job);
--- a/crates/entry/src/deferred/shard/start.rs
+++ b/crates/entry/src/deferred/shard/start.rs
@@ -54,9 +54,7 @@
             .collect();
         for (row, end) in ends {
             let now = self.time.unix();
-            let moved = self.store.end(under, &row, end, now).await;
-            self.moved_at = self.time.now();
-            match moved {
+            match self.store.end(under, &row, end, now).await {
                 Moved::Committed(_) => {
                     self.forget_row(&row.key);
                     self.sent.remove(&row.key);
@@ -100,7 +98,6 @@
         let started = |row: &Row| (row.version, row.job.started(&self.own, under.fence));
         let changes: Vec<(u64, Job)> = chosen.iter().map(started).collect();
         let moved = self.store.change(under, &changes).await;
-        self.moved_at = self.time.now();
         if let Moved::Committed(versions) = &moved {
             for ((row, (_, job)), version) in chosen.into_iter().zip(changes).zip(versions) {
                 self.dispatch(under, row.key, job, *version);
--- a/crates/entry/src/deferred/store.rs
+++ b/crates/entry/src/deferred/store.rs
@@ -110,21 +110,7 @@
     /// If the platform failed.
     pub async fn look(&self, shard: Shard, after: &str) -> Result<Vec<Row>, Error> {
         let scan = rows::scan(rows::JOBS, shard.prefix(), after, Scan::MOST);
-        self.jobs(&scan).await
-    }
-
-    /// The first jobs of all shards, as many at most.
-    ///
-    /// # Errors
-    ///
-    /// If the platform failed.
-    pub async fn overview(&self, most: usize) -> Result<Vec<Row>, Error> {
-        let scan = rows::scan(rows::JOBS, String::new(), "", most);
-        self.jobs(&scan).await
-    }
-
-    async fn jobs(&self, scan: &Scan) -> Result<Vec<Row>, Error> {
-        let found = self.storage.scan(scan).await?;
+        let found = self.storage.scan(&scan).await?;
         let read = found.iter().filter_map(|row| match rows::read_job(row) {
             Ok(row) => Some(row),
             Err(error) => {
--- a/crates/entry/tests/interleavings/world.rs
+++ b/crates/entry/tests/interleavings/world.rs
@@ -18,7 +18,7 @@
 use woodgap_core::verdict::Verdict;
 use woodgap_entry::deferred::shard::{Bounds, Surroundings};
 use woodgap_entry::deferred::store::Under;
-use woodgap_entry::deferred::{Accept, Handle, Outlook, Runner, Store, Worker, rows, sweep};
+use woodgap_entry::deferred::{Accept, Handle, Runner, Store, Worker, rows, sweep};
 use woodgap_entry::lease::{self, Time};
 
 use crate::memory::{Client, Memory, Script};
@@ -178,8 +178,7 @@
         // All tasks of one entry end with its set.
         let set = LocalSet::new();
         set.spawn_local(async move {
-            let outlook = Rc::new(Outlook::new(store, time));
-            let worker = Worker::new(shard, own, bounds, outlook, engine, time, around);
+            let worker = Worker::new(shard, own, bounds, store, engine, time, around);
             worker.run().await;
         });
         let dying = Rc::clone(&script);
--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -1,7 +1,5 @@
 //! Ordered faults, rate limits and counts of the platform's calls.
 
-use std::collections::BTreeMap;
-
 use actix_web::HttpResponse;
 use actix_web::body::BoxBody;
 use actix_web::dev::{ServiceRequest, ServiceResponse};
@@ -68,28 +66,6 @@
     pub limited: u64,
     /// Calls answered by 503.
     pub refused: u64,
-    /// Calls of the table service by the table that they name first.
-    pub tables: BTreeMap<String, Calls>,
-}
-
-/// Calls that name a table first.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Calls {
-    /// Transactions, whatever their outcome.
-    pub transactions: u64,
-    /// Rows that they wrote, in whichever tables.
-    pub writes: u64,
-    /// Reads.
-    pub reads: u64,
-    /// Scans.
-    pub scans: u64,
-}
-
-impl Counts {
-    /// The calls that name a table first.
-    pub fn of(&mut self, table: &str) -> &mut Calls {
-        self.tables.entry(table.to_owned()).or_default()
-    }
 }
 
 /// A limit of calls a second; a second's worth may come at once.
--- a/crates/fake/src/platform/table.rs
+++ b/crates/fake/src/platform/table.rs
@@ -126,15 +126,9 @@
         let mut state = platform.lock_for_write().await;
         state.counts.transactions += 1;
         let writes = body.writes.len() as u64;
-        let first = body.writes.first().map(|write| write.place.table.clone());
-        let first = first.unwrap_or_default();
-        state.counts.of(&first).transactions += 1;
         let outcome = state.rows.transact(platform.now(), body.into_inner());
         match &outcome {
-            Outcome::Committed { .. } => {
-                state.counts.writes += writes;
-                state.counts.of(&first).writes += writes;
-            }
+            Outcome::Committed { .. } => state.counts.writes += writes,
             Outcome::Conflict { .. } => state.counts.conflicts += 1,
         }
         HttpResponse::Ok().json(outcome)
@@ -146,9 +140,6 @@
 pub async fn read(platform: Data<Platform>, body: Json<Read>) -> Json<Vec<Option<Row>>> {
     let mut state = platform.lock();
     state.counts.reads += 1;
-    if let Some(place) = body.places.first() {
-        state.counts.of(&place.table).reads += 1;
-    }
     state.counts.rows_read += body.places.len() as u64;
     let at = platform.now() - state.faults.stale_reads_ms;
     let places = body.places.iter();
@@ -161,7 +152,6 @@
     let at = platform.now() - state.faults.stale_reads_ms;
     let rows = state.rows.scan(&body, at);
     state.counts.scans += 1;
-    state.counts.of(&body.table).scans += 1;
     state.counts.rows_read += rows.len() as u64;
     Json(rows)
 }
