Engines are divided between steady streams and long prompts

Ruled out: queueing before the first event. Change: engines in an order that all entries share; the first few, by the demand for steady streams, are for those, the others for long prompts, with a price for crossing over.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -21,6 +21,18 @@
 const RUNNING_COST: f64 = 2.0;
 /// How much a running stream suffers from a millisecond of another's prompt.
 const DISTURBANCE: f64 = 0.05;
+/// The price of an engine that is meant for the other sort of streams, in ms: so
+/// much longer a request waits on its own side before it goes there.
+const OTHER_SIDE_COST: f64 = 150.0;
+/// How long an engine takes for a token of a stream, in ms, for estimates.
+const TOKEN_TIME: f64 = 4.0;
+/// A stream is steady if it runs for so many times as long as its prompt is read.
+const STEADY_RATIO: f64 = 10.0;
+/// The part of an engine's slots that steady streams are to fill before they get
+/// one more engine.
+const STEADY_FILL: f64 = 0.25;
+/// The span over which the demand for steady streams is averaged, in ms.
+const DEMAND_SPAN: f64 = 3_000.0;
 /// What an endpoint in another data centre costs, in ms: the round trip, and the
 /// bytes that are paid for between data centres. Reading a shared prompt again
 /// costs far more.
@@ -47,6 +59,8 @@
     pub work: Option<&'a Work>,
     /// The engines of the service; none for a plain service.
     pub engine: Option<Engine>,
+    /// How many entries send to the service, this one included.
+    pub entries: usize,
 }
 
 /// The load that an endpoint reported in an answer.
@@ -80,6 +94,7 @@
     data_centre: name::DataCentre,
     loads: HashMap<name::Endpoint, Load>,
     service_time: HashMap<String, f64>,
+    demand: HashMap<String, Demand>,
     next: u64,
 }
 
@@ -102,6 +117,74 @@
     answered: bool,
 }
 
+/// How long requests of the steady sort run, averaged over a while.
+#[derive(Debug, Default)]
+struct Demand {
+    /// Running time that was asked for, in ms; it fades with age.
+    asked: f64,
+    at: Millis,
+}
+
+impl Demand {
+    fn add(&mut self, time: f64, now: Millis) {
+        self.asked = self.faded(now) + time;
+        self.at = now;
+    }
+
+    fn faded(&self, now: Millis) -> f64 {
+        let age = (now - self.at).0 as f64;
+        self.asked * (-age / DEMAND_SPAN).exp()
+    }
+
+    /// How many of this entry's requests run at once on average.
+    fn running(&self, now: Millis) -> f64 {
+        self.faded(now) / DEMAND_SPAN
+    }
+}
+
+/// The engines of a service in an order that all entries share, divided in two:
+/// the first few for steady streams, the others for long prompts. A stream whose
+/// events must come in quick succession suffers from each prompt that its engine
+/// reads beside it.
+#[derive(Debug)]
+struct Division<'e> {
+    engines: Vec<&'e Endpoint>,
+    steady: usize,
+}
+
+impl<'e> Division<'e> {
+    fn new(endpoints: &[&'e Endpoint], steady_engines: f64) -> Self {
+        let mut engines = endpoints.to_vec();
+        engines.sort_by_key(|it| (text_hash(it.name.as_str()), it.name.clone()));
+        let most = engines.len() / 2;
+        let wanted = steady_engines.ceil().clamp(0.0, most as f64);
+        // Clamped to the number of engines.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let steady = wanted as usize;
+        Self { engines, steady }
+    }
+
+    /// The engines for a request, and those for the other sort.
+    fn sides(&self, ask: &Ask<'_>) -> (&[&'e Endpoint], &[&'e Endpoint]) {
+        let (steady, others) = self.engines.split_at(self.steady);
+        match ask.work {
+            Some(work) if is_steady(work) && !steady.is_empty() => (steady, others),
+            _ => (others, steady),
+        }
+    }
+}
+
+/// Whether a request's answer runs much longer than its prompt is read.
+fn is_steady(work: &Work) -> bool {
+    let reading = f64::from(work.prompt_tokens) / FIRST_RATE;
+    running_time(work) >= STEADY_RATIO * reading
+}
+
+/// How long an answer runs, in ms.
+fn running_time(work: &Work) -> f64 {
+    f64::from(work.output()) * TOKEN_TIME
+}
+
 /// A choice, with the figures that led to it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -122,20 +205,46 @@
             data_centre,
             loads: HashMap::new(),
             service_time: HashMap::new(),
+            demand: HashMap::new(),
             next: 0,
         }
     }
 
     /// The best of the endpoints; none where all are suspended or there is none.
     pub fn choose(&self, endpoints: &[&Endpoint], ask: &Ask<'_>, now: Millis) -> Option<Choice> {
-        let favourite = favourite(endpoints, ask);
         let open = endpoints
             .iter()
             .filter(|it| !self.suspended(it.name.as_str()));
-        let choices = open.map(|it| self.estimate(it, ask, favourite == Some(&it.name), now));
+        let open: Vec<&Endpoint> = open.copied().collect();
+        let division = self.divide(&open, ask, now);
+        let (own, _) = division.sides(ask);
+        let favourite = favourite(own, ask);
+        let choices = division.engines.iter().map(|it| {
+            let mut choice = self.estimate(it, ask, favourite == Some(&it.name), now);
+            if !own.iter().any(|own| own.name == it.name) {
+                choice.cost += OTHER_SIDE_COST;
+            }
+            choice
+        });
         choices.min_by(|left, right| left.cost.total_cmp(&right.cost))
     }
 
+    /// Divides the engines between the two sorts of streams, by how much there is
+    /// of the steady sort.
+    fn divide<'e>(
+        &self,
+        endpoints: &[&'e Endpoint],
+        ask: &Ask<'_>,
+        now: Millis,
+    ) -> Division<'e> {
+        let service = endpoints.first().map(|it| it.service.as_str());
+        let demand = service.and_then(|service| self.demand.get(service));
+        let running = demand.map_or(0.0, |demand| demand.running(now));
+        let running = running * ask.entries as f64;
+        let slots = ask.engine.map_or(1, |engine| engine.slots);
+        Division::new(endpoints, running / (STEADY_FILL * f64::from(slots)))
+    }
+
     /// Whether requests are kept away from an endpoint.
     pub fn suspended(&self, endpoint: &str) -> bool {
         let load = self.loads.get(endpoint);
@@ -198,6 +307,10 @@
         });
         let parts: &[Part] = ask.work.map_or(&[], |work| &work.parts);
         load.prefix.touch(parts, now);
+        if let Some(work) = ask.work.filter(|work| is_steady(work)) {
+            let demand = self.demand.entry(choice.endpoint.service.clone());
+            demand.or_default().add(running_time(work), now);
+        }
         let prompt = ask.work.map_or(0, |work| work.prompt_tokens);
         let output = ask.work.map_or(0, Work::output);
         let flight = Flight {
