--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -23,7 +23,7 @@
 const DISTURBANCE: f64 = 0.05;
 /// The price of an engine that is meant for the other sort of streams, in ms: so
 /// much longer a request waits on its own side before it goes there.
-const OTHER_SIDE_COST: f64 = 150.0;
+const OTHER_SIDE_COST: f64 = 600.0;
 /// How long an engine takes for a token of a stream, in ms, for estimates.
 const TOKEN_TIME: f64 = 4.0;
 /// A stream is steady if it runs for so many times as long as its prompt is read.
