--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -6,6 +6,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::health::{Health, Sign};
@@ -43,6 +45,8 @@
 /// The part of a shared prompt that the entries' common choice for it is
 /// believed to keep.
 const EXPECTED_KEPT: f64 = 0.9;
+/// After so long the share of another entry counts for nothing: it may be gone.
+const SHARE_LIFE: Millis = Millis(1_500);
 /// After so long a report of load counts for nothing.
 const REPORT_LIFE: Millis = Millis(1_000);
 /// The weight of one observation in the running averages.
@@ -74,6 +78,36 @@
     pub slots: u32,
 }
 
+/// What one entry has in flight at an endpoint, as it tells the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Which endpoint: [`Share::key`] of its name.
+    pub endpoint: u32,
+    /// Requests of the entry there.
+    pub running: u32,
+    /// Prompt tokens of them that are not read yet.
+    pub unread: u32,
+}
+
+impl Share {
+    /// The short form of an endpoint's name. Two endpoints share one with a
+    /// probability of one in four thousand millions; their loads are then summed.
+    pub fn key(endpoint: &str) -> u32 {
+        let hash = text_hash(endpoint);
+        // The lower half of an evenly mixed number.
+        #[allow(clippy::cast_possible_truncation)]
+        let key = hash as u32;
+        key
+    }
+}
+
+/// The shares of one other entry.
+#[derive(Debug)]
+struct Told {
+    shares: HashMap<u32, Share>,
+    at: Millis,
+}
+
 /// A request that was sent; given back at its end.
 #[derive(Debug)]
 pub struct Ticket {
@@ -95,6 +129,7 @@
     loads: HashMap<name::Endpoint, Load>,
     service_time: HashMap<String, f64>,
     demand: HashMap<String, Demand>,
+    told: HashMap<name::Entry, Told>,
     next: u64,
 }
 
@@ -117,6 +152,13 @@
     answered: bool,
 }
 
+/// What other entries have in flight at an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    running: f64,
+    unread: f64,
+}
+
 /// How long requests of the steady sort run, averaged over a while.
 #[derive(Debug, Default)]
 struct Demand {
@@ -206,6 +248,7 @@
             loads: HashMap::new(),
             service_time: HashMap::new(),
             demand: HashMap::new(),
+            told: HashMap::new(),
             next: 0,
         }
     }
@@ -267,7 +310,10 @@
     ) -> Choice {
         let load = self.loads.get(&endpoint.name);
         let (wait, disturbance, kept) = match (ask.work, ask.engine) {
-            (Some(work), Some(engine)) => engine_wait(load, work, engine, is_favourite, now),
+            (Some(work), Some(engine)) => {
+                let others = self.others(&endpoint.name, now);
+                engine_wait(load, others, work, engine, is_favourite)
+            }
             _ => (self.service_wait(load, endpoint, now), 0.0, 0),
         };
         let slowness = load.map_or(1.0, |load| load.slowness);
@@ -357,6 +403,50 @@
         }
     }
 
+    /// What this entry has in flight, for the others.
+    pub fn shares(&self) -> Vec<Share> {
+        let busy = self
+            .loads
+            .iter()
+            .filter(|(_, load)| !load.flights.is_empty());
+        let shares = busy.map(|(name, load)| Share {
+            endpoint: Share::key(name.as_str()),
+            running: u32::try_from(load.flights.len()).unwrap_or(u32::MAX),
+            unread: load.unread(),
+        });
+        shares.collect()
+    }
+
+    /// Takes what another entry has in flight.
+    pub fn tell(&mut self, entry: &name::Entry, shares: &[Share], now: Millis) {
+        let shares = shares.iter().map(|share| (share.endpoint, *share));
+        let told = Told {
+            shares: shares.collect(),
+            at: now,
+        };
+        self.told.insert(entry.clone(), told);
+        self.told.retain(|_, told| now - told.at < SHARE_LIFE);
+    }
+
+    /// What other entries have at an endpoint: requests, and prompt tokens that
+    /// are not read yet, less what the endpoint has read since.
+    fn others(&self, endpoint: &name::Endpoint, now: Millis) -> Others {
+        let key = Share::key(endpoint.as_str());
+        let mut others = Others::default();
+        for told in self.told.values() {
+            let age = (now - told.at).0 as f64;
+            let Some(share) = told.shares.get(&key) else {
+                continue;
+            };
+            if age > SHARE_LIFE.0 as f64 {
+                continue;
+            }
+            others.running += f64::from(share.running);
+            others.unread += (f64::from(share.unread) - age * FIRST_RATE).max(0.0);
+        }
+        others
+    }
+
     /// Takes in what a connection or an answer tells of an endpoint.
     pub fn note(&mut self, endpoint: &name::Endpoint, sign: Sign, now: Millis) {
         if let Some(load) = self.loads.get_mut(endpoint) {
@@ -393,9 +483,8 @@
         f64::from(others) * (1.0 - age).max(0.0)
     }
 
-    fn unread(&self) -> f64 {
-        let unread = self.flights.values().map(|flight| flight.unread);
-        f64::from(unread.sum::<u32>())
+    fn unread(&self) -> u32 {
+        self.flights.values().map(|flight| flight.unread).sum()
     }
 
     fn held(&self) -> f64 {
@@ -407,10 +496,10 @@
 /// The wait, what running streams suffer, and the tokens kept, at an engine.
 fn engine_wait(
     load: Option<&Load>,
+    others: Others,
     work: &Work,
     engine: Engine,
     is_favourite: bool,
-    now: Millis,
 ) -> (f64, f64, u32) {
     let known = load.map_or(0, |load| load.prefix.kept(&work.parts));
     let shared: u32 = shared_parts(work).iter().map(|part| part.tokens).sum();
@@ -421,8 +510,8 @@
     };
     let kept = f64::from(known).max(expected);
     let unread = (f64::from(work.prompt_tokens) - kept).max(0.0);
-    let ahead = load.map_or(0.0, Load::unread);
-    let running = load.map_or(0.0, |load| load.flights.len() as f64 + load.others(now));
+    let ahead = load.map_or(0.0, |load| f64::from(load.unread())) + others.unread;
+    let running = load.map_or(0.0, |load| load.flights.len() as f64) + others.running;
     let held = load.map_or(0.0, Load::held);
     let needed = held + f64::from(work.prompt_tokens + work.output());
     let lacking = (needed - f64::from(engine.memory_tokens)).max(0.0);
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -8,9 +8,10 @@
 
 use tokio::net::UdpSocket;
 use woodgap_core::clock::Millis;
+use woodgap_core::relay::engine::Share;
 use woodgap_core::relay::fleet::Member;
 
-use crate::gossip::message::{self, Knowledge, MOST_BYTES, MOST_TOLD, Message};
+use crate::gossip::message::{self, Knowledge, MOST_BYTES, MOST_SHARES, MOST_TOLD, Message};
 use crate::gossip::{ROUND, fetch};
 use crate::state::State;
 
@@ -90,9 +91,18 @@
             from: self.state.member(),
             knows: knowledge(&self.state),
             told: self.told(),
+            shares: self.shares(),
         }
     }
 
+    /// The own load at endpoints, the heaviest first where there are too many.
+    fn shares(&self) -> Vec<Share> {
+        let mut shares = self.state.loads.borrow().shares();
+        shares.sort_unstable_by_key(|share| std::cmp::Reverse((share.unread, share.running)));
+        shares.truncate(MOST_SHARES);
+        shares
+    }
+
     /// Some of the other live entries, in turns.
     fn told(&mut self) -> Vec<Member> {
         let now = self.state.now();
@@ -131,6 +141,9 @@
                 log::info!(entry = message.from.name.as_str(); "another entry answers");
             }
         }
+        let mut loads = self.state.loads.borrow_mut();
+        loads.tell(&message.from.name, &message.shares, now);
+        drop(loads);
         if message.is_answer {
             self.learn(&message, now);
         } else {
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::Plan;
+use woodgap_core::relay::engine::Share;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::roster::Endpoint;
 
@@ -10,8 +11,10 @@
 pub const FORM: u8 = 1;
 /// The largest datagram, in bytes: what passes every link whole.
 pub const MOST_BYTES: usize = 1_400;
+/// The most endpoints whose load one message tells of.
+pub const MOST_SHARES: usize = 48;
 /// The most other entries that one message tells of.
-pub const MOST_TOLD: usize = 8;
+pub const MOST_TOLD: usize = 6;
 
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +29,8 @@
     pub knows: Knowledge,
     /// Other entries that the sender knows.
     pub told: Vec<Member>,
+    /// What the sender has in flight at endpoints.
+    pub shares: Vec<Share>,
 }
 
 /// What an entry knows, and how old the confirmation of it is.
