Reading a prompt is priced for those that come after it

Cause: the choice weighed only the request's own wait, while each prompt that is read again takes its engine from all that follow, and is paid for.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -21,8 +21,9 @@
 /// The price of one running request to one more, in ms: each step of the engine
 /// takes about a tenth of a millisecond longer, over some tens of steps.
 const RUNNING_COST: f64 = 2.0;
-/// How much a running stream suffers from a millisecond of another's prompt.
-const DISTURBANCE: f64 = 0.05;
+/// What a millisecond of reading a prompt costs the requests that come after it
+/// and the streams beside it, in ms.
+const READING_COST: f64 = 3.0;
 /// The price of an engine that is meant for the other sort of streams, in ms: so
 /// much longer a request waits on its own side before it goes there.
 const OTHER_SIDE_COST: f64 = 600.0;
@@ -519,7 +520,7 @@
     let wait = (ahead + unread + lacking) / FIRST_RATE
         + running * RUNNING_COST
         + over_slots * FIRST_SERVICE_TIME;
-    let disturbance = DISTURBANCE * running * unread / FIRST_RATE;
+    let disturbance = READING_COST * unread / FIRST_RATE;
     // A sum of tokens that came from whole numbers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let kept = kept as u32;
