--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -4,6 +4,7 @@
 //! report in their answers, and by the prompt parts that it believes them to
 //! keep. An estimate is in milliseconds until the first byte of the answer.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
@@ -33,7 +34,10 @@
 const STEADY_RATIO: f64 = 10.0;
 /// The part of an engine's slots that steady streams are to fill before they get
 /// one more engine.
-const STEADY_FILL: f64 = 0.25;
+const STEADY_FILL: f64 = 0.4;
+/// How many engines' worth the demand for steady streams must fall below what it
+/// has before it loses one.
+const STEADY_SLACK: f64 = 0.3;
 /// The span over which the demand for steady streams is averaged, in ms.
 const DEMAND_SPAN: f64 = 3_000.0;
 /// What an endpoint in another data centre costs, in ms: the round trip, and the
@@ -64,8 +68,6 @@
     pub work: Option<&'a Work>,
     /// The engines of the service; none for a plain service.
     pub engine: Option<Engine>,
-    /// How many entries send to the service, this one included.
-    pub entries: usize,
 }
 
 /// The load that an endpoint reported in an answer.
@@ -102,10 +104,30 @@
     }
 }
 
-/// The shares of one other entry.
+/// How many steady streams of one entry run at a service at once on average, as
+/// it tells the others.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Steady {
+    /// Which service: [`Share::key`] of its name.
+    pub service: u32,
+    /// How many.
+    pub running: f32,
+}
+
+/// What an entry tells the others of its load.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tidings {
+    /// Its load by endpoint, the heaviest first.
+    pub shares: Vec<Share>,
+    /// Its steady streams by service.
+    pub steady: Vec<Steady>,
+}
+
+/// The load of one other entry.
 #[derive(Debug)]
 struct Told {
     shares: HashMap<u32, Share>,
+    steady: Vec<Steady>,
     at: Millis,
 }
 
@@ -166,6 +188,10 @@
     /// Running time that was asked for, in ms; it fades with age.
     asked: f64,
     at: Millis,
+    /// The slots of one engine of the service.
+    slots: Option<u32>,
+    /// How many engines are for steady streams.
+    engines: f64,
 }
 
 impl Demand {
@@ -196,11 +222,11 @@
 }
 
 impl<'e> Division<'e> {
-    fn new(endpoints: &[&'e Endpoint], steady_engines: f64) -> Self {
+    fn new(endpoints: &[&'e Endpoint], wanted: f64) -> Self {
         let mut engines = endpoints.to_vec();
         engines.sort_by_key(|it| (text_hash(it.name.as_str()), it.name.clone()));
         let most = engines.len() / 2;
-        let wanted = steady_engines.ceil().clamp(0.0, most as f64);
+        let wanted = wanted.clamp(0.0, most as f64);
         // Clamped to the number of engines.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let steady = wanted as usize;
@@ -260,7 +286,7 @@
             .iter()
             .filter(|it| !self.suspended(it.name.as_str()));
         let open: Vec<&Endpoint> = open.copied().collect();
-        let division = self.divide(&open, ask, now);
+        let division = self.divide(&open);
         let (own, _) = division.sides(ask);
         let favourite = favourite(own, ask);
         let choices = division.engines.iter().map(|it| {
@@ -275,18 +301,10 @@
 
     /// Divides the engines between the two sorts of streams, by how much there is
     /// of the steady sort.
-    fn divide<'e>(
-        &self,
-        endpoints: &[&'e Endpoint],
-        ask: &Ask<'_>,
-        now: Millis,
-    ) -> Division<'e> {
+    fn divide<'e>(&self, endpoints: &[&'e Endpoint]) -> Division<'e> {
         let service = endpoints.first().map(|it| it.service.as_str());
         let demand = service.and_then(|service| self.demand.get(service));
-        let running = demand.map_or(0.0, |demand| demand.running(now));
-        let running = running * ask.entries as f64;
-        let slots = ask.engine.map_or(1, |engine| engine.slots);
-        Division::new(endpoints, running / (STEADY_FILL * f64::from(slots)))
+        Division::new(endpoints, demand.map_or(0.0, |demand| demand.engines))
     }
 
     /// Whether requests are kept away from an endpoint.
@@ -356,7 +374,9 @@
         load.prefix.touch(parts, now);
         if let Some(work) = ask.work.filter(|work| is_steady(work)) {
             let demand = self.demand.entry(choice.endpoint.service.clone());
-            demand.or_default().add(running_time(work), now);
+            let demand = demand.or_default();
+            demand.slots = ask.engine.map(|engine| engine.slots);
+            demand.add(running_time(work), now);
         }
         let prompt = ask.work.map_or(0, |work| work.prompt_tokens);
         let output = ask.work.map_or(0, Work::output);
@@ -404,8 +424,8 @@
         }
     }
 
-    /// What this entry has in flight, for the others.
-    pub fn shares(&self) -> Vec<Share> {
+    /// This entry's load, for the others; of at most so many endpoints.
+    pub fn tidings(&self, most: usize, now: Millis) -> Tidings {
         let busy = self
             .loads
             .iter()
@@ -415,18 +435,62 @@
             running: u32::try_from(load.flights.len()).unwrap_or(u32::MAX),
             unread: load.unread(),
         });
-        shares.collect()
+        let mut shares: Vec<_> = shares.collect();
+        shares.sort_unstable_by_key(|share| Reverse((share.unread, share.running)));
+        shares.truncate(most);
+        let steady = self.demand.iter().map(|(service, demand)| Steady {
+            service: Share::key(service),
+            // An average that is used for estimates only.
+            #[allow(clippy::cast_possible_truncation)]
+            running: demand.running(now) as f32,
+        });
+        Tidings {
+            shares,
+            steady: steady.collect(),
+        }
     }
 
-    /// Takes what another entry has in flight.
-    pub fn tell(&mut self, entry: &name::Entry, shares: &[Share], now: Millis) {
-        let shares = shares.iter().map(|share| (share.endpoint, *share));
+    /// Takes what another entry tells of its load.
+    pub fn tell(&mut self, entry: &name::Entry, tidings: &Tidings, now: Millis) {
+        let shares = tidings.shares.iter().map(|share| (share.endpoint, *share));
         let told = Told {
             shares: shares.collect(),
+            steady: tidings.steady.clone(),
             at: now,
         };
         self.told.insert(entry.clone(), told);
         self.told.retain(|_, told| now - told.at < SHARE_LIFE);
+        self.settle(now);
+    }
+
+    /// Adjusts how many engines steady streams get: one more as soon as they need
+    /// it, one less only once they clearly do not, so that the sides stay.
+    fn settle(&mut self, now: Millis) {
+        let own: Vec<_> = self.demand.keys().cloned().collect();
+        for service in own {
+            let running = self.steady_running(&service, now);
+            let Some(demand) = self.demand.get_mut(&service) else {
+                continue;
+            };
+            let Some(slots) = demand.slots else { continue };
+            let full = STEADY_FILL * f64::from(slots);
+            let wanted = running / full;
+            if wanted > demand.engines {
+                demand.engines = wanted.ceil();
+            } else if wanted < demand.engines - 1.0 - STEADY_SLACK {
+                demand.engines -= 1.0;
+            }
+        }
+    }
+
+    /// The steady streams of all entries at a service.
+    fn steady_running(&self, service: &str, now: Millis) -> f64 {
+        let key = Share::key(service);
+        let own = self.demand.get(service);
+        let own = own.map_or(0.0, |demand| demand.running(now));
+        let others = self.told.values().flat_map(|told| &told.steady);
+        let others = others.filter(|steady| steady.service == key);
+        own + others.map(|steady| f64::from(steady.running)).sum::<f64>()
     }
 
     /// What other entries have at an endpoint: requests, and prompt tokens that
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -8,7 +8,6 @@
 
 use tokio::net::UdpSocket;
 use woodgap_core::clock::Millis;
-use woodgap_core::relay::engine::Share;
 use woodgap_core::relay::fleet::Member;
 
 use crate::gossip::message::{self, Knowledge, MOST_BYTES, MOST_SHARES, MOST_TOLD, Message};
@@ -85,24 +84,18 @@
     }
 
     fn message(&mut self, number: u64, is_answer: bool) -> Message {
+        let now = self.state.now();
+        let tidings = self.state.loads.borrow().tidings(MOST_SHARES, now);
         Message {
             number,
             is_answer,
             from: self.state.member(),
             knows: knowledge(&self.state),
             told: self.told(),
-            shares: self.shares(),
+            tidings,
         }
     }
 
-    /// The own load at endpoints, the heaviest first where there are too many.
-    fn shares(&self) -> Vec<Share> {
-        let mut shares = self.state.loads.borrow().shares();
-        shares.sort_unstable_by_key(|share| std::cmp::Reverse((share.unread, share.running)));
-        shares.truncate(MOST_SHARES);
-        shares
-    }
-
     /// Some of the other live entries, in turns.
     fn told(&mut self) -> Vec<Member> {
         let now = self.state.now();
@@ -142,7 +135,7 @@
             }
         }
         let mut loads = self.state.loads.borrow_mut();
-        loads.tell(&message.from.name, &message.shares, now);
+        loads.tell(&message.from.name, &message.tidings, now);
         drop(loads);
         if message.is_answer {
             self.learn(&message, now);
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::Plan;
-use woodgap_core::relay::engine::Share;
+use woodgap_core::relay::engine::Tidings;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::roster::Endpoint;
 
@@ -17,7 +17,7 @@
 pub const MOST_TOLD: usize = 6;
 
 /// A datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// Tells questions of one entry apart; an answer repeats its question's.
     pub number: u64,
@@ -29,8 +29,8 @@
     pub knows: Knowledge,
     /// Other entries that the sender knows.
     pub told: Vec<Member>,
-    /// What the sender has in flight at endpoints.
-    pub shares: Vec<Share>,
+    /// The sender's load.
+    pub tidings: Tidings,
 }
 
 /// What an entry knows, and how old the confirmation of it is.
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -67,7 +67,7 @@
 impl Place {
     /// Takes a place at the chosen endpoint.
     pub fn take(state: &Rc<State>, choice: &Choice, request: &Admitted) -> Self {
-        let ask = request.ask(state);
+        let ask = request.ask();
         let now = state.now();
         let ticket = state.loads.borrow_mut().begin(choice, &ask, now);
         state.pool.borrow_mut().occupy(ticket.endpoint());
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -30,9 +30,8 @@
 
 impl Admitted {
     /// What is to be sent, for the choice of an endpoint.
-    pub fn ask(&self, state: &State) -> Ask<'_> {
+    pub fn ask(&self) -> Ask<'_> {
         Ask {
-            entries: state.fleet.borrow().size(),
             work: self.call.work.as_ref(),
             engine: self.service.engine,
         }
@@ -111,7 +110,7 @@
         .filter(|endpoint| !attempts.tried.contains(&endpoint.name))
         .filter(|endpoint| state.pool.borrow().busy(&endpoint.name) < limit)
         .collect();
-    let choice = state.loads.borrow().choose(&open, &request.ask(state), now);
+    let choice = state.loads.borrow().choose(&open, &request.ask(), now);
     let missing = || {
         let message = format!("no endpoint of `{}` can be reached", request.service.name);
         Problem::not_run(Code::NoEndpoint, message).retry_after(NO_ENDPOINT)
