Engines are divided in proportion to what both sorts of streams need

Change: the number of engines for steady streams follows both demands; demand and division, and what entries tell one another, have modules of their own.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -5,6 +5,7 @@
 //! endpoint it goes to, whether it may be sent again, and what a caller is told.
 
 pub mod budget;
+pub mod division;
 pub mod engine;
 pub mod fleet;
 pub mod force;
@@ -13,6 +14,7 @@
 pub mod prefix;
 pub mod roster;
 pub mod table;
+pub mod tidings;
 pub mod work;
 
 pub use budget::Budget;
--- /dev/null
+++ b/crates/core/src/relay/division.rs
@@ -0,0 +1,123 @@
+//! Which engines of a service are for which sort of streams.
+//!
+//! A stream whose events must come in quick succession suffers from each prompt
+//! that its engine reads beside it. So the engines stand in an order that all
+//! entries share, and the first few are for steady streams, the others for long
+//! prompts. How many depends on what both sorts need.
+
+use crate::clock::Millis;
+use crate::relay::Work;
+use crate::relay::roster::Endpoint;
+use crate::relay::tidings::{self, Needed};
+
+/// Prompt tokens that an engine reads in a millisecond, before any was seen to.
+pub const READ_RATE: f64 = 50.0;
+/// How long an engine takes for a token of a stream, in ms, for estimates.
+const TOKEN_TIME: f64 = 4.0;
+/// A stream is steady if it runs for so many times as long as its prompt is read.
+const STEADY_RATIO: f64 = 10.0;
+/// The part of an engine's slots that steady streams fill at ease.
+const STEADY_FILL: f64 = 0.4;
+/// The part of its time that an engine spends on reading prompts at ease.
+const READING_FILL: f64 = 0.6;
+/// How far the number of engines for steady streams may be from what is needed
+/// before it changes, so that it does not move to and fro.
+const SLACK: f64 = 0.7;
+/// The span over which demand is averaged, in ms.
+const SPAN: f64 = 3_000.0;
+
+/// What one entry's requests to a service need, averaged over a while.
+#[derive(Debug, Default)]
+pub struct Demand {
+    needed: Needed,
+    at: Millis,
+    steady: usize,
+}
+
+impl Demand {
+    /// Counts a request of which so many prompt tokens must be read.
+    pub fn add(&mut self, work: &Work, unread: u32, slots: u32, now: Millis) {
+        self.needed = self.needed(now);
+        self.at = now;
+        if is_steady(work) {
+            let slots = STEADY_FILL * f64::from(slots.max(1));
+            self.needed.steady += running_time(work) / slots / SPAN;
+        } else {
+            let reading = f64::from(unread) / READ_RATE;
+            self.needed.reading += reading / READING_FILL / SPAN;
+        }
+    }
+
+    /// The engines that this entry's requests need now.
+    pub fn needed(&self, now: Millis) -> Needed {
+        let age = (now - self.at).0 as f64;
+        let left = (-age / SPAN).exp();
+        Needed {
+            steady: self.needed.steady * left,
+            reading: self.needed.reading * left,
+        }
+    }
+
+    /// How many of the engines are for steady streams, given what the requests of
+    /// other entries need.
+    pub fn settle(&mut self, engines: usize, others: Needed, now: Millis) -> usize {
+        let own = self.needed(now);
+        let steady = own.steady + others.steady;
+        let all = steady + own.reading + others.reading;
+        let wanted = if all > 0.0 {
+            engines as f64 * steady / all
+        } else {
+            0.0
+        };
+        if (wanted - self.steady as f64).abs() > SLACK {
+            // Between 0 and the number of engines.
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let rounded = wanted.round() as usize;
+            self.steady = rounded;
+        }
+        let least = usize::from(steady > 0.0);
+        self.steady = self.steady.max(least).min(engines / 2);
+        self.steady
+    }
+}
+
+/// The engines of a service, divided in two.
+#[derive(Debug)]
+pub struct Division<'e> {
+    engines: Vec<&'e Endpoint>,
+    steady: usize,
+}
+
+impl<'e> Division<'e> {
+    /// Puts the engines in order; the first few are for steady streams.
+    pub fn new(endpoints: &[&'e Endpoint], steady: usize) -> Self {
+        let mut engines = endpoints.to_vec();
+        engines.sort_by_key(|it| (tidings::hash(it.name.as_str()), it.name.clone()));
+        Self { engines, steady }
+    }
+
+    /// All engines, in order.
+    pub fn engines(&self) -> &[&'e Endpoint] {
+        &self.engines
+    }
+
+    /// The engines for a request, and those for the other sort.
+    pub fn sides(&self, work: Option<&Work>) -> (&[&'e Endpoint], &[&'e Endpoint]) {
+        let (steady, others) = self.engines.split_at(self.steady);
+        match work {
+            Some(work) if is_steady(work) && !steady.is_empty() => (steady, others),
+            _ => (others, steady),
+        }
+    }
+}
+
+/// Whether a request's answer runs much longer than its prompt is read.
+fn is_steady(work: &Work) -> bool {
+    let reading = f64::from(work.prompt_tokens) / READ_RATE;
+    running_time(work) >= STEADY_RATIO * reading
+}
+
+/// How long an answer runs, in ms.
+fn running_time(work: &Work) -> f64 {
+    f64::from(work.output()) * TOKEN_TIME
+}
--- /dev/null
+++ b/crates/core/src/relay/tidings.rs
@@ -0,0 +1,134 @@
+//! What entries tell one another of their load at endpoints.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::name;
+use crate::relay::division::READ_RATE;
+use crate::relay::prefix;
+
+/// After so long the share of another entry counts for nothing: it may be gone.
+const SHARE_LIFE: Millis = Millis(1_500);
+
+/// What one entry has in flight at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Which endpoint: the [`key`] of its name.
+    pub endpoint: u32,
+    /// Requests of the entry there.
+    pub running: u32,
+    /// Prompt tokens of them that are not read yet.
+    pub unread: u32,
+}
+
+/// How many engines' worth of work there is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Needed {
+    /// For steady streams.
+    pub steady: f64,
+    /// For reading other prompts.
+    pub reading: f64,
+}
+
+/// The work of one entry's requests to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// Which service: the [`key`] of its name.
+    pub service: u32,
+    /// The engines that it needs.
+    pub needed: Needed,
+}
+
+/// What an entry tells the others of its load.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tidings {
+    /// Its load by endpoint, the heaviest first.
+    pub shares: Vec<Share>,
+    /// Its work by service.
+    pub works: Vec<Work>,
+}
+
+/// What the other entries have told.
+#[derive(Debug, Default)]
+pub struct Others {
+    told: HashMap<name::Entry, Told>,
+}
+
+#[derive(Debug)]
+struct Told {
+    shares: HashMap<u32, Share>,
+    works: Vec<Work>,
+    at: Millis,
+}
+
+/// What the other entries have in flight at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Elsewhere {
+    /// Requests.
+    pub running: f64,
+    /// Prompt tokens that are not read yet, less what has been read since.
+    pub unread: f64,
+}
+
+impl Others {
+    /// Takes what an entry tells; it stands for all that it told before.
+    pub fn tell(&mut self, entry: &name::Entry, tidings: &Tidings, now: Millis) {
+        let shares = tidings.shares.iter().map(|share| (share.endpoint, *share));
+        let told = Told {
+            shares: shares.collect(),
+            works: tidings.works.clone(),
+            at: now,
+        };
+        self.told.insert(entry.clone(), told);
+        self.told.retain(|_, told| now - told.at < SHARE_LIFE);
+    }
+
+    /// What the others have at an endpoint.
+    pub fn at(&self, endpoint: &name::Endpoint, now: Millis) -> Elsewhere {
+        let key = key(endpoint.as_str());
+        let mut elsewhere = Elsewhere::default();
+        for told in self.live(now) {
+            if let Some(share) = told.shares.get(&key) {
+                let read = (now - told.at).0 as f64 * READ_RATE;
+                elsewhere.running += f64::from(share.running);
+                elsewhere.unread += (f64::from(share.unread) - read).max(0.0);
+            }
+        }
+        elsewhere
+    }
+
+    /// What the others' requests to a service need.
+    pub fn needed(&self, service: &str, now: Millis) -> Needed {
+        let key = key(service);
+        let works = self.live(now).flat_map(|told| &told.works);
+        let mut all = Needed::default();
+        for work in works.filter(|work| work.service == key) {
+            all.steady += work.needed.steady;
+            all.reading += work.needed.reading;
+        }
+        all
+    }
+
+    fn live(&self, now: Millis) -> impl Iterator<Item = &Told> {
+        let told = self.told.values();
+        told.filter(move |told| now - told.at < SHARE_LIFE)
+    }
+}
+
+/// The short form of a name. Two names share one with a probability of one in
+/// four thousand millions; their loads are then summed.
+pub fn key(name: &str) -> u32 {
+    let hash = hash(name);
+    // The lower half of an evenly mixed number.
+    #[allow(clippy::cast_possible_truncation)]
+    let key = hash as u32;
+    key
+}
+
+/// A hash of a name that is the same in all entries.
+pub fn hash(name: &str) -> u64 {
+    let bytes = name.bytes();
+    bytes.fold(0, |hash, byte| prefix::mix(hash, u64::from(byte)))
+}
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -3,9 +3,9 @@
 use serde::{Deserialize, Serialize};
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::Plan;
-use woodgap_core::relay::engine::Tidings;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::roster::Endpoint;
+use woodgap_core::relay::tidings::Tidings;
 
 /// The first byte of each datagram: the version of this form.
 pub const FORM: u8 = 1;
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -110,7 +110,7 @@
         .filter(|endpoint| !attempts.tried.contains(&endpoint.name))
         .filter(|endpoint| state.pool.borrow().busy(&endpoint.name) < limit)
         .collect();
-    let choice = state.loads.borrow().choose(&open, &request.ask(), now);
+    let choice = state.loads.borrow_mut().choose(&open, &request.ask(), now);
     let missing = || {
         let message = format!("no endpoint of `{}` can be reached", request.service.name);
         Problem::not_run(Code::NoEndpoint, message).retry_after(NO_ENDPOINT)
