Engines are not filled above 60% of their slots while others have room

Change: each request above 60% of the slots costs 50 ms more, and entries tell the memory that their requests hold.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -24,6 +24,13 @@
 /// What a millisecond of reading a prompt costs the requests that come after it
 /// and the streams beside it, in ms.
 const READING_COST: f64 = 3.0;
+/// The part of an engine's slots up to which one more request is no danger to
+/// those that run: above it, a burst that the entries see late may overfill the
+/// engine, and it would put requests back that had begun.
+const EASE: f64 = 0.6;
+/// The price of each request above that, in ms: at a fifth of the slots more it
+/// exceeds the price of an engine of the other side.
+const CROWDING_COST: f64 = 50.0;
 /// The price of an engine that is meant for the other sort of streams, in ms: so
 /// much longer a request waits on its own side before it goes there.
 const OTHER_SIDE_COST: f64 = 600.0;
@@ -292,6 +299,7 @@
             endpoint: tidings::key(name.as_str()),
             running: u32::try_from(load.flights.len()).unwrap_or(u32::MAX),
             unread: load.unread(),
+            held: load.held(),
         });
         let mut shares: Vec<_> = shares.collect();
         shares.sort_unstable_by_key(|share| Reverse((share.unread, share.running)));
@@ -351,9 +359,8 @@
         self.flights.values().map(|flight| flight.unread).sum()
     }
 
-    fn held(&self) -> f64 {
-        let held = self.flights.values().map(|flight| flight.held);
-        f64::from(held.sum::<u32>())
+    fn held(&self) -> u32 {
+        self.flights.values().map(|flight| flight.held).sum()
     }
 }
 
@@ -376,14 +383,14 @@
     let unread = (f64::from(work.prompt_tokens) - kept).max(0.0);
     let ahead = load.map_or(0.0, |load| f64::from(load.unread())) + others.unread;
     let running = load.map_or(0.0, |load| load.flights.len() as f64) + others.running;
-    let held = load.map_or(0.0, Load::held);
+    let held = load.map_or(0.0, |load| f64::from(load.held())) + others.held;
     let needed = held + f64::from(work.prompt_tokens + work.output());
     let lacking = (needed - f64::from(engine.memory_tokens)).max(0.0);
-    let over_slots = (running + 1.0 - f64::from(engine.slots)).max(0.0);
+    let eased = EASE * f64::from(engine.slots);
+    let crowding = (running + 1.0 - eased).max(0.0);
     let wait = (ahead + unread + lacking) / READ_RATE
-        + running * RUNNING_COST
-        + over_slots * FIRST_SERVICE_TIME;
-    let disturbance = READING_COST * unread / READ_RATE;
+        + running * RUNNING_COST;
+    let disturbance = READING_COST * unread / READ_RATE + crowding * CROWDING_COST;
     // A sum of tokens that came from whole numbers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let kept = kept as u32;
--- a/crates/core/src/relay/tidings.rs
+++ b/crates/core/src/relay/tidings.rs
@@ -21,6 +21,8 @@
     pub running: u32,
     /// Prompt tokens of them that are not read yet.
     pub unread: u32,
+    /// Tokens of memory that its requests take or will take.
+    pub held: u32,
 }
 
 /// How many engines' worth of work there is.
@@ -70,6 +72,8 @@
     pub running: f64,
     /// Prompt tokens that are not read yet, less what has been read since.
     pub unread: f64,
+    /// Tokens of memory that the requests take or will take.
+    pub held: f64,
 }
 
 impl Others {
@@ -93,6 +97,7 @@
             if let Some(share) = told.shares.get(&key) {
                 let read = (now - told.at).0 as f64 * READ_RATE;
                 elsewhere.running += f64::from(share.running);
+                elsewhere.held += f64::from(share.held);
                 elsewhere.unread += (f64::from(share.unread) - read).max(0.0);
             }
         }
