Steady engines read no more at once than their streams' pauses allow

Cause: what makes a pause too long is a backlog of prompts that outlasts it; one prompt beside the stream does not. Change: an engine for steady streams takes other prompts only while what it has to read fits into 70% of the shortest pause.

--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -23,6 +23,8 @@
 /// How far the number of engines for steady streams may be from what is needed
 /// before it changes, so that it does not move to and fro.
 const SLACK: f64 = 0.7;
+/// The part of a pause between two events that an engine may spend on reading.
+const CALM_PART: f64 = 0.7;
 /// The span over which demand is averaged, in ms.
 const SPAN: f64 = 3_000.0;
 
@@ -32,22 +34,39 @@
     needed: Needed,
     at: Millis,
     steady: usize,
+    /// The shortest pause that steady streams may have between two events.
+    gap: Option<Millis>,
 }
 
 impl Demand {
     /// Counts a request of which so many prompt tokens must be read.
-    pub fn add(&mut self, work: &Work, unread: u32, slots: u32, now: Millis) {
+    pub fn add(
+        &mut self,
+        work: &Work,
+        unread: u32,
+        slots: u32,
+        gap: Option<Millis>,
+        now: Millis,
+    ) {
         self.needed = self.needed(now);
         self.at = now;
         if is_steady(work) {
             let slots = STEADY_FILL * f64::from(slots.max(1));
             self.needed.steady += running_time(work) / slots / SPAN;
+            self.gap = self.gap.min(gap).or(gap);
         } else {
             let reading = f64::from(unread) / READ_RATE;
             self.needed.reading += reading / READING_FILL / SPAN;
         }
     }
 
+    /// How many tokens an engine may have to read before the pauses of its steady
+    /// streams become too long.
+    pub fn calm_tokens(&self) -> f64 {
+        let gap = self.gap.map_or(f64::INFINITY, |gap| gap.0 as f64);
+        CALM_PART * gap * READ_RATE
+    }
+
     /// The engines that this entry's requests need now.
     pub fn needed(&self, now: Millis) -> Needed {
         let age = (now - self.at).0 as f64;
@@ -101,14 +120,20 @@
         &self.engines
     }
 
-    /// The engines for a request, and those for the other sort.
-    pub fn sides(&self, work: Option<&Work>) -> (&[&'e Endpoint], &[&'e Endpoint]) {
+    /// The engines that are meant for a request.
+    pub fn own_side(&self, work: Option<&Work>) -> &[&'e Endpoint] {
         let (steady, others) = self.engines.split_at(self.steady);
         match work {
-            Some(work) if is_steady(work) && !steady.is_empty() => (steady, others),
-            _ => (others, steady),
+            Some(work) if is_steady(work) && !steady.is_empty() => steady,
+            _ => others,
         }
     }
+
+    /// Whether an engine is for steady streams.
+    pub fn is_steady(&self, endpoint: &Endpoint) -> bool {
+        let steady = self.engines.iter().take(self.steady);
+        steady.into_iter().any(|it| it.name == endpoint.name)
+    }
 }
 
 /// Whether a request's answer runs much longer than its prompt is read.
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -24,6 +24,8 @@
 /// What a millisecond of reading a prompt costs the requests that come after it
 /// and the streams beside it, in ms.
 const READING_COST: f64 = 3.0;
+/// The price of making steady streams stall, in ms: above any wait.
+const STALL_COST: f64 = 5_000.0;
 /// The part of an engine's slots up to which one more request is no danger to
 /// those that run: above it, a burst that the entries see late may overfill the
 /// engine, and it would put requests back that had begun.
@@ -60,6 +62,8 @@
     pub work: Option<&'a relay::Work>,
     /// The engines of the service; none for a plain service.
     pub engine: Option<Engine>,
+    /// The longest pause between two events of its stream that is on time.
+    pub gap: Option<Millis>,
 }
 
 /// The load that an endpoint reported in an answer.
@@ -128,6 +132,8 @@
     pub cost: f64,
     /// Prompt tokens that are believed to be kept there.
     pub kept: u32,
+    /// Prompt tokens that the engine will have to read then, this request's included.
+    pub unread: f64,
 }
 
 impl Loads {
@@ -150,18 +156,29 @@
             .filter(|it| !self.suspended(it.name.as_str()));
         let open: Vec<&Endpoint> = open.copied().collect();
         let division = self.divide(&open, now);
-        let (own, _) = division.sides(ask.work);
+        let own = division.own_side(ask.work);
         let favourite = favourite(own, ask);
+        let calm = self.calm_tokens(&open);
         let choices = division.engines().iter().map(|it| {
             let mut choice = self.estimate(it, ask, favourite == Some(&it.name), now);
             if !own.iter().any(|own| own.name == it.name) {
                 choice.cost += OTHER_SIDE_COST;
             }
+            if division.is_steady(it) && choice.unread > calm {
+                choice.cost += STALL_COST;
+            }
             choice
         });
         choices.min_by(|left, right| left.cost.total_cmp(&right.cost))
     }
 
+    /// How many unread tokens an engine may have before its steady streams stall.
+    fn calm_tokens(&self, endpoints: &[&Endpoint]) -> f64 {
+        let first = endpoints.first();
+        let demand = first.and_then(|it| self.demands.get(&it.service));
+        demand.map_or(f64::INFINITY, Demand::calm_tokens)
+    }
+
     /// Divides the engines of a service between the two sorts of streams.
     fn divide<'e>(&mut self, endpoints: &[&'e Endpoint], now: Millis) -> Division<'e> {
         let Some(first) = endpoints.first() else {
@@ -194,12 +211,12 @@
         now: Millis,
     ) -> Choice {
         let load = self.loads.get(&endpoint.name);
-        let (wait, disturbance, kept) = match (ask.work, ask.engine) {
+        let (wait, disturbance, kept, unread) = match (ask.work, ask.engine) {
             (Some(work), Some(engine)) => {
                 let others = self.others.at(&endpoint.name, now);
                 engine_wait(load, others, work, engine, is_favourite)
             }
-            _ => (self.service_wait(load, endpoint, now), 0.0, 0),
+            _ => (self.service_wait(load, endpoint, now), 0.0, 0, 0.0),
         };
         let slowness = load.map_or(1.0, |load| load.slowness);
         let failing = load.map_or(0.0, |load| load.health.failing());
@@ -211,6 +228,7 @@
             wait,
             cost: wait + disturbance + far + failing * FAILURE_COST,
             kept,
+            unread,
         }
     }
 
@@ -241,7 +259,7 @@
         if let (Some(work), Some(engine)) = (ask.work, ask.engine) {
             let unread = work.prompt_tokens.saturating_sub(choice.kept);
             let demand = self.demands.entry(choice.endpoint.service.clone());
-            demand.or_default().add(work, unread, engine.slots, now);
+            demand.or_default().add(work, unread, engine.slots, ask.gap, now);
         }
         let prompt = ask.work.map_or(0, |work| work.prompt_tokens);
         let output = ask.work.map_or(0, relay::Work::output);
@@ -364,14 +382,14 @@
     }
 }
 
-/// The wait, what running streams suffer, and the tokens kept, at an engine.
+/// The wait, what others suffer, the tokens kept, and those unread, at an engine.
 fn engine_wait(
     load: Option<&Load>,
     others: Elsewhere,
     work: &relay::Work,
     engine: Engine,
     is_favourite: bool,
-) -> (f64, f64, u32) {
+) -> (f64, f64, u32, f64) {
     let known = load.map_or(0, |load| load.prefix.kept(&work.parts));
     let shared: u32 = shared_parts(work).iter().map(|part| part.tokens).sum();
     let expected = if is_favourite {
@@ -394,7 +412,7 @@
     // A sum of tokens that came from whole numbers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let kept = kept as u32;
-    (wait, disturbance, kept)
+    (wait, disturbance, kept, ahead + unread)
 }
 
 /// The endpoint that all entries choose first for a shared prompt of which they
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -34,6 +34,7 @@
         Ask {
             work: self.call.work.as_ref(),
             engine: self.service.engine,
+            gap: self.route.gap,
         }
     }
 }
