Answers of the store are dated by its steady clock

Ruled out: the platform (it was calm). Change: core::relay::dating bounds the moment at which an answer was made by the store's steady clock; entries ask at different moments.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -5,6 +5,7 @@
 //! endpoint it goes to, whether it may be sent again, and what a caller is told.
 
 pub mod budget;
+pub mod dating;
 pub mod division;
 pub mod engine;
 pub mod fleet;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -6,6 +6,7 @@
 
 use rand::Rng;
 use woodgap_core::clock::Millis;
+use woodgap_core::relay::dating::Dating;
 use woodgap_core::relay::force::Offer;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::{Plan, Table};
@@ -16,6 +17,9 @@
 /// How long the source may hold a question about the plan. Its answer confirms
 /// the plan, which keys are trusted by for little more than that.
 const PLAN_WAIT: Millis = Millis(2_000);
+/// By how much less, at most, it is held: entries that ask at different moments
+/// confirm the plan to one another in between.
+const PLAN_JITTER: Millis = Millis(800);
 /// How long the source may hold a question about endpoints: nothing hangs on its
 /// confirmation, and each call has its price.
 const ENDPOINTS_WAIT: Millis = Millis(25_000);
@@ -28,16 +32,17 @@
 pub async fn plan(state: Rc<State>) {
     let mut cursor = None;
     let mut link = Link::new("configuration");
+    let mut dating = Dating::default();
     loop {
         let asked = state.now();
-        let asking = state.source.plan(cursor, PLAN_WAIT);
-        let limit = Duration::from_millis((PLAN_WAIT + ANSWER_TIMEOUT).0);
+        let wait = PLAN_WAIT - Millis(rand::rng().random_range(0..PLAN_JITTER.0));
+        let asking = state.source.plan(cursor, wait);
+        let limit = Duration::from_millis((wait + ANSWER_TIMEOUT).0);
         let answer = tokio::time::timeout(limit, asking).await;
         match link.settle(&state, answer.unwrap_or_else(late)).await {
             Some(news) => {
-                let was_held = cursor.is_some() && news.content.is_none();
                 cursor = Some(news.cursor);
-                let as_of = as_of(&state, asked, was_held, PLAN_WAIT);
+                let as_of = dating.date(asked, news.made, state.now());
                 match news.content {
                     Some(plan) => take_plan(&state, plan, as_of, "platform"),
                     None => confirm(&state, as_of),
@@ -62,6 +67,7 @@
             Some(News {
                 cursor: at,
                 content,
+                ..
             }) => {
                 cursor = Some(at);
                 match content {
@@ -83,17 +89,6 @@
     Err(Error::Unavailable("no answer in time".to_owned()))
 }
 
-/// Of which moment an answer is known to tell the newest. One that was held for
-/// the whole wait says that nothing changed until then; any other was true, for
-/// all that is known, only when it was asked for.
-fn as_of(state: &State, asked: Millis, was_held: bool, wait: Millis) -> Millis {
-    if was_held && state.now() - asked >= wait {
-        asked + wait
-    } else {
-        asked
-    }
-}
-
 /// The way to the source: tells once when it is lost and once when it is back.
 struct Link {
     what: &'static str,
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -22,6 +22,9 @@
     pub cursor: u64,
     /// What is new; none if nothing changed.
     pub content: Option<T>,
+    /// When the answer was made, on a steady clock of the source's; none where the
+    /// source does not tell.
+    pub made: Option<Millis>,
 }
 
 /// Endpoints that are new, changed or gone.
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -50,18 +50,21 @@
             return Ok(News {
                 cursor: 0,
                 content: None,
+                made: None,
             });
         };
         if after == Some(row.version) {
             return Ok(News {
                 cursor: row.version,
                 content: None,
+                made: None,
             });
         }
         let plan = decoded(row.value)?;
         Ok(News {
             cursor: row.version,
             content: Some(plan),
+            made: None,
         })
     }
 
@@ -78,6 +81,7 @@
         Ok(News {
             cursor,
             content: Some(Endpoints::All(endpoints)),
+            made: None,
         })
     }
 
