An endpoint whose answers are overdue is avoided

Ruled out: dead machines, whose connections would have broken. Change: the oldest unanswered request counts against its endpoint from the moment at which it is overdue, also when its caller gives up.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -43,6 +43,12 @@
 /// What a certain failure would cost, in ms: about the time that a caller waits
 /// before it is too late for another try.
 const FAILURE_COST: f64 = 2_000.0;
+/// An answer is overdue after so many times its expected wait, and a span in ms
+/// that an endpoint may be busy with something else.
+const OVERDUE_FACTOR: f64 = 2.0;
+const OVERDUE_SLACK: f64 = 200.0;
+/// The price of each millisecond for which an answer is overdue, in ms.
+const OVERDUE_COST: f64 = 3.0;
 /// The part of a shared prompt that the entries' common choice for it is
 /// believed to keep.
 const EXPECTED_KEPT: f64 = 0.9;
@@ -121,6 +127,13 @@
     answered: bool,
 }
 
+impl Flight {
+    fn overdue(&self, now: Millis) -> f64 {
+        let due = self.expected * OVERDUE_FACTOR + OVERDUE_SLACK;
+        ((now - self.began).0 as f64 - due).max(0.0)
+    }
+}
+
 /// A choice, with the figures that led to it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -220,13 +233,14 @@
         };
         let slowness = load.map_or(1.0, |load| load.slowness);
         let failing = load.map_or(0.0, |load| load.health.failing());
+        let overdue = load.map_or(0.0, |load| load.overdue(now));
         let is_far = endpoint.data_centre != self.data_centre;
         let far = if is_far { FAR_COST } else { 0.0 };
         let wait = wait * slowness;
         Choice {
             endpoint: endpoint.clone(),
             wait,
-            cost: wait + disturbance + far + failing * FAILURE_COST,
+            cost: wait + disturbance + far + failing * FAILURE_COST + overdue * OVERDUE_COST,
             kept,
             unread,
         }
@@ -347,10 +361,16 @@
         }
     }
 
-    /// Takes the request off the endpoint's load.
-    pub fn end(&mut self, ticket: &Ticket) {
-        if let Some(load) = self.loads.get_mut(&ticket.endpoint) {
-            load.flights.remove(&ticket.number);
+    /// Takes the request off the endpoint's load. One that ends while its answer
+    /// is overdue tells against the endpoint, whoever ended it.
+    pub fn end(&mut self, ticket: &Ticket, now: Millis) {
+        let Some(load) = self.loads.get_mut(&ticket.endpoint) else {
+            return;
+        };
+        let flight = load.flights.remove(&ticket.number);
+        let is_overdue = |flight: Flight| !flight.answered && flight.overdue(now) > 0.0;
+        if flight.is_some_and(is_overdue) {
+            load.health.note(Sign::Bad, now);
         }
     }
 
@@ -373,6 +393,14 @@
         f64::from(others) * (1.0 - age).max(0.0)
     }
 
+    /// For how long, in ms, the oldest request without an answer is overdue: the
+    /// first sign of an endpoint that accepts requests and does nothing.
+    fn overdue(&self, now: Millis) -> f64 {
+        let waiting = self.flights.values().filter(|flight| !flight.answered);
+        let overdue = waiting.map(|flight| flight.overdue(now));
+        overdue.fold(0.0, f64::max)
+    }
+
     fn unread(&self) -> u32 {
         self.flights.values().map(|flight| flight.unread).sum()
     }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -16,7 +16,7 @@
 
 /// How long the source may hold a question about the plan. Its answer confirms
 /// the plan, which keys are trusted by for little more than that.
-const PLAN_WAIT: Millis = Millis(2_000);
+const PLAN_WAIT: Millis = Millis(2_400);
 /// By how much less, at most, it is held: entries that ask at different moments
 /// confirm the plan to one another in between.
 const PLAN_JITTER: Millis = Millis(800);
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -105,7 +105,8 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.state.loads.borrow_mut().end(&self.ticket);
+        let now = self.state.now();
+        self.state.loads.borrow_mut().end(&self.ticket, now);
         self.state.pool.borrow_mut().release(self.ticket.endpoint());
     }
 }
