--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -24,7 +24,7 @@
 /// before it changes, so that it does not move to and fro.
 const SLACK: f64 = 0.7;
 /// The part of a pause between two events that an engine may spend on reading.
-const CALM_PART: f64 = 0.7;
+const CALM_PART: f64 = 0.35;
 /// The span over which demand is averaged, in ms.
 const SPAN: f64 = 3_000.0;
 
