An empty list of messages is a clear 400

Cause: a chat request with an empty conversation passed the check of its type and was answered as if it were whole. Change: a check of its own, a contract row. Measured: the row failed before (the stand-in answered 200), passes now.

--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -80,6 +80,11 @@
                 .filter(|messages| messages.is_array()),
             Form::Completion => fields.get("prompt").filter(|prompt| prompt.is_string()),
         };
+        // An engine would answer an empty conversation as if it were a whole one.
+        let is_empty = prompt.and_then(Value::as_array).is_some_and(Vec::is_empty);
+        if is_empty {
+            return Err(bad("`messages` must not be empty".to_owned()));
+        }
         let Some(prompt) = prompt else {
             return Err(bad(match form {
                 Form::Chat => "`messages` must be a list".to_owned(),
--- a/crates/entry/tests/contract/callers.rs
+++ b/crates/entry/tests/contract/callers.rs
@@ -72,6 +72,12 @@
     r#"{"model":"story-7b","messages":"x"}"#,
     "400 bad_request not_run"
 )]
+#[case::no_messages(
+    CHAT,
+    "",
+    r#"{"model":"story-7b","messages":[]}"#,
+    "400 bad_request not_run"
+)]
 #[case::unknown_model(
     COMPLETION,
     "",
