--- /dev/null
+++ b/crates/core/tests/relay/engine.rs
@@ -0,0 +1,232 @@
+//! Which endpoint a request is sent to.
+
+use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::engine::{Ask, Choice, Loads, Report, Ticket};
+use woodgap_core::relay::health::Sign;
+use woodgap_core::relay::plan::Engine;
+use woodgap_core::relay::roster::Endpoint;
+use woodgap_core::relay::work::{Part, Work};
+
+use crate::roster::endpoint;
+
+const ENGINE: Engine = Engine {
+    slots: 64,
+    memory_tokens: 290_000,
+    event_tokens: 6,
+};
+
+/// A long prompt with a short answer; `subject` is shared with others.
+fn caption(subject: u64, own: u64) -> Work {
+    Work {
+        prompt_tokens: 9_000,
+        output_limit: 60,
+        output_hint: Some(50),
+        parts: vec![
+            Part {
+                id: subject,
+                tokens: 6_000,
+            },
+            Part {
+                id: own,
+                tokens: 3_000,
+            },
+        ],
+    }
+}
+
+/// A short prompt with a long answer.
+fn narration(own: u64) -> Work {
+    Work {
+        prompt_tokens: 600,
+        output_limit: 400,
+        output_hint: Some(300),
+        parts: vec![Part {
+            id: own,
+            tokens: 600,
+        }],
+    }
+}
+
+fn ask(work: &Work) -> Ask<'_> {
+    Ask {
+        work: Some(work),
+        engine: Some(ENGINE),
+        gap: Some(Millis(250)),
+    }
+}
+
+const PLAIN: Ask<'static> = Ask {
+    work: None,
+    engine: None,
+    gap: None,
+};
+
+fn engines(count: usize) -> Vec<Endpoint> {
+    (0..count).map(|it| endpoint(&format!("e{it}"))).collect()
+}
+
+struct Entry {
+    loads: Loads,
+    endpoints: Vec<Endpoint>,
+    tickets: Vec<Ticket>,
+}
+
+impl Entry {
+    fn new(count: usize) -> Self {
+        Self {
+            loads: Loads::new(name::DataCentre::from("dub-a")),
+            endpoints: engines(count),
+            tickets: Vec::new(),
+        }
+    }
+
+    fn choose(&mut self, ask: &Ask<'_>, now: u64) -> Option<Choice> {
+        let endpoints: Vec<_> = self.endpoints.iter().collect();
+        self.loads.choose(&endpoints, ask, Millis(now))
+    }
+
+    fn send(&mut self, ask: &Ask<'_>, now: u64) -> String {
+        let choice = self.choose(ask, now).expect("an endpoint is open");
+        let ticket = self.loads.begin(&choice, ask, Millis(now));
+        self.tickets.push(ticket);
+        choice.endpoint.name.to_string()
+    }
+
+    /// Sends a request that is answered at once and ends.
+    fn serve(&mut self, ask: &Ask<'_>, now: u64) -> String {
+        let name = self.send(ask, now);
+        let ticket = self.tickets.pop().unwrap();
+        self.loads.answered(&ticket, Millis(now));
+        self.loads.end(&ticket, Millis(now));
+        name
+    }
+}
+
+#[test]
+fn entries_send_a_shared_prompt_to_the_same_engine() {
+    let chosen: Vec<_> = ["dub-a", "dub-b"]
+        .map(|data_centre| {
+            let mut entry = Entry::new(9);
+            entry.loads = Loads::new(name::DataCentre::from(data_centre));
+            entry.send(&ask(&caption(7, 1)), 0)
+        })
+        .to_vec();
+    assert_eq!(chosen[0], chosen[1]);
+}
+
+#[test]
+fn a_prompt_goes_where_its_parts_are_kept() {
+    let mut entry = Entry::new(9);
+    let first = entry.serve(&ask(&caption(7, 1)), 0);
+    for own in 2..6 {
+        assert_eq!(entry.serve(&ask(&caption(7, own)), 10), first);
+    }
+}
+
+#[test]
+fn a_hot_subject_spreads_once_its_engine_is_behind() {
+    let mut entry = Entry::new(9);
+    let mut used = std::collections::BTreeSet::new();
+    for own in 0..40 {
+        used.insert(entry.send(&ask(&caption(7, own)), 0));
+    }
+    assert!(used.len() > 2, "{used:?}");
+}
+
+#[test]
+fn long_prompts_keep_away_from_steady_streams() {
+    let mut entry = Entry::new(9);
+    let mut steady = std::collections::BTreeSet::new();
+    let mut others = std::collections::BTreeSet::new();
+    for own in 0..20 {
+        steady.insert(entry.send(&ask(&narration(own)), 0));
+        others.insert(entry.serve(&ask(&caption(own, 100 + own)), 0));
+    }
+    // The first few decide before any demand for the other sort was seen.
+    let both = steady.intersection(&others).count();
+    assert!(both <= 1, "{steady:?} {others:?}");
+    assert!(others.len() > steady.len());
+}
+
+#[test]
+fn a_burst_does_not_overfill_an_engine() {
+    let mut entry = Entry::new(9);
+    let mut counts = std::collections::BTreeMap::new();
+    for own in 0..200 {
+        *counts.entry(entry.send(&ask(&narration(own)), 0)).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|count| *count < 64), "{counts:?}");
+}
+
+#[test]
+fn what_others_have_in_flight_counts() {
+    let mut first = Entry::new(4);
+    let mut second = Entry::new(4);
+    let busy = first.send(&ask(&caption(7, 1)), 0);
+    first.endpoints.retain(|it| it.name.as_str() == busy);
+    for own in 2..30 {
+        first.send(&ask(&caption(7, own)), 0);
+    }
+    let tidings = first.loads.tidings(48, Millis(0));
+    let other = name::Entry::from("first");
+    second.loads.tell(&other, &tidings, Millis(0));
+    assert_ne!(second.send(&ask(&caption(7, 99)), 0), busy);
+    // What an entry told counts for a while only.
+    assert_eq!(second.send(&ask(&caption(7, 100)), 5_000), busy);
+}
+
+#[test]
+fn an_endpoint_that_does_nothing_is_left_after_a_moment() {
+    let mut entry = Entry::new(3);
+    let silent = entry.send(&PLAIN, 0);
+    let later: Vec<_> = (0..30).map(|at| entry.serve(&PLAIN, 600 + at)).collect();
+    assert!(!later.contains(&silent));
+}
+
+#[test]
+fn an_overdue_request_tells_against_its_endpoint_whoever_ends_it() {
+    let mut entry = Entry::new(2);
+    let silent = entry.send(&PLAIN, 0);
+    let ticket = entry.tickets.pop().unwrap();
+    entry.loads.end(&ticket, Millis(4_000));
+    let later: Vec<_> = (0..10).map(|_| entry.serve(&PLAIN, 4_001)).collect();
+    assert!(!later.contains(&silent));
+}
+
+#[rstest]
+#[case::lost(Sign::Lost, false)]
+#[case::bad(Sign::Bad, true)]
+#[case::good(Sign::Good, true)]
+fn only_a_lost_endpoint_is_closed(#[case] sign: Sign, #[case] is_open: bool) {
+    let mut entry = Entry::new(1);
+    entry.serve(&PLAIN, 0);
+    let name = name::Endpoint::from("e0");
+    entry.loads.note(&name, sign, Millis(1));
+    assert_eq!(entry.choose(&PLAIN, 2).is_some(), is_open);
+}
+
+#[test]
+fn a_reported_load_counts_and_fades() {
+    let mut entry = Entry::new(2);
+    entry.serve(&PLAIN, 0);
+    let busy = name::Endpoint::from("e0");
+    entry.loads.note(&busy, Sign::Good, Millis(0));
+    let report = Report {
+        running: 64,
+        waiting: 100,
+        slots: 64,
+    };
+    entry.loads.report(&busy, report, Millis(0));
+    assert_eq!(entry.serve(&PLAIN, 1), "e1");
+    let wait = |entry: &mut Entry, now| entry.choose(&PLAIN, now).map(|it| it.wait);
+    assert!(wait(&mut entry, 1).is_some());
+}
+
+#[test]
+fn the_near_one_of_two_equals_is_chosen() {
+    let mut entry = Entry::new(2);
+    entry.endpoints[0].data_centre = name::DataCentre::from("dub-b");
+    assert_eq!(entry.serve(&PLAIN, 0), "e1");
+}
--- /dev/null
+++ b/crates/core/tests/relay/fleet.rs
@@ -0,0 +1,95 @@
+//! What an entry knows of the others.
+
+use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::fleet::{ASKED, Fleet, Member};
+
+const ROUND: Millis = Millis(400);
+
+fn member(name: &str, incarnation: u64) -> Member {
+    Member {
+        name: name::Entry::from(name),
+        incarnation: name::Incarnation(incarnation),
+        peer: "10.0.0.1:70".parse().unwrap(),
+        front: "10.0.0.1:80".parse().unwrap(),
+        data_centre: name::DataCentre::from("dub-a"),
+        stopping: false,
+    }
+}
+
+fn live(fleet: &Fleet, now: u64) -> Vec<String> {
+    let live = fleet.live(Millis(now));
+    live.map(|member| member.name.to_string()).collect()
+}
+
+fn fleet() -> Fleet {
+    Fleet::new(name::Entry::from("own"), ROUND)
+}
+
+#[rstest]
+#[case::just_heard(0, true)]
+#[case::one_round_missed(500, true)]
+#[case::three_rounds_missed(1_200, false)]
+fn a_silent_entry_is_taken_off(#[case] after: u64, #[case] is_live: bool) {
+    let mut fleet = fleet();
+    assert!(fleet.heard(member("a", 1), Millis(0)));
+    assert_eq!(!live(&fleet, after).is_empty(), is_live);
+}
+
+#[test]
+fn hearsay_makes_an_entry_known_but_not_live() {
+    let mut fleet = fleet();
+    fleet.told(member("a", 1), Millis(0));
+    assert!(live(&fleet, 0).is_empty());
+    assert_eq!(fleet.round(Millis(0)).len(), 1);
+}
+
+#[test]
+fn one_that_stops_is_not_listed() {
+    let mut fleet = fleet();
+    let stopping = Member {
+        stopping: true,
+        ..member("a", 1)
+    };
+    fleet.heard(stopping, Millis(0));
+    assert!(live(&fleet, 0).is_empty());
+}
+
+#[test]
+fn the_own_entry_is_no_other() {
+    let mut fleet = fleet();
+    assert!(!fleet.heard(member("own", 1), Millis(0)));
+    fleet.told(member("own", 9), Millis(0));
+    assert_eq!(fleet.size(), 1);
+}
+
+#[test]
+fn one_that_is_gone_for_long_is_forgotten() {
+    let mut fleet = fleet();
+    fleet.heard(member("a", 1), Millis(0));
+    assert!(fleet.round(Millis(60_000)).is_empty());
+    assert_eq!(fleet.size(), 1);
+}
+
+#[test]
+fn all_of_a_large_fleet_are_asked_in_turns() {
+    let mut fleet = fleet();
+    for index in 0..80_u16 {
+        let peer = ([10, 0, 0, 1], 7_000 + index).into();
+        let member = Member {
+            peer,
+            ..member(&format!("e{index}"), 1)
+        };
+        fleet.heard(member, Millis(0));
+    }
+    let mut asked = std::collections::BTreeSet::new();
+    for _ in 0..80_usize.div_ceil(ASKED) {
+        let round = fleet.round(Millis(1));
+        assert_eq!(round.len(), ASKED);
+        asked.extend(round);
+    }
+    assert_eq!(asked.len(), 80);
+    // The more there are, the longer each may be silent.
+    assert_eq!(live(&fleet, 5_000).len(), 80);
+}
--- /dev/null
+++ b/crates/core/tests/relay/main.rs
@@ -0,0 +1,12 @@
+//! Decisions of the relay, as tables and properties.
+
+mod budget;
+mod engine;
+mod fleet;
+mod force;
+mod health;
+mod plan;
+mod prefix;
+mod roster;
+mod table;
+mod time;
