Contract of the relay with callers and endpoints, in tables

Found by a row: events that had come just before an endpoint broke off were dropped with the body's error; the relay now lets the server write first. Sockets are opened before anything else and may have port 0.

--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -40,14 +40,7 @@
 
 impl Demand {
     /// Counts a request of which so many prompt tokens must be read.
-    pub fn add(
-        &mut self,
-        work: &Work,
-        unread: u32,
-        slots: u32,
-        gap: Option<Millis>,
-        now: Millis,
-    ) {
+    pub fn add(&mut self, work: &Work, unread: u32, slots: u32, gap: Option<Millis>, now: Millis) {
         self.needed = self.needed(now);
         self.at = now;
         if is_steady(work) {
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -163,7 +163,12 @@
     }
 
     /// The best of the endpoints; none where all are suspended or there is none.
-    pub fn choose(&mut self, endpoints: &[&Endpoint], ask: &Ask<'_>, now: Millis) -> Option<Choice> {
+    pub fn choose(
+        &mut self,
+        endpoints: &[&Endpoint],
+        ask: &Ask<'_>,
+        now: Millis,
+    ) -> Option<Choice> {
         let open = endpoints
             .iter()
             .filter(|it| !self.suspended(it.name.as_str()));
@@ -215,7 +220,6 @@
         due.map(|(name, _)| name.clone()).collect()
     }
 
-
     fn estimate(
         &self,
         endpoint: &Endpoint,
@@ -273,7 +277,9 @@
         if let (Some(work), Some(engine)) = (ask.work, ask.engine) {
             let unread = work.prompt_tokens.saturating_sub(choice.kept);
             let demand = self.demands.entry(choice.endpoint.service.clone());
-            demand.or_default().add(work, unread, engine.slots, ask.gap, now);
+            demand
+                .or_default()
+                .add(work, unread, engine.slots, ask.gap, now);
         }
         let prompt = ask.work.map_or(0, |work| work.prompt_tokens);
         let output = ask.work.map_or(0, relay::Work::output);
@@ -434,8 +440,7 @@
     let lacking = (needed - f64::from(engine.memory_tokens)).max(0.0);
     let eased = EASE * f64::from(engine.slots);
     let crowding = (running + 1.0 - eased).max(0.0);
-    let wait = (ahead + unread + lacking) / READ_RATE
-        + running * RUNNING_COST;
+    let wait = (ahead + unread + lacking) / READ_RATE + running * RUNNING_COST;
     let disturbance = READING_COST * unread / READ_RATE + crowding * CROWDING_COST;
     // A sum of tokens that came from whole numbers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/core/tests/relay/budget.rs
+++ b/crates/core/tests/relay/budget.rs
@@ -12,7 +12,10 @@
 
 #[test]
 fn requests_earn_repeats_and_old_ones_no_longer() {
-    let mut budget = Budget::new(Bound { slack: 0.0, ..BOUND });
+    let mut budget = Budget::new(Bound {
+        slack: 0.0,
+        ..BOUND
+    });
     for _ in 0..100 {
         budget.request(Millis(0));
     }
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -155,7 +155,9 @@
     let mut entry = Entry::new(9);
     let mut counts = std::collections::BTreeMap::new();
     for own in 0..200 {
-        *counts.entry(entry.send(&ask(&narration(own)), 0)).or_insert(0) += 1;
+        *counts
+            .entry(entry.send(&ask(&narration(own)), 0))
+            .or_insert(0) += 1;
     }
     assert!(counts.values().all(|count| *count < 64), "{counts:?}");
 }
--- a/crates/core/tests/relay/plan.rs
+++ b/crates/core/tests/relay/plan.rs
@@ -2,8 +2,8 @@
 
 use rstest::rstest;
 use woodgap_core::clock::Millis;
-use woodgap_core::relay::plan::{Error, Kind, Plan, Route, Service, Share, Workspace};
 use woodgap_core::relay::Table;
+use woodgap_core::relay::plan::{Error, Kind, Plan, Route, Service, Share, Workspace};
 
 pub fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -47,7 +47,10 @@
         version,
         routes,
         services: vec![service("engines"), service("others")],
-        workspaces: vec![workspace("murphy", "key-m", 1), workspace("byrne", "key-b", 0)],
+        workspaces: vec![
+            workspace("murphy", "key-m", 1),
+            workspace("byrne", "key-b", 0),
+        ],
         limits: woodgap_core::relay::plan::Limits::default(),
     }
 }
--- a/crates/relay/src/front/server.rs
+++ b/crates/relay/src/front/server.rs
@@ -7,7 +7,6 @@
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -53,14 +52,16 @@
 }
 
 impl Server {
-    /// Listens on an address.
+    /// A server on a listener that does not block.
     ///
     /// # Errors
     ///
     /// What the system says.
-    pub fn listen(state: &Rc<State>, address: SocketAddr, purpose: Purpose) -> io::Result<Self> {
-        let listener = std::net::TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+    pub fn new(
+        state: &Rc<State>,
+        listener: std::net::TcpListener,
+        purpose: Purpose,
+    ) -> io::Result<Self> {
         Ok(Self {
             state: Rc::clone(state),
             purpose,
--- a/crates/relay/src/request/answer.rs
+++ b/crates/relay/src/request/answer.rs
@@ -20,6 +20,10 @@
 /// services are shorter.
 const HELD: u64 = 64 * 1024;
 
+/// Between the last bytes of an answer that was broken off and the end of the
+/// caller's connection: the server writes what it has whenever a body pauses.
+const FLUSH: Millis = Millis(2);
+
 /// An endpoint's answer.
 pub enum Answer {
     /// One that is there as a whole.
@@ -228,6 +232,8 @@
             Err(error) => {
                 self.rest.place.note(Sign::Bad);
                 self.account.cut(self.status, &error.to_string());
+                // The server drops what it has not written yet when a body fails.
+                tokio::time::sleep(Duration::from_millis(FLUSH.0)).await;
                 Some((Err(error), None))
             }
         }
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -1,7 +1,10 @@
 //! Starts a relay: sockets, tasks, and their supervision.
 
+pub mod sockets;
+
+pub use sockets::Sockets;
+
 use std::future::Future;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -87,56 +90,57 @@
     form: impl FnOnce(&Settings) -> Result<Form, Error>,
 ) -> Result<(), Error> {
     let form = form(&settings)?;
+    let state = open(settings, form)?;
+    stop::stopped(&state).await.map_err(Error::Process)
+}
+
+/// Opens a relay's sockets and starts its tasks on this thread.
+///
+/// # Errors
+///
+/// If a socket could not be opened.
+pub fn open(mut settings: Settings, form: Form) -> Result<Rc<State>, Error> {
+    let sockets = Sockets::open(&mut settings)?;
     let state = State::new(settings, form.dialect, form.source, Metrics::new()?);
     let state = Rc::new(state);
-    listen(&state)?;
-    talk(&state).await?;
+    serve_http(&state, &sockets)?;
+    talk(&state, sockets)?;
     supervise("configuration", &state, follow::plan);
     supervise("endpoints", &state, follow::endpoints);
     supervise("upkeep", &state, upkeep::run);
     supervise("announce", &state, announce);
+    let settings = &state.settings;
     log::info!(
-        entry = state.settings.name.as_str(), data_centre = state.settings.data_centre.as_str(),
-        listen = state.settings.listen.to_string(), version = env!("CARGO_PKG_VERSION");
+        entry = settings.name.as_str(), data_centre = settings.data_centre.as_str(),
+        listen = settings.listen.to_string(), directory = settings.directory_listen.to_string(),
+        ready = settings.ready_listen.to_string(), peer = settings.peer_listen.to_string(),
+        version = env!("CARGO_PKG_VERSION");
         "started"
     );
-    stop::stopped(&state).await.map_err(Error::Process)
+    Ok(state)
 }
 
-fn listen(state: &Rc<State>) -> Result<(), Error> {
-    let settings = &state.settings;
+fn serve_http(state: &Rc<State>, sockets: &Sockets) -> Result<(), Error> {
     let servers = [
-        ("listen", Some(settings.listen), Purpose::Requests),
-        (
-            "directory_listen",
-            Some(settings.directory_listen),
-            Purpose::Questions,
-        ),
-        (
-            "ready_listen",
-            Some(settings.ready_listen),
-            Purpose::Questions,
-        ),
-        ("metrics_listen", settings.metrics_listen, Purpose::Metrics),
+        (Some(&sockets.requests), Purpose::Requests),
+        (Some(&sockets.directory), Purpose::Questions),
+        (Some(&sockets.ready), Purpose::Questions),
+        (sockets.metrics.as_ref(), Purpose::Metrics),
     ];
-    for (option, address, purpose) in servers {
-        let Some(address) = address else { continue };
-        let failed = |source| Error::Socket { option, source };
-        let server = Server::listen(state, address, purpose).map_err(failed)?;
+    for (listener, purpose) in servers {
+        let Some(listener) = listener else { continue };
+        let listener = listener.try_clone().map_err(Error::Process)?;
+        let server = Server::new(state, listener, purpose).map_err(Error::Process)?;
         actix_rt::spawn(server.run());
     }
     Ok(())
 }
 
-/// Opens the sockets for other entries.
-async fn talk(state: &Rc<State>) -> Result<(), Error> {
-    let address: SocketAddr = state.settings.peer_listen;
-    let failed = |source| Error::Socket {
-        option: "peer_listen",
-        source,
-    };
-    let socket = Rc::new(UdpSocket::bind(address).await.map_err(failed)?);
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
+/// Takes and answers messages of other entries.
+fn talk(state: &Rc<State>, sockets: Sockets) -> Result<(), Error> {
+    let socket = UdpSocket::from_std(sockets.messages).map_err(Error::Process)?;
+    let socket = Rc::new(socket);
+    let listener = TcpListener::from_std(sockets.fetch).map_err(Error::Process)?;
     actix_rt::spawn(fetch::serve(Rc::clone(state), listener));
     supervise("exchange", state, move |state| {
         let socket = Rc::clone(&socket);
--- /dev/null
+++ b/crates/relay/tests/contract/main.rs
@@ -0,0 +1,10 @@
+//! What callers see, and what endpoints get, case by case.
+
+mod answers;
+mod caller;
+mod endpoint;
+mod forwarding;
+mod own_questions;
+mod refusals;
+mod site;
+mod streams;
--- /dev/null
+++ b/crates/relay/tests/contract/refusals.rs
@@ -0,0 +1,140 @@
+//! Requests that are not passed on, and what their callers are told.
+
+use rstest::rstest;
+
+use crate::caller::{Caller, get, post};
+use crate::endpoint::{Endpoint, declined, whole};
+use crate::site::{Fixed, Site, TRUST, plan, until};
+
+#[rstest]
+#[case::no_route(
+    "GET /nowhere/ HTTP/1.1\r\nHost: album.example\r\nX-Woodgap-Request: r\r\n\r\n",
+    404,
+    "unknown_route"
+)]
+#[case::another_host(
+    "GET /read/ HTTP/1.1\r\nHost: x.example\r\nX-Woodgap-Request: r\r\n\r\n",
+    404,
+    "unknown_route"
+)]
+#[case::no_key(
+    "GET /read/ HTTP/1.1\r\nHost: album.example\r\nX-Woodgap-Request: r\r\n\r\n",
+    401,
+    "unknown_key"
+)]
+#[case::unknown_key(
+    "GET /read/ HTTP/1.1\r\nHost: album.example\r\nX-Woodgap-Request: r\r\nAuthorization: Bearer x\r\n\r\n",
+    401,
+    "unknown_key"
+)]
+#[case::no_identity(
+    "GET /read/ HTTP/1.1\r\nHost: album.example\r\n\r\n",
+    400,
+    "bad_request"
+)]
+#[case::bad_patience(
+    "GET /read/ HTTP/1.1\r\nHost: album.example\r\nX-Woodgap-Request: r\r\nX-Woodgap-Patience-Ms: soon\r\n\r\n",
+    400,
+    "bad_request"
+)]
+fn a_request_that_is_not_allowed(#[case] request: &str, #[case] status: u16, #[case] code: &str) {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[endpoint.address]);
+    let mut caller = Caller::connect(site.requests);
+    caller.send(request, b"");
+    let answer = caller.answer().unwrap();
+    assert_eq!(answer.status, status);
+    let body = answer.text();
+    assert!(body.contains(code) && body.contains("not_run"), "{body}");
+    assert!(endpoint.seen().is_empty());
+}
+
+#[test]
+fn a_public_route_asks_for_no_key() {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[endpoint.address]);
+    let mut caller = Caller::connect(site.requests);
+    caller.send(
+        "GET /open/ HTTP/1.1\r\nHost: album.example\r\nX-Woodgap-Request: r\r\n\r\n",
+        b"",
+    );
+    assert_eq!(caller.answer().unwrap().status, 200);
+}
+
+#[test]
+fn a_body_above_the_limit_goes_no_further() {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[endpoint.address]);
+    let body = vec![b'x'; 300 * 1024];
+    assert_eq!(post(site.requests, "/write/", "r1", &body).status, 413);
+    assert!(endpoint.seen().is_empty());
+}
+
+#[test]
+fn one_that_all_endpoints_decline_may_come_back() {
+    let endpoint = Endpoint::always(vec![declined()]);
+    let site = Site::start(&[endpoint.address]);
+    let answer = post(site.requests, "/write/", "r1", b"x");
+    assert_eq!(answer.status, 503);
+    assert!(answer.text().contains("not_run"));
+    assert_ne!(answer.header("retry-after"), "");
+}
+
+#[test]
+fn without_an_endpoint_a_caller_is_told_when_to_come_back() {
+    let site = Site::start(&[]);
+    let answer = post(site.requests, "/write/", "r1", b"x");
+    assert_eq!(answer.status, 503);
+    assert!(answer.text().contains("no_endpoint"));
+    assert_ne!(answer.header("retry-after"), "");
+}
+
+#[test]
+fn nothing_is_passed_on_before_a_plan_is_known() {
+    let site = Site::with(Fixed::default());
+    let answer = get(site.requests, "/read/", "r1", "");
+    assert_eq!(answer.status, 503);
+    assert!(answer.text().contains("not_ready"));
+    assert_eq!(get(site.ready, "/v1/ready", "x", "").status, 503);
+}
+
+#[test]
+fn keys_are_not_trusted_once_the_plan_is_not_confirmed() {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[endpoint.address]);
+    site.source.0.lock().unwrap().is_down = true;
+    until(|| get(site.requests, "/read/", "r1", "").status == 503);
+    // Routes without keys go on, and so does all once the platform is back.
+    assert_eq!(get(site.requests, "/open/", "r2", "").status, 200);
+    assert_eq!(get(site.ready, "/v1/ready", "x", "").status, 503);
+    site.source.0.lock().unwrap().is_down = false;
+    until(|| get(site.requests, "/read/", "r3", "").status == 200);
+    const { assert!(TRUST < 2_000) };
+}
+
+#[test]
+fn a_newer_plan_is_in_force_and_an_older_one_never_again() {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[endpoint.address]);
+    let set = |version: u64, key: &str| {
+        let mut plan = plan(version);
+        plan.workspaces[0].keys = vec![key.to_owned()];
+        site.source.0.lock().unwrap().plan = Some(plan);
+    };
+    set(5, "another");
+    until(|| get(site.requests, "/read/", "r1", "").status == 401);
+    set(4, "key-m");
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    assert_eq!(get(site.requests, "/read/", "r2", "").status, 401);
+}
+
+#[test]
+fn a_plan_that_is_not_sound_is_not_put_in_force() {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[endpoint.address]);
+    let mut unsound = plan(9);
+    unsound.routes[0].prefix = "no-slash".to_owned();
+    site.source.0.lock().unwrap().plan = Some(unsound);
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    assert_eq!(get(site.requests, "/read/", "r1", "").status, 200);
+}
--- /dev/null
+++ b/crates/relay/tests/contract/site.rs
@@ -0,0 +1,241 @@
+//! A relay in a thread of the test, with a source that the test holds.
+
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use actix_rt::System;
+use futures_util::FutureExt;
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::plan::{Kind, Limits, Plan, Route, Service, Share, Workspace};
+use woodgap_core::relay::roster;
+use woodgap_relay::dialect::own::Own;
+use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Source};
+use woodgap_relay::start::{self, Form};
+use woodgap_settings::relay;
+
+/// What the source tells.
+#[derive(Clone, Default)]
+pub struct Told {
+    pub plan: Option<Plan>,
+    pub endpoints: Vec<roster::Endpoint>,
+    pub is_down: bool,
+}
+
+/// A source that tells what the test says.
+#[derive(Clone, Default)]
+pub struct Fixed(pub Arc<Mutex<Told>>);
+
+impl Fixed {
+    fn told(&self) -> Result<Told, Error> {
+        let told = self.0.lock().unwrap().clone();
+        if told.is_down {
+            return Err(Error::Unavailable("the test says so".to_owned()));
+        }
+        Ok(told)
+    }
+}
+
+async fn pause(after: Option<u64>, cursor: u64) {
+    if after == Some(cursor) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+impl Source for Fixed {
+    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Plan>> {
+        async move {
+            let cursor = self.told()?.plan.map_or(0, |plan| plan.version);
+            pause(after, cursor).await;
+            let plan = self.told()?.plan;
+            let cursor = plan.as_ref().map_or(0, |plan| plan.version);
+            Ok(News {
+                cursor,
+                content: plan.filter(|_| after != Some(cursor)),
+                made: None,
+            })
+        }
+        .boxed_local()
+    }
+
+    fn endpoints(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Endpoints>> {
+        async move {
+            pause(after, 1).await;
+            Ok(News {
+                cursor: 1,
+                content: Some(Endpoints::All(self.told()?.endpoints)),
+                made: None,
+            })
+        }
+        .boxed_local()
+    }
+
+    fn announce<'a>(&'a self, _: &'a name::Entry, _: SocketAddr) -> Answer<'a, ()> {
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn withdraw<'a>(&'a self, _: &'a name::Entry) -> Answer<'a, ()> {
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn entries(&self) -> Answer<'_, Addresses> {
+        async { Ok(Vec::new()) }.boxed_local()
+    }
+}
+
+/// A relay that runs until the test's process ends.
+pub struct Site {
+    pub requests: SocketAddr,
+    pub directory: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    pub source: Fixed,
+}
+
+/// After so long without a confirmation keys are not trusted, in ms: the bound of
+/// the settings below less the margin that the relay keeps.
+pub const TRUST: u64 = 500;
+
+const SETTINGS: &str = r#"{
+    "name": "dub-a-1", "data_centre": "dub-a",
+    "listen": "127.0.0.1:0", "directory_listen": "127.0.0.1:0",
+    "ready_listen": "127.0.0.1:0", "metrics_listen": "127.0.0.1:0",
+    "peer_listen": "127.0.0.1:0",
+    "platform": {"url": "http://127.0.0.1:1"},
+    "bounds": {
+        "revoke_ms": 2000, "leave_ms": 2000, "grace_s": 8, "entries_lifetime_s": 5,
+        "repeat_ratio": 0.2, "repeat_slack": 50, "repeat_window_s": 10
+    }
+}"#;
+
+impl Site {
+    /// A relay that knows a plan with all kinds of routes, and these endpoints.
+    pub fn start(endpoints: &[SocketAddr]) -> Self {
+        let source = Fixed::default();
+        {
+            let mut told = source.0.lock().unwrap();
+            told.plan = Some(plan(1));
+            let listed = endpoints.iter().enumerate();
+            told.endpoints = listed.map(|(at, address)| endpoint(at, *address)).collect();
+        }
+        let site = Self::with(source);
+        site.until_ready();
+        site
+    }
+
+    /// A relay with this source.
+    pub fn with(source: Fixed) -> Self {
+        let settings = relay::parse(SETTINGS, "test").unwrap();
+        let (started, addresses) = mpsc::channel();
+        let given = source.clone();
+        std::thread::spawn(move || {
+            System::new().block_on(async move {
+                let form = Form {
+                    dialect: Box::new(Own),
+                    source: Box::new(given),
+                };
+                let state = start::open(settings, form).unwrap();
+                let settings = &state.settings;
+                let metrics = settings.metrics_listen.unwrap();
+                let all = (
+                    settings.listen,
+                    settings.directory_listen,
+                    settings.ready_listen,
+                    metrics,
+                );
+                started.send(all).unwrap();
+                std::future::pending::<()>().await;
+            });
+        });
+        let (requests, directory, ready, metrics) = addresses.recv().unwrap();
+        Self {
+            requests,
+            directory,
+            ready,
+            metrics,
+            source,
+        }
+    }
+
+    fn until_ready(&self) {
+        until(|| crate::caller::get(self.ready, "/v1/ready", "x", "").status == 200);
+    }
+}
+
+/// Waits until something holds, for a minute at most.
+pub fn until(mut holds: impl FnMut() -> bool) {
+    for _ in 0..6_000 {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("waited in vain");
+}
+
+pub fn endpoint(at: usize, address: SocketAddr) -> roster::Endpoint {
+    roster::Endpoint {
+        name: name::Endpoint::from(format!("i-{at}")),
+        service: "links".to_owned(),
+        address,
+        data_centre: name::DataCentre::from("dub-a"),
+        slots: 8,
+        leaving: false,
+    }
+}
+
+fn route(prefix: &str, kind: Kind, attempts: u32, resumable: bool) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "album.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Millis(20_000),
+        target: Millis(5_000),
+        gap: None,
+        priority: 0,
+        shares: vec![Share {
+            service: "links".to_owned(),
+            weight: 1,
+        }],
+        attempts,
+        public: false,
+        resumable,
+    }
+}
+
+pub fn plan(version: u64) -> Plan {
+    Plan {
+        version,
+        routes: vec![
+            route("/read/", Kind::Idempotent, 2, false),
+            route("/write/", Kind::NonIdempotent, 1, false),
+            route("/write-twice/", Kind::NonIdempotent, 2, false),
+            route("/stream/", Kind::Stream, 1, false),
+            Route {
+                public: true,
+                ..route("/open/", Kind::Idempotent, 1, false)
+            },
+            Route {
+                timeout: Millis(300),
+                ..route("/soon/", Kind::NonIdempotent, 1, false)
+            },
+        ],
+        services: vec![Service {
+            name: "links".to_owned(),
+            connections: 100,
+            engine: None,
+        }],
+        workspaces: vec![Workspace {
+            name: "murphy".to_owned(),
+            keys: vec!["key-m".to_owned()],
+            priority: 0,
+        }],
+        limits: Limits {
+            body_bytes: 256 * 1024,
+            ..Limits::default()
+        },
+    }
+}
