Two entries ask the platform, the others learn from them

Ruled out: longer questions alone, since keys are trusted for 3.5 s only. Change: core::relay::duty says who asks; the others ask only when nobody has confirmed the plan for 1.5 s. What is learnt is told at once, endpoints as the changes that an entry lacks.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod dating;
 pub mod division;
+pub mod duty;
 pub mod engine;
 pub mod fleet;
 pub mod force;
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -4,7 +4,7 @@
 //! the list may be leaving too, or its entry may have lapsed while the platform
 //! was away, so it stays in reserve for a while.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -47,8 +47,15 @@
     as_of: Millis,
     reserve: Millis,
     endpoints: BTreeMap<name::Endpoint, (Endpoint, Standing)>,
+    /// The latest changes with their revisions, for entries that lack only these.
+    recent: VecDeque<(u64, Change)>,
+    /// The revision after which all changes are among the latest.
+    recent_after: u64,
 }
 
+/// How many of the latest changes are kept.
+const MOST_RECENT: usize = 64;
+
 /// One difference between two lists.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -66,6 +73,8 @@
             as_of: Millis::ZERO,
             reserve,
             endpoints: BTreeMap::new(),
+            recent: VecDeque::new(),
+            recent_after: 0,
         }
     }
 
@@ -120,7 +129,13 @@
             .collect();
         let news = list.into_iter().filter(|endpoint| self.is_news(endpoint));
         changes.extend(news.map(Change::Listed));
-        self.apply(&changes, revision, as_of, now);
+        // What came between the two lists is not known change by change.
+        self.recent.clear();
+        for change in &changes {
+            self.change(change, now);
+        }
+        self.reach(revision, as_of);
+        self.recent_after = self.revision;
         changes
     }
 
@@ -132,14 +147,50 @@
             })
     }
 
-    /// Takes the changes that lead to a revision.
-    pub fn apply(&mut self, changes: &[Change], revision: u64, as_of: Millis, now: Millis) {
-        for change in changes {
-            match change {
-                Change::Listed(endpoint) => self.list(endpoint),
-                Change::Missing(name) => self.miss(name, now),
+    /// Takes the changes that are newer than what is known, each with its revision.
+    ///
+    /// Gives back those that were.
+    pub fn apply(
+        &mut self,
+        changes: Vec<(u64, Change)>,
+        as_of: Millis,
+        now: Millis,
+    ) -> Vec<(u64, Change)> {
+        let known = self.revision;
+        let newer = changes
+            .into_iter()
+            .filter(|(revision, _)| *revision > known);
+        let newer: Vec<_> = newer.collect();
+        for (revision, change) in &newer {
+            self.change(change, now);
+            self.reach(*revision, as_of);
+            self.recent.push_back((*revision, change.clone()));
+        }
+        while self.recent.len() > MOST_RECENT {
+            if let Some((revision, _)) = self.recent.pop_front() {
+                self.recent_after = revision;
             }
         }
+        newer
+    }
+
+    /// The changes after a revision; none if not all of them are kept.
+    pub fn since(&self, revision: u64) -> Option<Vec<(u64, Change)>> {
+        if revision < self.recent_after {
+            return None;
+        }
+        let newer = self.recent.iter().filter(|(at, _)| *at > revision);
+        Some(newer.cloned().collect())
+    }
+
+    fn change(&mut self, change: &Change, now: Millis) {
+        match change {
+            Change::Listed(endpoint) => self.list(endpoint),
+            Change::Missing(name) => self.miss(name, now),
+        }
+    }
+
+    fn reach(&mut self, revision: u64, as_of: Millis) {
         self.revision = self.revision.max(revision);
         self.as_of = self.as_of.max(as_of);
     }
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -40,9 +40,17 @@
 #[test]
 fn one_that_leaves_is_never_used() {
     let mut roster = roster(vec![endpoint("a"), endpoint("b")]);
-    roster.apply(&[Change::Listed(leaving("a"))], 11, Millis(5), Millis(5));
+    roster.apply(
+        vec![(11, Change::Listed(leaving("a")))],
+        Millis(5),
+        Millis(5),
+    );
     assert_eq!(usable(&roster, 5), ["b"]);
-    roster.apply(&[Change::Listed(leaving("b"))], 12, Millis(6), Millis(6));
+    roster.apply(
+        vec![(12, Change::Listed(leaving("b")))],
+        Millis(6),
+        Millis(6),
+    );
     assert!(usable(&roster, 6).is_empty());
 }
 
@@ -50,7 +58,7 @@
 fn one_that_left_and_is_no_longer_listed_does_not_come_back() {
     let mut roster = roster(vec![leaving("a")]);
     let gone = Change::Missing(name::Endpoint::from("a"));
-    roster.apply(&[gone], 11, Millis(5), Millis(5));
+    roster.apply(vec![(11, gone)], Millis(5), Millis(5));
     assert!(usable(&roster, 5).is_empty());
     assert!(roster.get("a").is_none());
 }
@@ -61,7 +69,7 @@
 fn a_missing_one_is_kept_in_reserve(#[case] now: u64, #[case] left: &[&str]) {
     let mut roster = roster(vec![endpoint("a"), endpoint("b")]);
     let gone = Change::Missing(name::Endpoint::from("a"));
-    roster.apply(&[gone], 11, Millis(0), Millis(0));
+    roster.apply(vec![(11, gone)], Millis(0), Millis(0));
     assert_eq!(usable(&roster, now), left);
 }
 
@@ -96,3 +104,41 @@
     let list = vec![endpoint("a"), leaving("b")];
     assert!(roster.replace(list, 12, Millis(5), Millis(5)).is_empty());
 }
+
+#[test]
+fn an_entry_that_lacks_only_the_latest_changes_gets_just_these() {
+    let mut roster = roster(vec![endpoint("a")]);
+    let b = Change::Listed(endpoint("b"));
+    let c = Change::Listed(leaving("a"));
+    roster.apply(vec![(11, b.clone())], Millis(5), Millis(5));
+    roster.apply(vec![(14, c.clone())], Millis(6), Millis(6));
+    assert_eq!(roster.since(10), Some(vec![(11, b), (14, c.clone())]));
+    assert_eq!(roster.since(12), Some(vec![(14, c)]));
+    assert_eq!(roster.since(14), Some(vec![]));
+    // What led to the whole list is not known.
+    assert_eq!(roster.since(9), None);
+}
+
+#[test]
+fn a_change_that_is_known_is_not_taken_again() {
+    let mut roster = roster(vec![endpoint("a")]);
+    roster.apply(
+        vec![(12, Change::Listed(leaving("a")))],
+        Millis(5),
+        Millis(5),
+    );
+    let old = vec![(11, Change::Listed(endpoint("a")))];
+    assert!(roster.apply(old, Millis(6), Millis(6)).is_empty());
+    assert!(usable(&roster, 6).is_empty());
+}
+
+#[test]
+fn many_changes_are_not_all_kept() {
+    let mut roster = roster(vec![]);
+    for revision in 11..=200 {
+        let change = Change::Listed(endpoint(&revision.to_string()));
+        roster.apply(vec![(revision, change)], Millis(5), Millis(5));
+    }
+    assert_eq!(roster.since(10), None);
+    assert_eq!(roster.since(136).map(|it| it.len()), Some(64));
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::dating::Dating;
+use woodgap_core::relay::duty::{Duty, Subject};
 use woodgap_core::relay::force::Offer;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::{Plan, Table};
@@ -14,15 +15,11 @@
 use crate::source::{Endpoints, Error, News};
 use crate::state::State;
 
-/// How long the source may hold a question about the plan. Its answer confirms
-/// the plan, which keys are trusted by for little more than that.
-const PLAN_WAIT: Millis = Millis(2_400);
-/// By how much less, at most, it is held: entries that ask at different moments
-/// confirm the plan to one another in between.
-const PLAN_JITTER: Millis = Millis(800);
-/// How long the source may hold a question about endpoints: nothing hangs on its
-/// confirmation, and each call has its price.
-const ENDPOINTS_WAIT: Millis = Millis(25_000);
+/// By how much less, at most, a question about the plan is held: entries that ask
+/// at different moments confirm the plan to one another in between.
+const JITTER: Millis = Millis(300);
+/// How often an entry that learns from others looks whether that still works.
+const LOOK: Millis = Millis(100);
 /// How long an answer may take beyond the time for which it may be held.
 const ANSWER_TIMEOUT: Millis = Millis(1_000);
 /// The first and the longest pause after a failed call.
@@ -34,8 +31,9 @@
     let mut link = Link::new("configuration");
     let mut dating = Dating::default();
     loop {
+        let wait = until_due(&state, Subject::Plan).await;
+        let wait = wait - Millis(rand::rng().random_range(0..=JITTER.0));
         let asked = state.now();
-        let wait = PLAN_WAIT - Millis(rand::rng().random_range(0..PLAN_JITTER.0));
         let asking = state.source.plan(cursor, wait);
         let limit = Duration::from_millis((wait + ANSWER_TIMEOUT).0);
         let answer = tokio::time::timeout(limit, asking).await;
@@ -59,10 +57,16 @@
     let mut cursor = None;
     let mut link = Link::new("endpoints");
     loop {
+        let wait = until_due(&state, Subject::Endpoints).await;
         let asked = state.now();
-        let asking = state.source.endpoints(cursor, ENDPOINTS_WAIT);
-        let limit = Duration::from_millis((ENDPOINTS_WAIT + ANSWER_TIMEOUT).0);
-        let answer = tokio::time::timeout(limit, asking).await;
+        let asking = state.source.endpoints(cursor, wait);
+        let limit = Duration::from_millis((wait + ANSWER_TIMEOUT).0);
+        let answer = tokio::select! {
+            answer = tokio::time::timeout(limit, asking) => answer,
+            // A question that was held while the platform was lost may never be
+            // answered, and what came to pass meanwhile may be forgotten.
+            () = state.platform_is_back.notified() => continue,
+        };
         match link.settle(&state, answer.unwrap_or_else(late)).await {
             Some(News {
                 cursor: at,
@@ -75,7 +79,9 @@
                         let revision = at.max(state.roster.borrow().revision());
                         take_endpoints(&state, all, revision, asked, "platform");
                     }
-                    Some(Endpoints::Changes(changes)) => take_changes(&state, changes, asked),
+                    Some(Endpoints::Changes(changes)) => {
+                        take_changes(&state, changes, asked, "platform");
+                    }
                     None => {}
                 }
             }
@@ -85,6 +91,17 @@
     }
 }
 
+/// Waits until it is this entry's duty to ask the platform; gives back how long
+/// the question is to be held.
+async fn until_due(state: &State, subject: Subject) -> Millis {
+    loop {
+        if let Duty::Ask(wait) = state.duty(subject) {
+            return wait;
+        }
+        tokio::time::sleep(Duration::from_millis(LOOK.0)).await;
+    }
+}
+
 fn late<T>(_: tokio::time::error::Elapsed) -> Result<T, Error> {
     Err(Error::Unavailable("no answer in time".to_owned()))
 }
@@ -113,6 +130,7 @@
                 calls.with_label_values(&["answered"]).inc();
                 if self.failures > 0 {
                     log::info!(what = self.what, failures = self.failures; "the platform answers again");
+                    state.platform_is_back.notify_waiters();
                 }
                 self.failures = 0;
                 self.lost_history = false;
@@ -173,6 +191,9 @@
         Offer::Confirmed => "confirmed",
         Offer::Outdated => "outdated",
     };
+    if offer == Offer::Applied {
+        state.news.notify_one();
+    }
     let age = state.now() - as_of;
     log::info!(
         version = version, before = before, routes = routes, source = source,
@@ -192,19 +213,18 @@
     let now = state.now();
     let changes = state.roster.borrow_mut().replace(all, revision, as_of, now);
     tell(&changes, revision, source);
+    if !changes.is_empty() {
+        state.news.notify_one();
+    }
 }
 
-fn take_changes(state: &State, changes: Vec<(u64, Change)>, as_of: Millis) {
+/// Takes changes of the list, each with its revision.
+pub fn take_changes(state: &State, changes: Vec<(u64, Change)>, as_of: Millis, source: &str) {
     let now = state.now();
-    let mut roster = state.roster.borrow_mut();
-    let known = roster.revision();
-    let newer = changes
-        .into_iter()
-        .filter(|(revision, _)| *revision > known);
+    let newer = state.roster.borrow_mut().apply(changes, as_of, now);
     for (revision, change) in newer {
-        let changes = [change];
-        roster.apply(&changes, revision, as_of, now);
-        tell(&changes, revision, "platform");
+        tell(&[change], revision, source);
+        state.news.notify_one();
     }
 }
 
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -13,4 +13,4 @@
 
 /// The time between two rounds: three missed ones take an entry off the lists
 /// that callers get, while these are kept for a second.
-pub const ROUND: Millis = Millis(400);
+pub const ROUND: Millis = Millis(300);
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -24,7 +24,7 @@
 /// If the socket can't be used any more.
 pub async fn run(state: Rc<State>, socket: Rc<UdpSocket>) -> io::Result<()> {
     let mut exchange = Exchange {
-        state,
+        state: Rc::clone(&state),
         socket,
         asked: HashMap::new(),
         next: rand::random(),
@@ -41,6 +41,7 @@
                 exchange.receive(&buffer[..length], sender);
             }
             _ = rounds.tick() => exchange.round(),
+            () = state.news.notified() => exchange.round(),
         }
     }
 }
@@ -143,9 +144,11 @@
             let answer = self.message(message.number, true);
             self.send(&answer, sender);
         }
+        self.fetch_newer(&message);
     }
 
-    /// Takes in what another entry knows, as of the moment of our question.
+    /// Takes in how fresh the knowledge of another entry is, as of the moment of
+    /// our question.
     fn learn(&mut self, message: &Message, now: Millis) {
         let Some(asked) = self.asked.remove(&message.number) else {
             return;
@@ -155,15 +158,21 @@
         }
         let knows = message.knows;
         let plan_as_of = asked - knows.plan_age;
-        let is_newer = self
-            .state
+        self.state
             .force
             .borrow_mut()
             .confirm(knows.plan, plan_as_of);
         let endpoints_as_of = asked - knows.endpoints_age;
         let mut roster = self.state.roster.borrow_mut();
-        let has_newer = roster.confirm(knows.endpoints, endpoints_as_of);
-        if is_newer || has_newer {
+        roster.confirm(knows.endpoints, endpoints_as_of);
+    }
+
+    /// Fetches what another entry knows and this one does not yet.
+    fn fetch_newer(&self, message: &Message) {
+        let has_plan = message.knows.plan > self.state.force.borrow().version();
+        let has_endpoints = message.knows.endpoints > self.state.roster.borrow().revision();
+        let is_fetching = self.state.is_fetching.get();
+        if (has_plan || has_endpoints) && !is_fetching {
             let from = message.from.peer;
             actix_rt::spawn(fetch::fetch(Rc::clone(&self.state), from));
         }
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -13,7 +13,7 @@
 
 use crate::follow;
 use crate::gossip::exchange::knowledge;
-use crate::gossip::message::{Fetch, Fetched};
+use crate::gossip::message::{Fetch, Fetched, Listed};
 use crate::state::State;
 
 /// The longest time for one exchange.
@@ -21,8 +21,14 @@
 /// The largest message, in bytes: thousands of routes.
 const MOST_BYTES: u32 = 8 * 1024 * 1024;
 
-/// Fetches from another entry what is newer there.
+/// Fetches from another entry what is newer there; one at a time.
 pub async fn fetch(state: Rc<State>, from: SocketAddr) {
+    state.is_fetching.set(true);
+    fetch_one(&state, from).await;
+    state.is_fetching.set(false);
+}
+
+async fn fetch_one(state: &State, from: SocketAddr) {
     let asked = state.now();
     let question = Fetch {
         plan: state.force.borrow().version(),
@@ -42,11 +48,15 @@
     };
     let knows = fetched.knows;
     if let Some(plan) = fetched.plan {
-        follow::take_plan(&state, plan, asked - knows.plan_age, "entry");
+        follow::take_plan(state, plan, asked - knows.plan_age, "entry");
     }
-    if let Some(endpoints) = fetched.endpoints {
-        let as_of = asked - knows.endpoints_age;
-        follow::take_endpoints(&state, endpoints, knows.endpoints, as_of, "entry");
+    let as_of = asked - knows.endpoints_age;
+    match fetched.endpoints {
+        Some(Listed::All(all)) => {
+            follow::take_endpoints(state, all, knows.endpoints, as_of, "entry");
+        }
+        Some(Listed::Changes(changes)) => follow::take_changes(state, changes, as_of, "entry"),
+        None => {}
     }
 }
 
@@ -90,7 +100,9 @@
     let has_newer = force.version() > question.plan;
     let plan = force.table().filter(|_| has_newer);
     let roster = state.roster.borrow();
-    let endpoints = (roster.revision() > question.endpoints).then(|| roster.listed());
+    let has_newer = roster.revision() > question.endpoints;
+    let changes = roster.since(question.endpoints).map(Listed::Changes);
+    let endpoints = has_newer.then(|| changes.unwrap_or_else(|| Listed::All(roster.listed())));
     Fetched {
         knows,
         plan: plan.map(|table| table.plan().clone()),
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -4,7 +4,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::fleet::Member;
-use woodgap_core::relay::roster::Endpoint;
+use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::tidings::Tidings;
 
 /// The first byte of each datagram: the version of this form.
@@ -62,8 +62,17 @@
     pub knows: Knowledge,
     /// The plan, if it is newer.
     pub plan: Option<Plan>,
-    /// All endpoints, if the list is newer.
-    pub endpoints: Option<Vec<Endpoint>>,
+    /// The endpoints, if the list is newer.
+    pub endpoints: Option<Listed>,
+}
+
+/// Endpoints that an entry lacks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Listed {
+    /// The whole list.
+    All(Vec<Endpoint>),
+    /// The changes that it lacks, each with its revision.
+    Changes(Vec<(u64, Change)>),
 }
 
 /// Writes a datagram.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -4,9 +4,11 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+use tokio::sync::Notify;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::relay::budget::{Bound, Budget};
+use woodgap_core::relay::duty::{self, Duty, Subject};
 use woodgap_core::relay::engine::Loads;
 use woodgap_core::relay::fleet::{Fleet, Member};
 use woodgap_core::relay::{Force, Roster};
@@ -54,6 +56,12 @@
     pub running: Cell<usize>,
     /// Connections of callers that are open.
     pub connections: Cell<usize>,
+    /// Something was learnt that other entries should hear of at once.
+    pub news: Notify,
+    /// The platform answers again after it was lost.
+    pub platform_is_back: Notify,
+    /// Whether something is being fetched from another entry.
+    pub is_fetching: Cell<bool>,
     /// Endpoints that are being connected to, to see whether they are back.
     pub connecting: RefCell<HashSet<name::Endpoint>>,
     incarnation: name::Incarnation,
@@ -84,6 +92,9 @@
             metrics,
             running: Cell::new(0),
             connections: Cell::new(0),
+            news: Notify::new(),
+            platform_is_back: Notify::new(),
+            is_fetching: Cell::new(false),
             connecting: RefCell::default(),
             incarnation: name::Incarnation(clock.unix().0),
             stopping_since: Cell::new(None),
@@ -120,6 +131,25 @@
         is_fresh && self.stopping_since().is_none() && self.roster.borrow().revision() > 0
     }
 
+    /// What this entry is to do about the platform.
+    pub fn duty(&self, subject: Subject) -> Duty {
+        let now = self.now();
+        let own = &self.settings.name;
+        let fleet = self.fleet.borrow();
+        let before = fleet.live(now).filter(|member| member.name < *own);
+        let rank = if self.stopping_since().is_some() {
+            usize::MAX
+        } else {
+            before.count()
+        };
+        let force = self.force.borrow();
+        let is_known = match subject {
+            Subject::Plan => force.table().is_some(),
+            Subject::Endpoints => self.roster.borrow().revision() > 0,
+        };
+        duty::duty(subject, rank, is_known, force.age(now))
+    }
+
     /// This entry, as it tells of itself.
     pub fn member(&self) -> Member {
         Member {
