--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -101,7 +101,7 @@
 #[derive(Debug)]
 pub struct Loads {
     data_centre: name::DataCentre,
-    loads: HashMap<name::Endpoint, Load>,
+    endpoints: HashMap<name::Endpoint, Load>,
     service_time: HashMap<String, f64>,
     demands: HashMap<String, Demand>,
     others: Others,
@@ -154,7 +154,7 @@
     pub fn new(data_centre: name::DataCentre) -> Self {
         Self {
             data_centre,
-            loads: HashMap::new(),
+            endpoints: HashMap::new(),
             service_time: HashMap::new(),
             demands: HashMap::new(),
             others: Others::default(),
@@ -210,13 +210,16 @@
 
     /// Whether requests are kept away from an endpoint.
     pub fn suspended(&self, endpoint: &str) -> bool {
-        let load = self.loads.get(endpoint);
+        let load = self.endpoints.get(endpoint);
         load.is_some_and(|load| load.health.suspended())
     }
 
     /// The suspended endpoints that it is time to connect to.
     pub fn due(&self, now: Millis) -> Vec<name::Endpoint> {
-        let due = self.loads.iter().filter(|(_, load)| load.health.due(now));
+        let due = self
+            .endpoints
+            .iter()
+            .filter(|(_, load)| load.health.due(now));
         due.map(|(name, _)| name.clone()).collect()
     }
 
@@ -227,7 +230,7 @@
         is_favourite: bool,
         now: Millis,
     ) -> Choice {
-        let load = self.loads.get(&endpoint.name);
+        let load = self.endpoints.get(&endpoint.name);
         let (wait, disturbance, kept, unread) = match (ask.work, ask.engine) {
             (Some(work), Some(engine)) => {
                 let others = self.others.at(&endpoint.name, now);
@@ -264,7 +267,7 @@
         let number = self.next;
         let name = choice.endpoint.name.clone();
         let memory = ask.engine.map_or(0, |engine| engine.memory_tokens);
-        let load = self.loads.entry(name.clone()).or_insert_with(|| Load {
+        let load = self.endpoints.entry(name.clone()).or_insert_with(|| Load {
             service: choice.endpoint.service.clone(),
             flights: HashMap::new(),
             prefix: Prefix::new(memory),
@@ -299,7 +302,7 @@
 
     /// Notes the first byte of an answer: the prompt is read.
     pub fn answered(&mut self, ticket: &Ticket, now: Millis) {
-        let Some(load) = self.loads.get_mut(&ticket.endpoint) else {
+        let Some(load) = self.endpoints.get_mut(&ticket.endpoint) else {
             return;
         };
         let Some(flight) = load.flights.get_mut(&ticket.number) else {
@@ -321,7 +324,7 @@
 
     /// Takes the load that an endpoint reported.
     pub fn report(&mut self, endpoint: &name::Endpoint, report: Report, now: Millis) {
-        if let Some(load) = self.loads.get_mut(endpoint) {
+        if let Some(load) = self.endpoints.get_mut(endpoint) {
             let own = u32::try_from(load.flights.len()).unwrap_or(u32::MAX);
             load.report = Some((report, own, now));
         }
@@ -330,7 +333,7 @@
     /// This entry's load, for the others; of at most so many endpoints.
     pub fn tidings(&self, most: usize, now: Millis) -> Tidings {
         let busy = self
-            .loads
+            .endpoints
             .iter()
             .filter(|(_, load)| !load.flights.is_empty());
         let shares = busy.map(|(name, load)| Share {
@@ -359,7 +362,7 @@
 
     /// Takes in what a connection or an answer tells of an endpoint.
     pub fn note(&mut self, endpoint: &name::Endpoint, sign: Sign, now: Millis) {
-        if let Some(load) = self.loads.get_mut(endpoint) {
+        if let Some(load) = self.endpoints.get_mut(endpoint) {
             load.health.note(sign, now);
             if sign == Sign::Lost {
                 load.prefix.clear();
@@ -370,7 +373,7 @@
     /// Takes the request off the endpoint's load. One that ends while its answer
     /// is overdue tells against the endpoint, whoever ended it.
     pub fn end(&mut self, ticket: &Ticket, now: Millis) {
-        let Some(load) = self.loads.get_mut(&ticket.endpoint) else {
+        let Some(load) = self.endpoints.get_mut(&ticket.endpoint) else {
             return;
         };
         let flight = load.flights.remove(&ticket.number);
@@ -383,7 +386,7 @@
     /// Forgets endpoints that are gone.
     pub fn forget(&mut self, endpoints: &[name::Endpoint]) {
         for endpoint in endpoints {
-            self.loads.remove(endpoint);
+            self.endpoints.remove(endpoint);
         }
     }
 }
--- a/crates/relay/src/front/server.rs
+++ b/crates/relay/src/front/server.rs
@@ -23,7 +23,7 @@
 use crate::state::State;
 
 /// How long the last bytes of an answer may take to reach a caller that closes.
-const DISCONNECT: Duration = Duration::from_millis(1_000);
+const DISCONNECT: Duration = Duration::from_secs(1);
 /// How much of an answer waits for a slow caller, in bytes.
 const WRITE_BUFFER: usize = 16 * 1024;
 /// Descriptors that are left for endpoints, other entries and the platform: the
@@ -79,7 +79,7 @@
                     self.take(stream).await;
                 }
                 Ok(_) => {
-                    log::warn!(connections = most; "a connection was closed: too many are open")
+                    log::warn!(connections = most; "a connection was closed: too many are open");
                 }
                 Err(error) => {
                     log::warn!(error = error.to_string(); "a connection can't be taken");
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -177,14 +177,12 @@
             "keys can't be checked: the configuration is not confirmed",
         ));
     }
-    match table.workspace(route, key) {
-        Ok(workspace) => Ok(workspace.cloned()),
-        Err(_) => {
-            may_deny(state)?;
-            let message = format!("no workspace of version {} has this key", table.version());
-            Err(Problem::not_run(Code::UnknownKey, message))
-        }
+    if let Ok(workspace) = table.workspace(route, key) {
+        return Ok(workspace.cloned());
     }
+    may_deny(state)?;
+    let message = format!("no workspace of version {} has this key", table.version());
+    Err(Problem::not_run(Code::UnknownKey, message))
 }
 
 /// A request is denied only by a plan that is known to be the newest.
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -114,6 +114,8 @@
     }
 }
 
+// `map_err` hands errors over by value.
+#[allow(clippy::needless_pass_by_value)]
 fn unavailable(error: woodgap_platform::Error) -> Error {
     Error::Unavailable(error.to_string())
 }
--- a/crates/relay/src/start/sockets.rs
+++ b/crates/relay/src/start/sockets.rs
@@ -67,12 +67,12 @@
     let is_chosen = address.port() == 0;
     let mut tries = if is_chosen { TRIES } else { 1 };
     loop {
-        let mut tried = *address;
-        let listener = listen(option, &mut tried)?;
+        let mut bound = *address;
+        let listener = listen(option, &mut bound)?;
         tries -= 1;
-        match datagrams(tried) {
+        match datagrams(bound) {
             Ok(socket) => {
-                *address = tried;
+                *address = bound;
                 return Ok((listener, socket));
             }
             Err(source) if tries == 0 => return Err(Error::Socket { option, source }),
--- a/crates/relay/tests/contract/caller.rs
+++ b/crates/relay/tests/contract/caller.rs
@@ -7,7 +7,7 @@
 use crate::endpoint;
 
 /// Ends a test that waits for what never comes.
-const STUCK: Duration = Duration::from_secs(60);
+const STUCK: Duration = Duration::from_mins(1);
 
 /// An answer as it came.
 #[derive(Clone, Debug)]
