Entries begin their turns at different places; few announce themselves

Besides, each of 80 entries wrote its own row at each start. Change: turns begin by name; the alarm allows for the time that news take in a fleet of this size; four entries announce themselves, after a second.

--- a/crates/core/src/relay/duty.rs
+++ b/crates/core/src/relay/duty.rs
@@ -13,8 +13,9 @@
 const PLAN_WAIT: Millis = Millis(1_000);
 /// How long it may hold one about endpoints: nothing hangs on its confirmation.
 const ENDPOINTS_WAIT: Millis = Millis(25_000);
-/// So old a confirmation has the others ask too: the wait, and a round of messages.
-const ALARM_AGE: Millis = Millis(1_500);
+/// So old a confirmation has the others ask too, beside the time that news take to
+/// reach all entries: the wait, and what a call may take.
+const ALARM_AGE: Millis = Millis(1_200);
 /// By how much later the next one asks, and the most: one answer serves all.
 const STAGGER: (Millis, Millis) = (Millis(50), Millis(300));
 
@@ -37,17 +38,20 @@
 }
 
 /// The duty of the entry with this rank among the live ones, whose plan was last
-/// confirmed so long ago; `is_known` says whether it has ever learnt the subject.
+/// confirmed so long ago; `is_known` says whether it has ever learnt the subject,
+/// `spread` how long news take to reach all entries.
 ///
 /// ```
 /// use woodgap_core::clock::Millis;
 /// use woodgap_core::relay::duty::{Duty, Subject, duty};
 ///
-/// assert_eq!(duty(Subject::Plan, 0, true, Millis(9)), Duty::Ask(Millis(1_000)));
-/// assert_eq!(duty(Subject::Plan, 7, true, Millis(9)), Duty::Rest);
-/// assert_eq!(duty(Subject::Plan, 7, true, Millis(1_900)), Duty::Ask(Millis(0)));
+/// let spread = Millis(300);
+/// let asks = |rank, age| duty(Subject::Plan, rank, true, Millis(age), spread);
+/// assert_eq!(asks(0, 9), Duty::Ask(Millis(1_000)));
+/// assert_eq!(asks(7, 9), Duty::Rest);
+/// assert_eq!(asks(7, 1_900), Duty::Ask(Millis(0)));
 /// ```
-pub fn duty(subject: Subject, rank: usize, is_known: bool, age: Millis) -> Duty {
+pub fn duty(subject: Subject, rank: usize, is_known: bool, age: Millis, spread: Millis) -> Duty {
     if !is_known || rank < READERS {
         return Duty::Ask(match subject {
             Subject::Plan => PLAN_WAIT,
@@ -56,7 +60,7 @@
     }
     let (step, most) = STAGGER;
     let later = (rank - READERS) as u64 * step.0;
-    if age > ALARM_AGE + Millis(later).min(most) {
+    if age > ALARM_AGE + spread + Millis(later).min(most) {
         Duty::Ask(Millis::ZERO)
     } else {
         Duty::Rest
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Millis;
 use crate::name;
+use crate::relay::tidings;
 
 /// How many rounds of messages an entry may miss before it is taken for gone:
 /// one may be lost and one late.
@@ -53,11 +54,14 @@
 impl Fleet {
     /// Knows no other entry yet; `round` is the time between two rounds of messages.
     pub fn new(own: name::Entry, round: Millis) -> Self {
+        // Entries begin their turns at different places: else all would ask the
+        // same few at the same moment, and the others at none.
+        let next = usize::try_from(tidings::key(own.as_str())).unwrap_or(0);
         Self {
             own,
             round,
             members: BTreeMap::new(),
-            next: 0,
+            next,
         }
     }
 
@@ -100,7 +104,7 @@
         let addresses = self.members.values().map(|(member, _)| member.peer);
         let asked = addresses.cycle().skip(self.next % count.max(1));
         let asked = asked.take(count.min(ASKED)).collect();
-        self.next = (self.next + ASKED) % count.max(1);
+        self.next = self.next.wrapping_add(ASKED);
         asked
     }
 
@@ -130,6 +134,18 @@
         self.members.values().map(|(member, _)| member)
     }
 
+    /// How long news take to reach all entries: each round, those that have them
+    /// are asked by as many others as are asked in one.
+    pub fn spread(&self) -> Millis {
+        let mut rounds = 0;
+        let mut reached = 1;
+        while reached < self.size() {
+            reached *= ASKED + 1;
+            rounds += 1;
+        }
+        Millis(self.round.0 * rounds)
+    }
+
     /// How many entries share what is counted for the whole fleet, the own one included.
     pub fn size(&self) -> usize {
         self.members.len() + 1
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -24,9 +24,12 @@
 
 /// The pause before a task that ended is started again.
 const RESTART: Millis = Millis(100);
-/// The pause between two tries to tell the platform of this entry, and between
-/// two looks at the others it knows of while none answers.
-const ANNOUNCE: Millis = Millis(3_000);
+/// How long after the start, and between two looks, it is seen to whether others
+/// answer: the seeds have by then.
+const ANNOUNCE: Millis = Millis(1_000);
+/// How many entries tell the platform of themselves, for those whose seeds are all
+/// gone: any one of them knows the others.
+const ANNOUNCED: usize = 4;
 
 /// Why the relay could not run.
 #[derive(Debug, Error)]
@@ -173,7 +176,8 @@
     let settings = &state.settings;
     let mut is_announced = false;
     loop {
-        if !is_announced && state.stopping_since().is_none() {
+        tokio::time::sleep(Duration::from_millis(ANNOUNCE.0)).await;
+        if !is_announced && state.rank() < ANNOUNCED {
             let announcing = state.source.announce(&settings.name, settings.peer_listen);
             match announcing.await {
                 Ok(()) => is_announced = true,
@@ -184,7 +188,7 @@
         if is_alone {
             ask_for_others(&state).await;
         }
-        tokio::time::sleep(Duration::from_millis(ANNOUNCE.0)).await;
+        state.is_announced.set(is_announced);
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -60,6 +60,8 @@
     pub news: Notify,
     /// The platform answers again after it was lost.
     pub platform_is_back: Notify,
+    /// Whether the platform was told of this entry.
+    pub is_announced: Cell<bool>,
     /// Whether something is being fetched from another entry.
     pub is_fetching: Cell<bool>,
     /// Endpoints that are being connected to, to see whether they are back.
@@ -94,6 +96,7 @@
             connections: Cell::new(0),
             news: Notify::new(),
             platform_is_back: Notify::new(),
+            is_announced: Cell::new(false),
             is_fetching: Cell::new(false),
             connecting: RefCell::default(),
             incarnation: name::Incarnation(clock.unix().0),
@@ -131,23 +134,29 @@
         is_fresh && self.stopping_since().is_none() && self.roster.borrow().revision() > 0
     }
 
+    /// How many live entries come before this one in the order of their names; the
+    /// last one of all while it is stopping.
+    pub fn rank(&self) -> usize {
+        if self.stopping_since().is_some() {
+            return usize::MAX;
+        }
+        let fleet = self.fleet.borrow();
+        let live = fleet.live(self.now());
+        live.filter(|member| member.name < self.settings.name)
+            .count()
+    }
+
     /// What this entry is to do about the platform.
     pub fn duty(&self, subject: Subject) -> Duty {
         let now = self.now();
-        let own = &self.settings.name;
-        let fleet = self.fleet.borrow();
-        let before = fleet.live(now).filter(|member| member.name < *own);
-        let rank = if self.stopping_since().is_some() {
-            usize::MAX
-        } else {
-            before.count()
-        };
+        let rank = self.rank();
+        let spread = self.fleet.borrow().spread();
         let force = self.force.borrow();
         let is_known = match subject {
             Subject::Plan => force.table().is_some(),
             Subject::Endpoints => self.roster.borrow().revision() > 0,
         };
-        duty::duty(subject, rank, is_known, force.age(now))
+        duty::duty(subject, rank, is_known, force.age(now), spread)
     }
 
     /// This entry, as it tells of itself.
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -37,7 +37,9 @@
     }
     state.stop();
     log::info!(running = state.running.get(); "stopping");
-    if let Err(error) = state.source.withdraw(&state.settings.name).await {
+    if state.is_announced.get()
+        && let Err(error) = state.source.withdraw(&state.settings.name).await
+    {
         log::info!(error = error.to_string(); "the entry's row stays behind");
     }
     drain(state).await;
