--- a/crates/settings/tests/samples.rs
+++ b/crates/settings/tests/samples.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 use woodgap_core::config::{Catalog, Document};
-use woodgap_settings::{Kind, burn, document, entry};
+use woodgap_settings::{Kind, burn, document, entry, relay};
 
 #[rstest]
 fn entry_sample(#[files("../../samples/*/entry-*.jsonc")] path: PathBuf) {
@@ -43,6 +43,7 @@
 
 #[rstest]
 #[case("samples/dublin/entry-dub-a.jsonc", Some(Kind::Entry))]
+#[case("samples/dublin/relay-dub-a.jsonc", Some(Kind::Relay))]
 #[case("samples/navarra-aragon/burn.jsonc", Some(Kind::Burn))]
 #[case("samples/dublin/templates/family.json", Some(Kind::Document))]
 #[case("samples/dublin/workspaces/murphy.json", Some(Kind::Document))]
@@ -52,6 +53,24 @@
     assert_eq!(Kind::of(&text, file).ok().flatten(), kind);
 }
 
+#[test]
+fn the_sample_of_a_relay() {
+    let path = Path::new("../../samples/dublin/relay-dub-a.jsonc");
+    insta::assert_debug_snapshot!(relay::load(path).unwrap());
+}
+
+#[test]
+fn a_relays_settings_are_checked_whole() {
+    let text = r#"{"name": "a 1", "data_centre": "dub-a", "listen": "dublin:80",
+        "directory_listen": "127.0.0.1:0", "ready_listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0", "seeds": ["127.0.0.1:0"],
+        "platform": {"url": "http://127.0.0.1:8080/"},
+        "bounds": {"revoke_ms": 0, "leave_ms": 2000, "grace_s": "8",
+            "entries_lifetime_s": 5, "repeat_ratio": 2, "repeat_slack": 52}}"#;
+    let problems = relay::parse(text, "relay.jsonc").unwrap_err();
+    insta::assert_snapshot!(problems);
+}
+
 /// What a file that gives only the required keys gets.
 #[test]
 fn defaults() {
