Engine choice and attempts in smaller modules; dialects share their readers

Change: core::relay::engine chooses, engine::load knows one endpoint; place, forward and attempt stand apart; what both dialects read alike is read once. A test that could not fail (a report that fades) compares figures now.

--- /dev/null
+++ b/crates/core/src/relay/engine/load.rs
@@ -0,0 +1,234 @@
+//! What one endpoint has to do, as far as this entry knows.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::relay::division::READ_RATE;
+use crate::relay::engine::{Ask, Choice};
+use crate::relay::health::{Health, Sign};
+use crate::relay::plan::Engine;
+use crate::relay::prefix::Prefix;
+use crate::relay::tidings::Elsewhere;
+use crate::relay::work::{Part, Work};
+
+/// The price of one running request to one more, in ms: each step of the engine
+/// takes about a tenth of a millisecond longer, over some tens of steps.
+const RUNNING_COST: f64 = 2.0;
+/// What a millisecond of reading a prompt costs the requests that come after it
+/// and the streams beside it, in ms.
+const READING_COST: f64 = 3.0;
+/// The part of an engine's slots up to which one more request is no danger to
+/// those that run: above it, a burst that the entries see late may overfill the
+/// engine, and it would put requests back that had begun.
+const EASE: f64 = 0.6;
+/// The price of each request above that, in ms: at a fifth of the slots more it
+/// exceeds the price of an engine of the other side.
+const CROWDING_COST: f64 = 50.0;
+/// An answer is overdue after so many times its expected wait, and a span in ms
+/// that an endpoint may be busy with something else.
+const OVERDUE_FACTOR: f64 = 2.0;
+const OVERDUE_SLACK: f64 = 200.0;
+/// The part of a shared prompt that the entries' common choice for it is
+/// believed to keep.
+const EXPECTED_KEPT: f64 = 0.9;
+/// After so long a report of load counts for nothing.
+const REPORT_LIFE: Millis = Millis(1_000);
+/// The weight of one answer in an endpoint's slowness: about the last ten count.
+const WEIGHT: f64 = 0.1;
+/// Bounds of the factor by which an endpoint is slower than expected.
+const SLOWNESS: (f64, f64) = (0.5, 20.0);
+
+/// The load that an endpoint reported in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What one endpoint has to do.
+#[derive(Debug)]
+pub(super) struct Load {
+    pub service: String,
+    pub health: Health,
+    /// The factor by which its answers take longer than expected.
+    pub slowness: f64,
+    flights: HashMap<u64, Flight>,
+    prefix: Prefix,
+    /// The last report, the own requests there at the time, and the time.
+    report: Option<(Report, usize, Millis)>,
+}
+
+/// One request that is with the endpoint.
+#[derive(Debug)]
+struct Flight {
+    began: Millis,
+    /// The wait that was expected, in ms.
+    expected: f64,
+    /// Prompt tokens that are not read yet.
+    unread: u32,
+    /// Tokens of memory that it takes or will take.
+    held: u32,
+    answered: bool,
+}
+
+/// What a request would meet at an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Estimate {
+    /// Time until the first byte of its answer, in ms.
+    pub wait: f64,
+    /// What other requests suffer, in ms.
+    pub disturbance: f64,
+    /// Prompt tokens that are believed to be kept there.
+    pub kept: u32,
+    /// Prompt tokens that the engine would have to read in all.
+    pub unread: f64,
+}
+
+impl Flight {
+    /// For how long, in ms, its answer is overdue.
+    fn overdue(&self, now: Millis) -> f64 {
+        let due = self.expected * OVERDUE_FACTOR + OVERDUE_SLACK;
+        ((now - self.began).0 as f64 - due).max(0.0)
+    }
+}
+
+impl Load {
+    /// An endpoint with nothing to do; one with so many tokens of memory, if it is
+    /// an engine.
+    pub fn new(service: &str, memory_tokens: u32) -> Self {
+        Self {
+            service: service.to_owned(),
+            health: Health::default(),
+            slowness: 1.0,
+            flights: HashMap::new(),
+            prefix: Prefix::new(memory_tokens),
+            report: None,
+        }
+    }
+
+    /// The own requests there.
+    pub fn running(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Prompt tokens of the own requests that are not read yet.
+    pub fn unread(&self) -> u32 {
+        self.flights.values().map(|flight| flight.unread).sum()
+    }
+
+    /// Tokens of memory that the own requests take or will take.
+    pub fn held(&self) -> u32 {
+        self.flights.values().map(|flight| flight.held).sum()
+    }
+
+    /// For how long, in ms, the oldest request without an answer is overdue: the
+    /// first sign of an endpoint that accepts requests and does nothing.
+    pub fn overdue(&self, now: Millis) -> f64 {
+        let waiting = self.flights.values().filter(|flight| !flight.answered);
+        let overdue = waiting.map(|flight| flight.overdue(now));
+        overdue.fold(0.0, f64::max)
+    }
+
+    /// Requests of other entries there, by the last report; it fades with age.
+    pub fn reported_others(&self, now: Millis) -> f64 {
+        let Some((report, own, at)) = self.report else {
+            return 0.0;
+        };
+        let age = (now - at).0 as f64 / REPORT_LIFE.0 as f64;
+        let all = f64::from(report.running + report.waiting);
+        (all - own as f64).max(0.0) * (1.0 - age).max(0.0)
+    }
+
+    /// Takes the load that the endpoint reported.
+    pub fn report(&mut self, report: Report, now: Millis) {
+        self.report = Some((report, self.flights.len(), now));
+    }
+
+    /// Takes a request on.
+    pub fn begin(&mut self, number: u64, choice: &Choice, ask: &Ask<'_>, now: Millis) {
+        let parts: &[Part] = ask.work.map_or(&[], |work| &work.parts);
+        self.prefix.touch(parts, now);
+        let prompt = ask.work.map_or(0, |work| work.prompt_tokens);
+        let output = ask.work.map_or(0, Work::output);
+        let flight = Flight {
+            began: now,
+            expected: choice.wait,
+            unread: prompt.saturating_sub(choice.kept),
+            held: prompt + output,
+            answered: false,
+        };
+        self.flights.insert(number, flight);
+    }
+
+    /// Notes the first byte of an answer: the prompt is read. Gives back how long
+    /// it took, in ms; none if the request is not there.
+    pub fn answered(&mut self, number: u64, now: Millis) -> Option<f64> {
+        let flight = self.flights.get_mut(&number)?;
+        flight.answered = true;
+        flight.unread = 0;
+        let took = (now - flight.began).0 as f64;
+        let ratio = took / flight.expected.max(1.0);
+        let slowness = self.slowness + WEIGHT * (ratio * self.slowness - self.slowness);
+        self.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
+        Some(took)
+    }
+
+    /// Takes a request off. One that ends while its answer is overdue tells
+    /// against the endpoint, whoever ended it.
+    pub fn end(&mut self, number: u64, now: Millis) {
+        let Some(flight) = self.flights.remove(&number) else {
+            return;
+        };
+        if !flight.answered && flight.overdue(now) > 0.0 {
+            self.health.note(Sign::Bad, now);
+        }
+    }
+
+    /// Takes in what a connection or an answer tells of the endpoint.
+    pub fn note(&mut self, sign: Sign, now: Millis) {
+        self.health.note(sign, now);
+        if sign == Sign::Lost {
+            self.prefix.clear();
+        }
+    }
+}
+
+/// What a request would meet at an engine, with what other entries have there.
+pub(super) fn at_engine(
+    load: Option<&Load>,
+    others: Elsewhere,
+    work: &Work,
+    engine: Engine,
+    is_favourite: bool,
+) -> Estimate {
+    let kept = kept(load, work, is_favourite);
+    let unread = (f64::from(work.prompt_tokens) - kept).max(0.0);
+    let ahead = load.map_or(0.0, |load| f64::from(load.unread())) + others.unread;
+    let running = load.map_or(0.0, |load| load.running() as f64) + others.running;
+    let held = load.map_or(0.0, |load| f64::from(load.held())) + others.held;
+    let needed = held + f64::from(work.prompt_tokens + work.output());
+    let lacking = (needed - f64::from(engine.memory_tokens)).max(0.0);
+    let crowding = (running + 1.0 - EASE * f64::from(engine.slots)).max(0.0);
+    // A sum of tokens that came from whole numbers.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let kept = kept as u32;
+    Estimate {
+        wait: (ahead + unread + lacking) / READ_RATE + running * RUNNING_COST,
+        disturbance: READING_COST * unread / READ_RATE + crowding * CROWDING_COST,
+        kept,
+        unread: ahead + unread,
+    }
+}
+
+/// Prompt tokens that an engine is believed to keep: what this entry sent there,
+/// or what all entries send to their common choice.
+fn kept(load: Option<&Load>, work: &Work, is_favourite: bool) -> f64 {
+    let known = load.map_or(0, |load| load.prefix.kept(&work.parts));
+    let shared: u32 = work.shared_parts().iter().map(|part| part.tokens).sum();
+    let expected = if is_favourite { EXPECTED_KEPT } else { 0.0 };
+    f64::from(known).max(expected * f64::from(shared))
+}
--- a/crates/core/src/relay/work.rs
+++ b/crates/core/src/relay/work.rs
@@ -25,6 +25,11 @@
 }
 
 impl Work {
+    /// The parts that other prompts may share: all but the request's own last one.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// How many tokens are expected to come out.
     pub fn output(&self) -> u32 {
         let limit = self.output_limit;
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -98,7 +98,8 @@
     fn serve(&mut self, ask: &Ask<'_>, now: u64) -> String {
         let name = self.send(ask, now);
         let ticket = self.tickets.pop().unwrap();
-        self.loads.answered(&ticket, Millis(now));
+        self.loads
+            .answered(&ticket, ask.work.is_none(), Millis(now));
         self.loads.end(&ticket, Millis(now));
         name
     }
@@ -212,18 +213,19 @@
 #[test]
 fn a_reported_load_counts_and_fades() {
     let mut entry = Entry::new(2);
-    entry.serve(&PLAIN, 0);
-    let busy = name::Endpoint::from("e0");
-    entry.loads.note(&busy, Sign::Good, Millis(0));
+    let busy = entry.serve(&PLAIN, 0);
     let report = Report {
         running: 64,
         waiting: 100,
         slots: 64,
     };
-    entry.loads.report(&busy, report, Millis(0));
-    assert_eq!(entry.serve(&PLAIN, 1), "e1");
-    let wait = |entry: &mut Entry, now| entry.choose(&PLAIN, now).map(|it| it.wait);
-    assert!(wait(&mut entry, 1).is_some());
+    let name = name::Endpoint::from(busy.as_str());
+    entry.loads.report(&name, report, Millis(0));
+    assert_ne!(entry.serve(&PLAIN, 1), busy);
+    entry.endpoints.retain(|it| it.name == name);
+    let mut wait = |now| entry.choose(&PLAIN, now).map_or(0.0, |it| it.wait);
+    let (fresh, faded, gone) = (wait(1), wait(500), wait(1_000));
+    assert!(fresh > faded && faded > gone, "{fresh} {faded} {gone}");
 }
 
 #[test]
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -114,3 +114,52 @@
     /// The answer to [`Question::Entries`], as JSON.
     fn entries(&self, addresses: &[SocketAddr], lifetime: Millis) -> String;
 }
+
+/// A header as text; none where it is missing or not text.
+pub fn text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The key in an `Authorization: Bearer KEY` header.
+pub fn key(headers: &HeaderMap) -> Option<String> {
+    let value = text(headers, "authorization")?;
+    let key = value.strip_prefix("Bearer ")?;
+    Some(key.trim().to_owned())
+}
+
+/// The identity in this header.
+///
+/// # Errors
+///
+/// [`Malformed`] if it is missing or empty.
+pub fn identity(headers: &HeaderMap, header: &'static str) -> Result<String, Malformed> {
+    let id = text(headers, header).filter(|id| !id.is_empty());
+    let missing = Malformed {
+        header,
+        reason: "missing",
+    };
+    id.map(str::to_owned).ok_or(missing)
+}
+
+/// The span in this header, if it is there.
+///
+/// # Errors
+///
+/// [`Malformed`] if it is no whole number.
+pub fn span(headers: &HeaderMap, header: &'static str) -> Result<Option<Millis>, Malformed> {
+    let wrong = |_| Malformed {
+        header,
+        reason: "not a number of milliseconds",
+    };
+    let text = text(headers, header);
+    let span = text.map(|text| text.trim().parse().map(Millis).map_err(wrong));
+    span.transpose()
+}
+
+/// A parameter of a query, as it stands there.
+pub fn parameter<'q>(query: &'q str, name: &str) -> Option<&'q str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .find(|(found, _)| *found == name)
+        .map(|(_, value)| value)
+}
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -9,7 +9,7 @@
 use woodgap_core::relay::Work;
 use woodgap_core::relay::engine::Report;
 
-use crate::dialect::{Call, Decline, Dialect, Malformed, Question, Reply, Stamp};
+use crate::dialect::{self, Call, Decline, Dialect, Malformed, Question, Reply, Stamp};
 use crate::upstream::Head;
 
 const REQUEST: &str = "x-woodgap-request";
@@ -46,29 +46,16 @@
 
 impl Dialect for Own {
     fn call(&self, headers: &HeaderMap) -> Result<Call, Malformed> {
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let id = text(REQUEST).filter(|id| !id.is_empty());
-        let id = id.ok_or(Malformed {
-            header: REQUEST,
-            reason: "missing",
-        })?;
-        let patience = text(PATIENCE).map(|text| {
-            text.parse().map(Millis).map_err(|_| Malformed {
-                header: PATIENCE,
-                reason: "not a number of milliseconds",
-            })
-        });
-        let work = text(WORK).map(|text| {
+        let work = dialect::text(headers, WORK).map(|text| {
             serde_json::from_str::<Work>(text).map_err(|_| Malformed {
                 header: WORK,
                 reason: "not a description of work as JSON",
             })
         });
-        let key = text("authorization").and_then(|value| value.strip_prefix("Bearer "));
         Ok(Call {
-            id: id.to_owned(),
-            patience: patience.transpose()?,
-            key: key.map(str::to_owned),
+            id: dialect::identity(headers, REQUEST)?,
+            patience: dialect::span(headers, PATIENCE)?,
+            key: dialect::key(headers),
             work: work.transpose()?,
         })
     }
@@ -114,9 +101,8 @@
         match path {
             "/v1/ready" => Some(Question::Ready),
             "/v1/entries" => {
-                let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-                let mut near = pairs.filter(|(name, _)| *name == "data_centre");
-                let near = near.next().map(|(_, value)| name::DataCentre::from(value));
+                let near = dialect::parameter(query, "data_centre");
+                let near = near.map(name::DataCentre::from);
                 Some(Question::Entries(near))
             }
             _ => None,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -4,6 +4,8 @@
 pub mod admit;
 pub mod answer;
 pub mod attempt;
+pub mod forward;
+pub mod place;
 pub mod problem;
 pub mod run;
 
--- a/crates/relay/src/request/answer.rs
+++ b/crates/relay/src/request/answer.rs
@@ -11,7 +11,9 @@
 use woodgap_core::relay::health::Sign;
 
 use crate::request::Account;
-use crate::request::attempt::{Failure, Place, is_end_to_end, named_by_connection};
+use crate::request::attempt::Failure;
+use crate::request::forward::{is_end_to_end, named_by_connection};
+use crate::request::place::Place;
 use crate::state::State;
 use crate::upstream::{Connection, Error, Framing, Head};
 
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -5,21 +5,19 @@
 
 use thiserror::Error;
 use woodgap_core::clock::Millis;
-use woodgap_core::name;
-use woodgap_core::relay::engine::{Choice, Ticket};
+use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::health::Sign;
 use woodgap_core::verdict::Verdict;
 
-use crate::dialect::{Decline, Reply, Stamp};
-use crate::request::{Account, Admitted, Answer};
+use crate::dialect::{Decline, Reply};
+use crate::request::place::{MOST_SURPLUS_BYTES, Place};
+use crate::request::{Account, Admitted, Answer, forward};
 use crate::state::State;
 use crate::upstream::pool;
-use crate::upstream::{Connection, Error, Head, connection};
+use crate::upstream::{Connection, Error, Head};
 
 /// How many answers that belong to other requests are skipped on one connection.
 const MOST_SURPLUS: u32 = 2;
-/// The largest of them, in bytes.
-const MOST_SURPLUS_BYTES: usize = 64 * 1024;
 
 /// Why an attempt brought no answer.
 #[derive(Debug, Error)]
@@ -58,59 +56,6 @@
     }
 }
 
-/// A request's place at an endpoint: it counts as load until this is dropped.
-pub struct Place {
-    state: Rc<State>,
-    ticket: Ticket,
-}
-
-impl Place {
-    /// Takes a place at the chosen endpoint.
-    pub fn take(state: &Rc<State>, choice: &Choice, request: &Admitted) -> Self {
-        let ask = request.ask();
-        let now = state.now();
-        let ticket = state.loads.borrow_mut().begin(choice, &ask, now);
-        state.pool.borrow_mut().occupy(ticket.endpoint());
-        Self {
-            state: Rc::clone(state),
-            ticket,
-        }
-    }
-
-    /// Where it is.
-    pub fn endpoint(&self) -> &name::Endpoint {
-        self.ticket.endpoint()
-    }
-
-    /// Notes the first byte of the answer.
-    pub fn answered(&self) {
-        let now = self.state.now();
-        self.state.loads.borrow_mut().answered(&self.ticket, now);
-    }
-
-    /// Notes what the attempt tells of the endpoint.
-    pub fn note(&self, sign: Sign) {
-        let now = self.state.now();
-        let endpoint = self.ticket.endpoint();
-        self.state.loads.borrow_mut().note(endpoint, sign, now);
-    }
-
-    /// Keeps the connection for the next request, if it can be used again.
-    pub fn keep(&self, connection: Connection, rest: Millis) {
-        let now = self.state.now();
-        let mut pool = self.state.pool.borrow_mut();
-        pool.put(self.ticket.endpoint(), connection, rest, now);
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let now = self.state.now();
-        self.state.loads.borrow_mut().end(&self.ticket, now);
-        self.state.pool.borrow_mut().release(self.ticket.endpoint());
-    }
-}
-
 /// Sends the request to the chosen endpoint and reads its answer: as a whole
 /// where it is short, else up to the first bytes of its body.
 ///
@@ -160,7 +105,7 @@
     account: &mut Account,
 ) -> Result<(Connection, Head, Millis), Failure> {
     let mut connection = connect(state, choice, account).await?;
-    let head = request_head(state, request, choice);
+    let head = forward::head(state, request, choice);
     account.send(connection.served() > 0);
     let mut answer = connection.exchange(&head, &request.body).await?;
     let mut surplus = 0;
@@ -202,25 +147,6 @@
     Ok((connection, answer, rest))
 }
 
-impl Place {
-    /// Reads the rest of a short answer that nobody needs, so that its connection
-    /// can be used again.
-    async fn keep_after_decline(
-        &self,
-        mut connection: Connection,
-        answer: &Head,
-        request: &Admitted,
-        rest: Millis,
-    ) {
-        let Ok(framing) = answer.framing(&request.method) else {
-            return;
-        };
-        if connection.whole(framing, MOST_SURPLUS_BYTES).await.is_ok() {
-            self.keep(connection, rest);
-        }
-    }
-}
-
 async fn connect(
     state: &Rc<State>,
     choice: &Choice,
@@ -268,61 +194,3 @@
     }
     Ok(())
 }
-
-/// Headers that concern one connection, or that are set anew.
-const HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "content-length",
-];
-
-/// Whether a header goes on to the other side of the relay.
-pub fn is_end_to_end(name: &str, named_by_connection: &[String]) -> bool {
-    !HOP.contains(&name) && !named_by_connection.iter().any(|it| it == name)
-}
-
-/// The headers that a `Connection` header names, in lower case.
-pub fn named_by_connection(headers: &actix_http::header::HeaderMap) -> Vec<String> {
-    let values = headers.get_all("connection");
-    let values = values.filter_map(|value| value.to_str().ok());
-    values
-        .flat_map(|value| value.split(','))
-        .map(|token| token.trim().to_ascii_lowercase())
-        .collect()
-}
-
-fn request_head(state: &State, request: &Admitted, choice: &Choice) -> bytes::BytesMut {
-    let named = named_by_connection(&request.headers);
-    let passed = request.headers.iter().filter(|(name, _)| {
-        is_end_to_end(name.as_str(), &named) && state.dialect.passes(name.as_str())
-    });
-    let mut headers: Vec<(&str, Vec<u8>)> = passed
-        .map(|(name, value)| (name.as_str(), value.as_bytes().to_vec()))
-        .collect();
-    let has_body = !request.body.is_empty() || request.headers.contains_key("content-length");
-    if has_body {
-        let length = request.body.len().to_string();
-        headers.push(("content-length", length.into_bytes()));
-    }
-    let stamp = Stamp {
-        left: request.deadline - state.now(),
-        endpoint: &choice.endpoint.name,
-        workspace: request.workspace.as_deref().map(|it| it.name.as_str()),
-        urgency: request.urgency,
-    };
-    state.dialect.stamp(&stamp, &mut |name, value| {
-        headers.push((name, value.into_bytes()));
-    });
-    let headers = headers
-        .iter()
-        .map(|(name, value)| (*name, value.as_slice()));
-    connection::head(&request.method, &request.target, headers)
-}
--- /dev/null
+++ b/crates/relay/src/request/place.rs
@@ -0,0 +1,89 @@
+//! A request's place at an endpoint.
+
+use std::rc::Rc;
+
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::engine::{Choice, Ticket};
+use woodgap_core::relay::health::Sign;
+
+use crate::request::Admitted;
+use crate::state::State;
+use crate::upstream::{Connection, Head};
+
+/// The largest answer that is read only so that its connection can be used again,
+/// in bytes.
+pub const MOST_SURPLUS_BYTES: usize = 64 * 1024;
+
+/// A request's place at an endpoint: it counts as load until this is dropped.
+pub struct Place {
+    state: Rc<State>,
+    ticket: Ticket,
+    is_plain: bool,
+}
+
+impl Place {
+    /// Takes a place at the chosen endpoint.
+    pub fn take(state: &Rc<State>, choice: &Choice, request: &Admitted) -> Self {
+        let ask = request.ask();
+        let now = state.now();
+        let ticket = state.loads.borrow_mut().begin(choice, &ask, now);
+        state.pool.borrow_mut().occupy(ticket.endpoint());
+        Self {
+            state: Rc::clone(state),
+            ticket,
+            is_plain: ask.work.is_none(),
+        }
+    }
+
+    /// Where it is.
+    pub fn endpoint(&self) -> &name::Endpoint {
+        self.ticket.endpoint()
+    }
+
+    /// Notes the first byte of the answer.
+    pub fn answered(&self) {
+        let now = self.state.now();
+        let mut loads = self.state.loads.borrow_mut();
+        loads.answered(&self.ticket, self.is_plain, now);
+    }
+
+    /// Notes what the attempt tells of the endpoint.
+    pub fn note(&self, sign: Sign) {
+        let now = self.state.now();
+        let endpoint = self.ticket.endpoint();
+        self.state.loads.borrow_mut().note(endpoint, sign, now);
+    }
+
+    /// Keeps the connection for the next request, if it can be used again.
+    pub fn keep(&self, connection: Connection, rest: Millis) {
+        let now = self.state.now();
+        let mut pool = self.state.pool.borrow_mut();
+        pool.put(self.ticket.endpoint(), connection, rest, now);
+    }
+
+    /// Reads the rest of a short answer that nobody needs, so that its connection
+    /// can be used again.
+    pub async fn keep_after_decline(
+        &self,
+        mut connection: Connection,
+        answer: &Head,
+        request: &Admitted,
+        rest: Millis,
+    ) {
+        let Ok(framing) = answer.framing(&request.method) else {
+            return;
+        };
+        if connection.whole(framing, MOST_SURPLUS_BYTES).await.is_ok() {
+            self.keep(connection, rest);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        self.state.loads.borrow_mut().end(&self.ticket, now);
+        self.state.pool.borrow_mut().release(self.ticket.endpoint());
+    }
+}
