--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each keeps to `docs/INTERFACES.md`, sections 2 to 4. Below `/fake` they take
 //! orders for faults and tell what they have done.
 
+pub mod batch;
 pub mod endpoint;
 pub mod engine;
 pub mod faults;
