Whoever is turned away by the platform leaves its duty to the next entry

Change: entries tell whether the platform answers them, and duty goes by rank among those; who asks for the plan out of turn asks for the endpoints as well.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -32,6 +32,8 @@
     pub data_centre: name::DataCentre,
     /// Whether it is about to stop.
     pub stopping: bool,
+    /// Whether the platform answers it.
+    pub reaches_platform: bool,
 }
 
 /// The other entries.
@@ -129,6 +131,14 @@
             .filter(move |member| live(&member.name) && !member.stopping)
     }
 
+    /// How many live entries that the platform answers come before this one in the
+    /// order of their names.
+    pub fn rank(&self, now: Millis) -> usize {
+        let live = self.live(now);
+        let before = live.filter(|member| member.reaches_platform && member.name < self.own);
+        before.count()
+    }
+
     /// All other entries that are not forgotten.
     pub fn known(&self) -> impl Iterator<Item = &Member> {
         self.members.values().map(|(member, _)| member)
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -15,6 +15,7 @@
         front: "10.0.0.1:80".parse().unwrap(),
         data_centre: name::DataCentre::from("dub-a"),
         stopping: false,
+        reaches_platform: true,
     }
 }
 
@@ -93,3 +94,20 @@
     // The more there are, the longer each may be silent.
     assert_eq!(live(&fleet, 5_000).len(), 80);
 }
+
+#[test]
+fn an_entry_that_the_platform_turns_away_leaves_its_rank_to_the_next() {
+    let mut fleet = fleet();
+    for name in ["a", "b", "z"] {
+        fleet.heard(member(name, 1), Millis(0));
+    }
+    assert_eq!(fleet.rank(Millis(0)), 2);
+    let turned_away = Member {
+        reaches_platform: false,
+        ..member("a", 1)
+    };
+    fleet.heard(turned_away, Millis(0));
+    assert_eq!(fleet.rank(Millis(0)), 1);
+    // One that is silent leaves its rank as well.
+    assert_eq!(fleet.rank(Millis(2_000)), 0);
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -31,14 +31,18 @@
     let mut link = Link::new("configuration");
     let mut dating = Dating::default();
     loop {
-        let wait = until_due(&state, Subject::Plan).await;
-        let wait = wait - Millis(rand::rng().random_range(0..=JITTER.0));
+        let held = until_due(&state, Subject::Plan).await;
+        let wait = held - Millis(rand::rng().random_range(0..=JITTER.0));
         let asked = state.now();
         let asking = state.source.plan(cursor, wait);
         let limit = Duration::from_millis((wait + ANSWER_TIMEOUT).0);
         let answer = tokio::time::timeout(limit, asking).await;
         match link.settle(&state, answer.unwrap_or_else(late)).await {
             Some(news) => {
+                state.is_platform_lost.set(false);
+                if held == Millis::ZERO {
+                    state.ask_endpoints.notify_one();
+                }
                 cursor = Some(news.cursor);
                 let as_of = dating.date(asked, news.made, state.now());
                 match news.content {
@@ -47,7 +51,7 @@
                 }
             }
             None if link.lost_history => cursor = None,
-            None => {}
+            None => state.is_platform_lost.set(true),
         }
     }
 }
@@ -57,7 +61,10 @@
     let mut cursor = None;
     let mut link = Link::new("endpoints");
     loop {
-        let wait = until_due(&state, Subject::Endpoints).await;
+        let wait = tokio::select! {
+            wait = until_due(&state, Subject::Endpoints) => wait,
+            () = state.ask_endpoints.notified() => Millis::ZERO,
+        };
         let asked = state.now();
         let asking = state.source.endpoints(cursor, wait);
         let limit = Duration::from_millis((wait + ANSWER_TIMEOUT).0);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -60,6 +60,10 @@
     pub news: Notify,
     /// The platform answers again after it was lost.
     pub platform_is_back: Notify,
+    /// Whether the last question about the plan got no answer of the platform.
+    pub is_platform_lost: Cell<bool>,
+    /// The endpoints are to be asked for as well, since nobody else may.
+    pub ask_endpoints: Notify,
     /// Whether the platform was told of this entry.
     pub is_announced: Cell<bool>,
     /// Whether something is being fetched from another entry.
@@ -96,6 +100,8 @@
             connections: Cell::new(0),
             news: Notify::new(),
             platform_is_back: Notify::new(),
+            is_platform_lost: Cell::new(false),
+            ask_endpoints: Notify::new(),
             is_announced: Cell::new(false),
             is_fetching: Cell::new(false),
             connecting: RefCell::default(),
@@ -134,16 +140,13 @@
         is_fresh && self.stopping_since().is_none() && self.roster.borrow().revision() > 0
     }
 
-    /// How many live entries come before this one in the order of their names; the
-    /// last one of all while it is stopping.
+    /// How many live entries that the platform answers come before this one in the
+    /// order of their names; it is the last of all while it is stopping.
     pub fn rank(&self) -> usize {
         if self.stopping_since().is_some() {
             return usize::MAX;
         }
-        let fleet = self.fleet.borrow();
-        let live = fleet.live(self.now());
-        live.filter(|member| member.name < self.settings.name)
-            .count()
+        self.fleet.borrow().rank(self.now())
     }
 
     /// What this entry is to do about the platform.
@@ -168,6 +171,7 @@
             front: self.settings.listen,
             data_centre: self.settings.data_centre.clone(),
             stopping: self.stopping_since().is_some() || !self.is_ready(),
+            reaches_platform: !self.is_platform_lost.get(),
         }
     }
 
