Two relays in the contract: what one learns from the other

Found by the new rows: a list that lost an endpoint could keep its revision (the product's own table service does not count deletes), so other entries never heard of it. A changed list with the same revision now counts as a newer one.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -134,7 +134,10 @@
         for change in &changes {
             self.change(change, now);
         }
-        self.reach(revision, as_of);
+        // A source whose revisions do not count what was removed tells the same one
+        // for another list; other entries must see that it is another.
+        let is_other = !changes.is_empty() && revision == self.revision;
+        self.reach(revision + u64::from(is_other), as_of);
         self.recent_after = self.revision;
         changes
     }
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -142,3 +142,12 @@
     assert_eq!(roster.since(10), None);
     assert_eq!(roster.since(136).map(|it| it.len()), Some(64));
 }
+
+#[test]
+fn another_list_of_the_same_revision_is_told_as_a_newer_one() {
+    let mut roster = roster(vec![endpoint("a"), endpoint("b")]);
+    roster.replace(vec![endpoint("a")], 10, Millis(5), Millis(5));
+    assert_eq!(roster.revision(), 11);
+    roster.replace(vec![endpoint("a")], 11, Millis(6), Millis(6));
+    assert_eq!(roster.revision(), 11);
+}
--- /dev/null
+++ b/crates/relay/tests/contract/others.rs
@@ -0,0 +1,63 @@
+//! What an entry learns from others while the platform does not answer it.
+
+use crate::caller::get;
+use crate::endpoint::{Endpoint, whole};
+use crate::site::{Fixed, Site, endpoint, plan, until};
+
+/// An entry that the platform answers, and one that it turns away.
+fn two(address: std::net::SocketAddr) -> (Site, Site) {
+    let first = Site::start(&[address]);
+    let source = Fixed::default();
+    {
+        let mut told = source.0.lock().unwrap();
+        told.is_down = true;
+        told.entries = vec![first.peer];
+    }
+    let second = Site::with("dub-a-2", source);
+    second.until_ready();
+    (first, second)
+}
+
+#[test]
+fn plan_endpoints_and_their_freshness_come_from_another_entry() {
+    let server = Endpoint::always(vec![whole("yes")]);
+    let (first, second) = two(server.address);
+    assert_eq!(get(second.requests, "/read/", "r1", "").status, 200);
+    // Both are told to callers, by either.
+    for site in [&first, &second] {
+        until(|| {
+            let text = get(site.directory, "/v1/entries", "x", "").text();
+            [&first, &second]
+                .iter()
+                .all(|it| text.contains(&it.requests.to_string()))
+        });
+    }
+    // Once the other does not know either, keys are no longer trusted.
+    first.source.0.lock().unwrap().is_down = true;
+    until(|| get(second.requests, "/read/", "r2", "").status == 503);
+}
+
+#[test]
+fn changes_come_from_another_entry() {
+    let servers = [0, 1].map(|_| Endpoint::always(vec![whole("yes")]));
+    let (first, second) = two(servers[0].address);
+    {
+        let mut told = first.source.0.lock().unwrap();
+        let mut leaving = endpoint(0, servers[0].address);
+        leaving.leaving = true;
+        told.endpoints = vec![leaving, endpoint(1, servers[1].address)];
+    }
+    until(|| {
+        get(second.requests, "/read/", "r1", "");
+        !servers[1].seen().is_empty()
+    });
+    let before = servers[0].seen().len();
+    for id in ["r2", "r3", "r4", "r5"] {
+        assert_eq!(get(second.requests, "/read/", id, "").status, 200);
+    }
+    assert_eq!(servers[0].seen().len(), before);
+    let mut newer = plan(7);
+    newer.workspaces[0].keys.clear();
+    first.source.0.lock().unwrap().plan = Some(newer);
+    until(|| get(second.requests, "/read/", "r6", "").status == 401);
+}
--- a/crates/relay/tests/contract/refusals.rs
+++ b/crates/relay/tests/contract/refusals.rs
@@ -91,7 +91,7 @@
 
 #[test]
 fn nothing_is_passed_on_before_a_plan_is_known() {
-    let site = Site::with(Fixed::default());
+    let site = Site::with("dub-a-1", Fixed::default());
     let answer = get(site.requests, "/read/", "r1", "");
     assert_eq!(answer.status, 503);
     assert!(answer.text().contains("not_ready"));
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -22,6 +22,8 @@
     pub plan: Option<Plan>,
     pub endpoints: Vec<roster::Endpoint>,
     pub is_down: bool,
+    /// Where other entries take messages.
+    pub entries: Vec<SocketAddr>,
 }
 
 /// A source that tells what the test says.
@@ -81,7 +83,13 @@
     }
 
     fn entries(&self) -> Answer<'_, Addresses> {
-        async { Ok(Vec::new()) }.boxed_local()
+        // Known also while the rest is not: the list was read before.
+        let entries = self.0.lock().unwrap().entries.clone();
+        let named = entries
+            .into_iter()
+            .map(|it| (name::Entry::from("other"), it));
+        let named = named.collect();
+        async move { Ok(named) }.boxed_local()
     }
 }
 
@@ -91,6 +99,7 @@
     pub directory: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
+    pub peer: SocketAddr,
     pub source: Fixed,
 }
 
@@ -120,14 +129,15 @@
             let listed = endpoints.iter().enumerate();
             told.endpoints = listed.map(|(at, address)| endpoint(at, *address)).collect();
         }
-        let site = Self::with(source);
+        let site = Self::with("dub-a-1", source);
         site.until_ready();
         site
     }
 
-    /// A relay with this source.
-    pub fn with(source: Fixed) -> Self {
-        let settings = relay::parse(SETTINGS, "test").unwrap();
+    /// A relay of this name with this source.
+    pub fn with(name: &str, source: Fixed) -> Self {
+        let text = SETTINGS.replace("dub-a-1", name);
+        let settings = relay::parse(&text, "test").unwrap();
         let (started, addresses) = mpsc::channel();
         let given = source.clone();
         std::thread::spawn(move || {
@@ -144,22 +154,24 @@
                     settings.directory_listen,
                     settings.ready_listen,
                     metrics,
+                    settings.peer_listen,
                 );
                 started.send(all).unwrap();
                 std::future::pending::<()>().await;
             });
         });
-        let (requests, directory, ready, metrics) = addresses.recv().unwrap();
+        let (requests, directory, ready, metrics, peer) = addresses.recv().unwrap();
         Self {
             requests,
             directory,
             ready,
             metrics,
+            peer,
             source,
         }
     }
 
-    fn until_ready(&self) {
+    pub fn until_ready(&self) {
         until(|| crate::caller::get(self.ready, "/v1/ready", "x", "").status == 200);
     }
 }
