--- a/crates/fake/tests/placement.rs
+++ b/crates/fake/tests/placement.rs
@@ -165,12 +165,11 @@
             Happening::Preempted(_) => self.preempted += 1,
             Happening::Event(number) => {
                 let sent = self.sent.get_mut(&number).unwrap();
-                match sent.last.replace(at) {
-                    Some(last) => sent.longest_pause = sent.longest_pause.max(at - last),
-                    None => {
-                        sent.first = at - sent.at;
-                        self.entries[sent.entry].answered(&sent.ticket, false, now);
-                    }
+                if let Some(last) = sent.last.replace(at) {
+                    sent.longest_pause = sent.longest_pause.max(at - last);
+                } else {
+                    sent.first = at - sent.at;
+                    self.entries[sent.entry].answered(&sent.ticket, false, now);
                 }
             }
             Happening::Ended(number) => {
