--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -16,7 +16,7 @@
 const RUNNING_COST: f64 = 2.0;
 /// What a millisecond of reading a prompt costs the requests that come after it
 /// and the streams beside it, in ms.
-const READING_COST: f64 = 5.0;
+const READING_COST: f64 = 8.0;
 /// The part of an engine's slots up to which one more request is no danger to
 /// those that run: above it, a burst that the entries see late may overfill the
 /// engine, and it would put requests back that had begun.
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -14,7 +14,7 @@
 /// The most endpoints whose load one message tells of.
 pub const MOST_SHARES: usize = 48;
 /// The most other entries that one message tells of.
-pub const MOST_TOLD: usize = 2;
+pub const MOST_TOLD: usize = 1;
 
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
