After a last reading: one constant, one flag, less work for each choice and message

Cause: found by reading the whole change. The span for callers that still come at a stop stood twice (admit, stop); whether an entry is announced stood twice, and the shared one was set only after a further call; 'one fetch at a time' was set when the fetch began to run, so messages that came together began several. Each choice sorted with a new hash for each comparison, looked engines up by name in a list and copied every endpoint; each look at the live entries looked each one up again; a gauge copied all endpoints four times a second; a round worked out the same load for each of its six messages. Health::strikes was called by nobody. Ruled out: sharing one piece between the two dialects' remaining twins (their names are all that differs) and the model engine's kept parts with core's (the model must not be the code that it tests).

--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -104,28 +104,19 @@
     /// Puts the engines in order; the first few are for steady streams.
     pub fn new(endpoints: &[&'e Endpoint], steady: usize) -> Self {
         let mut engines = endpoints.to_vec();
-        engines.sort_by_key(|it| (tidings::hash(it.name.as_str()), it.name.clone()));
+        engines.sort_by_cached_key(|it| (tidings::hash(it.name.as_str()), it.name.clone()));
         Self { engines, steady }
     }
 
-    /// All engines, in order.
-    pub fn engines(&self) -> &[&'e Endpoint] {
-        &self.engines
+    /// All engines, in order, each with whether it is for steady streams.
+    pub fn engines(&self) -> impl Iterator<Item = (&'e Endpoint, bool)> {
+        let engines = self.engines.iter().enumerate();
+        engines.map(|(place, engine)| (*engine, place < self.steady))
     }
 
-    /// The engines that are meant for a request.
-    pub fn own_side(&self, work: Option<&Work>) -> &[&'e Endpoint] {
-        let (steady, others) = self.engines.split_at(self.steady);
-        match work {
-            Some(work) if is_steady(work) && !steady.is_empty() => steady,
-            _ => others,
-        }
-    }
-
-    /// Whether an engine is for steady streams.
-    pub fn is_steady(&self, endpoint: &Endpoint) -> bool {
-        let steady = self.engines.iter().take(self.steady);
-        steady.into_iter().any(|it| it.name == endpoint.name)
+    /// Whether the engines for steady streams are meant for a request.
+    pub fn is_for_steady(&self, work: Option<&Work>) -> bool {
+        self.steady > 0 && work.is_some_and(is_steady)
     }
 }
 
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -81,6 +81,13 @@
     pub unread: f64,
 }
 
+/// What a request would meet at an endpoint, and what that costs in all, in ms.
+#[derive(Clone, Copy, Debug)]
+struct Prospect {
+    estimate: Estimate,
+    cost: f64,
+}
+
 /// What is known of all endpoints' load.
 #[derive(Debug)]
 pub struct Loads {
@@ -118,20 +125,32 @@
             .filter(|it| !self.suspended(it.name.as_str()));
         let open: Vec<&Endpoint> = open.copied().collect();
         let division = self.divide(&open, now);
-        let own = division.own_side(ask.work);
-        let favourite = favourite(own, ask);
+        let is_for_steady = division.is_for_steady(ask.work);
+        let own = division
+            .engines()
+            .filter(|(_, is_steady)| *is_steady == is_for_steady);
+        let favourite = favourite(own.map(|(engine, _)| engine), ask);
         let calm = self.calm_tokens(&open);
-        let choices = division.engines().iter().map(|it| {
-            let mut choice = self.estimate(it, ask, favourite == Some(&it.name), now);
-            if !own.iter().any(|own| own.name == it.name) {
-                choice.cost += OTHER_SIDE_COST;
+        let choices = division.engines().map(|(engine, is_steady)| {
+            let is_favourite = favourite == Some(&engine.name);
+            let mut prospect = self.estimate(engine, ask, is_favourite, now);
+            if is_steady != is_for_steady {
+                prospect.cost += OTHER_SIDE_COST;
             }
-            if division.is_steady(it) && choice.unread > calm {
-                choice.cost += STALL_COST;
+            if is_steady && prospect.estimate.unread > calm {
+                prospect.cost += STALL_COST;
             }
-            choice
+            (engine, prospect)
         });
-        choices.min_by(|left, right| left.cost.total_cmp(&right.cost))
+        let best = choices.min_by(|(_, left), (_, right)| left.cost.total_cmp(&right.cost));
+        let (endpoint, Prospect { estimate, cost }) = best?;
+        Some(Choice {
+            endpoint: endpoint.clone(),
+            wait: estimate.wait,
+            cost,
+            kept: estimate.kept,
+            unread: estimate.unread,
+        })
     }
 
     /// How many unread tokens an engine may have before its steady streams stall.
@@ -171,7 +190,7 @@
         ask: &Ask<'_>,
         is_favourite: bool,
         now: Millis,
-    ) -> Choice {
+    ) -> Prospect {
         let load = self.endpoints.get(&endpoint.name);
         let estimate = match (ask.work, ask.engine) {
             (Some(work), Some(engine)) => {
@@ -187,12 +206,9 @@
         let far = if is_far { FAR_COST } else { 0.0 };
         let wait = estimate.wait * slowness;
         let trouble = failing * FAILURE_COST + overdue * OVERDUE_COST;
-        Choice {
-            endpoint: endpoint.clone(),
-            wait,
+        Prospect {
+            estimate: Estimate { wait, ..estimate },
             cost: wait + estimate.disturbance + far + trouble,
-            kept: estimate.kept,
-            unread: estimate.unread,
         }
     }
 
@@ -302,8 +318,11 @@
 
 /// The endpoint that all entries choose first for a shared prompt of which they
 /// know nothing else: rendezvous hashing.
-fn favourite<'e>(endpoints: &[&'e Endpoint], ask: &Ask<'_>) -> Option<&'e name::Endpoint> {
+fn favourite<'e>(
+    endpoints: impl Iterator<Item = &'e Endpoint>,
+    ask: &Ask<'_>,
+) -> Option<&'e name::Endpoint> {
     let chain = prefix::chains(ask.work?.shared_parts()).last()?;
-    let score = |it: &&&Endpoint| prefix::mix(chain, tidings::hash(it.name.as_str()));
-    endpoints.iter().max_by_key(score).map(|it| &it.name)
+    let score = |it: &&Endpoint| prefix::mix(chain, tidings::hash(it.name.as_str()));
+    endpoints.max_by_key(score).map(|it| &it.name)
 }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -53,6 +53,13 @@
     known: Millis,
 }
 
+impl Heard {
+    /// Whether the entry itself was heard within a span.
+    fn within(&self, patience: Millis, now: Millis) -> bool {
+        self.directly.is_some_and(|at| now - at < patience)
+    }
+}
+
 impl Fleet {
     /// Knows no other entry yet; `round` is the time between two rounds of messages.
     pub fn new(own: name::Entry, round: Millis) -> Self {
@@ -73,7 +80,9 @@
         if member.name == self.own {
             return false;
         }
-        let was_live = self.is_live(&member.name, now);
+        let patience = self.patience();
+        let known = self.members.get(&member.name);
+        let was_live = known.is_some_and(|(_, heard)| heard.within(patience, now));
         let heard = Heard {
             directly: Some(now),
             known: now,
@@ -116,19 +125,12 @@
         Millis(self.round.0 * (MISSED_ROUNDS + rounds - 1))
     }
 
-    fn is_live(&self, name: &name::Entry, now: Millis) -> bool {
-        let patience = self.patience();
-        let live = |heard: &Heard| heard.directly.is_some_and(|at| now - at < patience);
-        self.members.get(name).is_some_and(|(_, heard)| live(heard))
-    }
-
     /// The other entries that answer and are not about to stop.
     pub fn live(&self, now: Millis) -> impl Iterator<Item = &Member> {
-        let live = move |name: &name::Entry| self.is_live(name, now);
-        self.members
-            .values()
+        let patience = self.patience();
+        let live = self.members.values();
+        live.filter(move |(member, heard)| heard.within(patience, now) && !member.stopping)
             .map(|(member, _)| member)
-            .filter(move |member| live(&member.name) && !member.stopping)
     }
 
     /// How many live entries that the platform answers come before this one in the
--- a/crates/core/src/relay/health.rs
+++ b/crates/core/src/relay/health.rs
@@ -76,9 +76,4 @@
     pub fn failing(&self) -> f64 {
         self.failing
     }
-
-    /// How many tries have failed in a row.
-    pub fn strikes(&self) -> u32 {
-        self.strikes
-    }
 }
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -98,12 +98,11 @@
     }
 
     /// The endpoints as they are listed, without those in reserve.
-    pub fn listed(&self) -> Vec<Endpoint> {
+    pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
         let listed = self.endpoints.values();
         listed
             .filter(|(_, standing)| !matches!(standing, Standing::Reserve(_)))
-            .map(|(endpoint, _)| endpoint.clone())
-            .collect()
+            .map(|(endpoint, _)| endpoint)
     }
 
     /// Takes a whole list. An older one than the known is not taken.
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -61,10 +61,12 @@
         self.asked.retain(|_, at| now - *at < LATE);
         let mut to = self.state.fleet.borrow_mut().round(now);
         to.extend(self.unheard());
+        let mut question = self.message(0, false);
         for address in to {
             self.next = self.next.wrapping_add(1);
             self.asked.insert(self.next, now);
-            let question = self.message(self.next, false);
+            question.number = self.next;
+            question.told = self.told();
             self.send(&question, address);
         }
     }
@@ -171,8 +173,7 @@
     fn fetch_newer(&self, message: &Message) {
         let has_plan = message.knows.plan > self.state.force.borrow().version();
         let has_endpoints = message.knows.endpoints > self.state.roster.borrow().revision();
-        let is_fetching = self.state.is_fetching.get();
-        if (has_plan || has_endpoints) && !is_fetching {
+        if (has_plan || has_endpoints) && !self.state.is_fetching.replace(true) {
             let from = message.from.peer;
             actix_rt::spawn(fetch::fetch(Rc::clone(&self.state), from));
         }
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -21,9 +21,9 @@
 /// The largest message, in bytes: thousands of routes.
 const MOST_BYTES: u32 = 8 * 1024 * 1024;
 
-/// Fetches from another entry what is newer there; one at a time.
+/// Fetches from another entry what is newer there. One at a time: whoever starts it
+/// has set `is_fetching`, and it is taken back here.
 pub async fn fetch(state: Rc<State>, from: SocketAddr) {
-    state.is_fetching.set(true);
     fetch_one(&state, from).await;
     state.is_fetching.set(false);
 }
@@ -102,7 +102,8 @@
     let roster = state.roster.borrow();
     let has_newer = roster.revision() > question.endpoints;
     let changes = roster.since(question.endpoints).map(Listed::Changes);
-    let endpoints = has_newer.then(|| changes.unwrap_or_else(|| Listed::All(roster.listed())));
+    let all = || Listed::All(roster.listed().cloned().collect());
+    let endpoints = has_newer.then(|| changes.unwrap_or_else(all));
     Fetched {
         knows,
         plan: plan.map(|table| table.plan().clone()),
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -16,6 +16,7 @@
 use crate::request::problem::Code;
 use crate::request::{Account, Problem};
 use crate::state::State;
+use crate::stop;
 
 /// When callers should come back to a relay that has no fresh plan, or is about
 /// to stop: they find another one by then.
@@ -23,9 +24,6 @@
 /// How old the confirmation of a plan may be for a request to be denied by it: a
 /// newer plan may have its route or key. Above the time between two confirmations.
 const DENY_AGE: Millis = Millis(3_000);
-/// For so long after the beginning of a stop, requests that still come are
-/// served: about as long as callers keep a list of entries.
-const LATE: Millis = Millis(3_500);
 
 /// A request that is to be passed on.
 pub struct Admitted {
@@ -105,7 +103,7 @@
 
 fn refuse_late(state: &State) -> Result<(), Problem> {
     let since = state.stopping_since();
-    if since.is_none_or(|since| state.now() - since < LATE) {
+    if since.is_none_or(|since| state.now() - since < stop::CALLERS_LEAVE) {
         return Ok(());
     }
     let problem = Problem::not_run(Code::Stopping, "this entry is about to stop");
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -174,13 +174,12 @@
 /// Tells the platform of this entry, and asks it for others while none answers.
 async fn announce(state: Rc<State>) {
     let settings = &state.settings;
-    let mut is_announced = false;
     loop {
         tokio::time::sleep(Duration::from_millis(ANNOUNCE.0)).await;
-        if !is_announced && state.rank() < ANNOUNCED {
+        if !state.is_announced.get() && state.rank() < ANNOUNCED {
             let announcing = state.source.announce(&settings.name, settings.peer_listen);
             match announcing.await {
-                Ok(()) => is_announced = true,
+                Ok(()) => state.is_announced.set(true),
                 Err(error) => log::info!(error = error.to_string(); "not announced yet"),
             }
         }
@@ -188,7 +187,6 @@
         if is_alone {
             ask_for_others(&state).await;
         }
-        state.is_announced.set(is_announced);
     }
 }
 
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -11,7 +11,7 @@
 
 /// How long requests may still come after the beginning of a stop: callers keep
 /// a list of entries for a second, some for three times as long.
-const CALLERS_LEAVE: Millis = Millis(3_500);
+pub const CALLERS_LEAVE: Millis = Millis(3_500);
 /// How much sooner than it would be killed the process ends.
 const MARGIN: Millis = Millis(500);
 /// How often it is checked whether all is done.
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -88,7 +88,7 @@
         metrics.plan_version.set(gauge(force.version()));
         metrics.plan_age.set(gauge(force.age(now).0));
     }
-    let endpoints = state.roster.borrow().listed().len();
+    let endpoints = state.roster.borrow().listed().count();
     metrics.endpoints.set(gauge(endpoints as u64));
     let entries = state.fleet.borrow().live(now).count();
     metrics.entries.set(gauge(entries as u64));
