The test of the woken holder waits for what its requests do

Cause: the_holder_is_frozen_and_wakes was red once in some twenty runs beside load. Its wait ended when the woken entry was seen to hold a job (for some ms only) or when the engine had begun as many runs as there were requests. Requests that may not run twice and were recorded as started by the frozen entry may never have reached the engine: they are told may_have_run, as they should be, and the count is then never reached. Seen with the states printed: in 3 of 3 stuck runs all 24 later requests were done, 47 runs had begun, and two or three of the earlier ones were failed with no run. Ruled out: a permit that is never granted (no request waited at any control branch, by a dump each 15 s), a worker that holds its lease and starts nothing (no row was left). Change: the wait is for the later requests themselves, each of which must have run; and they must all be done, with the same check against the engine's record as the earlier ones.

--- a/crates/entry/tests/deferred/main.rs
+++ b/crates/entry/tests/deferred/main.rs
@@ -113,15 +113,23 @@
     let told = ends(&fleet.entries[1], &jobs).await;
     check(&fleet, &jobs, &told, LONG).await;
     fleet.entries[0].wake();
-    // Once it carries out work again, it has found that its leases were lost.
+    // Once it carries out work again, or nothing is left to do, it has found that
+    // its leases were lost. Of the earlier requests some never reach the engine:
+    // those that may not run twice and were recorded as started by the frozen entry.
     let fresh = submit_all(&fleet, "b", 24, 1).await;
     until("the woken entry works", async || {
         let mine = started_by(&fleet, &fleet.entries[0]).await;
-        let done = fleet.engine.started().await.len() >= jobs.len() + fresh.len();
-        (!mine.is_empty() || done).then_some(())
+        let record = fleet.engine.started().await;
+        let has_run = |identity: &String| record.iter().any(|run| run["prompt_tag"] == **identity);
+        (!mine.is_empty() || fresh.keys().all(has_run)).then_some(())
     })
     .await;
-    ends(&fleet.entries[0], &fresh).await;
+    let later = ends(&fleet.entries[0], &fresh).await;
+    assert!(
+        later.values().all(|end| end["state"] == "done"),
+        "{later:?}"
+    );
+    check(&fleet, &fresh, &later, 1).await;
     let after = ends(&fleet.entries[0], &jobs).await;
     assert_eq!(after, told);
     check(&fleet, &jobs, &after, LONG).await;
