A large fleet spreads narrations: fewer engines compared, a fairer division

Three reasons: 80 entries hear of one another late and in part, and all send to the engine that seems idlest; what others told as unread was taken to be read by the engine at its full rate for each of them at once; a token of a steady stream was counted as 4 ms, so too few engines were for them. Change: of each side an entry compares some engines drawn anew for each request, the fewer the more entries there are, and the common choice for a shared prompt; what the engine has read since is shared among those that told; TOKEN_TIME is 6 ms.

--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -12,10 +12,11 @@
 
 /// Prompt tokens that an engine reads in a millisecond, before any was seen to.
 pub const READ_RATE: f64 = 50.0;
-/// How long an engine takes for a token of a stream, in ms, for estimates.
-const TOKEN_TIME: f64 = 4.0;
+/// How long an engine takes for a token of a stream, in ms, for estimates: about 3
+/// alone, and 6 with some twenty others whose prompts it reads as well.
+const TOKEN_TIME: f64 = 6.0;
 /// A stream is steady if it runs for so many times as long as its prompt is read.
-const STEADY_RATIO: f64 = 10.0;
+const STEADY_RATIO: f64 = 15.0;
 /// The part of an engine's slots that steady streams fill at ease.
 const STEADY_FILL: f64 = 0.4;
 /// The part of its time that an engine spends on reading prompts at ease.
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -38,6 +38,12 @@
 const OVERDUE_COST: f64 = 3.0;
 /// The time for one request at a plain service, before any was seen, in ms.
 const FIRST_SERVICE_TIME: f64 = 20.0;
+/// By how many entries' requests each engine is looked at, at a time: entries hear
+/// of one another late, and all of them would send to the one that seems to have
+/// the least to do.
+const LOOKERS: usize = 8;
+/// Of so many engines of either side the best is chosen, at least.
+const LEAST_LOOKED_AT: usize = 3;
 /// The weight of one answer in a plain service's usual time.
 const WEIGHT: f64 = 0.1;
 
@@ -98,11 +104,14 @@
     demands: HashMap<String, Demand>,
     others: Others,
     next: u64,
+    /// Where the draws of engines begin: entries draw differently.
+    seed: u64,
+    drawn: u64,
 }
 
 impl Loads {
     /// Nothing is known yet, at an entry of this data centre.
-    pub fn new(data_centre: name::DataCentre) -> Self {
+    pub fn new(data_centre: name::DataCentre, seed: u64) -> Self {
         Self {
             data_centre,
             endpoints: HashMap::new(),
@@ -110,6 +119,8 @@
             demands: HashMap::new(),
             others: Others::default(),
             next: 0,
+            seed,
+            drawn: 0,
         }
     }
 
@@ -131,7 +142,8 @@
             .filter(|(_, is_steady)| *is_steady == is_for_steady);
         let favourite = favourite(own.map(|(engine, _)| engine), ask);
         let calm = self.calm_tokens(&open);
-        let choices = division.engines().map(|(engine, is_steady)| {
+        let looked_at = self.look(&division, favourite, now);
+        let choices = looked_at.into_iter().map(|(engine, is_steady)| {
             let is_favourite = favourite == Some(&engine.name);
             let mut prospect = self.estimate(engine, ask, is_favourite, now);
             if is_steady != is_for_steady {
@@ -153,6 +165,31 @@
         })
     }
 
+    /// The engines that are compared for one request: the favourite, and some of
+    /// either side that are drawn anew each time.
+    fn look<'e>(
+        &mut self,
+        division: &Division<'e>,
+        favourite: Option<&name::Endpoint>,
+        now: Millis,
+    ) -> Vec<(&'e Endpoint, bool)> {
+        self.drawn += 1;
+        let draw = prefix::mix(self.seed, self.drawn);
+        let entries = self.others.count(now) + 1;
+        let (steady, others): (Vec<_>, Vec<_>) = division.engines().partition(|(_, it)| *it);
+        let mut looked_at = sample(steady, entries, draw);
+        looked_at.extend(sample(others, entries, draw));
+        let is_missing =
+            |name: &&name::Endpoint| looked_at.iter().all(|(engine, _)| engine.name != **name);
+        if let Some(missing) = favourite.filter(is_missing) {
+            let found = division
+                .engines()
+                .find(|(engine, _)| engine.name == *missing);
+            looked_at.extend(found);
+        }
+        looked_at
+    }
+
     /// How many unread tokens an engine may have before its steady streams stall.
     fn calm_tokens(&self, endpoints: &[&Endpoint]) -> f64 {
         let first = endpoints.first();
@@ -316,6 +353,25 @@
     }
 }
 
+/// Draws some of the engines: the more entries look at them, the fewer each.
+fn sample(
+    mut engines: Vec<(&Endpoint, bool)>,
+    entries: usize,
+    draw: u64,
+) -> Vec<(&Endpoint, bool)> {
+    let count = (engines.len() * LOOKERS)
+        .div_ceil(entries)
+        .max(LEAST_LOOKED_AT);
+    if count < engines.len() {
+        let score = |(engine, _): &(&Endpoint, bool)| {
+            prefix::mix(draw, tidings::hash(engine.name.as_str()))
+        };
+        engines.sort_by_cached_key(score);
+        engines.truncate(count);
+    }
+    engines
+}
+
 /// The endpoint that all entries choose first for a shared prompt of which they
 /// know nothing else: rendezvous hashing.
 fn favourite<'e>(
--- a/crates/core/src/relay/tidings.rs
+++ b/crates/core/src/relay/tidings.rs
@@ -89,18 +89,31 @@
         self.told.retain(|_, told| now - told.at < SHARE_LIFE);
     }
 
+    /// How many others have told lately.
+    pub fn count(&self, now: Millis) -> usize {
+        self.live(now).count()
+    }
+
     /// What the others have at an endpoint.
     pub fn at(&self, endpoint: &name::Endpoint, now: Millis) -> Elsewhere {
         let key = key(endpoint.as_str());
         let mut elsewhere = Elsewhere::default();
+        let mut read = 0.0;
         for told in self.live(now) {
             if let Some(share) = told.shares.get(&key) {
-                let read = (now - told.at).0 as f64 * READ_RATE;
                 elsewhere.running += f64::from(share.running);
                 elsewhere.held += f64::from(share.held);
-                elsewhere.unread += (f64::from(share.unread) - read).max(0.0);
+                elsewhere.unread += f64::from(share.unread);
+                let age = (now - told.at).0 as f64;
+                read += f64::from(share.unread) * age * READ_RATE;
             }
         }
+        // The engine reads the prompts of all entries in turn: what it has read
+        // since is shared among them.
+        if elsewhere.unread > 0.0 {
+            let read = read / elsewhere.unread;
+            elsewhere.unread = (elsewhere.unread - read).max(0.0);
+        }
         elsewhere
     }
 
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -76,7 +76,7 @@
 impl Entry {
     fn new(count: usize) -> Self {
         Self {
-            loads: Loads::new(name::DataCentre::from("dub-a")),
+            loads: Loads::new(name::DataCentre::from("dub-a"), 1),
             endpoints: engines(count),
             tickets: Vec::new(),
         }
@@ -110,7 +110,7 @@
     let chosen: Vec<_> = ["dub-a", "dub-b"]
         .map(|data_centre| {
             let mut entry = Entry::new(9);
-            entry.loads = Loads::new(name::DataCentre::from(data_centre));
+            entry.loads = Loads::new(name::DataCentre::from(data_centre), 2);
             entry.send(&ask(&caption(7, 1)), 0)
         })
         .to_vec();
--- a/crates/fake/src/batch.rs
+++ b/crates/fake/src/batch.rs
@@ -89,6 +89,7 @@
     /// Kept chains of prompt parts: tokens, and the step of their last use.
     kept: HashMap<u64, (u32, u64)>,
     step: u64,
+    tokens_read: u64,
 }
 
 impl Engine {
@@ -100,6 +101,7 @@
             waiting: Vec::new(),
             kept: HashMap::new(),
             step: 0,
+            tokens_read: 0,
         }
     }
 
@@ -118,12 +120,28 @@
         self.running.len()
     }
 
+    /// Requests that wait to be admitted.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Tokens of admitted prompts that are not read yet.
+    pub fn unread(&self) -> u32 {
+        self.running.iter().map(|run| run.unread).sum()
+    }
+
+    /// Prompt tokens that it has read so far.
+    pub fn tokens_read(&self) -> u64 {
+        self.tokens_read
+    }
+
     /// Does one step; gives back how long it took, in ms, and what came to pass.
     pub fn step(&mut self) -> (f64, Vec<Happening>) {
         self.step += 1;
         let mut happenings = Vec::new();
         self.admit(&mut happenings);
         let read = self.read();
+        self.tokens_read += u64::from(read);
         let took = self.make.step_ms
             + self.make.request_ms * self.running.len() as f64
             + f64::from(read) / self.make.read_per_ms;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -91,7 +91,7 @@
             source,
             force: RefCell::default(),
             roster: RefCell::new(Roster::new(reserve)),
-            loads: RefCell::new(Loads::new(settings.data_centre.clone())),
+            loads: RefCell::new(Loads::new(settings.data_centre.clone(), rand::random())),
             pool: RefCell::default(),
             fleet: RefCell::new(Fleet::new(settings.name.clone(), gossip::ROUND)),
             hints: RefCell::default(),
