Urgency at engines: the route first, then the workspace

Ruled out: levels that run out (6 pairs of 10 levels, by a line of the table in a trial); engines that do not follow the priority they are given.

--- a/crates/core/src/relay/plan.rs
+++ b/crates/core/src/relay/plan.rs
@@ -133,7 +133,7 @@
     pub name: String,
     /// The keys that stand for it.
     pub keys: Vec<String>,
-    /// Goes before the route's priority; 0 is the most urgent.
+    /// Comes after the route's priority at model engines; 0 is the most urgent.
     #[serde(default)]
     pub priority: u8,
 }
--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -15,6 +15,7 @@
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
     keys: HashMap<String, Arc<Workspace>>,
     services: HashMap<String, Arc<Service>>,
+    /// Pairs of a route's and a workspace's priority, most urgent first.
     ranks: Vec<(u8, u8)>,
 }
 
@@ -127,10 +128,12 @@
 
     /// How urgent a request is to a model engine, from 0, the most urgent, to 9.
     ///
-    /// The workspace's priority goes before the route's. Only pairs that the
-    /// plan can bring about take up a level.
+    /// The route's priority goes before the workspace's: an engine that lacks memory
+    /// puts the least urgent back, and a kind of request that is needed sooner must
+    /// not give way to one that can wait. Only pairs that the plan can bring about
+    /// take up a level.
     pub fn urgency(&self, workspace: Option<&Workspace>, route: &Route) -> u8 {
-        let pair = (workspace.map_or(0, |it| it.priority), route.priority);
+        let pair = (route.priority, workspace.map_or(0, |it| it.priority));
         let rank = self.ranks.partition_point(|it| *it < pair);
         let most = self.ranks.len().max(1) - 1;
         let level = if most < LEVELS {
@@ -169,13 +172,14 @@
     Ok(keys)
 }
 
-/// All pairs of priorities that requests to model engines can have, most urgent first.
+/// All pairs of a route's and a workspace's priority that requests to model engines
+/// can have, most urgent first.
 fn ranks(plan: &Plan) -> Vec<(u8, u8)> {
     let streams = plan.routes.iter().filter(|it| it.kind == Kind::Stream);
     let routes: Vec<u8> = streams.map(|route| route.priority).collect();
     let workspaces = plan.workspaces.iter().map(|it| it.priority).chain([0]);
     let mut pairs: Vec<_> = workspaces
-        .flat_map(|workspace| routes.iter().map(move |route| (workspace, *route)))
+        .flat_map(|workspace| routes.iter().map(move |route| (*route, workspace)))
         .collect();
     pairs.sort_unstable();
     pairs.dedup();
