Connections rest for a shorter time once one was forgotten

Change: core::relay::rest: a connection that had rested and ends within 50 ms of sending shows how long is too long; for 15 s others of the service rest for half of that at most, and entries tell one another what they found out themselves (form 2 of the messages).

--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod health;
 mod plan;
 mod prefix;
+mod rest;
 mod roster;
 mod table;
 mod time;
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -96,6 +96,7 @@
             knows: knowledge(&self.state),
             told: self.told(),
             tidings,
+            rests: self.state.rests.borrow().tell(now),
         }
     }
 
@@ -140,6 +141,7 @@
         let mut loads = self.state.loads.borrow_mut();
         loads.tell(&message.from.name, &message.tidings, now);
         drop(loads);
+        self.state.rests.borrow_mut().told(&message.rests, now);
         if message.is_answer {
             self.learn(&message, now);
         } else {
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -4,11 +4,12 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::fleet::Member;
+use woodgap_core::relay::rest;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::tidings::Tidings;
 
 /// The first byte of each datagram: the version of this form.
-pub const FORM: u8 = 1;
+pub const FORM: u8 = 2;
 /// The largest datagram, in bytes: what passes every link whole.
 pub const MOST_BYTES: usize = 1_400;
 /// The most endpoints whose load one message tells of.
@@ -31,6 +32,8 @@
     pub told: Vec<Member>,
     /// The sender's load.
     pub tidings: Tidings,
+    /// How long connections to endpoints may rest, as the sender has found out.
+    pub rests: Vec<rest::Told>,
 }
 
 /// What an entry knows, and how old the confirmation of it is.
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -104,10 +104,15 @@
     place: &Place,
     account: &mut Account,
 ) -> Result<(Connection, Head, Millis), Failure> {
-    let mut connection = connect(state, choice, account).await?;
+    let (mut connection, rested) = connect(state, choice, account).await?;
     let head = forward::head(state, request, choice);
     account.send(connection.served() > 0);
-    let mut answer = connection.exchange(&head, &request.body).await?;
+    let sent = state.now();
+    let exchanged = connection.exchange(&head, &request.body).await;
+    if matches!(exchanged, Err(Error::Cut(_))) {
+        note_lost(state, request, rested, sent);
+    }
+    let mut answer = exchanged?;
     let mut surplus = 0;
     while !is_for(state, &answer, request) {
         surplus += 1;
@@ -147,11 +152,28 @@
     Ok((connection, answer, rest))
 }
 
+/// Takes in that the connection ended without an answer.
+fn note_lost(state: &State, request: &Admitted, rested: Millis, sent: Millis) {
+    let now = state.now();
+    let service = request.service.name.as_str();
+    let mut rests = state.rests.borrow_mut();
+    let before = rests.most(service, now);
+    rests.lost(service, rested, now - sent, now);
+    let most = rests.most(service, now);
+    if most != before {
+        log::info!(
+            service = service, most_ms = most.map_or(0, |most| most.0), rested_ms = rested.0;
+            "connections to a service rest for a shorter time"
+        );
+    }
+}
+
+/// A connection to the chosen endpoint, and how long it has rested.
 async fn connect(
     state: &Rc<State>,
     choice: &Choice,
     account: &mut Account,
-) -> Result<Connection, Failure> {
+) -> Result<(Connection, Millis), Failure> {
     let endpoint = &choice.endpoint;
     account.choose(
         endpoint.name.as_str(),
@@ -159,16 +181,18 @@
         choice.cost,
         choice.kept,
     );
-    let resting = state.pool.borrow_mut().take(&endpoint.name, state.now());
-    if let Some(connection) = resting {
-        return Ok(connection);
+    let now = state.now();
+    let most = state.rests.borrow().most(&endpoint.service, now);
+    let resting = state.pool.borrow_mut().take(&endpoint.name, most, now);
+    if let Some(resting) = resting {
+        return Ok(resting);
     }
     state.metrics.connects.inc();
     let opened = Connection::open(endpoint.address).await;
     if opened.is_err() {
         state.pool.borrow_mut().close(&endpoint.name);
     }
-    Ok(opened?)
+    Ok((opened?, Millis::ZERO))
 }
 
 fn is_for(state: &State, answer: &Head, request: &Admitted) -> bool {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -11,6 +11,7 @@
 use woodgap_core::relay::duty::{self, Duty, Subject};
 use woodgap_core::relay::engine::Loads;
 use woodgap_core::relay::fleet::{Fleet, Member};
+use woodgap_core::relay::rest::Rests;
 use woodgap_core::relay::{Force, Roster};
 use woodgap_platform::clock::Clock;
 use woodgap_settings::relay::Relay as Settings;
@@ -46,6 +47,8 @@
     pub loads: RefCell<Loads>,
     /// Connections to them.
     pub pool: RefCell<Pool>,
+    /// How long those may rest.
+    pub rests: RefCell<Rests>,
     /// The other entries.
     pub fleet: RefCell<Fleet>,
     /// Where the platform says that other entries take messages.
@@ -93,6 +96,7 @@
             roster: RefCell::new(Roster::new(reserve)),
             loads: RefCell::new(Loads::new(settings.data_centre.clone(), rand::random())),
             pool: RefCell::default(),
+            rests: RefCell::default(),
             fleet: RefCell::new(Fleet::new(settings.name.clone(), gossip::ROUND)),
             hints: RefCell::default(),
             metrics,
--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -24,17 +24,32 @@
 
 #[derive(Debug, Default)]
 struct Line {
-    resting: Vec<(Connection, Millis)>,
+    resting: Vec<Resting>,
     busy: usize,
 }
 
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    since: Millis,
+    until: Millis,
+}
+
 impl Pool {
-    /// A resting connection that is still sound: the one used last.
-    pub fn take(&mut self, endpoint: &name::Endpoint, now: Millis) -> Option<Connection> {
+    /// A resting connection that is still sound, the one used last, and how long it
+    /// has rested; `most` is the longest rest, where there is a bound.
+    pub fn take(
+        &mut self,
+        endpoint: &name::Endpoint,
+        most: Option<Millis>,
+        now: Millis,
+    ) -> Option<(Connection, Millis)> {
         let line = self.lines.get_mut(endpoint)?;
-        while let Some((connection, until)) = line.resting.pop() {
-            if now < until && connection.is_sound() {
-                return Some(connection);
+        while let Some(resting) = line.resting.pop() {
+            let rested = now - resting.since;
+            let is_short = most.is_none_or(|most| rested <= most);
+            if is_short && now < resting.until && resting.connection.is_sound() {
+                return Some((resting.connection, rested));
             }
         }
         None
@@ -71,7 +86,11 @@
         let line = self.lines.entry(endpoint.clone()).or_default();
         if line.resting.len() < MOST_RESTING {
             connection.rest();
-            line.resting.push((connection, now + rest));
+            line.resting.push(Resting {
+                connection,
+                since: now,
+                until: now + rest,
+            });
         }
     }
 
@@ -87,7 +106,7 @@
     pub fn sweep(&mut self, now: Millis) {
         for line in self.lines.values_mut() {
             line.resting
-                .retain(|(connection, until)| now < *until && connection.is_sound());
+                .retain(|resting| now < resting.until && resting.connection.is_sound());
         }
         self.lines
             .retain(|_, line| line.busy > 0 || !line.resting.is_empty());
--- a/crates/relay/tests/contract/endpoint.rs
+++ b/crates/relay/tests/contract/endpoint.rs
@@ -83,6 +83,11 @@
         Self::start(Box::new(script), true)
     }
 
+    /// Does with each request, counted from 0, what the script says.
+    pub fn numbered(script: impl Fn(usize) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        Self::start(Box::new(script), true)
+    }
+
     /// Answers without having read the body.
     pub fn early(steps: Vec<Step>) -> Self {
         Self::start(Box::new(move |_| steps.clone()), false)
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -7,5 +7,6 @@
 mod others;
 mod own_questions;
 mod refusals;
+mod rests;
 mod site;
 mod streams;
