A soak of our own, and what it found: a lasting refusal after a standstill

Ruled out: the platform or the plan (confirmed 170 ms before), the endpoints (others were served by them). Change: what is learnt of times fades to the usual value within some seconds (core::relay::fading); a request is refused as too late only for what is known to be there, or while own requests are there to correct what was learnt (Choice::is_too_late). crates/relay/tests/soak: real relays as processes, proxies that delay, reset, hold or silence connections, signals, a platform that fails, changes of plan and endpoints, mishaps of endpoints; callers and endpoints check at-most-once, promises, whole answers, events in order, removed keys, leaving endpoints, planned stops and recovery.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -15,6 +15,7 @@
 use crate::name;
 use crate::relay;
 use crate::relay::division::{Demand, Division};
+use crate::relay::fading::Fading;
 use crate::relay::health::Sign;
 use crate::relay::plan::Engine;
 use crate::relay::prefix;
@@ -44,8 +45,6 @@
 const LOOKERS: usize = 8;
 /// Of so many engines of either side the best is chosen, at least.
 const LEAST_LOOKED_AT: usize = 3;
-/// The weight of one answer in a plain service's usual time.
-const WEIGHT: f64 = 0.1;
 
 /// What is to be sent.
 #[derive(Clone, Copy, Debug)]
@@ -79,6 +78,10 @@
     pub endpoint: Endpoint,
     /// Expected time until the first byte of the answer, in ms.
     pub wait: f64,
+    /// The part of that which is known to be due to other requests, in ms.
+    pub queue: f64,
+    /// Requests of this entry that are there.
+    pub running: usize,
     /// What the choice costs in all, in ms: the wait, and what others suffer.
     pub cost: f64,
     /// Prompt tokens that are believed to be kept there.
@@ -87,6 +90,17 @@
     pub unread: f64,
 }
 
+impl Choice {
+    /// Whether the answer is to be expected too late for a caller that waits so long.
+    ///
+    /// What was learnt of an endpoint counts only while a request of this entry is
+    /// there to correct it; else it would be kept away from for ever.
+    pub fn is_too_late(&self, left: Millis) -> bool {
+        let left = left.0 as f64;
+        self.queue > left || (self.running > 0 && self.wait > left)
+    }
+}
+
 /// What a request would meet at an endpoint, and what that costs in all, in ms.
 #[derive(Clone, Copy, Debug)]
 struct Prospect {
@@ -100,7 +114,7 @@
     data_centre: name::DataCentre,
     endpoints: HashMap<name::Endpoint, Load>,
     /// The usual time of a plain service, in ms.
-    service_time: HashMap<String, f64>,
+    service_time: HashMap<String, Fading>,
     demands: HashMap<String, Demand>,
     others: Others,
     next: u64,
@@ -159,6 +173,8 @@
         Some(Choice {
             endpoint: endpoint.clone(),
             wait: estimate.wait,
+            queue: estimate.queue,
+            running: self.running(&endpoint.name),
             cost,
             kept: estimate.kept,
             unread: estimate.unread,
@@ -221,6 +237,10 @@
         due.map(|(name, _)| name.clone()).collect()
     }
 
+    fn running(&self, endpoint: &name::Endpoint) -> usize {
+        self.endpoints.get(endpoint).map_or(0, Load::running)
+    }
+
     fn estimate(
         &self,
         endpoint: &Endpoint,
@@ -236,7 +256,7 @@
             }
             _ => self.at_service(load, endpoint, now),
         };
-        let slowness = load.map_or(1.0, |load| load.slowness);
+        let slowness = load.map_or(1.0, |load| load.slowness(now));
         let failing = load.map_or(0.0, |load| load.health.failing());
         let overdue = load.map_or(0.0, |load| load.overdue(now));
         let is_far = endpoint.data_centre != self.data_centre;
@@ -252,12 +272,14 @@
     /// What a request would meet at an endpoint of a plain service.
     fn at_service(&self, load: Option<&Load>, endpoint: &Endpoint, now: Millis) -> Estimate {
         let time = self.service_time.get(&endpoint.service);
-        let time = time.copied().unwrap_or(FIRST_SERVICE_TIME);
+        let time = time.map_or(FIRST_SERVICE_TIME, |time| time.now(now));
         let own = load.map_or(0.0, |load| load.running() as f64);
         let others = load.map_or(0.0, |load| load.reported_others(now));
         let slots = f64::from(endpoint.slots.max(1));
+        let waiting = (own + others) / slots;
         Estimate {
-            wait: time * (1.0 + (own + others) / slots),
+            wait: time * (1.0 + waiting),
+            queue: FIRST_SERVICE_TIME * waiting,
             disturbance: 0.0,
             kept: 0,
             unread: 0.0,
@@ -291,8 +313,8 @@
         let took = load.answered(ticket.number, now);
         if let Some(took) = took.filter(|_| is_plain) {
             let time = self.service_time.entry(load.service.clone());
-            let time = time.or_insert(FIRST_SERVICE_TIME);
-            *time += WEIGHT * (took - *time);
+            let time = time.or_insert(Fading::new(FIRST_SERVICE_TIME));
+            time.learn(took, now);
         }
     }
 
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -5,6 +5,7 @@
 use crate::clock::Millis;
 use crate::relay::division::READ_RATE;
 use crate::relay::engine::{Ask, Choice};
+use crate::relay::fading::Fading;
 use crate::relay::health::{Health, Sign};
 use crate::relay::plan::Engine;
 use crate::relay::prefix::Prefix;
@@ -33,8 +34,6 @@
 const EXPECTED_KEPT: f64 = 0.9;
 /// After so long a report of load counts for nothing.
 const REPORT_LIFE: Millis = Millis(1_000);
-/// The weight of one answer in an endpoint's slowness: about the last ten count.
-const WEIGHT: f64 = 0.1;
 /// Bounds of the factor by which an endpoint is slower than expected.
 const SLOWNESS: (f64, f64) = (0.5, 20.0);
 
@@ -55,7 +54,7 @@
     pub service: String,
     pub health: Health,
     /// The factor by which its answers take longer than expected.
-    pub slowness: f64,
+    slowness: Fading,
     flights: HashMap<u64, Flight>,
     prefix: Prefix,
     /// The last report, the own requests there at the time, and the time.
@@ -80,6 +79,8 @@
 pub(super) struct Estimate {
     /// Time until the first byte of its answer, in ms.
     pub wait: f64,
+    /// The part of that which is known to be due to other requests, in ms.
+    pub queue: f64,
     /// What other requests suffer, in ms.
     pub disturbance: f64,
     /// Prompt tokens that are believed to be kept there.
@@ -103,7 +104,7 @@
         Self {
             service: service.to_owned(),
             health: Health::default(),
-            slowness: 1.0,
+            slowness: Fading::new(1.0),
             flights: HashMap::new(),
             prefix: Prefix::new(memory_tokens),
             report: None,
@@ -172,11 +173,17 @@
         flight.unread = 0;
         let took = (now - flight.began).0 as f64;
         let ratio = took / flight.expected.max(1.0);
-        let slowness = self.slowness + WEIGHT * (ratio * self.slowness - self.slowness);
-        self.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
+        let sample = ratio * self.slowness.now(now);
+        self.slowness
+            .learn(sample.clamp(SLOWNESS.0, SLOWNESS.1), now);
         Some(took)
     }
 
+    /// The factor by which its answers take longer than expected.
+    pub fn slowness(&self, now: Millis) -> f64 {
+        self.slowness.now(now)
+    }
+
     /// Takes a request off. One that ends while its answer is overdue tells
     /// against the endpoint, whoever ended it.
     pub fn end(&mut self, number: u64, now: Millis) {
@@ -216,8 +223,10 @@
     // A sum of tokens that came from whole numbers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let kept = kept as u32;
+    let queue = (ahead + lacking) / READ_RATE + running * RUNNING_COST;
     Estimate {
-        wait: (ahead + unread + lacking) / READ_RATE + running * RUNNING_COST,
+        wait: queue + unread / READ_RATE,
+        queue,
         disturbance: READING_COST * unread / READ_RATE + crowding * CROWDING_COST,
         kept,
         unread: ahead + unread,
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -234,3 +234,32 @@
     entry.endpoints[0].data_centre = name::DataCentre::from("dub-b");
     assert_eq!(entry.serve(&PLAIN, 0), "e1");
 }
+
+/// An entry that stood still finds answers that seem to have taken long. It asks the
+/// endpoint all the same: else it would never learn better.
+#[test]
+fn what_was_learnt_in_a_standstill_shuts_no_endpoint_out() {
+    let mut entry = Entry::new(1);
+    for _ in 0..30 {
+        entry.send(&PLAIN, 0);
+    }
+    for ticket in std::mem::take(&mut entry.tickets) {
+        entry.loads.answered(&ticket, true, Millis(4_000));
+        entry.loads.end(&ticket, Millis(4_000));
+    }
+    let choice = entry.choose(&PLAIN, 4_001).unwrap();
+    assert!(!choice.is_too_late(Millis(600)), "{choice:?}");
+    let later = entry.choose(&PLAIN, 60_000).unwrap();
+    assert!(later.wait < 30.0, "{later:?}");
+}
+
+#[test]
+fn a_queue_that_is_there_makes_a_request_too_late() {
+    let mut entry = Entry::new(1);
+    for own in 0..40 {
+        entry.send(&ask(&caption(7, own)), 0);
+    }
+    let choice = entry.choose(&ask(&caption(7, 99)), 0).unwrap();
+    assert!(choice.is_too_late(Millis(1_000)), "{choice:?}");
+    assert!(!choice.is_too_late(Millis(60_000)), "{choice:?}");
+}
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -118,7 +118,7 @@
     };
     let choice = choice.ok_or_else(missing)?;
     let left = request.deadline - now;
-    if choice.wait > left.0 as f64 {
+    if choice.is_too_late(left) {
         let message = format!(
             "the expected wait is {:.0} ms, {left} are left",
             choice.wait
--- /dev/null
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -0,0 +1,204 @@
+//! A stand-in endpoint: it records each run, and answers well, badly or not at all.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::record::{Record, Run};
+
+/// The longest time that it works on a request, in ms.
+const LONGEST_WORK: u64 = 150;
+/// The time between two events of a stream.
+const GAP: Duration = Duration::from_millis(15);
+/// Events of one stream.
+pub const EVENTS: usize = 12;
+/// Of so many requests one meets a [`Mishap`].
+const ONE_BAD: u32 = 6;
+
+/// What may become of a request, other than a whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mishap {
+    /// It is declined and does not run.
+    Declined,
+    /// It runs, and an error is told.
+    Failed,
+    /// It runs, and its answer is lost with the connection.
+    Lost,
+    /// It runs, and its answer is cut off midway.
+    Cut,
+    /// It runs, and what comes is no answer.
+    Garbled,
+    /// It runs, and an answer to no request follows its own.
+    Surplus,
+}
+
+impl Mishap {
+    const ALL: [Self; 6] = [
+        Self::Declined,
+        Self::Failed,
+        Self::Lost,
+        Self::Cut,
+        Self::Garbled,
+        Self::Surplus,
+    ];
+}
+
+/// Starts an endpoint that runs until the test ends; gives back where it listens.
+pub async fn start(name: String, seed: u64, record: Record) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("loopback has a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let random = Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed)));
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let serving = serve(stream, name.clone(), Rc::clone(&random), record.clone());
+            actix_rt::spawn(serving);
+        }
+    });
+    address
+}
+
+/// What an answer to a request must hold, whichever endpoint gave it.
+pub fn body(id: &str, endpoint: &str) -> String {
+    format!("{id} by {endpoint} {}", "x".repeat(id.len() * 37 % 900))
+}
+
+/// The events of a stream.
+pub fn event(id: &str, number: usize) -> String {
+    format!("id: {number}\ndata: {id}-{number}\n\n")
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    name: String,
+    random: Rc<RefCell<ChaCha8Rng>>,
+    record: Record,
+) {
+    while let Some(head) = read(&mut stream).await {
+        let answered = answer(&mut stream, &head, &name, &random, &record).await;
+        if answered.is_none() {
+            return;
+        }
+    }
+}
+
+async fn answer(
+    stream: &mut TcpStream,
+    head: &str,
+    name: &str,
+    random: &RefCell<ChaCha8Rng>,
+    record: &Record,
+) -> Option<()> {
+    let id = header(head, "x-woodgap-request");
+    let (mishap, work) = {
+        let mut random = random.borrow_mut();
+        let is_bad = random.random_ratio(1, ONE_BAD);
+        let mishap = Mishap::ALL.choose(&mut *random).copied();
+        let work = random.random_range(1..=LONGEST_WORK);
+        (mishap.filter(|_| is_bad), work)
+    };
+    if header(head, "x-woodgap-endpoint") != name {
+        return send(stream, &refusal(421, &id)).await;
+    }
+    if mishap == Some(Mishap::Declined) {
+        return send(stream, &refusal(503, &id)).await;
+    }
+    let endpoint = name.to_owned();
+    record.runs(&id, Run { endpoint });
+    tokio::time::sleep(Duration::from_millis(work)).await;
+    match mishap {
+        Some(Mishap::Failed) => return send(stream, &failure(&id)).await,
+        Some(Mishap::Lost) => return None,
+        Some(Mishap::Garbled) => {
+            send(stream, "these bytes are no answer\r\n\r\n").await?;
+            return None;
+        }
+        _ => {}
+    }
+    if head.contains(" /stream/") {
+        return events(stream, &id, mishap).await;
+    }
+    let body = body(&id, name);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: {name}\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    if mishap == Some(Mishap::Cut) {
+        send(stream, &(head + &body[..body.len() / 2])).await?;
+        return None;
+    }
+    send(stream, &(head + &body)).await?;
+    if mishap == Some(Mishap::Surplus) {
+        return send(stream, &failure("nobody")).await;
+    }
+    Some(())
+}
+
+async fn events(stream: &mut TcpStream, id: &str, mishap: Option<Mishap>) -> Option<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    send(stream, &head).await?;
+    for number in 0..EVENTS {
+        if mishap == Some(Mishap::Cut) && number == EVENTS / 2 {
+            return None;
+        }
+        let event = event(id, number);
+        send(stream, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
+        tokio::time::sleep(GAP).await;
+    }
+    send(stream, "0\r\n\r\n").await
+}
+
+fn failure(id: &str) -> String {
+    format!("HTTP/1.1 500 X\r\nX-Woodgap-Request: {id}\r\nContent-Length: 0\r\n\r\n")
+}
+
+fn refusal(status: u16, id: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Verdict: not_run\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
+async fn send(stream: &mut TcpStream, text: &str) -> Option<()> {
+    stream.write_all(text.as_bytes()).await.ok()
+}
+
+/// Reads a request to its end; gives back its head.
+async fn read(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4_096];
+    loop {
+        let end = bytes.windows(4).position(|four| four == b"\r\n\r\n");
+        if let Some(end) = end {
+            let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+            let length: usize = header(&head, "content-length").parse().unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                return Some(head);
+            }
+        }
+        let count = stream.read(&mut piece).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&piece[..count]);
+    }
+}
+
+fn header(head: &str, name: &str) -> String {
+    let lines = head.lines().filter_map(|line| line.split_once(": "));
+    let mut values = lines.filter(|(found, _)| found.eq_ignore_ascii_case(name));
+    values
+        .next()
+        .map_or_else(String::new, |(_, value)| value.to_owned())
+}
--- /dev/null
+++ b/crates/relay/tests/soak/fault.rs
@@ -0,0 +1,111 @@
+//! Which faults a seed brings, and when.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+
+use crate::proxy::Mode;
+
+/// How long faults begin, in ms.
+const SPAN: u64 = 6_000;
+/// How many faults begin in that time.
+const COUNT: std::ops::RangeInclusive<usize> = 8..=16;
+/// How long one lasts, in ms.
+const LASTS: std::ops::RangeInclusive<u64> = 200..=2_500;
+/// The pause between two steps of a series, in ms.
+const SERIES_GAP: u64 = 400;
+
+/// A fault, or a change that a run must bear.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Connections to an endpoint misbehave.
+    EndpointPath(usize, Mode),
+    /// Connections to the platform misbehave.
+    PlatformPath(Mode),
+    /// The platform misbehaves.
+    Platform(Value),
+    /// An entry is frozen.
+    Freeze(usize),
+    /// An entry is killed and started again.
+    Kill(usize),
+    /// An entry is told to stop and started again.
+    Stop(usize),
+    /// A key is removed.
+    Revoke,
+    /// The plan gets more routes.
+    Grow,
+    /// An endpoint leaves, and another one comes.
+    Replace(usize),
+}
+
+/// A fault and its time, from the beginning of the faults.
+#[derive(Clone, Debug)]
+pub struct Event {
+    pub at: Duration,
+    pub lasts: Duration,
+    pub fault: Fault,
+}
+
+/// Draws the faults of a run with so many entries and endpoints.
+pub fn draw(random: &mut ChaCha8Rng, entries: usize, endpoints: usize) -> Vec<Event> {
+    let count = random.random_range(COUNT);
+    let mut events = Vec::new();
+    for _ in 0..count {
+        let at = random.random_range(0..SPAN);
+        let lasts = Duration::from_millis(random.random_range(LASTS));
+        let fault = one(random, entries, endpoints);
+        let all = match fault {
+            Fault::Stop(_) if random.random_bool(0.5) => (0..entries).map(Fault::Stop).collect(),
+            Fault::Kill(_) if random.random_bool(0.3) => (0..entries).map(Fault::Kill).collect(),
+            other => vec![other],
+        };
+        for (step, fault) in all.into_iter().enumerate() {
+            let at = Duration::from_millis(at + step as u64 * SERIES_GAP);
+            events.push(Event { at, lasts, fault });
+        }
+    }
+    events
+}
+
+fn one(random: &mut ChaCha8Rng, entries: usize, endpoints: usize) -> Fault {
+    let entry = random.random_range(0..entries);
+    let endpoint = random.random_range(0..endpoints);
+    let mode = mode(random);
+    match random.random_range(0..12) {
+        0..=2 => Fault::EndpointPath(endpoint, mode),
+        3 => Fault::PlatformPath(mode),
+        4 => Fault::Platform(platform(random)),
+        5 => Fault::Freeze(entry),
+        6 => Fault::Kill(entry),
+        7..=8 => Fault::Stop(entry),
+        9 => Fault::Revoke,
+        10 => Fault::Grow,
+        _ => Fault::Replace(endpoint),
+    }
+}
+
+fn mode(random: &mut ChaCha8Rng) -> Mode {
+    let delay = Mode::Delay(Duration::from_millis(random.random_range(5..200)));
+    let all = [
+        delay,
+        Mode::Reset,
+        Mode::HoldRequests,
+        Mode::HoldAnswers,
+        Mode::Silent,
+    ];
+    *all.choose(random).expect("there are modes")
+}
+
+fn platform(random: &mut ChaCha8Rng) -> Value {
+    let all = [
+        json!({"down": true}),
+        json!({"delay_ms": 700}),
+        json!({"lose_acks": 5}),
+        json!({"lose_requests": 5}),
+        json!({"cut_answers": 5}),
+    ];
+    all.choose(random).expect("there are faults").clone()
+}
--- /dev/null
+++ b/crates/relay/tests/soak/record.rs
@@ -0,0 +1,177 @@
+//! What callers and endpoints have seen, and what of it breaks a promise.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// It may run again.
+    Read,
+    /// It may run at most once.
+    Write,
+    /// It may run at most once, and its answer is a stream of events.
+    Stream,
+}
+
+impl Kind {
+    pub const ALL: [Self; 3] = [Self::Read, Self::Write, Self::Stream];
+
+    /// The path of its route.
+    pub const fn path(self) -> &'static str {
+        match self {
+            Self::Read => "/read/",
+            Self::Write => "/write/",
+            Self::Stream => "/stream/",
+        }
+    }
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer.
+    Answered(u16),
+    /// The answer was cut off, visibly.
+    Cut,
+    /// There was none.
+    Nothing,
+}
+
+/// A request and its end.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub kind: Kind,
+    pub key: &'static str,
+    /// The process that took it, counted over all starts.
+    pub life: usize,
+    pub at: Instant,
+    pub end: Option<End>,
+}
+
+/// A run that an endpoint has begun.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub endpoint: String,
+}
+
+/// What breaks a promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Problem {
+    /// A request that may run once ran more often.
+    Twice(String, usize),
+    /// It was said not to have run, and it did.
+    RanAfterAll(String, u16),
+    /// An answer is not the endpoint's, not whole, or another request's.
+    Foreign(String, String),
+    /// A process that was only told to stop left a request without an answer.
+    Dropped(String, usize),
+    /// A request ran with a removed key, so many ms after its removal was accepted.
+    Revoked(String, u128),
+    /// A key that a process had refused was taken by it again.
+    WentBack(String, usize),
+    /// A leaving endpoint got a request, so many ms after it was listed so.
+    Leaving(String, u128),
+    /// A process did not end well when told to stop.
+    Exit(usize, Option<i32>),
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{self:?}")
+    }
+}
+
+#[derive(Default)]
+struct All {
+    sent: BTreeMap<String, Sent>,
+    runs: BTreeMap<String, Vec<Run>>,
+    problems: Vec<Problem>,
+}
+
+/// The record of one run, shared by all tasks.
+#[derive(Clone, Default)]
+pub struct Record(Rc<RefCell<All>>);
+
+impl Record {
+    /// Notes that a request is sent.
+    pub fn sent(&self, id: &str, sent: Sent) {
+        self.0.borrow_mut().sent.insert(id.to_owned(), sent);
+    }
+
+    /// Notes how it ended for its caller.
+    pub fn ended(&self, id: &str, end: End) {
+        if let Some(sent) = self.0.borrow_mut().sent.get_mut(id) {
+            sent.end = Some(end);
+        }
+    }
+
+    /// Notes that an endpoint begins a run.
+    pub fn runs(&self, id: &str, run: Run) {
+        let mut all = self.0.borrow_mut();
+        all.runs.entry(id.to_owned()).or_default().push(run);
+    }
+
+    /// How often a request has begun to run so far.
+    pub fn count_runs(&self, id: &str) -> usize {
+        self.0.borrow().runs.get(id).map_or(0, Vec::len)
+    }
+
+    /// Notes a broken promise.
+    pub fn broken(&self, problem: Problem) {
+        self.0.borrow_mut().problems.push(problem);
+    }
+
+    /// All requests so far.
+    pub fn all_sent(&self) -> Vec<(String, Sent)> {
+        let all = self.0.borrow();
+        let sent = all.sent.iter();
+        sent.map(|(id, sent)| (id.clone(), sent.clone())).collect()
+    }
+
+    /// All runs so far.
+    pub fn all_runs(&self) -> Vec<(String, Run)> {
+        let all = self.0.borrow();
+        let runs = all.runs.iter();
+        runs.flat_map(|(id, runs)| runs.iter().map(|run| (id.clone(), run.clone())))
+            .collect()
+    }
+
+    /// The broken promises: those seen on the way, and those that show in the end.
+    pub fn problems(&self) -> Vec<Problem> {
+        let all = self.0.borrow();
+        let mut problems = all.problems.clone();
+        for (id, sent) in &all.sent {
+            let runs = all.runs.get(id).map_or(0, Vec::len);
+            if sent.kind != Kind::Read && runs > 1 {
+                problems.push(Problem::Twice(id.clone(), runs));
+            }
+            if let Some(End::Answered(status @ (408 | 421 | 429 | 503))) = sent.end
+                && runs > 0
+                && sent.kind != Kind::Read
+            {
+                problems.push(Problem::RanAfterAll(id.clone(), status));
+            }
+        }
+        problems
+    }
+
+    /// Counts of ends, for a line of output.
+    pub fn summary(&self) -> String {
+        let all = self.0.borrow();
+        let count =
+            |wanted: &dyn Fn(&Sent) -> bool| all.sent.values().filter(|it| wanted(it)).count();
+        let ok = count(&|sent| sent.end == Some(End::Answered(200)));
+        let refused =
+            count(&|sent| matches!(sent.end, Some(End::Answered(status)) if status != 200));
+        let cut = count(&|sent| sent.end == Some(End::Cut));
+        let nothing = count(&|sent| sent.end == Some(End::Nothing));
+        format!(
+            "{} sent, {ok} answered, {refused} refused or failed, {cut} cut, {nothing} without an answer",
+            all.sent.len()
+        )
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/soak/world.rs
@@ -0,0 +1,467 @@
+//! One run: the platform, endpoints and entries of a seed, their callers and faults.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::task::JoinHandle;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use serde_json::json;
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::plan::{self, Plan, Route, Service, Share, Workspace};
+use woodgap_core::relay::roster;
+use woodgap_harness::{Stand, until};
+use woodgap_platform::http::Platform;
+use woodgap_platform::table::{Place, Table, Transaction};
+
+use crate::caller::{self, Caller, KEYS};
+use crate::endpoint;
+use crate::fault::{self, Event, Fault};
+use crate::process::{LEAVE, Process, REVOKE};
+use crate::proxy::Proxy;
+use crate::record::{Kind, Problem, Record};
+
+const ENTRIES: usize = 3;
+const ENDPOINTS: usize = 4;
+const CALLERS: usize = 20;
+/// How long callers go on after the last fault has ended.
+const QUIET: Duration = Duration::from_millis(800);
+/// How long one write to the platform may take.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An entry's place in the fleet: one process after the other.
+struct Slot {
+    process: Option<Process>,
+    life: usize,
+    /// Whether callers may open connections to it.
+    is_open: bool,
+}
+
+/// What is known of one process's life.
+#[derive(Default)]
+struct Life {
+    /// It was frozen or killed.
+    is_hurt: bool,
+    /// Keys that it has refused.
+    refused: BTreeSet<&'static str>,
+}
+
+/// The entries, shared by all tasks.
+#[derive(Clone, Default)]
+pub struct Entries(Rc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    slots: RefCell<Vec<Slot>>,
+    lives: RefCell<Vec<Life>>,
+    is_over: Cell<bool>,
+}
+
+impl Entries {
+    /// Whether callers are to end.
+    pub fn is_over(&self) -> bool {
+        self.0.is_over.get()
+    }
+
+    /// Where callers may connect to, with the life that answers there.
+    pub fn open(&self) -> Vec<(SocketAddr, usize)> {
+        let slots = self.0.slots.borrow();
+        let open = slots.iter().filter(|slot| slot.is_open);
+        open.filter_map(|slot| Some((slot.process.as_ref()?.requests, slot.life)))
+            .collect()
+    }
+
+    /// Whether a process was frozen or killed.
+    pub fn is_hurt(&self, life: usize) -> bool {
+        self.0.lives.borrow()[life].is_hurt
+    }
+
+    /// Notes that a process has refused a key.
+    pub fn refused(&self, life: usize, key: &'static str) {
+        self.0.lives.borrow_mut()[life].refused.insert(key);
+    }
+
+    /// Whether a process has refused a key.
+    pub fn has_refused(&self, life: usize, key: &str) -> bool {
+        self.0.lives.borrow()[life].refused.contains(key)
+    }
+
+    fn start(&self, slot: usize, platform: SocketAddr) {
+        let process = Process::start(&format!("entry-{slot}"), platform);
+        let mut lives = self.0.lives.borrow_mut();
+        lives.push(Life::default());
+        let started = Slot {
+            process: Some(process),
+            life: lives.len() - 1,
+            is_open: true,
+        };
+        let mut slots = self.0.slots.borrow_mut();
+        if slot < slots.len() {
+            slots[slot] = started;
+        } else {
+            slots.push(started);
+        }
+    }
+
+    /// Sends a signal to the process of a slot, if it has one.
+    fn signal(&self, slot: usize, signal: Signal, hurts: bool) {
+        let slots = self.0.slots.borrow();
+        if let Some(process) = &slots[slot].process {
+            if hurts {
+                self.0.lives.borrow_mut()[slots[slot].life].is_hurt = true;
+            }
+            process.signal(signal);
+        }
+    }
+
+    /// Keeps callers from opening connections; false if that was so before.
+    fn close(&self, slot: usize) -> bool {
+        let mut slots = self.0.slots.borrow_mut();
+        std::mem::take(&mut slots[slot].is_open)
+    }
+
+    /// How the process of a slot has ended, if it has.
+    fn ended(&self, slot: usize) -> Option<Option<i32>> {
+        let mut slots = self.0.slots.borrow_mut();
+        slots[slot].process.as_mut()?.ended()
+    }
+}
+
+/// Something that was accepted at a moment.
+type Accepted<T> = Rc<RefCell<Vec<(T, Instant)>>>;
+
+/// One run.
+pub struct World {
+    random: ChaCha8Rng,
+    scene: Rc<Scene>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+/// What the faults act on.
+struct Scene {
+    record: Record,
+    entries: Entries,
+    platform: Stand,
+    platform_path: Proxy,
+    client: Platform,
+    endpoints: RefCell<Vec<(roster::Endpoint, Proxy)>>,
+    next_endpoint: Cell<usize>,
+    plan: RefCell<Plan>,
+    revoked: Accepted<&'static str>,
+    left: Accepted<String>,
+    /// When the platform, or the way to it, misbehaved.
+    platform_faults: RefCell<Vec<(Instant, Instant)>>,
+}
+
+impl World {
+    /// Starts everything and waits until it serves.
+    pub async fn start(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let record = Record::default();
+        let platform = Stand::platform();
+        let platform_path = Proxy::start(platform.address).await;
+        let client = Platform::new(&platform.url(""), WRITE_TIMEOUT);
+        let scene = Rc::new(Scene {
+            record: record.clone(),
+            entries: Entries::default(),
+            platform,
+            platform_path,
+            client,
+            endpoints: RefCell::default(),
+            next_endpoint: Cell::new(0),
+            plan: RefCell::new(first_plan()),
+            revoked: Rc::default(),
+            left: Rc::default(),
+            platform_faults: RefCell::default(),
+        });
+        scene.write_plan().await;
+        for _ in 0..ENDPOINTS {
+            let endpoint = scene.add_endpoint(random.random()).await;
+            scene.endpoints.borrow_mut().push(endpoint);
+        }
+        for slot in 0..ENTRIES {
+            scene.entries.start(slot, scene.platform_path.address);
+        }
+        for slot in 0..ENTRIES {
+            scene.until_served(slot, "start").await;
+        }
+        let callers = (0..CALLERS).map(|number| {
+            let name = format!("s{seed}-c{number}");
+            let entries = scene.entries.clone();
+            let caller = Caller::new(name, random.random(), record.clone(), entries);
+            actix_rt::spawn(caller.run())
+        });
+        Self {
+            callers: callers.collect(),
+            random,
+            scene,
+        }
+    }
+
+    /// Plays the faults of the seed, all in their time.
+    pub async fn play(&mut self) {
+        let events = fault::draw(&mut self.random, ENTRIES, ENDPOINTS);
+        let playing = events.into_iter().map(|event| {
+            let scene = Rc::clone(&self.scene);
+            let seed = self.random.random();
+            actix_rt::spawn(async move { scene.play(event, seed).await })
+        });
+        let playing: Vec<_> = playing.collect();
+        for event in playing {
+            event.await.expect("a fault is played to its end");
+        }
+        tokio::time::sleep(QUIET).await;
+    }
+
+    /// Waits until all is served again, ends, and tells which promises were broken.
+    pub async fn end(&mut self) -> Vec<Problem> {
+        self.scene.entries.0.is_over.set(true);
+        for caller in self.callers.drain(..) {
+            caller.await.expect("a caller ends");
+        }
+        for slot in 0..ENTRIES {
+            self.scene.until_served(slot, "end").await;
+        }
+        let mut problems = self.scene.record.problems();
+        problems.extend(self.scene.timed_problems());
+        problems
+    }
+
+    /// A line on the run.
+    pub fn summary(&self) -> String {
+        let lives = self.scene.entries.0.lives.borrow().len();
+        format!("{}, {lives} processes", self.scene.record.summary())
+    }
+}
+
+impl Scene {
+    async fn play(&self, event: Event, seed: u64) {
+        tokio::time::sleep(event.at).await;
+        let lasts = || tokio::time::sleep(event.lasts);
+        match event.fault {
+            Fault::EndpointPath(at, mode) => {
+                let proxy = self.endpoints.borrow()[at].1.clone();
+                proxy.begin(mode);
+                lasts().await;
+                proxy.end();
+            }
+            Fault::PlatformPath(mode) => {
+                let begun = Instant::now();
+                self.platform_path.begin(mode);
+                lasts().await;
+                self.platform_path.end();
+                self.note_platform_fault(begun);
+            }
+            Fault::Platform(faults) => {
+                let begun = Instant::now();
+                self.platform.fault(faults).await;
+                lasts().await;
+                let none = json!({"down": false, "delay_ms": 0, "lose_acks": 0,
+                                  "lose_requests": 0, "cut_answers": 0});
+                self.platform.fault(none).await;
+                self.note_platform_fault(begun);
+            }
+            Fault::Freeze(slot) => {
+                self.entries.signal(slot, Signal::STOP, true);
+                lasts().await;
+                self.entries.signal(slot, Signal::CONT, true);
+            }
+            Fault::Kill(slot) => self.restart(slot, Signal::KILL).await,
+            Fault::Stop(slot) => self.restart(slot, Signal::TERM).await,
+            Fault::Revoke => self.revoke().await,
+            Fault::Grow => self.grow().await,
+            Fault::Replace(at) => self.replace(at, seed).await,
+        }
+    }
+
+    fn note_platform_fault(&self, begun: Instant) {
+        let fault = (begun, Instant::now());
+        self.platform_faults.borrow_mut().push(fault);
+    }
+
+    /// Ends the process of a slot and starts another one in its place, unless that
+    /// is under way already.
+    async fn restart(&self, slot: usize, signal: Signal) {
+        let is_kill = signal == Signal::KILL;
+        let is_first = self.entries.close(slot);
+        self.entries.signal(slot, signal, is_kill);
+        if !is_first {
+            return;
+        }
+        let code = until("a process ends", async || self.entries.ended(slot)).await;
+        let life = self.entries.0.slots.borrow()[slot].life;
+        if code != Some(0) && !self.entries.is_hurt(life) {
+            self.record.broken(Problem::Exit(life, code));
+        }
+        self.entries.start(slot, self.platform_path.address);
+    }
+
+    async fn revoke(&self) {
+        let has_key = !self.plan.borrow().workspaces[1].keys.is_empty();
+        if has_key {
+            self.plan.borrow_mut().workspaces[1].keys.clear();
+            self.write_plan().await;
+            self.revoked.borrow_mut().push((KEYS[1], Instant::now()));
+        }
+    }
+
+    async fn grow(&self) {
+        let number = self.plan.borrow().routes.len();
+        let more = (number..number + 50)
+            .map(|number| route(&format!("/more/{number}/"), plan::Kind::Idempotent));
+        self.plan.borrow_mut().routes.extend(more);
+        self.write_plan().await;
+    }
+
+    /// Writes the plan under a new version, again and again until that is accepted.
+    async fn write_plan(&self) {
+        let plan = {
+            let mut plan = self.plan.borrow_mut();
+            plan.version += 1;
+            plan.clone()
+        };
+        let value = serde_json::to_value(&plan).expect("a plan is JSON");
+        self.write(Place::new("relay", "plan"), value).await;
+    }
+
+    async fn write(&self, place: Place, value: serde_json::Value) {
+        let transaction = Transaction::default().put(place, value);
+        until("the platform accepts a write", async || {
+            self.client.transact(&transaction).await.ok()
+        })
+        .await;
+    }
+
+    async fn add_endpoint(&self, seed: u64) -> (roster::Endpoint, Proxy) {
+        let number = self.next_endpoint.get();
+        self.next_endpoint.set(number + 1);
+        let name = format!("e-{number}");
+        let address = endpoint::start(name.clone(), seed, self.record.clone()).await;
+        let proxy = Proxy::start(address).await;
+        let endpoint = roster::Endpoint {
+            name: name::Endpoint::from(name),
+            service: "all".to_owned(),
+            address: proxy.address,
+            data_centre: name::DataCentre::from("dub-a"),
+            slots: 8,
+            leaving: false,
+        };
+        self.list(&endpoint).await;
+        (endpoint, proxy)
+    }
+
+    async fn list(&self, endpoint: &roster::Endpoint) {
+        let value = serde_json::to_value(endpoint).expect("an endpoint is JSON");
+        let place = Place::new("relay-endpoints", endpoint.name.as_str());
+        self.write(place, value).await;
+    }
+
+    async fn replace(&self, at: usize, seed: u64) {
+        let fresh = self.add_endpoint(seed).await;
+        let (mut old, _) = std::mem::replace(&mut self.endpoints.borrow_mut()[at], fresh);
+        old.leaving = true;
+        self.list(&old).await;
+        let accepted = (old.name.to_string(), Instant::now());
+        self.left.borrow_mut().push(accepted);
+    }
+
+    async fn until_served(&self, slot: usize, when: &str) {
+        let open = self.entries.open();
+        let (address, life) = open[slot];
+        for kind in Kind::ALL {
+            let mut tries = 0;
+            until("an entry serves", async || {
+                tries += 1;
+                let id = format!("{when}-{life}-{kind:?}-{tries}");
+                let is_served = caller::is_served(address, kind, &id, &self.record).await;
+                is_served.then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Broken promises that have a bound in time. Callers' and endpoints' clocks are
+    /// the same here.
+    fn timed_problems(&self) -> Vec<Problem> {
+        let sent: BTreeMap<_, _> = self.record.all_sent().into_iter().collect();
+        let mut problems = Vec::new();
+        for (id, run) in self.record.all_runs() {
+            let Some(sent) = sent.get(&id) else { continue };
+            let late = |accepted: Instant, bound: u64| {
+                let after = sent.at.saturating_duration_since(accepted);
+                (after > Duration::from_millis(bound)).then_some(after.as_millis())
+            };
+            for (key, at) in self.revoked.borrow().iter() {
+                if let Some(after) = late(*at, REVOKE).filter(|_| *key == sent.key) {
+                    problems.push(Problem::Revoked(id.clone(), after));
+                }
+            }
+            for (endpoint, at) in self.left.borrow().iter() {
+                let is_bound = !self.entries.is_hurt(sent.life) && !self.was_platform_faulty(*at);
+                let late = late(*at, LEAVE).filter(|_| *endpoint == run.endpoint && is_bound);
+                if let Some(after) = late {
+                    problems.push(Problem::Leaving(id.clone(), after));
+                }
+            }
+        }
+        problems
+    }
+
+    /// Whether the platform misbehaved within the bound after a moment: what it has
+    /// accepted may then not be known.
+    fn was_platform_faulty(&self, at: Instant) -> bool {
+        let until = at + Duration::from_millis(LEAVE);
+        let faults = self.platform_faults.borrow();
+        faults
+            .iter()
+            .any(|(begun, ended)| *begun < until && *ended > at)
+    }
+}
+
+fn route(prefix: &str, kind: plan::Kind) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "album.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Millis(2_500),
+        target: Millis(400),
+        gap: None,
+        priority: 0,
+        shares: vec![Share {
+            service: "all".to_owned(),
+            weight: 1,
+        }],
+        attempts: 3,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn first_plan() -> Plan {
+    let workspace = |name: &str, key: &str| Workspace {
+        name: name.to_owned(),
+        keys: vec![key.to_owned()],
+        priority: 0,
+    };
+    Plan {
+        version: 0,
+        routes: vec![
+            route(Kind::Read.path(), plan::Kind::Idempotent),
+            route(Kind::Write.path(), plan::Kind::NonIdempotent),
+            route(Kind::Stream.path(), plan::Kind::Stream),
+        ],
+        services: vec![Service {
+            name: "all".to_owned(),
+            connections: 200,
+            engine: None,
+        }],
+        workspaces: vec![workspace("first", KEYS[0]), workspace("second", KEYS[1])],
+        limits: plan::Limits::default(),
+    }
+}
