--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -4,6 +4,7 @@
 //! theirs, by the load that endpoints report in their answers, and by the prompt
 //! parts that it believes them to keep. Times and costs are in milliseconds.
 
+mod candidates;
 mod load;
 
 pub use load::Report;
@@ -39,13 +40,6 @@
 const OVERDUE_COST: f64 = 3.0;
 /// The time for one request at a plain service, before any was seen, in ms.
 const FIRST_SERVICE_TIME: f64 = 20.0;
-/// By how many entries' requests each engine is looked at, at a time: entries hear
-/// of one another late, and all of them would send to the one that seems to have
-/// the least to do.
-const LOOKERS: usize = 8;
-/// Of so many engines of either side the best is chosen, at least.
-const LEAST_LOOKED_AT: usize = 3;
-
 /// What is to be sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -151,13 +145,11 @@
         let open: Vec<&Endpoint> = open.copied().collect();
         let division = self.divide(&open, now);
         let is_for_steady = division.is_for_steady(ask.work);
-        let own = division
-            .engines()
-            .filter(|(_, is_steady)| *is_steady == is_for_steady);
-        let favourite = favourite(own.map(|(engine, _)| engine), ask);
+        let favourite = candidates::favourite(&division, is_for_steady, ask);
         let calm = self.calm_tokens(&open);
-        let looked_at = self.look(&division, favourite, now);
-        let choices = looked_at.into_iter().map(|(engine, is_steady)| {
+        let entries = self.others.count(now) + 1;
+        let candidates = candidates::draw(&division, favourite, entries, self.next_draw());
+        let choices = candidates.into_iter().map(|(engine, is_steady)| {
             let is_favourite = favourite == Some(&engine.name);
             let mut prospect = self.estimate(engine, ask, is_favourite, now);
             if is_steady != is_for_steady {
@@ -181,29 +173,9 @@
         })
     }
 
-    /// The engines that are compared for one request: the favourite, and some of
-    /// either side that are drawn anew each time.
-    fn look<'e>(
-        &mut self,
-        division: &Division<'e>,
-        favourite: Option<&name::Endpoint>,
-        now: Millis,
-    ) -> Vec<(&'e Endpoint, bool)> {
+    fn next_draw(&mut self) -> u64 {
         self.drawn += 1;
-        let draw = prefix::mix(self.seed, self.drawn);
-        let entries = self.others.count(now) + 1;
-        let (steady, others): (Vec<_>, Vec<_>) = division.engines().partition(|(_, it)| *it);
-        let mut looked_at = sample(steady, entries, draw);
-        looked_at.extend(sample(others, entries, draw));
-        let is_missing =
-            |name: &&name::Endpoint| looked_at.iter().all(|(engine, _)| engine.name != **name);
-        if let Some(missing) = favourite.filter(is_missing) {
-            let found = division
-                .engines()
-                .find(|(engine, _)| engine.name == *missing);
-            looked_at.extend(found);
-        }
-        looked_at
+        prefix::mix(self.seed, self.drawn)
     }
 
     /// How many unread tokens an engine may have before its steady streams stall.
@@ -374,33 +346,3 @@
         }
     }
 }
-
-/// Draws some of the engines: the more entries look at them, the fewer each.
-fn sample(
-    mut engines: Vec<(&Endpoint, bool)>,
-    entries: usize,
-    draw: u64,
-) -> Vec<(&Endpoint, bool)> {
-    let count = (engines.len() * LOOKERS)
-        .div_ceil(entries)
-        .max(LEAST_LOOKED_AT);
-    if count < engines.len() {
-        let score = |(engine, _): &(&Endpoint, bool)| {
-            prefix::mix(draw, tidings::hash(engine.name.as_str()))
-        };
-        engines.sort_by_cached_key(score);
-        engines.truncate(count);
-    }
-    engines
-}
-
-/// The endpoint that all entries choose first for a shared prompt of which they
-/// know nothing else: rendezvous hashing.
-fn favourite<'e>(
-    endpoints: impl Iterator<Item = &'e Endpoint>,
-    ask: &Ask<'_>,
-) -> Option<&'e name::Endpoint> {
-    let chain = prefix::chains(ask.work?.shared_parts()).last()?;
-    let score = |it: &&Endpoint| prefix::mix(chain, tidings::hash(it.name.as_str()));
-    endpoints.max_by_key(score).map(|it| &it.name)
-}
