The soak says how its proxy ends connections; what a last reading found

Cause: a last reading of the change. The proxy was said to reset open connections, but it drops them, which the system does by a close unless bytes are left unread; only new ones are surely reset. Measured: formatter and Clippy pedantic of the relay's package clean; nothing else was run, since nothing that runs has changed.

--- a/crates/relay/tests/soak/proxy.rs
+++ b/crates/relay/tests/soak/proxy.rs
@@ -19,7 +19,8 @@
     Pass,
     /// Bytes go through late.
     Delay(Duration),
-    /// Open connections are reset, and so are new ones.
+    /// Open connections are ended from the proxy's side, which the system does by a
+    /// reset only where bytes are left unread; new ones are reset.
     Reset,
     /// What is sent to the target is held until the mode changes.
     HoldRequests,
