Keys fail open where operators say so; a plan is no younger than its confirmation

Change: the setting `keys_fail_closed` (default true), filled from the platform's bounds. Cause 2, found in the same log: an entry that started during the outage told an age of 4 ms for a plan last confirmed 5 s before, and the fleet trusted keys again by it: a moment before the start of the process can't be told on a clock that begins at nothing. The clock now begins at an hour. Ruled out: the platform answering (it was silent), dating of answers (none came). Tests: `a_plan_is_no_younger_for_an_entry_that_has_just_started` failed before the change of the clock and passes after it; `keys_that_fail_open_are_trusted_...` needs the new setting.

--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -169,8 +169,7 @@
     route: &Route,
     key: Option<&str>,
 ) -> Result<Option<Arc<Workspace>>, Problem> {
-    let age = state.force.borrow().age(state.now());
-    if table.asks_key(route) && age > state.trust() {
+    if table.asks_key(route) && !state.trusts_keys() {
         return Err(not_ready(
             "keys can't be checked: the configuration is not confirmed",
         ));
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -29,6 +29,11 @@
 /// a request that is being sent still arrives.
 const LEAVE_MARGIN: Millis = Millis(400);
 
+/// The reading of the clock at the start of a process, an hour: a moment before the
+/// start must be told from the start itself, else a plan that was last confirmed
+/// before it would look as young as the process.
+const ORIGIN: Millis = Millis(3_600_000);
+
 /// What the tasks of one relay share.
 pub struct State {
     /// The settings.
@@ -111,7 +116,7 @@
             is_fetching: Cell::new(false),
             connecting: RefCell::default(),
             incarnation: name::Incarnation(clock.unix().0),
-            started: clock.now(),
+            started: ORIGIN,
             stopping_since: Cell::new(None),
             budgets: RefCell::default(),
             settings,
@@ -120,12 +125,15 @@
 
     /// Now, on the clock of this process.
     pub fn now(&self) -> Millis {
-        self.clock.now()
+        ORIGIN + self.clock.now()
     }
 
-    /// After so long without a confirmation, the plan is not trusted with keys.
-    pub fn trust(&self) -> Millis {
-        self.settings.bounds.revoke - REVOKE_MARGIN
+    /// Whether the plan is confirmed recently enough to be trusted with keys; where
+    /// operators don't ask for that, an old plan serves as well as a new one.
+    pub fn trusts_keys(&self) -> bool {
+        let bounds = &self.settings.bounds;
+        let trust = bounds.revoke - REVOKE_MARGIN;
+        !bounds.keys_fail_closed || self.force.borrow().age(self.now()) < trust
     }
 
     /// Since when the relay is stopping.
@@ -143,12 +151,10 @@
         self.force.borrow().table().is_some() && self.roster.borrow().revision() > 0
     }
 
-    /// Whether the relay should get requests: it is not stopping, and knows a
-    /// fresh plan and the endpoints.
+    /// Whether the relay should get requests: it is not stopping, and knows the
+    /// endpoints and a plan that it may use.
     pub fn is_ready(&self) -> bool {
-        let force = self.force.borrow();
-        let is_fresh = force.age(self.now()) < self.trust();
-        self.knows_all() && is_fresh && self.stopping_since().is_none()
+        self.knows_all() && self.trusts_keys() && self.stopping_since().is_none()
     }
 
     /// How many answering entries that the platform answers come before this one in the
--- a/crates/relay/tests/contract/others.rs
+++ b/crates/relay/tests/contract/others.rs
@@ -1,23 +1,28 @@
 //! What an entry learns from others while the platform does not answer it.
 
+use std::sync::{Arc, Mutex};
+
 use crate::caller::get;
 use crate::endpoint::{Endpoint, whole};
-use crate::site::{Fixed, Site, endpoint, plan, until};
+use crate::site::{Fixed, Site, Told, endpoint, plan, source, until};
 
 /// An entry that the platform answers, and one that it turns away.
 fn two(address: std::net::SocketAddr) -> (Site, Site) {
     let first = Site::start(&[address]);
-    let source = Fixed::default();
-    {
-        let mut told = source.0.lock().unwrap();
-        told.is_down = true;
-        told.entries = vec![first.peer];
-    }
-    let second = Site::with("dub-a-2", source);
+    let second = Site::with("dub-a-2", turned_away(&first));
     second.until_ready();
     (first, second)
 }
 
+/// A platform that answers nothing, of which only the other entry's address is known.
+fn turned_away(other: &Site) -> Fixed {
+    Fixed(Arc::new(Mutex::new(Told {
+        is_down: true,
+        entries: vec![other.peer],
+        ..Told::default()
+    })))
+}
+
 #[test]
 fn plan_endpoints_and_their_freshness_come_from_another_entry() {
     let server = Endpoint::always(vec![whole("yes")]);
@@ -37,6 +42,27 @@
     until(|| get(second.requests, "/read/", "r2", "").status == 503);
 }
 
+/// An entry that starts while the platform is lost learns the plan of another entry,
+/// and also how old its confirmation is: older than the process itself.
+#[test]
+fn a_plan_is_no_younger_for_an_entry_that_has_just_started() {
+    let server = Endpoint::always(vec![whole("yes")]);
+    // Longer than an entry takes to hear of another one.
+    let trust = r#""revoke_ms": 5000"#;
+    let first = Site::with_trust("dub-a-1", trust, source(&[server.address]));
+    first.until_ready();
+    first.source.0.lock().unwrap().is_down = true;
+    until(|| get(first.requests, "/read/", "r1", "").status == 503);
+    let second = Site::with_trust("dub-a-2", trust, turned_away(&first));
+    until(|| {
+        let metrics = get(second.metrics, "/metrics", "x", "").text();
+        metrics.contains("plan_version 1") && metrics.contains("endpoints 1")
+    });
+    for site in [&second, &first] {
+        assert_eq!(get(site.requests, "/read/", "r2", "").status, 503);
+    }
+}
+
 #[test]
 fn changes_come_from_another_entry() {
     let servers = [0, 1].map(|_| Endpoint::always(vec![whole("yes")]));
--- a/crates/relay/tests/contract/refusals.rs
+++ b/crates/relay/tests/contract/refusals.rs
@@ -4,7 +4,7 @@
 
 use crate::caller::{Caller, get, post};
 use crate::endpoint::{Endpoint, declined, whole};
-use crate::site::{Fixed, Site, TRUST, plan, until};
+use crate::site::{Fixed, Site, TRUST, plan, source, until};
 
 #[rstest]
 #[case::no_route(
@@ -112,6 +112,27 @@
     const { assert!(TRUST < 2_000) };
 }
 
+/// Operators who prefer service to quick removal of keys get it: while the platform
+/// is lost, requests go on by the last plan known.
+#[test]
+fn keys_that_fail_open_are_trusted_for_as_long_as_the_platform_is_lost() {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let trust = r#""revoke_ms": 2000, "keys_fail_closed": false"#;
+    let site = Site::with_trust("dub-a-1", trust, source(&[endpoint.address]));
+    site.until_ready();
+    site.source.0.lock().unwrap().is_down = true;
+    until(|| {
+        let metrics = get(site.metrics, "/metrics", "x", "").text();
+        let ages = metrics
+            .lines()
+            .filter_map(|it| it.strip_prefix("plan_age_ms "));
+        ages.filter_map(|age| age.parse::<u64>().ok())
+            .any(|age| age > 2 * TRUST)
+    });
+    assert_eq!(get(site.requests, "/read/", "r1", "").status, 200);
+    assert_eq!(get(site.ready, "/v1/ready", "x", "").status, 200);
+}
+
 #[test]
 fn a_newer_plan_is_in_force_and_an_older_one_never_again() {
     let endpoint = Endpoint::always(vec![whole("yes")]);
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -122,22 +122,25 @@
 impl Site {
     /// A relay that knows a plan with all kinds of routes, and these endpoints.
     pub fn start(endpoints: &[SocketAddr]) -> Self {
-        let source = Fixed::default();
-        {
-            let mut told = source.0.lock().unwrap();
-            told.plan = Some(plan(1));
-            let listed = endpoints.iter().enumerate();
-            told.endpoints = listed.map(|(at, address)| endpoint(at, *address)).collect();
-        }
-        let site = Self::with("dub-a-1", source);
+        let site = Self::with("dub-a-1", source(endpoints));
         site.until_ready();
         site
     }
 
     /// A relay of this name with this source.
     pub fn with(name: &str, source: Fixed) -> Self {
+        Self::with_settings(&SETTINGS.replace("dub-a-1", name), source)
+    }
+
+    /// A relay of this name with this source, and other bounds on the trust in keys
+    /// than a [`TRUST`] of half a second.
+    pub fn with_trust(name: &str, trust: &str, source: Fixed) -> Self {
         let text = SETTINGS.replace("dub-a-1", name);
-        let settings = relay::parse(&text, "test").unwrap();
+        Self::with_settings(&text.replace("\"revoke_ms\": 2000", trust), source)
+    }
+
+    fn with_settings(text: &str, source: Fixed) -> Self {
+        let settings = relay::parse(text, "test").unwrap();
         let (started, addresses) = mpsc::channel();
         let given = source.clone();
         std::thread::spawn(move || {
@@ -176,6 +179,16 @@
     }
 }
 
+/// A source that tells of a plan with all kinds of routes, and of these endpoints.
+pub fn source(endpoints: &[SocketAddr]) -> Fixed {
+    let listed = endpoints.iter().enumerate();
+    Fixed(Arc::new(Mutex::new(Told {
+        plan: Some(plan(1)),
+        endpoints: listed.map(|(at, address)| endpoint(at, *address)).collect(),
+        ..Told::default()
+    })))
+}
+
 /// Waits until something holds, for a minute at most.
 pub fn until(mut holds: impl FnMut() -> bool) {
     for _ in 0..6_000 {
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -53,6 +53,9 @@
 pub struct Bounds {
     /// After so long, no request runs with a key that was removed.
     pub revoke: Millis,
+    /// Whether requests with keys are refused while `revoke` can't be kept: while
+    /// nothing confirms the configuration.
+    pub keys_fail_closed: bool,
     /// After so long, an endpoint that is leaving gets no request.
     pub leave: Millis,
     /// Between SIGTERM and SIGKILL.
@@ -72,6 +75,7 @@
         let millis = rule::millis(1, LONGEST);
         let seconds = rule::share(60.0);
         let revoke = section.required("revoke_ms", &millis);
+        let keys_fail_closed = section.or("keys_fail_closed", &rule::boolean(), true);
         let leave = section.required("leave_ms", &millis);
         let grace = section.required("grace_s", &seconds);
         let lifetime = section.required("entries_lifetime_s", &seconds);
@@ -80,6 +84,7 @@
         let repeat_window = section.required("repeat_window_s", &seconds);
         Some(Self {
             revoke: revoke?,
+            keys_fail_closed,
             leave: leave?,
             grace: millis_of(grace?),
             entries_lifetime: millis_of(lifetime?),
