Streams are taken only while their first event is due within its target

Change: `core::relay::admission` decides apart from choosing; a stream is turned away at once when the forecast of its first event is beyond its target. The line `request ended` now has what explains a late stream: target, gap, longest pause, tokens, the engine's queue, its running requests. Tests: two in core/tests/relay/admission.rs fail with the old bound (46 of 50 taken), and pass with the new one (at most 9).

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -4,6 +4,7 @@
 //! is the plan made ready for look-ups. The rest decides on one request: which
 //! endpoint it goes to, whether it may be sent again, and what a caller is told.
 
+pub mod admission;
 pub mod budget;
 pub mod dating;
 pub mod division;
--- /dev/null
+++ b/crates/core/src/relay/admission.rs
@@ -0,0 +1,64 @@
+//! Whether a request goes to the endpoint that was found for it, or is turned away.
+//!
+//! The load pattern: more is asked for a while than the endpoints can do. Whatever is
+//! sent then waits in their queues, all that comes after it waits longer, and soon each
+//! answer is late, though every endpoint is busy all the time. So a stream is taken
+//! only while its first event is to be expected within its target. A stream turned away
+//! at once leaves the time that it would have taken to one that is served on time.
+//!
+//! Requests to plain services are short, and late answers are worth much to their
+//! callers; they are turned away only where they can't be answered at all.
+
+use crate::clock::Millis;
+use crate::relay::engine::Choice;
+
+/// When callers should come back at the earliest after a refusal, in ms: the time in
+/// which an engine ends some of its requests.
+const SOONEST: Millis = Millis(50);
+
+/// What a request's caller waits for, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Whether the answer is a stream of events.
+    pub is_stream: bool,
+    /// The time within which an answer, or a stream's first event, is on time.
+    pub target: Millis,
+    /// The time that is left to the end of the answer.
+    pub left: Millis,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is sent.
+    Take,
+    /// It is turned away; coming back helps after this time.
+    Refuse(Millis),
+}
+
+/// Decides on a request for which this endpoint is the best.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::relay::admission::Claim;
+///
+/// let claim = Claim { is_stream: true, target: Millis(600), left: Millis(6_000) };
+/// assert_eq!(claim.bound(), Millis(600));
+/// ```
+pub fn decide(choice: &Choice, claim: Claim) -> Verdict {
+    if !choice.is_too_late(claim.bound()) {
+        return Verdict::Take;
+    }
+    Verdict::Refuse(SOONEST.max(claim.left))
+}
+
+impl Claim {
+    /// How long the first byte of its answer may take.
+    pub fn bound(&self) -> Millis {
+        if self.is_stream {
+            self.left.min(self.target)
+        } else {
+            self.left
+        }
+    }
+}
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -75,7 +75,9 @@
     /// The part of that which is known to be due to other requests, in ms.
     pub queue: f64,
     /// Requests of this entry that are there.
-    pub running: usize,
+    pub own: usize,
+    /// Requests of all entries that are there, as far as is known.
+    pub running: f64,
     /// What the choice costs in all, in ms: the wait, and what others suffer.
     pub cost: f64,
     /// Prompt tokens that are believed to be kept there.
@@ -91,7 +93,7 @@
     /// there to correct it; else it would be kept away from for ever.
     pub fn is_too_late(&self, left: Millis) -> bool {
         let left = left.0 as f64;
-        self.queue > left || (self.running > 0 && self.wait > left)
+        self.queue > left || (self.own > 0 && self.wait > left)
     }
 }
 
@@ -166,7 +168,8 @@
             endpoint: endpoint.clone(),
             wait: estimate.wait,
             queue: estimate.queue,
-            running: self.running(&endpoint.name),
+            own: self.running(&endpoint.name),
+            running: estimate.running,
             cost,
             kept: estimate.kept,
             unread: estimate.unread,
@@ -255,6 +258,7 @@
             disturbance: 0.0,
             kept: 0,
             unread: 0.0,
+            running: own + others,
         }
     }
 
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -87,6 +87,8 @@
     pub kept: u32,
     /// Prompt tokens that the engine would have to read in all.
     pub unread: f64,
+    /// Requests there, of all entries.
+    pub running: f64,
 }
 
 impl Flight {
@@ -230,6 +232,7 @@
         disturbance: READING_COST * unread / READ_RATE + crowding * CROWDING_COST,
         kept,
         unread: ahead + unread,
+        running,
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/relay/admission.rs
@@ -0,0 +1,62 @@
+//! Whether a request is taken or turned away.
+
+use woodgap_core::clock::Millis;
+use woodgap_core::relay::admission::{Claim, Verdict, decide};
+
+use crate::engine::{Entry, PLAIN, ask, caption};
+
+const STREAM: Claim = Claim {
+    is_stream: true,
+    target: Millis(600),
+    left: Millis(6_000),
+};
+
+/// A burst of long prompts, all in one moment: as many are taken as one engine can
+/// begin to answer within the target, not as many as fit into the time that callers
+/// wait (with those, all answers after the first few were late).
+#[test]
+fn a_burst_is_taken_as_far_as_it_can_be_answered_on_time() {
+    let mut entry = Entry::new(1);
+    let mut taken = 0;
+    for own in 0..50 {
+        let work = caption(own, 100 + own);
+        let choice = entry.choose(&ask(&work), 0).expect("an engine is open");
+        if decide(&choice, STREAM) == Verdict::Take {
+            entry.send(&ask(&work), 0);
+            taken += 1;
+        }
+    }
+    assert!((2..=9).contains(&taken), "{taken}");
+}
+
+#[test]
+fn a_caller_who_is_turned_away_is_told_when_to_come_back() {
+    let mut entry = Entry::new(1);
+    for own in 0..10 {
+        entry.send(&ask(&caption(own, 100 + own)), 0);
+    }
+    let work = caption(50, 150);
+    let choice = entry.choose(&ask(&work), 0).unwrap();
+    let Verdict::Refuse(after) = decide(&choice, STREAM) else {
+        panic!("{choice:?}");
+    };
+    assert!(after > Millis::ZERO);
+}
+
+/// A late answer of a plain service is worth as much as most: a queue there turns
+/// nobody away who waits for long enough.
+#[test]
+fn requests_to_plain_services_may_be_late() {
+    let mut entry = Entry::new(1);
+    for _ in 0..600 {
+        entry.send(&PLAIN, 0);
+    }
+    let choice = entry.choose(&PLAIN, 0).unwrap();
+    let claim = Claim {
+        is_stream: false,
+        target: Millis(100),
+        left: Millis(2_500),
+    };
+    assert!(choice.wait > 100.0);
+    assert_eq!(decide(&choice, claim), Verdict::Take);
+}
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -18,7 +18,7 @@
 };
 
 /// A long prompt with a short answer; `subject` is shared with others.
-fn caption(subject: u64, own: u64) -> Work {
+pub fn caption(subject: u64, own: u64) -> Work {
     Work {
         prompt_tokens: 9_000,
         output_limit: 60,
@@ -49,7 +49,7 @@
     }
 }
 
-fn ask(work: &Work) -> Ask<'_> {
+pub fn ask(work: &Work) -> Ask<'_> {
     Ask {
         work: Some(work),
         engine: Some(ENGINE),
@@ -57,7 +57,7 @@
     }
 }
 
-const PLAIN: Ask<'static> = Ask {
+pub const PLAIN: Ask<'static> = Ask {
     work: None,
     engine: None,
     gap: None,
@@ -67,14 +67,15 @@
     (0..count).map(|it| endpoint(&format!("e{it}"))).collect()
 }
 
-struct Entry {
-    loads: Loads,
+/// One entry before a few engines.
+pub struct Entry {
+    pub loads: Loads,
     endpoints: Vec<Endpoint>,
     tickets: Vec<Ticket>,
 }
 
 impl Entry {
-    fn new(count: usize) -> Self {
+    pub fn new(count: usize) -> Self {
         Self {
             loads: Loads::new(name::DataCentre::from("dub-a"), 1),
             endpoints: engines(count),
@@ -82,12 +83,12 @@
         }
     }
 
-    fn choose(&mut self, ask: &Ask<'_>, now: u64) -> Option<Choice> {
+    pub fn choose(&mut self, ask: &Ask<'_>, now: u64) -> Option<Choice> {
         let endpoints: Vec<_> = self.endpoints.iter().collect();
         self.loads.choose(&endpoints, ask, Millis(now))
     }
 
-    fn send(&mut self, ask: &Ask<'_>, now: u64) -> String {
+    pub fn send(&mut self, ask: &Ask<'_>, now: u64) -> String {
         let choice = self.choose(ask, now).expect("an endpoint is open");
         let ticket = self.loads.begin(&choice, ask, Millis(now));
         self.tickets.push(ticket);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the relay, as tables and properties.
 
+mod admission;
 mod budget;
 mod duty;
 mod engine;
--- a/crates/relay/src/request/account.rs
+++ b/crates/relay/src/request/account.rs
@@ -3,10 +3,33 @@
 use std::rc::Rc;
 
 use woodgap_core::clock::Millis;
+use woodgap_core::relay::Work;
+use woodgap_core::relay::engine::Choice;
+use woodgap_core::relay::plan::Route;
 
 use crate::request::Problem;
 use crate::state::State;
 
+/// What its route promises, and what it asks of an engine.
+#[derive(Default)]
+struct Promise {
+    target: Millis,
+    gap: Millis,
+    prompt_tokens: u32,
+    output_tokens: u32,
+}
+
+/// The figures of the last choice of an endpoint.
+#[derive(Default)]
+struct Chosen {
+    wait: f64,
+    cost: f64,
+    queue: f64,
+    unread: f64,
+    running: f64,
+    kept: u32,
+}
+
 /// What is known of a request so far. Dropped before it was closed, it tells that
 /// the caller has gone.
 pub struct Account {
@@ -19,9 +42,12 @@
     workspace: String,
     sends: u32,
     endpoint: String,
-    choice: Option<(f64, f64, u32)>,
+    choice: Chosen,
+    promise: Promise,
     reused: bool,
     first_byte: Option<Millis>,
+    last_piece: Option<Millis>,
+    longest_pause: Millis,
     closed: bool,
 }
 
@@ -39,9 +65,12 @@
             workspace: String::new(),
             sends: 0,
             endpoint: String::new(),
-            choice: None,
+            choice: Chosen::default(),
+            promise: Promise::default(),
             reused: false,
             first_byte: None,
+            last_piece: None,
+            longest_pause: Millis::ZERO,
             closed: false,
         }
     }
@@ -57,11 +86,19 @@
     }
 
     /// Notes the route, and by which plan it was found.
-    pub fn route(&mut self, route: &str, version: u64, age: Millis) {
-        route.clone_into(&mut self.route);
+    pub fn route(&mut self, route: &Route, version: u64, age: Millis) {
+        route.name.clone_into(&mut self.route);
+        self.promise.target = route.target;
+        self.promise.gap = route.gap.unwrap_or_default();
         self.plan = (version, age);
     }
 
+    /// Notes what the request asks of a model engine.
+    pub fn work(&mut self, work: &Work) {
+        self.promise.prompt_tokens = work.prompt_tokens;
+        self.promise.output_tokens = work.output();
+    }
+
     /// Notes the service and the workspace.
     pub fn service(&mut self, service: &str, workspace: Option<&str>) {
         service.clone_into(&mut self.service);
@@ -70,11 +107,17 @@
             .clone_into(&mut self.workspace);
     }
 
-    /// Notes a choice of endpoint: the wait and the cost that it was made by, in
-    /// ms, and the tokens believed to be kept there.
-    pub fn choose(&mut self, endpoint: &str, wait: f64, cost: f64, kept: u32) {
-        endpoint.clone_into(&mut self.endpoint);
-        self.choice = Some((wait, cost, kept));
+    /// Notes a choice of endpoint and the figures that it was made by.
+    pub fn choose(&mut self, choice: &Choice) {
+        self.endpoint = choice.endpoint.name.to_string();
+        self.choice = Chosen {
+            wait: choice.wait,
+            cost: choice.cost,
+            queue: choice.queue,
+            unread: choice.unread,
+            running: choice.running,
+            kept: choice.kept,
+        };
     }
 
     /// Notes that the request is sent.
@@ -112,6 +155,14 @@
             .observe(took.0 as f64);
     }
 
+    /// Notes that a piece of a stream came.
+    pub fn piece(&mut self) {
+        let now = self.state.now();
+        if let Some(last) = self.last_piece.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+    }
+
     /// Closes the account of a request whose caller has the whole answer.
     pub fn complete(&mut self, status: u16) {
         self.close("complete", status, "ran", "");
@@ -146,7 +197,20 @@
         whole
             .with_label_values(&[&self.service])
             .observe(took.0 as f64);
-        let (wait, cost, kept) = self.choice.unwrap_or_default();
+        let Chosen {
+            wait,
+            cost,
+            queue,
+            unread,
+            running,
+            kept,
+        } = self.choice;
+        let Promise {
+            target,
+            gap,
+            prompt_tokens,
+            output_tokens,
+        } = self.promise;
         log::info!(
             request = self.id, outcome = outcome, status = status, verdict = verdict,
             reason = reason, took_ms = took.0,
@@ -154,7 +218,11 @@
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
             endpoint = self.endpoint, reused = self.reused,
-            expected_wait_ms = wait.round(), cost_ms = cost.round(), kept_tokens = kept;
+            expected_wait_ms = wait.round(), cost_ms = cost.round(), kept_tokens = kept,
+            queue_ms = queue.round(), unread_tokens = unread.round(),
+            running = running.round(), target_ms = target.0, gap_ms = gap.0,
+            longest_pause_ms = self.longest_pause.0, prompt_tokens = prompt_tokens,
+            output_tokens = output_tokens;
             "request ended"
         );
     }
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -73,7 +73,7 @@
     let host = host(&request);
     let route = find(state, &table, &host, path)?;
     account.route(
-        &route.name,
+        &route,
         table.version(),
         state.force.borrow().age(state.now()),
     );
@@ -84,6 +84,9 @@
         &service.name,
         workspace.as_deref().map(|it| it.name.as_str()),
     );
+    if let Some(work) = &call.work {
+        account.work(work);
+    }
     let deadline = arrived + patience.min(route.timeout);
     let uri = request.uri();
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
--- a/crates/relay/src/request/answer.rs
+++ b/crates/relay/src/request/answer.rs
@@ -220,12 +220,16 @@
     /// caller's connection is closed without the mark of a whole answer.
     async fn next(mut self) -> Option<(Result<Bytes, Error>, Option<Self>)> {
         if let Some(first) = self.first.take() {
+            self.account.piece();
             return Some((Ok(first), Some(self)));
         }
         let left = Duration::from_millis((self.deadline - self.state.now()).0);
         let next = tokio::time::timeout(left, self.rest.next()).await;
         match next.unwrap_or(Err(Error::TimedOut)) {
-            Ok(Some(bytes)) => Some((Ok(bytes), Some(self))),
+            Ok(Some(bytes)) => {
+                self.account.piece();
+                Some((Ok(bytes), Some(self)))
+            }
             Ok(None) => {
                 self.account.complete(self.status);
                 self.rest.place.keep(self.rest.connection, self.rest.pause);
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -175,12 +175,7 @@
     account: &mut Account,
 ) -> Result<(Connection, Millis), Failure> {
     let endpoint = &choice.endpoint;
-    account.choose(
-        endpoint.name.as_str(),
-        choice.wait,
-        choice.cost,
-        choice.kept,
-    );
+    account.choose(choice);
     let now = state.now();
     let most = state.rests.borrow().most(&endpoint.service, now);
     let resting = state.pool.borrow_mut().take(&endpoint.name, most, now);
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -7,6 +7,7 @@
 use actix_http::body::BoxBody;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
+use woodgap_core::relay::admission::{self, Claim, Verdict as Admission};
 use woodgap_core::relay::engine::{Ask, Choice};
 use woodgap_core::relay::plan::Kind;
 use woodgap_core::verdict::Verdict;
@@ -37,6 +38,15 @@
             gap: self.route.gap,
         }
     }
+
+    /// What its caller waits for.
+    fn claim(&self, now: Millis) -> Claim {
+        Claim {
+            is_stream: self.route.kind == Kind::Stream,
+            target: self.route.target,
+            left: self.deadline - now,
+        }
+    }
 }
 
 /// Serves one request.
@@ -117,16 +127,15 @@
         Problem::not_run(Code::NoEndpoint, message).retry_after(NO_ENDPOINT)
     };
     let choice = choice.ok_or_else(missing)?;
-    let left = request.deadline - now;
-    if choice.is_too_late(left) {
-        let message = format!(
-            "the expected wait is {:.0} ms, {left} are left",
-            choice.wait
-        );
-        let problem = Problem::not_run(Code::Overloaded, message);
-        return Err(problem.retry_after(SOONEST.max(left)));
+    let claim = request.claim(now);
+    match admission::decide(&choice, claim) {
+        Admission::Take => Ok(choice),
+        Admission::Refuse(retry_after) => {
+            let bound = claim.bound();
+            let message = format!("the expected wait is {:.0} ms of {bound}", choice.wait);
+            Err(Problem::not_run(Code::Overloaded, message).retry_after(retry_after))
+        }
     }
-    Ok(choice)
 }
 
 /// The own part of the connections that an endpoint accepts from all entries.
