--- a/crates/core/src/relay/pace.rs
+++ b/crates/core/src/relay/pace.rs
@@ -108,11 +108,8 @@
     /// prompt being read; where that was not seen, beside the next smaller number.
     pub fn token_time(&self, running: f64) -> f64 {
         let known = self.token_times[..=group(running)].iter().rev();
-        let known = known.chain(&self.token_times);
-        known
-            .filter_map(|it| it.get())
-            .next()
-            .unwrap_or(FIRST_TOKEN_TIME)
+        let mut known = known.chain(&self.token_times);
+        known.find_map(|it| it.get()).unwrap_or(FIRST_TOKEN_TIME)
     }
 
     /// Learns that so many tokens, as far as was known, were read in so many ms.
