Callers who are turned away are told when what waits now is done

Cause: they were told to come back after all the time that they had left, which no forecast supports: six seconds where the queue was done after one. Change: the forecast of the wait, and up to as long again at random, so that they don't come back together. Kept for the callers: the time is true now. Test: a_caller_who_is_turned_away_is_told_when_to_come_back.

--- a/crates/core/src/relay/admission.rs
+++ b/crates/core/src/relay/admission.rs
@@ -42,7 +42,8 @@
     Refuse(Millis),
 }
 
-/// Decides on a request for which this endpoint is the best.
+/// Decides on a request for which this endpoint is the best; `spread` is drawn from 0
+/// to 1 for each.
 ///
 /// ```
 /// use woodgap_core::clock::Millis;
@@ -51,11 +52,14 @@
 /// let claim = Claim { is_stream: true, target: Millis(600), left: Millis(6_000) };
 /// assert_eq!(claim.bound(), Millis(900));
 /// ```
-pub fn decide(choice: &Choice, claim: Claim) -> Verdict {
+pub fn decide(choice: &Choice, claim: Claim, spread: f64) -> Verdict {
     if !choice.is_too_late(claim.bound()) {
         return Verdict::Take;
     }
-    Verdict::Refuse(SOONEST.max(claim.left))
+    // A span of some seconds.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let after = (choice.wait * (1.0 + spread)) as u64;
+    Verdict::Refuse(SOONEST.max(Millis(after)))
 }
 
 impl Claim {
--- a/crates/core/tests/relay/admission.rs
+++ b/crates/core/tests/relay/admission.rs
@@ -21,7 +21,7 @@
     for own in 0..50 {
         let work = caption(own, 100 + own);
         let choice = entry.choose(&ask(&work), 0).expect("an engine is open");
-        if decide(&choice, STREAM) == Verdict::Take {
+        if decide(&choice, STREAM, 0.5) == Verdict::Take {
             entry.send(&ask(&work), 0);
             taken += 1;
         }
@@ -37,10 +37,13 @@
     }
     let work = caption(50, 150);
     let choice = entry.choose(&ask(&work), 0).unwrap();
-    let Verdict::Refuse(after) = decide(&choice, STREAM) else {
-        panic!("{choice:?}");
+    let after = |spread| match decide(&choice, STREAM, spread) {
+        Verdict::Refuse(after) => after.0 as f64,
+        Verdict::Take => panic!("{choice:?}"),
     };
-    assert!(after > Millis::ZERO);
+    // Not before what waits now is done, and not all at one moment.
+    assert!((after(0.0) - choice.wait).abs() < 1.0);
+    assert!((after(1.0) - 2.0 * choice.wait).abs() < 1.0);
 }
 
 /// A late answer of a plain service is worth as much as most: a queue there turns
@@ -58,5 +61,5 @@
         left: Millis(2_500),
     };
     assert!(choice.wait > 100.0);
-    assert_eq!(decide(&choice, claim), Verdict::Take);
+    assert_eq!(decide(&choice, claim, 0.0), Verdict::Take);
 }
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -128,7 +128,7 @@
     };
     let choice = choice.ok_or_else(missing)?;
     let claim = request.claim(now);
-    match admission::decide(&choice, claim) {
+    match admission::decide(&choice, claim, rand::random()) {
         Admission::Take => Ok(choice),
         Admission::Refuse(retry_after) => {
             let mut loads = state.loads.borrow_mut();
