Prompt parts are taken from the engine that keeps them instead of read again

Change: where engines give parts to one another, the choice names the engine that is believed to keep most of the prompt (`engine::source`), and the relay says so to the chosen one. The choice itself is as before. Ruled out: to choose by it.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -7,6 +7,7 @@
 mod beat;
 mod candidates;
 mod load;
+mod source;
 
 pub use load::Report;
 
@@ -24,7 +25,8 @@
 use crate::relay::prefix;
 use crate::relay::roster::Endpoint;
 use crate::relay::tidings::{self, Others, Share, Tidings, Work};
-use load::{Estimate, Load, at_engine};
+use load::{Estimate, Load, at_engine, kept};
+use source::Source;
 
 /// The price of making steady streams stall, in ms: above any wait.
 const STALL_COST: f64 = 5_000.0;
@@ -87,8 +89,10 @@
     pub run: f64,
     /// What the choice costs in all, in ms: the wait, and what others suffer.
     pub cost: f64,
-    /// Prompt tokens that are believed to be kept there.
+    /// Prompt tokens that are believed to be kept there, or to be taken from elsewhere.
     pub kept: u32,
+    /// The engine that some of them are to be taken from.
+    pub source: Option<Endpoint>,
     /// Prompt tokens that the engine will have to read then, this request's included.
     pub unread: f64,
 }
@@ -175,6 +179,7 @@
         });
         let best = choices.min_by(|(_, left), (_, right)| left.cost.total_cmp(&right.cost));
         let (endpoint, Prospect { estimate, cost }) = best?;
+        let source = self.source(&open, favourite, ask);
         Some(Choice {
             endpoint: endpoint.clone(),
             wait: estimate.wait,
@@ -184,10 +189,32 @@
             run: estimate.run,
             cost,
             kept: estimate.kept,
+            source: source
+                .filter(|it| it.serves(endpoint, estimate.kept))
+                .map(|it| it.engine.clone()),
             unread: estimate.unread,
         })
     }
 
+    /// The engine that is believed to keep most of a prompt, if engines give kept parts
+    /// to one another.
+    fn source<'e>(
+        &self,
+        engines: &[&'e Endpoint],
+        favourite: Option<&name::Endpoint>,
+        ask: &Ask<'_>,
+    ) -> Option<Source<'e>> {
+        let work = ask.work?;
+        ask.engine.filter(|engine| engine.moves_prompts)?;
+        let sources = engines.iter().map(|engine| {
+            let load = self.endpoints.get(&engine.name);
+            let is_favourite = favourite == Some(&engine.name);
+            let kept = kept(load, work, is_favourite);
+            Source { engine, kept }
+        });
+        sources.max_by(|left, right| left.kept.total_cmp(&right.kept))
+    }
+
     fn next_draw(&mut self) -> u64 {
         self.drawn += 1;
         prefix::mix(self.seed, self.drawn)
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -267,7 +267,7 @@
 
 /// Prompt tokens that an engine is believed to keep: what this entry sent there,
 /// or what all entries send to their common choice.
-fn kept(load: Option<&Load>, work: &Work, is_favourite: bool) -> f64 {
+pub(super) fn kept(load: Option<&Load>, work: &Work, is_favourite: bool) -> f64 {
     let known = load.map_or(0, |load| load.prefix.kept(&work.parts));
     let shared: u32 = work.shared_parts().iter().map(|part| part.tokens).sum();
     let expected = if is_favourite { EXPECTED_KEPT } else { 0.0 };
--- a/crates/core/src/relay/plan.rs
+++ b/crates/core/src/relay/plan.rs
@@ -124,6 +124,9 @@
     pub memory_tokens: u32,
     /// How many tokens an event of a stream holds.
     pub event_tokens: u32,
+    /// Whether it takes kept prompt parts from another engine.
+    #[serde(default)]
+    pub moves_prompts: bool,
 }
 
 /// A workspace and its keys.
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -11,10 +11,11 @@
 
 use crate::roster::endpoint;
 
-const ENGINE: Engine = Engine {
+pub const ENGINE: Engine = Engine {
     slots: 64,
     memory_tokens: 290_000,
     event_tokens: 6,
+    moves_prompts: false,
 };
 
 /// A long prompt with a short answer; `subject` is shared with others.
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -12,5 +12,6 @@
 mod prefix;
 mod rest;
 mod roster;
+mod source;
 mod table;
 mod time;
--- /dev/null
+++ b/crates/core/tests/relay/source.rs
@@ -0,0 +1,72 @@
+//! From which engine a prompt's kept parts are taken.
+
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::engine::Ask;
+use woodgap_core::relay::health::Sign;
+use woodgap_core::relay::plan::Engine;
+use woodgap_core::relay::work::Work;
+
+use crate::engine::{ENGINE, Entry, ask, caption};
+
+/// Engines that give kept prompt parts to one another.
+const MOVING: Engine = Engine {
+    moves_prompts: true,
+    ..ENGINE
+};
+
+fn moving(work: &Work) -> Ask<'_> {
+    Ask {
+        engine: Some(MOVING),
+        ..ask(work)
+    }
+}
+
+/// A hot subject: its engine falls behind, others help out. They take the shared part
+/// from the engine that keeps it instead of reading it again.
+#[test]
+fn an_engine_that_helps_out_takes_the_shared_part_from_the_one_that_keeps_it() {
+    let mut entry = Entry::new(9);
+    let keeper = entry.serve(&moving(&caption(7, 1)), 0);
+    let mut helped = 0;
+    for own in 2..60 {
+        let work = caption(7, own);
+        let choice = entry.choose(&moving(&work), 10).expect("an engine is open");
+        let source = choice.source.as_ref().map(|it| it.name.to_string());
+        if choice.endpoint.name.as_str() == keeper {
+            assert_eq!(source, None);
+        } else if choice.kept == 0 {
+            assert_eq!(source, Some(keeper.clone()));
+            helped += 1;
+        }
+        entry.send(&moving(&work), 10);
+    }
+    assert!(helped > 0);
+}
+
+#[test]
+fn engines_that_give_nothing_are_not_asked() {
+    let mut entry = Entry::new(9);
+    for own in 0..60 {
+        let work = caption(7, own);
+        let choice = entry.choose(&ask(&work), 10).expect("an engine is open");
+        assert_eq!(choice.source, None);
+        entry.send(&ask(&work), 10);
+    }
+}
+
+/// An engine that is lost has nothing to give.
+#[test]
+fn nothing_is_taken_from_a_lost_engine() {
+    let mut entry = Entry::new(3);
+    let keeper = entry.serve(&moving(&caption(7, 1)), 0);
+    let name = name::Endpoint::from(keeper.as_str());
+    entry.loads.note(&name, Sign::Lost, Millis(5));
+    for own in 2..20 {
+        let work = caption(7, own);
+        let choice = entry.choose(&moving(&work), 10).expect("an engine is open");
+        let source = choice.source.map(|it| it.name);
+        assert_ne!(source, Some(name.clone()));
+        entry.send(&moving(&work), 10);
+    }
+}
--- a/crates/fake/tests/placement/site.rs
+++ b/crates/fake/tests/placement/site.rs
@@ -266,6 +266,7 @@
                 slots: 64,
                 memory_tokens: 290_000,
                 event_tokens: 6,
+                moves_prompts: false,
             }),
             gap: Some(gap),
         };
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -50,6 +50,8 @@
     pub workspace: Option<&'a str>,
     /// How urgent the request is to a model engine, from 0, the most urgent, to 9.
     pub urgency: Option<u8>,
+    /// Another engine, which keeps prompt parts that this one is to take from it.
+    pub source: Option<SocketAddr>,
 }
 
 /// What an endpoint says in the head of an answer.
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -19,6 +19,7 @@
 const ENDPOINT: &str = "x-woodgap-endpoint";
 const WORKSPACE: &str = "x-woodgap-workspace";
 const URGENCY: &str = "x-woodgap-urgency";
+const SOURCE: &str = "x-woodgap-prompt-source";
 const VERDICT: &str = "x-woodgap-verdict";
 const SEAL: &str = "x-woodgap-seal";
 const LOAD: &str = "x-woodgap-load";
@@ -31,6 +32,7 @@
     ENDPOINT,
     WORKSPACE,
     URGENCY,
+    SOURCE,
 ];
 
 /// The product's own dialect: headers that begin with `X-Woodgap-`, and the
@@ -73,6 +75,9 @@
         if let Some(urgency) = stamp.urgency {
             add(URGENCY, urgency.to_string());
         }
+        if let Some(source) = stamp.source {
+            add(SOURCE, source.to_string());
+        }
     }
 
     fn reply<'h>(&self, head: &'h Head) -> Reply<'h> {
--- a/crates/relay/tests/contract/forwarding.rs
+++ b/crates/relay/tests/contract/forwarding.rs
@@ -42,6 +42,7 @@
 #[case::workspace_is_ours("x-woodgap-workspace", "forged", "murphy")]
 #[case::instance_is_ours("x-woodgap-endpoint", "forged", "i-0")]
 #[case::urgency_is_ours("x-woodgap-urgency", "0", "")]
+#[case::source_is_ours("x-woodgap-prompt-source", "10.0.0.9:80", "")]
 #[case::hop_by_hop("keep-alive", "timeout=5", "")]
 #[case::named_by_connection("x-hop", "1", "")]
 fn headers_are_passed_on_or_set(#[case] name: &str, #[case] sent: &str, #[case] got: &str) {
