--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -32,6 +32,9 @@
 /// An answer that comes sooner, in ms, shows that the prompt was kept after all: to
 /// read so much takes longer on any engine.
 const LEAST_TIME: f64 = 5.0;
+/// What a millisecond costs for which a stream runs after its first event: it holds
+/// a place and memory that others wait for, and is lost if the engine is.
+const RUN_COST: f64 = 0.1;
 /// An answer is overdue after so many times its expected wait, and a span in ms
 /// that an endpoint may be busy with something else.
 const OVERDUE_FACTOR: f64 = 2.0;
@@ -240,6 +243,7 @@
     engine: Engine,
     is_favourite: bool,
     pace: &Pace,
+    now: Millis,
 ) -> Estimate {
     let read_rate = pace.read_rate();
     let kept = kept(load, work, is_favourite);
@@ -250,6 +254,9 @@
     let needed = held + f64::from(work.prompt_tokens + work.output());
     let lacking = (needed - f64::from(engine.memory_tokens)).max(0.0);
     let crowding = (running + 1.0 - EASE * f64::from(engine.slots)).max(0.0);
+    let usual = pace.token_time(0.0);
+    let token_time = load.map_or(usual, |load| load.beat.token_time(usual, now));
+    let run = f64::from(work.output()) * token_time;
     // A sum of tokens that came from whole numbers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let kept = kept as u32;
@@ -257,11 +264,11 @@
     Estimate {
         wait: queue + unread / read_rate,
         queue,
-        disturbance: READING_COST * unread / read_rate + crowding * CROWDING_COST,
+        disturbance: READING_COST * unread / read_rate + crowding * CROWDING_COST + RUN_COST * run,
         kept,
         unread: ahead + unread,
         running,
-        run: 0.0,
+        run,
     }
 }
 
--- /dev/null
+++ b/crates/core/src/relay/engine/telling.rs
@@ -0,0 +1,64 @@
+//! What an entry tells others of its engines, and takes from them.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::name;
+use crate::relay::engine::Loads;
+use crate::relay::tidings::{self, Share, Tidings, Work};
+
+impl Loads {
+    /// This entry's load, for the others; of at most so many endpoints.
+    pub fn tidings(&self, most: usize, now: Millis) -> Tidings {
+        let all = self.endpoints.iter();
+        let busy = all.filter(|(_, load)| load.running() > 0);
+        let shares = busy.map(|(name, load)| Share {
+            endpoint: tidings::key(name.as_str()),
+            running: u32::try_from(load.running()).unwrap_or(u32::MAX),
+            unread: load.unread(),
+            held: load.held(),
+            token_time: load.beat.seen(now).map_or(0, |it| whole(it * 10.0)),
+        });
+        let mut shares: Vec<_> = shares.collect();
+        shares.sort_unstable_by_key(|share| Reverse((share.unread, share.running)));
+        shares.truncate(most);
+        let works = self.demands.iter().map(|(service, demand)| Work {
+            service: tidings::key(service),
+            needed: demand.needed(now),
+            pace: self.pace(service).tell(),
+        });
+        Tidings {
+            shares,
+            works: works.collect(),
+        }
+    }
+
+    /// Takes what another entry tells of its load.
+    pub fn tell(&mut self, entry: &name::Entry, tidings: &Tidings, now: Millis) {
+        self.others.tell(entry, tidings, now);
+        for (service, pace) in &mut self.paces {
+            let key = tidings::key(service);
+            let mut works = tidings.works.iter();
+            if let Some(work) = works.find(|work| work.service == key) {
+                pace.told(&work.pace);
+            }
+        }
+        let shares = tidings.shares.iter();
+        let shares: HashMap<_, _> = shares.map(|it| (it.endpoint, it)).collect();
+        for (name, load) in &mut self.endpoints {
+            let share = shares.get(&tidings::key(name.as_str()));
+            if let Some(share) = share.filter(|share| share.token_time > 0) {
+                load.beat.told(f64::from(share.token_time) / 10.0, now);
+            }
+        }
+    }
+}
+
+/// A span in whole ms.
+fn whole(span: f64) -> u16 {
+    // Clamped to what fits.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = span.round().clamp(0.0, f64::from(u16::MAX)) as u16;
+    whole
+}
--- a/crates/relay/src/request/account.rs
+++ b/crates/relay/src/request/account.rs
@@ -23,18 +23,6 @@
     is_steady: Option<bool>,
 }
 
-/// The figures of the last choice of an endpoint.
-#[derive(Default)]
-struct Chosen {
-    wait: f64,
-    cost: f64,
-    queue: f64,
-    unread: f64,
-    running: f64,
-    run: f64,
-    kept: u32,
-}
-
 /// What is known of a request so far. Dropped before it was closed, it tells that
 /// the caller has gone.
 pub struct Account {
@@ -47,7 +35,8 @@
     workspace: String,
     sends: u32,
     endpoint: String,
-    choice: Chosen,
+    /// The last choice of an endpoint, with the figures that led to it.
+    choice: Option<Choice>,
     promise: Promise,
     reused: bool,
     first_byte: Option<Millis>,
@@ -70,7 +59,7 @@
             workspace: String::new(),
             sends: 0,
             endpoint: String::new(),
-            choice: Chosen::default(),
+            choice: None,
             promise: Promise::default(),
             reused: false,
             first_byte: None,
@@ -116,15 +105,7 @@
     /// Notes a choice of endpoint and the figures that it was made by.
     pub fn choose(&mut self, choice: &Choice) {
         self.endpoint = choice.endpoint.name.to_string();
-        self.choice = Chosen {
-            wait: choice.wait,
-            cost: choice.cost,
-            queue: choice.queue,
-            unread: choice.unread,
-            running: choice.running,
-            run: choice.run,
-            kept: choice.kept,
-        };
+        self.choice = Some(choice.clone());
     }
 
     /// Notes that the request is sent.
@@ -220,15 +201,9 @@
         whole
             .with_label_values(&[&self.service])
             .observe(took.0 as f64);
-        let Chosen {
-            wait,
-            cost,
-            queue,
-            unread,
-            running,
-            run,
-            kept,
-        } = self.choice;
+        let choice = self.choice.as_ref();
+        let figure = |of: fn(&Choice) -> f64| choice.map_or(0.0, of).round();
+        let source = choice.and_then(|it| it.source.as_ref());
         let Promise {
             target,
             gap,
@@ -243,11 +218,13 @@
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
             endpoint = self.endpoint, reused = self.reused,
-            expected_wait_ms = wait.round(), cost_ms = cost.round(), kept_tokens = kept,
-            queue_ms = queue.round(), unread_tokens = unread.round(),
-            running = running.round(), expected_run_ms = run.round(), target_ms = target.0, gap_ms = gap.0,
-            longest_pause_ms = self.longest_pause.0, prompt_tokens = prompt_tokens,
-            output_tokens = output_tokens;
+            expected_wait_ms = figure(|it| it.wait), cost_ms = figure(|it| it.cost),
+            queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
+            unread_tokens = figure(|it| it.unread), expected_run_ms = figure(|it| it.run),
+            kept_tokens = choice.map_or(0, |it| it.kept),
+            prompt_source = source.map_or("", |it| it.name.as_str()),
+            target_ms = target.0, gap_ms = gap.0, longest_pause_ms = self.longest_pause.0,
+            prompt_tokens = prompt_tokens, output_tokens = output_tokens;
             "request ended"
         );
     }
