woodgap-causes: where requests were lost, and why, from the logs of relays alone

Cause: the account of what binds was made with scripts outside of the project, over lines that did not tell enough. Now a program of its own: each request that was late, refused, cut or failed by route, endpoint, time and cause (refusal, queue, prompt, unforeseen, pause, crash, error, deadline, platform, caller), how first bytes came against their forecasts; table, JSON and SVG plot; memory is bounded, lines that are none are counted and told.

--- /dev/null
+++ b/crates/causes/src/render.rs
@@ -0,0 +1,4 @@
+//! The report in its forms.
+
+pub mod plot;
+pub mod table;
