A message fits into a datagram however many services there are

Cause: what an entry tells of one service's work grew from 21 to 61 bytes (lateness, learnt paces); with the 22 models of the target size a message has 2,281 bytes, above the 1,400 that pass every link whole, and would be cut off and dropped. Change: the ten services with the most work are told, and four endpoints fewer for each service beyond the first.

--- a/crates/core/src/relay/engine/telling.rs
+++ b/crates/core/src/relay/engine/telling.rs
@@ -8,6 +8,12 @@
 use crate::relay::engine::Loads;
 use crate::relay::tidings::{self, Share, Tidings, Work};
 
+/// The most services whose work one message tells of: so that it fits into a datagram
+/// beside what is told of endpoints.
+const MOST_WORKS: usize = 10;
+/// In the room of one service's work, so many endpoints could be told of.
+const SHARES_FOR_WORK: usize = 4;
+
 impl Loads {
     /// This entry's load, for the others; of at most so many endpoints.
     pub fn tidings(&self, most: usize, now: Millis) -> Tidings {
@@ -20,18 +26,26 @@
             held: load.held(),
             token_time: load.beat.seen(now).map_or(0, |it| whole(it * 10.0)),
         });
+        let works = self.works(now);
+        let most = most.saturating_sub(SHARES_FOR_WORK * works.len().saturating_sub(1));
         let mut shares: Vec<_> = shares.collect();
         shares.sort_unstable_by_key(|share| Reverse((share.unread, share.running)));
         shares.truncate(most);
+        Tidings { shares, works }
+    }
+
+    /// The work for each service, the heaviest first.
+    fn works(&self, now: Millis) -> Vec<Work> {
         let works = self.demands.iter().map(|(service, demand)| Work {
             service: tidings::key(service),
             needed: demand.needed(now),
             pace: self.pace(service).tell(),
         });
-        Tidings {
-            shares,
-            works: works.collect(),
-        }
+        let mut works: Vec<_> = works.collect();
+        let weight = |work: &Work| work.needed.steady + work.needed.reading;
+        works.sort_by(|left, right| weight(right).total_cmp(&weight(left)));
+        works.truncate(MOST_WORKS);
+        works
     }
 
     /// Takes what another entry tells of its load.
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod endpoint;
 mod forwarding;
+mod messages;
 mod others;
 mod own_questions;
 mod refusals;
--- /dev/null
+++ b/crates/relay/tests/contract/messages.rs
@@ -0,0 +1,87 @@
+//! Messages between entries.
+
+use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::engine::{Ask, Loads};
+use woodgap_core::relay::fleet::Member;
+use woodgap_core::relay::plan::Engine;
+use woodgap_core::relay::roster::Endpoint;
+use woodgap_core::relay::work::Work;
+use woodgap_relay::gossip::message::{self, Knowledge, MOST_BYTES, MOST_SHARES, Message};
+
+fn member(number: u64) -> Member {
+    Member {
+        name: name::Entry::from(format!("front-a-long-data-centre-name-{number}")),
+        incarnation: name::Incarnation(u64::MAX - number),
+        peer: ([10, 200, 200, 200], 65_000).into(),
+        front: ([10, 200, 200, 200], 65_001).into(),
+        data_centre: name::DataCentre::from("a-long-data-centre-name"),
+        stopping: false,
+        ready: true,
+        reaches_platform: true,
+    }
+}
+
+/// The load of an entry that has long prompts at so many engines of each service.
+fn busy(services: usize, engines: usize) -> Loads {
+    let mut loads = Loads::new(name::DataCentre::from("a"), 1);
+    for number in 0..services * engines {
+        let endpoint = Endpoint {
+            name: name::Endpoint::from(format!("i-{number}")),
+            service: format!("model-{}", number % services),
+            address: ([10, 0, 0, 1], 80).into(),
+            data_centre: name::DataCentre::from("a"),
+            slots: 64,
+            leaving: false,
+        };
+        let work = Work {
+            prompt_tokens: 3_000_000,
+            output_limit: 1_000_000,
+            ..Work::default()
+        };
+        let ask = Ask {
+            work: Some(&work),
+            engine: Some(Engine {
+                slots: 64,
+                memory_tokens: u32::MAX,
+                event_tokens: 4,
+                moves_prompts: true,
+            }),
+            gap: Some(Millis(200)),
+        };
+        let choice = loads.choose(&[&endpoint], &ask, Millis(0));
+        let ticket = loads.begin(&choice.expect("it is open"), &ask, Millis(0));
+        for event in 0..20 {
+            loads.event(&ticket, 4, Millis(event * 900));
+        }
+    }
+    loads
+}
+
+/// However much an entry has to tell, it fits into one datagram.
+#[rstest]
+#[case::one_service(1, 120)]
+#[case::some_services(4, 30)]
+#[case::all_models_of_a_large_site(22, 10)]
+fn a_message_fits_into_a_datagram(#[case] services: usize, #[case] engines: usize) {
+    let tidings = busy(services, engines).tidings(MOST_SHARES, Millis(18_000));
+    assert!(!tidings.shares.is_empty() && !tidings.works.is_empty());
+    let message = Message {
+        number: u64::MAX,
+        is_answer: true,
+        from: member(1),
+        knows: Knowledge {
+            plan: u64::MAX,
+            plan_age: Millis(u64::MAX),
+            endpoints: u64::MAX,
+            endpoints_age: Millis(u64::MAX),
+        },
+        told: vec![member(2)],
+        tidings,
+        rests: Vec::new(),
+    };
+    let bytes = message::encode(&message).unwrap();
+    assert!(bytes.len() <= MOST_BYTES, "{} bytes", bytes.len());
+    assert_eq!(message::decode(&bytes), Some(message));
+}
