--- a/crates/core/src/relay/admission.rs
+++ b/crates/core/src/relay/admission.rs
@@ -22,6 +22,10 @@
 /// with 150, 0.649 with 100.
 const PATIENCE_PERCENT: u64 = 150;
 
+/// The part of the target that a request's own prompt may take before it counts: long
+/// prompts would be turned away wherever anything waits, and short ones taken.
+const OWN_PART: f64 = 0.3;
+
 /// What a request's caller waits for, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Claim {
@@ -53,7 +57,7 @@
 /// assert_eq!(claim.bound(), Millis(900));
 /// ```
 pub fn decide(choice: &Choice, claim: Claim, spread: f64) -> Verdict {
-    if !choice.is_too_late(claim.bound()) {
+    if !choice.is_too_late(claim.bound_for(choice)) {
         return Verdict::Take;
     }
     // A span of some seconds.
@@ -72,4 +76,18 @@
             self.left
         }
     }
+
+    /// The same for a request that this choice was made for: what its own prompt takes
+    /// beyond a part of the target is not held against it.
+    fn bound_for(&self, choice: &Choice) -> Millis {
+        if !self.is_stream {
+            return self.bound();
+        }
+        let own = (choice.wait - choice.queue).max(0.0);
+        let usual = self.target.0 as f64 * OWN_PART;
+        // A span of some seconds.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let beyond = (own - usual).max(0.0) as u64;
+        self.left.min(self.bound() + Millis(beyond))
+    }
 }
--- a/crates/core/tests/relay/admission.rs
+++ b/crates/core/tests/relay/admission.rs
@@ -2,6 +2,7 @@
 
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::admission::{Claim, Verdict, decide};
+use woodgap_core::relay::work::{Part, Work};
 
 use crate::engine::{Entry, PLAIN, ask, caption};
 
@@ -46,6 +47,31 @@
     assert!((after(1.0) - 2.0 * choice.wait).abs() < 1.0);
 }
 
+/// Long prompts are turned away no sooner than short ones by what they take themselves,
+/// only by what waits before them.
+#[test]
+fn a_long_prompt_is_not_turned_away_for_its_length() {
+    let mut entry = Entry::new(1);
+    let long = Work {
+        prompt_tokens: 60_000,
+        parts: vec![Part {
+            id: 1,
+            tokens: 60_000,
+        }],
+        ..caption(1, 1)
+    };
+    let choice = entry.choose(&ask(&long), 0).expect("an engine is open");
+    assert!(choice.wait > 900.0, "{choice:?}");
+    entry.send(&ask(&caption(9, 99)), 0);
+    let choice = entry.choose(&ask(&long), 0).unwrap();
+    assert_eq!(decide(&choice, STREAM, 0.0), Verdict::Take, "{choice:?}");
+    for own in 0..20 {
+        entry.send(&ask(&caption(own, 100 + own)), 0);
+    }
+    let choice = entry.choose(&ask(&long), 0).unwrap();
+    assert_ne!(decide(&choice, STREAM, 0.0), Verdict::Take, "{choice:?}");
+}
+
 /// A late answer of a plain service is worth as much as most: a queue there turns
 /// nobody away who waits for long enough.
 #[test]
