--- a/crates/core/src/relay/tidings.rs
+++ b/crates/core/src/relay/tidings.rs
@@ -7,7 +7,6 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::lateness::Lateness;
-use crate::relay::pace;
 use crate::relay::prefix;
 
 /// After so long the share of another entry counts for nothing: it may be gone.
@@ -24,8 +23,6 @@
     pub unread: u32,
     /// Tokens of memory that its requests take or will take.
     pub held: u32,
-    /// How long a token takes there now, in tenths of a ms; 0 if it was not seen of late.
-    pub token_time: u16,
 }
 
 /// How many engines' worth of work there is.
@@ -46,8 +43,8 @@
     pub service: u32,
     /// The engines that it needs.
     pub needed: Needed,
-    /// How fast the entry has found them to be.
-    pub pace: pace::Told,
+    /// Prompt tokens that they read in a ms, as the entry has found; 0 if it has not.
+    pub read_rate: f32,
 }
 
 /// What an entry tells the others of its load.
