--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -4,6 +4,7 @@
 //! theirs, by the load that endpoints report in their answers, and by the prompt
 //! parts that it believes them to keep. Times and costs are in milliseconds.
 
+mod beat;
 mod candidates;
 mod choice;
 mod load;
@@ -155,6 +156,20 @@
         }
     }
 
+    /// Notes an event of a stream that holds so many tokens.
+    pub fn event(&mut self, ticket: &Ticket, tokens: u32, now: Millis) {
+        let Some(load) = self.endpoints.get_mut(&ticket.endpoint) else {
+            return;
+        };
+        let Some(pause) = load.event(ticket.number, now) else {
+            return;
+        };
+        let pace = self.paces.entry(load.service.clone()).or_default();
+        let others = self.others.at(&ticket.endpoint, pace.read_rate(), now);
+        let running = load.running() as f64 + others.running;
+        load.beat.pause(pause, tokens, running, pace, now);
+    }
+
     /// Notes how a stream of a service ended: whether it was late, or turned away since
     /// it would have been.
     pub fn ended(&mut self, service: &str, is_steady: bool, is_late: bool, now: Millis) {
--- /dev/null
+++ b/crates/core/src/relay/engine/beat.rs
@@ -0,0 +1,87 @@
+//! How long tokens take at one engine now.
+//!
+//! The load pattern: some engines read prompts all the time, or have turned slow. Their
+//! streams still begin on time and keep each pause within bounds, and yet take several
+//! times as long; they hold places that others wait for, run into their deadlines, and
+//! all of them are lost if the engine is. The pauses between events tell of it within a
+//! second. Late long prompts of a burst on the model of engines (`placement`, twice the
+//! usual rate, two of three seeds): 0.03 and 0.02 with it, 0.07 and 0.11 without.
+
+use crate::clock::Millis;
+use crate::relay::pace::Pace;
+
+/// Over so long the pauses between events are collected at least, in ms.
+const WINDOW: Millis = Millis(500);
+/// So many pauses are needed for a judgement: a few events of several streams. More
+/// than the most are not kept.
+const LEAST: usize = 12;
+const MOST: usize = 64;
+/// The weight of one judgement: about the last three count.
+const WEIGHT: f64 = 0.3;
+/// The span in which a figure comes nearer to what is usual, to a third, in ms, while
+/// no stream tells of it: what kept requests away must not outlive its cause.
+const SPAN: f64 = 3_000.0;
+/// How long a figure is told to others after it was seen, in ms.
+const TOLD_LIFE: Millis = Millis(1_000);
+
+/// What is learnt of one engine.
+#[derive(Debug, Default)]
+pub(super) struct Beat {
+    began: Millis,
+    /// Pauses of the window, in ms.
+    pauses: Vec<f64>,
+    /// The mean time of a token of late, in ms, and when it was judged.
+    token_time: Option<(f64, Millis)>,
+}
+
+impl Beat {
+    /// How long a token takes there now, in ms; `usual` where it was not seen of late.
+    pub fn token_time(&self, usual: f64, now: Millis) -> f64 {
+        let Some((time, at)) = self.token_time else {
+            return usual;
+        };
+        let age = (now - at).0 as f64;
+        usual + (time - usual) * (-age / SPAN).exp()
+    }
+
+    /// The same for others, in ms, if it was seen of late.
+    pub fn seen(&self, now: Millis) -> Option<f64> {
+        let (time, at) = self.token_time?;
+        (now - at < TOLD_LIFE).then_some(time)
+    }
+
+    /// Takes how long tokens take by another entry, in ms.
+    pub fn told(&mut self, time: f64, now: Millis) {
+        let before = self.token_time(time, now);
+        self.token_time = Some((before + WEIGHT * (time - before), now));
+    }
+
+    /// Takes a pause between two events of so many tokens, beside so many running
+    /// requests.
+    pub fn pause(
+        &mut self,
+        pause: Millis,
+        tokens: u32,
+        running: f64,
+        pace: &mut Pace,
+        now: Millis,
+    ) {
+        if now - self.began > WINDOW && self.pauses.len() >= LEAST {
+            self.judge(tokens, running, pace, now);
+            self.began = now;
+            self.pauses.clear();
+        }
+        if self.pauses.len() < MOST {
+            self.pauses.push(pause.0 as f64);
+        }
+    }
+
+    fn judge(&mut self, tokens: u32, running: f64, pace: &mut Pace, now: Millis) {
+        let count = self.pauses.len();
+        let tokens = f64::from(tokens.max(1));
+        let mean = self.pauses.iter().sum::<f64>() / count as f64;
+        self.told(mean / tokens, now);
+        self.pauses.sort_by(f64::total_cmp);
+        pace.token(running, self.pauses[count / 2] / tokens);
+    }
+}
--- a/crates/core/src/relay/engine/choice.rs
+++ b/crates/core/src/relay/engine/choice.rs
@@ -38,6 +38,8 @@
     pub own: usize,
     /// Requests of all entries that are there, as far as is known.
     pub running: f64,
+    /// The time from the first event of its stream to the last, in ms.
+    pub run: f64,
     /// What the choice costs in all, in ms: the wait, and what others suffer.
     pub cost: f64,
     /// Prompt tokens that are believed to be kept there.
@@ -106,6 +108,7 @@
             queue: estimate.queue,
             own: self.own(&endpoint.name),
             running: estimate.running,
+            run: estimate.run,
             cost,
             kept: estimate.kept,
             source: source
@@ -169,7 +172,7 @@
         let estimate = match (ask.work, ask.engine) {
             (Some(work), Some(engine)) => {
                 let others = self.others.at(&endpoint.name, pace.read_rate(), now);
-                at_engine(load, others, work, engine, is_favourite, pace)
+                at_engine(load, others, work, engine, is_favourite, pace, now)
             }
             _ => self.at_service(load, endpoint, now),
         };
@@ -200,6 +203,7 @@
             disturbance: 0.0,
             kept: 0,
             unread: 0.0,
+            run: 0.0,
             running: own + others,
         }
     }
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::clock::Millis;
+use crate::relay::engine::beat::Beat;
 use crate::relay::engine::{Ask, Choice};
 use crate::relay::fading::Fading;
 use crate::relay::health::{Health, Sign};
@@ -31,6 +32,9 @@
 /// An answer that comes sooner, in ms, shows that the prompt was kept after all: to
 /// read so much takes longer on any engine.
 const LEAST_TIME: f64 = 5.0;
+/// What a millisecond costs for which a stream runs after its first event: it holds
+/// a place and memory that others wait for, and is lost if the engine is.
+const RUN_COST: f64 = 0.1;
 /// An answer is overdue after so many times its expected wait, and a span in ms
 /// that an endpoint may be busy with something else.
 const OVERDUE_FACTOR: f64 = 2.0;
@@ -61,6 +65,7 @@
     pub health: Health,
     /// The factor by which its answers take longer than expected.
     slowness: Fading,
+    pub beat: Beat,
     flights: HashMap<u64, Flight>,
     prefix: Prefix,
     /// The last report, the own requests there at the time, and the time.
@@ -80,6 +85,7 @@
     answered: bool,
     /// What the engine had to read in all when it was sent, in tokens.
     ahead: f64,
+    last_event: Option<Millis>,
 }
 
 /// What a request would meet at an engine.
@@ -97,6 +103,8 @@
     pub unread: f64,
     /// Requests there, of all entries.
     pub running: f64,
+    /// The time from the first event to the last, in ms.
+    pub run: f64,
 }
 
 impl Flight {
@@ -115,6 +123,7 @@
             service: service.to_owned(),
             health: Health::default(),
             slowness: Fading::new(1.0),
+            beat: Beat::default(),
             flights: HashMap::new(),
             prefix: Prefix::new(memory_tokens),
             report: None,
@@ -172,6 +181,7 @@
             held: prompt + output,
             answered: false,
             ahead: choice.unread,
+            last_event: None,
         };
         self.flights.insert(number, flight);
     }
@@ -193,6 +203,13 @@
         Some(took)
     }
 
+    /// Notes an event of a stream; gives back the pause before it, in ms.
+    pub fn event(&mut self, number: u64, now: Millis) -> Option<Millis> {
+        let flight = self.flights.get_mut(&number)?;
+        let last = flight.last_event.replace(now);
+        last.map(|last| now - last)
+    }
+
     /// The factor by which its answers take longer than expected.
     pub fn slowness(&self, now: Millis) -> f64 {
         self.slowness.now(now)
@@ -226,6 +243,7 @@
     engine: Engine,
     is_favourite: bool,
     pace: &Pace,
+    now: Millis,
 ) -> Estimate {
     let read_rate = pace.read_rate();
     let kept = kept(load, work, is_favourite);
@@ -236,6 +254,9 @@
     let needed = held + f64::from(work.prompt_tokens + work.output());
     let lacking = (needed - f64::from(engine.memory_tokens)).max(0.0);
     let crowding = (running + 1.0 - EASE * f64::from(engine.slots)).max(0.0);
+    let usual = pace.token_time(0.0);
+    let token_time = load.map_or(usual, |load| load.beat.token_time(usual, now));
+    let run = f64::from(work.output()) * token_time;
     // A sum of tokens that came from whole numbers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let kept = kept as u32;
@@ -243,10 +264,11 @@
     Estimate {
         wait: queue + unread / read_rate,
         queue,
-        disturbance: READING_COST * unread / read_rate + crowding * CROWDING_COST,
+        disturbance: READING_COST * unread / read_rate + crowding * CROWDING_COST + RUN_COST * run,
         kept,
         unread: ahead + unread,
         running,
+        run,
     }
 }
 
--- a/crates/core/src/relay/engine/telling.rs
+++ b/crates/core/src/relay/engine/telling.rs
@@ -1,6 +1,7 @@
 //! What an entry tells others of its engines, and takes from them.
 
 use std::cmp::Reverse;
+use std::collections::HashMap;
 
 use crate::clock::Millis;
 use crate::name;
@@ -23,6 +24,7 @@
             running: u32::try_from(load.running()).unwrap_or(u32::MAX),
             unread: load.unread(),
             held: load.held(),
+            token_time: load.beat.seen(now).map_or(0, |it| whole(it * 10.0)),
         });
         let works = self.works(now);
         let most = most.saturating_sub(SHARES_FOR_WORK * works.len().saturating_sub(1));
@@ -37,7 +39,7 @@
         let works = self.demands.iter().map(|(service, demand)| Work {
             service: tidings::key(service),
             needed: demand.needed(now),
-            read_rate: self.pace(service).tell(),
+            pace: self.pace(service).tell(),
         });
         let mut works: Vec<_> = works.collect();
         let weight = |work: &Work| work.needed.steady + work.needed.reading;
@@ -53,8 +55,24 @@
             let key = tidings::key(service);
             let mut works = tidings.works.iter();
             if let Some(work) = works.find(|work| work.service == key) {
-                pace.told(work.read_rate);
+                pace.told(&work.pace);
+            }
+        }
+        let shares = tidings.shares.iter();
+        let shares: HashMap<_, _> = shares.map(|it| (it.endpoint, it)).collect();
+        for (name, load) in &mut self.endpoints {
+            let share = shares.get(&tidings::key(name.as_str()));
+            if let Some(share) = share.filter(|share| share.token_time > 0) {
+                load.beat.told(f64::from(share.token_time) / 10.0, now);
             }
         }
     }
 }
+
+/// A span in whole ms.
+fn whole(span: f64) -> u16 {
+    // Clamped to what fits.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = span.round().clamp(0.0, f64::from(u16::MAX)) as u16;
+    whole
+}
--- a/crates/core/src/relay/pace.rs
+++ b/crates/core/src/relay/pace.rs
@@ -1,24 +1,35 @@
 //! How fast the engines of a service are, as learnt from their streams.
 //!
-//! The load pattern: engines of another make. A forecast that takes their speed for
-//! granted sends too much, or turns away what could be served. What is known comes from
-//! the moments at which first events arrive, so it is a median: it stands through a
-//! standstill of this process, through one bad engine, and through requests whose engine
-//! had more to do than was known. Worth of two days under load with engines that read
-//! some 30 tokens in a ms, three plays each: 0.70 and 0.57 with it, 0.69 and 0.55 with the
-//! 50 tokens that others read.
+//! Engines differ: in how fast they read prompts, in how long a step takes and how much
+//! longer with each request, and within one service from one engine to the next. What
+//! is known of them comes from the moments at which first events and later ones arrive,
+//! so each figure is a median: it stands through a standstill of this process, through
+//! one bad engine, and through requests whose engine had more to do than was known.
+//!
+//! Worth of two days under load with engines that read some 30 tokens in a ms, three plays
+//! each: 0.70 and 0.57 with it, 0.69 and 0.55 with the 50 tokens that others read.
+
+use serde::{Deserialize, Serialize};
 
 /// Prompt tokens that an engine reads in a ms, before any was seen to: between those
 /// of large models (some tens) and of small ones (some hundreds).
 const FIRST_READ_RATE: f64 = 50.0;
+/// How long an engine takes for a token of a stream, in ms, before any was seen.
+const FIRST_TOKEN_TIME: f64 = 6.0;
+/// Running requests are counted in groups of so many: steps take longer the more
+/// there are, by about a hundredth of a step each.
+const GROUP: f64 = 16.0;
+/// How many groups are told apart; the last one holds all above.
+const GROUPS: usize = 5;
 /// By which part of itself a median moves with each sample. A change by half takes
 /// some twenty samples, the error that stays is below a twentieth.
 const STEP: f64 = 0.04;
 /// From so many samples on, a median is better than what others tell.
 const ENOUGH: u32 = 20;
-/// Bounds of what is learnt, in tokens per ms: beyond them lies no engine that was heard
-/// of, only errors of measurement.
+/// Bounds of what is learnt, in tokens per ms, and ms per token: beyond them lies no
+/// engine that was heard of, only errors of measurement.
 const READ_RATES: (f64, f64) = (1.0, 2_000.0);
+const TOKEN_TIMES: (f64, f64) = (0.1, 500.0);
 
 /// A median that follows its samples.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -80,6 +91,14 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Pace {
     read_rate: Median,
+    token_times: [Median; GROUPS],
+}
+
+/// What an entry tells others of a service's engines: 0 where nothing is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    read_rate: f32,
+    token_times: [f32; GROUPS],
 }
 
 impl Pace {
@@ -88,21 +107,47 @@
         self.read_rate.get().unwrap_or(FIRST_READ_RATE)
     }
 
+    /// How long a token takes, in ms, beside so many running requests and without a
+    /// prompt being read; where that was not seen, beside the next smaller number.
+    pub fn token_time(&self, running: f64) -> f64 {
+        let known = self.token_times[..=group(running)].iter().rev();
+        let mut known = known.chain(&self.token_times);
+        known.find_map(|it| it.get()).unwrap_or(FIRST_TOKEN_TIME)
+    }
+
     /// Learns that so many tokens, as far as was known, were read in so many ms.
     pub fn read(&mut self, tokens: f64, took: f64) {
         let rate = tokens / took.max(1.0);
         self.read_rate.learn(rate.clamp(READ_RATES.0, READ_RATES.1));
     }
 
-    /// The rate for other entries, in tokens per ms; 0 where too little is known.
-    pub fn tell(&self) -> f32 {
-        self.read_rate.tell()
+    /// Learns that a token took so many ms beside so many running requests.
+    pub fn token(&mut self, running: f64, took: f64) {
+        let took = took.clamp(TOKEN_TIMES.0, TOKEN_TIMES.1);
+        self.token_times[group(running)].learn(took);
     }
 
-    /// Takes the rate that another entry tells, where little is known yet: after a start.
-    pub fn told(&mut self, read_rate: f32) {
-        if read_rate > 0.0 {
-            self.read_rate.told(f64::from(read_rate));
+    /// What is known, for other entries.
+    pub fn tell(&self) -> Told {
+        Told {
+            read_rate: self.read_rate.tell(),
+            token_times: self.token_times.map(Median::tell),
         }
     }
+
+    /// Takes what another entry tells where little is known yet: after a start.
+    pub fn told(&mut self, told: &Told) {
+        let own = self.token_times.iter_mut().chain([&mut self.read_rate]);
+        let theirs = told.token_times.iter().chain([&told.read_rate]);
+        for (own, theirs) in own.zip(theirs).filter(|(_, theirs)| **theirs > 0.0) {
+            own.told(f64::from(*theirs));
+        }
+    }
+}
+
+fn group(running: f64) -> usize {
+    // A count of requests.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let group = (running / GROUP) as usize;
+    group.min(GROUPS - 1)
 }
--- a/crates/core/src/relay/tidings.rs
+++ b/crates/core/src/relay/tidings.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::lateness::Lateness;
+use crate::relay::pace;
 use crate::relay::prefix;
 
 /// After so long the share of another entry counts for nothing: it may be gone.
@@ -23,6 +24,8 @@
     pub unread: u32,
     /// Tokens of memory that its requests take or will take.
     pub held: u32,
+    /// How long a token takes there now, in tenths of a ms; 0 if it was not seen of late.
+    pub token_time: u16,
 }
 
 /// How much engines have to do, in prompt tokens to read in each ms.
@@ -43,8 +46,8 @@
     pub service: u32,
     /// What it asks of engines.
     pub needed: Needed,
-    /// Prompt tokens that they read in a ms, as the entry has found; 0 if it has not.
-    pub read_rate: f32,
+    /// How fast the entry has found them to be.
+    pub pace: pace::Told,
 }
 
 /// What an entry tells the others of its load.
--- a/crates/core/tests/relay/pace.rs
+++ b/crates/core/tests/relay/pace.rs
@@ -36,17 +36,43 @@
 fn an_entry_that_has_just_started_takes_what_others_know() {
     let mut known = Pace::default();
     (0..50).for_each(|_| known.read(4_000.0, 200.0));
+    (0..50).for_each(|_| known.token(20.0, 9.0));
     let mut fresh = Pace::default();
-    fresh.told(known.tell());
+    fresh.told(&known.tell());
     assert!((fresh.read_rate() - 20.0).abs() < 1.0);
+    assert!((fresh.token_time(20.0) - 9.0).abs() < 0.1);
     // Nothing is told by one that knows little itself.
     let mut unsure = Pace::default();
     unsure.read(4_000.0, 1_000.0);
     let mut other = Pace::default();
-    other.told(unsure.tell());
+    other.told(&unsure.tell());
     assert_eq!(other, Pace::default());
 }
 
+/// An engine turns slow by five times: its streams still begin in time, as nothing waits
+/// there, and each pause is short enough. New streams go elsewhere.
+#[test]
+fn steady_streams_leave_an_engine_that_turns_slow() {
+    let mut entry = Entry::new(4);
+    let names = [1, 2].map(|own| entry.send(&ask(&narration(own)), 0));
+    let [slow, fast] = &names;
+    assert_ne!(slow, fast);
+    for ticket in &entry.tickets {
+        entry.loads.answered(ticket, false, Millis(10));
+    }
+    for event in 0..500 {
+        let now = Millis(10 + event * 24);
+        if event % 5 == 0 {
+            entry.loads.event(&entry.tickets[0], 6, now);
+        }
+        entry.loads.event(&entry.tickets[1], 6, now);
+    }
+    let later: Vec<_> = (3..9)
+        .map(|own| entry.serve(&ask(&narration(own)), 12_000))
+        .collect();
+    assert!(!later.contains(slow), "{slow} {later:?}");
+}
+
 /// Prompts are turned away at an engine that reads slowly sooner than at a fast one,
 /// though nobody told how fast it is.
 #[test]
--- a/crates/fake/tests/placement/site.rs
+++ b/crates/fake/tests/placement/site.rs
@@ -331,6 +331,7 @@
                     entry.answered(&sent.ticket, false, now);
                     entry.report(sent.ticket.endpoint(), report, now);
                 }
+                entry.event(&sent.ticket, Make::MIDDLING.event_tokens, now);
             }
             Happening::Ended(number) => {
                 let sent = self.sent.remove(&number).expect("it is with the engine");
--- a/crates/relay/src/request/account.rs
+++ b/crates/relay/src/request/account.rs
@@ -220,7 +220,7 @@
             endpoint = self.endpoint, reused = self.reused,
             expected_wait_ms = figure(|it| it.wait), cost_ms = figure(|it| it.cost),
             queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
-            unread_tokens = figure(|it| it.unread),
+            unread_tokens = figure(|it| it.unread), expected_run_ms = figure(|it| it.run),
             kept_tokens = choice.map_or(0, |it| it.kept),
             prompt_source = source.map_or("", |it| it.name.as_str()),
             target_ms = target.0, gap_ms = gap.0, longest_pause_ms = self.longest_pause.0,
--- a/crates/relay/src/request/answer.rs
+++ b/crates/relay/src/request/answer.rs
@@ -221,6 +221,7 @@
     async fn next(mut self) -> Option<(Result<Bytes, Error>, Option<Self>)> {
         if let Some(first) = self.first.take() {
             self.account.piece();
+            self.rest.place.event();
             return Some((Ok(first), Some(self)));
         }
         let left = Duration::from_millis((self.deadline - self.state.now()).0);
@@ -228,6 +229,7 @@
         match next.unwrap_or(Err(Error::TimedOut)) {
             Ok(Some(bytes)) => {
                 self.account.piece();
+                self.rest.place.event();
                 Some((Ok(bytes), Some(self)))
             }
             Ok(None) => {
--- a/crates/relay/src/request/place.rs
+++ b/crates/relay/src/request/place.rs
@@ -20,6 +20,8 @@
     state: Rc<State>,
     ticket: Ticket,
     is_plain: bool,
+    /// Tokens that an event of a model engine holds; 0 for a plain service.
+    event_tokens: u32,
 }
 
 impl Place {
@@ -33,6 +35,7 @@
             state: Rc::clone(state),
             ticket,
             is_plain: ask.work.is_none(),
+            event_tokens: ask.engine.map_or(0, |engine| engine.event_tokens),
         }
     }
 
@@ -48,6 +51,15 @@
         loads.answered(&self.ticket, self.is_plain, now);
     }
 
+    /// Notes an event of the answer.
+    pub fn event(&self) {
+        if self.event_tokens > 0 {
+            let now = self.state.now();
+            let mut loads = self.state.loads.borrow_mut();
+            loads.event(&self.ticket, self.event_tokens, now);
+        }
+    }
+
     /// Notes what the attempt tells of the endpoint.
     pub fn note(&self, sign: Sign) {
         let now = self.state.now();
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -51,7 +51,10 @@
             gap: Some(Millis(200)),
         };
         let choice = loads.choose(&[&endpoint], &ask, Millis(0));
-        loads.begin(&choice.expect("it is open"), &ask, Millis(0));
+        let ticket = loads.begin(&choice.expect("it is open"), &ask, Millis(0));
+        for event in 0..20 {
+            loads.event(&ticket, 4, Millis(event * 900));
+        }
     }
     loads
 }
