--- a/crates/core/src/relay/admission.rs
+++ b/crates/core/src/relay/admission.rs
@@ -16,11 +16,11 @@
 
 /// When callers should come back at the earliest after a refusal, in ms: the time in
 /// which an engine ends some of its requests.
-const SOONEST: Millis = Millis(50);
+pub const SOONEST: Millis = Millis(50);
 
 /// How long a first event may be expected to take, in hundredths of its target. Of the
 /// streams for which more than the target is forecast, half still begin in time, and a
-/// late one has some worth. Worth of five days under load, mean of twelve plays: 0.662
+/// late one has some worth. Worth of four days with trouble, mean of twelve plays: 0.662
 /// with 150, 0.649 with 100.
 const PATIENCE_PERCENT: u64 = 150;
 
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -164,10 +164,13 @@
         let Some(pause) = load.event(ticket.number, now) else {
             return;
         };
+        let Some(window) = load.beat.pause(pause, now) else {
+            return;
+        };
+        let token_time = load.beat.judge(window, tokens, now);
         let pace = self.paces.entry(load.service.clone()).or_default();
         let others = self.others.at(&ticket.endpoint, pace.read_rate(), now);
-        let running = load.running() as f64 + others.running;
-        load.beat.pause(pause, tokens, running, pace, now);
+        pace.token(load.running() as f64 + others.running, token_time);
     }
 
     /// Notes how a stream of a service ended: whether it was late, or turned away since
--- a/crates/core/src/relay/engine/beat.rs
+++ b/crates/core/src/relay/engine/beat.rs
@@ -8,7 +8,6 @@
 //! usual rate, two of three seeds): 0.03 and 0.02 with it, 0.07 and 0.11 without.
 
 use crate::clock::Millis;
-use crate::relay::pace::Pace;
 
 /// Over so long the pauses between events are collected at least, in ms.
 const WINDOW: Millis = Millis(500);
@@ -50,38 +49,34 @@
         (now - at < TOLD_LIFE).then_some(time)
     }
 
-    /// Takes how long tokens take by another entry, in ms.
-    pub fn told(&mut self, time: f64, now: Millis) {
+    /// Takes how long tokens take, in ms, as it was judged here or by another entry.
+    pub fn learn(&mut self, time: f64, now: Millis) {
         let before = self.token_time(time, now);
         self.token_time = Some((before + WEIGHT * (time - before), now));
     }
 
-    /// Takes a pause between two events of so many tokens, beside so many running
-    /// requests.
-    pub fn pause(
-        &mut self,
-        pause: Millis,
-        tokens: u32,
-        running: f64,
-        pace: &mut Pace,
-        now: Millis,
-    ) {
-        if now - self.began > WINDOW && self.pauses.len() >= LEAST {
-            self.judge(tokens, running, pace, now);
+    /// Takes a pause between two events. Gives back the pauses of a window that is over,
+    /// in ms, for [`Beat::judge`].
+    pub fn pause(&mut self, pause: Millis, now: Millis) -> Option<Vec<f64>> {
+        let is_over = now - self.began > WINDOW && self.pauses.len() >= LEAST;
+        let window = is_over.then(|| {
             self.began = now;
-            self.pauses.clear();
-        }
+            std::mem::take(&mut self.pauses)
+        });
         if self.pauses.len() < MOST {
             self.pauses.push(pause.0 as f64);
         }
+        window
     }
 
-    fn judge(&mut self, tokens: u32, running: f64, pace: &mut Pace, now: Millis) {
-        let count = self.pauses.len();
+    /// Learns from the pauses of a window between events of so many tokens. Gives back
+    /// the median time of a token in it, in ms.
+    pub fn judge(&mut self, mut window: Vec<f64>, tokens: u32, now: Millis) -> f64 {
+        let count = window.len();
         let tokens = f64::from(tokens.max(1));
-        let mean = self.pauses.iter().sum::<f64>() / count as f64;
-        self.told(mean / tokens, now);
-        self.pauses.sort_by(f64::total_cmp);
-        pace.token(running, self.pauses[count / 2] / tokens);
+        let mean = window.iter().sum::<f64>() / count as f64;
+        self.learn(mean / tokens, now);
+        window.sort_by(f64::total_cmp);
+        window[count / 2] / tokens
     }
 }
--- a/crates/core/src/relay/engine/telling.rs
+++ b/crates/core/src/relay/engine/telling.rs
@@ -24,7 +24,7 @@
             running: u32::try_from(load.running()).unwrap_or(u32::MAX),
             unread: load.unread(),
             held: load.held(),
-            token_time: load.beat.seen(now).map_or(0, |it| whole(it * 10.0)),
+            token_time: load.beat.seen(now).map_or(0, tenths),
         });
         let works = self.works(now);
         let most = most.saturating_sub(SHARES_FOR_WORK * works.len().saturating_sub(1));
@@ -58,21 +58,23 @@
                 pace.told(&work.pace);
             }
         }
-        let shares = tidings.shares.iter();
-        let shares: HashMap<_, _> = shares.map(|it| (it.endpoint, it)).collect();
+        let seen = tidings.shares.iter().filter(|share| share.token_time > 0);
+        let times: HashMap<_, _> = seen.map(|it| (it.endpoint, it.token_time)).collect();
+        if times.is_empty() {
+            return;
+        }
         for (name, load) in &mut self.endpoints {
-            let share = shares.get(&tidings::key(name.as_str()));
-            if let Some(share) = share.filter(|share| share.token_time > 0) {
-                load.beat.told(f64::from(share.token_time) / 10.0, now);
+            if let Some(tenths) = times.get(&tidings::key(name.as_str())) {
+                load.beat.learn(f64::from(*tenths) / 10.0, now);
             }
         }
     }
 }
 
-/// A span in whole ms.
-fn whole(span: f64) -> u16 {
+/// A span in ms as a whole number of tenths.
+fn tenths(span: f64) -> u16 {
     // Clamped to what fits.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let whole = span.round().clamp(0.0, f64::from(u16::MAX)) as u16;
-    whole
+    let tenths = (span * 10.0).round().clamp(0.0, f64::from(u16::MAX)) as u16;
+    tenths
 }
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -22,9 +22,6 @@
 const MOST_UNSENT: u32 = 4;
 /// When callers should come back to a service without an endpoint.
 const NO_ENDPOINT: Millis = Millis(300);
-/// When callers should come back at the earliest after a refusal: the time in
-/// which an engine ends some of its requests.
-const SOONEST: Millis = Millis(50);
 /// An idempotent request is tried elsewhere once it took so many times its
 /// target: by then an answer hardly comes.
 const PATIENCE_TARGETS: u64 = 2;
@@ -209,7 +206,7 @@
                     Failure::Declined(_) => Code::Overloaded,
                     _ => Code::NoEndpoint,
                 };
-                Problem::not_run(code, message).retry_after(SOONEST)
+                Problem::not_run(code, message).retry_after(admission::SOONEST)
             }
             Some(_) if now >= request.deadline => Problem::may_have_run(Code::Timeout, message),
             Some(_) => Problem::may_have_run(Code::EndpointFailed, message),
