Few entries ask a platform that is away, and whoever is answered tells the rest

Cause: while the platform is away nobody's plan is confirmed, and all entries notice at nearly the same moment; each then asked on its own, with pauses of a second at most. Besides, whoever was turned away left its rank to the next, so that in the end all counted themselves among the readers. Ruled out: longer pauses alone (the platform's return is then seen late, and keys fail closed for longer); one fixed entry that asks for all (it may be the one that is turned away). Change: entries whose plan is stale draw lots, 30 tries a second of the whole fleet at first, five later; whoever is answered tells at once, is asked back by those whose plan is stale, and stands in for the readers for a while; an entry that hears nobody tries for itself; entries that the platform turned away rank behind the others; one that has just started is no reader yet. What came to endpoints together is asked for once in 100 ms. Hundreds of lines on entries that answer become one a second.

--- a/crates/core/src/relay/duty.rs
+++ b/crates/core/src/relay/duty.rs
@@ -1,8 +1,13 @@
 //! Which entries ask the platform, and which learn from the others.
 //!
 //! Each call of the platform is paid for and its rates are shared by the fleet.
-//! So a few entries ask it all the time, and the others ask only when nobody has
-//! confirmed their plan for longer than those take.
+//! So a few entries, the readers, ask it all the time, and the others learn from them.
+//!
+//! The load pattern: a platform that is down, slow or turns callers away for seconds.
+//! Then nobody's plan is confirmed any more, all entries notice at nearly the same
+//! moment, and hundreds that each ask cost more than all else that the fleet does. So
+//! they share a bounded number of tries between them, by lot: whoever is answered tells
+//! the rest at once, and an entry that hears nobody tries for itself.
 
 use crate::clock::Millis;
 
@@ -21,8 +26,23 @@
 const FIRST_ANSWERS: Millis = Millis(150);
 /// How long it waits for what they know: the platform may know nothing yet either.
 const FIRST_NEWS: Millis = Millis(1_500);
-/// By how much later the next one asks, and the most: one answer serves all.
-const STAGGER: (Millis, Millis) = (Millis(50), Millis(300));
+/// For how long an entry that has started does not count itself among the readers: it
+/// knows a part of the fleet only, and would think itself one of the first.
+const SETTLED: Millis = Millis(3_000);
+/// How often an entry looks whether it is its turn.
+pub const LOOK: Millis = Millis(100);
+/// How many entries ask by lot in the time between two looks while nobody's plan is
+/// confirmed: first, while there is time left before keys are distrusted, so many that one
+/// is answered in time though nine of ten are turned away; then so many that the
+/// platform's return is seen within 200 ms.
+const TRIES: (f64, f64) = (3.0, 0.5);
+/// For how long it is tried so often at first.
+const URGENT: Millis = Millis(1_400);
+/// For how long, at least, an entry that was answered by lot goes on as a reader: until
+/// the others have heard which of the readers are turned away.
+const LEAST_TERM: Millis = Millis(5_000);
+/// The first and the longest pause after a failed call.
+const PAUSES: (Millis, Millis) = (Millis(150), Millis(1_000));
 
 /// What an entry is to do about the platform now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,41 +67,140 @@
 pub enum Knows {
     /// It has learnt it, and its plan was last confirmed so long ago.
     Since(Millis),
-    /// It has not learnt it in so long a life.
-    Nothing(Millis),
+    /// It has not learnt it.
+    Nothing,
+}
+
+/// Where an entry stands among the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// How many others come before it as readers.
+    pub rank: usize,
+    /// Whether it is among those that others ask first at their start.
+    pub is_seed: bool,
+    /// Whether it was drawn by lot, was answered, and stands in for the readers.
+    pub is_acting: bool,
+    /// For how long it has run.
+    pub life: Millis,
+    /// How many other entries it is in touch with, about.
+    pub peers: usize,
+    /// How long news take to reach all entries.
+    pub spread: Millis,
+}
+
+impl Standing {
+    /// Whether the entry has run for long enough to know its rank.
+    pub fn is_settled(&self) -> bool {
+        self.life >= SETTLED
+    }
 }
 
-/// The duty of the entry with this rank among the answering ones; `spread` is how long
-/// news take to reach all entries.
+/// The duty of an entry, looked for once in a [`LOOK`]; `lot` is drawn anew for each look,
+/// evenly from 0 to 1.
 ///
 /// Entries that start together know no rank yet. Those that the others ask first, the
 /// seeds, begin; the rest wait for what these learn.
 ///
 /// ```
 /// use woodgap_core::clock::Millis;
-/// use woodgap_core::relay::duty::{Duty, Knows, Subject, duty};
+/// use woodgap_core::relay::duty::{Duty, Knows, Standing, Subject, duty};
 ///
-/// let spread = Millis(300);
-/// let asks = |rank, knows| duty(Subject::Plan, rank, false, knows, spread);
-/// assert_eq!(asks(0, Knows::Since(Millis(9))), Duty::Ask(Millis(1_000)));
-/// assert_eq!(asks(7, Knows::Since(Millis(9))), Duty::Rest);
-/// assert_eq!(asks(7, Knows::Since(Millis(1_900))), Duty::Ask(Millis(0)));
-/// assert_eq!(asks(0, Knows::Nothing(Millis(9))), Duty::Rest);
+/// let reader = Standing {
+///     rank: 0,
+///     is_seed: false,
+///     is_acting: false,
+///     life: Millis(60_000),
+///     peers: 99,
+///     spread: Millis(900),
+/// };
+/// let fresh = Knows::Since(Millis(9));
+/// assert_eq!(duty(Subject::Plan, &reader, fresh, 0.0), Duty::Ask(Millis(1_000)));
+/// let other = Standing { rank: 7, ..reader };
+/// assert_eq!(duty(Subject::Plan, &other, fresh, 0.0), Duty::Rest);
+/// // Three in a hundred try in each look while the plan is not confirmed.
+/// let old = Knows::Since(Millis(2_500));
+/// assert_eq!(duty(Subject::Plan, &other, old, 0.029), Duty::Ask(Millis(0)));
+/// assert_eq!(duty(Subject::Plan, &other, old, 0.031), Duty::Rest);
 /// ```
-pub fn duty(subject: Subject, rank: usize, is_seed: bool, knows: Knows, spread: Millis) -> Duty {
+pub fn duty(subject: Subject, standing: &Standing, knows: Knows, lot: f64) -> Duty {
     let held = match subject {
         Subject::Plan => PLAN_WAIT,
         Subject::Endpoints => ENDPOINTS_WAIT,
     };
-    let (step, most) = STAGGER;
-    let later = rank.saturating_sub(READERS) as u64 * step.0;
-    let later = Millis(later).min(most);
+    let (many, few) = TRIES;
+    let is_drawn = |tries: f64| lot < tries / (standing.peers + 1) as f64;
     match knows {
-        Knows::Nothing(_) if is_seed => Duty::Ask(held),
-        Knows::Nothing(age) if age < FIRST_ANSWERS => Duty::Rest,
-        _ if rank < READERS => Duty::Ask(held),
-        Knows::Nothing(age) if age > FIRST_NEWS + spread + later => Duty::Ask(held),
-        Knows::Since(age) if age > ALARM_AGE + spread + later => Duty::Ask(Millis::ZERO),
-        Knows::Nothing(_) | Knows::Since(_) => Duty::Rest,
+        Knows::Nothing if standing.is_seed => Duty::Ask(held),
+        Knows::Nothing if is_without_news(standing) && is_drawn(few) => Duty::Ask(held),
+        Knows::Since(_) if is_reader(standing) => Duty::Ask(held),
+        // Whoever is answered about the plan asks for the endpoints then.
+        Knows::Since(age) if subject == Subject::Plan && is_stale(age, standing.spread) => {
+            let is_urgent = !is_stale(age, standing.spread + URGENT);
+            let tries = if is_urgent { many } else { few };
+            if is_drawn(tries) {
+                Duty::Ask(Millis::ZERO)
+            } else {
+                Duty::Rest
+            }
+        }
+        Knows::Nothing | Knows::Since(_) => Duty::Rest,
     }
 }
+
+/// For how long an entry stands in for the readers after it was drawn by lot and answered,
+/// where an entry may be silent for `patience` before the others take it for gone.
+pub fn term(patience: Millis) -> Millis {
+    LEAST_TERM.max(patience)
+}
+
+/// Whether an entry that has just started has waited long enough for the others.
+fn is_without_news(standing: &Standing) -> bool {
+    let patience = if standing.peers == 0 {
+        FIRST_ANSWERS
+    } else {
+        FIRST_NEWS + standing.spread
+    };
+    standing.life >= patience
+}
+
+fn is_reader(standing: &Standing) -> bool {
+    let is_first = standing.rank < READERS;
+    standing.is_acting || (is_first && (standing.is_seed || standing.is_settled()))
+}
+
+/// Whether a plan that was confirmed so long ago has not been for longer than the
+/// readers take.
+pub fn is_stale(age: Millis, spread: Millis) -> bool {
+    age > ALARM_AGE + spread
+}
+
+/// Whether an entry that was asked by another asks back at once: its own plan is not
+/// confirmed any more, and the other tells that its own is.
+///
+/// So a confirmation reaches all entries within some round trips once one of them got
+/// it, and not after some rounds.
+pub fn asks_back(own_age: Millis, told_age: Millis, spread: Millis) -> bool {
+    is_stale(own_age, spread) && !is_stale(told_age, spread)
+}
+
+/// How long to wait after so many failed calls in a row; `lot` as in [`duty`]. Entries
+/// that lost the platform together do not come back together.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::relay::duty::pause;
+///
+/// assert_eq!(pause(1, 0.0), Millis(150));
+/// assert_eq!(pause(9, 0.0), Millis(500));
+/// assert_eq!(pause(9, 1.0), Millis(1_000));
+/// ```
+pub fn pause(failures: u32, lot: f64) -> Millis {
+    let (first, longest) = PAUSES;
+    let most = first.0.saturating_mul(1 << failures.min(6));
+    let most = most.min(longest.0) as f64;
+    let pause = most / 2.0 * (1.0 + lot.clamp(0.0, 1.0));
+    // At most the longest pause.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let pause = pause as u64;
+    Millis(pause)
+}
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -12,6 +12,8 @@
 /// How many rounds of messages an entry may miss before it is taken for gone:
 /// one may be lost and one late.
 const MISSED_ROUNDS: u64 = 3;
+/// Over so many rounds it is counted who is heard: one in a small fleet may miss two.
+const HEARD_ROUNDS: u64 = 3;
 /// After so many rounds without a word an entry is forgotten.
 const FORGOTTEN_ROUNDS: u64 = 150;
 /// How many entries are asked in one round, whatever the size of the fleet.
@@ -122,7 +124,7 @@
     }
 
     /// How long an entry may be silent: the more there are, the rarer each is asked.
-    fn patience(&self) -> Millis {
+    pub fn patience(&self) -> Millis {
         let rounds = self.members.len().div_ceil(ASKED).max(1) as u64;
         Millis(self.round.0 * (MISSED_ROUNDS + rounds - 1))
     }
@@ -141,14 +143,36 @@
         self.answering(now).filter(|member| member.ready)
     }
 
-    /// How many answering entries that the platform answers come before this one in
-    /// the order of their names.
-    pub fn rank(&self, now: Millis) -> usize {
+    /// How many answering entries come before this one as readers of the platform: those
+    /// that it answers first, and among equals by their names.
+    pub fn rank(&self, reaches_platform: bool, now: Millis) -> usize {
+        let own = (!reaches_platform, &self.own);
         let answering = self.answering(now);
-        let before = answering.filter(|member| member.reaches_platform && member.name < self.own);
+        let before = answering.filter(|it| (!it.reaches_platform, &it.name) < own);
         before.count()
     }
 
+    /// How many other entries this one is in touch with, about: none once it hears none,
+    /// long before silent ones are taken off.
+    ///
+    /// In a large fleet few are heard in a short while. The part that is heard of those
+    /// within reach is known, since each asks equally many; so their number follows.
+    pub fn peers(&self, now: Millis) -> usize {
+        let known = self.members.len();
+        let lately = Millis(self.round.0 * HEARD_ROUNDS);
+        let members = self.members.values();
+        let heard = members
+            .filter(|(_, heard)| heard.within(lately, now))
+            .count();
+        let asked = (ASKED as u64 * HEARD_ROUNDS) as f64 / known.max(1) as f64;
+        let silent = (1.0 - asked).max(0.0);
+        let part = 1.0 - silent * silent;
+        // Not more than a few times what is known.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let peers = (heard as f64 / part).round() as usize;
+        peers
+    }
+
     /// All other entries that are not forgotten.
     pub fn known(&self) -> impl Iterator<Item = &Member> {
         self.members.values().map(|(member, _)| member)
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -102,13 +102,47 @@
     for name in ["a", "b", "z"] {
         fleet.heard(member(name, 1), Millis(0));
     }
-    assert_eq!(fleet.rank(Millis(0)), 2);
+    assert_eq!(fleet.rank(true, Millis(0)), 2);
     let turned_away = Member {
         reaches_platform: false,
         ..member("a", 1)
     };
     fleet.heard(turned_away, Millis(0));
-    assert_eq!(fleet.rank(Millis(0)), 1);
+    assert_eq!(fleet.rank(true, Millis(0)), 1);
     // One that is silent leaves its rank as well.
-    assert_eq!(fleet.rank(Millis(2_000)), 0);
+    assert_eq!(fleet.rank(true, Millis(2_000)), 0);
+}
+
+#[test]
+fn those_that_the_platform_turns_away_share_its_trial_by_name() {
+    let mut fleet = fleet();
+    for (name, reaches_platform) in [("a", false), ("b", true), ("z", false)] {
+        let member = Member {
+            reaches_platform,
+            ..member(name, 1)
+        };
+        fleet.heard(member, Millis(0));
+    }
+    assert_eq!(fleet.rank(true, Millis(0)), 1);
+    assert_eq!(fleet.rank(false, Millis(0)), 2);
+}
+
+#[rstest]
+#[case::a_small_fleet(5, 5)]
+#[case::some_of_a_large_one(294, 35)]
+fn how_many_are_within_reach_follows_from_those_that_are_heard(
+    #[case] others: u16,
+    #[case] heard: u16,
+) {
+    let mut fleet = fleet();
+    for index in 0..others {
+        fleet.told(member(&format!("e{index}"), 1), Millis(0));
+    }
+    for index in 0..heard {
+        fleet.heard(member(&format!("e{index}"), 1), Millis(0));
+    }
+    let peers = fleet.peers(Millis(500));
+    let others = usize::from(others);
+    assert!(peers.abs_diff(others) <= others / 20, "{peers}");
+    assert_eq!(fleet.peers(Millis(3_000)), 0);
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod force;
 mod health;
+mod outage;
 mod pace;
 mod plan;
 mod prefix;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::dating::Dating;
-use woodgap_core::relay::duty::{Duty, Subject};
+use woodgap_core::relay::duty::{self, Duty, LOOK, Subject};
 use woodgap_core::relay::force::Offer;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::{Plan, Table};
@@ -18,12 +18,11 @@
 /// By how much less, at most, a question about the plan is held: entries that ask
 /// at different moments confirm the plan to one another in between.
 const JITTER: Millis = Millis(300);
-/// How often an entry that learns from others looks whether that still works.
-const LOOK: Millis = Millis(100);
 /// How long an answer may take beyond the time for which it may be held.
 const ANSWER_TIMEOUT: Millis = Millis(1_000);
-/// The first and the longest pause after a failed call.
-const PAUSES: (Millis, Millis) = (Millis(150), Millis(1_000));
+/// How long after changes of the endpoints the next ones are asked for: endpoints that
+/// fail or leave together are then told of in one answer.
+const GATHER: Millis = Millis(100);
 
 /// Follows the plan for as long as the process runs.
 pub async fn plan(state: Rc<State>) {
@@ -41,13 +40,14 @@
             Some(news) => {
                 state.is_platform_lost.set(false);
                 if held == Millis::ZERO {
+                    state.stand_in();
                     state.ask_endpoints.notify_one();
                 }
                 cursor = Some(news.cursor);
                 let as_of = dating.date(asked, news.made, state.now());
                 match news.content {
                     Some(plan) => take_plan(&state, plan, as_of, "platform"),
-                    None => confirm(&state, as_of),
+                    None => state.confirm_plan(state.force.borrow().version(), as_of),
                 }
             }
             None if link.lost_history => cursor = None,
@@ -88,6 +88,7 @@
                     }
                     Some(Endpoints::Changes(changes)) => {
                         take_changes(&state, changes, asked, "platform");
+                        tokio::time::sleep(Duration::from_millis(GATHER.0)).await;
                     }
                     None => {}
                 }
@@ -160,28 +161,16 @@
         if self.lost_history && self.failures == 1 {
             return;
         }
-        let (first, longest) = PAUSES;
-        let pause = first
-            .0
-            .saturating_mul(1 << self.failures.min(6))
-            .min(longest.0);
-        // Entries that lost the platform together do not come back together.
-        let pause = rand::rng().random_range(pause / 2..=pause);
-        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let pause = duty::pause(self.failures, rand::random());
+        tokio::time::sleep(Duration::from_millis(pause.0)).await;
     }
 }
 
-fn confirm(state: &State, as_of: Millis) {
-    let mut force = state.force.borrow_mut();
-    let version = force.version();
-    force.confirm(version, as_of);
-}
-
 /// Puts a plan in force, if it is sound and not older than the one that is.
 pub fn take_plan(state: &State, plan: Plan, as_of: Millis, source: &str) {
     let version = plan.version;
     if version == state.force.borrow().version() {
-        state.force.borrow_mut().confirm(version, as_of);
+        state.confirm_plan(version, as_of);
         return;
     }
     let table = match Table::new(plan) {
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::UdpSocket;
 use woodgap_core::clock::Millis;
+use woodgap_core::relay::duty;
 use woodgap_core::relay::fleet::Member;
 
 use crate::gossip::message::{self, Knowledge, MOST_BYTES, MOST_SHARES, MOST_TOLD, Message};
@@ -16,6 +17,8 @@
 
 /// After so long an answer is not waited for.
 const LATE: Millis = Millis(2_000);
+/// The time between two lines of the log on entries that answer.
+const SUMMARY: Millis = Millis(1_000);
 
 /// Asks other entries, and answers them, for as long as the process runs.
 ///
@@ -29,6 +32,8 @@
         asked: HashMap::new(),
         next: rand::random(),
         told_next: 0,
+        newcomers: 0,
+        newcomers_told: Millis::ZERO,
     };
     let mut buffer = [0; MOST_BYTES];
     let socket = Rc::clone(&exchange.socket);
@@ -65,24 +70,45 @@
     asked: HashMap<u64, Millis>,
     next: u64,
     told_next: usize,
+    /// Entries that answer since the last summary, and when that was.
+    newcomers: usize,
+    newcomers_told: Millis,
 }
 
 impl Exchange {
     fn round(&mut self) {
         let now = self.state.now();
         self.asked.retain(|_, at| now - *at < LATE);
+        self.tell_of_newcomers(now);
         let mut to = self.state.fleet.borrow_mut().round(now);
         to.extend(self.unheard());
-        let mut question = self.message(0, false);
+        let question = self.message(0, false);
         for address in to {
-            self.next = self.next.wrapping_add(1);
-            self.asked.insert(self.next, now);
-            question.number = self.next;
-            question.told = self.told();
-            self.send(&question, address);
+            self.ask(question.clone(), address);
         }
     }
 
+    /// Asks another entry; what it answers is as old, at least, as this moment.
+    fn ask(&mut self, mut question: Message, address: SocketAddr) {
+        self.next = self.next.wrapping_add(1);
+        self.asked.insert(self.next, self.state.now());
+        question.number = self.next;
+        question.told = self.told();
+        self.send(&question, address);
+    }
+
+    /// Logs how many entries answer that did not before: one line for all of them, as
+    /// hundreds may come back together.
+    fn tell_of_newcomers(&mut self, now: Millis) {
+        if self.newcomers == 0 || now - self.newcomers_told < SUMMARY {
+            return;
+        }
+        let answering = self.state.fleet.borrow().answering(now).count();
+        log::info!(newly = self.newcomers, answering = answering; "other entries answer");
+        self.newcomers = 0;
+        self.newcomers_told = now;
+    }
+
     /// Addresses from the settings and the platform that no known entry has: one
     /// may have come back there.
     fn unheard(&self) -> BTreeSet<SocketAddr> {
@@ -147,7 +173,8 @@
                 fleet.told(member.clone(), now);
             }
             if fleet.heard(message.from.clone(), now) {
-                log::info!(entry = message.from.name.as_str(); "another entry answers");
+                self.newcomers += 1;
+                log::debug!(entry = message.from.name.as_str(); "another entry answers");
             }
         }
         let mut loads = self.state.loads.borrow_mut();
@@ -159,10 +186,22 @@
         } else {
             let answer = self.message(message.number, true);
             self.send(&answer, sender);
+            self.ask_back(&message);
         }
         self.fetch_newer(&message);
     }
 
+    /// Asks the sender of a question whose plan is confirmed where the own one is not.
+    fn ask_back(&mut self, message: &Message) {
+        let own = knowledge(&self.state);
+        let told = message.knows;
+        let spread = self.state.fleet.borrow().spread();
+        if told.plan == own.plan && duty::asks_back(own.plan_age, told.plan_age, spread) {
+            let question = self.message(0, false);
+            self.ask(question, message.from.peer);
+        }
+    }
+
     /// Takes in how fresh the knowledge of another entry is, as of the moment of
     /// our question.
     fn learn(&mut self, message: &Message, now: Millis) {
@@ -173,11 +212,7 @@
             return;
         }
         let knows = message.knows;
-        let plan_as_of = asked - knows.plan_age;
-        self.state
-            .force
-            .borrow_mut()
-            .confirm(knows.plan, plan_as_of);
+        self.state.confirm_plan(knows.plan, asked - knows.plan_age);
         let endpoints_as_of = asked - knows.endpoints_age;
         let mut roster = self.state.roster.borrow_mut();
         roster.confirm(knows.endpoints, endpoints_as_of);
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -176,7 +176,9 @@
     let settings = &state.settings;
     loop {
         tokio::time::sleep(Duration::from_millis(ANNOUNCE.0)).await;
-        if !state.is_announced.get() && state.rank() < ANNOUNCED {
+        let standing = state.standing();
+        let is_first = standing.is_settled() && standing.rank < ANNOUNCED;
+        if is_first && !state.is_announced.get() {
             let announcing = state.source.announce(&settings.name, settings.peer_listen);
             match announcing.await {
                 Ok(()) => state.is_announced.set(true),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,7 +8,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::relay::budget::{Bound, Budget};
-use woodgap_core::relay::duty::{self, Duty, Knows, Subject};
+use woodgap_core::relay::duty::{self, Duty, Knows, Standing, Subject};
 use woodgap_core::relay::engine::Loads;
 use woodgap_core::relay::fleet::{Fleet, Member};
 use woodgap_core::relay::rest::Rests;
@@ -80,6 +80,8 @@
     pub connecting: RefCell<HashSet<name::Endpoint>>,
     incarnation: name::Incarnation,
     started: Millis,
+    /// Until when it stands in for the readers of the platform.
+    acts_until: Cell<Millis>,
     stopping_since: Cell<Option<Millis>>,
     budgets: RefCell<HashMap<String, Budget>>,
 }
@@ -117,6 +119,7 @@
             connecting: RefCell::default(),
             incarnation: name::Incarnation(clock.unix().0),
             started: ORIGIN,
+            acts_until: Cell::new(Millis::ZERO),
             stopping_since: Cell::new(None),
             budgets: RefCell::default(),
             settings,
@@ -157,36 +160,61 @@
         self.knows_all() && self.trusts_keys() && self.stopping_since().is_none()
     }
 
-    /// How many answering entries that the platform answers come before this one in the
-    /// order of their names; it is the last of all while it is stopping.
-    pub fn rank(&self) -> usize {
-        if self.stopping_since().is_some() {
-            return usize::MAX;
+    /// Where this entry stands among the others as a reader of the platform; it is the
+    /// last of all while it is stopping.
+    pub fn standing(&self) -> Standing {
+        let now = self.now();
+        let fleet = self.fleet.borrow();
+        let rank = if self.stopping_since().is_some() {
+            usize::MAX
+        } else {
+            fleet.rank(!self.is_platform_lost.get(), now)
+        };
+        Standing {
+            rank,
+            is_seed: self.is_seed(),
+            is_acting: now < self.acts_until.get(),
+            life: now - self.started,
+            peers: fleet.peers(now),
+            spread: fleet.spread(),
         }
-        self.fleet.borrow().rank(self.now())
     }
 
     /// What this entry is to do about the platform.
     pub fn duty(&self, subject: Subject) -> Duty {
-        let now = self.now();
-        let rank = self.rank();
-        let spread = self.fleet.borrow().spread();
-        let force = self.force.borrow();
         let is_known = match subject {
-            Subject::Plan => force.table().is_some(),
+            Subject::Plan => self.force.borrow().table().is_some(),
             Subject::Endpoints => self.roster.borrow().revision() > 0,
         };
         let knows = if is_known {
-            Knows::Since(force.age(now))
+            Knows::Since(self.force.borrow().age(self.now()))
         } else {
-            Knows::Nothing(self.age())
+            Knows::Nothing
         };
-        duty::duty(subject, rank, self.is_seed(), knows, spread)
+        duty::duty(subject, &self.standing(), knows, rand::random())
+    }
+
+    /// Stands in for the readers of the platform for a while: this entry was answered
+    /// when nobody's plan was confirmed.
+    pub fn stand_in(&self) {
+        let term = duty::term(self.fleet.borrow().patience());
+        self.acts_until.set(self.now() + term);
+        log::info!(for_ms = term.0; "this entry reads the platform for the others");
+    }
+
+    /// Notes that a version of the plan was the newest at `as_of`. Where the plan had not
+    /// been confirmed for long, the other entries hear of it at once.
+    pub fn confirm_plan(&self, version: u64, as_of: Millis) {
+        let was_stale = self.is_plan_stale();
+        self.force.borrow_mut().confirm(version, as_of);
+        if was_stale && !self.is_plan_stale() {
+            self.news.notify_one();
+        }
     }
 
-    /// For how long this process has run.
-    fn age(&self) -> Millis {
-        self.now() - self.started
+    fn is_plan_stale(&self) -> bool {
+        let age = self.force.borrow().age(self.now());
+        duty::is_stale(age, self.fleet.borrow().spread())
     }
 
     /// Whether this entry is among those that others ask first, or knows of no others.
