--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -20,6 +20,9 @@
 const JITTER: Millis = Millis(300);
 /// How long an answer may take beyond the time for which it may be held.
 const ANSWER_TIMEOUT: Millis = Millis(1_000);
+/// The most changes of one whole list of which each has its line in the log: at a start
+/// all of hundreds are new, at each of hundreds of entries.
+const MOST_LINES: usize = 16;
 /// How long after changes of the endpoints the next ones are asked for: endpoints that
 /// fail or leave together are then told of in one answer.
 const GATHER: Millis = Millis(100);
@@ -210,7 +213,15 @@
 ) {
     let now = state.now();
     let changes = state.roster.borrow_mut().replace(all, revision, as_of, now);
-    tell(&changes, revision, source);
+    if changes.len() <= MOST_LINES {
+        tell(&changes, revision, source);
+    } else {
+        let listed = state.roster.borrow().listed().count();
+        log::info!(
+            changes = changes.len(), listed = listed, revision = revision, source = source;
+            "many endpoints are listed anew"
+        );
+    }
     if !changes.is_empty() {
         state.news.notify_one();
     }
