--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -124,13 +124,6 @@
         }
     }
 
-    /// Notes that a request is turned away for which this was the best choice: it counts
-    /// for the division of the engines as if it had been sent. Else the side that turns
-    /// requests away would seem to need less, and lose engines to the other.
-    pub fn turn_away(&mut self, choice: &Choice, ask: &Ask<'_>, now: Millis) {
-        self.demand(choice, ask, now);
-    }
-
     fn demand(&mut self, choice: &Choice, ask: &Ask<'_>, now: Millis) {
         let Some(work) = ask.work else {
             return;
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -128,8 +128,6 @@
     match admission::decide(&choice, claim, rand::random()) {
         Admission::Take => Ok(choice),
         Admission::Refuse(retry_after) => {
-            let mut loads = state.loads.borrow_mut();
-            loads.turn_away(&choice, &request.ask(), now);
             let bound = claim.bound_for(&choice);
             let message = format!("the expected wait is {:.0} ms of {bound}", choice.wait);
             Err(Problem::not_run(Code::Overloaded, message).retry_after(retry_after))
