A newcomer is one that lacks many of those that answer; a stopping entry reads for nobody

Cause: the last reading. Entries that are gone stay known for minutes in a large fleet, since its size is counted by them; an entry that started later knows fewer, and each answer to it would have been filled for as long. An entry that stood in for the readers went on while it was stopping. Change: the entries that answer are compared; a stopping entry does not stand in.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -34,7 +34,7 @@
 /// How many entries that were never heard are asked beside them: after a start the others
 /// are known from hearsay, and all of a data centre are to be heard within two seconds.
 const ASKED_NEW: usize = 6;
-/// One that knows fewer entries than this part of those that another one knows has just
+/// One that knows fewer entries than this part of those that answer another one has just
 /// started, or was cut off.
 const NEWCOMER_PART: f64 = 0.8;
 
@@ -260,9 +260,10 @@
         answering
     }
 
-    /// Whether one that knows so many entries lacks many of those that this one knows.
-    pub fn is_newcomer(&self, known: usize) -> bool {
-        (known as f64) < NEWCOMER_PART * self.members.len() as f64
+    /// Whether one that knows so many entries lacks many of those that answer this one.
+    pub fn is_newcomer(&self, known: usize, now: Millis) -> bool {
+        let answering = self.answering(now).count();
+        (known as f64) < NEWCOMER_PART * answering as f64
     }
 
     /// The other entries that answer and take requests.
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -200,7 +200,7 @@
             self.learn(&message, now);
         } else {
             let mut answer = self.message(message.number, true);
-            let is_newcomer = self.state.fleet.borrow().is_newcomer(message.known);
+            let is_newcomer = self.state.fleet.borrow().is_newcomer(message.known, now);
             if is_newcomer {
                 self.introduce(&mut answer, &message.from);
             }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -169,7 +169,8 @@
     pub fn standing(&self) -> Standing {
         let now = self.now();
         let fleet = self.fleet.borrow();
-        let rank = if self.stopping_since().is_some() {
+        let is_stopping = self.stopping_since().is_some();
+        let rank = if is_stopping {
             usize::MAX
         } else {
             fleet.rank(!self.is_platform_lost.get(), now)
@@ -178,7 +179,7 @@
             rank,
             is_seed: self.is_seed(),
             is_first_start: self.settings.first_start,
-            is_acting: now < self.acts_until.get(),
+            is_acting: !is_stopping && now < self.acts_until.get(),
             life: now - self.started,
             peers: fleet.peers(now),
             spread: fleet.spread(),
