What a request asks of an endpoint has a module of its own

Cause: `relay::division` and `relay::engine` imported each other through `Ask`. Change: `relay::ask`; no decision changed, moved as it was. Tests as before.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -5,6 +5,7 @@
 //! endpoint it goes to, whether it may be sent again, and what a caller is told.
 
 pub mod admission;
+pub mod ask;
 pub mod budget;
 pub mod dating;
 pub mod division;
@@ -24,6 +25,7 @@
 pub mod tidings;
 pub mod work;
 
+pub use ask::Ask;
 pub use budget::Budget;
 pub use force::Force;
 pub use plan::Plan;
--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -6,8 +6,8 @@
 //! prompts. How many depends on what both sorts need.
 
 use crate::clock::Millis;
+use crate::relay::Ask;
 use crate::relay::Work;
-use crate::relay::engine::Ask;
 use crate::relay::pace::Pace;
 use crate::relay::roster::Endpoint;
 use crate::relay::tidings::{self, Needed};
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -18,29 +18,17 @@
 
 use crate::clock::Millis;
 use crate::name;
-use crate::relay;
+use crate::relay::Ask;
 use crate::relay::division::Demand;
 use crate::relay::fading::Fading;
 use crate::relay::health::Sign;
 use crate::relay::pace::Pace;
-use crate::relay::plan::Engine;
 use crate::relay::tidings::Others;
 use load::Load;
 
 /// The time for one request at a plain service, before any was seen, in ms.
 const FIRST_SERVICE_TIME: f64 = 20.0;
 
-/// What is to be sent.
-#[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
-    /// What it asks of a model engine; none for a plain service.
-    pub work: Option<&'a relay::Work>,
-    /// The engines of the service; none for a plain service.
-    pub engine: Option<Engine>,
-    /// The longest pause between two events of its stream that is on time.
-    pub gap: Option<Millis>,
-}
-
 /// A request that was sent; given back at its end.
 #[derive(Debug)]
 pub struct Ticket {
--- a/crates/core/src/relay/engine/candidates.rs
+++ b/crates/core/src/relay/engine/candidates.rs
@@ -1,8 +1,8 @@
 //! Which engines are compared for one request.
 
 use crate::name;
+use crate::relay::Ask;
 use crate::relay::division::Division;
-use crate::relay::engine::Ask;
 use crate::relay::prefix;
 use crate::relay::roster::Endpoint;
 use crate::relay::tidings;
--- a/crates/core/src/relay/engine/choice.rs
+++ b/crates/core/src/relay/engine/choice.rs
@@ -1,11 +1,12 @@
 //! The choice itself: what a request would meet at each endpoint, and what it costs.
 
 use crate::clock::Millis;
+use crate::relay::Ask;
 use crate::relay::division::Division;
 use crate::relay::engine::candidates::Keepers;
 use crate::relay::engine::load::{Estimate, Load, at_engine, expected, kept, known};
 use crate::relay::engine::source::Source;
-use crate::relay::engine::{Ask, FIRST_SERVICE_TIME, Loads, candidates};
+use crate::relay::engine::{FIRST_SERVICE_TIME, Loads, candidates};
 use crate::relay::pace::Pace;
 use crate::relay::prefix;
 use crate::relay::roster::Endpoint;
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 
 use crate::clock::Millis;
+use crate::relay::Ask;
+use crate::relay::engine::Choice;
 use crate::relay::engine::beat::Beat;
-use crate::relay::engine::{Ask, Choice};
 use crate::relay::fading::Fading;
 use crate::relay::health::{Health, Sign};
 use crate::relay::pace::Pace;
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::engine::{Ask, Choice, Loads, Report, Ticket};
+use woodgap_core::relay::Ask;
+use woodgap_core::relay::engine::{Choice, Loads, Report, Ticket};
 use woodgap_core::relay::health::Sign;
 use woodgap_core::relay::plan::Engine;
 use woodgap_core::relay::roster::Endpoint;
--- a/crates/core/tests/relay/source.rs
+++ b/crates/core/tests/relay/source.rs
@@ -4,7 +4,7 @@
 
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::engine::Ask;
+use woodgap_core::relay::Ask;
 use woodgap_core::relay::health::Sign;
 use woodgap_core::relay::plan::Engine;
 use woodgap_core::relay::work::{Part, Work};
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -7,8 +7,9 @@
 use actix_http::body::BoxBody;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
+use woodgap_core::relay::Ask;
 use woodgap_core::relay::admission::{self, Claim, Verdict as Admission};
-use woodgap_core::relay::engine::{Ask, Choice};
+use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::plan::Kind;
 use woodgap_core::verdict::Verdict;
 
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::engine::{Ask, Loads};
+use woodgap_core::relay::Ask;
+use woodgap_core::relay::engine::Loads;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::plan::Engine;
 use woodgap_core::relay::roster::Endpoint;
