Logs tell of stops: the age of a stop and of the connection when a request comes, who has heard of it, what it cut off

A request that a stopping entry cut off was logged as abandoned by its caller, and nothing said when in a stop requests come. 'woodgap-causes' has a cause of its own for both.

--- a/crates/causes/src/cause.rs
+++ b/crates/causes/src/cause.rs
@@ -7,6 +7,9 @@
 /// An answer that took so many times its forecast was late by what was not foreseen.
 const UNFORESEEN: f64 = 2.0;
 
+/// What an entry says of requests that still ran when it ended.
+const ENTRY_ENDED: &str = "this entry ended";
+
 /// Why a request was not served on time, as far as its line tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -28,15 +31,17 @@
     Error,
     /// It ran into its deadline.
     Deadline,
-    /// The configuration or the platform: not known, not confirmed, about to stop.
+    /// The configuration or the platform: not known, not confirmed.
     Platform,
+    /// Its entry was about to stop, or ended in the middle of it.
+    Stop,
     /// The caller went before the end.
     Caller,
 }
 
 impl Cause {
     /// All causes, in the order of tables and plots.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Refusal,
         Self::Queue,
         Self::Prompt,
@@ -46,6 +51,7 @@
         Self::Error,
         Self::Deadline,
         Self::Platform,
+        Self::Stop,
         Self::Caller,
     ];
 
@@ -61,6 +67,7 @@
             Self::Error => "error",
             Self::Deadline => "deadline",
             Self::Platform => "platform",
+            Self::Stop => "stop",
             Self::Caller => "caller",
         }
     }
@@ -132,6 +139,8 @@
 fn broken(reason: &str) -> Cause {
     if reason.contains("no answer in time") {
         Cause::Deadline
+    } else if reason.contains(ENTRY_ENDED) {
+        Cause::Stop
     } else {
         Cause::Crash
     }
@@ -141,7 +150,8 @@
     let code = ended.reason.split(':').next().unwrap_or_default();
     let cause = match code {
         "overloaded" => Cause::Refusal,
-        "not_ready" | "stopping" => Cause::Platform,
+        "not_ready" => Cause::Platform,
+        "stopping" => Cause::Stop,
         "timeout" => Cause::Deadline,
         "no_endpoint" | "endpoint_failed" => Cause::Crash,
         _ => return Verdict::NotOwed,
--- a/crates/relay/src/front/server.rs
+++ b/crates/relay/src/front/server.rs
@@ -16,6 +16,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::future::LocalBoxFuture;
 use tokio::net::TcpListener;
+use woodgap_core::clock::Millis;
 use woodgap_core::relay::plan::Limits;
 
 use crate::front::directory;
@@ -41,6 +42,10 @@
     Metrics,
 }
 
+/// When a caller opened its connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Connected(pub Millis);
+
 type Handler = Rc<dyn Fn(TcpStream) -> LocalBoxFuture<'static, ()>>;
 
 /// An HTTP server.
@@ -126,7 +131,11 @@
         let state = Rc::clone(&serving);
         async move { Ok::<_, Infallible>(respond(state, purpose, request).await) }
     });
+    let connecting = Rc::clone(state);
     let factory = HttpService::build()
+        .on_connect_ext(move |_: &TcpStream, data| {
+            data.insert(Connected(connecting.now()));
+        })
         .keep_alive(Duration::from_millis(limits.idle_timeout.0))
         .client_request_timeout(Duration::from_millis(limits.header_timeout.0))
         .client_disconnect_timeout(DISCONNECT)
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::UdpSocket;
 use woodgap_core::clock::Millis;
+use woodgap_core::name;
 use woodgap_core::relay::duty;
 use woodgap_core::relay::fleet::Member;
 
@@ -19,6 +20,8 @@
 const LATE: Millis = Millis(2_000);
 /// The time between two lines of the log on entries that answer.
 const SUMMARY: Millis = Millis(1_000);
+/// How many entries one of these lines names.
+const MOST_NAMED: usize = 16;
 
 /// Asks other entries, and answers them, for as long as the process runs.
 ///
@@ -33,7 +36,8 @@
         next: rand::random(),
         told_next: 0,
         newcomers: 0,
-        newcomers_told: Millis::ZERO,
+        stopping: Vec::new(),
+        summarised: Millis::ZERO,
     };
     let mut buffer = [0; MOST_BYTES];
     let socket = Rc::clone(&exchange.socket);
@@ -70,16 +74,18 @@
     asked: HashMap<u64, Millis>,
     next: u64,
     told_next: usize,
-    /// Entries that answer since the last summary, and when that was.
+    /// Entries that answer since the last summary.
     newcomers: usize,
-    newcomers_told: Millis,
+    /// Entries that have said since the last summary that they stop.
+    stopping: Vec<name::Entry>,
+    summarised: Millis,
 }
 
 impl Exchange {
     fn round(&mut self) {
         let now = self.state.now();
         self.asked.retain(|_, at| now - *at < LATE);
-        self.tell_of_newcomers(now);
+        self.summarise(now);
         let mut to = self.state.fleet.borrow_mut().round(now);
         to.extend(self.unheard());
         let question = self.message(0, false);
@@ -97,16 +103,28 @@
         self.send(&question, address);
     }
 
-    /// Logs how many entries answer that did not before: one line for all of them, as
-    /// hundreds may come back together.
-    fn tell_of_newcomers(&mut self, now: Millis) {
-        if self.newcomers == 0 || now - self.newcomers_told < SUMMARY {
+    /// Logs how many entries answer that did not before, and which have begun to stop: one
+    /// line for all of them, as hundreds may come and go together.
+    fn summarise(&mut self, now: Millis) {
+        let has_news = self.newcomers > 0 || !self.stopping.is_empty();
+        if !has_news || now - self.summarised < SUMMARY {
             return;
         }
+        self.summarised = now;
         let answering = self.state.fleet.borrow().answering(now).count();
-        log::info!(newly = self.newcomers, answering = answering; "other entries answer");
-        self.newcomers = 0;
-        self.newcomers_told = now;
+        if self.newcomers > 0 {
+            log::info!(newly = self.newcomers, answering = answering; "other entries answer");
+            self.newcomers = 0;
+        }
+        if !self.stopping.is_empty() {
+            let named: Vec<_> = self.stopping.iter().take(MOST_NAMED).collect();
+            let named: Vec<_> = named.iter().map(|name| name.as_str()).collect();
+            log::info!(
+                newly = self.stopping.len(), entries = named.join(" "), answering = answering;
+                "other entries are stopping"
+            );
+            self.stopping.clear();
+        }
     }
 
     /// Addresses from the settings and the platform that no known entry has: one
@@ -187,6 +205,9 @@
             for member in &message.told {
                 fleet.told(member.clone(), now);
             }
+            if message.from.stopping && !fleet.is_stopping(&message.from.name) {
+                self.stopping.push(message.from.name.clone());
+            }
             if fleet.heard(message.from.clone(), now) {
                 self.newcomers += 1;
                 log::debug!(entry = message.from.name.as_str(); "another entry answers");
--- a/crates/relay/src/request/account.rs
+++ b/crates/relay/src/request/account.rs
@@ -12,6 +12,9 @@
 use crate::request::problem::Code;
 use crate::state::State;
 
+/// Why a request was cut off that still ran at the end of a planned stop.
+const ENTRY_ENDED: &str = "this entry ended";
+
 /// What its route promises, and what it asks of an engine.
 #[derive(Default)]
 struct Promise {
@@ -28,6 +31,10 @@
 pub struct Account {
     state: Rc<State>,
     arrived: Millis,
+    /// How old the caller's connection was at the arrival.
+    connection_age: Millis,
+    /// How long the entry had been stopping at the arrival.
+    stopping_for: Option<Millis>,
     id: String,
     route: String,
     plan: (u64, Millis),
@@ -46,11 +53,16 @@
 }
 
 impl Account {
-    /// Opens the account of a request that has just arrived.
-    pub fn open(state: &Rc<State>) -> Self {
+    /// Opens the account of a request that has just arrived, on a connection that its
+    /// caller had opened at this moment.
+    pub fn open(state: &Rc<State>, connected: Millis) -> Self {
         state.running.set(state.running.get() + 1);
+        let now = state.now();
+        let stopping_for = state.stopping_since().map(|since| now - since);
         Self {
-            arrived: state.now(),
+            arrived: now,
+            connection_age: now - connected,
+            stopping_for,
             state: Rc::clone(state),
             id: String::new(),
             route: String::new(),
@@ -224,7 +236,10 @@
             kept_tokens = choice.map_or(0, |it| it.kept),
             prompt_source = source.map_or("", |it| it.name.as_str()),
             target_ms = target.0, gap_ms = gap.0, longest_pause_ms = self.longest_pause.0,
-            prompt_tokens = prompt_tokens, output_tokens = output_tokens;
+            prompt_tokens = prompt_tokens, output_tokens = output_tokens,
+            connection_age_ms = self.connection_age.0,
+            is_stopping = self.stopping_for.is_some(),
+            stopping_for_ms = self.stopping_for.unwrap_or_default().0;
             "request ended"
         );
     }
@@ -232,6 +247,9 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
+        if !self.closed && self.state.has_ended() {
+            self.close("cut", 0, "may_have_run", ENTRY_ENDED);
+        }
         if !self.closed {
             self.close("abandoned", 0, "may_have_run", "the caller has gone");
         }
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -13,6 +13,7 @@
 use woodgap_core::relay::plan::Kind;
 use woodgap_core::verdict::Verdict;
 
+use crate::front::server::Connected;
 use crate::request::admit::{self, Admitted};
 use crate::request::attempt::{Failure, attempt};
 use crate::request::problem::Code;
@@ -49,7 +50,9 @@
 
 /// Serves one request.
 pub async fn serve(state: Rc<State>, request: Request) -> Response<BoxBody> {
-    let mut account = Account::open(&state);
+    let connected = request.conn_data::<Connected>();
+    let connected = connected.map_or_else(|| state.now(), |it| it.0);
+    let mut account = Account::open(&state, connected);
     let admitted = admit::admit(&state, request, &mut account).await;
     let admitted = match admitted {
         Ok(admitted) => admitted,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -83,6 +83,7 @@
     /// Until when it stands in for the readers of the platform.
     acts_until: Cell<Millis>,
     stopping_since: Cell<Option<Millis>>,
+    has_ended: Cell<bool>,
     budgets: RefCell<HashMap<String, Budget>>,
 }
 
@@ -125,6 +126,7 @@
             started: ORIGIN,
             acts_until: Cell::new(Millis::ZERO),
             stopping_since: Cell::new(None),
+            has_ended: Cell::new(false),
             budgets: RefCell::default(),
             settings,
         }
@@ -153,6 +155,16 @@
         self.stopping_since.set(Some(self.now()));
     }
 
+    /// Whether the process ends now, with all that still runs.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+
+    /// Notes that the process ends now.
+    pub fn end(&self) {
+        self.has_ended.set(true);
+    }
+
     /// Whether it has learnt a plan and the endpoints.
     pub fn knows_all(&self) -> bool {
         self.force.borrow().table().is_some() && self.roster.borrow().revision() > 0
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -17,7 +17,8 @@
 /// How often it is checked whether all is done.
 const CHECK: Duration = Duration::from_millis(50);
 
-/// Waits until the process is told to stop, and then until all is done.
+/// Waits until the process is told to stop, and then until all is done; the process is to
+/// end at once then.
 ///
 /// # Errors
 ///
@@ -35,6 +36,13 @@
             _ = reload.recv() => log::info!("told to reload: the settings hold until the next start"),
         }
     }
+    wind_down(state).await;
+    Ok(())
+}
+
+/// Stops as planned: leaves the lists and finishes what runs. Whoever calls it ends the
+/// relay afterwards, with all that still runs.
+pub async fn wind_down(state: &Rc<State>) {
     state.stop();
     log::info!(running = state.running.get(); "stopping");
     if state.is_announced.get()
@@ -43,8 +51,8 @@
         log::info!(error = error.to_string(); "the entry's row stays behind");
     }
     drain(state).await;
+    state.end();
     log::info!(running = state.running.get(); "stopped");
-    Ok(())
 }
 
 async fn drain(state: &State) {
