Tests that reproduce the cut of a planned stop, and the late news of it; both fail

A stream taken 3.1 s after the stop began is cut off at 7.5 s; the last of 32 entries hears of a stop after 2.1 s, of 59 after 3.0 s.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -190,6 +190,11 @@
         to
     }
 
+    /// Whom to tell in this round that the own entry has been stopping since a moment.
+    pub fn farewell(&mut self, _since: Millis, now: Millis) -> Vec<SocketAddr> {
+        self.round(now)
+    }
+
     /// The next so many of one side, in turns.
     fn turn(&self, is_near: bool, count: usize) -> Vec<SocketAddr> {
         let members = self.members.values().map(|(member, _)| member);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod duty;
 mod engine;
+mod farewell;
 mod fleet;
 mod force;
 mod health;
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -86,7 +86,14 @@
         let now = self.state.now();
         self.asked.retain(|_, at| now - *at < LATE);
         self.summarise(now);
-        let mut to = self.state.fleet.borrow_mut().round(now);
+        let stopping_since = self.state.stopping_since();
+        let mut to = {
+            let mut fleet = self.state.fleet.borrow_mut();
+            match stopping_since {
+                Some(since) => fleet.farewell(since, now),
+                None => fleet.round(now),
+            }
+        };
         to.extend(self.unheard());
         let question = self.message(0, false);
         for address in to {
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -10,4 +10,5 @@
 mod refusals;
 mod rests;
 mod site;
+mod stops;
 mod streams;
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use actix_rt::System;
 use futures_util::FutureExt;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::relay::plan::{Kind, Limits, Plan, Route, Service, Share, Workspace};
@@ -14,6 +16,7 @@
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Source};
 use woodgap_relay::start::{self, Form};
+use woodgap_relay::stop;
 use woodgap_settings::relay;
 
 /// What the source tells.
@@ -101,6 +104,8 @@
     pub metrics: SocketAddr,
     pub peer: SocketAddr,
     pub source: Fixed,
+    stopping: UnboundedSender<()>,
+    thread: JoinHandle<()>,
 }
 
 /// After so long without a confirmation keys are not trusted, in ms: the bound of
@@ -139,11 +144,35 @@
         Self::with_settings(&text.replace("\"revoke_ms\": 2000", trust), source)
     }
 
+    /// A relay that is killed so many seconds after it was told to stop, and knows a plan
+    /// and these endpoints. It trusts keys all the while, though an entry that stops leaves
+    /// it to others to ask for news.
+    pub fn with_grace(grace_s: u64, endpoints: &[SocketAddr]) -> Self {
+        let grace = format!("\"grace_s\": {grace_s}");
+        let text = SETTINGS.replace("\"grace_s\": 8", &grace);
+        let text = text.replace("\"revoke_ms\": 2000", "\"revoke_ms\": 30000");
+        let site = Self::with_settings(&text, source(endpoints));
+        site.until_ready();
+        site
+    }
+
+    /// Tells the relay to stop, and waits until it has begun to.
+    pub fn stop(&self) {
+        self.stopping.send(()).unwrap();
+        until(|| crate::caller::get(self.ready, "/v1/ready", "x", "").status == 503);
+    }
+
+    /// Whether it has stopped.
+    pub fn has_ended(&self) -> bool {
+        self.thread.is_finished()
+    }
+
     fn with_settings(text: &str, source: Fixed) -> Self {
         let settings = relay::parse(text, "test").unwrap();
         let (started, addresses) = mpsc::channel();
         let given = source.clone();
-        std::thread::spawn(move || {
+        let (stopping, mut told_to_stop) = unbounded_channel();
+        let thread = std::thread::spawn(move || {
             System::new().block_on(async move {
                 let form = Form {
                     dialect: Box::new(Own),
@@ -160,7 +189,11 @@
                     settings.peer_listen,
                 );
                 started.send(all).unwrap();
-                std::future::pending::<()>().await;
+                match told_to_stop.recv().await {
+                    Some(()) => stop::wind_down(&state).await,
+                    // The test does not stop it, and its callers may still be there.
+                    None => std::future::pending().await,
+                }
             });
         });
         let (requests, directory, ready, metrics, peer) = addresses.recv().unwrap();
@@ -171,6 +204,8 @@
             metrics,
             peer,
             source,
+            stopping,
+            thread,
         }
     }
 
