--- a/crates/core/src/relay/engine/choice.rs
+++ b/crates/core/src/relay/engine/choice.rs
@@ -66,13 +66,16 @@
         self.queue > left || (self.own > 0 && self.wait > left)
     }
 
-    /// When the answer is likely to have ended; none where nothing is known of its length.
-    pub fn likely_end(&self, now: Millis) -> Option<Millis> {
+    /// When the answer is likely to have ended; none for a stream of unknown length.
+    pub fn likely_end(&self, is_stream: bool, now: Millis) -> Option<Millis> {
+        if is_stream && self.run <= 0.0 {
+            return None;
+        }
         let lasts = (self.wait + self.run) * LIKELY;
         // A span of some seconds.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let lasts = Millis(lasts as u64);
-        (self.run > 0.0).then_some(now + lasts)
+        Some(now + lasts)
     }
 }
 
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -25,9 +25,12 @@
 /// asked so many times: the fleet's size is counted by those that are not.
 const FORGOTTEN_ROUNDS: u64 = 150;
 const FORGOTTEN_TURNS: u64 = 10;
-/// In so many rounds an entry that stops tells all nearby, since messages are lost and not
-/// answered: one in eight thousand misses all three where one in twenty is lost.
-const FAREWELL_ROUNDS: u64 = 3;
+/// So many times an entry that stops tells the others, a round apart, since messages are lost
+/// and not answered.
+const FAREWELLS: u32 = 3;
+/// With fewer live entries in a caller's data centre, others are named to it too, so that the
+/// loss of one does not leave the caller without any.
+pub const ENOUGH_NEAR: usize = 2;
 /// How many entries are asked in one round, whatever the size of the fleet.
 pub const ASKED: usize = 6;
 /// In so many rounds all of the own data centre are asked, if one round's number allows
@@ -72,6 +75,9 @@
     members: BTreeMap<name::Entry, (Member, Heard)>,
     /// Whose turn it is, by counts of those that were asked.
     next: Split<usize>,
+    /// How often the others were told that this entry stops, and when last.
+    farewells: u32,
+    took_leave: Option<Millis>,
 }
 
 /// A figure for the entries of the own data centre and one for all others.
@@ -139,6 +145,8 @@
             round,
             members: BTreeMap::new(),
             next,
+            farewells: 0,
+            took_leave: None,
         }
     }
 
@@ -195,16 +203,33 @@
         to
     }
 
-    /// Whom to tell in this round, beside those that it asks, that the own entry has been
-    /// stopping since a moment: all of the own data centre, which name it to callers. The last
-    /// of 59 hears of the stop at once, after 3.0 s where it waits for its turn.
-    pub fn farewell(&self, since: Millis, now: Millis) -> Vec<SocketAddr> {
-        if now - since >= Millis(self.round.0 * FAREWELL_ROUNDS) {
+    /// Whom to tell in this round, beside those that it asks, that the own entry is stopping:
+    /// all that name it to callers. Some rounds after the first one all is said. The last of 59
+    /// in a data centre hears of the stop at once, after 3.0 s where it waits for its turn.
+    pub fn farewell(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let is_early = self.took_leave.is_some_and(|at| now - at < self.round);
+        if self.farewells >= FAREWELLS || is_early {
             return Vec::new();
         }
+        self.took_leave = Some(now);
+        self.farewells += 1;
+        let is_for_all = self.has_few_somewhere(now);
         let members = self.members.values().map(|(member, _)| member);
-        let nearby = members.filter(|member| self.is_near(member));
-        nearby.map(|member| member.peer).collect()
+        let told = members.filter(|member| is_for_all || self.is_near(member));
+        told.map(|member| member.peer).collect()
+    }
+
+    /// Whether some data centre has so few entries that its callers may be sent to all. One
+    /// more may go before they hear of this one.
+    fn has_few_somewhere(&self, now: Millis) -> bool {
+        let mut counts = BTreeMap::from([(&self.data_centre, 0)]);
+        for (member, _) in self.members.values() {
+            counts.entry(&member.data_centre).or_insert(0);
+        }
+        for member in self.live(now) {
+            *counts.entry(&member.data_centre).or_insert(0) += 1;
+        }
+        counts.into_values().any(|count| count <= ENOUGH_NEAR)
     }
 
     /// The next so many of one side, in turns.
--- a/crates/core/src/relay/shutdown.rs
+++ b/crates/core/src/relay/shutdown.rs
@@ -17,8 +17,9 @@
 /// How long callers may come, if they keep a list of entries for as long as they are told,
 /// or three times as long, as some do.
 pub const CALLERS_LEAVE: Millis = Millis(3_500);
-/// For so long a forecast is enough to take a request. Those that come later use a list that
-/// is older than it should be, or were sent to a stopping entry by another one.
+/// For so long a forecast is enough to take a request: until all callers that keep to their
+/// lists have left, 3 s after the signal, which may have been noticed half a second late. Those
+/// that come later could know better, and what is begun for them must not be cut off.
 const FORECAST_SERVES: Millis = Millis(2_500);
 
 /// A planned stop.
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -266,3 +266,18 @@
     assert!(choice.is_too_late(Millis(1_000)), "{choice:?}");
     assert!(!choice.is_too_late(Millis(60_000)), "{choice:?}");
 }
+
+/// The end of a stream is told with room for the tenth that takes longer than forecast; that
+/// of a stream of unknown length is not told.
+#[test]
+fn a_likely_end_leaves_room_for_doubt() {
+    let work = narration(1);
+    let mut entry = Entry::new(1);
+    let stream = entry.choose(&ask(&work), 0).unwrap();
+    let lasts = (stream.wait + stream.run) * 2.0;
+    let told = stream.likely_end(true, Millis(1_000)).unwrap();
+    assert!(stream.run > 0.0 && (told.0 as f64 - 1_000.0 - lasts).abs() <= 1.0);
+    let plain = entry.choose(&PLAIN, 0).unwrap();
+    assert_eq!(plain.likely_end(true, Millis(1_000)), None);
+    assert!(plain.likely_end(false, Millis(1_000)).is_some());
+}
--- a/crates/core/tests/relay/farewell.rs
+++ b/crates/core/tests/relay/farewell.rs
@@ -93,7 +93,7 @@
 ) {
     let asking = &mut entries[at];
     if asking.member.stopping {
-        for address in asking.fleet.farewell(STOP, now) {
+        for address in asking.fleet.farewell(now) {
             let told = usize::from(address.port() - 7_000);
             if !is_lost(random) {
                 let farewell = entries[at].member.clone();
@@ -137,18 +137,23 @@
     }
 }
 
-/// Entries of other data centres, which name it to nobody, hear by turns; all is said in a few
-/// rounds.
+/// All is said in three rounds, whenever the first one is, and not in between: an entry with
+/// much to do begins late.
 #[test]
 fn farewells_are_few() {
     let mut random = ChaCha8Rng::seed_from_u64(1);
-    let entries = entries(32, 55, &mut random);
-    let told = |round: u64| {
-        entries[0]
-            .fleet
-            .farewell(STOP, STOP + Millis(round * ROUND.0))
-    };
-    assert_eq!([0, 1, 2, 3].map(|round| told(round).len()), [31, 31, 31, 0]);
+    let mut entries = entries(32, 55, &mut random);
+    let mut told = |after: u64| entries[0].fleet.farewell(STOP + Millis(after)).len();
+    let counts = [1_000, 1_010, 1_300, 1_600, 1_900].map(&mut told);
+    assert_eq!(counts, [31, 0, 31, 31, 0]);
+}
+
+/// Where a data centre has few entries its callers are sent to all, so all hear of a stop.
+#[test]
+fn all_hear_of_it_where_callers_may_be_sent_to_all() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut entries = entries(3, 2, &mut random);
+    assert_eq!(entries[0].fleet.farewell(STOP).len(), 4);
 }
 
 /// A message that was overtaken by the news of the stop does not undo it.
--- a/crates/relay/src/front/directory.rs
+++ b/crates/relay/src/front/directory.rs
@@ -8,6 +8,7 @@
 use actix_http::{Request, Response, StatusCode};
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
+use woodgap_core::relay::fleet::ENOUGH_NEAR;
 
 use crate::dialect::Question;
 use crate::state::State;
@@ -17,9 +18,6 @@
 const LIFETIME: Millis = Millis(1_000);
 /// The most entries in one list.
 const MOST_ENTRIES: usize = 64;
-/// With fewer live entries in the caller's data centre, others are listed too, so
-/// that the loss of one does not leave the caller without any.
-const ENOUGH_NEAR: usize = 2;
 /// The path at which metrics are served.
 const METRICS: &str = "/metrics";
 
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -87,8 +87,8 @@
         let now = self.state.now();
         self.asked.retain(|_, at| now - *at < LATE);
         self.summarise(now);
-        if let Some(since) = self.state.stopping_since() {
-            self.take_leave(since, now);
+        if self.state.shutdown().is_some() {
+            self.take_leave(now);
         }
         let mut to = self.state.fleet.borrow_mut().round(now);
         to.extend(self.unheard());
@@ -98,16 +98,23 @@
         }
     }
 
-    /// Tells all entries nearby that this one stops. Nothing is asked, and no load told: 59
-    /// whole messages would take 60 ms of a link of 10 Mbit/s, by calculation.
-    fn take_leave(&mut self, since: Millis, now: Millis) {
+    /// Tells those that name this entry to callers that it stops. Nothing is asked, and no
+    /// load told: 59 whole messages would take 60 ms of a link of 10 Mbit/s, by calculation.
+    fn take_leave(&self, now: Millis) {
+        let to = self.state.fleet.borrow_mut().farewell(now);
+        if to.is_empty() {
+            return;
+        }
         let farewell = Message {
+            number: message::FAREWELL,
+            is_answer: true,
+            from: self.state.member(),
+            knows: knowledge(&self.state),
+            known: self.state.fleet.borrow().size() - 1,
             told: Vec::new(),
             tidings: Tidings::default(),
             rests: Vec::new(),
-            ..self.message(0, true)
         };
-        let to = self.state.fleet.borrow().farewell(since, now);
         for address in to {
             self.send(&farewell, address);
         }
@@ -115,7 +122,8 @@
 
     /// Asks another entry; what it answers is as old, at least, as this moment.
     fn ask(&mut self, mut question: Message, address: SocketAddr) {
-        self.next = self.next.wrapping_add(1);
+        // Never zero, which is a farewell's.
+        self.next = self.next.wrapping_add(1).max(1);
         self.asked.insert(self.next, self.state.now());
         question.number = self.next;
         question.told = self.told();
@@ -232,8 +240,7 @@
                 log::debug!(entry = message.from.name.as_str(); "another entry answers");
             }
         }
-        let is_farewell = message.from.stopping && message.tidings == Tidings::default();
-        if !is_farewell {
+        if message.number != message::FAREWELL {
             let mut loads = self.state.loads.borrow_mut();
             loads.tell(&message.from.name, &message.tidings, now);
         }
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -17,6 +17,9 @@
 /// How many other entries a message tells of, unless it answers one that has just started.
 pub const USUALLY_TOLD: usize = 1;
 
+/// The number of a message that asks and answers nothing: its sender stops, and tells no load.
+pub const FAREWELL: u64 = 0;
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -142,7 +142,7 @@
     };
     let choice = choice.ok_or_else(missing)?;
     let claim = request.claim(now);
-    if !is_finished(state, request, &choice, now) {
+    if !ends_in_time(state, request, &choice, now) {
         return Err(Problem::stopping());
     }
     match admission::decide(&choice, claim, rand::random()) {
@@ -157,10 +157,10 @@
 
 /// Whether the answer ends before this entry does. Asked before each attempt, as a body that
 /// comes late, or an attempt that failed late, leaves less time than there was at first.
-fn is_finished(state: &State, request: &Admitted, choice: &Choice, now: Millis) -> bool {
+fn ends_in_time(state: &State, request: &Admitted, choice: &Choice, now: Millis) -> bool {
     let end = End {
         latest: request.deadline,
-        forecast: choice.likely_end(now),
+        forecast: choice.likely_end(request.route.kind == Kind::Stream, now),
     };
     let shutdown = state.shutdown();
     shutdown.is_none_or(|shutdown| shutdown.takes(end, now))
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -85,7 +85,10 @@
         .enable_all()
         .build()
         .map_err(Error::Process)?;
-    actix_rt::System::with_tokio_rt(move || runtime).block_on(serve(settings, form))
+    let ended = actix_rt::System::with_tokio_rt(move || runtime).block_on(serve(settings, form));
+    // All tasks are gone by now and have said what became of their requests.
+    log::logger().flush();
+    ended
 }
 
 async fn serve(
@@ -177,6 +180,7 @@
     loop {
         tokio::time::sleep(Duration::from_millis(ANNOUNCE.0)).await;
         let standing = state.standing();
+        // One that stops is the last by its rank.
         let is_first = standing.is_settled() && standing.rank < ANNOUNCED;
         if is_first && !state.is_announced.get() {
             let announcing = state.source.announce(&settings.name, settings.peer_listen);
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -40,14 +40,23 @@
 pub async fn wind_down(state: &Rc<State>) {
     let shutdown = state.stop();
     log::info!(running = state.running.get(); "stopping");
+    // The platform may be away: that must not hold up what callers wait for.
+    tokio::select! {
+        () = drain(state, &shutdown) => {}
+        () = withdraw_and_wait(state) => {}
+    }
+    state.end();
+    log::info!(running = state.running.get(); "stopped");
+}
+
+/// Takes this entry's row off the platform, and waits without end.
+async fn withdraw_and_wait(state: &State) {
     if state.is_announced.get()
         && let Err(error) = state.source.withdraw(&state.settings.name).await
     {
         log::info!(error = error.to_string(); "the entry's row stays behind");
     }
-    drain(state, &shutdown).await;
-    state.end();
-    log::info!(running = state.running.get(); "stopped");
+    std::future::pending::<()>().await;
 }
 
 /// Waits until nothing is left to do, or the time is over. Those that wait for the beginning
@@ -55,11 +64,14 @@
 async fn drain(state: &State, shutdown: &Shutdown) {
     loop {
         let now = state.now();
+        let is_said = state.is_closed();
         if now >= shutdown.last_word() {
             state.close();
         }
         let is_idle = state.running.get() == 0 && state.unwritten.get() == 0;
-        if shutdown.is_over(is_idle, now) {
+        // A look that comes late still leaves the time to say and write the last word.
+        let can_end = is_idle || is_said;
+        if can_end && shutdown.is_over(is_idle, now) {
             return;
         }
         tokio::time::sleep(CHECK).await;
--- /dev/null
+++ b/crates/relay/tests/contract/last_lines.rs
@@ -0,0 +1,142 @@
+//! The lines that a process logs at its very end: what became of what still ran.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+use actix_rt::System;
+use logforth::append::Append;
+use logforth::record::Record;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tempfile::NamedTempFile;
+use woodgap_harness::Stand;
+use woodgap_platform::http::Platform;
+use woodgap_platform::table::{Place, Table, Transaction};
+use woodgap_relay::logs::Queue;
+
+use crate::caller::{Caller, request};
+use crate::endpoint::{Endpoint, Step, head};
+use crate::site;
+
+/// Streams that run when the process ends.
+const STREAMS: usize = 60;
+/// How long a write to the platform may take.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+#[test]
+fn each_stream_that_the_end_cuts_off_has_its_line() {
+    let endpoint = Endpoint::always(vec![head("200 OK", EVENTS), event(), Step::Wait]);
+    let platform = Stand::platform();
+    tell(&platform, endpoint.address);
+    let (mut child, _settings) = start(&platform);
+    let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let mut lines = lines.map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap());
+    let started = lines.find(|line| line["message"] == "started").unwrap();
+    let listen: SocketAddr = started["kvs"]["listen"].as_str().unwrap().parse().unwrap();
+    let callers: Vec<_> = (0..STREAMS).map(|_| stream(listen)).collect();
+    let id = Pid::from_raw(i32::try_from(child.id()).unwrap()).unwrap();
+    kill_process(id, Signal::TERM).unwrap();
+    let lines: Vec<_> = lines.collect();
+    assert!(child.wait().unwrap().success());
+    let is_cut = |line: &&Value| line["kvs"]["reason"] == "this entry ended";
+    assert_eq!(lines.iter().filter(is_cut).count(), STREAMS);
+    assert!(lines.iter().any(|line| line["message"] == "stopped"));
+    drop(callers);
+}
+
+/// A writer that waits for the first line's sake until a gate is opened.
+struct Gated {
+    gate: Receiver<()>,
+    is_open: bool,
+    lines: Arc<AtomicUsize>,
+}
+
+impl Write for Gated {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        if !self.is_open {
+            self.gate.recv().unwrap();
+            self.is_open = true;
+        }
+        self.lines.fetch_add(1, Ordering::Relaxed);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Lines wait in a queue for their writer; a process that ended without a look at it lost the
+/// last ones, and in the logs of a run none of the stopped entries had stopped.
+#[test]
+fn a_flush_waits_for_the_lines_before_it() {
+    let lines = Arc::new(AtomicUsize::new(0));
+    let (open, gate) = channel();
+    let gated = Gated {
+        gate,
+        is_open: false,
+        lines: Arc::clone(&lines),
+    };
+    let queue = Queue::start(gated).unwrap();
+    for _ in 0..200 {
+        queue.append(&Record::builder().build(), &[]).unwrap();
+    }
+    open.send(()).unwrap();
+    queue.flush().unwrap();
+    assert_eq!(lines.load(Ordering::Relaxed), 200);
+}
+
+const EVENTS: &str =
+    "X-Woodgap-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+
+fn event() -> Step {
+    Step::Send("7\r\nid: 1\n\n\r\n".to_owned())
+}
+
+/// Writes a plan and one endpoint to the platform.
+fn tell(platform: &Stand, address: SocketAddr) {
+    let client = Platform::new(&platform.url(""), TIMEOUT);
+    let plan = serde_json::to_value(site::plan(1)).unwrap();
+    let endpoint = site::endpoint(0, address);
+    let row = serde_json::to_value(&endpoint).unwrap();
+    let transaction = Transaction::default()
+        .put(Place::new("relay", "plan"), plan)
+        .put(Place::new("relay-endpoints", "i-0"), row);
+    let writing = async { client.transact(&transaction).await };
+    System::new().block_on(writing).unwrap();
+}
+
+/// A relay, and its settings, which it reads at its start.
+fn start(platform: &Stand) -> (Child, NamedTempFile) {
+    let any = "127.0.0.1:0";
+    let settings = json!({
+        "name": "dub-a-1", "data_centre": "dub-a", "listen": any, "directory_listen": any,
+        "ready_listen": any, "peer_listen": any, "platform": {"url": platform.url("")},
+        "bounds": {
+            "revoke_ms": 20_000, "leave_ms": 2_000, "grace_s": 1, "entries_lifetime_s": 1,
+            "repeat_ratio": 0.2, "repeat_slack": 50, "repeat_window_s": 10
+        }
+    });
+    let mut file = NamedTempFile::new().unwrap();
+    write!(file, "{settings}").unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_woodgap-relay"));
+    command.arg("--settings").arg(file.path());
+    (command.stdout(Stdio::piped()).spawn().unwrap(), file)
+}
+
+/// A caller that has the beginning of a stream.
+fn stream(listen: SocketAddr) -> Caller {
+    loop {
+        let mut caller = Caller::connect(listen);
+        caller.send(&request("GET", "/stream/", "r", ""), b"");
+        // Until the plan and the endpoint are known it is told to come back.
+        if caller.head().expect("a head").status == 200 {
+            return caller;
+        }
+    }
+}
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -4,6 +4,8 @@
 mod caller;
 mod endpoint;
 mod forwarding;
+mod last_lines;
+mod leave;
 mod messages;
 mod others;
 mod own_questions;
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::plan::{Kind, Limits, Plan, Route, Service, Share, Workspace};
+use woodgap_core::relay::plan::{Engine, Kind, Limits, Plan, Route, Service, Share, Workspace};
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Source};
@@ -27,6 +27,10 @@
     pub is_down: bool,
     /// Where other entries take messages.
     pub entries: Vec<SocketAddr>,
+    /// Whether the entry has told of itself.
+    pub is_announced: bool,
+    /// Whether it can't take that back: there is no answer.
+    pub is_withdrawal_lost: bool,
 }
 
 /// A source that tells what the test says.
@@ -78,10 +82,14 @@
     }
 
     fn announce<'a>(&'a self, _: &'a name::Entry, _: SocketAddr) -> Answer<'a, ()> {
+        self.0.lock().unwrap().is_announced = true;
         async { Ok(()) }.boxed_local()
     }
 
     fn withdraw<'a>(&'a self, _: &'a name::Entry) -> Answer<'a, ()> {
+        if self.0.lock().unwrap().is_withdrawal_lost {
+            return std::future::pending().boxed_local();
+        }
         async { Ok(()) }.boxed_local()
     }
 
@@ -147,7 +155,7 @@
     /// A relay that is killed so many seconds after it was told to stop, and knows a plan
     /// and these endpoints. It trusts keys all the while, though an entry that stops leaves
     /// it to others to ask for news.
-    pub fn with_grace(grace_s: u64, endpoints: &[SocketAddr]) -> Self {
+    pub fn with_grace(grace_s: f64, endpoints: &[SocketAddr]) -> Self {
         let grace = format!("\"grace_s\": {grace_s}");
         let text = SETTINGS.replace("\"grace_s\": 8", &grace);
         let text = text.replace("\"revoke_ms\": 2000", "\"revoke_ms\": 30000");
@@ -156,9 +164,23 @@
         site
     }
 
+    /// Lists an endpoint of the model service beside the others.
+    pub fn list_model(&self, address: SocketAddr) {
+        let model = roster::Endpoint {
+            service: "model".to_owned(),
+            ..endpoint(99, address)
+        };
+        self.source.0.lock().unwrap().endpoints.push(model);
+    }
+
+    /// Tells the relay to stop.
+    pub fn tell_to_stop(&self) {
+        self.stopping.send(()).unwrap();
+    }
+
     /// Tells the relay to stop, and waits until it has begun to.
     pub fn stop(&self) {
-        self.stopping.send(()).unwrap();
+        self.tell_to_stop();
         until(|| crate::caller::get(self.ready, "/v1/ready", "x", "").status == 503);
     }
 
@@ -274,6 +296,14 @@
             route("/write/", Kind::NonIdempotent, 1, false),
             route("/write-twice/", Kind::NonIdempotent, 2, false),
             route("/stream/", Kind::Stream, 1, false),
+            route("/stream-twice/", Kind::Stream, 2, false),
+            Route {
+                shares: vec![Share {
+                    service: "model".to_owned(),
+                    weight: 1,
+                }],
+                ..route("/chat/", Kind::Stream, 1, false)
+            },
             Route {
                 public: true,
                 ..route("/open/", Kind::Idempotent, 1, false)
@@ -283,11 +313,23 @@
                 ..route("/soon/", Kind::NonIdempotent, 1, false)
             },
         ],
-        services: vec![Service {
-            name: "links".to_owned(),
-            connections: 100,
-            engine: None,
-        }],
+        services: vec![
+            Service {
+                name: "links".to_owned(),
+                connections: 100,
+                engine: None,
+            },
+            Service {
+                name: "model".to_owned(),
+                connections: 100,
+                engine: Some(Engine {
+                    slots: 8,
+                    memory_tokens: 100_000,
+                    event_tokens: 1,
+                    moves_prompts: false,
+                }),
+            },
+        ],
         workspaces: vec![Workspace {
             name: "murphy".to_owned(),
             keys: vec!["key-m".to_owned()],
