The soak shows streams that a stopping entry takes and can't finish

Cause: the soak missed a stream that was taken 3.1 s after SIGTERM and cut off at the end of the process. Its streams lasted 0.2 s, the grace was 12 s, no caller opened a connection to a stopping entry, and an answer cut by a stopped process was never a problem.

Change: - The grace is 5 s; one stream in ten lasts 1 to 6 s; a quarter of the callers uses lists of up to 3 s, a quarter opens connections to whatever process is there, and twelve more callers come to each stop 2.5 to 4.8 s after the order. - New promises: what comes after 3 s and runs has its whole answer; what was taken earlier is cut off only in the last sixth of the grace; each 503 says not_run and when to come back; a process that is told to stop ends by itself with success, or is killed at the end of its grace and counts as failed (before, it might take any time). Endpoints record how each run ended, and proxies which connections they reset, so that others' faults excuse nothing else. - Proxies reset open connections on both sides (linger of zero) instead of ending them. - One or two series of stops on top of the faults, from a second stream of the seed's generator: the faults drawn before are the same for each seed. - The SIGCONT after a freeze no longer marks the next process of the place as frozen, which had excused it from promises: stricter. - Dropped: a long stream of a stopping process is now judged by the new promises, which say more than that rule (also for cut answers); all other kinds are held to the rule as before.

--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -11,14 +11,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::record::{Record, Run};
+use crate::record::{Outcome, Record};
 
 /// The longest time that it works on a request, in ms.
 const LONGEST_WORK: u64 = 150;
 /// The time between two events of a stream.
-const GAP: Duration = Duration::from_millis(15);
-/// Events of one stream.
-pub const EVENTS: usize = 12;
+pub const GAP: Duration = Duration::from_millis(15);
+/// Says how many events a stream is to have.
+pub const EVENTS: &str = "x-soak-events";
 /// Of so many requests one meets a [`Mishap`].
 const ONE_BAD: u32 = 6;
 
@@ -110,22 +110,60 @@
     if mishap == Some(Mishap::Declined) {
         return send(stream, &refusal(503, &id)).await;
     }
-    let endpoint = name.to_owned();
-    record.runs(&id, Run { endpoint });
-    tokio::time::sleep(Duration::from_millis(work)).await;
+    let way = stream.peer_addr().ok()?;
+    let run = record.runs(&id, name, way);
+    let is_bad = mishap.is_some_and(|mishap| mishap != Mishap::Surplus);
+    let own = if is_bad {
+        Outcome::Badly
+    } else {
+        Outcome::Well
+    };
+    let running = async {
+        pause(stream, Duration::from_millis(work)).await?;
+        carry_out(stream, head, &id, name, mishap).await
+    };
+    let step = running.await;
+    let outcome = step.map_or(Outcome::Left, |_| own);
+    record.has_run(&id, run, outcome);
+    match step? {
+        After::Keep => Some(()),
+        After::Close => None,
+        After::Surplus => send(stream, &failure("nobody")).await,
+    }
+}
+
+/// What becomes of the connection after a run that went to its end.
+#[derive(Clone, Copy)]
+enum After {
+    Keep,
+    Close,
+    Surplus,
+}
+
+/// Answers a request that runs; none if the other side left meanwhile.
+async fn carry_out(
+    stream: &mut TcpStream,
+    head: &str,
+    id: &str,
+    name: &str,
+    mishap: Option<Mishap>,
+) -> Option<After> {
     match mishap {
-        Some(Mishap::Failed) => return send(stream, &failure(&id)).await,
-        Some(Mishap::Lost) => return None,
+        Some(Mishap::Failed) => {
+            send(stream, &failure(id)).await?;
+            return Some(After::Keep);
+        }
+        Some(Mishap::Lost) => return Some(After::Close),
         Some(Mishap::Garbled) => {
             send(stream, "these bytes are no answer\r\n\r\n").await?;
-            return None;
+            return Some(After::Close);
         }
         _ => {}
     }
-    if head.contains(" /stream/") {
-        return events(stream, &id, mishap).await;
+    if let Ok(count) = header(head, EVENTS).parse() {
+        return events(stream, id, count, mishap).await;
     }
-    let body = body(&id, name);
+    let body = body(id, name);
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: {name}\r\n\
          Content-Length: {}\r\n\r\n",
@@ -133,30 +171,55 @@
     );
     if mishap == Some(Mishap::Cut) {
         send(stream, &(head + &body[..body.len() / 2])).await?;
-        return None;
+        return Some(After::Close);
     }
     send(stream, &(head + &body)).await?;
-    if mishap == Some(Mishap::Surplus) {
-        return send(stream, &failure("nobody")).await;
-    }
-    Some(())
+    let is_surplus = mishap == Some(Mishap::Surplus);
+    Some(if is_surplus {
+        After::Surplus
+    } else {
+        After::Keep
+    })
 }
 
-async fn events(stream: &mut TcpStream, id: &str, mishap: Option<Mishap>) -> Option<()> {
+async fn events(
+    stream: &mut TcpStream,
+    id: &str,
+    count: usize,
+    mishap: Option<Mishap>,
+) -> Option<After> {
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     send(stream, &head).await?;
-    for number in 0..EVENTS {
-        if mishap == Some(Mishap::Cut) && number == EVENTS / 2 {
-            return None;
+    for number in 0..count {
+        if mishap == Some(Mishap::Cut) && number == count / 2 {
+            return Some(After::Close);
         }
         let event = event(id, number);
         send(stream, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
-        tokio::time::sleep(GAP).await;
+        pause(stream, GAP).await?;
     }
-    send(stream, "0\r\n\r\n").await
+    send(stream, "0\r\n\r\n").await?;
+    Some(After::Keep)
+}
+
+/// Waits, unless the other side leaves meanwhile.
+async fn pause(stream: &TcpStream, span: Duration) -> Option<()> {
+    let waiting = tokio::time::sleep(span);
+    tokio::pin!(waiting);
+    let mut unasked = [0];
+    tokio::select! {
+        () = &mut waiting => return Some(()),
+        seen = stream.peek(&mut unasked) => {
+            if !seen.is_ok_and(|count| count > 0) {
+                return None;
+            }
+        }
+    }
+    waiting.await;
+    Some(())
 }
 
 fn failure(id: &str) -> String {
--- a/crates/relay/tests/soak/entries.rs
+++ b/crates/relay/tests/soak/entries.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::process::ExitStatus;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
 
@@ -14,15 +15,17 @@
 struct Slot {
     process: Option<Process>,
     life: usize,
-    /// Whether callers may open connections to it.
-    is_open: bool,
+    /// Since when callers with a fresh list open no connections to it.
+    closed: Option<Instant>,
 }
 
 /// What is known of one process's life.
 #[derive(Default)]
 struct Life {
-    /// It was frozen or killed.
-    is_hurt: bool,
+    /// When it was first frozen or killed.
+    hurt: Option<Instant>,
+    /// When it was first told to stop.
+    told: Option<Instant>,
     /// Keys that it has refused.
     refused: BTreeSet<&'static str>,
 }
@@ -46,15 +49,35 @@
 
     /// Where callers may connect to, with the life that answers there.
     pub fn open(&self) -> Vec<(SocketAddr, usize)> {
+        self.listed(Duration::ZERO)
+    }
+
+    /// As [`Self::open`], by a list of such an age: with entries that have since been
+    /// told to stop, for as long as their processes are there.
+    pub fn listed(&self, age: Duration) -> Vec<(SocketAddr, usize)> {
         let slots = self.0.slots.borrow();
-        let open = slots.iter().filter(|slot| slot.is_open);
+        let open = slots.iter().filter(|slot| {
+            let closed = slot.closed;
+            closed.is_none_or(|closed| closed.elapsed() < age)
+        });
         open.filter_map(|slot| Some((slot.process.as_ref()?.requests, slot.life)))
             .collect()
     }
 
     /// Whether a process was frozen or killed.
     pub fn is_hurt(&self, life: usize) -> bool {
-        self.0.lives.borrow()[life].is_hurt
+        self.0.lives.borrow()[life].hurt.is_some()
+    }
+
+    /// Whether a process was frozen or killed until a moment.
+    pub fn was_hurt(&self, life: usize, until: Instant) -> bool {
+        let hurt = self.0.lives.borrow()[life].hurt;
+        hurt.is_some_and(|hurt| hurt <= until)
+    }
+
+    /// When a process was first told to stop, if it was.
+    pub fn told(&self, life: usize) -> Option<Instant> {
+        self.0.lives.borrow()[life].told
     }
 
     /// Notes that a process has refused a key.
@@ -75,7 +98,7 @@
         let started = Slot {
             process: Some(process),
             life: lives.len() - 1,
-            is_open: true,
+            closed: None,
         };
         let mut slots = self.0.slots.borrow_mut();
         if slot < slots.len() {
@@ -89,17 +112,25 @@
     pub fn signal(&self, slot: usize, signal: Signal, hurts: bool) {
         let slots = self.0.slots.borrow();
         if let Some(process) = &slots[slot].process {
+            let mut lives = self.0.lives.borrow_mut();
+            let life = &mut lives[slots[slot].life];
             if hurts {
-                self.0.lives.borrow_mut()[slots[slot].life].is_hurt = true;
+                life.hurt.get_or_insert_with(Instant::now);
+            }
+            if signal == Signal::TERM {
+                life.told.get_or_insert_with(Instant::now);
             }
             process.signal(signal);
         }
     }
 
-    /// Keeps callers from opening connections; false if that was so before.
+    /// Keeps callers with a fresh list from opening connections; false if that was so before.
     pub fn close(&self, slot: usize) -> bool {
         let mut slots = self.0.slots.borrow_mut();
-        std::mem::take(&mut slots[slot].is_open)
+        let closed = &mut slots[slot].closed;
+        let is_first = closed.is_none();
+        closed.get_or_insert_with(Instant::now);
+        is_first
     }
 
     /// How the process of a slot has ended, if it has.
@@ -113,6 +144,12 @@
         self.0.slots.borrow()[slot].life
     }
 
+    /// Where the process of a slot takes requests.
+    pub fn address(&self, slot: usize) -> Option<SocketAddr> {
+        let slots = self.0.slots.borrow();
+        slots[slot].process.as_ref().map(|it| it.requests)
+    }
+
     /// How many processes there have been.
     pub fn lives(&self) -> usize {
         self.0.lives.borrow().len()
--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
+use crate::process::GRACE;
 use crate::proxy::Mode;
 
 /// How long faults begin, in ms.
@@ -21,6 +22,12 @@
 /// The pause between two steps of a series, in ms.
 const SERIES_GAP: u64 = 400;
 
+/// How many series of stops come on top, and within which time they begin, in ms.
+const SERIES: std::ops::RangeInclusive<usize> = 1..=2;
+const SERIES_SPAN: u64 = 4_000;
+/// The grace of a stop, in ms.
+const GRACE_MS: u64 = GRACE.as_secs() * 1_000;
+
 /// A fault, or a change that a run must bear.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
@@ -44,6 +51,16 @@
     Replace(usize),
 }
 
+impl Event {
+    fn new(at: u64, lasts: u64, fault: Fault) -> Self {
+        Self {
+            at: Duration::from_millis(at),
+            lasts: Duration::from_millis(lasts),
+            fault,
+        }
+    }
+}
+
 /// A fault and its time, from the beginning of the faults.
 #[derive(Clone, Debug)]
 pub struct Event {
@@ -75,6 +92,35 @@
     events
 }
 
+/// Draws series of stops that overlap with other faults of entries, or with one another.
+pub fn draw_stops(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
+    let count = random.random_range(SERIES);
+    (0..count).flat_map(|_| stops(random, entries)).collect()
+}
+
+fn stops(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
+    let slot = random.random_range(0..entries);
+    let other = (slot + random.random_range(1..entries)) % entries;
+    let at = random.random_range(0..SERIES_SPAN);
+    let soon = at + random.random_range(0..SERIES_GAP);
+    let later = at + random.random_range(0..GRACE_MS);
+    let lasts = random.random_range(LASTS);
+    let stop = |at, slot| Event::new(at, 0, Fault::Stop(slot));
+    let second = match random.random_range(0..3) {
+        0 => Event::new(later, lasts, Fault::Kill(other)),
+        1 => Event::new(later, lasts, Fault::Freeze(other)),
+        // The process is told twice, and the one after it as soon as it is there.
+        _ => {
+            return vec![
+                stop(at, slot),
+                stop(soon, slot),
+                stop(soon + GRACE_MS, slot),
+            ];
+        }
+    };
+    vec![stop(at, slot), second]
+}
+
 fn one(random: &mut ChaCha8Rng, entries: usize, endpoints: usize) -> Fault {
     let entry = random.random_range(0..entries);
     let endpoint = random.random_range(0..endpoints);
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -19,6 +19,7 @@
 mod process;
 mod proxy;
 mod record;
+mod stops;
 mod world;
 
 use std::ops::RangeInclusive;
--- a/crates/relay/tests/soak/process.rs
+++ b/crates/relay/tests/soak/process.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -14,6 +15,10 @@
 /// After so long a leaving endpoint may get no request, in ms.
 pub const LEAVE: u64 = 2_000;
 
+/// The time from the order to stop until a process is killed: less than some streams
+/// last, and more than callers keep a list of entries.
+pub const GRACE: Duration = Duration::from_secs(5);
+
 /// Names a folder in which the relays' logs are kept.
 const LOGS: &str = "WOODGAP_SOAK_LOGS";
 
@@ -33,7 +38,7 @@
             "ready_listen": any, "peer_listen": any,
             "platform": {"url": format!("http://{platform}"), "poll_ms": 100, "timeout_ms": 500},
             "bounds": {
-                "revoke_ms": REVOKE, "leave_ms": LEAVE, "grace_s": 12, "entries_lifetime_s": 1,
+                "revoke_ms": REVOKE, "leave_ms": LEAVE, "grace_s": GRACE.as_secs(), "entries_lifetime_s": 1,
                 "repeat_ratio": 0.2, "repeat_slack": 50, "repeat_window_s": 10
             }
         });
--- a/crates/relay/tests/soak/proxy.rs
+++ b/crates/relay/tests/soak/proxy.rs
@@ -7,10 +7,12 @@
 
 use rustix::net::sockopt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::record::Record;
+
 /// How connections behave.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -19,8 +21,7 @@
     Pass,
     /// Bytes go through late.
     Delay(Duration),
-    /// Open connections are ended from the proxy's side, which the system does by a
-    /// reset only where bytes are left unread; new ones are reset.
+    /// Connections are reset on both sides, open ones and new ones.
     Reset,
     /// What is sent to the target is held until the mode changes.
     HoldRequests,
@@ -59,8 +60,8 @@
 }
 
 impl Proxy {
-    /// Starts a proxy.
-    pub async fn start(target: SocketAddr) -> Self {
+    /// Starts a proxy, which notes each connection to its target that it resets.
+    pub async fn start(target: SocketAddr, record: Record) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("loopback has a free port");
         let address = listener.local_addr().expect("it is bound");
@@ -70,7 +71,7 @@
             mode: Rc::new(mode),
             faults: Rc::default(),
         };
-        actix_rt::spawn(accept(listener, target, Rc::clone(&proxy.mode)));
+        actix_rt::spawn(accept(listener, target, Rc::clone(&proxy.mode), record));
         proxy
     }
 
@@ -89,20 +90,31 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: Rc<watch::Sender<Mode>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: Rc<watch::Sender<Mode>>,
+    record: Record,
+) {
     while let Ok((stream, _)) = listener.accept().await {
-        actix_rt::spawn(carry(stream, target, mode.subscribe()));
+        let carrying = carry(stream, target, mode.subscribe(), record.clone());
+        actix_rt::spawn(carrying);
     }
 }
 
-async fn carry(caller: TcpStream, target: SocketAddr, mut mode: watch::Receiver<Mode>) {
+async fn carry(
+    mut caller: TcpStream,
+    target: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    record: Record,
+) {
     let unsilenced = mode.wait_for(|mode| *mode != Mode::Silent).await;
     let first = unsilenced.map_or(Mode::Reset, |mode| *mode);
     if first == Mode::Reset {
         reset(&caller);
         return;
     }
-    let Ok(target) = TcpStream::connect(target).await else {
+    let Ok(mut target) = TcpStream::connect(target).await else {
         reset(&caller);
         return;
     };
@@ -110,14 +122,22 @@
     if caller.set_nodelay(true).is_err() || target.set_nodelay(true).is_err() {
         return;
     }
-    let (from_caller, to_caller) = caller.into_split();
-    let (from_target, to_target) = target.into_split();
+    let (from_caller, to_caller) = caller.split();
+    let (from_target, to_target) = target.split();
     let requests = pump(mode.clone(), Way::ToTarget, from_caller, to_target);
     let answers = pump(mode.clone(), Way::FromTarget, from_target, to_caller);
-    tokio::select! {
-        () = requests => {}
-        () = answers => {}
-        _ = mode.wait_for(|mode| *mode == Mode::Reset) => {}
+    let is_reset = tokio::select! {
+        () = requests => false,
+        () = answers => false,
+        _ = mode.wait_for(|mode| *mode == Mode::Reset) => true,
+    };
+    if is_reset {
+        // Noted before the target can see it.
+        if let Ok(way) = target.local_addr() {
+            record.reset(way);
+        }
+        reset(&caller);
+        reset(&target);
     }
 }
 
@@ -125,8 +145,8 @@
 async fn pump(
     mut mode: watch::Receiver<Mode>,
     way: Way,
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -3,9 +3,10 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::process::ExitStatus;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -16,9 +17,12 @@
     Write,
     /// It may run at most once, and its answer is a stream of events.
     Stream,
+    /// A stream that may last longer than a process that is told to stop.
+    Long,
 }
 
 impl Kind {
+    /// Those of which each entry is asked whether it serves them.
     pub const ALL: [Self; 3] = [Self::Read, Self::Write, Self::Stream];
 
     /// The path of its route.
@@ -27,12 +31,13 @@
             Self::Read => "/read/",
             Self::Write => "/write/",
             Self::Stream => "/stream/",
+            Self::Long => "/long/",
         }
     }
 }
 
 /// What a caller was told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
     /// A whole answer.
     Answered(u16),
@@ -50,13 +55,34 @@
     /// The process that took it, counted over all starts.
     pub life: usize,
     pub at: Instant,
+    /// How long its caller and its route let it take.
+    pub patience: Duration,
     pub end: Option<End>,
+    /// When it ended.
+    pub ended: Option<Instant>,
+}
+
+/// How a run ended, as its endpoint sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It has not.
+    Running,
+    /// All of a good answer was sent.
+    Well,
+    /// The endpoint itself failed or broke off.
+    Badly,
+    /// The other side left before the endpoint was done.
+    Left,
 }
 
 /// A run that an endpoint has begun.
 #[derive(Clone, Debug)]
 pub struct Run {
     pub endpoint: String,
+    /// The other side of the connection that it came by.
+    pub way: SocketAddr,
+    pub at: Instant,
+    pub outcome: Outcome,
 }
 
 /// What breaks a promise.
@@ -72,6 +98,14 @@
     Dropped(String, usize),
     /// A request ran with a removed key, so many ms after its removal was accepted.
     Revoked(String, u128),
+    /// A request that came to a stopping process so many ms after the order to stop, and
+    /// ran, got no whole answer, so many ms after that order.
+    CutLate(String, u128, u128, End, Vec<Outcome>),
+    /// A request that was taken earlier was cut off so many ms after the order to stop,
+    /// before the last part of the grace.
+    CutSoon(String, u128, End, Vec<Outcome>),
+    /// A refusal with 503 does not say that the request has not run, or when to come back.
+    Unsaid(String),
     /// A key that a process had refused was taken by it again.
     WentBack(String, usize),
     /// A leaving endpoint got a request, so many ms after it was listed so.
@@ -90,6 +124,8 @@
 struct All {
     sent: BTreeMap<String, Sent>,
     runs: BTreeMap<String, Vec<Run>>,
+    /// Connections to endpoints that proxies have reset, by the proxy's own address.
+    resets: Vec<(SocketAddr, Instant)>,
     problems: Vec<Problem>,
 }
 
@@ -107,13 +143,49 @@
     pub fn ended(&self, id: &str, end: End) {
         if let Some(sent) = self.0.borrow_mut().sent.get_mut(id) {
             sent.end = Some(end);
+            sent.ended = Some(Instant::now());
         }
     }
 
-    /// Notes that an endpoint begins a run.
-    pub fn runs(&self, id: &str, run: Run) {
+    /// Notes that an endpoint begins a run of what came by such a connection; gives back
+    /// the run's number among those of the request.
+    pub fn runs(&self, id: &str, endpoint: &str, way: SocketAddr) -> usize {
         let mut all = self.0.borrow_mut();
-        all.runs.entry(id.to_owned()).or_default().push(run);
+        let runs = all.runs.entry(id.to_owned()).or_default();
+        runs.push(Run {
+            endpoint: endpoint.to_owned(),
+            way,
+            at: Instant::now(),
+            outcome: Outcome::Running,
+        });
+        runs.len() - 1
+    }
+
+    /// Notes how a run ended.
+    pub fn has_run(&self, id: &str, run: usize, outcome: Outcome) {
+        let mut all = self.0.borrow_mut();
+        if let Some(run) = all.runs.get_mut(id).and_then(|runs| runs.get_mut(run)) {
+            run.outcome = outcome;
+        }
+    }
+
+    /// Notes that a proxy resets one of its connections to an endpoint.
+    pub fn reset(&self, way: SocketAddr) {
+        let reset = (way, Instant::now());
+        self.0.borrow_mut().resets.push(reset);
+    }
+
+    /// Whether a proxy reset the connection of a run before a moment.
+    pub fn was_reset(&self, run: &Run, until: Instant) -> bool {
+        let all = self.0.borrow();
+        let mut resets = all.resets.iter();
+        resets.any(|(way, at)| *way == run.way && *at >= run.at && *at <= until)
+    }
+
+    /// The runs of a request.
+    pub fn runs_of(&self, id: &str) -> Vec<Run> {
+        let all = self.0.borrow();
+        all.runs.get(id).cloned().unwrap_or_default()
     }
 
     /// How often a request has begun to run so far.
@@ -179,8 +251,8 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{End, Kind, Problem, Record, Run, Sent};
-    use std::time::Instant;
+    use super::{End, Kind, Problem, Record, Sent};
+    use std::time::{Duration, Instant};
 
     fn record(kind: Kind, runs: usize, end: End) -> Record {
         let record = Record::default();
@@ -189,12 +261,13 @@
             key: "key",
             life: 0,
             at: Instant::now(),
+            patience: Duration::ZERO,
             end: None,
+            ended: None,
         };
         record.sent("r", sent);
         for _ in 0..runs {
-            let endpoint = "e".to_owned();
-            record.runs("r", Run { endpoint });
+            record.runs("r", "e", ([127, 0, 0, 1], 1).into());
         }
         record.ended("r", end);
         record
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::process::ExitStatus;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,19 +19,22 @@
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Table, Transaction};
 
-use crate::caller::{self, Caller, KEYS};
+use crate::caller::{self, Caller, KEYS, LONG_PATIENCE, ROUTE_TIMEOUT};
 use crate::endpoint;
 use crate::entries::Entries;
 use crate::fault::{self, Event, Fault};
-use crate::process::{LEAVE, REVOKE};
+use crate::process::{GRACE, LEAVE, REVOKE};
 use crate::proxy::Proxy;
-use crate::record::{Kind, Problem, Record};
+use crate::record::{Kind, Problem, Record, Run, Sent};
+use crate::stops::Case;
 
 const ENTRIES: usize = 3;
 const ENDPOINTS: usize = 4;
 const CALLERS: usize = 20;
 /// How long callers go on after the last fault has ended.
 const QUIET: Duration = Duration::from_millis(800);
+/// How many callers come late to each process that is told to stop, besides all others.
+const LATECOMERS: usize = 12;
 /// How long one write to the platform may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -40,6 +44,8 @@
 /// One run.
 pub struct World {
     random: ChaCha8Rng,
+    /// For what was added later, so that the draws of the other one stay as they are.
+    more: ChaCha8Rng,
     scene: Rc<Scene>,
     callers: Vec<JoinHandle<()>>,
 }
@@ -60,15 +66,19 @@
     left: Accepted<String>,
     /// When the platform, or the way to it, misbehaved.
     platform_faults: RefCell<Vec<(Instant, Instant)>>,
+    /// When the way to an endpoint misbehaved.
+    path_faults: RefCell<Vec<(String, Instant, Instant)>>,
 }
 
 impl World {
     /// Starts everything and waits until it serves.
     pub async fn start(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut more = ChaCha8Rng::seed_from_u64(seed);
+        more.set_stream(1);
         let record = Record::default();
         let platform = Stand::platform();
-        let platform_path = Proxy::start(platform.address).await;
+        let platform_path = Proxy::start(platform.address, Record::default()).await;
         let client = Platform::new(&platform.url(""), WRITE_TIMEOUT);
         let scene = Rc::new(Scene {
             record: record.clone(),
@@ -83,6 +93,7 @@
             revoked: Rc::default(),
             left: Rc::default(),
             platform_faults: RefCell::default(),
+            path_faults: RefCell::default(),
         });
         scene.write_plan().await;
         for _ in 0..ENDPOINTS {
@@ -104,6 +115,7 @@
         Self {
             callers: callers.collect(),
             random,
+            more,
             scene,
         }
     }
@@ -111,9 +123,15 @@
     /// Plays the faults of the seed, all in their time.
     pub async fn play(&mut self) {
         let events = fault::draw(&mut self.random, ENTRIES, ENDPOINTS);
-        let playing = events.into_iter().map(|event| {
+        let seeded = events
+            .into_iter()
+            .map(|event| (event, self.random.random()));
+        let mut seeded: Vec<_> = seeded.collect();
+        let stops = fault::draw_stops(&mut self.more, ENTRIES);
+        let stops = stops.into_iter().map(|event| (event, self.more.random()));
+        seeded.extend(stops);
+        let playing = seeded.into_iter().map(|(event, seed)| {
             let scene = Rc::clone(&self.scene);
-            let seed = self.random.random();
             actix_rt::spawn(async move { scene.play(event, seed).await })
         });
         let playing: Vec<_> = playing.collect();
@@ -134,6 +152,7 @@
         }
         let mut problems = self.scene.record.problems();
         problems.extend(self.scene.timed_problems());
+        problems.extend(self.scene.stop_problems());
         problems
     }
 
@@ -150,10 +169,13 @@
         let lasts = || tokio::time::sleep(event.lasts);
         match event.fault {
             Fault::EndpointPath(at, mode) => {
-                let proxy = self.endpoints.borrow()[at].1.clone();
+                let (endpoint, proxy) = self.endpoints.borrow()[at].clone();
+                let begun = Instant::now();
                 proxy.begin(mode);
                 lasts().await;
                 proxy.end();
+                let fault = (endpoint.name.to_string(), begun, Instant::now());
+                self.path_faults.borrow_mut().push(fault);
             }
             Fault::PlatformPath(mode) => {
                 let begun = Instant::now();
@@ -174,10 +196,11 @@
             Fault::Freeze(slot) => {
                 self.entries.signal(slot, Signal::STOP, true);
                 lasts().await;
-                self.entries.signal(slot, Signal::CONT, true);
+                // By now it may be another process, which was not frozen.
+                self.entries.signal(slot, Signal::CONT, false);
             }
-            Fault::Kill(slot) => self.restart(slot, Signal::KILL).await,
-            Fault::Stop(slot) => self.restart(slot, Signal::TERM).await,
+            Fault::Kill(slot) => self.restart(slot, Signal::KILL, seed).await,
+            Fault::Stop(slot) => self.restart(slot, Signal::TERM, seed).await,
             Fault::Revoke => self.revoke().await,
             Fault::Grow => self.grow().await,
             Fault::Replace(at) => self.replace(at, seed).await,
@@ -191,21 +214,51 @@
 
     /// Ends the process of a slot and starts another one in its place, unless that
     /// is under way already.
-    async fn restart(&self, slot: usize, signal: Signal) {
+    async fn restart(&self, slot: usize, signal: Signal, seed: u64) {
         let is_kill = signal == Signal::KILL;
         let is_first = self.entries.close(slot);
         self.entries.signal(slot, signal, is_kill);
         if !is_first {
             return;
         }
-        let status = until("a process ends", async || self.entries.ended(slot)).await;
         let life = self.entries.life(slot);
+        if !is_kill {
+            self.send_late(slot, life, seed);
+        }
+        let status = self.end_of(slot, life).await;
         if !status.success() && !self.entries.is_hurt(life) {
             self.record.broken(Problem::Exit(life, status));
         }
         self.entries.start(slot, self.platform_path.address);
     }
 
+    /// Sends callers who come late to the process of a slot.
+    fn send_late(&self, slot: usize, life: usize, seed: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let Some(address) = self.entries.address(slot) else {
+            return;
+        };
+        for number in 0..LATECOMERS {
+            let id = format!("late-{life}-{number}");
+            let (record, entries) = (self.record.clone(), self.entries.clone());
+            let late = caller::come_late((address, life), id, random.random(), record, entries);
+            actix_rt::spawn(late);
+        }
+    }
+
+    /// Waits for the end of the process of a slot; one that outlives its grace is killed.
+    async fn end_of(&self, slot: usize, life: usize) -> ExitStatus {
+        until("a process ends", async || {
+            let status = self.entries.ended(slot);
+            let told = self.entries.told(life);
+            if status.is_none() && told.is_some_and(|told| told.elapsed() >= GRACE) {
+                self.entries.signal(slot, Signal::KILL, false);
+            }
+            status
+        })
+        .await
+    }
+
     async fn revoke(&self) {
         let has_key = !self.plan.borrow().workspaces[1].keys.is_empty();
         if has_key {
@@ -248,7 +301,7 @@
         self.next_endpoint.set(number + 1);
         let name = format!("e-{number}");
         let address = endpoint::start(name.clone(), seed, self.record.clone()).await;
-        let proxy = Proxy::start(address).await;
+        let proxy = Proxy::start(address, self.record.clone()).await;
         let endpoint = roster::Endpoint {
             name: name::Endpoint::from(name),
             service: "all".to_owned(),
@@ -318,6 +371,40 @@
         problems
     }
 
+    /// Broken promises of planned stops.
+    fn stop_problems(&self) -> Vec<Problem> {
+        let sent = self.record.all_sent();
+        sent.iter()
+            .filter_map(|(id, sent)| self.judge_stop(id, sent))
+            .collect()
+    }
+
+    fn judge_stop(&self, id: &str, sent: &Sent) -> Option<Problem> {
+        let told = self.entries.told(sent.life)?;
+        if self.entries.was_hurt(sent.life, sent.ended?) {
+            return None;
+        }
+        let runs = self.record.runs_of(id);
+        let was_slowed = runs.iter().any(|run| self.was_slowed(run, sent));
+        let case = Case {
+            id,
+            sent,
+            runs: &runs,
+            told,
+            was_slowed,
+        };
+        case.judge(&self.record)
+    }
+
+    /// Whether the way to a run's endpoint misbehaved while its request was under way.
+    fn was_slowed(&self, run: &Run, sent: &Sent) -> bool {
+        let faults = self.path_faults.borrow();
+        faults.iter().any(|(endpoint, begun, ended)| {
+            let is_during = *ended >= sent.at && sent.ended.is_none_or(|until| *begun <= until);
+            *endpoint == run.endpoint && is_during
+        })
+    }
+
     /// Whether the platform misbehaved within the bound after a moment: what it has
     /// accepted may then not be known.
     fn was_platform_faulty(&self, at: Instant) -> bool {
@@ -335,7 +422,7 @@
         host: "album.example".to_owned(),
         prefix: prefix.to_owned(),
         kind,
-        timeout: Millis(2_500),
+        timeout: millis(ROUTE_TIMEOUT),
         target: Millis(400),
         gap: None,
         priority: 0,
@@ -349,7 +436,15 @@
     }
 }
 
+fn millis(span: Duration) -> Millis {
+    Millis(u64::try_from(span.as_millis()).expect("spans are short"))
+}
+
 fn first_plan() -> Plan {
+    let long = Route {
+        timeout: millis(LONG_PATIENCE),
+        ..route(Kind::Long.path(), plan::Kind::Stream)
+    };
     let workspace = |name: &str, key: &str| Workspace {
         name: name.to_owned(),
         keys: vec![key.to_owned()],
@@ -361,6 +456,7 @@
             route(Kind::Read.path(), plan::Kind::Idempotent),
             route(Kind::Write.path(), plan::Kind::NonIdempotent),
             route(Kind::Stream.path(), plan::Kind::Stream),
+            long,
         ],
         services: vec![Service {
             name: "all".to_owned(),
