--- a/crates/relay/tests/soak/stops.rs
+++ b/crates/relay/tests/soak/stops.rs
@@ -4,7 +4,7 @@
 
 use crate::caller::LIST_LIFE;
 use crate::process::GRACE;
-use crate::record::{End, Outcome, Problem, Record, Run, Sent};
+use crate::record::{End, Kind, Outcome, Problem, Record, Run, Sent};
 
 /// After so much of its grace, five sixths, a process may cut off what it had taken early.
 const SAFE_PART: (u32, u32) = (5, 6);
@@ -26,6 +26,10 @@
     /// The promise that was broken, if one was.
     pub fn judge(&self, record: &Record) -> Option<Problem> {
         let (end, ended) = self.sent.end.zip(self.sent.ended)?;
+        if end == End::Answered(503) && self.sent.kind == Kind::Read && !self.runs.is_empty() {
+            // Other kinds are held to this wherever they are refused.
+            return Some(Problem::RanAfterAll(self.id.to_owned(), 503));
+        }
         let is_over = ended + ROUNDING >= self.sent.at + self.sent.patience;
         if self.runs.is_empty() || ended < self.told || is_over || self.broke_off(record, ended) {
             return None;
@@ -59,13 +63,23 @@
 
     const WAY: ([u8; 4], u16) = ([127, 0, 0, 1], 1);
 
-    /// A request of 3 s that came and ended so many ms after the order to stop.
+    /// A long stream of 3 s that came and ended so many ms after the order to stop.
     fn judged(
         came: u64,
         ended: u64,
         end: End,
         outcome: Outcome,
         is_reset: bool,
+    ) -> Option<Problem> {
+        judged_of(Kind::Long, (came, ended), end, outcome, is_reset)
+    }
+
+    fn judged_of(
+        kind: Kind,
+        (came, ended): (u64, u64),
+        end: End,
+        outcome: Outcome,
+        is_reset: bool,
     ) -> Option<Problem> {
         let told = Instant::now();
         let record = Record::default();
@@ -73,7 +87,7 @@
             record.reset(WAY.into());
         }
         let sent = Sent {
-            kind: Kind::Long,
+            kind,
             key: "key",
             life: 0,
             at: told + Duration::from_millis(came),
@@ -126,4 +140,11 @@
         assert_eq!(judged(3_100, 4_500, End::Cut, Outcome::Left, true), None);
         assert_eq!(judged(3_100, 6_100, End::Cut, Outcome::Left, false), None);
     }
+
+    #[test]
+    fn a_refused_read_has_not_run() {
+        let refused = End::Answered(503);
+        let read = judged_of(Kind::Read, (100, 200), refused, Outcome::Badly, false);
+        assert_eq!(read, Some(Problem::RanAfterAll("r".to_owned(), 503)));
+    }
 }
