Late callers of the soak also want what a stopping entry can still finish

Change: half of the late callers, now 24 to a stop, want something that is over within 0.2 to 1.2 s.

--- a/crates/relay/tests/soak/caller.rs
+++ b/crates/relay/tests/soak/caller.rs
@@ -34,7 +34,9 @@
 /// When callers come to a stopping entry, besides all others, in ms after the order.
 const LATE: std::ops::Range<u64> = 2_500..4_800;
 /// The part of these that want a long stream.
-const LATE_LONG: f64 = 0.7;
+const LATE_LONG: f64 = 0.5;
+/// How long the others wait, in ms: an entry can finish what is over so soon.
+const LATE_PATIENCE: std::ops::Range<u64> = 200..1_200;
 /// How long it waits in truth: an entry that stands still for that long has been
 /// frozen, and its callers leave.
 const GIVE_UP: Duration = Duration::from_secs(20);
@@ -269,7 +271,11 @@
         Order::long(KEYS[0], &mut random)
     } else {
         let kind = *Kind::ALL.choose(&mut random).expect("there are kinds");
-        Order::short(kind, KEYS[0])
+        let patience = random.random_range(LATE_PATIENCE);
+        Order {
+            patience: Duration::from_millis(patience),
+            ..Order::short(kind, KEYS[0])
+        }
     };
     tokio::time::sleep(Duration::from_millis(after)).await;
     let Ok(connection) = Connection::open(address).await else {
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -34,7 +34,7 @@
 /// How long callers go on after the last fault has ended.
 const QUIET: Duration = Duration::from_millis(800);
 /// How many callers come late to each process that is told to stop, besides all others.
-const LATECOMERS: usize = 12;
+const LATECOMERS: usize = 24;
 /// How long one write to the platform may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
