--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
+
 macro_rules! name {
     ($(#[$documentation:meta])* $type:ident) => {
         $(#[$documentation])*
@@ -80,6 +82,51 @@
     pub data_centre: DataCentre,
 }
 
+/// One life of an endpoint: it may start again under its name, and then knows nothing
+/// of before.
+///
+/// All that is remembered of an endpoint is kept by its life, so that nothing of an
+/// earlier one counts for a later one. Only what is said to the endpoint itself names
+/// it by `id` alone; a life has no text form of its own.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::name::{Endpoint, Life};
+///
+/// let first = Life { id: Endpoint::from("e-1"), started_unix: Some(Millis(1_000)) };
+/// let second = Life { started_unix: Some(Millis(2_000)), ..first.clone() };
+/// assert_ne!(first, second);
+/// assert!(first.is_before(&second));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Life {
+    /// The endpoint's name, which all its lives share.
+    pub id: Endpoint,
+    /// When it started, in ms since the Unix epoch; none where the endpoint does not
+    /// say: it is then taken for one life.
+    pub started_unix: Option<Millis>,
+}
+
+impl Life {
+    /// Whether both are known to be lives of one endpoint, and this the earlier one.
+    ///
+    /// A life of unknown start is neither earlier nor later than another.
+    pub fn is_before(&self, other: &Self) -> bool {
+        let starts = self.started_unix.zip(other.started_unix);
+        self.id == other.id && starts.is_some_and(|(own, others)| own < others)
+    }
+}
+
+/// A life of unknown start.
+impl From<Endpoint> for Life {
+    fn from(id: Endpoint) -> Self {
+        Self {
+            id,
+            started_unix: None,
+        }
+    }
+}
+
 /// One life of an entry: a restart gives the same entry a larger number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -122,7 +122,7 @@
     /// Puts the engines in order; the first few are for steady streams.
     pub fn new(endpoints: &[&'e Endpoint], steady: usize) -> Self {
         let mut engines = endpoints.to_vec();
-        engines.sort_by_cached_key(|it| (tidings::hash(it.name.as_str()), it.name.clone()));
+        engines.sort_by_cached_key(|it| (tidings::life_hash(&it.life), it.life.clone()));
         Self { engines, steady }
     }
 
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -32,13 +32,13 @@
 /// A request that was sent; given back at its end.
 #[derive(Debug)]
 pub struct Ticket {
-    endpoint: name::Endpoint,
+    endpoint: name::Life,
     number: u64,
 }
 
 impl Ticket {
     /// Where it was sent.
-    pub fn endpoint(&self) -> &name::Endpoint {
+    pub fn endpoint(&self) -> &name::Life {
         &self.endpoint
     }
 }
@@ -47,7 +47,8 @@
 #[derive(Debug)]
 pub struct Loads {
     data_centre: name::DataCentre,
-    endpoints: HashMap<name::Endpoint, Load>,
+    /// By life: one that starts again under its name begins with nothing.
+    endpoints: HashMap<name::Life, Load>,
     /// The usual time of a plain service, in ms.
     service_time: HashMap<String, Fading>,
     demands: HashMap<String, Demand>,
@@ -81,19 +82,19 @@
     }
 
     /// Whether requests are kept away from an endpoint.
-    pub fn suspended(&self, endpoint: &str) -> bool {
+    pub fn suspended(&self, endpoint: &name::Life) -> bool {
         let load = self.endpoints.get(endpoint);
         load.is_some_and(|load| load.health.suspended())
     }
 
     /// The suspended endpoints that it is time to connect to.
-    pub fn due(&self, now: Millis) -> Vec<name::Endpoint> {
+    pub fn due(&self, now: Millis) -> Vec<name::Life> {
         let all = self.endpoints.iter();
         let due = all.filter(|(_, load)| load.health.due(now));
-        due.map(|(name, _)| name.clone()).collect()
+        due.map(|(life, _)| life.clone()).collect()
     }
 
-    fn own(&self, endpoint: &name::Endpoint) -> usize {
+    fn own(&self, endpoint: &name::Life) -> usize {
         self.endpoints.get(endpoint).map_or(0, Load::running)
     }
 
@@ -102,12 +103,12 @@
         self.next += 1;
         let endpoint = &choice.endpoint;
         let memory = ask.engine.map_or(0, |engine| engine.memory_tokens);
-        let load = self.endpoints.entry(endpoint.name.clone());
+        let load = self.endpoints.entry(endpoint.life.clone());
         let load = load.or_insert_with(|| Load::new(&endpoint.service, memory));
         load.begin(self.next, choice, ask, now);
         self.demand(choice, ask, now);
         Ticket {
-            endpoint: endpoint.name.clone(),
+            endpoint: endpoint.life.clone(),
             number: self.next,
         }
     }
@@ -163,14 +164,14 @@
     }
 
     /// Takes the load that an endpoint reported.
-    pub fn report(&mut self, endpoint: &name::Endpoint, report: Report, now: Millis) {
+    pub fn report(&mut self, endpoint: &name::Life, report: Report, now: Millis) {
         if let Some(load) = self.endpoints.get_mut(endpoint) {
             load.report(report, now);
         }
     }
 
     /// Takes in what a connection or an answer tells of an endpoint.
-    pub fn note(&mut self, endpoint: &name::Endpoint, sign: Sign, now: Millis) {
+    pub fn note(&mut self, endpoint: &name::Life, sign: Sign, now: Millis) {
         if let Some(load) = self.endpoints.get_mut(endpoint) {
             load.note(sign, now);
         }
@@ -184,7 +185,7 @@
     }
 
     /// Forgets endpoints that are gone.
-    pub fn forget(&mut self, endpoints: &[name::Endpoint]) {
+    pub fn forget(&mut self, endpoints: &[name::Life]) {
         for endpoint in endpoints {
             self.endpoints.remove(endpoint);
         }
--- a/crates/core/src/relay/engine/candidates.rs
+++ b/crates/core/src/relay/engine/candidates.rs
@@ -23,10 +23,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Keepers<'e> {
     /// Of all shared parts: the engine that all entries choose first for such prompts.
-    pub all: Option<&'e name::Endpoint>,
+    pub all: Option<&'e name::Life>,
     /// Of the first part, which the prompts of many subjects have in common: the engine
     /// from which all entries have it taken.
-    pub first: Option<&'e name::Endpoint>,
+    pub first: Option<&'e name::Life>,
 }
 
 impl<'e> Keepers<'e> {
@@ -44,34 +44,30 @@
     }
 }
 
-fn keeper<'e>(
-    division: &Division<'e>,
-    is_for_steady: bool,
-    chain: u64,
-) -> Option<&'e name::Endpoint> {
-    let score = |it: &&Endpoint| prefix::mix(chain, tidings::hash(it.name.as_str()));
+fn keeper<'e>(division: &Division<'e>, is_for_steady: bool, chain: u64) -> Option<&'e name::Life> {
+    let score = |it: &&Endpoint| prefix::mix(chain, tidings::life_hash(&it.life));
     let meant = division
         .engines()
         .filter(|(_, is_steady)| *is_steady == is_for_steady);
     let best = meant.map(|(engine, _)| engine).max_by_key(score);
-    best.map(|it| &it.name)
+    best.map(|it| &it.life)
 }
 
 /// The favourite, and some engines of either side that are drawn anew for each
 /// request: the more entries there are, the fewer.
 pub(super) fn draw<'e>(
     division: &Division<'e>,
-    favourite: Option<&name::Endpoint>,
+    favourite: Option<&name::Life>,
     entries: usize,
     draw: u64,
 ) -> Vec<Candidate<'e>> {
     let (steady, others): (Vec<_>, Vec<_>) = division.engines().partition(|(_, it)| *it);
     let mut drawn = some_of(steady, entries, draw);
     drawn.extend(some_of(others, entries, draw));
-    let is_drawn = |name: &name::Endpoint| drawn.iter().any(|(engine, _)| engine.name == *name);
-    if let Some(missing) = favourite.filter(|name| !is_drawn(name)) {
+    let is_drawn = |life: &name::Life| drawn.iter().any(|(engine, _)| engine.life == *life);
+    if let Some(missing) = favourite.filter(|life| !is_drawn(life)) {
         let mut all = division.engines();
-        drawn.extend(all.find(|(engine, _)| engine.name == *missing));
+        drawn.extend(all.find(|(engine, _)| engine.life == *missing));
     }
     drawn
 }
@@ -81,7 +77,7 @@
     let count = count.max(LEAST_LOOKED_AT);
     if count < engines.len() {
         let score =
-            |(engine, _): &Candidate<'_>| prefix::mix(draw, tidings::hash(engine.name.as_str()));
+            |(engine, _): &Candidate<'_>| prefix::mix(draw, tidings::life_hash(&engine.life));
         engines.sort_by_cached_key(score);
         engines.truncate(count);
     }
--- a/crates/core/src/relay/engine/choice.rs
+++ b/crates/core/src/relay/engine/choice.rs
@@ -94,9 +94,7 @@
         ask: &Ask<'_>,
         now: Millis,
     ) -> Option<Choice> {
-        let open = endpoints
-            .iter()
-            .filter(|it| !self.suspended(it.name.as_str()));
+        let open = endpoints.iter().filter(|it| !self.suspended(&it.life));
         let open: Vec<&Endpoint> = open.copied().collect();
         let division = self.divide(&open, now);
         let pace = open.first().map(|it| self.pace(&it.service));
@@ -108,7 +106,7 @@
         let entries = self.others.count(now) + 1;
         let candidates = candidates::draw(&division, favourite, entries, self.next_draw());
         let choices = candidates.into_iter().map(|(engine, is_steady)| {
-            let is_favourite = favourite == Some(&engine.name);
+            let is_favourite = favourite == Some(&engine.life);
             let mut prospect = self.estimate(engine, ask, is_favourite, &pace, now);
             if is_steady != is_for_steady {
                 prospect.cost += OTHER_SIDE_COST;
@@ -125,7 +123,7 @@
             endpoint: endpoint.clone(),
             wait: estimate.wait,
             queue: estimate.queue,
-            own: self.own(&endpoint.name),
+            own: self.own(&endpoint.life),
             running: estimate.running,
             run: estimate.run,
             cost,
@@ -146,21 +144,21 @@
     ) -> Option<&'e Endpoint> {
         let work = ask.work?;
         ask.engine.filter(|engine| engine.moves_prompts)?;
-        let others = engines.iter().filter(|it| it.name != chosen.name);
+        let others = engines.iter().filter(|it| it.life != chosen.life);
         let sources = others.map(|engine| Source {
             engine,
             kept: self.kept_by(engine, keepers, work),
         });
         let best = sources.max_by(|left, right| left.kept.total_cmp(&right.kept))?;
-        let known = known(self.endpoints.get(&chosen.name), work);
+        let known = known(self.endpoints.get(&chosen.life), work);
         best.serves(known).then_some(best.engine)
     }
 
     /// Prompt tokens that an engine is believed to keep, as far as others could take them.
     fn kept_by(&self, engine: &Endpoint, keepers: Keepers<'_>, work: &Work) -> f64 {
-        let load = self.endpoints.get(&engine.name);
-        let kept = kept(load, work, keepers.all == Some(&engine.name));
-        if keepers.first != Some(&engine.name) {
+        let load = self.endpoints.get(&engine.life);
+        let kept = kept(load, work, keepers.all == Some(&engine.life));
+        if keepers.first != Some(&engine.life) {
             return kept;
         }
         let first = work.shared_parts().get(..1).unwrap_or_default();
@@ -198,10 +196,10 @@
         pace: &Pace,
         now: Millis,
     ) -> Prospect {
-        let load = self.endpoints.get(&endpoint.name);
+        let load = self.endpoints.get(&endpoint.life);
         let estimate = match (ask.work, ask.engine) {
             (Some(work), Some(engine)) => {
-                let others = self.others.at(&endpoint.name, pace.read_rate(), now);
+                let others = self.others.at(&endpoint.life, pace.read_rate(), now);
                 at_engine(load, others, work, engine, is_favourite, pace, now)
             }
             _ => self.at_service(load, endpoint, now),
--- a/crates/core/src/relay/engine/telling.rs
+++ b/crates/core/src/relay/engine/telling.rs
@@ -19,8 +19,8 @@
     pub fn tidings(&self, most: usize, now: Millis) -> Tidings {
         let all = self.endpoints.iter();
         let busy = all.filter(|(_, load)| load.running() > 0);
-        let shares = busy.map(|(name, load)| Share {
-            endpoint: tidings::key(name.as_str()),
+        let shares = busy.map(|(life, load)| Share {
+            endpoint: tidings::life_key(life),
             running: u32::try_from(load.running()).unwrap_or(u32::MAX),
             unread: load.unread(),
             held: load.held(),
@@ -63,8 +63,8 @@
         if times.is_empty() {
             return;
         }
-        for (name, load) in &mut self.endpoints {
-            if let Some(tenths) = times.get(&tidings::key(name.as_str())) {
+        for (life, load) in &mut self.endpoints {
+            if let Some(tenths) = times.get(&tidings::life_key(life)) {
                 load.beat.learn(f64::from(*tenths) / 10.0, now);
             }
         }
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -3,6 +3,13 @@
 //! An endpoint that is leaving gets nothing more. One that is merely missing from
 //! the list may be leaving too, or its entry may have lapsed while the platform
 //! was away, so it stays in reserve for a while.
+//!
+//! An endpoint may start again under its name. At most one life of a name is known: a
+//! row with a later start takes its place, and a row with an earlier start than any
+//! that is remembered of the name is not taken, in whatever order rows are read. A row
+//! without a start is taken as it comes, since an endpoint may have been put back to a
+//! program that does not tell its start. It is a life of its own beside those with one,
+//! and does not make an earlier start good again.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -14,9 +21,10 @@
 
 /// An endpoint as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Row", into = "Row")]
 pub struct Endpoint {
-    /// One life of the endpoint: a restart has another name.
-    pub name: name::Endpoint,
+    /// Which life of which endpoint.
+    pub life: name::Life,
     /// The service that it belongs to.
     pub service: String,
     /// Where it takes requests.
@@ -29,6 +37,50 @@
     pub leaving: bool,
 }
 
+/// An endpoint as it is written: its name and start side by side, the start last, so
+/// that rows without one stay readable.
+#[derive(Serialize, Deserialize)]
+struct Row {
+    name: name::Endpoint,
+    service: String,
+    address: SocketAddr,
+    data_centre: name::DataCentre,
+    slots: u32,
+    leaving: bool,
+    #[serde(default)]
+    started_unix: Option<Millis>,
+}
+
+impl From<Row> for Endpoint {
+    fn from(row: Row) -> Self {
+        Self {
+            life: name::Life {
+                id: row.name,
+                started_unix: row.started_unix,
+            },
+            service: row.service,
+            address: row.address,
+            data_centre: row.data_centre,
+            slots: row.slots,
+            leaving: row.leaving,
+        }
+    }
+}
+
+impl From<Endpoint> for Row {
+    fn from(endpoint: Endpoint) -> Self {
+        Self {
+            name: endpoint.life.id,
+            service: endpoint.service,
+            address: endpoint.address,
+            data_centre: endpoint.data_centre,
+            slots: endpoint.slots,
+            leaving: endpoint.leaving,
+            started_unix: endpoint.life.started_unix,
+        }
+    }
+}
+
 /// How far an endpoint may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -40,13 +92,44 @@
     Leaving,
 }
 
+/// What is known of one name.
+#[derive(Debug)]
+struct Known {
+    endpoint: Endpoint,
+    standing: Standing,
+    /// The life with the latest start that was listed. It outlasts a row without a start.
+    latest: name::Life,
+}
+
+impl Known {
+    fn new(endpoint: &Endpoint) -> Self {
+        let standing = if endpoint.leaving {
+            Standing::Leaving
+        } else {
+            Standing::Ready
+        };
+        Self {
+            endpoint: endpoint.clone(),
+            standing,
+            latest: endpoint.life.clone(),
+        }
+    }
+
+    fn is_reserve(&self) -> bool {
+        matches!(self.standing, Standing::Reserve(_))
+    }
+}
+
 /// The endpoints that are known.
 #[derive(Debug)]
 pub struct Roster {
     revision: u64,
     as_of: Millis,
     reserve: Millis,
-    endpoints: BTreeMap<name::Endpoint, (Endpoint, Standing)>,
+    /// By name, so that at most one life of each is known.
+    endpoints: BTreeMap<name::Endpoint, Known>,
+    /// Lives that are over and not yet given back by [`Roster::expire`].
+    over: Vec<name::Life>,
     /// The latest changes with their revisions, for entries that lack only these.
     recent: VecDeque<(u64, Change)>,
     /// The revision after which all changes are among the latest.
@@ -61,7 +144,7 @@
 pub enum Change {
     /// The endpoint is listed so now.
     Listed(Endpoint),
-    /// It is no longer listed.
+    /// It is no longer listed, whichever life of it was.
     Missing(name::Endpoint),
 }
 
@@ -73,6 +156,7 @@
             as_of: Millis::ZERO,
             reserve,
             endpoints: BTreeMap::new(),
+            over: Vec::new(),
             recent: VecDeque::new(),
             recent_after: 0,
         }
@@ -99,10 +183,8 @@
 
     /// The endpoints as they are listed, without those in reserve.
     pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
-        let listed = self.endpoints.values();
-        listed
-            .filter(|(_, standing)| !matches!(standing, Standing::Reserve(_)))
-            .map(|(endpoint, _)| endpoint)
+        let listed = self.endpoints.values().filter(|known| !known.is_reserve());
+        listed.map(|known| &known.endpoint)
     }
 
     /// Takes a whole list. An older one than the known is not taken.
@@ -119,13 +201,12 @@
             return Vec::new();
         }
         let known = self.endpoints.values();
-        let listed = |name: &name::Endpoint| list.iter().any(|it| it.name == *name);
-        let mut changes: Vec<_> = known
-            .filter(|(known, standing)| {
-                !matches!(standing, Standing::Reserve(_)) && !listed(&known.name)
-            })
-            .map(|(known, _)| Change::Missing(known.name.clone()))
-            .collect();
+        let is_in_list = |id: &name::Endpoint| list.iter().any(|it| it.life.id == *id);
+        let listed = known.filter(|known| !known.is_reserve());
+        let missing = listed
+            .map(|known| &known.endpoint.life.id)
+            .filter(|id| !is_in_list(id));
+        let mut changes: Vec<_> = missing.cloned().map(Change::Missing).collect();
         let news = list.into_iter().filter(|endpoint| self.is_news(endpoint));
         changes.extend(news.map(Change::Listed));
         // What came between the two lists is not known change by change.
@@ -142,16 +223,20 @@
     }
 
     fn is_news(&self, endpoint: &Endpoint) -> bool {
-        self.endpoints
-            .get(&endpoint.name)
-            .is_none_or(|(known, standing)| {
-                known != endpoint || matches!(standing, Standing::Reserve(_))
-            })
+        let known = self.endpoints.get(&endpoint.life.id);
+        let is_other = known.is_none_or(|it| it.endpoint != *endpoint || it.is_reserve());
+        is_other && !self.is_outlived(endpoint)
+    }
+
+    /// Whether a later life of the endpoint has been listed.
+    fn is_outlived(&self, endpoint: &Endpoint) -> bool {
+        let known = self.endpoints.get(&endpoint.life.id);
+        known.is_some_and(|known| endpoint.life.is_before(&known.latest))
     }
 
     /// Takes the changes that are newer than what is known, each with its revision.
     ///
-    /// Gives back those that were.
+    /// Gives back those that were, without rows of lives that are over.
     pub fn apply(
         &mut self,
         changes: Vec<(u64, Change)>,
@@ -162,18 +247,21 @@
         let newer = changes
             .into_iter()
             .filter(|(revision, _)| *revision > known);
-        let newer: Vec<_> = newer.collect();
-        for (revision, change) in &newer {
-            self.change(change, now);
-            self.reach(*revision, as_of);
-            self.recent.push_back((*revision, change.clone()));
+        let mut taken = Vec::new();
+        for (revision, change) in newer {
+            let is_taken = self.change(&change, now);
+            self.reach(revision, as_of);
+            self.recent.push_back((revision, change.clone()));
+            if is_taken {
+                taken.push((revision, change));
+            }
         }
         while self.recent.len() > MOST_RECENT {
             if let Some((revision, _)) = self.recent.pop_front() {
                 self.recent_after = revision;
             }
         }
-        newer
+        taken
     }
 
     /// The changes after a revision; none if not all of them are kept.
@@ -185,11 +273,14 @@
         Some(newer.cloned().collect())
     }
 
-    fn change(&mut self, change: &Change, now: Millis) {
+    /// Takes a change, unless it is of a life that is over; gives back whether it did.
+    fn change(&mut self, change: &Change, now: Millis) -> bool {
         match change {
+            Change::Listed(endpoint) if self.is_outlived(endpoint) => return false,
             Change::Listed(endpoint) => self.list(endpoint),
             Change::Missing(name) => self.miss(name, now),
         }
+        true
     }
 
     fn reach(&mut self, revision: u64, as_of: Millis) {
@@ -198,38 +289,48 @@
     }
 
     fn list(&mut self, endpoint: &Endpoint) {
-        let standing = if endpoint.leaving {
-            Standing::Leaving
-        } else {
-            Standing::Ready
-        };
-        self.endpoints
-            .insert(endpoint.name.clone(), (endpoint.clone(), standing));
+        let mut known = Known::new(endpoint);
+        if let Some(before) = self.endpoints.remove(&endpoint.life.id) {
+            if endpoint.life.started_unix.is_none() {
+                known.latest = before.latest;
+            }
+            if before.endpoint.life != endpoint.life {
+                self.over.push(before.endpoint.life);
+            }
+        }
+        self.endpoints.insert(endpoint.life.id.clone(), known);
     }
 
     fn miss(&mut self, name: &name::Endpoint, now: Millis) {
         let until = now + self.reserve;
-        match self.endpoints.get_mut(name) {
-            Some((_, standing @ Standing::Ready)) => *standing = Standing::Reserve(until),
-            Some((_, Standing::Leaving)) => {
-                self.endpoints.remove(name);
+        let Some(known) = self.endpoints.get_mut(name) else {
+            return;
+        };
+        match known.standing {
+            Standing::Ready => known.standing = Standing::Reserve(until),
+            Standing::Leaving => {
+                let gone = self.endpoints.remove(name);
+                self.over.extend(gone.map(|known| known.endpoint.life));
             }
-            Some((_, Standing::Reserve(_))) | None => {}
+            Standing::Reserve(_) => {}
         }
     }
 
-    /// Forgets endpoints whose time in reserve is over. Gives back their names.
-    pub fn expire(&mut self, now: Millis) -> Vec<name::Endpoint> {
-        let over =
+    /// Forgets endpoints whose time in reserve is over. Gives back these, those that had
+    /// left, and the lives whose place another one has taken, since the last time.
+    pub fn expire(&mut self, now: Millis) -> Vec<name::Life> {
+        let is_over =
             |standing: &Standing| matches!(standing, Standing::Reserve(until) if *until <= now);
-        let known = self.endpoints.iter();
-        let gone: Vec<_> = known
-            .filter(|(_, (_, standing))| over(standing))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &gone {
-            self.endpoints.remove(name);
-        }
+        let mut gone = std::mem::take(&mut self.over);
+        self.endpoints.retain(|_, known| {
+            let is_over = is_over(&known.standing);
+            if is_over {
+                gone.push(known.endpoint.life.clone());
+            }
+            !is_over
+        });
+        // One may have come back meanwhile, as a row without a start does.
+        gone.retain(|life| self.get(life).is_none());
         gone
     }
 
@@ -238,23 +339,25 @@
     pub fn usable(&self, service: &str, now: Millis) -> Vec<&Endpoint> {
         let of_service = || {
             let known = self.endpoints.values();
-            known.filter(|(endpoint, _)| endpoint.service == service)
+            known.filter(|known| known.endpoint.service == service)
         };
         let ready: Vec<_> = of_service()
-            .filter(|(_, standing)| *standing == Standing::Ready)
-            .map(|(endpoint, _)| endpoint)
+            .filter(|known| known.standing == Standing::Ready)
+            .map(|known| &known.endpoint)
             .collect();
         if !ready.is_empty() {
             return ready;
         }
         of_service()
-            .filter(|(_, standing)| matches!(standing, Standing::Reserve(until) if *until > now))
-            .map(|(endpoint, _)| endpoint)
+            .filter(|known| matches!(known.standing, Standing::Reserve(until) if until > now))
+            .map(|known| &known.endpoint)
             .collect()
     }
 
-    /// An endpoint by its name.
-    pub fn get(&self, name: &str) -> Option<&Endpoint> {
-        self.endpoints.get(name).map(|(endpoint, _)| endpoint)
+    /// An endpoint, if it is known and this life of it is the one that is.
+    pub fn get(&self, life: &name::Life) -> Option<&Endpoint> {
+        let known = self.endpoints.get(&life.id);
+        let endpoint = known.map(|known| &known.endpoint);
+        endpoint.filter(|endpoint| endpoint.life == *life)
     }
 }
--- a/crates/core/src/relay/tidings.rs
+++ b/crates/core/src/relay/tidings.rs
@@ -16,7 +16,8 @@
 /// What one entry has in flight at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
-    /// Which endpoint: the [`key`] of its name.
+    /// Which life of which endpoint: its [`life_key`]. News of an earlier life so never
+    /// count for a later one.
     pub endpoint: u32,
     /// Requests of the entry there.
     pub running: u32,
@@ -102,8 +103,8 @@
     }
 
     /// What the others have at an endpoint that reads so many tokens in a ms.
-    pub fn at(&self, endpoint: &name::Endpoint, read_rate: f64, now: Millis) -> Elsewhere {
-        let key = key(endpoint.as_str());
+    pub fn at(&self, endpoint: &name::Life, read_rate: f64, now: Millis) -> Elsewhere {
+        let key = life_key(endpoint);
         let mut elsewhere = Elsewhere::default();
         let mut read = 0.0;
         for told in self.live(now) {
@@ -146,11 +147,37 @@
 /// The short form of a name. Two names share one with a probability of one in
 /// four thousand millions; their loads are then summed.
 pub fn key(name: &str) -> u32 {
-    let hash = hash(name);
-    // The lower half of an evenly mixed number.
+    short(hash(name))
+}
+
+/// The short form of an endpoint's life, as [`key`] is of a name.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::name::{Endpoint, Life};
+/// use woodgap_core::relay::tidings;
+///
+/// let unknown = Life::from(Endpoint::from("e-1"));
+/// let known = Life { started_unix: Some(Millis(1_000)), ..unknown.clone() };
+/// assert_eq!(tidings::life_key(&unknown), tidings::key("e-1"));
+/// assert_ne!(tidings::life_key(&known), tidings::life_key(&unknown));
+/// ```
+pub fn life_key(life: &name::Life) -> u32 {
+    short(life_hash(life))
+}
+
+/// A hash of an endpoint's life that is the same in all entries.
+pub fn life_hash(life: &name::Life) -> u64 {
+    let hash = hash(life.id.as_str());
+    let started = life.started_unix;
+    started.map_or(hash, |started| prefix::mix(hash, started.0))
+}
+
+/// The lower half of an evenly mixed number.
+fn short(hash: u64) -> u32 {
     #[allow(clippy::cast_possible_truncation)]
-    let key = hash as u32;
-    key
+    let short = hash as u32;
+    short
 }
 
 /// A hash of a name that is the same in all entries.
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -10,7 +10,7 @@
 use woodgap_core::relay::roster::Endpoint;
 use woodgap_core::relay::work::{Part, Work};
 
-use crate::roster::endpoint;
+use crate::roster::{endpoint, life, started};
 
 pub const ENGINE: Engine = Engine {
     slots: 64,
@@ -94,7 +94,7 @@
         let choice = self.choose(ask, now).expect("an endpoint is open");
         let ticket = self.loads.begin(&choice, ask, Millis(now));
         self.tickets.push(ticket);
-        choice.endpoint.name.to_string()
+        choice.endpoint.life.id.to_string()
     }
 
     /// Sends a request that is answered at once and ends.
@@ -171,7 +171,7 @@
     let mut first = Entry::new(4);
     let mut second = Entry::new(4);
     let busy = first.send(&ask(&caption(7, 1)), 0);
-    first.endpoints.retain(|it| it.name.as_str() == busy);
+    first.endpoints.retain(|it| it.life.id.as_str() == busy);
     for own in 2..30 {
         first.send(&ask(&caption(7, own)), 0);
     }
@@ -208,7 +208,7 @@
 fn only_a_lost_endpoint_is_closed(#[case] sign: Sign, #[case] is_open: bool) {
     let mut entry = Entry::new(1);
     entry.serve(&PLAIN, 0);
-    let name = name::Endpoint::from("e0");
+    let name = life("e0");
     entry.loads.note(&name, sign, Millis(1));
     assert_eq!(entry.choose(&PLAIN, 2).is_some(), is_open);
 }
@@ -222,10 +222,10 @@
         waiting: 100,
         slots: 64,
     };
-    let name = name::Endpoint::from(busy.as_str());
+    let name = life(&busy);
     entry.loads.report(&name, report, Millis(0));
     assert_ne!(entry.serve(&PLAIN, 1), busy);
-    entry.endpoints.retain(|it| it.name == name);
+    entry.endpoints.retain(|it| it.life == name);
     let mut wait = |now| entry.choose(&PLAIN, now).map_or(0.0, |it| it.wait);
     let (fresh, faded, gone) = (wait(1), wait(500), wait(1_000));
     assert!(fresh > faded && faded > gone, "{fresh} {faded} {gone}");
@@ -281,3 +281,81 @@
     assert_eq!(plain.likely_end(true, Millis(1_000)), None);
     assert!(plain.likely_end(false, Millis(1_000)).is_some());
 }
+
+/// The endpoints of an entry in the lives that began at a moment.
+fn begin_again(entry: &mut Entry, at: u64) {
+    for (number, endpoint) in entry.endpoints.iter_mut().enumerate() {
+        *endpoint = started(&format!("e{number}"), at);
+    }
+}
+
+/// The first requests meet a new life as they would meet an endpoint never heard of.
+#[rstest]
+#[case::running(|entry: &mut Entry| { entry.send(&ask(&caption(7, 1)), 0); })]
+#[case::kept_parts(|entry: &mut Entry| { entry.serve(&ask(&caption(7, 1)), 0); })]
+#[case::failures(|entry: &mut Entry| {
+    entry.serve(&ask(&caption(7, 1)), 0);
+    let life = entry.endpoints[0].life.clone();
+    entry.loads.note(&life, Sign::Bad, Millis(0));
+    entry.loads.note(&life, Sign::Lost, Millis(0));
+})]
+#[case::reported_load(|entry: &mut Entry| {
+    entry.serve(&ask(&caption(7, 1)), 0);
+    let life = entry.endpoints[0].life.clone();
+    let report = Report { running: 64, waiting: 100, slots: 64 };
+    entry.loads.report(&life, report, Millis(0));
+})]
+#[case::told_by_others(|entry: &mut Entry| {
+    let mut other = Entry::new(1);
+    other.endpoints.clone_from(&entry.endpoints);
+    other.send(&ask(&caption(7, 1)), 0);
+    let tidings = other.loads.tidings(48, Millis(0));
+    entry.loads.tell(&name::Entry::from("other"), &tidings, Millis(0));
+    // What is learnt of the service as a whole stays.
+    entry.serve(&ask(&caption(8, 1)), 0);
+})]
+fn a_new_life_begins_with_nothing(#[case] happen: fn(&mut Entry)) {
+    let mut entry = Entry::new(1);
+    begin_again(&mut entry, 100);
+    happen(&mut entry);
+    let met = entry.choose(&ask(&caption(7, 2)), 1);
+    begin_again(&mut entry, 200);
+    let again = entry.choose(&ask(&caption(7, 2)), 1).expect("it is open");
+    entry.endpoints = vec![started("e-never-heard-of", 100)];
+    let fresh = entry.choose(&ask(&caption(7, 2)), 1).expect("it is open");
+    let figures = |it: &Choice| {
+        (
+            it.own,
+            it.kept,
+            format!("{:?}", (it.wait, it.running, it.cost)),
+        )
+    };
+    assert_eq!(figures(&again), figures(&fresh));
+    // Of the earlier life, something was known.
+    assert_ne!(met.as_ref().map(figures), Some(figures(&again)));
+}
+
+/// Reports, failures and ends of an earlier life do not count for the later one.
+#[test]
+fn late_news_of_an_earlier_life_do_not_count_for_the_later_one() {
+    let mut entry = Entry::new(1);
+    begin_again(&mut entry, 100);
+    let earlier = entry.endpoints[0].life.clone();
+    entry.send(&PLAIN, 0);
+    begin_again(&mut entry, 200);
+    entry.send(&PLAIN, 1);
+    let before = entry.choose(&PLAIN, 2);
+    let report = Report {
+        running: 64,
+        waiting: 100,
+        slots: 64,
+    };
+    entry.loads.report(&earlier, report, Millis(2));
+    entry.loads.note(&earlier, Sign::Lost, Millis(2));
+    let ticket = entry.tickets.remove(0);
+    entry.loads.end(&ticket, Millis(2));
+    entry.loads.forget(&[earlier]);
+    let after = entry.choose(&PLAIN, 2);
+    assert!(after.is_some());
+    assert_eq!(after, before);
+}
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -1,5 +1,6 @@
 //! Which endpoints may be sent to.
 
+use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
@@ -8,9 +9,14 @@
 
 const RESERVE: Millis = Millis(1_600);
 
+/// One whose start is not known.
+pub fn life(id: &str) -> name::Life {
+    name::Life::from(name::Endpoint::from(id))
+}
+
 pub fn endpoint(name: &str) -> Endpoint {
     Endpoint {
-        name: name::Endpoint::from(name),
+        life: life(name),
         service: "engines".to_owned(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: name::DataCentre::from("dub-a"),
@@ -19,6 +25,13 @@
     }
 }
 
+/// One that started at this moment.
+pub fn started(name: &str, at: u64) -> Endpoint {
+    let mut endpoint = endpoint(name);
+    endpoint.life.started_unix = Some(Millis(at));
+    endpoint
+}
+
 fn leaving(name: &str) -> Endpoint {
     Endpoint {
         leaving: true,
@@ -34,7 +47,7 @@
 
 fn usable(roster: &Roster, now: u64) -> Vec<&str> {
     let usable = roster.usable("engines", Millis(now));
-    usable.iter().map(|it| it.name.as_str()).collect()
+    usable.iter().map(|it| it.life.id.as_str()).collect()
 }
 
 #[test]
@@ -60,7 +73,7 @@
     let gone = Change::Missing(name::Endpoint::from("a"));
     roster.apply(vec![(11, gone)], Millis(5), Millis(5));
     assert!(usable(&roster, 5).is_empty());
-    assert!(roster.get("a").is_none());
+    assert!(roster.get(&life("a")).is_none());
 }
 
 #[rstest]
@@ -79,7 +92,7 @@
     roster.replace(vec![], 11, Millis(0), Millis(0));
     assert_eq!(usable(&roster, 1_599), ["a"]);
     assert!(usable(&roster, 1_600).is_empty());
-    assert_eq!(roster.expire(Millis(1_600)), [name::Endpoint::from("a")]);
+    assert_eq!(roster.expire(Millis(1_600)), [life("a")]);
 }
 
 #[test]
@@ -151,3 +164,182 @@
     roster.replace(vec![endpoint("a")], 11, Millis(6), Millis(6));
     assert_eq!(roster.revision(), 11);
 }
+
+fn starts(roster: &Roster) -> Vec<Option<Millis>> {
+    let usable = roster.usable("engines", Millis(5));
+    usable.iter().map(|it| it.life.started_unix).collect()
+}
+
+fn row(endpoint: &Endpoint) -> Change {
+    Change::Listed(endpoint.clone())
+}
+
+/// Takes rows as the feed brings them, each newer than the one before.
+fn feed(roster: &mut Roster, rows: &[Change]) {
+    let revisions = roster.revision() + 1..;
+    let changes = revisions.zip(rows.iter().cloned()).collect();
+    roster.apply(changes, Millis(5), Millis(5));
+}
+
+#[rstest]
+#[case::by_feed(false)]
+#[case::by_list(true)]
+fn a_later_life_takes_the_place_of_the_earlier_one(#[case] by_list: bool) {
+    let (first, second) = (started("a", 100), started("a", 200));
+    let mut roster = roster(vec![first.clone()]);
+    if by_list {
+        roster.replace(vec![second.clone()], 11, Millis(5), Millis(5));
+    } else {
+        feed(&mut roster, &[row(&second)]);
+    }
+    assert_eq!(starts(&roster), [Some(Millis(200))]);
+    assert!(roster.get(&first.life).is_none());
+    assert_eq!(roster.get(&second.life), Some(&second));
+    // What is kept of the earlier life is to be forgotten, once.
+    assert_eq!(roster.expire(Millis(6)), [first.life]);
+    assert!(roster.expire(Millis(7)).is_empty());
+}
+
+#[rstest]
+#[case::ready(started("a", 100))]
+#[case::leaving(Endpoint { leaving: true, ..started("a", 100) })]
+fn a_row_of_an_earlier_life_changes_nothing(#[case] earlier: Endpoint) {
+    let later = started("a", 200);
+    let mut by_feed = roster(vec![later.clone()]);
+    let told = vec![(11, row(&earlier))];
+    assert!(by_feed.apply(told, Millis(5), Millis(5)).is_empty());
+    // The feed goes on from there all the same, also for entries that ask this one.
+    assert_eq!(by_feed.revision(), 11);
+    assert_eq!(by_feed.since(10), Some(vec![(11, row(&earlier))]));
+    let mut by_list = roster(vec![later.clone()]);
+    let changes = by_list.replace(vec![earlier], 11, Millis(5), Millis(5));
+    assert!(changes.is_empty(), "{changes:?}");
+    for roster in [&mut by_feed, &mut by_list] {
+        assert_eq!(roster.get(&later.life), Some(&later));
+        assert_eq!(starts(roster), [Some(Millis(200))]);
+        assert!(roster.expire(Millis(6)).is_empty());
+    }
+}
+
+#[test]
+fn a_row_of_a_missing_life_does_not_bring_an_earlier_one_back() {
+    let mut roster = roster(vec![started("a", 200)]);
+    let gone = Change::Missing(name::Endpoint::from("a"));
+    feed(&mut roster, &[gone, row(&started("a", 100))]);
+    assert_eq!(starts(&roster), [Some(Millis(200))]);
+}
+
+#[test]
+fn the_end_of_a_row_ends_whichever_life_is_known() {
+    let later = Endpoint {
+        leaving: true,
+        ..started("a", 200)
+    };
+    let mut roster = roster(vec![started("a", 100)]);
+    let gone = Change::Missing(name::Endpoint::from("a"));
+    feed(&mut roster, &[row(&later), gone]);
+    assert!(roster.get(&later.life).is_none());
+    assert_eq!(
+        roster.expire(Millis(6)),
+        [started("a", 100).life, later.life]
+    );
+}
+
+#[test]
+fn a_row_without_a_start_is_taken_as_it_comes() {
+    let mut roster = roster(vec![started("a", 200)]);
+    feed(&mut roster, &[row(&endpoint("a"))]);
+    assert_eq!(starts(&roster), [None]);
+    // It does not make an earlier start good again.
+    feed(&mut roster, &[row(&started("a", 100))]);
+    assert_eq!(starts(&roster), [None]);
+    feed(&mut roster, &[row(&started("a", 200))]);
+    assert_eq!(starts(&roster), [Some(Millis(200))]);
+}
+
+#[test]
+fn a_row_without_a_start_reads_as_before() {
+    let mut written = serde_json::to_value(endpoint("a")).unwrap();
+    written.as_object_mut().unwrap().remove("started_unix");
+    let read: Endpoint = serde_json::from_value(written).unwrap();
+    assert_eq!(read, endpoint("a"));
+    let written = serde_json::to_value(started("a", 200)).unwrap();
+    let read: Endpoint = serde_json::from_value(written).unwrap();
+    assert_eq!(read, started("a", 200));
+}
+
+/// How rows reach an entry.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    List,
+    Feed,
+    /// Another entry's changes, of a revision that may be known already.
+    Entry(u64),
+}
+
+fn way() -> impl Strategy<Value = Way> {
+    prop_oneof![
+        Just(Way::List),
+        Just(Way::Feed),
+        (0_u64..20).prop_map(Way::Entry)
+    ]
+}
+
+proptest! {
+    /// Rows of several lives in any order, by any way: the start that is known of a name
+    /// never falls, the last life to be known is the latest one told, and each life that
+    /// another one replaced is given back to be forgotten.
+    #[test]
+    fn no_order_of_news_brings_an_earlier_life_back(
+        news in proptest::collection::vec((1_u64..6, any::<bool>(), way()), 1..40),
+    ) {
+        let mut roster = roster(vec![]);
+        let mut latest = None;
+        for (start, leaving, way) in news {
+            let told = Endpoint { leaving, ..started("a", start) };
+            let known = roster.revision();
+            let lives = || (0..6).map(|it| started("a", it).life);
+            let before = lives().find(|it| roster.get(it).is_some());
+            let revision = match way {
+                Way::List | Way::Feed => known + 1,
+                Way::Entry(revision) => revision,
+            };
+            match way {
+                Way::List => {
+                    roster.replace(vec![told], revision, Millis(5), Millis(5));
+                }
+                Way::Feed | Way::Entry(_) => {
+                    roster.apply(vec![(revision, row(&told))], Millis(5), Millis(5));
+                }
+            }
+            if revision > known {
+                latest = latest.max(Some(Millis(start)));
+            }
+            let now = lives().find(|it| roster.get(it).is_some());
+            prop_assert_eq!(now.as_ref().and_then(|it| it.started_unix), latest);
+            let gone = roster.expire(Millis(5));
+            let replaced = before.filter(|it| now.as_ref() != Some(it));
+            prop_assert_eq!(gone, Vec::from_iter(replaced));
+        }
+    }
+
+    /// Two entries that heard the same rows in different orders know the same life.
+    #[test]
+    fn entries_agree_on_the_life_whatever_the_order(
+        starts in Just((1_u64..8).collect::<Vec<_>>()).prop_shuffle(),
+    ) {
+        let mut roster = roster(vec![]);
+        let rows: Vec<_> = starts.iter().map(|it| row(&started("a", *it))).collect();
+        feed(&mut roster, &rows);
+        let latest = started("a", 7);
+        prop_assert_eq!(roster.get(&latest.life), Some(&latest));
+        prop_assert_eq!(roster.expire(Millis(5)).len(), starts.iter().position(|it| *it == 7)
+            .map_or(0, |place| rises(&starts[..=place])));
+    }
+}
+
+/// How often a start follows that is later than all before it, after the first.
+fn rises(starts: &[u64]) -> usize {
+    let rises = (1..starts.len()).filter(|it| starts[..*it].iter().all(|one| one < &starts[*it]));
+    rises.count()
+}
--- a/crates/core/tests/relay/source.rs
+++ b/crates/core/tests/relay/source.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 
 use woodgap_core::clock::Millis;
-use woodgap_core::name;
 use woodgap_core::relay::Ask;
 use woodgap_core::relay::health::Sign;
 use woodgap_core::relay::plan::Engine;
 use woodgap_core::relay::work::{Part, Work};
 
 use crate::engine::{ENGINE, Entry, ask, caption};
+use crate::roster::life;
 
 /// Engines that give kept prompt parts to one another.
 const MOVING: Engine = Engine {
@@ -34,8 +34,8 @@
     for own in 2..60 {
         let work = caption(7, own);
         let choice = entry.choose(&moving(&work), 10).expect("an engine is open");
-        let source = choice.source.as_ref().map(|it| it.name.to_string());
-        if choice.endpoint.name.as_str() == keeper {
+        let source = choice.source.as_ref().map(|it| it.life.id.to_string());
+        if choice.endpoint.life.id.as_str() == keeper {
             assert_eq!(source, None);
         } else if choice.kept == 0 {
             assert_eq!(source, Some(keeper.clone()));
@@ -62,12 +62,12 @@
 fn nothing_is_taken_from_a_lost_engine() {
     let mut entry = Entry::new(3);
     let keeper = entry.serve(&moving(&caption(7, 1)), 0);
-    let name = name::Endpoint::from(keeper.as_str());
+    let name = life(&keeper);
     entry.loads.note(&name, Sign::Lost, Millis(5));
     for own in 2..20 {
         let work = caption(7, own);
         let choice = entry.choose(&moving(&work), 10).expect("an engine is open");
-        let source = choice.source.map(|it| it.name);
+        let source = choice.source.map(|it| it.life);
         assert_ne!(source, Some(name.clone()));
         entry.send(&moving(&work), 10);
     }
@@ -99,8 +99,8 @@
         let mut entry = Entry::new(9);
         let work = album(subject, subject + 1_000);
         let choice = entry.choose(&moving(&work), 0).expect("an engine is open");
-        let source = choice.source.map(|it| it.name.to_string());
-        let endpoint = choice.endpoint.name.to_string();
+        let source = choice.source.map(|it| it.life.id.to_string());
+        let endpoint = choice.endpoint.life.id.to_string();
         if source.is_none() {
             // It is the common keeper itself.
             sources.insert(endpoint);
@@ -120,6 +120,6 @@
     let keeper = entry.serve(&moving(&album(7, 1)), 0);
     let work = album(7, 2);
     let choice = entry.choose(&moving(&work), 10).expect("an engine is open");
-    assert_eq!(choice.endpoint.name.as_str(), keeper);
+    assert_eq!(choice.endpoint.life.id.as_str(), keeper);
     assert_eq!(choice.source, None);
 }
--- a/crates/fake/tests/placement/site.rs
+++ b/crates/fake/tests/placement/site.rs
@@ -120,7 +120,7 @@
         } = layout;
         let data_centre = |at: usize| name::DataCentre::from(["dub-a", "dub-b", "dub-c"][at % 3]);
         let endpoint = |at: usize| Endpoint {
-            name: name::Endpoint::from(format!("i-{at}")),
+            life: name::Life::from(name::Endpoint::from(format!("i-{at}"))),
             service: "engines".to_owned(),
             address: ([10, 0, 0, 1], 80).into(),
             data_centre: data_centre(at),
@@ -173,11 +173,11 @@
         for place in engines {
             self.down.push(place);
             self.engines[place] = Engine::new(Make::MIDDLING);
-            let name = &self.endpoints[place].name;
+            let life = &self.endpoints[place].life;
             let lost: Vec<u64> = self
                 .sent
                 .iter()
-                .filter(|(_, sent)| sent.ticket.endpoint() == name)
+                .filter(|(_, sent)| sent.ticket.endpoint() == life)
                 .map(|(number, _)| *number)
                 .collect();
             for number in lost {
@@ -186,7 +186,7 @@
                 }
             }
             for entry in &mut self.entries {
-                entry.note(name, Sign::Lost, Millis(self.now));
+                entry.note(life, Sign::Lost, Millis(self.now));
             }
         }
     }
@@ -194,9 +194,9 @@
     /// Brings all engines back, with nothing kept.
     pub fn restart(&mut self) {
         for place in std::mem::take(&mut self.down) {
-            let name = &self.endpoints[place].name;
+            let life = &self.endpoints[place].life;
             for entry in &mut self.entries {
-                entry.note(name, Sign::Good, Millis(self.now));
+                entry.note(life, Sign::Good, Millis(self.now));
             }
         }
     }
@@ -277,7 +277,7 @@
             .choose(&endpoints, &ask, Millis(now))
             .expect("an engine is open");
         let ticket = loads.begin(&choice, &ask, Millis(now));
-        let place = self.place(&choice.endpoint.name);
+        let place = self.place(&choice.endpoint.life);
         self.engines[place].take(Request {
             number: self.next,
             work,
@@ -296,9 +296,9 @@
         self.sent.insert(self.next, sent);
     }
 
-    fn place(&self, name: &name::Endpoint) -> usize {
+    fn place(&self, life: &name::Life) -> usize {
         let mut endpoints = self.endpoints.iter();
-        let place = endpoints.position(|it| it.name == *name);
+        let place = endpoints.position(|it| it.life == *life);
         place.expect("the engine exists")
     }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -14,6 +14,7 @@
 
 use crate::source::{Endpoints, Error, News};
 use crate::state::State;
+use crate::upkeep;
 
 /// By how much less, at most, a question about the plan is held: entries that ask
 /// at different moments confirm the plan to one another in between.
@@ -213,6 +214,7 @@
 ) {
     let now = state.now();
     let changes = state.roster.borrow_mut().replace(all, revision, as_of, now);
+    upkeep::drop_gone(state, now);
     if changes.len() <= MOST_LINES {
         tell(&changes, revision, source);
     } else {
@@ -231,6 +233,7 @@
 pub fn take_changes(state: &State, changes: Vec<(u64, Change)>, as_of: Millis, source: &str) {
     let now = state.now();
     let newer = state.roster.borrow_mut().apply(changes, as_of, now);
+    upkeep::drop_gone(state, now);
     for (revision, change) in newer {
         tell(&[change], revision, source);
         state.news.notify_one();
@@ -241,7 +244,8 @@
     for change in changes {
         match change {
             Change::Listed(endpoint) => log::info!(
-                endpoint = endpoint.name.as_str(), service = endpoint.service,
+                endpoint = endpoint.life.id.as_str(), service = endpoint.service,
+                started_unix_ms = endpoint.life.started_unix.map(|started| started.0),
                 address = endpoint.address.to_string(), leaving = endpoint.leaving,
                 revision = revision, source = source;
                 "an endpoint is listed"
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -13,7 +13,7 @@
 
 use crate::follow;
 use crate::gossip::exchange::knowledge;
-use crate::gossip::message::{Fetch, Fetched, Listed};
+use crate::gossip::message::{FORM, Fetch, Fetched, Listed};
 use crate::state::State;
 
 /// The longest time for one exchange.
@@ -114,11 +114,15 @@
 async fn write(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
     let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_u8(FORM).await?;
     stream.write_u32(length).await?;
     stream.write_all(&bytes).await
 }
 
 async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+    if stream.read_u8().await? != FORM {
+        return Err(io::Error::other("the message has another form"));
+    }
     let length = stream.read_u32().await?;
     if length > MOST_BYTES {
         return Err(io::Error::other("the message is too large"));
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -8,8 +8,9 @@
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::tidings::Tidings;
 
-/// The first byte of each datagram: the version of this form.
-pub const FORM: u8 = 5;
+/// The first byte of each message: the version of this form. Entries of another form
+/// are not heard, so that nothing is read for what it is not.
+pub const FORM: u8 = 6;
 /// The largest datagram, in bytes: what passes every link whole.
 pub const MOST_BYTES: usize = 1_400;
 /// The most endpoints whose load one message tells of.
--- a/crates/relay/src/request/account.rs
+++ b/crates/relay/src/request/account.rs
@@ -116,7 +116,7 @@
 
     /// Notes a choice of endpoint and the figures that it was made by.
     pub fn choose(&mut self, choice: &Choice) {
-        self.endpoint = choice.endpoint.name.to_string();
+        self.endpoint = choice.endpoint.life.id.to_string();
         self.choice = Some(choice.clone());
     }
 
@@ -243,7 +243,7 @@
             queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
             unread_tokens = figure(|it| it.unread), expected_run_ms = figure(|it| it.run),
             kept_tokens = choice.map_or(0, |it| it.kept),
-            prompt_source = source.map_or("", |it| it.name.as_str()),
+            prompt_source = source.map_or("", |it| it.life.id.as_str()),
             target_ms = target.0, gap_ms = gap.0, longest_pause_ms = self.longest_pause.0,
             prompt_tokens = prompt_tokens, output_tokens = output_tokens,
             connection_age_ms = self.connection_age.0,
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -122,7 +122,7 @@
             ));
         }
         log::warn!(
-            request = request.call.id, endpoint = place.endpoint().to_string(),
+            request = request.call.id, endpoint = place.endpoint().id.as_str(),
             answered = state.dialect.reply(&answer).id.unwrap_or("");
             "an answer to another request was skipped"
         );
@@ -178,14 +178,14 @@
     account.choose(choice);
     let now = state.now();
     let most = state.rests.borrow().most(&endpoint.service, now);
-    let resting = state.pool.borrow_mut().take(&endpoint.name, most, now);
+    let resting = state.pool.borrow_mut().take(&endpoint.life, most, now);
     if let Some(resting) = resting {
         return Ok(resting);
     }
     state.metrics.connects.inc();
     let opened = Connection::open(endpoint.address).await;
     if opened.is_err() {
-        state.pool.borrow_mut().close(&endpoint.name);
+        state.pool.borrow_mut().close(&endpoint.life);
     }
     Ok((opened?, Millis::ZERO))
 }
--- a/crates/relay/src/request/forward.rs
+++ b/crates/relay/src/request/forward.rs
@@ -55,7 +55,7 @@
     }
     let stamp = Stamp {
         left: request.deadline - state.now(),
-        endpoint: &choice.endpoint.name,
+        endpoint: &choice.endpoint.life.id,
         workspace: request.workspace.as_deref().map(|it| it.name.as_str()),
         urgency: request.urgency,
         source: choice.source.as_ref().map(|it| it.address),
--- a/crates/relay/src/request/place.rs
+++ b/crates/relay/src/request/place.rs
@@ -40,7 +40,7 @@
     }
 
     /// Where it is.
-    pub fn endpoint(&self) -> &name::Endpoint {
+    pub fn endpoint(&self) -> &name::Life {
         self.ticket.endpoint()
     }
 
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -86,7 +86,7 @@
 /// The attempts at one request so far.
 #[derive(Default)]
 struct Attempts {
-    tried: Vec<name::Endpoint>,
+    tried: Vec<name::Life>,
     unsent: u32,
     sent: u32,
     verdict: Option<Verdict>,
@@ -110,14 +110,14 @@
             Ok(answer) if !attempts.may_improve(state, request, &answer) => return Ok(answer),
             Ok(answer) => {
                 attempts.sent += 1;
-                attempts.tried.push(choice.endpoint.name);
+                attempts.tried.push(choice.endpoint.life);
                 attempts.failed_answer = Some(answer);
                 continue;
             }
             Err(failure) => failure,
         };
         account.failed(&failure.to_string());
-        attempts.note(&failure, choice.endpoint.name);
+        attempts.note(&failure, choice.endpoint.life);
         if let Some(problem) = attempts.must_end(state, request, &failure) {
             return attempts.end(problem);
         }
@@ -132,8 +132,8 @@
     let limit = connection_limit(state, request);
     let open: Vec<_> = usable
         .into_iter()
-        .filter(|endpoint| !attempts.tried.contains(&endpoint.name))
-        .filter(|endpoint| state.pool.borrow().busy(&endpoint.name) < limit)
+        .filter(|endpoint| !attempts.tried.contains(&endpoint.life))
+        .filter(|endpoint| state.pool.borrow().busy(&endpoint.life) < limit)
         .collect();
     let choice = state.loads.borrow_mut().choose(&open, &request.ask(), now);
     let missing = || {
@@ -199,7 +199,7 @@
             && state.spend_repeat(&request.service.name)
     }
 
-    fn note(&mut self, failure: &Failure, endpoint: name::Endpoint) {
+    fn note(&mut self, failure: &Failure, endpoint: name::Life) {
         self.tried.push(endpoint);
         if matches!(failure, Failure::Unsent(_)) {
             self.unsent += 1;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -80,7 +80,7 @@
     /// Whether something is being fetched from another entry.
     pub is_fetching: Cell<bool>,
     /// Endpoints that are being connected to, to see whether they are back.
-    pub connecting: RefCell<HashSet<name::Endpoint>>,
+    pub connecting: RefCell<HashSet<name::Life>>,
     incarnation: name::Incarnation,
     started: Millis,
     /// Until when it stands in for the readers of the platform.
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -34,12 +34,7 @@
 }
 
 fn round(state: &Rc<State>, now: Millis) {
-    let gone = state.roster.borrow_mut().expire(now);
-    for endpoint in &gone {
-        log::info!(endpoint = endpoint.as_str(); "an endpoint is taken for gone");
-        state.pool.borrow_mut().close(endpoint);
-    }
-    state.loads.borrow_mut().forget(&gone);
+    drop_gone(state, now);
     state.pool.borrow_mut().sweep(now);
     let due = state.loads.borrow().due(now);
     for endpoint in due {
@@ -48,10 +43,24 @@
     gauges(state, now);
 }
 
+/// Forgets all of lives that are over: their load, and their resting connections.
+pub fn drop_gone(state: &State, now: Millis) {
+    let gone = state.roster.borrow_mut().expire(now);
+    for life in &gone {
+        log::info!(
+            endpoint = life.id.as_str(),
+            started_unix_ms = life.started_unix.map(|started| started.0);
+            "an endpoint is taken for gone"
+        );
+        state.pool.borrow_mut().close(life);
+    }
+    state.loads.borrow_mut().forget(&gone);
+}
+
 /// Connects to a suspended endpoint, to see whether it is back: no request has
 /// to wait for that.
-fn try_again(state: &Rc<State>, endpoint: name::Endpoint) {
-    let known = state.roster.borrow().get(endpoint.as_str()).cloned();
+fn try_again(state: &Rc<State>, endpoint: name::Life) {
+    let known = state.roster.borrow().get(&endpoint).cloned();
     let Some(known) = known else {
         state.loads.borrow_mut().forget(&[endpoint]);
         return;
@@ -70,7 +79,7 @@
         };
         state.loads.borrow_mut().note(&endpoint, sign, now);
         if let Ok(connection) = opened {
-            log::info!(endpoint = endpoint.as_str(); "an endpoint can be connected to again");
+            log::info!(endpoint = endpoint.id.as_str(); "an endpoint can be connected to again");
             state
                 .pool
                 .borrow_mut()
--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -15,11 +15,11 @@
 /// The most connections that rest for one endpoint.
 const MOST_RESTING: usize = 16;
 
-/// Connections by endpoint. A restarted endpoint has another name and so never
-/// gets a request on a connection of its former life.
+/// Connections by an endpoint's life: one that starts again under its name never gets
+/// a request on a connection of its former life.
 #[derive(Debug, Default)]
 pub struct Pool {
-    lines: HashMap<name::Endpoint, Line>,
+    lines: HashMap<name::Life, Line>,
 }
 
 #[derive(Debug, Default)]
@@ -40,7 +40,7 @@
     /// has rested; `most` is the longest rest, where there is a bound.
     pub fn take(
         &mut self,
-        endpoint: &name::Endpoint,
+        endpoint: &name::Life,
         most: Option<Millis>,
         now: Millis,
     ) -> Option<(Connection, Millis)> {
@@ -56,26 +56,26 @@
     }
 
     /// Counts a connection that is taken or opened for a request.
-    pub fn occupy(&mut self, endpoint: &name::Endpoint) {
+    pub fn occupy(&mut self, endpoint: &name::Life) {
         self.lines.entry(endpoint.clone()).or_default().busy += 1;
     }
 
     /// Counts it off again.
-    pub fn release(&mut self, endpoint: &name::Endpoint) {
+    pub fn release(&mut self, endpoint: &name::Life) {
         if let Some(line) = self.lines.get_mut(endpoint) {
             line.busy = line.busy.saturating_sub(1);
         }
     }
 
     /// How many connections requests are using.
-    pub fn busy(&self, endpoint: &name::Endpoint) -> usize {
+    pub fn busy(&self, endpoint: &name::Life) -> usize {
         self.lines.get(endpoint).map_or(0, |line| line.busy)
     }
 
     /// Keeps a connection for later, if it can be used again.
     pub fn put(
         &mut self,
-        endpoint: &name::Endpoint,
+        endpoint: &name::Life,
         mut connection: Connection,
         rest: Millis,
         now: Millis,
@@ -95,7 +95,7 @@
     }
 
     /// Closes the resting connections to an endpoint.
-    pub fn close(&mut self, endpoint: &name::Endpoint) {
+    pub fn close(&mut self, endpoint: &name::Life) {
         if let Some(line) = self.lines.get_mut(endpoint) {
             line.resting.clear();
         }
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -6,6 +6,7 @@
 mod forwarding;
 mod last_lines;
 mod leave;
+mod lives;
 mod messages;
 mod others;
 mod own_questions;
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -29,7 +29,7 @@
     let mut loads = Loads::new(name::DataCentre::from("a"), 1);
     for number in 0..services * engines {
         let endpoint = Endpoint {
-            name: name::Endpoint::from(format!("i-{number}")),
+            life: name::Life::from(name::Endpoint::from(format!("i-{number}"))),
             service: format!("model-{}", number % services),
             address: ([10, 0, 0, 1], 80).into(),
             data_centre: name::DataCentre::from("a"),
--- a/crates/relay/tests/contract/others.rs
+++ b/crates/relay/tests/contract/others.rs
@@ -1,7 +1,13 @@
 //! What an entry learns from others while the platform does not answer it.
 
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex};
 
+use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_relay::gossip::message::FORM;
+
 use crate::caller::get;
 use crate::endpoint::{Endpoint, whole};
 use crate::site::{Fixed, Site, Told, endpoint, plan, source, until};
@@ -87,3 +93,47 @@
     first.source.0.lock().unwrap().plan = Some(newer);
     until(|| get(second.requests, "/read/", "r6", "").status == 401);
 }
+
+/// A connection of the earlier life is not used for the later one, also where the start
+/// was learnt from another entry.
+#[test]
+fn a_later_life_is_learnt_from_another_entry() {
+    let server = Endpoint::always(vec![whole("yes")]);
+    let (first, second) = two(server.address);
+    let send = |id: &str| assert_eq!(get(second.requests, "/read/", id, "").status, 200);
+    let last = || server.seen().last().map(|seen| seen.connection);
+    send("r1");
+    let before = last();
+    until(|| {
+        send("r2");
+        last() == before
+    });
+    first.source.0.lock().unwrap().endpoints[0]
+        .life
+        .started_unix = Some(Millis(200));
+    until(|| {
+        send("r3");
+        last() > before
+    });
+}
+
+/// A message over TCP without the version of its form, or with another, is not answered.
+#[rstest]
+#[case::none(&[])]
+#[case::another(&[FORM - 1])]
+fn an_entry_of_another_form_gets_no_answer(#[case] form: &[u8]) {
+    let server = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[server.address]);
+    let ask = |form: &[u8]| {
+        let mut stream = TcpStream::connect(site.peer).unwrap();
+        // The length of the question, and that nothing is known.
+        let question = [form, &[0, 0, 0, 2, 0, 0]].concat();
+        stream.write_all(&question).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        answer
+    };
+    until(|| ask(&[FORM]).len() > 20);
+    assert!(ask(form).is_empty());
+}
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -259,7 +259,7 @@
 
 pub fn endpoint(at: usize, address: SocketAddr) -> roster::Endpoint {
     roster::Endpoint {
-        name: name::Endpoint::from(format!("i-{at}")),
+        life: name::Life::from(name::Endpoint::from(format!("i-{at}"))),
         service: "links".to_owned(),
         address,
         data_centre: name::DataCentre::from("dub-a"),
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -174,7 +174,7 @@
                 proxy.begin(mode);
                 lasts().await;
                 proxy.end();
-                let fault = (endpoint.name.to_string(), begun, Instant::now());
+                let fault = (endpoint.life.id.to_string(), begun, Instant::now());
                 self.path_faults.borrow_mut().push(fault);
             }
             Fault::PlatformPath(mode) => {
@@ -303,7 +303,7 @@
         let address = endpoint::start(name.clone(), seed, self.record.clone()).await;
         let proxy = Proxy::start(address, self.record.clone()).await;
         let endpoint = roster::Endpoint {
-            name: name::Endpoint::from(name),
+            life: name::Life::from(name::Endpoint::from(name)),
             service: "all".to_owned(),
             address: proxy.address,
             data_centre: name::DataCentre::from("dub-a"),
@@ -316,7 +316,7 @@
 
     async fn list(&self, endpoint: &roster::Endpoint) {
         let value = serde_json::to_value(endpoint).expect("an endpoint is JSON");
-        let place = Place::new("relay-endpoints", endpoint.name.as_str());
+        let place = Place::new("relay-endpoints", endpoint.life.id.as_str());
         self.write(place, value).await;
     }
 
@@ -325,7 +325,7 @@
         let (mut old, _) = std::mem::replace(&mut self.endpoints.borrow_mut()[at], fresh);
         old.leaving = true;
         self.list(&old).await;
-        let accepted = (old.name.to_string(), Instant::now());
+        let accepted = (old.life.id.to_string(), Instant::now());
         self.left.borrow_mut().push(accepted);
     }
 
