A row that can't be used names no endpoint, and all others hold

Cause: both sources collected all rows into one result, so that one bad row in a list or feed was an error of the whole answer: no endpoint was known, and a bad change was fetched again and again. A plan that could not be read counted as a platform that is lost.

Ruled out: skipping bad rows in each source, which would decide the same thing twice and could not tell of them. An endpoint in an unknown state stays one that leaves, which is stricter than one that is gone.

Change: a source gives typed rows (`source::row`), usable, unusable with a reason, or removed; `follow` takes an unusable one for one that is gone. A plan that can't be read leaves the one before in force and confirmed, as a refused one does.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -6,12 +6,14 @@
 
 use rand::Rng;
 use woodgap_core::clock::Millis;
+use woodgap_core::name;
 use woodgap_core::relay::dating::Dating;
 use woodgap_core::relay::duty::{self, Duty, LOOK, Subject};
 use woodgap_core::relay::force::Offer;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::{Plan, Table};
 
+use crate::source::row::{Content, Faults, Row};
 use crate::source::{Endpoints, Error, News};
 use crate::state::State;
 use crate::upkeep;
@@ -33,6 +35,7 @@
     let mut cursor = None;
     let mut link = Link::new("configuration");
     let mut dating = Dating::default();
+    let mut told = None;
     loop {
         let held = until_due(&state, Subject::Plan).await;
         let wait = held - Millis(rand::rng().random_range(0..=JITTER.0));
@@ -49,9 +52,20 @@
                 }
                 cursor = Some(news.cursor);
                 let as_of = dating.date(asked, news.made, state.now());
-                if let Some(plan) = news.content {
+                let row = news.content;
+                let version = row.as_ref().map(|row| row.version);
+                let plan = row.and_then(|row| {
+                    if told != version {
+                        Faults::new("configuration")
+                            .note(std::slice::from_ref(&row), &state.metrics);
+                        told = version;
+                    }
+                    usable(row)
+                });
+                if let Some(plan) = plan {
                     take_plan(&state, plan, as_of, "platform");
                 } else {
+                    // Also where the newest can't be read: the one before stays in force.
                     let version = state.force.borrow().version();
                     state.confirm_plan(version, as_of);
                 }
@@ -66,6 +80,7 @@
 pub async fn endpoints(state: Rc<State>) {
     let mut cursor = None;
     let mut link = Link::new("endpoints");
+    let mut faults = Faults::new("endpoints");
     loop {
         let wait = tokio::select! {
             wait = until_due(&state, Subject::Endpoints) => wait,
@@ -88,11 +103,15 @@
             }) => {
                 cursor = Some(at);
                 match content {
-                    Some(Endpoints::All(all)) => {
+                    Some(Endpoints::All(rows)) => {
+                        faults.replace(&rows, &state.metrics);
+                        let all = rows.into_iter().filter_map(usable).collect();
                         let revision = at.max(state.roster.borrow().revision());
                         take_endpoints(&state, all, revision, asked, "platform");
                     }
-                    Some(Endpoints::Changes(changes)) => {
+                    Some(Endpoints::Changes(rows)) => {
+                        faults.note(&rows, &state.metrics);
+                        let changes = rows.into_iter().map(change).collect();
                         take_changes(&state, changes, asked, "platform");
                         tokio::time::sleep(Duration::from_millis(GATHER.0)).await;
                     }
@@ -105,6 +124,21 @@
     }
 }
 
+/// What a row holds, if that can be used.
+pub fn usable<T>(row: Row<T>) -> Option<T> {
+    match row.content {
+        Content::Usable(value) => Some(value),
+        Content::Unusable(_) | Content::Removed => None,
+    }
+}
+
+/// A row that can't be used is as one that is gone.
+fn change(row: Row<Endpoint>) -> (u64, Change) {
+    let (version, name) = (row.version, name::Endpoint::from(row.key.as_str()));
+    let change = usable(row).map_or(Change::Missing(name), Change::Listed);
+    (version, change)
+}
+
 /// Waits until it is this entry's duty to ask the platform; gives back how long
 /// the question is to be held.
 async fn until_due(state: &State, subject: Subject) -> Millis {
@@ -234,10 +268,21 @@
     let now = state.now();
     let newer = state.roster.borrow_mut().apply(changes, as_of, now);
     upkeep::drop_gone(state, now);
-    for (revision, change) in newer {
-        tell(&[change], revision, source);
-        state.news.notify_one();
+    let Some((revision, _)) = newer.last() else {
+        return;
+    };
+    if newer.len() <= MOST_LINES {
+        for (revision, change) in &newer {
+            tell(std::slice::from_ref(change), *revision, source);
+        }
+    } else {
+        let listed = state.roster.borrow().listed().count();
+        log::info!(
+            changes = newer.len(), listed = listed, revision = *revision, source = source;
+            "many endpoints are listed anew"
+        );
     }
+    state.news.notify_one();
 }
 
 fn tell(changes: &[Change], revision: u64, source: &str) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -27,6 +27,8 @@
     pub connects: IntCounter,
     /// Calls to the platform, by outcome.
     pub platform_calls: IntCounterVec,
+    /// Rows of the platform that have become unusable, by what they are to name.
+    pub unusable_rows: IntCounterVec,
     /// Version of the plan in force.
     pub plan_version: IntGauge,
     /// Age of the plan's last confirmation, in ms.
@@ -63,6 +65,7 @@
             attempts: counters("attempts", "Attempts at endpoints by outcome", "outcome")?,
             connects: IntCounter::new("connects", "Connections opened to endpoints")?,
             platform_calls: counters("platform_calls", "Calls to the platform", "outcome")?,
+            unusable_rows: counters("unusable_rows", "Rows that have become unusable", "what")?,
             plan_version: IntGauge::new("plan_version", "Version of the plan in force")?,
             plan_age: IntGauge::new("plan_age_ms", "Age of the plan's last confirmation")?,
             endpoints: IntGauge::new("endpoints", "Endpoints that are listed")?,
@@ -83,6 +86,7 @@
         registry.register(Box::new(self.attempts.clone()))?;
         registry.register(Box::new(self.connects.clone()))?;
         registry.register(Box::new(self.platform_calls.clone()))?;
+        registry.register(Box::new(self.unusable_rows.clone()))?;
         registry.register(Box::new(self.plan_version.clone()))?;
         registry.register(Box::new(self.plan_age.clone()))?;
         registry.register(Box::new(self.endpoints.clone()))?;
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -5,6 +5,7 @@
 //! decides nothing: when to ask again is up to [`crate::follow`].
 
 pub mod own;
+pub mod row;
 
 use std::net::SocketAddr;
 
@@ -13,7 +14,9 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::relay::Plan;
-use woodgap_core::relay::roster::{Change, Endpoint};
+use woodgap_core::relay::roster::Endpoint;
+
+use crate::source::row::Row;
 
 /// What an answer of the source brought.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,9 +34,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Endpoints {
     /// The whole list, as it is at the cursor.
-    All(Vec<Endpoint>),
-    /// Changes since the cursor that was asked with, each with its revision.
-    Changes(Vec<(u64, Change)>),
+    All(Vec<Row<Endpoint>>),
+    /// Changes since the cursor that was asked with.
+    Changes(Vec<Row<Endpoint>>),
 }
 
 /// Why the source gave no answer.
@@ -51,13 +54,13 @@
 }
 
 /// Where an entry takes messages of other entries, by name.
-pub type Addresses = Vec<(name::Entry, SocketAddr)>;
+pub type Addresses = Vec<Row<SocketAddr>>;
 
 /// A source; see the module.
 pub trait Source {
     /// The configuration, if it changed after the cursor; the whole without one.
     /// With a cursor, the answer may be held for `wait` while nothing changes.
-    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Plan>>;
+    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Row<Plan>>>;
 
     /// The endpoints, in the same way.
     fn endpoints(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Endpoints>>;
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
@@ -15,6 +16,7 @@
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
 
+use crate::source::row::{self as source, Check, Unusable};
 use crate::source::{Addresses, Answer, Endpoints, Error, News, Source};
 
 const PLANS: &str = "relay";
@@ -42,7 +44,11 @@
         }
     }
 
-    async fn read_plan(&self, after: Option<u64>, wait: Millis) -> Result<News<Plan>, Error> {
+    async fn read_plan(
+        &self,
+        after: Option<u64>,
+        wait: Millis,
+    ) -> Result<News<source::Row<Plan>>, Error> {
         self.pause(after, wait).await;
         let rows = self.platform.read(&[Place::new(PLANS, PLAN)]).await;
         let row = rows.map_err(unavailable)?.into_iter().next().flatten();
@@ -60,10 +66,10 @@
                 made: None,
             });
         }
-        let plan = decoded(row.value)?;
+        let cursor = row.version;
         Ok(News {
-            cursor: row.version,
-            content: Some(plan),
+            cursor,
+            content: Some(decoded(&row)),
             made: None,
         })
     }
@@ -76,8 +82,7 @@
         self.pause(after, wait).await;
         let rows = self.rows(ENDPOINTS).await?;
         let cursor = rows.iter().map(|row| row.version).max().unwrap_or(0);
-        let endpoints = rows.into_iter().map(|row| decoded::<Endpoint>(row.value));
-        let endpoints = endpoints.collect::<Result<Vec<_>, _>>()?;
+        let endpoints = rows.iter().map(decoded::<Endpoint>).collect();
         Ok(News {
             cursor,
             content: Some(Endpoints::All(endpoints)),
@@ -105,12 +110,8 @@
     }
 
     async fn read_entries(&self) -> Result<Addresses, Error> {
-        let rows = self.rows(ENTRIES).await?.into_iter();
-        let entries = rows.map(|row| {
-            let address = decoded::<SocketAddr>(row.value)?;
-            Ok((name::Entry::from(row.key), address))
-        });
-        entries.collect()
+        let rows = self.rows(ENTRIES).await?;
+        Ok(rows.iter().map(decoded).collect())
     }
 }
 
@@ -120,12 +121,14 @@
     Error::Unavailable(error.to_string())
 }
 
-fn decoded<T: serde::de::DeserializeOwned>(value: Value) -> Result<T, Error> {
-    serde_json::from_value(value).map_err(|error| Error::NotUnderstood(error.to_string()))
+fn decoded<T: Check + DeserializeOwned>(row: &Row) -> source::Row<T> {
+    let bytes = serde_json::to_vec(&row.value);
+    let bytes = bytes.map_err(|error| Unusable::Encoding(error.to_string()));
+    source::Row::decode(&row.key, row.version, bytes, |value| value)
 }
 
 impl Source for Own {
-    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Plan>> {
+    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<source::Row<Plan>>> {
         self.read_plan(after, wait).boxed_local()
     }
 
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -14,11 +14,13 @@
 use woodgap_settings::relay::Relay as Settings;
 
 use crate::dialect::Dialect;
+use crate::follow::usable;
 use crate::front::Server;
 use crate::front::server::Purpose;
 use crate::gossip::{exchange, fetch};
 use crate::metrics::Metrics;
 use crate::source::Source;
+use crate::source::row::Faults;
 use crate::state::State;
 use crate::{follow, logs, stop, upkeep};
 
@@ -120,6 +122,7 @@
         entry = settings.name.as_str(), data_centre = settings.data_centre.as_str(),
         listen = settings.listen.to_string(), directory = settings.directory_listen.to_string(),
         ready = settings.ready_listen.to_string(), peer = settings.peer_listen.to_string(),
+        metrics = settings.metrics_listen.map(|it| it.to_string()).unwrap_or_default(),
         version = env!("CARGO_PKG_VERSION");
         "started"
     );
@@ -177,6 +180,7 @@
 /// Tells the platform of this entry, and asks it for others while none answers.
 async fn announce(state: Rc<State>) {
     let settings = &state.settings;
+    let mut faults = Faults::new("entries");
     loop {
         tokio::time::sleep(Duration::from_millis(ANNOUNCE.0)).await;
         let standing = state.standing();
@@ -191,20 +195,18 @@
         }
         let is_alone = state.fleet.borrow().answering(state.now()).next().is_none();
         if is_alone {
-            ask_for_others(&state).await;
+            ask_for_others(&state, &mut faults).await;
         }
     }
 }
 
-async fn ask_for_others(state: &Rc<State>) {
+async fn ask_for_others(state: &Rc<State>, faults: &mut Faults) {
     match state.source.entries().await {
         Ok(entries) => {
-            let others = entries
-                .into_iter()
-                .filter(|(name, _)| *name != state.settings.name);
-            state
-                .hints
-                .replace(others.map(|(_, address)| address).collect());
+            faults.replace(&entries, &state.metrics);
+            let own = state.settings.name.as_str();
+            let others = entries.into_iter().filter(|row| row.key != own);
+            state.hints.replace(others.filter_map(usable).collect());
         }
         Err(error) => log::info!(error = error.to_string(); "other entries are not known yet"),
     }
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -12,6 +12,7 @@
 mod own_questions;
 mod refusals;
 mod rests;
+mod rows;
 mod site;
 mod stops;
 mod streams;
--- /dev/null
+++ b/crates/relay/tests/contract/rows.rs
@@ -0,0 +1,85 @@
+//! Which rows of a source can be used.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use serde_json::{Value, json};
+use woodgap_core::relay::roster::Endpoint;
+use woodgap_relay::follow::usable;
+use woodgap_relay::metrics::Metrics;
+use woodgap_relay::source::row::{Content, Faults, Row, Unusable};
+
+use crate::site::endpoint;
+
+fn value(address: &str) -> Value {
+    serde_json::to_value(endpoint(1, address.parse().unwrap())).unwrap()
+}
+
+fn read(key: &str, bytes: &[u8]) -> Row<Endpoint> {
+    Row::decode(key, 3, Ok(bytes.to_vec()), |it| it)
+}
+
+#[rstest]
+#[case::port(value("10.0.0.1:0"))]
+#[case::unspecified(value("[::]:80"))]
+#[case::multicast(value("[::ffff:224.0.0.1]:80"))]
+#[case::broadcast(value("255.255.255.255:80"))]
+fn nothing_can_be_connected_to(#[case] value: Value) {
+    let row = read("i-1", value.to_string().as_bytes());
+    assert!(matches!(
+        row.content,
+        Content::Unusable(Unusable::Address(_))
+    ));
+}
+
+#[rstest]
+#[case::missing("slots", Value::Null)]
+#[case::negative("slots", json!(-1))]
+#[case::beyond_any_count("slots", json!(1e12))]
+#[case::millions("slots", json!(3_000_000))]
+#[case::type_of_service("service", json!(["links"]))]
+#[case::length_of_service("service", json!("s".repeat(300)))]
+#[case::megabytes("service", json!("s".repeat(3_000_000)))]
+#[case::another_name("name", json!("i-2"))]
+#[case::address("address", json!("i-1.example:80"))]
+fn a_field_makes_it_unusable(#[case] field: &str, #[case] other: Value) {
+    let mut value = value("10.0.0.1:80");
+    assert!(usable(read("i-1", value.to_string().as_bytes())).is_some());
+    value[field] = other;
+    assert!(usable(read("i-1", value.to_string().as_bytes())).is_none());
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::two_lines("i\n1")]
+#[case::spaces(" i-1")]
+#[case::long(&"i".repeat(300))]
+fn a_key_that_is_no_name_is_unusable(#[case] key: &str) {
+    let mut value = value("10.0.0.1:80");
+    value["name"] = json!(key);
+    let row = read(key, value.to_string().as_bytes());
+    assert!(matches!(row.content, Content::Unusable(Unusable::Name(_))));
+}
+
+proptest! {
+    /// Whatever others write, each sound row is usable, and each other one is told once.
+    #[test]
+    fn sound_rows_hold_beside_any_others(
+        others in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..80), 0..40),
+        sound in 0..40_usize,
+    ) {
+        let mut rows: Vec<_> = others.iter().enumerate()
+            .map(|(at, bytes)| read(&format!("other-{at}"), bytes))
+            .collect();
+        let value = value("10.0.0.1:80").to_string();
+        rows.insert(sound.min(rows.len()), read("i-1", value.as_bytes()));
+        let metrics = Metrics::new().unwrap();
+        let mut faults = Faults::new("endpoints");
+        faults.replace(&rows, &metrics);
+        faults.note(&rows, &metrics);
+        let told = metrics.unusable_rows.with_label_values(&["endpoints"]).get();
+        prop_assert_eq!(told, others.len() as u64);
+        let used: Vec<_> = rows.into_iter().filter_map(usable).collect();
+        prop_assert_eq!(used.len(), 1);
+        prop_assert_eq!(used[0].life.id.as_str(), "i-1");
+    }
+}
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -14,6 +14,7 @@
 use woodgap_core::relay::plan::{Engine, Kind, Limits, Plan, Route, Service, Share, Workspace};
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
+use woodgap_relay::source::row::Row;
 use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Source};
 use woodgap_relay::start::{self, Form};
 use woodgap_relay::stop;
@@ -54,7 +55,7 @@
 }
 
 impl Source for Fixed {
-    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Plan>> {
+    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Row<Plan>>> {
         async move {
             let cursor = self.told()?.plan.map_or(0, |plan| plan.version);
             pause(after, cursor).await;
@@ -62,7 +63,9 @@
             let cursor = plan.as_ref().map_or(0, |plan| plan.version);
             Ok(News {
                 cursor,
-                content: plan.filter(|_| after != Some(cursor)),
+                content: plan
+                    .filter(|_| after != Some(cursor))
+                    .map(|plan| Row::new("plan", cursor, Ok(plan))),
                 made: None,
             })
         }
@@ -74,7 +77,13 @@
             pause(after, 1).await;
             Ok(News {
                 cursor: 1,
-                content: Some(Endpoints::All(self.told()?.endpoints)),
+                content: Some(Endpoints::All(
+                    self.told()?
+                        .endpoints
+                        .into_iter()
+                        .map(|it| Row::new(&it.life.id.to_string(), 1, Ok(it)))
+                        .collect(),
+                )),
                 made: None,
             })
         }
@@ -96,9 +105,7 @@
     fn entries(&self) -> Answer<'_, Addresses> {
         // Known also while the rest is not: the list was read before.
         let entries = self.0.lock().unwrap().entries.clone();
-        let named = entries
-            .into_iter()
-            .map(|it| (name::Entry::from("other"), it));
+        let named = entries.into_iter().map(|it| Row::new("other", 1, Ok(it)));
         let named = named.collect();
         async move { Ok(named) }.boxed_local()
     }
