--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -8,8 +8,9 @@
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::tidings::Tidings;
 
-/// The first byte of each datagram: the version of this form.
-pub const FORM: u8 = 5;
+/// The first byte of each message: the version of this form. Entries of another form
+/// are not heard, so that nothing is read for what it is not.
+pub const FORM: u8 = 6;
 /// The largest datagram, in bytes: what passes every link whole.
 pub const MOST_BYTES: usize = 1_400;
 /// The most endpoints whose load one message tells of.
@@ -17,6 +18,9 @@
 /// How many other entries a message tells of, unless it answers one that has just started.
 pub const USUALLY_TOLD: usize = 1;
 
+/// The number of a message that asks and answers nothing: its sender stops, and tells no load.
+pub const FAREWELL: u64 = 0;
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -86,7 +86,7 @@
 /// The attempts at one request so far.
 #[derive(Default)]
 struct Attempts {
-    tried: Vec<name::Endpoint>,
+    tried: Vec<name::Life>,
     unsent: u32,
     sent: u32,
     verdict: Option<Verdict>,
@@ -110,14 +110,14 @@
             Ok(answer) if !attempts.may_improve(state, request, &answer) => return Ok(answer),
             Ok(answer) => {
                 attempts.sent += 1;
-                attempts.tried.push(choice.endpoint.name);
+                attempts.tried.push(choice.endpoint.life);
                 attempts.failed_answer = Some(answer);
                 continue;
             }
             Err(failure) => failure,
         };
         account.failed(&failure.to_string());
-        attempts.note(&failure, choice.endpoint.name);
+        attempts.note(&failure, choice.endpoint.life);
         if let Some(problem) = attempts.must_end(state, request, &failure) {
             return attempts.end(problem);
         }
@@ -132,8 +132,8 @@
     let limit = connection_limit(state, request);
     let open: Vec<_> = usable
         .into_iter()
-        .filter(|endpoint| !attempts.tried.contains(&endpoint.name))
-        .filter(|endpoint| state.pool.borrow().busy(&endpoint.name) < limit)
+        .filter(|endpoint| !attempts.tried.contains(&endpoint.life))
+        .filter(|endpoint| state.pool.borrow().busy(&endpoint.life) < limit)
         .collect();
     let choice = state.loads.borrow_mut().choose(&open, &request.ask(), now);
     let missing = || {
@@ -142,7 +142,7 @@
     };
     let choice = choice.ok_or_else(missing)?;
     let claim = request.claim(now);
-    if !is_finished(state, request, &choice, now) {
+    if !ends_in_time(state, request, &choice, now) {
         return Err(Problem::stopping());
     }
     match admission::decide(&choice, claim, rand::random()) {
@@ -157,10 +157,10 @@
 
 /// Whether the answer ends before this entry does. Asked before each attempt, as a body that
 /// comes late, or an attempt that failed late, leaves less time than there was at first.
-fn is_finished(state: &State, request: &Admitted, choice: &Choice, now: Millis) -> bool {
+fn ends_in_time(state: &State, request: &Admitted, choice: &Choice, now: Millis) -> bool {
     let end = End {
         latest: request.deadline,
-        forecast: choice.likely_end(now),
+        forecast: choice.likely_end(request.route.kind == Kind::Stream, now),
     };
     let shutdown = state.shutdown();
     shutdown.is_none_or(|shutdown| shutdown.takes(end, now))
@@ -199,7 +199,7 @@
             && state.spend_repeat(&request.service.name)
     }
 
-    fn note(&mut self, failure: &Failure, endpoint: name::Endpoint) {
+    fn note(&mut self, failure: &Failure, endpoint: name::Life) {
         self.tried.push(endpoint);
         if matches!(failure, Failure::Unsent(_)) {
             self.unsent += 1;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -80,7 +80,7 @@
     /// Whether something is being fetched from another entry.
     pub is_fetching: Cell<bool>,
     /// Endpoints that are being connected to, to see whether they are back.
-    pub connecting: RefCell<HashSet<name::Endpoint>>,
+    pub connecting: RefCell<HashSet<name::Life>>,
     incarnation: name::Incarnation,
     started: Millis,
     /// Until when it stands in for the readers of the platform.
@@ -175,6 +175,11 @@
         self.closing.send_replace(true);
     }
 
+    /// Whether they were told.
+    pub fn is_closed(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Waits until there will be no answers any more.
     pub async fn closed(&self) {
         let mut closing = self.closing.subscribe();
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -11,9 +11,10 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::plan::{Kind, Limits, Plan, Route, Service, Share, Workspace};
+use woodgap_core::relay::plan::{Engine, Kind, Limits, Plan, Route, Service, Share, Workspace};
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
+use woodgap_relay::source::row::Row;
 use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Source};
 use woodgap_relay::start::{self, Form};
 use woodgap_relay::stop;
@@ -27,6 +28,10 @@
     pub is_down: bool,
     /// Where other entries take messages.
     pub entries: Vec<SocketAddr>,
+    /// Whether the entry has told of itself.
+    pub is_announced: bool,
+    /// Whether it can't take that back: there is no answer.
+    pub is_withdrawal_lost: bool,
 }
 
 /// A source that tells what the test says.
@@ -50,7 +55,7 @@
 }
 
 impl Source for Fixed {
-    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Plan>> {
+    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Row<Plan>>> {
         async move {
             let cursor = self.told()?.plan.map_or(0, |plan| plan.version);
             pause(after, cursor).await;
@@ -58,7 +63,9 @@
             let cursor = plan.as_ref().map_or(0, |plan| plan.version);
             Ok(News {
                 cursor,
-                content: plan.filter(|_| after != Some(cursor)),
+                content: plan
+                    .filter(|_| after != Some(cursor))
+                    .map(|plan| Row::new("plan", cursor, Ok(plan))),
                 made: None,
             })
         }
@@ -70,7 +77,13 @@
             pause(after, 1).await;
             Ok(News {
                 cursor: 1,
-                content: Some(Endpoints::All(self.told()?.endpoints)),
+                content: Some(Endpoints::All(
+                    self.told()?
+                        .endpoints
+                        .into_iter()
+                        .map(|it| Row::new(&it.life.id.to_string(), 1, Ok(it)))
+                        .collect(),
+                )),
                 made: None,
             })
         }
@@ -78,19 +91,21 @@
     }
 
     fn announce<'a>(&'a self, _: &'a name::Entry, _: SocketAddr) -> Answer<'a, ()> {
+        self.0.lock().unwrap().is_announced = true;
         async { Ok(()) }.boxed_local()
     }
 
     fn withdraw<'a>(&'a self, _: &'a name::Entry) -> Answer<'a, ()> {
+        if self.0.lock().unwrap().is_withdrawal_lost {
+            return std::future::pending().boxed_local();
+        }
         async { Ok(()) }.boxed_local()
     }
 
     fn entries(&self) -> Answer<'_, Addresses> {
         // Known also while the rest is not: the list was read before.
         let entries = self.0.lock().unwrap().entries.clone();
-        let named = entries
-            .into_iter()
-            .map(|it| (name::Entry::from("other"), it));
+        let named = entries.into_iter().map(|it| Row::new("other", 1, Ok(it)));
         let named = named.collect();
         async move { Ok(named) }.boxed_local()
     }
@@ -147,7 +162,7 @@
     /// A relay that is killed so many seconds after it was told to stop, and knows a plan
     /// and these endpoints. It trusts keys all the while, though an entry that stops leaves
     /// it to others to ask for news.
-    pub fn with_grace(grace_s: u64, endpoints: &[SocketAddr]) -> Self {
+    pub fn with_grace(grace_s: f64, endpoints: &[SocketAddr]) -> Self {
         let grace = format!("\"grace_s\": {grace_s}");
         let text = SETTINGS.replace("\"grace_s\": 8", &grace);
         let text = text.replace("\"revoke_ms\": 2000", "\"revoke_ms\": 30000");
@@ -156,9 +171,23 @@
         site
     }
 
+    /// Lists an endpoint of the model service beside the others.
+    pub fn list_model(&self, address: SocketAddr) {
+        let model = roster::Endpoint {
+            service: "model".to_owned(),
+            ..endpoint(99, address)
+        };
+        self.source.0.lock().unwrap().endpoints.push(model);
+    }
+
+    /// Tells the relay to stop.
+    pub fn tell_to_stop(&self) {
+        self.stopping.send(()).unwrap();
+    }
+
     /// Tells the relay to stop, and waits until it has begun to.
     pub fn stop(&self) {
-        self.stopping.send(()).unwrap();
+        self.tell_to_stop();
         until(|| crate::caller::get(self.ready, "/v1/ready", "x", "").status == 503);
     }
 
@@ -237,7 +266,7 @@
 
 pub fn endpoint(at: usize, address: SocketAddr) -> roster::Endpoint {
     roster::Endpoint {
-        name: name::Endpoint::from(format!("i-{at}")),
+        life: name::Life::from(name::Endpoint::from(format!("i-{at}"))),
         service: "links".to_owned(),
         address,
         data_centre: name::DataCentre::from("dub-a"),
@@ -274,6 +303,14 @@
             route("/write/", Kind::NonIdempotent, 1, false),
             route("/write-twice/", Kind::NonIdempotent, 2, false),
             route("/stream/", Kind::Stream, 1, false),
+            route("/stream-twice/", Kind::Stream, 2, false),
+            Route {
+                shares: vec![Share {
+                    service: "model".to_owned(),
+                    weight: 1,
+                }],
+                ..route("/chat/", Kind::Stream, 1, false)
+            },
             Route {
                 public: true,
                 ..route("/open/", Kind::Idempotent, 1, false)
@@ -283,11 +320,23 @@
                 ..route("/soon/", Kind::NonIdempotent, 1, false)
             },
         ],
-        services: vec![Service {
-            name: "links".to_owned(),
-            connections: 100,
-            engine: None,
-        }],
+        services: vec![
+            Service {
+                name: "links".to_owned(),
+                connections: 100,
+                engine: None,
+            },
+            Service {
+                name: "model".to_owned(),
+                connections: 100,
+                engine: Some(Engine {
+                    slots: 8,
+                    memory_tokens: 100_000,
+                    event_tokens: 1,
+                    moves_prompts: false,
+                }),
+            },
+        ],
         workspaces: vec![Workspace {
             name: "murphy".to_owned(),
             keys: vec!["key-m".to_owned()],
