--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -91,13 +91,22 @@
     }
 
     async fn rows(&self, table: &str) -> Result<Vec<Row>, Error> {
-        let scan = Scan {
+        let mut scan = Scan {
             table: table.to_owned(),
             prefix: String::new(),
             after: String::new(),
             limit: Scan::MOST,
         };
-        self.platform.scan(&scan).await.map_err(unavailable)
+        let mut rows = Vec::new();
+        loop {
+            let page = self.platform.scan(&scan).await.map_err(unavailable)?;
+            let is_last = page.len() < scan.limit;
+            rows.extend(page);
+            match rows.last() {
+                Some(last) if !is_last => scan.after.clone_from(&last.key),
+                _ => return Ok(rows),
+            }
+        }
     }
 
     async fn write(&self, place: Place, value: Option<Value>) -> Result<(), Error> {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -32,6 +32,9 @@
     /// What came is no answer in the protocol.
     #[error("not an answer: {0}")]
     Malformed(&'static str),
+    /// The answer is longer than the asker takes.
+    #[error("the answer is too large")]
+    TooLarge,
     /// Nothing more came in time.
     #[error("no answer in time")]
     TimedOut,
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -153,7 +153,7 @@
         while let Some(piece) = self.piece(&mut framing).await? {
             whole.extend_from_slice(&piece);
             if whole.len() > most {
-                return Err(Error::Malformed("the answer is too large"));
+                return Err(Error::TooLarge);
             }
         }
         Ok(whole.freeze())
--- a/crates/relay/tests/contract/rows.rs
+++ b/crates/relay/tests/contract/rows.rs
@@ -1,12 +1,20 @@
 //! Which rows of a source can be used.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use rstest::rstest;
 use serde_json::{Value, json};
+use woodgap_core::clock::Millis;
 use woodgap_core::relay::roster::Endpoint;
+use woodgap_harness::Stand;
+use woodgap_platform::http::Platform;
+use woodgap_platform::table::{Place, Scan, Table, Transaction};
 use woodgap_relay::follow::usable;
 use woodgap_relay::metrics::Metrics;
+use woodgap_relay::source::own::Own;
 use woodgap_relay::source::row::{Content, Faults, Row, Unusable};
+use woodgap_relay::source::{Endpoints, Source};
 
 use crate::site::endpoint;
 
@@ -83,3 +91,24 @@
         prop_assert_eq!(used[0].life.id.as_str(), "i-1");
     }
 }
+
+/// A scan of the table service has a bound; what comes after it is read as well.
+#[actix_rt::test]
+async fn thousands_of_broken_rows_hide_none_of_the_own_source() {
+    let platform = Stand::platform();
+    let client = || Platform::new(&platform.url(""), Duration::from_secs(5));
+    let writer = client();
+    let broken = (0..=Scan::MOST).map(|at| (format!("a-{at:04}"), json!(at)));
+    let sound = [("i-1".to_owned(), value("10.0.0.1:80"))];
+    for (key, value) in broken.chain(sound) {
+        let place = Place::new("relay-endpoints", &key);
+        let transaction = Transaction::default().put(place, value);
+        writer.transact(&transaction).await.unwrap();
+    }
+    let own = Own::new(client(), Millis(10));
+    let news = own.endpoints(None, Millis(0)).await.unwrap();
+    let Some(Endpoints::All(rows)) = news.content else {
+        panic!("no list")
+    };
+    assert_eq!(rows.into_iter().filter_map(usable).count(), 1);
+}
