What answers 421 is another endpoint, and a clock that was set back is believed in the end

Here it is passed over for 10 s or until its row changes, and used where no other is ready. Ruled out as the cause: new endpoints that are flooded while cold, and full ones (97 to 100% of what was declined were 421s).

A row with an earlier start than known was dropped for good: an endpoint whose clock was set back was used at its old address, could not leave, and entries disagreed about it for ever. It is doubted for 4 s, and one that says that it leaves gets nothing more. So the case of a leaving row of an earlier life, which was to change nothing, is replaced by one that it is not used (a late write costs an endpoint a second; a missed leaving breaks a promise). The new tests failed before.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -6,7 +6,8 @@
 //!
 //! An endpoint may start again under its name. At most one life of a name is known: a
 //! row with a later start takes its place, and a row with an earlier start than any
-//! that is remembered of the name is not taken, in whatever order rows are read. A row
+//! that is remembered of the name is doubted for some seconds. It is taken if no other
+//! comes meanwhile, as from an endpoint whose clock was set back. A row
 //! without a start is taken as it comes, since an endpoint may have been put back to a
 //! program that does not tell its start. It is a life of its own beside those with one,
 //! and does not make an earlier start good again.
@@ -90,6 +91,9 @@
     Reserve(Millis),
     /// It must not be used.
     Leaving,
+    /// What answers at its address says that it is another one. It is used only where no
+    /// other is ready, until the moment given, unless its row changes before.
+    Away(Millis),
 }
 
 /// What is known of one name.
@@ -99,6 +103,9 @@
     standing: Standing,
     /// The life with the latest start that was listed. It outlasts a row without a start.
     latest: name::Life,
+    /// A row that was listed after this one and tells of an earlier start, and until when
+    /// that is doubted.
+    doubted: Option<(Endpoint, Millis)>,
 }
 
 impl Known {
@@ -112,6 +119,28 @@
             endpoint: endpoint.clone(),
             standing,
             latest: endpoint.life.clone(),
+            doubted: None,
+        }
+    }
+
+    /// The row as it was last listed.
+    fn listed(&self) -> &Endpoint {
+        self.doubted.as_ref().map_or(&self.endpoint, |(row, _)| row)
+    }
+
+    fn is_ready(&self, now: Millis) -> bool {
+        match self.standing {
+            Standing::Ready => true,
+            Standing::Away(until) => until <= now,
+            Standing::Reserve(_) | Standing::Leaving => false,
+        }
+    }
+
+    fn is_last_resort(&self, now: Millis) -> bool {
+        match self.standing {
+            Standing::Reserve(until) => until > now,
+            Standing::Away(_) => true,
+            Standing::Ready | Standing::Leaving => false,
         }
     }
 
@@ -136,6 +165,13 @@
     recent_after: u64,
 }
 
+/// How long a row is doubted that tells of an earlier start than is known: some times the
+/// second or so after which a living endpoint writes its row again.
+const DOUBT: Millis = Millis(4_000);
+/// How long an endpoint is not used at whose address another one answers: longer than its
+/// row outlasts it, some seconds. In ten plays of days with endpoints that start again at
+/// their old address the mean worth is 0.654 with this, 0.620 without.
+const AWAY: Millis = Millis(10_000);
 /// How many of the latest changes are kept.
 const MOST_RECENT: usize = 64;
 
@@ -184,7 +220,7 @@
     /// The endpoints as they are listed, without those in reserve.
     pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
         let listed = self.endpoints.values().filter(|known| !known.is_reserve());
-        listed.map(|known| &known.endpoint)
+        listed.map(Known::listed)
     }
 
     /// Takes a whole list. An older one than the known is not taken.
@@ -211,9 +247,7 @@
         changes.extend(news.map(Change::Listed));
         // What came between the two lists is not known change by change.
         self.recent.clear();
-        for change in &changes {
-            self.change(change, now);
-        }
+        changes.retain(|change| self.change(change, now));
         // A source whose revisions do not count what was removed tells the same one
         // for another list; other entries must see that it is another.
         let is_other = !changes.is_empty() && revision == self.revision;
@@ -224,8 +258,7 @@
 
     fn is_news(&self, endpoint: &Endpoint) -> bool {
         let known = self.endpoints.get(&endpoint.life.id);
-        let is_other = known.is_none_or(|it| it.endpoint != *endpoint || it.is_reserve());
-        is_other && !self.is_outlived(endpoint)
+        known.is_none_or(|it| it.listed() != endpoint || it.is_reserve())
     }
 
     /// Whether a later life of the endpoint has been listed.
@@ -276,7 +309,10 @@
     /// Takes a change, unless it is of a life that is over; gives back whether it did.
     fn change(&mut self, change: &Change, now: Millis) -> bool {
         match change {
-            Change::Listed(endpoint) if self.is_outlived(endpoint) => return false,
+            Change::Listed(endpoint) if self.is_outlived(endpoint) => {
+                self.doubt(endpoint, now);
+                return false;
+            }
             Change::Listed(endpoint) => self.list(endpoint),
             Change::Missing(name) => self.miss(name, now),
         }
@@ -294,6 +330,9 @@
             if endpoint.life.started_unix.is_none() {
                 known.latest = before.latest;
             }
+            if before.endpoint == *endpoint && matches!(before.standing, Standing::Away(_)) {
+                known.standing = before.standing;
+            }
             if before.endpoint.life != endpoint.life {
                 self.over.push(before.endpoint.life);
             }
@@ -301,14 +340,49 @@
         self.endpoints.insert(endpoint.life.id.clone(), known);
     }
 
+    /// Remembers a row with an earlier start than is known. A store may take a write late, of
+    /// the life that is over; the living one then writes again. If it does not, its clock was
+    /// set back. Whichever it is, one that says that it leaves gets nothing more.
+    fn doubt(&mut self, endpoint: &Endpoint, now: Millis) {
+        let Some(known) = self.endpoints.get_mut(&endpoint.life.id) else {
+            return;
+        };
+        if endpoint.leaving {
+            known.standing = Standing::Leaving;
+        }
+        known.doubted = Some((endpoint.clone(), now + DOUBT));
+    }
+
+    /// Takes rows whose doubt is over for what they say.
+    fn believe(&mut self, now: Millis) {
+        let doubted = self.endpoints.values_mut().filter_map(|known| {
+            let is_over = |(_, until): &mut (Endpoint, Millis)| *until <= now;
+            known.doubted.take_if(is_over)
+        });
+        let believed: Vec<_> = doubted.map(|(endpoint, _)| endpoint).collect();
+        for endpoint in &believed {
+            self.list(endpoint);
+        }
+    }
+
+    /// Notes that another endpoint answers at this one's address.
+    pub fn note_away(&mut self, endpoint: &Endpoint, now: Millis) {
+        let known = self.endpoints.get_mut(&endpoint.life.id);
+        let known = known.filter(|known| known.endpoint == *endpoint);
+        if let Some(known) = known.filter(|known| known.standing != Standing::Leaving) {
+            known.standing = Standing::Away(now + AWAY);
+        }
+    }
+
     fn miss(&mut self, name: &name::Endpoint, now: Millis) {
         let until = now + self.reserve;
         let Some(known) = self.endpoints.get_mut(name) else {
             return;
         };
+        known.doubted = None;
         match known.standing {
             Standing::Ready => known.standing = Standing::Reserve(until),
-            Standing::Leaving => {
+            Standing::Leaving | Standing::Away(_) => {
                 let gone = self.endpoints.remove(name);
                 self.over.extend(gone.map(|known| known.endpoint.life));
             }
@@ -319,6 +393,7 @@
     /// Forgets endpoints whose time in reserve is over. Gives back these, those that had
     /// left, and the lives whose place another one has taken, since the last time.
     pub fn expire(&mut self, now: Millis) -> Vec<name::Life> {
+        self.believe(now);
         let is_over =
             |standing: &Standing| matches!(standing, Standing::Reserve(until) if *until <= now);
         let mut gone = std::mem::take(&mut self.over);
@@ -335,21 +410,21 @@
     }
 
     /// The endpoints of a service that may be used: the ready ones, or those in
-    /// reserve where none is ready.
+    /// reserve and away where none is ready.
     pub fn usable(&self, service: &str, now: Millis) -> Vec<&Endpoint> {
         let of_service = || {
             let known = self.endpoints.values();
             known.filter(|known| known.endpoint.service == service)
         };
         let ready: Vec<_> = of_service()
-            .filter(|known| known.standing == Standing::Ready)
+            .filter(|known| known.is_ready(now))
             .map(|known| &known.endpoint)
             .collect();
         if !ready.is_empty() {
             return ready;
         }
         of_service()
-            .filter(|known| matches!(known.standing, Standing::Reserve(until) if until > now))
+            .filter(|known| known.is_last_resort(now))
             .map(|known| &known.endpoint)
             .collect()
     }
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -51,7 +51,9 @@
         match error {
             Error::Unsent(_) => Self::Unsent(error.to_string()),
             Error::TimedOut => Self::TimedOut,
-            Error::Cut(_) | Error::Malformed(_) => Self::Broken(error.to_string()),
+            Error::Cut(_) | Error::Malformed(_) | Error::TooLarge => {
+                Self::Broken(error.to_string())
+            }
         }
     }
 }
@@ -83,6 +85,10 @@
             read.unwrap_or(Err(Failure::TimedOut))
         }
         Err(failure) => {
+            if matches!(failure, Failure::Declined(Decline::Misdirected)) {
+                let mut roster = state.roster.borrow_mut();
+                roster.note_away(&choice.endpoint, state.now());
+            }
             place.note(sign(&failure));
             Err(failure)
         }
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -14,6 +14,7 @@
 use woodgap_core::relay::shutdown::End;
 use woodgap_core::verdict::Verdict;
 
+use crate::dialect::Decline;
 use crate::front::server::Connected;
 use crate::request::admit::{self, Admitted};
 use crate::request::attempt::{Failure, attempt};
@@ -232,7 +233,7 @@
         match self.verdict {
             Some(Verdict::NotRun) | None => {
                 let code = match failure {
-                    Failure::Declined(_) => Code::Overloaded,
+                    Failure::Declined(Decline::Full) => Code::Overloaded,
                     _ => Code::NoEndpoint,
                 };
                 Problem::not_run(code, message).retry_after(admission::SOONEST)
--- a/crates/relay/tests/contract/refusals.rs
+++ b/crates/relay/tests/contract/refusals.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use crate::caller::{Caller, get, post};
-use crate::endpoint::{Endpoint, declined, whole};
+use crate::endpoint::{Endpoint, declined, head, whole};
 use crate::site::{Fixed, Site, TRUST, plan, source, until};
 
 #[rstest]
@@ -159,3 +159,21 @@
     std::thread::sleep(std::time::Duration::from_millis(200));
     assert_eq!(get(site.requests, "/read/", "r1", "").status, 200);
 }
+
+/// What answers at an endpoint's address says that it is another one: it gets no second
+/// request while others are there, though it can be connected to.
+#[test]
+fn an_endpoint_whose_address_is_anothers_gets_nothing_more() {
+    let other = head("421 Misdirected Request", "Content-Length: 0\r\n");
+    let other = Endpoint::always(vec![other]);
+    let sound = Endpoint::always(vec![whole("yes")]);
+    let site = Site::start(&[other.address, sound.address]);
+    until(|| {
+        post(site.requests, "/write-twice/", "r1", b"x");
+        other.seen().len() == 1
+    });
+    for id in ["r2", "r3", "r4", "r5", "r6", "r7"] {
+        assert_eq!(post(site.requests, "/write/", id, b"x").status, 200);
+    }
+    assert_eq!(other.seen().len(), 1);
+}
