Begin no deferred job once the stop has begun

Cause: a shard's worker looked at the stop once, before it settled rows and wrote down which jobs start. A stop that came while it waited for the store did not keep it from beginning them. Now it looks again before it chooses, and before a job is given to an endpoint; what was only recorded as started is queued again, so that another entry runs it and no job that may not be repeated is given up.

Ruled out: cutting the write of the start off. It may have taken effect, and then the job would be taken for one that ran.

The test stops the holder in the middle of each of its calls.

--- a/crates/entry/src/deferred/shard/start.rs
+++ b/crates/entry/src/deferred/shard/start.rs
@@ -29,6 +29,10 @@
             fence,
         };
         self.settle(&under).await;
+        // The entry may have been told to stop meanwhile.
+        if self.stopping() {
+            return false;
+        }
         let chosen = self.choose(fence);
         if chosen.is_empty() {
             return false;
@@ -142,6 +146,7 @@
             runner: Rc::clone(&self.runner),
             hold: self.hold.clone(),
             time: self.time.clone(),
+            stopping: self.around.handle.stopping(),
         };
         let task = self.jobs.spawn_local(work.carry_out());
         self.running.insert(task.id(), row);
--- a/crates/entry/src/deferred/work.rs
+++ b/crates/entry/src/deferred/work.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::sync::watch;
 use woodgap_core::clock::Millis;
 use woodgap_core::deferred::{After, End, Job, Outcome, Row, Stage};
 use woodgap_core::verdict::Verdict;
@@ -47,6 +48,8 @@
     pub hold: Hold<C>,
     /// The clocks.
     pub time: C,
+    /// Whether no more runs are begun.
+    pub stopping: watch::Receiver<bool>,
 }
 
 impl<S: Storage, R: Runner, C: Time> Work<S, R, C> {
@@ -65,6 +68,10 @@
             Some(body) => {
                 // A pause may have come since the start was written.
                 self.held().await?;
+                // Another entry runs what was only recorded as started when the stop began.
+                if *self.stopping.borrow() {
+                    return self.queue_again(After::Refused).await;
+                }
                 self.runner.run(&self.row.job, body).await
             }
             None => unreadable(&self.row.job),
--- a/crates/entry/tests/interleavings/main.rs
+++ b/crates/entry/tests/interleavings/main.rs
@@ -175,6 +175,49 @@
     .await;
 }
 
+/// A planned stop that begins in the middle of any call of the holder: no job is begun
+/// after it, and those that were recorded as started are handed on unrun.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_in_the_middle_of_each_call(
+    #[values(Fate::PauseBefore, Fate::PauseAfter)] fate: Fate,
+) {
+    let mut call = 0;
+    while LocalSet::new().run_until(stopped_at(call, fate)).await {
+        call += 1;
+    }
+    assert!(call > 20, "only {call} calls were made");
+}
+
+/// Stops the holder in a call; false if the call was never reached.
+async fn stopped_at(call: usize, fate: Fate) -> bool {
+    let world = World::new();
+    world.record().await;
+    let script = Script::once(call, fate);
+    let first = world.start(0, 1, Rc::clone(&script));
+    while !script.frozen() {
+        if world.runs.borrow().len() == 4 && world.memory.borrow().ends.len() == 4 {
+            first.task.abort();
+            return false;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    let begun = first.begun.get();
+    first.handle.stop();
+    script.wake();
+    first.task.await.unwrap();
+    assert_eq!(first.begun.get(), begun, "call {call}, {fate:?}");
+    let second = world.start(1, 2, Rc::default());
+    world.ended().await;
+    world
+        .check(&format!("a stop at call {call}, {fate:?}"))
+        .await;
+    // Nothing was cut off or given up: each ran once.
+    assert_eq!(world.runs.borrow().len(), 4, "call {call}, {fate:?}");
+    second.task.abort();
+    true
+}
+
 /// Each call of an acceptance fails: what is told is true, and a second
 /// submission of the same identity is the same request.
 #[rstest]
--- a/crates/entry/tests/interleavings/world.rs
+++ b/crates/entry/tests/interleavings/world.rs
@@ -1,6 +1,6 @@
 //! Some entries that work on one shard, in virtual time.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,10 +49,12 @@
 struct Engine {
     script: Rc<Script>,
     runs: Rc<RefCell<Vec<String>>>,
+    begun: Rc<Cell<usize>>,
 }
 
 impl Runner for Engine {
     fn run<'a>(&'a self, job: &'a Job, body: Bytes) -> LocalBoxFuture<'a, Outcome> {
+        self.begun.set(self.begun.get() + 1);
         Box::pin(async move {
             // Being sent is a step at which the entry can be killed or frozen.
             let fate = self.script.enter().await;
@@ -80,6 +82,8 @@
 pub struct Entry {
     pub script: Rc<Script>,
     pub handle: Handle,
+    /// Jobs that were given to the engine.
+    pub begun: Rc<Cell<usize>>,
     pub task: JoinHandle<()>,
 }
 
@@ -170,9 +174,11 @@
             term: Term::new(Millis(2_000)),
         };
         let own = self.holder(rank, incarnation);
+        let begun = Rc::new(Cell::new(0));
         let engine = Rc::new(Engine {
             script: Rc::clone(&script),
             runs: Rc::clone(&self.runs),
+            begun: Rc::clone(&begun),
         });
         let (shard, store, time) = (self.shard, self.store(&script), self.time);
         // All tasks of one entry end with its set.
@@ -191,6 +197,7 @@
         Entry {
             script,
             handle,
+            begun,
             task,
         }
     }
