Wait for the work on orders at the end of a planned stop

Cause: nobody waited for it. A round that was under way when the process ended was cut in the middle, with a send in flight and the lease held, and others had to wait for the lease to lapse. Now the pauses end with the stop, a send that is under way is the last one, and the process waits until the leases are given back: for the time of one send and 3 s at most.

Ruled out: dropping the round at once. Its send may still reach the endpoint after another entry has taken the lease.

The test stops the only holder in a round over 40 endpoints that never answer an order.

--- a/crates/entry/src/orders/branch.rs
+++ b/crates/entry/src/orders/branch.rs
@@ -1,9 +1,11 @@
 //! The supervised work that carries out orders.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use woodgap_core::clock::Millis;
 use woodgap_core::instance::Instance;
 use woodgap_core::lease::{Holder, Term};
@@ -24,10 +26,28 @@
 const SHORTEST: Millis = Millis(20);
 /// How long giving the leases back may take at a planned stop.
 const GIVE_BACK: Duration = Duration::from_secs(3);
+/// How often the end of the work is looked for at a planned stop.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// Carries out the orders of this entry, without end.
 pub async fn run(shared: Arc<Shared>) {
+    let working = shared.ordering.enter();
     Office::new(shared).run().await;
+    drop(working);
+}
+
+/// Waits, at a planned stop, until a send that is under way has ended and the leases
+/// are given back, so that another entry can go on at once.
+pub async fn finish(shared: &Shared) {
+    let limit = Duration::from_millis(shared.settings.orders.send_timeout.0) + GIVE_BACK;
+    let ended = async {
+        while shared.ordering.count() > 0 {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    if tokio::time::timeout(limit, ended).await.is_err() {
+        log::warn!("leases for orders were not given back in time");
+    }
 }
 
 /// All desks of one entry: that of its own data centre, and those of data centres
@@ -75,14 +95,22 @@
         self.open(&own);
         // Looks of all entries at the same moment would be a burst.
         let phase = rand::random_range(0..=self.around.poll.0);
-        tokio::time::sleep(Duration::from_millis(phase)).await;
+        self.pause(Millis(phase)).await;
         while !self.shared.stopping() {
             let next = self.round().await;
             let pause = (next - self.shared.clock.now()).max(SHORTEST);
-            tokio::time::sleep(Duration::from_millis(pause.0)).await;
+            self.pause(pause).await;
         }
-        for desk in self.desks.values() {
-            let _ = tokio::time::timeout(GIVE_BACK, desk.give_back()).await;
+        let given_back = join_all(self.desks.values().map(Desk::give_back));
+        // What is not given back by then lapses.
+        let _ = tokio::time::timeout(GIVE_BACK, given_back).await;
+    }
+
+    /// Waits for a span, or until the entry is to stop.
+    async fn pause(&self, span: Millis) {
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(span.0)) => {}
+            _ = self.shared.stopped() => {}
         }
     }
 
@@ -97,6 +125,8 @@
             self.shared.clock,
             self.wire.clone(),
         );
+        let entry = Arc::clone(&self.shared);
+        let desk = desk.unless(Rc::new(move || entry.stopping()));
         self.desks.insert(data_centre.clone(), desk);
     }
 
--- a/crates/entry/src/orders/desk.rs
+++ b/crates/entry/src/orders/desk.rs
@@ -1,6 +1,7 @@
 //! The orders of one data centre: looks, holds the lease while something differs, sends.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use futures_util::future::join_all;
 use woodgap_core::clock::Millis;
@@ -42,6 +43,7 @@
     hold: Hold<C>,
     duty: Duty,
     progress: Progress,
+    is_stopping: Rc<dyn Fn() -> bool>,
     /// When it looks next.
     pub look_at: Millis,
 }
@@ -67,10 +69,18 @@
             time,
             wire,
             hold,
+            is_stopping: Rc::new(|| false),
             look_at: Millis::ZERO,
         }
     }
 
+    /// The same desk; it begins no send once the entry is stopping.
+    #[must_use]
+    pub fn unless(mut self, is_stopping: Rc<dyn Fn() -> bool>) -> Self {
+        self.is_stopping = is_stopping;
+        self
+    }
+
     /// How many entries are preferred to this one for the data centre.
     pub fn rank(&mut self, entries: &[name::Entry]) {
         let rank = woodgap_core::lease::rank(&self.lease, &self.around.own.entry, entries);
@@ -160,6 +170,9 @@
             })
             .collect();
         for (address, place) in due {
+            if (self.is_stopping)() {
+                return;
+            }
             // A send that may not end before the lease does is not begun.
             if self.hold.check_for(self.around.bounds.send) != Ok(fence) {
                 return;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,15 +1,16 @@
 //! What every part of one entry can reach.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use cadence::StatsdClient;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use woodgap_core::burn;
 use woodgap_core::membership::Member;
 use woodgap_core::name;
+use woodgap_core::relay::shutdown::Shutdown;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::entry::Entry as Settings;
 
@@ -18,6 +19,7 @@
 use crate::deferred;
 use crate::once::Once;
 use crate::running::Running;
+use crate::stop;
 
 /// The state that threads share; what decides stands in the control thread.
 pub struct Shared {
@@ -37,13 +39,15 @@
     pub control: Handle,
     /// The background work on deferred requests.
     pub deferred: deferred::Handle,
+    /// The work on orders, until its leases are given back.
+    pub ordering: Running,
     /// Requests that carry an identity.
     pub once: Once,
     /// Counts for the burn report.
     pub counts: Mutex<burn::Recorder>,
     /// Metrics.
     pub metrics: StatsdClient,
-    stopping: AtomicBool,
+    shutdown: watch::Sender<Option<Shutdown>>,
     end: Notify,
     sequence: AtomicU64,
 }
@@ -69,10 +73,11 @@
             running: Running::default(),
             control,
             deferred: deferred::Handle::default(),
+            ordering: Running::default(),
             once,
             counts: Mutex::new(recorder),
             metrics,
-            stopping: AtomicBool::new(false),
+            shutdown: watch::Sender::new(None),
             end: Notify::new(),
             sequence: AtomicU64::new(0),
         }
@@ -89,12 +94,31 @@
 
     /// Whether the entry takes no new work.
     pub fn stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.shutdown().is_some()
+    }
+
+    /// The planned stop, once it has begun.
+    pub fn shutdown(&self) -> Option<Shutdown> {
+        *self.shutdown.borrow()
+    }
+
+    /// Waits until the planned stop begins.
+    pub async fn stopped(&self) -> Shutdown {
+        let mut news = self.shutdown.subscribe();
+        let begun = news.wait_for(Option::is_some).await;
+        let shutdown = begun.ok().and_then(|shutdown| *shutdown);
+        match shutdown {
+            Some(shutdown) => shutdown,
+            // The sender is a part of this state: it is there.
+            None => std::future::pending().await,
+        }
     }
 
     /// Takes no new work from now on.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+        let shutdown = stop::shutdown(self.clock.now());
+        self.shutdown
+            .send_modify(|begun| *begun = begun.or(Some(shutdown)));
         self.deferred.stop();
     }
 
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -111,6 +111,7 @@
         stopped.map_err(Error::Server)?;
     }
     deferred::branch::finish(&shared).await;
+    orders::branch::finish(&shared).await;
     recording::finish(&shared, LAST_COUNTS).await;
     Ok(())
 }
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -6,20 +6,27 @@
 use actix_web::dev::ServerHandle;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::Instant;
+use woodgap_core::clock::Millis;
 use woodgap_core::control::Event;
+use woodgap_core::relay::shutdown::Shutdown;
 
 use crate::caller::entries::LIFETIME;
 use crate::shared::Shared;
 
 /// How long answers may take to finish. Long narrations take minutes; what is
 /// not done by then is most likely stuck.
-const LONGEST: Duration = Duration::from_mins(10);
+const LONGEST: Millis = Millis::from_secs(600);
 /// How often the count of running requests is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long the entry goes on telling callers to use another one, at least: all
 /// that asked before the stop have asked again by then.
 const TELL_CALLERS: Duration = Duration::from_millis(LIFETIME.0);
 
+/// A planned stop that begins at this moment.
+pub fn shutdown(now: Millis) -> Shutdown {
+    Shutdown::new(now, LONGEST)
+}
+
 /// The signals that ask for a planned stop.
 struct Signals {
     terminate: Signal,
@@ -78,7 +85,10 @@
         if running == 0 && started.elapsed() >= TELL_CALLERS {
             return true;
         }
-        if started.elapsed() >= LONGEST {
+        if shared
+            .shutdown()
+            .is_some_and(|it| shared.clock.now() >= it.ends())
+        {
             log::error!(running = running; "answers are not done in time: cutting them off");
             return false;
         }
--- a/crates/entry/tests/orders/main.rs
+++ b/crates/entry/tests/orders/main.rs
@@ -20,7 +20,7 @@
 use woodgap_harness::{Stand, documents, until};
 use woodgap_platform::clock::Clock;
 
-use yard::{Sent, Yard, one_load, send, sent};
+use yard::{Sent, Yard, all_loads, one_load, send, sent};
 
 /// Longer than any test: a load that never ends.
 const FOR_EVER: u64 = 3_600_000;
@@ -114,6 +114,26 @@
     );
 }
 
+/// The holder is told to stop in the middle of a round that takes far longer than its
+/// stop, as most endpoints answer nothing: it sends no more, and gives the lease back.
+#[actix_rt::test]
+async fn the_holder_stops_in_a_round() {
+    let mut yard = Yard::with(1, all_loads).await;
+    let hung = yard.hang(40).await;
+    let models = [documents::MODEL, "tale-13b"];
+    yard.order(&yard.fleet.entries[0], "change-1", &models)
+        .await;
+    yard.holding(None).await;
+    until("orders are sent", async || {
+        (hung.orders() > 0).then_some(())
+    })
+    .await;
+    yard.fleet.entries[0].stop();
+    assert_eq!(yard.fleet.entries[0].wait(), Some(0));
+    assert_eq!(yard.holder().await, None);
+    assert!(hung.orders() < 40, "{} orders were sent", hung.orders());
+}
+
 /// A frozen holder wakes after another has taken over and the order was changed,
 /// while the engines are not there yet: its time is over, so it sends nothing, and
 /// only once it holds the lease anew it goes on, under a later number.
--- a/crates/entry/tests/orders/yard.rs
+++ b/crates/entry/tests/orders/yard.rs
@@ -1,7 +1,12 @@
 //! Some entries, one engine that checks fencing numbers, and one that does not.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use awc::Client;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use woodgap_harness::{Entry, Fleet, Stand, documents, until};
 
 const ENTRY: &str = env!("CARGO_BIN_EXE_woodgap-entry");
@@ -25,6 +30,12 @@
     changed["orders"]["loads_at_once"] = json!(1);
 }
 
+/// As the others have it, with room for all loads at once.
+pub fn all_loads(changed: &mut Value) {
+    settings(changed);
+    changed["orders"]["loads_at_once"] = json!(1_000);
+}
+
 impl Yard {
     pub async fn start(entries: usize) -> Self {
         Self::with(entries, settings).await
@@ -43,6 +54,30 @@
         Self { fleet, plain }
     }
 
+    /// Adds endpoints that never answer an order.
+    pub async fn hang(&self, count: usize) -> Hung {
+        let orders = Rc::new(Cell::new(0));
+        let list = self.fleet.platform.get("/instances/v1").await;
+        let mut list = list.as_array().unwrap().clone();
+        let like = self.plain.get("/fake/instance").await;
+        for number in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut instance = like.clone();
+            instance["name"] = json!(format!("hung-{number}"));
+            instance["address"] = json!(listener.local_addr().unwrap());
+            list.push(instance);
+            let orders = Rc::clone(&orders);
+            actix_rt::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    actix_rt::spawn(hold(stream, Rc::clone(&orders)));
+                }
+            });
+        }
+        let list = json!(list);
+        self.fleet.platform.post("/fake/instances", &list).await;
+        Hung { orders }
+    }
+
     /// The engine that checks.
     pub fn checking(&self) -> &Stand {
         &self.fleet.engine
@@ -120,6 +155,39 @@
     }
 }
 
+/// Endpoints that tell their state, and never answer an order.
+pub struct Hung {
+    orders: Rc<Cell<usize>>,
+}
+
+impl Hung {
+    /// The orders that were sent to them.
+    pub fn orders(&self) -> usize {
+        self.orders.get()
+    }
+}
+
+/// Answers a read of the state, and leaves an order without an answer.
+async fn hold(mut stream: TcpStream, orders: Rc<Cell<usize>>) {
+    let mut start = [0; 4];
+    if stream.read_exact(&mut start).await.is_err() {
+        return;
+    }
+    if start == *b"POST" {
+        orders.set(orders.get() + 1);
+        // The other side closes in its own time.
+        let _ = stream.read_to_end(&mut Vec::new()).await;
+        return;
+    }
+    let state = json!({"models": [documents::MODEL], "role": "serve"}).to_string();
+    let length = state.len();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close";
+    let answer = format!("{head}\r\ncontent-length: {length}\r\n\r\n{state}");
+    // Whoever asked may have gone.
+    let _ = stream.write_all(answer.as_bytes()).await;
+    let _ = stream.read_to_end(&mut Vec::new()).await;
+}
+
 /// The orders that an engine was sent.
 pub async fn sent(engine: &Stand) -> Vec<Sent> {
     let record = engine.get("/fake/record").await;
