Let an entry be told how long its stop may take

An entry doesn't know when it will be killed after SIGTERM; most supervisors give 10 to 90 s, and it gave answers 10 minutes. The optional setting grace_s, 5 to 3,600 s, says so. Without it nothing changes.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use woodgap_core::clock::Millis;
 use woodgap_core::name;
 
 use crate::platform::Platform;
@@ -26,6 +27,11 @@
 /// The most worker threads: an entry instance is small.
 const MOST_WORKERS: usize = 64;
 
+/// The shortest grace, in s: callers that keep to their lists need as long to leave.
+const SHORTEST_GRACE: u64 = 5;
+/// The longest grace, in s: an hour.
+const LONGEST_GRACE: u64 = 60 * 60;
+
 /// Worker threads where the settings name none.
 const WORKERS: usize = 2;
 
@@ -58,6 +64,8 @@
     pub deferred: Deferred,
     /// Orders to endpoints.
     pub orders: Orders,
+    /// Between SIGTERM and SIGKILL; none where nothing kills the process.
+    pub grace: Option<Millis>,
     /// Where metrics go, as statsd over UDP.
     pub metrics: Option<SocketAddr>,
     /// The least severe lines that are logged.
@@ -166,6 +174,7 @@
     let lease = section.within("lease", Lease::read);
     let deferred = section.within("deferred", Deferred::read);
     let orders = section.within("orders", Orders::read);
+    let grace = section.optional("grace_s", &rule::whole(SHORTEST_GRACE, LONGEST_GRACE));
     let metrics = section.optional("metrics", &rule::address());
     let log_level = section.or(
         "log_level",
@@ -196,6 +205,7 @@
         lease: lease?,
         deferred: deferred?,
         orders: orders?,
+        grace: grace.map(Millis::from_secs),
         metrics,
         log_level,
         workers,
