Begin nothing in a stop that the entry can't finish, and leave nobody without a word

Cause: work was begun without a look at how long the entry has left. A request that waited for a place and a second attempt were begun at any time of a stop, and whoever waited at the end had the connection closed.

Now an attempt begins only if the entry lasts for it, by core::relay::shutdown as it is: for the silence that ends an answer and for the class's target, in the first 2.5 s for the target alone. All else is told stopping, with what it may have done. What runs is told stopping, may_have_run, 0.2 s before the end of the time for answers. With grace_s, three quarters of it are for answers, and last bytes, records and leases end within the rest; without, 10 minutes are for answers as before. A deferred run that the end cut off is run again, if it may be.

Ruled out: serving what waits as long as slots come free, as its end is not known. NB: an answer that goes on has no bound, so that one that was begun may still be cut off, with a word.

Two tests with a grace of 8 s failed on request::run as it was: a request that waits for a place while all slots are taken got a closed connection, and a run that broke in a stop was begun anew. With one entry only, the pool's home had told the waiting one no_endpoint at once; the test has two. All tests of woodgap-entry and woodgap-settings pass.

--- a/crates/entry/src/deferred/branch.rs
+++ b/crates/entry/src/deferred/branch.rs
@@ -21,6 +21,7 @@
 use crate::endpoint::Client;
 use crate::request::run;
 use crate::shared::Shared;
+use crate::stop;
 use crate::supervisor::Guard;
 
 /// How often ended requests whose time is over are looked for: hours after they
@@ -141,7 +142,11 @@
 /// Waits, at a planned stop, until all that ran is recorded and the leases are
 /// given back.
 pub async fn finish(shared: &Shared) {
-    if !shared.deferred.finished(LAST_ENDS).await {
+    if !shared
+        .deferred
+        .finished(stop::left(shared, LAST_ENDS))
+        .await
+    {
         log::warn!("deferred requests were still running at the stop");
     }
 }
--- a/crates/entry/src/deferred/engine.rs
+++ b/crates/entry/src/deferred/engine.rs
@@ -67,7 +67,8 @@
         {
             Outcome::Refused
         }
-        Code::EndpointFailed => Outcome::Broken {
+        // The entry ended under it: it may have run, and is none of the request's faults.
+        Code::EndpointFailed | Code::Stopping => Outcome::Broken {
             code,
             message: problem.message,
         },
--- a/crates/entry/src/deferred/engine/tests.rs
+++ b/crates/entry/src/deferred/engine/tests.rs
@@ -1,9 +1,12 @@
-//! Jobs that are older than the clock that measures them.
+//! Jobs that are older than the clock that measures them, and runs that a stop ends.
 
 use rstest::rstest;
 use woodgap_core::clock::Millis;
+use woodgap_core::deferred::Outcome;
+use woodgap_core::verdict::Verdict;
 
-use super::Since;
+use super::{Since, outcome};
+use crate::request::{Code, Problem};
 
 #[rstest]
 #[case::younger_than_the_clock(5_000, 100_000, 98_000, 3_000, 0)]
@@ -23,3 +26,15 @@
     };
     assert_eq!(since, expected);
 }
+
+/// A run that the entry's end cut off is run again, if it may be.
+#[rstest]
+#[case::before_it_began(Verdict::NotRun, Outcome::Refused)]
+#[case::under_way(
+    Verdict::MayHaveRun,
+    Outcome::Broken { code: "stopping".to_owned(), message: "it ends".to_owned() }
+)]
+fn a_run_in_a_stop(#[case] verdict: Verdict, #[case] expected: Outcome) {
+    let problem = Problem::new(Code::Stopping, verdict, "it ends");
+    assert_eq!(outcome(problem), expected);
+}
--- a/crates/entry/src/orders/branch.rs
+++ b/crates/entry/src/orders/branch.rs
@@ -21,11 +21,12 @@
 use crate::orders::desk::{Desk, Surroundings};
 use crate::orders::wire::Wire;
 use crate::shared::Shared;
+use crate::stop;
 
 /// The shortest pause between two rounds.
 const SHORTEST: Millis = Millis(20);
 /// How long giving the leases back may take at a planned stop.
-const GIVE_BACK: Duration = Duration::from_secs(3);
+const GIVE_BACK: Millis = Millis::from_secs(3);
 /// How often the end of the work is looked for at a planned stop.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -39,7 +40,8 @@
 /// Waits, at a planned stop, until a send that is under way has ended and the leases
 /// are given back, so that another entry can go on at once.
 pub async fn finish(shared: &Shared) {
-    let limit = Duration::from_millis(shared.settings.orders.send_timeout.0) + GIVE_BACK;
+    let longest = shared.settings.orders.send_timeout + GIVE_BACK;
+    let limit = Duration::from_millis(stop::left(shared, longest).0);
     let ended = async {
         while shared.ordering.count() > 0 {
             tokio::time::sleep(LOOK).await;
@@ -103,7 +105,7 @@
         }
         let given_back = join_all(self.desks.values().map(Desk::give_back));
         // What is not given back by then lapses.
-        let _ = tokio::time::timeout(GIVE_BACK, given_back).await;
+        let _ = tokio::time::timeout(Duration::from_millis(GIVE_BACK.0), given_back).await;
     }
 
     /// Waits for a span, or until the entry is to stop.
--- a/crates/entry/src/request/retry.rs
+++ b/crates/entry/src/request/retry.rs
@@ -37,6 +37,8 @@
     Differs(String),
     /// The caller went away.
     Gone,
+    /// The entry ends before the answer does.
+    Stopped,
 }
 
 impl Attempt {
@@ -44,7 +46,7 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Refused(_) | Self::NoResume | Self::Rejected(_) => Verdict::NotRun,
-            Self::Broken(_) | Self::Gone => Verdict::MayHaveRun,
+            Self::Broken(_) | Self::Gone | Self::Stopped => Verdict::MayHaveRun,
             Self::Complete | Self::Garbage(_) | Self::Differs(_) => Verdict::Ran,
         }
     }
@@ -56,7 +58,7 @@
             Self::Refused(_) => Outcome::Refused,
             Self::Broken(_) | Self::Garbage(_) | Self::Differs(_) => Outcome::Failed,
             // None of these is a fault of the endpoint.
-            Self::NoResume | Self::Rejected(_) | Self::Gone => Outcome::Cancelled,
+            Self::NoResume | Self::Rejected(_) | Self::Gone | Self::Stopped => Outcome::Cancelled,
         }
     }
 }
@@ -119,6 +121,7 @@
         match attempt {
             Attempt::Complete => Next::End(Ending::Complete),
             Attempt::Gone => Next::End(Ending::Abandoned),
+            Attempt::Stopped => Next::End(self.stopped()),
             Attempt::Refused(text) => self.refused(&text),
             Attempt::NoResume => self.refused("no engine can resume"),
             Attempt::Rejected(text) => self.end(Code::BadRequest, text),
@@ -128,6 +131,12 @@
         }
     }
 
+    /// How a request ends that the entry has no time for any more.
+    pub fn stopped(&self) -> Ending {
+        let message = "this entry ends before the answer would: use another";
+        Ending::Failed(Problem::new(Code::Stopping, self.verdict, message))
+    }
+
     /// Decides after the pool declined to give a place.
     ///
     /// A request that never started is told so; one whose endpoint failed keeps
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -1,6 +1,7 @@
 //! Carries a request from its arrival to its end, over as many attempts as it may have.
 
 use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,7 @@
     Call, Declined, Ending, Granted, Head, Item, Progress, Received, Request, Sink, model, service,
 };
 use crate::shared::Shared;
+use crate::stop;
 
 /// What one worker thread needs to run requests.
 #[derive(Clone)]
@@ -105,14 +107,18 @@
         attempts: worker.shared.settings.dispatch.retries,
     });
     loop {
+        let head = Rc::clone(&request.head);
         let asked_at = Instant::now();
         let asked = tokio::select! {
             asked = request.ask(&worker.shared) => asked,
             () = sink.gone() => return Some(Ending::Abandoned),
+            () = stop::too_late(&worker.shared, &head) => return Some(tally.stopped()),
         };
         account.asked(asked_at.elapsed());
         let next;
         (request, next) = match asked {
+            // The time may have run out while it waited; the place is given back unused.
+            Ok(_) if !stop::takes(&worker.shared, &head) => return Some(tally.stopped()),
             Ok(granted) => one(worker, granted, &mut tally, &mut progress, sink, account).await,
             Err((request, Declined::Refused(problem))) => (request, tally.declined(problem)),
             Err((request, Declined::Elsewhere(life))) => {
@@ -126,6 +132,7 @@
             Next::Again(pause) => tokio::select! {
                 () = tokio::time::sleep(Duration::from_millis(pause.0)) => {}
                 () = sink.gone() => return Some(Ending::Abandoned),
+                () = stop::too_late(&worker.shared, &head) => return Some(tally.stopped()),
             },
             Next::End(ending) => return Some(ending),
         }
@@ -148,6 +155,7 @@
     let attempt = tokio::select! {
         attempt = attempt(worker, &head, permit, tally, progress, sink) => attempt,
         () = sink.abandoned() => Attempt::Gone,
+        () = stop::last_word(&worker.shared) => Attempt::Stopped,
     };
     log::debug!(request = head.id.to_string(), verdict = attempt.verdict().as_str(); "attempt ended");
     if attempt == Attempt::NoResume {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -116,7 +116,7 @@
 
     /// Takes no new work from now on.
     pub fn stop(&self) {
-        let shutdown = stop::shutdown(self.clock.now());
+        let shutdown = stop::shutdown(self.settings.grace, self.clock.now());
         self.shutdown
             .send_modify(|begun| *begun = begun.or(Some(shutdown)));
         self.deferred.stop();
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -112,7 +112,7 @@
     }
     deferred::branch::finish(&shared).await;
     orders::branch::finish(&shared).await;
-    recording::finish(&shared, LAST_COUNTS).await;
+    recording::finish(&shared, stop::left(&shared, LAST_COUNTS)).await;
     Ok(())
 }
 
@@ -266,9 +266,6 @@
     }
 }
 
-/// How long the last bytes of answers may take to reach slow callers.
-const LAST_BYTES: Duration = Duration::from_secs(30);
-
 /// The HTTP server of an entry.
 ///
 /// # Errors
@@ -284,6 +281,7 @@
     let caller_timeout = Duration::from_millis(limits.caller_timeout.0);
     let body_bytes = limits.body_bytes;
     let connections = limits.connections;
+    let last_bytes = stop::last_bytes(shared.settings.grace);
     let shared = Arc::clone(shared);
     let server = HttpServer::new(move || {
         App::new()
@@ -301,7 +299,7 @@
     })
     .workers(workers)
     .disable_signals()
-    .shutdown_timeout(LAST_BYTES.as_secs())
+    .shutdown_timeout(last_bytes.as_secs())
     .max_connections(connections.div_ceil(workers))
     .client_request_timeout(header_timeout)
     // A caller that closes its sending half has given up, as HTTP clients do.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -7,24 +7,109 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::Instant;
 use woodgap_core::clock::Millis;
+use woodgap_core::config::document::Measure;
 use woodgap_core::control::Event;
-use woodgap_core::relay::shutdown::Shutdown;
+use woodgap_core::relay::shutdown::{End, Shutdown};
 
 use crate::caller::entries::LIFETIME;
+use crate::request::Head;
 use crate::shared::Shared;
 
-/// How long answers may take to finish. Long narrations take minutes; what is
-/// not done by then is most likely stuck.
+/// How long answers may take to finish where nothing kills the process. Long narrations
+/// take minutes; what is not done by then is most likely stuck.
 const LONGEST: Millis = Millis::from_secs(600);
+/// How long the last bytes of answers may take to reach slow callers, where nothing kills
+/// the process.
+const LAST_BYTES: Duration = Duration::from_secs(30);
+/// How much sooner than it would be killed the process ends.
+const MARGIN: Millis = Millis(500);
 /// How often the count of running requests is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long the entry goes on telling callers to use another one, at least: all
 /// that asked before the stop have asked again by then.
 const TELL_CALLERS: Duration = Duration::from_millis(LIFETIME.0);
 
-/// A planned stop that begins at this moment.
-pub fn shutdown(now: Millis) -> Shutdown {
-    Shutdown::new(now, LONGEST)
+/// Of the grace, the part that is left for what comes after the answers, in percent:
+/// last bytes to slow callers, what is to be recorded, leases to be given back.
+const AFTERWARDS_PERCENT: u64 = 25;
+/// Of that part, the share of the last bytes, in percent.
+const BYTES_PERCENT: u64 = 50;
+
+/// A planned stop that begins at this moment, as far as answers go; `grace` later the
+/// process would be killed, if anything kills it.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_entry::stop::shutdown;
+///
+/// let told = shutdown(Some(Millis(8_000)), Millis(0));
+/// assert_eq!(told.ends(), Millis(5_500));
+/// assert_eq!(shutdown(None, Millis(0)).ends(), Millis(599_500));
+/// ```
+pub fn shutdown(grace: Option<Millis>, now: Millis) -> Shutdown {
+    let for_answers = grace.map(|grace| grace - afterwards(grace));
+    Shutdown::new(now, for_answers.unwrap_or(LONGEST))
+}
+
+/// How long the last bytes of answers may take to reach slow callers.
+///
+/// ```
+/// use std::time::Duration;
+/// use woodgap_core::clock::Millis;
+/// use woodgap_entry::stop::last_bytes;
+///
+/// assert_eq!(last_bytes(Some(Millis(8_000))), Duration::from_secs(1));
+/// assert_eq!(last_bytes(None), Duration::from_secs(30));
+/// ```
+pub fn last_bytes(grace: Option<Millis>) -> Duration {
+    let share = grace.map(|grace| Millis(afterwards(grace).0 * BYTES_PERCENT / 100));
+    let share = share.map_or(LAST_BYTES, |share| Duration::from_millis(share.0));
+    // The server counts in whole seconds.
+    LAST_BYTES.min(share).max(Duration::from_secs(1))
+}
+
+/// What one of the last steps may take: so long, or until the process would be killed.
+pub fn left(shared: &Shared, longest: Millis) -> Millis {
+    let (Some(grace), Some(shutdown)) = (shared.settings.grace, shared.shutdown()) else {
+        return longest;
+    };
+    longest.min(shutdown.began() + (grace - MARGIN) - shared.clock.now())
+}
+
+/// Whether an attempt that begins now is likely to end before the entry does.
+pub fn takes(shared: &Shared, head: &Head) -> bool {
+    let Some(shutdown) = shared.shutdown() else {
+        return true;
+    };
+    let now = shared.clock.now();
+    let target = (head.measure == Measure::Complete).then_some(head.latency);
+    // Nothing bounds an answer that goes on. One that sends nothing for so long is given
+    // up, and any is meant to be there when its class's target is.
+    let silence = shared.settings.dispatch.endpoint_timeout;
+    let end = End {
+        latest: now + target.map_or(silence, |target| silence.max(target)),
+        forecast: target.map(|target| now + target),
+    };
+    shutdown.takes(end, now)
+}
+
+/// Waits until an attempt would begin too late to end before the entry does.
+pub async fn too_late(shared: &Shared, head: &Head) {
+    shared.stopped().await;
+    while takes(shared, head) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Waits until whoever still waits for an answer is to be told that it will not be whole.
+pub async fn last_word(shared: &Shared) {
+    let last = shared.stopped().await.last_word();
+    let rest = last - shared.clock.now();
+    tokio::time::sleep(Duration::from_millis(rest.0)).await;
+}
+
+fn afterwards(grace: Millis) -> Millis {
+    Millis(grace.0 * AFTERWARDS_PERCENT / 100)
 }
 
 /// The signals that ask for a planned stop.
@@ -89,8 +174,10 @@
             .shutdown()
             .is_some_and(|it| shared.clock.now() >= it.ends())
         {
-            log::error!(running = running; "answers are not done in time: cutting them off");
-            return false;
+            if running > 0 {
+                log::error!(running = running; "answers are not done in time: cutting them off");
+            }
+            return running == 0;
         }
         tokio::time::sleep(LOOK).await;
     }
--- a/crates/entry/tests/membership.rs
+++ b/crates/entry/tests/membership.rs
@@ -3,6 +3,7 @@
 
 use awc::{Client, ClientResponse};
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use rstest::rstest;
 use serde_json::{Value, json};
 use woodgap_harness::{Entry, Fleet, STUCK, documents, until};
@@ -162,6 +163,93 @@
     shows(first, "entries", "entry-1", "gone").await;
 }
 
+/// A short grace, though longer than most answers.
+fn short_grace(settings: &mut Value) {
+    settings["grace_s"] = json!(8);
+}
+
+/// The rest of an answer, or what came of it until the connection broke.
+async fn rest<S>(mut answer: ClientResponse<S>) -> String
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut text = Vec::new();
+    while let Some(Ok(bytes)) = answer.next().await {
+        text.extend(bytes);
+    }
+    String::from_utf8(text).unwrap()
+}
+
+async fn runs(fleet: &Fleet) -> usize {
+    fleet.engine.started().await.len()
+}
+
+/// What waits for a place when the stop begins is told to go elsewhere, and has not run;
+/// what runs until the end is told that it may have.
+#[actix_rt::test]
+async fn nobody_is_left_without_an_answer() {
+    let mut fleet = Fleet::with(ENTRY, 2, short_grace).await;
+    let entry = &fleet.entries[0];
+    fleet.engine.fault(json!({"slow": 1_000.0})).await;
+    let running = join_all((0..8).map(|_| ask(entry, 1_000))).await;
+    let waiting = async {
+        let client = Client::builder().timeout(STUCK).finish();
+        let call = client.post(entry.url("/v1/completions"));
+        let call = call
+            .insert_header(("x-woodgap-class", "narration"))
+            .insert_header(("idempotency-key", "n-1"));
+        let body = json!({"model": documents::MODEL, "prompt": "len=1"});
+        let call = call.bearer_auth(documents::MURPHY).send_json(&body);
+        call.await.expect("it is answered").json::<Value>().await
+    };
+    let stopping = async {
+        // The claim is what comes just before the ask for a place.
+        until("one is about to wait", async || {
+            let call = Client::default().post(fleet.platform.url("/table/v1/scan"));
+            let scan = json!({"table": "claims", "limit": 1});
+            let rows: Value = call.send_json(&scan).await.ok()?.json().await.ok()?;
+            (!rows.as_array()?.is_empty()).then_some(())
+        })
+        .await;
+        entry.stop();
+    };
+    let (told, ()) = futures_util::future::join(waiting, stopping).await;
+    let told = told.unwrap();
+    assert_eq!(told["error"]["code"], "stopping");
+    assert_eq!(told["error"]["verdict"], "not_run");
+    assert_eq!(runs(&fleet).await, 8);
+    for answer in running {
+        let text = rest(answer).await;
+        assert!(
+            text.contains("\"stopping\"") && text.contains("\"may_have_run\""),
+            "{text}"
+        );
+    }
+    assert_eq!(fleet.entries[0].wait(), Some(0));
+}
+
+/// A run that breaks during a stop is not begun anew, if that may not end in time.
+#[actix_rt::test]
+async fn no_second_attempt_that_may_be_cut_off() {
+    let fleet = Fleet::with(ENTRY, 1, short_grace).await;
+    let entry = &fleet.entries[0];
+    let faults = json!({"slow": 500.0, "truncate": 1});
+    fleet.engine.fault(faults).await;
+    let answer = ask(entry, 1_000).await;
+    entry.stop();
+    until("it refuses new work", async || {
+        (ask(entry, 1).await.status() == 503).then_some(())
+    })
+    .await;
+    fleet.engine.fault(json!({"slow": 1.0})).await;
+    let text = rest(answer).await;
+    assert!(
+        text.contains("\"stopping\"") && text.contains("\"may_have_run\""),
+        "{text}"
+    );
+    assert_eq!(runs(&fleet).await, 1);
+}
+
 #[actix_rt::test]
 async fn a_second_signal_ends_the_stop() {
     let mut fleet = Fleet::start(ENTRY, 1).await;
