The soak plays endpoints that start again, and rows that can't be used

The relay tells lives of an endpoint apart and passes over rows that can't be used; the soak played neither. Ruled out: drawing them from the streams there are, which would change the faults of the kept seeds; each has a stream of its own. Endpoints stop listening, have all connections reset and listen again at their address, once or twice before the row with the later start is written, before, at or up to 0.8 s after they listen. Broken rows come beside sound ones, up to 400 in one write, and over sound ones for 0.1 to 0.9 s. Runs are recorded with the life; in the end each endpoint must run something in its life of then. Rows are written one after the other, as plans are.

--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -10,7 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use woodgap_harness::until;
 
+use crate::proxy::reset;
 use crate::record::{Outcome, Record};
 
 /// The longest time that it works on a request, in ms.
@@ -50,19 +53,128 @@
     ];
 }
 
-/// Starts an endpoint that runs until the test ends; gives back where it listens.
-pub async fn start(name: String, seed: u64, record: Record) -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
-    let listener = listener.expect("loopback has a free port");
-    let address = listener.local_addr().expect("it is bound");
-    let random = Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed)));
-    actix_rt::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let serving = serve(stream, name.clone(), Rc::clone(&random), record.clone());
-            actix_rt::spawn(serving);
+/// An endpoint that may start again at its address, and runs until the test ends.
+#[derive(Clone)]
+pub struct Endpoint {
+    name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    random: Rc<RefCell<ChaCha8Rng>>,
+    record: Record,
+    /// Which of its lives this is, from 0.
+    life: Rc<watch::Sender<u64>>,
+}
+
+impl Endpoint {
+    /// Starts an endpoint.
+    pub async fn start(name: String, seed: u64, record: Record) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("loopback has a free port");
+        let (life, _) = watch::channel(0);
+        let endpoint = Self {
+            name,
+            address: listener.local_addr().expect("it is bound"),
+            random: Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed))),
+            record,
+            life: Rc::new(life),
+        };
+        actix_rt::spawn(endpoint.clone().accept(listener));
+        endpoint
+    }
+
+    /// Which of its lives this is.
+    pub fn life(&self) -> u64 {
+        *self.life.borrow()
+    }
+
+    /// Ends its life: it listens no more, and all its connections are reset.
+    pub fn stop(&self) {
+        self.life.send_modify(|life| *life += 1);
+    }
+
+    /// Listens again, in the life that the last stop has begun.
+    pub async fn resume(&self) {
+        let listener = until("the address is free again", async || {
+            TcpListener::bind(self.address).await.ok()
+        });
+        actix_rt::spawn(self.clone().accept(listener.await));
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        let own = self.life();
+        let mut life = self.life.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                _ = life.wait_for(|life| *life != own) => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else { return };
+            actix_rt::spawn(self.clone().serve(stream, own));
+        }
+    }
+
+    /// Serves a connection until either side ends it, or the life in which it was taken is
+    /// over.
+    async fn serve(self, mut stream: TcpStream, own: u64) {
+        let Ok(way) = stream.peer_addr() else { return };
+        let mut life = self.life.subscribe();
+        let is_over = tokio::select! {
+            biased;
+            _ = life.wait_for(|life| *life != own) => true,
+            () = self.answer_all(&mut stream, own) => false,
+        };
+        if is_over {
+            // Noted before the other side can see it.
+            self.record.reset(way);
+            reset(&stream);
+        }
+    }
+
+    async fn answer_all(&self, stream: &mut TcpStream, life: u64) {
+        while let Some(head) = read(stream).await {
+            if self.answer(stream, &head, life).await.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, stream: &mut TcpStream, head: &str, life: u64) -> Option<()> {
+        let id = header(head, "x-woodgap-request");
+        let (mishap, work) = {
+            let mut random = self.random.borrow_mut();
+            let is_bad = random.random_ratio(1, ONE_BAD);
+            let mishap = Mishap::ALL.choose(&mut *random).copied();
+            let work = random.random_range(1..=LONGEST_WORK);
+            (mishap.filter(|_| is_bad), work)
+        };
+        if header(head, "x-woodgap-endpoint") != self.name {
+            return send(stream, &refusal(421, &id)).await;
+        }
+        if mishap == Some(Mishap::Declined) {
+            return send(stream, &refusal(503, &id)).await;
         }
-    });
-    address
+        let way = stream.peer_addr().ok()?;
+        let run = self.record.runs(&id, &self.name, life, way);
+        let is_bad = mishap.is_some_and(|mishap| mishap != Mishap::Surplus);
+        let own = if is_bad {
+            Outcome::Badly
+        } else {
+            Outcome::Well
+        };
+        let running = async {
+            pause(stream, Duration::from_millis(work)).await?;
+            carry_out(stream, head, &id, &self.name, mishap).await
+        };
+        let step = running.await;
+        let outcome = step.map_or(Outcome::Left, |_| own);
+        self.record.has_run(&id, run, outcome);
+        match step? {
+            After::Keep => Some(()),
+            After::Close => None,
+            After::Surplus => send(stream, &failure("nobody")).await,
+        }
+    }
 }
 
 /// What an answer to a request must hold, whichever endpoint gave it.
@@ -75,63 +187,6 @@
     format!("id: {number}\ndata: {id}-{number}\n\n")
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    name: String,
-    random: Rc<RefCell<ChaCha8Rng>>,
-    record: Record,
-) {
-    while let Some(head) = read(&mut stream).await {
-        let answered = answer(&mut stream, &head, &name, &random, &record).await;
-        if answered.is_none() {
-            return;
-        }
-    }
-}
-
-async fn answer(
-    stream: &mut TcpStream,
-    head: &str,
-    name: &str,
-    random: &RefCell<ChaCha8Rng>,
-    record: &Record,
-) -> Option<()> {
-    let id = header(head, "x-woodgap-request");
-    let (mishap, work) = {
-        let mut random = random.borrow_mut();
-        let is_bad = random.random_ratio(1, ONE_BAD);
-        let mishap = Mishap::ALL.choose(&mut *random).copied();
-        let work = random.random_range(1..=LONGEST_WORK);
-        (mishap.filter(|_| is_bad), work)
-    };
-    if header(head, "x-woodgap-endpoint") != name {
-        return send(stream, &refusal(421, &id)).await;
-    }
-    if mishap == Some(Mishap::Declined) {
-        return send(stream, &refusal(503, &id)).await;
-    }
-    let way = stream.peer_addr().ok()?;
-    let run = record.runs(&id, name, way);
-    let is_bad = mishap.is_some_and(|mishap| mishap != Mishap::Surplus);
-    let own = if is_bad {
-        Outcome::Badly
-    } else {
-        Outcome::Well
-    };
-    let running = async {
-        pause(stream, Duration::from_millis(work)).await?;
-        carry_out(stream, head, &id, name, mishap).await
-    };
-    let step = running.await;
-    let outcome = step.map_or(Outcome::Left, |_| own);
-    record.has_run(&id, run, outcome);
-    match step? {
-        After::Keep => Some(()),
-        After::Close => None,
-        After::Surplus => send(stream, &failure("nobody")).await,
-    }
-}
-
 /// What becomes of the connection after a run that went to its end.
 #[derive(Clone, Copy)]
 enum After {
--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -25,6 +25,19 @@
 /// How many series of stops come on top, and within which time they begin, in ms.
 const SERIES: std::ops::RangeInclusive<usize> = 1..=2;
 const SERIES_SPAN: u64 = 4_000;
+/// How many restarts of endpoints come on top.
+const RESTARTS: std::ops::RangeInclusive<usize> = 4..=8;
+/// How long an endpoint that starts again does not listen, in ms.
+const RESTART_GAP: std::ops::RangeInclusive<u64> = 5..=80;
+/// How long after it listens again its row may be written, in ms.
+const LISTED_LATE: std::ops::RangeInclusive<u64> = 100..=800;
+/// How many writes of rows that can't be used come on top.
+const ROWS: std::ops::RangeInclusive<usize> = 4..=7;
+/// How many of these rows are written at once, at most.
+const MOST_LITTER: usize = 400;
+/// How long the row of an endpoint can't be used, in ms.
+const SPOILT: std::ops::RangeInclusive<u64> = 100..=900;
+
 /// The grace of a stop, in ms.
 const GRACE_MS: u64 = GRACE.as_secs() * 1_000;
 
@@ -49,6 +62,32 @@
     Grow,
     /// An endpoint leaves, and another one comes.
     Replace(usize),
+    /// An endpoint starts again under its name and address.
+    Restart(usize, Restart),
+    /// So many rows that can't be used are written beside the others.
+    Litter(usize),
+    /// The row of an endpoint can't be used for a while.
+    Spoil(usize),
+}
+
+/// How an endpoint starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restart {
+    /// How long it does not listen.
+    pub gap: Duration,
+    /// When its row is written.
+    pub listed: Listed,
+    /// Whether it starts once more before its row is written.
+    pub is_twice: bool,
+}
+
+/// When the row of an endpoint that starts again is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// While it does not listen yet.
+    Before,
+    /// So long after it listens again.
+    After(Duration),
 }
 
 impl Event {
@@ -98,6 +137,45 @@
     (0..count).flat_map(|_| stops(random, entries)).collect()
 }
 
+/// Draws endpoints that start again, some more than once.
+pub fn draw_restarts(random: &mut ChaCha8Rng, endpoints: usize) -> Vec<Event> {
+    let count = random.random_range(RESTARTS);
+    let one = |_| {
+        let at = random.random_range(0..SPAN);
+        let endpoint = random.random_range(0..endpoints);
+        let gap = random.random_range(RESTART_GAP);
+        let late = random.random_range(LISTED_LATE);
+        let listed = match random.random_range(0..3) {
+            0 => Listed::Before,
+            1 => Listed::After(Duration::ZERO),
+            _ => Listed::After(Duration::from_millis(late)),
+        };
+        let restart = Restart {
+            gap: Duration::from_millis(gap),
+            listed,
+            is_twice: random.random_bool(0.3),
+        };
+        Event::new(at, 0, Fault::Restart(endpoint, restart))
+    };
+    (0..count).map(one).collect()
+}
+
+/// Draws rows that can't be used, beside sound ones and over them.
+pub fn draw_rows(random: &mut ChaCha8Rng, endpoints: usize) -> Vec<Event> {
+    let count = random.random_range(ROWS);
+    let one = |_| {
+        let at = random.random_range(0..SPAN);
+        let lasts = random.random_range(SPOILT);
+        let fault = match random.random_range(0..4) {
+            0 => Fault::Litter(MOST_LITTER),
+            1 => Fault::Litter(random.random_range(1..=10)),
+            _ => Fault::Spoil(random.random_range(0..endpoints)),
+        };
+        Event::new(at, lasts, fault)
+    };
+    (0..count).map(one).collect()
+}
+
 fn stops(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
     let slot = random.random_range(0..entries);
     let other = (slot + random.random_range(1..entries)) % entries;
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //! Each seed gives one run of some seconds. Callers send all kinds of requests while
 //! connections are delayed, reset, cut one way or silenced by proxies, processes are
 //! stopped, frozen, killed and started again, the platform fails, and the plan and
-//! the endpoints change; faults come in series and overlap. What callers and
+//! the endpoints change, start again, and are listed by rows that can't be used; faults come in series and overlap. What callers and
 //! endpoints see is checked while it runs and when all is over.
 //!
 //! CI runs a few seeds. By hand, other seeds by `WOODGAP_SOAK_SEEDS=FROM-TO`:
@@ -19,6 +19,7 @@
 mod process;
 mod proxy;
 mod record;
+mod rows;
 mod stops;
 mod world;
 
--- a/crates/relay/tests/soak/proxy.rs
+++ b/crates/relay/tests/soak/proxy.rs
@@ -166,7 +166,8 @@
     }
 }
 
-fn reset(stream: &TcpStream) {
+/// Has a stream reset where it is dropped.
+pub fn reset(stream: &TcpStream) {
     // A stream that can't be reset is closed, which callers take as well.
     let _ = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
 }
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -79,6 +79,8 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub endpoint: String,
+    /// Which of the endpoint's lives it is in, from 0.
+    pub life: u64,
     /// The other side of the connection that it came by.
     pub way: SocketAddr,
     pub at: Instant,
@@ -88,8 +90,8 @@
 /// What breaks a promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Problem {
-    /// A request that may run once ran more often.
-    Twice(String, usize),
+    /// A request that may run once ran more often: at these endpoints, in these lives.
+    Twice(String, Vec<(String, u64)>),
     /// It was said not to have run, and it did.
     RanAfterAll(String, u16),
     /// An answer is not the endpoint's, not whole, or another request's.
@@ -149,11 +151,12 @@
 
     /// Notes that an endpoint begins a run of what came by such a connection; gives back
     /// the run's number among those of the request.
-    pub fn runs(&self, id: &str, endpoint: &str, way: SocketAddr) -> usize {
+    pub fn runs(&self, id: &str, endpoint: &str, life: u64, way: SocketAddr) -> usize {
         let mut all = self.0.borrow_mut();
         let runs = all.runs.entry(id.to_owned()).or_default();
         runs.push(Run {
             endpoint: endpoint.to_owned(),
+            life,
             way,
             at: Instant::now(),
             outcome: Outcome::Running,
@@ -218,9 +221,11 @@
         let all = self.0.borrow();
         let mut problems = all.problems.clone();
         for (id, sent) in &all.sent {
-            let runs = all.runs.get(id).map_or(0, Vec::len);
+            let of_it = all.runs.get(id).map_or(&[][..], Vec::as_slice);
+            let runs = of_it.len();
             if sent.kind != Kind::Read && runs > 1 {
-                problems.push(Problem::Twice(id.clone(), runs));
+                let places = of_it.iter().map(|run| (run.endpoint.clone(), run.life));
+                problems.push(Problem::Twice(id.clone(), places.collect()));
             }
             if let Some(End::Answered(status @ (408 | 421 | 429 | 503))) = sent.end
                 && runs > 0
@@ -254,7 +259,7 @@
     use super::{End, Kind, Problem, Record, Sent};
     use std::time::{Duration, Instant};
 
-    fn record(kind: Kind, runs: usize, end: End) -> Record {
+    fn record(kind: Kind, runs: u64, end: End) -> Record {
         let record = Record::default();
         let sent = Sent {
             kind,
@@ -266,8 +271,8 @@
             ended: None,
         };
         record.sent("r", sent);
-        for _ in 0..runs {
-            record.runs("r", "e", ([127, 0, 0, 1], 1).into());
+        for life in 0..runs {
+            record.runs("r", "e", life, ([127, 0, 0, 1], 1).into());
         }
         record.ended("r", end);
         record
@@ -277,7 +282,8 @@
     fn what_ran_twice_and_what_ran_after_all_shows() {
         let id = || "r".to_owned();
         let twice = record(Kind::Write, 2, End::Cut).problems();
-        assert_eq!(twice, [Problem::Twice(id(), 2)]);
+        let lives = vec![("e".to_owned(), 0), ("e".to_owned(), 1)];
+        assert_eq!(twice, [Problem::Twice(id(), lives)]);
         let after_all = record(Kind::Stream, 1, End::Answered(503)).problems();
         assert_eq!(after_all, [Problem::RanAfterAll(id(), 503)]);
         assert_eq!(record(Kind::Read, 2, End::Answered(200)).problems(), []);
--- a/crates/relay/tests/soak/stops.rs
+++ b/crates/relay/tests/soak/stops.rs
@@ -97,6 +97,7 @@
         };
         let run = Run {
             endpoint: "e".to_owned(),
+            life: 0,
             way: WAY.into(),
             at: told,
             outcome,
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -22,10 +22,11 @@
 use crate::caller::{self, Caller, KEYS, LONG_PATIENCE, ROUTE_TIMEOUT};
 use crate::endpoint;
 use crate::entries::Entries;
-use crate::fault::{self, Event, Fault};
+use crate::fault::{self, Event, Fault, Listed, Restart};
 use crate::process::{GRACE, LEAVE, REVOKE};
 use crate::proxy::Proxy;
 use crate::record::{Kind, Problem, Record, Run, Sent};
+use crate::rows;
 use crate::stops::Case;
 
 const ENTRIES: usize = 3;
@@ -38,6 +39,26 @@
 /// How long one write to the platform may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// When an endpoint started first, in ms since the Unix epoch; each life of it begins 1 ms
+/// later than the one before.
+const FIRST_START: u64 = 1_796_256_000_000;
+/// How long an endpoint that starts twice listens in between.
+const BRIEFLY: Duration = Duration::from_millis(10);
+/// How many requests each entry gets at a time until each endpoint had one.
+const ROUND: usize = 8;
+/// How many rows that can't be used have keys of their own; later ones go over these.
+const MOST_LITTER: usize = 400;
+
+/// An endpoint with its row and the way to it.
+#[derive(Clone)]
+struct Member {
+    row: roster::Endpoint,
+    proxy: Proxy,
+    endpoint: endpoint::Endpoint,
+    /// Held while it starts again.
+    restarting: Rc<tokio::sync::Mutex<()>>,
+}
+
 /// Something that was accepted at a moment.
 type Accepted<T> = Rc<RefCell<Vec<(T, Instant)>>>;
 
@@ -46,6 +67,9 @@
     random: ChaCha8Rng,
     /// For what was added later, so that the draws of the other one stay as they are.
     more: ChaCha8Rng,
+    /// The same, for endpoints that start again and for rows.
+    restarts: ChaCha8Rng,
+    rows: ChaCha8Rng,
     scene: Rc<Scene>,
     callers: Vec<JoinHandle<()>>,
 }
@@ -57,7 +81,10 @@
     platform: Stand,
     platform_path: Proxy,
     client: Platform,
-    endpoints: RefCell<Vec<(roster::Endpoint, Proxy)>>,
+    endpoints: RefCell<Vec<Member>>,
+    /// One row of an endpoint after the other, for the same reason as with the plan.
+    listing: tokio::sync::Mutex<()>,
+    next_litter: Cell<usize>,
     next_endpoint: Cell<usize>,
     plan: RefCell<Plan>,
     /// One change of the plan after the other: else an older one may be accepted last.
@@ -74,8 +101,11 @@
     /// Starts everything and waits until it serves.
     pub async fn start(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let mut more = ChaCha8Rng::seed_from_u64(seed);
-        more.set_stream(1);
+        let [more, restarts, rows] = [1, 2, 3].map(|stream| {
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            random.set_stream(stream);
+            random
+        });
         let record = Record::default();
         let platform = Stand::platform();
         let platform_path = Proxy::start(platform.address, Record::default()).await;
@@ -87,6 +117,8 @@
             platform_path,
             client,
             endpoints: RefCell::default(),
+            listing: tokio::sync::Mutex::new(()),
+            next_litter: Cell::new(0),
             next_endpoint: Cell::new(0),
             plan: RefCell::new(first_plan()),
             writing: tokio::sync::Mutex::new(()),
@@ -116,6 +148,8 @@
             callers: callers.collect(),
             random,
             more,
+            restarts,
+            rows,
             scene,
         }
     }
@@ -130,6 +164,10 @@
         let stops = fault::draw_stops(&mut self.more, ENTRIES);
         let stops = stops.into_iter().map(|event| (event, self.more.random()));
         seeded.extend(stops);
+        let restarts = fault::draw_restarts(&mut self.restarts, ENDPOINTS);
+        let rows = fault::draw_rows(&mut self.rows, ENDPOINTS);
+        let seeds = (&mut self.rows).random_iter();
+        seeded.extend(restarts.into_iter().chain(rows).zip(seeds));
         let playing = seeded.into_iter().map(|(event, seed)| {
             let scene = Rc::clone(&self.scene);
             actix_rt::spawn(async move { scene.play(event, seed).await })
@@ -150,6 +188,7 @@
         for slot in 0..ENTRIES {
             self.scene.until_served(slot, "end").await;
         }
+        self.scene.until_all_run().await;
         let mut problems = self.scene.record.problems();
         problems.extend(self.scene.timed_problems());
         problems.extend(self.scene.stop_problems());
@@ -169,12 +208,12 @@
         let lasts = || tokio::time::sleep(event.lasts);
         match event.fault {
             Fault::EndpointPath(at, mode) => {
-                let (endpoint, proxy) = self.endpoints.borrow()[at].clone();
+                let Member { row, proxy, .. } = self.endpoints.borrow()[at].clone();
                 let begun = Instant::now();
                 proxy.begin(mode);
                 lasts().await;
                 proxy.end();
-                let fault = (endpoint.life.id.to_string(), begun, Instant::now());
+                let fault = (row.life.id.to_string(), begun, Instant::now());
                 self.path_faults.borrow_mut().push(fault);
             }
             Fault::PlatformPath(mode) => {
@@ -204,6 +243,14 @@
             Fault::Revoke => self.revoke().await,
             Fault::Grow => self.grow().await,
             Fault::Replace(at) => self.replace(at, seed).await,
+            Fault::Restart(at, restart) => self.start_again(at, restart).await,
+            Fault::Litter(count) => self.litter(count, seed).await,
+            Fault::Spoil(at) => {
+                let member = self.endpoints.borrow()[at].clone();
+                self.spoil(&member, seed).await;
+                lasts().await;
+                self.list_again(&member).await;
+            }
         }
     }
 
@@ -289,32 +336,49 @@
     }
 
     async fn write(&self, place: Place, value: serde_json::Value) {
-        let transaction = Transaction::default().put(place, value);
+        self.transact(&Transaction::default().put(place, value))
+            .await;
+    }
+
+    async fn transact(&self, transaction: &Transaction) {
         until("the platform accepts a write", async || {
-            self.client.transact(&transaction).await.ok()
+            self.client.transact(transaction).await.ok()
         })
         .await;
     }
 
-    async fn add_endpoint(&self, seed: u64) -> (roster::Endpoint, Proxy) {
+    async fn add_endpoint(&self, seed: u64) -> Member {
         let number = self.next_endpoint.get();
         self.next_endpoint.set(number + 1);
         let name = format!("e-{number}");
-        let address = endpoint::start(name.clone(), seed, self.record.clone()).await;
-        let proxy = Proxy::start(address, self.record.clone()).await;
-        let endpoint = roster::Endpoint {
-            life: name::Life::from(name::Endpoint::from(name)),
+        let endpoint = endpoint::Endpoint::start(name.clone(), seed, self.record.clone()).await;
+        let proxy = Proxy::start(endpoint.address, self.record.clone()).await;
+        let row = roster::Endpoint {
+            life: name::Life {
+                id: name::Endpoint::from(name),
+                started_unix: Some(Millis(FIRST_START)),
+            },
             service: "all".to_owned(),
             address: proxy.address,
             data_centre: name::DataCentre::from("dub-a"),
             slots: 8,
             leaving: false,
         };
-        self.list(&endpoint).await;
-        (endpoint, proxy)
+        self.list(&row).await;
+        Member {
+            row,
+            proxy,
+            endpoint,
+            restarting: Rc::default(),
+        }
     }
 
     async fn list(&self, endpoint: &roster::Endpoint) {
+        let _listing = self.listing.lock().await;
+        self.write_listed(endpoint).await;
+    }
+
+    async fn write_listed(&self, endpoint: &roster::Endpoint) {
         let value = serde_json::to_value(endpoint).expect("an endpoint is JSON");
         let place = Place::new("relay-endpoints", endpoint.life.id.as_str());
         self.write(place, value).await;
@@ -322,13 +386,115 @@
 
     async fn replace(&self, at: usize, seed: u64) {
         let fresh = self.add_endpoint(seed).await;
-        let (mut old, _) = std::mem::replace(&mut self.endpoints.borrow_mut()[at], fresh);
+        let replaced = std::mem::replace(&mut self.endpoints.borrow_mut()[at], fresh);
+        let mut old = replaced.row;
         old.leaving = true;
         self.list(&old).await;
         let accepted = (old.life.id.to_string(), Instant::now());
         self.left.borrow_mut().push(accepted);
     }
 
+    /// Has an endpoint start again under its name and address.
+    async fn start_again(&self, at: usize, restart: Restart) {
+        let member = self.endpoints.borrow()[at].clone();
+        let _restarting = member.restarting.lock().await;
+        let resume = async || {
+            tokio::time::sleep(restart.gap).await;
+            member.endpoint.resume().await;
+        };
+        member.endpoint.stop();
+        if restart.is_twice {
+            resume().await;
+            tokio::time::sleep(BRIEFLY).await;
+            member.endpoint.stop();
+        }
+        match restart.listed {
+            Listed::Before => {
+                tokio::join!(self.list_again(&member), resume());
+            }
+            Listed::After(span) => {
+                resume().await;
+                tokio::time::sleep(span).await;
+                self.list_again(&member).await;
+            }
+        }
+    }
+
+    /// Lists an endpoint in its life of now, unless another one has come in its place.
+    async fn list_again(&self, member: &Member) {
+        let _listing = self.listing.lock().await;
+        if self.is_replaced(member) {
+            return;
+        }
+        let mut row = member.row.clone();
+        row.life.started_unix = Some(Millis(FIRST_START + member.endpoint.life()));
+        self.write_listed(&row).await;
+    }
+
+    fn is_replaced(&self, member: &Member) -> bool {
+        let endpoints = self.endpoints.borrow();
+        !endpoints.iter().any(|it| it.row == member.row)
+    }
+
+    /// Writes something that can't be used over the row of an endpoint.
+    async fn spoil(&self, member: &Member, seed: u64) {
+        let _listing = self.listing.lock().await;
+        if self.is_replaced(member) {
+            return;
+        }
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let value = rows::broken(&member.row, false, &mut random);
+        let place = Place::new("relay-endpoints", member.row.life.id.as_str());
+        self.write(place, value).await;
+    }
+
+    /// Writes so many rows that can't be used, which come before and after sound ones.
+    async fn litter(&self, count: usize, seed: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let sound = self.endpoints.borrow()[0].row.clone();
+        let first = self.next_litter.get() % MOST_LITTER;
+        self.next_litter.set(first + count);
+        let is_many = count > 10;
+        let mut transaction = Transaction::default();
+        for number in first..first + count {
+            let side = if number % 2 == 0 { "a" } else { "z" };
+            let place = Place::new("relay-endpoints", &format!("{side}-{number}"));
+            transaction = transaction.put(place, rows::broken(&sound, is_many, &mut random));
+        }
+        self.transact(&transaction).await;
+    }
+
+    /// Waits until each endpoint has run something in its life of now.
+    async fn until_all_run(&self) {
+        let members = self.endpoints.borrow().clone();
+        let mut round = 0;
+        until("each endpoint serves", async || {
+            round += 1;
+            let asked = self.entries.open().into_iter().flat_map(|(address, life)| {
+                (0..ROUND).map(move |number| (address, format!("all-{life}-{round}-{number}")))
+            });
+            let asked: Vec<_> = asked
+                .map(|(address, id)| {
+                    let record = self.record.clone();
+                    actix_rt::spawn(async move {
+                        caller::is_served(address, Kind::Read, &id, &record).await
+                    })
+                })
+                .collect();
+            for asking in asked {
+                asking.await.expect("a caller ends");
+            }
+            let runs = self.record.all_runs();
+            let has_run = |member: &Member| {
+                let (name, life) = (member.row.life.id.as_str(), member.endpoint.life());
+                let mut of_all = runs.iter().filter(|(id, _)| id.starts_with("all-"));
+                of_all.any(|(_, run)| run.endpoint == name && run.life == life)
+            };
+            members.iter().all(has_run).then_some(())
+        })
+        .await;
+    }
+
     async fn until_served(&self, slot: usize, when: &str) {
         let open = self.entries.open();
         let (address, life) = open[slot];
