--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -31,6 +31,9 @@
 const RESTART_GAP: std::ops::RangeInclusive<u64> = 5..=80;
 /// How long after it listens again its row may be written, in ms.
 const LISTED_LATE: std::ops::RangeInclusive<u64> = 100..=800;
+/// How long before its connections are reset its row may be written, in ms: relays learn of
+/// it within 100.
+const LISTED_EARLY: std::ops::RangeInclusive<u64> = 100..=400;
 /// How many writes of rows that can't be used come on top.
 const ROWS: std::ops::RangeInclusive<usize> = 4..=7;
 /// How many of these rows are written at once, at most.
@@ -84,6 +87,8 @@
 /// When the row of an endpoint that starts again is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listed {
+    /// So long before its connections are reset, as when their loss shows late.
+    Early(Duration),
     /// While it does not listen yet.
     Before,
     /// So long after it listens again.
@@ -145,9 +150,11 @@
         let endpoint = random.random_range(0..endpoints);
         let gap = random.random_range(RESTART_GAP);
         let late = random.random_range(LISTED_LATE);
-        let listed = match random.random_range(0..3) {
+        let early = random.random_range(LISTED_EARLY);
+        let listed = match random.random_range(0..4) {
             0 => Listed::Before,
             1 => Listed::After(Duration::ZERO),
+            2 => Listed::Early(Duration::from_millis(early)),
             _ => Listed::After(Duration::from_millis(late)),
         };
         let restart = Restart {
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -402,6 +402,10 @@
             tokio::time::sleep(restart.gap).await;
             member.endpoint.resume().await;
         };
+        if let Listed::Early(span) = restart.listed {
+            self.list_ahead(&member, 1).await;
+            tokio::time::sleep(span).await;
+        }
         member.endpoint.stop();
         if restart.is_twice {
             resume().await;
@@ -409,7 +413,7 @@
             member.endpoint.stop();
         }
         match restart.listed {
-            Listed::Before => {
+            Listed::Early(_) | Listed::Before => {
                 tokio::join!(self.list_again(&member), resume());
             }
             Listed::After(span) => {
@@ -422,12 +426,18 @@
 
     /// Lists an endpoint in its life of now, unless another one has come in its place.
     async fn list_again(&self, member: &Member) {
+        self.list_ahead(member, 0).await;
+    }
+
+    /// Lists it in the life that comes so many after the one of now.
+    async fn list_ahead(&self, member: &Member, lives: u64) {
         let _listing = self.listing.lock().await;
         if self.is_replaced(member) {
             return;
         }
         let mut row = member.row.clone();
-        row.life.started_unix = Some(Millis(FIRST_START + member.endpoint.life()));
+        let life = member.endpoint.life() + lives;
+        row.life.started_unix = Some(Millis(FIRST_START + life));
         self.write_listed(&row).await;
     }
 
