--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -169,8 +169,8 @@
 /// second or so after which a living endpoint writes its row again.
 const DOUBT: Millis = Millis(4_000);
 /// How long an endpoint is not used at whose address another one answers: longer than its
-/// row outlasts it, some seconds. In ten plays of days with endpoints that start again at
-/// their old address the mean worth is 0.654 with this, 0.620 without.
+/// row outlasts it, some seconds. In four plays of days with endpoints that start again at
+/// their old address the mean worth is 0.629 with this, 0.593 without.
 const AWAY: Millis = Millis(10_000);
 /// How many of the latest changes are kept.
 const MOST_RECENT: usize = 64;
