--- a/crates/relay/tests/contract/endpoint.rs
+++ b/crates/relay/tests/contract/endpoint.rs
@@ -227,3 +227,12 @@
         "X-Woodgap-Verdict: not_run\r\nContent-Length: 0\r\n",
     )
 }
+
+/// Headers of an answer that is a stream of events.
+pub const EVENTS: &str =
+    "X-Woodgap-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+
+/// A piece of such a stream.
+pub fn chunk(text: &str) -> Step {
+    Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
+}
--- a/crates/relay/tests/contract/last_lines.rs
+++ b/crates/relay/tests/contract/last_lines.rs
@@ -20,7 +20,7 @@
 use woodgap_relay::logs::Queue;
 
 use crate::caller::{Caller, request};
-use crate::endpoint::{Endpoint, Step, head};
+use crate::endpoint::{EVENTS, Endpoint, Step, chunk, head};
 use crate::site;
 
 /// Streams that run when the process ends.
@@ -30,7 +30,7 @@
 
 #[test]
 fn each_stream_that_the_end_cuts_off_has_its_line() {
-    let endpoint = Endpoint::always(vec![head("200 OK", EVENTS), event(), Step::Wait]);
+    let endpoint = Endpoint::always(vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Wait]);
     let platform = Stand::platform();
     tell(&platform, endpoint.address);
     let (mut child, _settings) = start(&platform);
@@ -91,13 +91,6 @@
     assert_eq!(lines.load(Ordering::Relaxed), 200);
 }
 
-const EVENTS: &str =
-    "X-Woodgap-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-
-fn event() -> Step {
-    Step::Send("7\r\nid: 1\n\n\r\n".to_owned())
-}
-
 /// Writes a plan and one endpoint to the platform.
 fn tell(platform: &Stand, address: SocketAddr) {
     let client = Platform::new(&platform.url(""), TIMEOUT);
--- a/crates/relay/tests/contract/leave.rs
+++ b/crates/relay/tests/contract/leave.rs
@@ -2,12 +2,9 @@
 
 use std::net::{Ipv4Addr, UdpSocket};
 
-use woodgap_core::clock::Millis;
-use woodgap_core::name;
-use woodgap_core::relay::fleet::Member;
-use woodgap_core::relay::tidings::Tidings;
-use woodgap_relay::gossip::message::{self, Knowledge, MOST_BYTES, Message};
+use woodgap_relay::gossip::message::{self, MOST_BYTES, Message};
 
+use crate::peer::{self, IGNORANT};
 use crate::site::{Site, until};
 
 /// More than are asked in the two rounds for which the entry below lives on.
@@ -20,7 +17,11 @@
     let site = Site::with_grace(1.0, &[]);
     let others: Vec<_> = (0..OTHERS).map(|_| other()).collect();
     for (at, socket) in others.iter().enumerate() {
-        let question = message::encode(&question(at, socket)).unwrap();
+        let question = {
+            let address = socket.local_addr().unwrap();
+            let question = peer::question(&format!("other-{at}"), address, IGNORANT);
+            message::encode(&question).unwrap()
+        };
         // The answer tells that the question has come.
         until(|| {
             socket.send_to(&question, site.peer).unwrap();
@@ -51,31 +52,3 @@
     .filter_map(|bytes| message::decode(&bytes))
     .collect()
 }
-
-fn question(at: usize, socket: &UdpSocket) -> Message {
-    let address = socket.local_addr().unwrap();
-    Message {
-        number: 1,
-        is_answer: false,
-        from: Member {
-            name: name::Entry::from(format!("other-{at}")),
-            incarnation: name::Incarnation(1),
-            peer: address,
-            front: address,
-            data_centre: name::DataCentre::from("dub-a"),
-            stopping: false,
-            ready: true,
-            reaches_platform: true,
-        },
-        knows: Knowledge {
-            plan: 0,
-            plan_age: Millis(0),
-            endpoints: 0,
-            endpoints_age: Millis(0),
-        },
-        known: 0,
-        told: Vec::new(),
-        tidings: Tidings::default(),
-        rests: Vec::new(),
-    }
-}
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -10,6 +10,7 @@
 mod messages;
 mod others;
 mod own_questions;
+mod peer;
 mod refusals;
 mod rests;
 mod rows;
--- /dev/null
+++ b/crates/relay/tests/contract/peer.rs
@@ -0,0 +1,40 @@
+//! Messages of another entry, as the relay gets them.
+
+use std::net::SocketAddr;
+
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::fleet::Member;
+use woodgap_core::relay::tidings::Tidings;
+use woodgap_relay::gossip::message::{Knowledge, Message};
+
+/// An entry that knows nothing.
+pub const IGNORANT: Knowledge = Knowledge {
+    plan: 0,
+    plan_age: Millis(0),
+    endpoints: 0,
+    endpoints_age: Millis(0),
+};
+
+/// A question of an entry at this address that knows so much.
+pub fn question(name: &str, address: SocketAddr, knows: Knowledge) -> Message {
+    Message {
+        number: 1,
+        is_answer: false,
+        from: Member {
+            name: name::Entry::from(name),
+            incarnation: name::Incarnation(1),
+            peer: address,
+            front: address,
+            data_centre: name::DataCentre::from("dub-a"),
+            stopping: false,
+            ready: true,
+            reaches_platform: true,
+        },
+        knows,
+        known: 0,
+        told: Vec::new(),
+        tidings: Tidings::default(),
+        rests: Vec::new(),
+    }
+}
--- a/crates/relay/tests/contract/silent_tellers.rs
+++ b/crates/relay/tests/contract/silent_tellers.rs
@@ -6,13 +6,11 @@
 
 use serde::Serialize;
 use woodgap_core::clock::Millis;
-use woodgap_core::name;
-use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::roster::{self, Change};
-use woodgap_core::relay::tidings::Tidings;
 use woodgap_relay::gossip::message::{self, FORM, Fetched, Knowledge, Listed, MOST_BYTES, Message};
 
 use crate::endpoint::{Endpoint, whole};
+use crate::peer;
 use crate::site::{Site, endpoint, source, until};
 
 /// The revision at which the endpoint leaves; the relay's own source tells of an earlier one.
@@ -59,21 +57,7 @@
         Message {
             number,
             is_answer,
-            from: Member {
-                name: name::Entry::from(self.name.as_str()),
-                incarnation: name::Incarnation(1),
-                peer: address,
-                front: address,
-                data_centre: name::DataCentre::from("dub-a"),
-                stopping: false,
-                ready: true,
-                reaches_platform: true,
-            },
-            knows: KNOWLEDGE,
-            known: 0,
-            told: Vec::new(),
-            tidings: Tidings::default(),
-            rests: Vec::new(),
+            ..peer::question(&self.name, address, KNOWLEDGE)
         }
     }
 
--- a/crates/relay/tests/contract/stops.rs
+++ b/crates/relay/tests/contract/stops.rs
@@ -1,7 +1,7 @@
 //! An entry that is told to stop took a chat 3.1 s later and ended 4.4 s after that, in the
 //! middle of the answer. It served whatever came in the first 3.5 s of a stop without asking
-//! whether the answer could end before the process did, and the chat's caller still had it
-//! on its list, as the other entries had heard late that it stops.
+//! whether the answer could end before the process did, and callers were sent to it for
+//! seconds, as the other entries heard late that it stops.
 //!
 //! Of the record: stop at 14.875 s, chat sent at 17.977 s, at the engine at 17.990 s, cut off
 //! at 22.399 s; that is 7.524 s after the stop, half a second before the grace of 8 s ends.
@@ -11,16 +11,9 @@
 use rstest::rstest;
 
 use crate::caller::{Answer, Caller, get, request};
-use crate::endpoint::{Endpoint, Step, declined, head, whole};
+use crate::endpoint::{EVENTS, Endpoint, Step, chunk, declined, head, whole};
 use crate::site::{Site, until};
 
-const EVENTS: &str =
-    "X-Woodgap-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-
-fn chunk(text: &str) -> Step {
-    Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
-}
-
 /// An endpoint whose streams go on for longer than any entry that stops.
 fn endless() -> Endpoint {
     Endpoint::always(vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Wait])
--- a/crates/relay/tests/contract/streams.rs
+++ b/crates/relay/tests/contract/streams.rs
@@ -1,16 +1,9 @@
 //! Streams of events pass through event by event.
 
 use crate::caller::{Caller, request};
-use crate::endpoint::{Endpoint, Step, head};
+use crate::endpoint::{EVENTS, Endpoint, Step, chunk, head};
 use crate::site::{Site, until};
 
-const EVENTS: &str =
-    "X-Woodgap-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-
-fn chunk(text: &str) -> Step {
-    Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
-}
-
 fn open(endpoint: &Endpoint) -> (Site, Caller) {
     let site = Site::start(&[endpoint.address]);
     let mut caller = Caller::connect(site.requests);
