--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -284,18 +284,12 @@
         self.patience().near
     }
 
-    /// Whether this life of an entry has said that it is about to stop.
-    fn has_stopped(&self, life: &Member) -> bool {
+    /// Whether this life of an entry has said before that it is about to stop.
+    pub fn has_stopped(&self, life: &Member) -> bool {
         let known = self.members.get(&life.name);
         known.is_some_and(|(it, _)| it.stopping && it.incarnation == life.incarnation)
     }
 
-    /// Whether an entry has said that it is about to stop.
-    pub fn is_stopping(&self, name: &name::Entry) -> bool {
-        let known = self.members.get(name);
-        known.is_some_and(|(member, _)| member.stopping)
-    }
-
     /// The other entries that answer and are not about to stop, whether or not they
     /// take requests yet.
     pub fn answering(&self, now: Millis) -> impl Iterator<Item = &Member> {
--- a/crates/core/src/relay/shutdown.rs
+++ b/crates/core/src/relay/shutdown.rs
@@ -10,13 +10,13 @@
 
 /// How much sooner than it would be killed the process ends: a signal is noticed late by a
 /// process that has little of a processor.
-const MARGIN: Millis = Millis(500);
+pub const MARGIN: Millis = Millis(500);
 /// How long before its end the entry tells those that still wait that they wait in vain: some
 /// times the 50 ms after which it looks whether all is done.
 const LAST_WORD: Millis = Millis(200);
 /// How long callers may come, if they keep a list of entries for as long as they are told,
 /// or three times as long, as some do.
-pub const CALLERS_LEAVE: Millis = Millis(3_500);
+const CALLERS_LEAVE: Millis = Millis(3_500);
 /// For so long a forecast is enough to take a request: until all callers that keep to their
 /// lists have left, 3 s after the signal, which may have been noticed half a second late. Those
 /// that come later could know better, and what is begun for them must not be cut off.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -9,7 +9,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::config::document::Measure;
 use woodgap_core::control::Event;
-use woodgap_core::relay::shutdown::{End, Shutdown};
+use woodgap_core::relay::shutdown::{End, MARGIN, Shutdown};
 
 use crate::caller::entries::LIFETIME;
 use crate::request::Head;
@@ -21,8 +21,6 @@
 /// How long the last bytes of answers may take to reach slow callers, where nothing kills
 /// the process.
 const LAST_BYTES: Duration = Duration::from_secs(30);
-/// How much sooner than it would be killed the process ends.
-const MARGIN: Millis = Millis(500);
 /// How often the count of running requests is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long the entry goes on telling callers to use another one, at least: all
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -249,18 +249,8 @@
     let now = state.now();
     let changes = state.roster.borrow_mut().replace(all, revision, as_of, now);
     upkeep::drop_gone(state, now);
-    if changes.len() <= MOST_LINES {
-        tell(&changes, revision, source);
-    } else {
-        let listed = state.roster.borrow().listed().count();
-        log::info!(
-            changes = changes.len(), listed = listed, revision = revision, source = source;
-            "many endpoints are listed anew"
-        );
-    }
-    if !changes.is_empty() {
-        state.news.notify_one();
-    }
+    let changes: Vec<_> = changes.into_iter().map(|it| (revision, it)).collect();
+    tell_all(state, &changes, source);
 }
 
 /// Takes changes of the list, each with its revision.
@@ -268,37 +258,40 @@
     let now = state.now();
     let newer = state.roster.borrow_mut().apply(changes, as_of, now);
     upkeep::drop_gone(state, now);
-    let Some((revision, _)) = newer.last() else {
+    tell_all(state, &newer, source);
+}
+
+/// Tells of changes of the list, each with its revision: the log, and the other entries.
+fn tell_all(state: &State, changes: &[(u64, Change)], source: &str) {
+    let Some((newest, _)) = changes.last() else {
         return;
     };
-    if newer.len() <= MOST_LINES {
-        for (revision, change) in &newer {
-            tell(std::slice::from_ref(change), *revision, source);
+    if changes.len() <= MOST_LINES {
+        for (revision, change) in changes {
+            tell(change, *revision, source);
         }
     } else {
         let listed = state.roster.borrow().listed().count();
         log::info!(
-            changes = newer.len(), listed = listed, revision = *revision, source = source;
+            changes = changes.len(), listed = listed, revision = *newest, source = source;
             "many endpoints are listed anew"
         );
     }
     state.news.notify_one();
 }
 
-fn tell(changes: &[Change], revision: u64, source: &str) {
-    for change in changes {
-        match change {
-            Change::Listed(endpoint) => log::info!(
-                endpoint = endpoint.life.id.as_str(), service = endpoint.service,
-                started_unix_ms = endpoint.life.started_unix.map(|started| started.0),
-                address = endpoint.address.to_string(), leaving = endpoint.leaving,
-                revision = revision, source = source;
-                "an endpoint is listed"
-            ),
-            Change::Missing(name) => log::info!(
-                endpoint = name.as_str(), revision = revision, source = source;
-                "an endpoint is no longer listed"
-            ),
-        }
+fn tell(change: &Change, revision: u64, source: &str) {
+    match change {
+        Change::Listed(endpoint) => log::info!(
+            endpoint = endpoint.life.id.as_str(), service = endpoint.service,
+            started_unix_ms = endpoint.life.started_unix.map(|started| started.0),
+            address = endpoint.address.to_string(), leaving = endpoint.leaving,
+            revision = revision, source = source;
+            "an endpoint is listed"
+        ),
+        Change::Missing(name) => log::info!(
+            endpoint = name.as_str(), revision = revision, source = source;
+            "an endpoint is no longer listed"
+        ),
     }
 }
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -105,16 +105,7 @@
         if to.is_empty() {
             return;
         }
-        let farewell = Message {
-            number: message::FAREWELL,
-            is_answer: true,
-            from: self.state.member(),
-            knows: knowledge(&self.state),
-            known: self.state.fleet.borrow().size() - 1,
-            told: Vec::new(),
-            tidings: Tidings::default(),
-            rests: Vec::new(),
-        };
+        let farewell = self.bare(message::FAREWELL, true);
         for address in to {
             self.send(&farewell, address);
         }
@@ -144,8 +135,8 @@
             self.newcomers = 0;
         }
         if !self.stopping.is_empty() {
-            let named: Vec<_> = self.stopping.iter().take(MOST_NAMED).collect();
-            let named: Vec<_> = named.iter().map(|name| name.as_str()).collect();
+            let named = self.stopping.iter().take(MOST_NAMED);
+            let named: Vec<_> = named.map(name::Entry::as_str).collect();
             log::info!(
                 newly = self.stopping.len(), entries = named.join(" "), answering = answering;
                 "other entries are stopping"
@@ -172,16 +163,25 @@
     fn message(&mut self, number: u64, is_answer: bool) -> Message {
         let now = self.state.now();
         let tidings = self.state.loads.borrow().tidings(MOST_SHARES, now);
-        let known = self.state.fleet.borrow().size() - 1;
+        Message {
+            told: self.told(),
+            tidings,
+            rests: self.state.rests.borrow().tell(now),
+            ..self.bare(number, is_answer)
+        }
+    }
+
+    /// A message that tells only who this entry is, and how much it knows.
+    fn bare(&self, number: u64, is_answer: bool) -> Message {
         Message {
             number,
             is_answer,
             from: self.state.member(),
             knows: knowledge(&self.state),
-            known,
-            told: self.told(),
-            tidings,
-            rests: self.state.rests.borrow().tell(now),
+            known: self.state.fleet.borrow().size() - 1,
+            told: Vec::new(),
+            tidings: Tidings::default(),
+            rests: Vec::new(),
         }
     }
 
@@ -232,7 +232,7 @@
             for member in &message.told {
                 fleet.told(member.clone(), now);
             }
-            if message.from.stopping && !fleet.is_stopping(&message.from.name) {
+            if message.from.stopping && !fleet.has_stopped(&message.from) {
                 self.stopping.push(message.from.name.clone());
             }
             if fleet.heard(message.from.clone(), now) {
--- a/crates/relay/src/request/account.rs
+++ b/crates/relay/src/request/account.rs
@@ -256,11 +256,13 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
-        if !self.closed && self.state.has_ended() {
-            self.close("cut", 0, "may_have_run", ENTRY_ENDED);
-        }
         if !self.closed {
-            self.close("abandoned", 0, "may_have_run", "the caller has gone");
+            let (outcome, reason) = if self.state.has_ended() {
+                ("cut", ENTRY_ENDED)
+            } else {
+                ("abandoned", "the caller has gone")
+            };
+            self.close(outcome, 0, "may_have_run", reason);
         }
         self.state.running.set(self.state.running.get() - 1);
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -176,11 +176,6 @@
         self.closing.send_replace(true);
     }
 
-    /// Whether they were told.
-    pub fn is_closed(&self) -> bool {
-        *self.closing.borrow()
-    }
-
     /// Waits until there will be no answers any more.
     pub async fn closed(&self) {
         let mut closing = self.closing.subscribe();
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -62,18 +62,19 @@
 /// Waits until nothing is left to do, or the time is over. Those that wait for the beginning
 /// of an answer are told shortly before that there will be none.
 async fn drain(state: &State, shutdown: &Shutdown) {
+    let mut is_said = false;
     loop {
         let now = state.now();
-        let is_said = state.is_closed();
-        if now >= shutdown.last_word() {
-            state.close();
-        }
         let is_idle = state.running.get() == 0 && state.unwritten.get() == 0;
         // A look that comes late still leaves the time to say and write the last word.
         let can_end = is_idle || is_said;
         if can_end && shutdown.is_over(is_idle, now) {
             return;
         }
+        if now >= shutdown.last_word() {
+            state.close();
+            is_said = true;
+        }
         tokio::time::sleep(CHECK).await;
     }
 }
