--- a/crates/relay/tests/contract/stops.rs
+++ b/crates/relay/tests/contract/stops.rs
@@ -162,6 +162,15 @@
     until(|| site.has_ended());
 }
 
+/// A caller whose request is at an endpoint.
+fn waiting_at(endpoint: &Endpoint, site: &Site) -> Caller {
+    let mut caller = Caller::connect(site.requests);
+    let length = "Content-Length: 0\r\n";
+    caller.send(&request("POST", "/write/", "r1", length), b"");
+    until(|| endpoint.seen().len() == 1);
+    caller
+}
+
 /// The platform may be away when an entry stops: callers get what they wait for all the same.
 #[test]
 fn a_lost_withdrawal_holds_nobody_up() {
@@ -169,12 +178,7 @@
     let site = Site::with_grace(2.0, &[endpoint.address]);
     until(|| site.source.0.lock().unwrap().is_announced);
     site.source.0.lock().unwrap().is_withdrawal_lost = true;
-    let mut caller = Caller::connect(site.requests);
-    caller.send(
-        &request("POST", "/write/", "r1", "Content-Length: 0\r\n"),
-        b"",
-    );
-    until(|| endpoint.seen().len() == 1);
+    let mut caller = waiting_at(&endpoint, &site);
     site.stop();
     assert_eq!(caller.answer().expect("an answer").status, 502);
     until(|| site.has_ended());
@@ -185,12 +189,7 @@
 fn with_hardly_any_grace_those_that_wait_get_an_answer() {
     let endpoint = Endpoint::always(vec![Step::Hold]);
     let site = Site::with_grace(0.3, &[endpoint.address]);
-    let mut caller = Caller::connect(site.requests);
-    caller.send(
-        &request("POST", "/write/", "r1", "Content-Length: 0\r\n"),
-        b"",
-    );
-    until(|| endpoint.seen().len() == 1);
+    let mut caller = waiting_at(&endpoint, &site);
     site.tell_to_stop();
     assert_eq!(caller.answer().expect("an answer").status, 502);
 }
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -1,7 +1,10 @@
 //! One run: the platform, endpoints and entries of a seed, their callers and faults.
 
+mod checks;
+mod members;
+mod plan;
+
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::process::ExitStatus;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,23 +14,18 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use serde_json::json;
-use woodgap_core::clock::Millis;
-use woodgap_core::name;
-use woodgap_core::relay::plan::{self, Plan, Route, Service, Share, Workspace};
-use woodgap_core::relay::roster;
+use woodgap_core::relay::Plan;
 use woodgap_harness::{Stand, until};
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Table, Transaction};
 
-use crate::caller::{self, Caller, KEYS, LONG_PATIENCE, ROUTE_TIMEOUT};
-use crate::endpoint;
+use crate::caller::{self, Caller, KEYS};
 use crate::entries::Entries;
-use crate::fault::{self, Event, Fault, Listed, Restart};
-use crate::process::{GRACE, LEAVE, REVOKE};
+use crate::fault::{self, Event, Fault};
+use crate::process::GRACE;
 use crate::proxy::Proxy;
-use crate::record::{Kind, Problem, Record, Run, Sent};
-use crate::rows;
-use crate::stops::Case;
+use crate::record::{Problem, Record};
+use members::Member;
 
 const ENTRIES: usize = 3;
 const ENDPOINTS: usize = 4;
@@ -39,26 +37,6 @@
 /// How long one write to the platform may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// When an endpoint started first, in ms since the Unix epoch; each life of it begins 1 ms
-/// later than the one before.
-const FIRST_START: u64 = 1_796_256_000_000;
-/// How long an endpoint that starts twice listens in between.
-const BRIEFLY: Duration = Duration::from_millis(10);
-/// How many requests each entry gets at a time until each endpoint had one.
-const ROUND: usize = 8;
-/// How many rows that can't be used have keys of their own; later ones go over these.
-const MOST_LITTER: usize = 400;
-
-/// An endpoint with its row and the way to it.
-#[derive(Clone)]
-struct Member {
-    row: roster::Endpoint,
-    proxy: Proxy,
-    endpoint: endpoint::Endpoint,
-    /// Held while it starts again.
-    restarting: Rc<tokio::sync::Mutex<()>>,
-}
-
 /// Something that was accepted at a moment.
 type Accepted<T> = Rc<RefCell<Vec<(T, Instant)>>>;
 
@@ -120,7 +98,7 @@
             listing: tokio::sync::Mutex::new(()),
             next_litter: Cell::new(0),
             next_endpoint: Cell::new(0),
-            plan: RefCell::new(first_plan()),
+            plan: RefCell::new(plan::first()),
             writing: tokio::sync::Mutex::new(()),
             revoked: Rc::default(),
             left: Rc::default(),
@@ -317,8 +295,8 @@
 
     async fn grow(&self) {
         let number = self.plan.borrow().routes.len();
-        let more = (number..number + 50)
-            .map(|number| route(&format!("/more/{number}/"), plan::Kind::Idempotent));
+        let more =
+            (number..number + 50).map(|number| plan::read_route(&format!("/more/{number}/")));
         self.plan.borrow_mut().routes.extend(more);
         self.write_plan().await;
     }
@@ -346,300 +324,4 @@
         })
         .await;
     }
-
-    async fn add_endpoint(&self, seed: u64) -> Member {
-        let number = self.next_endpoint.get();
-        self.next_endpoint.set(number + 1);
-        let name = format!("e-{number}");
-        let endpoint = endpoint::Endpoint::start(name.clone(), seed, self.record.clone()).await;
-        let proxy = Proxy::start(endpoint.address, self.record.clone()).await;
-        let row = roster::Endpoint {
-            life: name::Life {
-                id: name::Endpoint::from(name),
-                started_unix: Some(Millis(FIRST_START)),
-            },
-            service: "all".to_owned(),
-            address: proxy.address,
-            data_centre: name::DataCentre::from("dub-a"),
-            slots: 8,
-            leaving: false,
-        };
-        self.list(&row).await;
-        Member {
-            row,
-            proxy,
-            endpoint,
-            restarting: Rc::default(),
-        }
-    }
-
-    async fn list(&self, endpoint: &roster::Endpoint) {
-        let _listing = self.listing.lock().await;
-        self.write_listed(endpoint).await;
-    }
-
-    async fn write_listed(&self, endpoint: &roster::Endpoint) {
-        let value = serde_json::to_value(endpoint).expect("an endpoint is JSON");
-        let place = Place::new("relay-endpoints", endpoint.life.id.as_str());
-        self.write(place, value).await;
-    }
-
-    async fn replace(&self, at: usize, seed: u64) {
-        let fresh = self.add_endpoint(seed).await;
-        let replaced = std::mem::replace(&mut self.endpoints.borrow_mut()[at], fresh);
-        let mut old = replaced.row;
-        old.leaving = true;
-        self.list(&old).await;
-        let accepted = (old.life.id.to_string(), Instant::now());
-        self.left.borrow_mut().push(accepted);
-    }
-
-    /// Has an endpoint start again under its name and address.
-    async fn start_again(&self, at: usize, restart: Restart) {
-        let member = self.endpoints.borrow()[at].clone();
-        let _restarting = member.restarting.lock().await;
-        let resume = async || {
-            tokio::time::sleep(restart.gap).await;
-            member.endpoint.resume().await;
-        };
-        if let Listed::Early(span) = restart.listed {
-            self.list_ahead(&member, 1).await;
-            tokio::time::sleep(span).await;
-        }
-        member.endpoint.stop();
-        if restart.is_twice {
-            resume().await;
-            tokio::time::sleep(BRIEFLY).await;
-            member.endpoint.stop();
-        }
-        match restart.listed {
-            Listed::Early(_) | Listed::Before => {
-                tokio::join!(self.list_again(&member), resume());
-            }
-            Listed::After(span) => {
-                resume().await;
-                tokio::time::sleep(span).await;
-                self.list_again(&member).await;
-            }
-        }
-    }
-
-    /// Lists an endpoint in its life of now, unless another one has come in its place.
-    async fn list_again(&self, member: &Member) {
-        self.list_ahead(member, 0).await;
-    }
-
-    /// Lists it in the life that comes so many after the one of now.
-    async fn list_ahead(&self, member: &Member, lives: u64) {
-        let _listing = self.listing.lock().await;
-        if self.is_replaced(member) {
-            return;
-        }
-        let mut row = member.row.clone();
-        let life = member.endpoint.life() + lives;
-        row.life.started_unix = Some(Millis(FIRST_START + life));
-        self.write_listed(&row).await;
-    }
-
-    fn is_replaced(&self, member: &Member) -> bool {
-        let endpoints = self.endpoints.borrow();
-        !endpoints.iter().any(|it| it.row == member.row)
-    }
-
-    /// Writes something that can't be used over the row of an endpoint.
-    async fn spoil(&self, member: &Member, seed: u64) {
-        let _listing = self.listing.lock().await;
-        if self.is_replaced(member) {
-            return;
-        }
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let value = rows::broken(&member.row, false, &mut random);
-        let place = Place::new("relay-endpoints", member.row.life.id.as_str());
-        self.write(place, value).await;
-    }
-
-    /// Writes so many rows that can't be used, which come before and after sound ones.
-    async fn litter(&self, count: usize, seed: u64) {
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let sound = self.endpoints.borrow()[0].row.clone();
-        let first = self.next_litter.get() % MOST_LITTER;
-        self.next_litter.set(first + count);
-        let is_many = count > 10;
-        let mut transaction = Transaction::default();
-        for number in first..first + count {
-            let side = if number % 2 == 0 { "a" } else { "z" };
-            let place = Place::new("relay-endpoints", &format!("{side}-{number}"));
-            transaction = transaction.put(place, rows::broken(&sound, is_many, &mut random));
-        }
-        self.transact(&transaction).await;
-    }
-
-    /// Waits until each endpoint has run something in its life of now.
-    async fn until_all_run(&self) {
-        let members = self.endpoints.borrow().clone();
-        let mut round = 0;
-        until("each endpoint serves", async || {
-            round += 1;
-            let asked = self.entries.open().into_iter().flat_map(|(address, life)| {
-                (0..ROUND).map(move |number| (address, format!("all-{life}-{round}-{number}")))
-            });
-            let asked: Vec<_> = asked
-                .map(|(address, id)| {
-                    let record = self.record.clone();
-                    actix_rt::spawn(async move {
-                        caller::is_served(address, Kind::Read, &id, &record).await
-                    })
-                })
-                .collect();
-            for asking in asked {
-                asking.await.expect("a caller ends");
-            }
-            let runs = self.record.all_runs();
-            let has_run = |member: &Member| {
-                let (name, life) = (member.row.life.id.as_str(), member.endpoint.life());
-                let mut of_all = runs.iter().filter(|(id, _)| id.starts_with("all-"));
-                of_all.any(|(_, run)| run.endpoint == name && run.life == life)
-            };
-            members.iter().all(has_run).then_some(())
-        })
-        .await;
-    }
-
-    async fn until_served(&self, slot: usize, when: &str) {
-        let open = self.entries.open();
-        let (address, life) = open[slot];
-        for kind in Kind::ALL {
-            let mut tries = 0;
-            until("an entry serves", async || {
-                tries += 1;
-                let id = format!("{when}-{life}-{kind:?}-{tries}");
-                let is_served = caller::is_served(address, kind, &id, &self.record).await;
-                is_served.then_some(())
-            })
-            .await;
-        }
-    }
-
-    /// Broken promises that have a bound in time. Callers' and endpoints' clocks are
-    /// the same here.
-    fn timed_problems(&self) -> Vec<Problem> {
-        let sent: BTreeMap<_, _> = self.record.all_sent().into_iter().collect();
-        let mut problems = Vec::new();
-        for (id, run) in self.record.all_runs() {
-            let Some(sent) = sent.get(&id) else { continue };
-            let late = |accepted: Instant, bound: u64| {
-                let after = sent.at.saturating_duration_since(accepted);
-                (after > Duration::from_millis(bound)).then_some(after.as_millis())
-            };
-            for (key, at) in self.revoked.borrow().iter() {
-                if let Some(after) = late(*at, REVOKE).filter(|_| *key == sent.key) {
-                    problems.push(Problem::Revoked(id.clone(), after));
-                }
-            }
-            for (endpoint, at) in self.left.borrow().iter() {
-                let is_bound = !self.entries.is_hurt(sent.life) && !self.was_platform_faulty(*at);
-                let late = late(*at, LEAVE).filter(|_| *endpoint == run.endpoint && is_bound);
-                if let Some(after) = late {
-                    problems.push(Problem::Leaving(id.clone(), after));
-                }
-            }
-        }
-        problems
-    }
-
-    /// Broken promises of planned stops.
-    fn stop_problems(&self) -> Vec<Problem> {
-        let sent = self.record.all_sent();
-        sent.iter()
-            .filter_map(|(id, sent)| self.judge_stop(id, sent))
-            .collect()
-    }
-
-    fn judge_stop(&self, id: &str, sent: &Sent) -> Option<Problem> {
-        let told = self.entries.told(sent.life)?;
-        if self.entries.was_hurt(sent.life, sent.ended?) {
-            return None;
-        }
-        let runs = self.record.runs_of(id);
-        let was_slowed = runs.iter().any(|run| self.was_slowed(run, sent));
-        let case = Case {
-            id,
-            sent,
-            runs: &runs,
-            told,
-            was_slowed,
-        };
-        case.judge(&self.record)
-    }
-
-    /// Whether the way to a run's endpoint misbehaved while its request was under way.
-    fn was_slowed(&self, run: &Run, sent: &Sent) -> bool {
-        let faults = self.path_faults.borrow();
-        faults.iter().any(|(endpoint, begun, ended)| {
-            let is_during = *ended >= sent.at && sent.ended.is_none_or(|until| *begun <= until);
-            *endpoint == run.endpoint && is_during
-        })
-    }
-
-    /// Whether the platform misbehaved within the bound after a moment: what it has
-    /// accepted may then not be known.
-    fn was_platform_faulty(&self, at: Instant) -> bool {
-        let until = at + Duration::from_millis(LEAVE);
-        let faults = self.platform_faults.borrow();
-        faults
-            .iter()
-            .any(|(begun, ended)| *begun < until && *ended > at)
-    }
-}
-
-fn route(prefix: &str, kind: plan::Kind) -> Route {
-    Route {
-        name: prefix.trim_matches('/').to_owned(),
-        host: "album.example".to_owned(),
-        prefix: prefix.to_owned(),
-        kind,
-        timeout: millis(ROUTE_TIMEOUT),
-        target: Millis(400),
-        gap: None,
-        priority: 0,
-        shares: vec![Share {
-            service: "all".to_owned(),
-            weight: 1,
-        }],
-        attempts: 3,
-        public: false,
-        resumable: false,
-    }
-}
-
-fn millis(span: Duration) -> Millis {
-    Millis(u64::try_from(span.as_millis()).expect("spans are short"))
-}
-
-fn first_plan() -> Plan {
-    let long = Route {
-        timeout: millis(LONG_PATIENCE),
-        ..route(Kind::Long.path(), plan::Kind::Stream)
-    };
-    let workspace = |name: &str, key: &str| Workspace {
-        name: name.to_owned(),
-        keys: vec![key.to_owned()],
-        priority: 0,
-    };
-    Plan {
-        version: 0,
-        routes: vec![
-            route(Kind::Read.path(), plan::Kind::Idempotent),
-            route(Kind::Write.path(), plan::Kind::NonIdempotent),
-            route(Kind::Stream.path(), plan::Kind::Stream),
-            long,
-        ],
-        services: vec![Service {
-            name: "all".to_owned(),
-            connections: 200,
-            engine: None,
-        }],
-        workspaces: vec![workspace("first", KEYS[0]), workspace("second", KEYS[1])],
-        limits: plan::Limits::default(),
-    }
 }
--- /dev/null
+++ b/crates/relay/tests/soak/world/checks.rs
@@ -0,0 +1,134 @@
+//! What must hold in a run: that all is served again, and that promises were kept.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use woodgap_harness::until;
+
+use super::Scene;
+use super::members::Member;
+use crate::caller;
+use crate::process::{LEAVE, REVOKE};
+use crate::record::{Kind, Problem, Run, Sent};
+use crate::stops::Case;
+
+/// How many requests each entry gets at a time until each endpoint had one.
+const ROUND: usize = 8;
+impl Scene {
+    /// Waits until each endpoint has run something in its life of now.
+    pub(super) async fn until_all_run(&self) {
+        let members = self.endpoints.borrow().clone();
+        let mut round = 0;
+        until("each endpoint serves", async || {
+            round += 1;
+            let asked = self.entries.open().into_iter().flat_map(|(address, life)| {
+                (0..ROUND).map(move |number| (address, format!("all-{life}-{round}-{number}")))
+            });
+            let asked: Vec<_> = asked
+                .map(|(address, id)| {
+                    let record = self.record.clone();
+                    actix_rt::spawn(async move {
+                        caller::is_served(address, Kind::Read, &id, &record).await
+                    })
+                })
+                .collect();
+            for asking in asked {
+                asking.await.expect("a caller ends");
+            }
+            let runs = self.record.all_runs();
+            let has_run = |member: &Member| {
+                let (name, life) = (member.row.life.id.as_str(), member.endpoint.life());
+                let mut of_all = runs.iter().filter(|(id, _)| id.starts_with("all-"));
+                of_all.any(|(_, run)| run.endpoint == name && run.life == life)
+            };
+            members.iter().all(has_run).then_some(())
+        })
+        .await;
+    }
+
+    pub(super) async fn until_served(&self, slot: usize, when: &str) {
+        let open = self.entries.open();
+        let (address, life) = open[slot];
+        for kind in Kind::ALL {
+            let mut tries = 0;
+            until("an entry serves", async || {
+                tries += 1;
+                let id = format!("{when}-{life}-{kind:?}-{tries}");
+                let is_served = caller::is_served(address, kind, &id, &self.record).await;
+                is_served.then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Broken promises that have a bound in time. Callers' and endpoints' clocks are
+    /// the same here.
+    pub(super) fn timed_problems(&self) -> Vec<Problem> {
+        let sent: BTreeMap<_, _> = self.record.all_sent().into_iter().collect();
+        let mut problems = Vec::new();
+        for (id, run) in self.record.all_runs() {
+            let Some(sent) = sent.get(&id) else { continue };
+            let late = |accepted: Instant, bound: u64| {
+                let after = sent.at.saturating_duration_since(accepted);
+                (after > Duration::from_millis(bound)).then_some(after.as_millis())
+            };
+            for (key, at) in self.revoked.borrow().iter() {
+                if let Some(after) = late(*at, REVOKE).filter(|_| *key == sent.key) {
+                    problems.push(Problem::Revoked(id.clone(), after));
+                }
+            }
+            for (endpoint, at) in self.left.borrow().iter() {
+                let is_bound = !self.entries.is_hurt(sent.life) && !self.was_platform_faulty(*at);
+                let late = late(*at, LEAVE).filter(|_| *endpoint == run.endpoint && is_bound);
+                if let Some(after) = late {
+                    problems.push(Problem::Leaving(id.clone(), after));
+                }
+            }
+        }
+        problems
+    }
+
+    /// Broken promises of planned stops.
+    pub(super) fn stop_problems(&self) -> Vec<Problem> {
+        let sent = self.record.all_sent();
+        sent.iter()
+            .filter_map(|(id, sent)| self.judge_stop(id, sent))
+            .collect()
+    }
+
+    pub(super) fn judge_stop(&self, id: &str, sent: &Sent) -> Option<Problem> {
+        let told = self.entries.told(sent.life)?;
+        if self.entries.was_hurt(sent.life, sent.ended?) {
+            return None;
+        }
+        let runs = self.record.runs_of(id);
+        let was_slowed = runs.iter().any(|run| self.was_slowed(run, sent));
+        let case = Case {
+            id,
+            sent,
+            runs: &runs,
+            told,
+            was_slowed,
+        };
+        case.judge(&self.record)
+    }
+
+    /// Whether the way to a run's endpoint misbehaved while its request was under way.
+    pub(super) fn was_slowed(&self, run: &Run, sent: &Sent) -> bool {
+        let faults = self.path_faults.borrow();
+        faults.iter().any(|(endpoint, begun, ended)| {
+            let is_during = *ended >= sent.at && sent.ended.is_none_or(|until| *begun <= until);
+            *endpoint == run.endpoint && is_during
+        })
+    }
+
+    /// Whether the platform misbehaved within the bound after a moment: what it has
+    /// accepted may then not be known.
+    pub(super) fn was_platform_faulty(&self, at: Instant) -> bool {
+        let until = at + Duration::from_millis(LEAVE);
+        let faults = self.platform_faults.borrow();
+        faults
+            .iter()
+            .any(|(begun, ended)| *begun < until && *ended > at)
+    }
+}
