The soak plays any number of entries

Cause: it played three, so that stops and kills of many at the same moment, with news that takes several hops, were only played in simulated time. Ruled out: more faults of the same kinds, which three entries hold already. Change: WOODGAP_SOAK_ENTRIES; series take as long through many as through three, late callers are shared among the stopped, a third of a larger fleet is killed or told to stop within 0.2 s. What is drawn for three entries is as it was (a generator stream of its own).

--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use rand::seq::index::sample;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
@@ -19,8 +20,15 @@
 /// How many times as long one of the platform lasts: entries must outlive the bound on
 /// removed keys without it.
 const PLATFORM_LASTS: u32 = 3;
-/// The pause between two steps of a series, in ms.
+/// The pause between two steps of a series through three entries, in ms.
 const SERIES_GAP: u64 = 400;
+/// From so many entries on, many are also killed or told to stop at the same moment.
+const HERD_FROM: usize = 9;
+/// How many such moments there are, and the part of the entries that each strikes.
+const HERDS: std::ops::RangeInclusive<usize> = 1..=2;
+const HERD_PART: usize = 3;
+/// Within which time a herd is struck, in ms.
+const HERD_SPAN: u64 = 200;
 
 /// How many series of stops come on top, and within which time they begin, in ms.
 const SERIES: std::ops::RangeInclusive<usize> = 1..=2;
@@ -126,8 +134,15 @@
             Fault::Kill(_) if random.random_bool(0.3) => (0..entries).map(Fault::Kill).collect(),
             other => vec![other],
         };
+        let steps = all.len() as u64;
         for (step, fault) in all.into_iter().enumerate() {
-            let at = Duration::from_millis(at + step as u64 * SERIES_GAP);
+            // A series through any number of entries takes as long as one through three.
+            let gap = if steps > 3 {
+                SERIES_GAP * 3 / steps
+            } else {
+                SERIES_GAP
+            };
+            let at = Duration::from_millis(at + step as u64 * gap);
             let is_platform = matches!(fault, Fault::PlatformPath(_) | Fault::Platform(_));
             let lasts = lasts * if is_platform { PLATFORM_LASTS } else { 1 };
             events.push(Event { at, lasts, fault });
@@ -142,6 +157,25 @@
     (0..count).flat_map(|_| stops(random, entries)).collect()
 }
 
+/// Draws moments at which a part of a large fleet is killed or told to stop.
+pub fn draw_herds(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
+    if entries < HERD_FROM {
+        return Vec::new();
+    }
+    let count = random.random_range(HERDS);
+    (0..count).flat_map(|_| herd(random, entries)).collect()
+}
+
+fn herd(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
+    let at = random.random_range(0..SERIES_SPAN);
+    let strike = *[Fault::Kill, Fault::Stop]
+        .choose(random)
+        .expect("there are faults");
+    let struck = sample(random, entries, entries / HERD_PART);
+    let one = |slot| Event::new(at + random.random_range(0..HERD_SPAN), 0, strike(slot));
+    struck.into_iter().map(one).collect()
+}
+
 /// Draws endpoints that start again, some more than once.
 pub fn draw_restarts(random: &mut ChaCha8Rng, endpoints: usize) -> Vec<Event> {
     let count = random.random_range(RESTARTS);
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -3,10 +3,12 @@
 //! Each seed gives one run of some seconds. Callers send all kinds of requests while
 //! connections are delayed, reset, cut one way or silenced by proxies, processes are
 //! stopped, frozen, killed and started again, the platform fails, and the plan and
-//! the endpoints change, start again, and are listed by rows that can't be used; faults come in series and overlap. What callers and
-//! endpoints see is checked while it runs and when all is over.
+//! the endpoints change, start again, and are listed by rows that can't be used; faults
+//! come in series and overlap. What callers and endpoints see is checked while it runs
+//! and when all is over.
 //!
-//! CI runs a few seeds. By hand, other seeds by `WOODGAP_SOAK_SEEDS=FROM-TO`:
+//! CI runs a few seeds. By hand, other seeds by `WOODGAP_SOAK_SEEDS=FROM-TO`, and more
+//! entries by `WOODGAP_SOAK_ENTRIES=COUNT`:
 //!
 //! ```text
 //! WOODGAP_SOAK_SEEDS=100-149 cargo test --release -p woodgap-relay --test soak -- --nocapture
@@ -32,12 +34,17 @@
 const SEEDS: &[u64] = &[1, 2, 121, 220];
 /// Names other seeds, for runs by hand.
 const CHOSEN: &str = "WOODGAP_SOAK_SEEDS";
+/// How many entries a run has, unless another count is named.
+const ENTRIES: usize = 3;
+/// Names another count of entries, for runs by hand.
+const CHOSEN_ENTRIES: &str = "WOODGAP_SOAK_ENTRIES";
 
 #[actix_rt::test]
 async fn promises_hold_under_faults() {
     let mut failed = Vec::new();
+    let entries = entries();
     for seed in seeds() {
-        let mut world = World::start(seed).await;
+        let mut world = World::start(seed, entries).await;
         world.play().await;
         let problems = world.end().await;
         println!("seed {seed}: {}", world.summary());
@@ -57,6 +64,14 @@
     range.map_or_else(|| SEEDS.to_vec(), Iterator::collect)
 }
 
+fn entries() -> usize {
+    let chosen = std::env::var(CHOSEN_ENTRIES).ok();
+    let count = chosen.map(|text| text.parse().ok().filter(|count| *count > 1));
+    count.map_or(ENTRIES, |count| {
+        count.unwrap_or_else(|| panic!("{CHOSEN_ENTRIES}: a number from 2 on"))
+    })
+}
+
 fn parse(text: &str) -> Option<RangeInclusive<u64>> {
     let (from, to) = text.split_once('-').unwrap_or((text, text));
     Some(from.parse().ok()?..=to.parse().ok()?)
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -27,13 +27,14 @@
 use crate::record::{Problem, Record};
 use members::Member;
 
-const ENTRIES: usize = 3;
 const ENDPOINTS: usize = 4;
+/// How many callers there are, or one for each entry where these are more.
 const CALLERS: usize = 20;
 /// How long callers go on after the last fault has ended.
 const QUIET: Duration = Duration::from_millis(800);
-/// How many callers come late to each process that is told to stop, besides all others.
-const LATECOMERS: usize = 24;
+/// How many callers come late to the processes of a series that is told to stop, besides all
+/// others: 24 to each of three.
+const LATECOMERS: usize = 72;
 /// How long one write to the platform may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -45,9 +46,10 @@
     random: ChaCha8Rng,
     /// For what was added later, so that the draws of the other one stay as they are.
     more: ChaCha8Rng,
-    /// The same, for endpoints that start again and for rows.
+    /// The same, for endpoints that start again, for rows, and for herds of entries.
     restarts: ChaCha8Rng,
     rows: ChaCha8Rng,
+    herds: ChaCha8Rng,
     scene: Rc<Scene>,
     callers: Vec<JoinHandle<()>>,
 }
@@ -55,6 +57,8 @@
 /// What the faults act on.
 struct Scene {
     record: Record,
+    /// How many entries there are.
+    size: usize,
     entries: Entries,
     platform: Stand,
     platform_path: Proxy,
@@ -76,10 +80,10 @@
 }
 
 impl World {
-    /// Starts everything and waits until it serves.
-    pub async fn start(seed: u64) -> Self {
+    /// Starts everything, with so many entries, and waits until it serves.
+    pub async fn start(seed: u64, entries: usize) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let [more, restarts, rows] = [1, 2, 3].map(|stream| {
+        let [more, restarts, rows, herds] = [1, 2, 3, 4].map(|stream| {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
             random.set_stream(stream);
             random
@@ -90,6 +94,7 @@
         let client = Platform::new(&platform.url(""), WRITE_TIMEOUT);
         let scene = Rc::new(Scene {
             record: record.clone(),
+            size: entries,
             entries: Entries::default(),
             platform,
             platform_path,
@@ -110,13 +115,13 @@
             let endpoint = scene.add_endpoint(random.random()).await;
             scene.endpoints.borrow_mut().push(endpoint);
         }
-        for slot in 0..ENTRIES {
+        for slot in 0..entries {
             scene.entries.start(slot, scene.platform_path.address);
         }
-        for slot in 0..ENTRIES {
+        for slot in 0..entries {
             scene.until_served(slot, "start").await;
         }
-        let callers = (0..CALLERS).map(|number| {
+        let callers = (0..CALLERS.max(entries)).map(|number| {
             let name = format!("s{seed}-c{number}");
             let entries = scene.entries.clone();
             let caller = Caller::new(name, random.random(), record.clone(), entries);
@@ -128,24 +133,29 @@
             more,
             restarts,
             rows,
+            herds,
             scene,
         }
     }
 
     /// Plays the faults of the seed, all in their time.
     pub async fn play(&mut self) {
-        let events = fault::draw(&mut self.random, ENTRIES, ENDPOINTS);
+        let entries = self.scene.size;
+        let events = fault::draw(&mut self.random, entries, ENDPOINTS);
         let seeded = events
             .into_iter()
             .map(|event| (event, self.random.random()));
         let mut seeded: Vec<_> = seeded.collect();
-        let stops = fault::draw_stops(&mut self.more, ENTRIES);
+        let stops = fault::draw_stops(&mut self.more, entries);
         let stops = stops.into_iter().map(|event| (event, self.more.random()));
         seeded.extend(stops);
         let restarts = fault::draw_restarts(&mut self.restarts, ENDPOINTS);
         let rows = fault::draw_rows(&mut self.rows, ENDPOINTS);
         let seeds = (&mut self.rows).random_iter();
         seeded.extend(restarts.into_iter().chain(rows).zip(seeds));
+        let herds = fault::draw_herds(&mut self.herds, entries);
+        let herds = herds.into_iter().map(|event| (event, self.herds.random()));
+        seeded.extend(herds);
         let playing = seeded.into_iter().map(|(event, seed)| {
             let scene = Rc::clone(&self.scene);
             actix_rt::spawn(async move { scene.play(event, seed).await })
@@ -163,7 +173,7 @@
         for caller in self.callers.drain(..) {
             caller.await.expect("a caller ends");
         }
-        for slot in 0..ENTRIES {
+        for slot in 0..self.scene.size {
             self.scene.until_served(slot, "end").await;
         }
         self.scene.until_all_run().await;
@@ -263,7 +273,7 @@
         let Some(address) = self.entries.address(slot) else {
             return;
         };
-        for number in 0..LATECOMERS {
+        for number in 0..LATECOMERS.div_ceil(self.size) {
             let id = format!("late-{life}-{number}");
             let (record, entries) = (self.record.clone(), self.entries.clone());
             let late = caller::come_late((address, life), id, random.random(), record, entries);
