--- a/crates/core/tests/relay/farewell.rs
+++ b/crates/core/tests/relay/farewell.rs
@@ -175,3 +175,30 @@
     fleet.heard(next_life, STOP);
     assert_eq!(fleet.live(STOP).count(), 1);
 }
+
+/// An entry has started again under its name, and a message of its earlier life comes late:
+/// callers are still sent to the later life while that takes requests, and not once it stops.
+#[test]
+fn a_late_message_of_an_earlier_life_changes_nothing() {
+    let life = |incarnation, stopping| Member {
+        incarnation: name::Incarnation(incarnation),
+        stopping,
+        ..member(1, true)
+    };
+    let live_after = |first: Member, second: Member| {
+        let mut fleet = Fleet::new("own".into(), "a".into(), ROUND);
+        fleet.heard(first, STOP);
+        fleet.heard(second, STOP);
+        fleet.live(STOP).count()
+    };
+    assert_eq!(
+        live_after(life(2, true), life(1, false)),
+        0,
+        "a stop is undone"
+    );
+    assert_eq!(
+        live_after(life(2, false), life(1, true)),
+        1,
+        "a farewell of before counts"
+    );
+}
--- a/crates/relay/tests/contract/last_lines.rs
+++ b/crates/relay/tests/contract/last_lines.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::System;
 use logforth::append::Append;
@@ -33,7 +33,7 @@
     let endpoint = Endpoint::always(vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Wait]);
     let platform = Stand::platform();
     tell(&platform, endpoint.address);
-    let (mut child, _settings) = start(&platform);
+    let (mut child, _settings) = start(&platform, 1);
     let lines = BufReader::new(child.stdout.take().unwrap()).lines();
     let mut lines = lines.map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap());
     let started = lines.find(|line| line["message"] == "started").unwrap();
@@ -91,6 +91,65 @@
     assert_eq!(lines.load(Ordering::Relaxed), 200);
 }
 
+/// A relay in a process of its own that takes requests, its address, and its settings.
+fn running(endpoint: &Endpoint, grace_s: u64) -> (Child, SocketAddr, (Stand, NamedTempFile)) {
+    let platform = Stand::platform();
+    tell(&platform, endpoint.address);
+    let (mut child, settings) = start(&platform, grace_s);
+    let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let mut lines = lines.map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap());
+    let started = lines.find(|line| line["message"] == "started").unwrap();
+    let listen = started["kvs"]["listen"].as_str().unwrap().parse().unwrap();
+    std::thread::spawn(move || lines.count());
+    (child, listen, (platform, settings))
+}
+
+fn signal(child: &Child, signal: Signal) {
+    let id = Pid::from_raw(i32::try_from(child.id()).unwrap()).unwrap();
+    kill_process(id, signal).unwrap();
+}
+
+/// A process that stood still when it was told to stop has less time left than it seems: it
+/// would be killed in the middle of what it takes.
+#[test]
+fn a_stop_that_is_noticed_late_ends_before_the_process_would_be_killed() {
+    let endpoint = Endpoint::always(vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Wait]);
+    let (mut child, listen, _kept) = running(&endpoint, 4);
+    let caller = stream(listen);
+    signal(&child, Signal::STOP);
+    let told = Instant::now();
+    signal(&child, Signal::TERM);
+    std::thread::sleep(Duration::from_secs(2));
+    signal(&child, Signal::CONT);
+    assert!(child.wait().unwrap().success());
+    let took = told.elapsed();
+    drop(caller);
+    assert!(took <= Duration::from_secs(4), "it ended after {took:?}");
+}
+
+/// A process that stood still in a stop finds requests that came meanwhile: each gets an
+/// answer, though nothing ran when it stood still.
+#[test]
+fn what_came_while_a_stopping_process_stood_still_gets_an_answer() {
+    let endpoint = Endpoint::always(vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Wait]);
+    let (mut child, listen, _kept) = running(&endpoint, 8);
+    drop(stream(listen));
+    let mut callers: Vec<_> = (0..20).map(|_| Caller::connect(listen)).collect();
+    // They have been taken, as a later one is answered.
+    drop(stream(listen));
+    signal(&child, Signal::TERM);
+    std::thread::sleep(Duration::from_secs(1));
+    signal(&child, Signal::STOP);
+    for caller in &mut callers {
+        caller.send(&request("GET", "/stream/", "r1", ""), b"");
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    signal(&child, Signal::CONT);
+    let answered = callers.iter_mut().filter_map(Caller::answer).count();
+    assert!(child.wait().unwrap().success());
+    assert_eq!(answered, callers.len());
+}
+
 /// Writes a plan and one endpoint to the platform.
 fn tell(platform: &Stand, address: SocketAddr) {
     let client = Platform::new(&platform.url(""), TIMEOUT);
@@ -105,13 +164,13 @@
 }
 
 /// A relay, and its settings, which it reads at its start.
-fn start(platform: &Stand) -> (Child, NamedTempFile) {
+fn start(platform: &Stand, grace_s: u64) -> (Child, NamedTempFile) {
     let any = "127.0.0.1:0";
     let settings = json!({
         "name": "dub-a-1", "data_centre": "dub-a", "listen": any, "directory_listen": any,
         "ready_listen": any, "peer_listen": any, "platform": {"url": platform.url("")},
         "bounds": {
-            "revoke_ms": 20_000, "leave_ms": 2_000, "grace_s": 1, "entries_lifetime_s": 1,
+            "revoke_ms": 20_000, "leave_ms": 2_000, "grace_s": grace_s, "entries_lifetime_s": 1,
             "repeat_ratio": 0.2, "repeat_slack": 50, "repeat_window_s": 10
         }
     });
--- a/crates/relay/tests/contract/stops.rs
+++ b/crates/relay/tests/contract/stops.rs
@@ -218,6 +218,27 @@
     assert!(answers.iter().all(|it| it.is_whole), "an answer is cut off");
 }
 
+/// A second request that was read with the first one, whose answer comes in a stop, is
+/// answered too.
+#[test]
+fn a_request_read_behind_another_one_gets_an_answer_in_a_stop() {
+    let endpoint = Endpoint::always(vec![Step::Wait, whole("yes")]);
+    let site = Site::with_grace(8.0, &[endpoint.address]);
+    let mut caller = Caller::connect(site.requests);
+    let two = ["r1", "r2"]
+        .map(|id| request("GET", "/read/", id, ""))
+        .concat();
+    caller.send(&two, b"");
+    until(|| endpoint.seen().len() == 1);
+    site.stop();
+    endpoint.go();
+    endpoint.go();
+    assert_eq!(caller.answer().expect("an answer").status, 200);
+    let second = caller.answer().expect("an answer to the second");
+    assert!(second.is_whole);
+    assert!([200, 503].contains(&second.status), "{}", second.text());
+}
+
 /// Waits until a count is the same for a while.
 fn until_still(count: impl Fn() -> usize) {
     loop {
