One reader and one writer of the headers that both dialects have

Cause: the product's dialect and the platform's each held `stamp`, the common part of `reply` and `passes`, alike but for the names of the headers; the platform's took the reader of loads from the product's.

Ruled out: a trait with a constant for each name and provided methods, since a dialect is used as `dyn Dialect`; the way an endpoint declines in the common part, since it really differs (a verdict with 429 or 503 here, a header with any status but success there).

Change: `dialect::names::Names` holds the names, and stamps, reads and passes for both. A dialect keeps its names and what differs. No header is sent, read or kept otherwise.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -3,6 +3,7 @@
 //! The relay knows what is said; a dialect knows how. [`own::Own`] is the
 //! product's; a deployment on another platform brings one of its own.
 
+pub mod names;
 pub mod own;
 
 use std::net::SocketAddr;
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -7,33 +7,27 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::relay::Work;
-use woodgap_core::relay::engine::Report;
 
+use crate::dialect::names::Names;
 use crate::dialect::{self, Call, Decline, Dialect, Malformed, Question, Reply, Stamp};
 use crate::upstream::Head;
 
-const REQUEST: &str = "x-woodgap-request";
 const PATIENCE: &str = "x-woodgap-patience-ms";
 const WORK: &str = "x-woodgap-work";
-const LEFT: &str = "x-woodgap-left-ms";
-const ENDPOINT: &str = "x-woodgap-endpoint";
-const WORKSPACE: &str = "x-woodgap-workspace";
-const URGENCY: &str = "x-woodgap-urgency";
-const SOURCE: &str = "x-woodgap-prompt-source";
 const VERDICT: &str = "x-woodgap-verdict";
-const SEAL: &str = "x-woodgap-seal";
-const LOAD: &str = "x-woodgap-load";
 
-/// Headers of callers that go no further: the relay sets them itself.
-const KEPT: &[&str] = &[
-    "authorization",
-    PATIENCE,
-    LEFT,
-    ENDPOINT,
-    WORKSPACE,
-    URGENCY,
-    SOURCE,
-];
+/// The names of the headers that every dialect has.
+pub const NAMES: Names = Names {
+    left: "x-woodgap-left-ms",
+    endpoint: "x-woodgap-endpoint",
+    workspace: "x-woodgap-workspace",
+    urgency: "x-woodgap-urgency",
+    source: "x-woodgap-prompt-source",
+    others: &[PATIENCE],
+    request: "x-woodgap-request",
+    seal: "x-woodgap-seal",
+    load: "x-woodgap-load",
+};
 
 /// The product's own dialect: headers that begin with `X-Woodgap-`, and the
 /// work for a model engine as JSON in one of them.
@@ -55,7 +49,7 @@
             })
         });
         Ok(Call {
-            id: dialect::identity(headers, REQUEST)?,
+            id: dialect::identity(headers, NAMES.request)?,
             patience: dialect::span(headers, PATIENCE)?,
             key: dialect::key(headers),
             work: work.transpose()?,
@@ -63,21 +57,11 @@
     }
 
     fn passes(&self, header: &str) -> bool {
-        !KEPT.contains(&header)
+        NAMES.passes(header)
     }
 
     fn stamp(&self, stamp: &Stamp<'_>, add: &mut dyn FnMut(&'static str, String)) {
-        add(LEFT, stamp.left.0.to_string());
-        add(ENDPOINT, stamp.endpoint.to_string());
-        if let Some(workspace) = stamp.workspace {
-            add(WORKSPACE, workspace.to_owned());
-        }
-        if let Some(urgency) = stamp.urgency {
-            add(URGENCY, urgency.to_string());
-        }
-        if let Some(source) = stamp.source {
-            add(SOURCE, source.to_string());
-        }
+        NAMES.stamp(stamp, add);
     }
 
     fn reply<'h>(&self, head: &'h Head) -> Reply<'h> {
@@ -86,12 +70,7 @@
             (429 | 503, Some("not_run")) => Some(Decline::Full),
             _ => None,
         };
-        Reply {
-            id: head.text(REQUEST),
-            is_sealed: head.headers.contains_key(SEAL),
-            declined,
-            load: head.text(LOAD).and_then(report),
-        }
+        NAMES.reply(head, declined)
     }
 
     fn retry_after(&self, span: Millis) -> HeaderValue {
@@ -99,7 +78,7 @@
     }
 
     fn id_header(&self) -> &'static str {
-        REQUEST
+        NAMES.request
     }
 
     fn question(&self, path: &str, query: &str) -> Option<Question> {
@@ -123,13 +102,3 @@
         serde_json::to_string(&entries).unwrap_or_default()
     }
 }
-
-/// Three whole numbers separated by commas: running, waiting, slots.
-pub fn report(text: &str) -> Option<Report> {
-    let mut figures = text.split(',').map(|figure| figure.trim().parse().ok());
-    Some(Report {
-        running: figures.next()??,
-        waiting: figures.next()??,
-        slots: figures.next()??,
-    })
-}
