One planned stop for relay and entry, with what differs given to it

Cause: relay and entry shared `Shutdown`, but when callers have left was fixed at the relay's 3.5 s there, so the entry kept an `Instant` of its own in `finish`; and it took a quarter off the grace before it handed it over.

Ruled out: to count the entry's 5 s from the beginning of the stop. An operator's drain begins it (`Action::Leave`) without ending the process, and the 5 s count from when the process is told, so such an entry would have ended sooner. `Shutdown::told` keeps this.

Change: `shutdown::Plan` holds the grace, what is kept for afterwards and how long callers may come; each program gives its own. `is_over` serves both loops. As it was, but that the entry's 5 s are now read off its clock in whole milliseconds, so up to 1 ms sooner.

Not run: a drained entry's stop as a process, the soak.

--- a/crates/core/src/relay/shutdown.rs
+++ b/crates/core/src/relay/shutdown.rs
@@ -14,21 +14,34 @@
 /// How long before its end the entry tells those that still wait that they wait in vain: some
 /// times the 50 ms after which it looks whether all is done.
 const LAST_WORD: Millis = Millis(200);
-/// How long callers may come, if they keep a list of entries for as long as they are told,
-/// or three times as long, as some do.
-const CALLERS_LEAVE: Millis = Millis(3_500);
 /// For so long a forecast is enough to take a request: until all callers that keep to their
 /// lists have left, 3 s after the signal, which may have been noticed half a second late. Those
 /// that come later could know better, and what is begun for them must not be cut off.
 const FORECAST_SERVES: Millis = Millis(2_500);
 
+/// What a program lays down for its stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// So long after it was told to stop the process would be killed.
+    pub grace: Millis,
+    /// How much of the grace is kept for the steps after the last answer.
+    pub afterwards: Millis,
+    /// How long callers may come after the process was told.
+    pub callers_leave: Millis,
+}
+
 /// A planned stop.
 ///
 /// ```
 /// use woodgap_core::clock::Millis;
-/// use woodgap_core::relay::shutdown::{End, Shutdown};
+/// use woodgap_core::relay::shutdown::{End, Plan, Shutdown};
 ///
-/// let shutdown = Shutdown::new(Millis(0), Millis(8_000));
+/// let plan = Plan {
+///     grace: Millis(8_000),
+///     afterwards: Millis(0),
+///     callers_leave: Millis(3_500),
+/// };
+/// let shutdown = Shutdown::new(Millis(0), &plan);
 /// let end = End { latest: Millis(15_000), forecast: Some(Millis(6_000)) };
 /// assert!(shutdown.takes(end, Millis(1_000)));
 /// assert!(!shutdown.takes(end, Millis(3_100)));
@@ -37,6 +50,8 @@
 pub struct Shutdown {
     began: Millis,
     ends: Millis,
+    callers_leave: Millis,
+    callers_left: Millis,
 }
 
 /// When an answer ends.
@@ -49,11 +64,38 @@
 }
 
 impl Shutdown {
-    /// A stop that began at this moment; `grace` later the process would be killed.
-    pub fn new(began: Millis, grace: Millis) -> Self {
+    /// A stop that began at this moment, and of which the process was told then.
+    pub fn new(began: Millis, plan: &Plan) -> Self {
         Self {
             began,
-            ends: began + (grace - MARGIN),
+            ends: began + (plan.grace - plan.afterwards - MARGIN),
+            callers_leave: plan.callers_leave,
+            callers_left: began + plan.callers_leave,
+        }
+    }
+
+    /// The same stop, if the process is told only now: it took nothing new before, and from
+    /// now on callers may come for as long again. Its end stays where it is.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::relay::shutdown::{Plan, Shutdown};
+    ///
+    /// let plan = Plan {
+    ///     grace: Millis(30_000),
+    ///     afterwards: Millis(7_500),
+    ///     callers_leave: Millis(5_000),
+    /// };
+    /// let drained = Shutdown::new(Millis(0), &plan);
+    /// assert!(drained.is_over(true, Millis(6_000)));
+    /// assert!(!drained.told(Millis(4_000)).is_over(true, Millis(6_000)));
+    /// ```
+    #[must_use]
+    pub fn told(self, now: Millis) -> Self {
+        let callers_left = now + self.callers_leave;
+        Self {
+            callers_left,
+            ..self
         }
     }
 
@@ -86,7 +128,7 @@
 
     /// Whether the process should end now, with nothing or something left to do.
     pub fn is_over(&self, is_idle: bool, now: Millis) -> bool {
-        now >= self.ends || (is_idle && now - self.began >= CALLERS_LEAVE)
+        now >= self.ends || (is_idle && now >= self.callers_left)
     }
 
     fn outlasts(&self, end: Millis) -> bool {
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -3,10 +3,30 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::clock::Millis;
-use woodgap_core::relay::shutdown::{End, Shutdown};
+use woodgap_core::relay::shutdown::{End, Plan, Shutdown};
 
 const BEGAN: Millis = Millis(100_000);
 
+/// A stop of the relay.
+fn relay(grace: u64) -> Shutdown {
+    let plan = Plan {
+        grace: Millis(grace),
+        afterwards: Millis(0),
+        callers_leave: Millis(3_500),
+    };
+    Shutdown::new(BEGAN, &plan)
+}
+
+/// A stop of the product's own entry.
+fn entry(grace: u64) -> Shutdown {
+    let plan = Plan {
+        grace: Millis(grace),
+        afterwards: Millis(grace / 4),
+        callers_leave: Millis(5_000),
+    };
+    Shutdown::new(BEGAN, &plan)
+}
+
 fn at(after: u64) -> Millis {
     BEGAN + Millis(after)
 }
@@ -36,7 +56,7 @@
     #[case] end: End,
     #[case] is_taken: bool,
 ) {
-    let shutdown = Shutdown::new(BEGAN, Millis(grace));
+    let shutdown = relay(grace);
     assert_eq!(shutdown.takes(end, at(now)), is_taken);
 }
 
@@ -50,8 +70,56 @@
     #[case] is_idle: bool,
     #[case] is_over: bool,
 ) {
-    let shutdown = Shutdown::new(BEGAN, Millis(8_000));
+    let shutdown = relay(8_000);
+    assert_eq!(shutdown.is_over(is_idle, at(now)), is_over);
+}
+
+#[rstest]
+#[case::idle_while_callers_come(4_999, true, false)]
+#[case::idle_later(5_000, true, true)]
+#[case::busy_later(5_000, false, false)]
+#[case::busy_just_before_the_end(21_999, false, false)]
+#[case::busy_at_the_end(22_000, false, true)]
+fn an_entry_ends_when_idle_or_out_of_time(
+    #[case] now: u64,
+    #[case] is_idle: bool,
+    #[case] is_over: bool,
+) {
+    assert_eq!(entry(30_000).is_over(is_idle, at(now)), is_over);
+}
+
+/// What is kept for the steps after the answers is not there for answers.
+#[rstest]
+#[case::relay(relay(8_000), 7_300, 7_500)]
+#[case::entry(entry(8_000), 5_300, 5_500)]
+#[case::relay_of_short_grace(relay(400), 0, 0)]
+#[case::entry_of_short_grace(entry(400), 0, 0)]
+fn the_last_word_and_the_end_are_in_the_grace(
+    #[case] shutdown: Shutdown,
+    #[case] last_word: u64,
+    #[case] ends: u64,
+) {
+    assert_eq!(shutdown.last_word(), at(last_word));
+    assert_eq!(shutdown.ends(), at(ends));
+}
+
+/// One that was drained before it was told to stop waits for callers from then on, and ends
+/// no later.
+#[rstest]
+#[case::idle_while_callers_come(10_000, 14_999, true, false)]
+#[case::idle_later(10_000, 15_000, true, true)]
+#[case::busy_later(10_000, 15_000, false, false)]
+#[case::callers_come_at_the_end(20_000, 22_000, true, true)]
+#[case::told_after_the_end(60_000, 60_000, false, true)]
+fn a_drained_entry_waits_from_when_it_was_told(
+    #[case] told: u64,
+    #[case] now: u64,
+    #[case] is_idle: bool,
+    #[case] is_over: bool,
+) {
+    let shutdown = entry(30_000).told(at(told));
     assert_eq!(shutdown.is_over(is_idle, at(now)), is_over);
+    assert_eq!(shutdown.ends(), entry(30_000).ends());
 }
 
 proptest! {
@@ -64,7 +132,7 @@
         lasts in 0_u64..60_000,
         forecast in proptest::option::of(0_u64..60_000),
     ) {
-        let shutdown = Shutdown::new(BEGAN, Millis(grace));
+        let shutdown = relay(grace);
         let end = end(now + lasts, forecast.map(|lasts| now + lasts));
         if shutdown.takes(end, at(now)) {
             let counts = if now < 2_500 { end.forecast.unwrap_or(end.latest).min(end.latest) } else { end.latest };
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -5,11 +5,10 @@
 
 use actix_web::dev::ServerHandle;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::Instant;
 use woodgap_core::clock::Millis;
 use woodgap_core::config::document::Measure;
 use woodgap_core::control::Event;
-use woodgap_core::relay::shutdown::{End, MARGIN, Shutdown};
+use woodgap_core::relay::shutdown::{End, MARGIN, Plan, Shutdown};
 
 use crate::caller::entries::LIFETIME;
 use crate::request::Head;
@@ -23,10 +22,6 @@
 const LAST_BYTES: Duration = Duration::from_secs(30);
 /// How often the count of running requests is looked at.
 const LOOK: Duration = Duration::from_millis(50);
-/// How long the entry goes on telling callers to use another one, at least: all
-/// that asked before the stop have asked again by then.
-const TELL_CALLERS: Duration = Duration::from_millis(LIFETIME.0);
-
 /// Of the grace, the part that is left for what comes after the answers, in percent:
 /// last bytes to slow callers, what is to be recorded, leases to be given back.
 const AFTERWARDS_PERCENT: u64 = 25;
@@ -45,8 +40,14 @@
 /// assert_eq!(shutdown(None, Millis(0)).ends(), Millis(599_500));
 /// ```
 pub fn shutdown(grace: Option<Millis>, now: Millis) -> Shutdown {
-    let for_answers = grace.map(|grace| grace - afterwards(grace));
-    Shutdown::new(now, for_answers.unwrap_or(LONGEST))
+    let plan = Plan {
+        grace: grace.unwrap_or(LONGEST),
+        afterwards: grace.map_or(Millis(0), afterwards),
+        // All that asked for entries before the stop have asked again by then, and were
+        // told to use another one.
+        callers_leave: LIFETIME,
+    };
+    Shutdown::new(now, &plan)
 }
 
 /// How long the last bytes of answers may take to reach slow callers.
@@ -162,16 +163,11 @@
 
 /// Waits until nothing runs; false if that took too long.
 async fn finish(shared: &Shared) -> bool {
-    let started = Instant::now();
+    // An operator may have drained the entry long before.
+    let shutdown = shared.stopped().await.told(shared.clock.now());
     loop {
         let running = shared.running.count();
-        if running == 0 && started.elapsed() >= TELL_CALLERS {
-            return true;
-        }
-        if shared
-            .shutdown()
-            .is_some_and(|it| shared.clock.now() >= it.ends())
-        {
+        if shutdown.is_over(running == 0, shared.clock.now()) {
             if running > 0 {
                 log::error!(running = running; "answers are not done in time: cutting them off");
             }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,6 +22,7 @@
 use crate::gossip::fetch::Fetches;
 use crate::metrics::Metrics;
 use crate::source::Source;
+use crate::stop;
 use crate::upstream::Pool;
 
 /// How much sooner than the bound on removed keys a plan is distrusted: changes
@@ -165,7 +166,8 @@
 
     /// Begins to stop; the other entries hear of it at once.
     pub fn stop(&self) -> Shutdown {
-        let shutdown = Shutdown::new(self.now(), self.settings.bounds.grace);
+        let plan = stop::plan(self.settings.bounds.grace);
+        let shutdown = Shutdown::new(self.now(), &plan);
         self.shutdown.set(Some(shutdown));
         self.news.notify_one();
         shutdown
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -5,12 +5,33 @@
 use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
-use woodgap_core::relay::shutdown::Shutdown;
+use woodgap_core::clock::Millis;
+use woodgap_core::relay::shutdown::{Plan, Shutdown};
 
 use crate::state::State;
 
 /// How often it is checked whether all is done.
 const CHECK: Duration = Duration::from_millis(50);
+/// How long callers may come, if they keep a list of entries for as long as they are told,
+/// or three times as long, as some do.
+const CALLERS_LEAVE: Millis = Millis(3_500);
+
+/// What holds for a stop, if the process would be killed after this grace. Nothing is left
+/// to do after the last answer.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_relay::stop::plan;
+///
+/// assert_eq!(plan(Millis(8_000)).callers_leave, Millis(3_500));
+/// ```
+pub fn plan(grace: Millis) -> Plan {
+    Plan {
+        grace,
+        afterwards: Millis(0),
+        callers_leave: CALLERS_LEAVE,
+    }
+}
 
 /// Waits until the process is told to stop, and then until all is done; the process is to
 /// end at once then.
