A stop counts from before a standstill in which its signal came, and what came meanwhile is read before the end

Cause: the moment of a signal is not known, only when it is noticed; a process that stood still notices it late and believed in its whole grace, so that it took what it could not finish. After a standstill in a stop it looked idle before it had read anything. A message of an entry's earlier life was taken as the newest. Change: shutdown::Looks, a look each 100 ms; stop::drain; Fleet::heard. A second case, of a standstill from before the stop, is added to the test (it keeps the first mend from ending at once).

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -28,6 +28,10 @@
 /// So many times an entry that stops tells the others, a round apart, since messages are lost
 /// and not answered.
 const FAREWELLS: u32 = 3;
+/// How long a message of an entry's earlier life may come after one of the later life: longer
+/// than a datagram is under way. A life that looks earlier, by a clock that was set back, is
+/// heard afterwards.
+const OVERTAKEN: Millis = Millis(1_000);
 /// With fewer live entries in a caller's data centre, others are named to it too, so that the
 /// loss of one does not leave the caller without any.
 pub const ENOUGH_NEAR: usize = 2;
@@ -160,6 +164,12 @@
         member.stopping |= self.has_stopped(&member);
         let patience = self.patience().of(self.is_near(&member));
         let known = self.members.get(&member.name);
+        let is_overtaken = known.is_some_and(|(known, heard)| {
+            known.incarnation > member.incarnation && heard.within(OVERTAKEN, now)
+        });
+        if is_overtaken {
+            return false;
+        }
         let was_live = known.is_some_and(|(_, heard)| heard.within(patience, now));
         let heard = Heard {
             directly: Some(now),
--- a/crates/core/src/relay/shutdown.rs
+++ b/crates/core/src/relay/shutdown.rs
@@ -19,6 +19,60 @@
 /// that come later could know better, and what is begun for them must not be cut off.
 const FORECAST_SERVES: Millis = Millis(2_500);
 
+/// So long after the look before the last one a process has stood still, or is slow enough
+/// for its signals to come as late: three times what passes between two looks.
+const STOOD_STILL: Millis = Millis(3 * LOOK.0);
+
+/// How often a process looks at the clock while nothing tells it to stop.
+pub const LOOK: Millis = Millis(100);
+
+/// The last two looks of a process at its clock. A signal that came while it stood still is
+/// noticed only afterwards, when a part of the grace is gone: after 2 s of standing still a
+/// process ended 1.5 s later than it would have been killed, in the middle of what it took.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::relay::shutdown::Looks;
+///
+/// let mut looks = Looks::new(Millis(0));
+/// looks.look(Millis(100));
+/// assert_eq!(looks.told(Millis(150)), Millis(150));
+/// // It stood still, and its timer runs before its signal is seen.
+/// looks.look(Millis(2_100));
+/// assert_eq!(looks.told(Millis(2_100)), Millis(100));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Looks {
+    earlier: Millis,
+    last: Millis,
+}
+
+impl Looks {
+    /// A process that begins to look.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            earlier: now,
+            last: now,
+        }
+    }
+
+    /// Takes in a look.
+    pub fn look(&mut self, now: Millis) {
+        self.earlier = self.last;
+        self.last = now;
+    }
+
+    /// When a signal that is seen now may have come: now, or before a standstill. That timers
+    /// are served before signals after one is why the last look alone does not tell.
+    pub fn told(&self, now: Millis) -> Millis {
+        if now - self.earlier > STOOD_STILL {
+            self.earlier
+        } else {
+            now
+        }
+    }
+}
+
 /// What a program lays down for its stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Plan {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -164,10 +164,10 @@
         self.shutdown().map(|shutdown| shutdown.began())
     }
 
-    /// Begins to stop; the other entries hear of it at once.
-    pub fn stop(&self) -> Shutdown {
+    /// Begins to stop, told to at this moment; the other entries hear of it at once.
+    pub fn stop(&self, told: Millis) -> Shutdown {
         let plan = stop::plan(self.settings.bounds.grace);
-        let shutdown = Shutdown::new(self.now(), &plan);
+        let shutdown = Shutdown::new(told, &plan);
         self.shutdown.set(Some(shutdown));
         self.news.notify_one();
         shutdown
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -6,12 +6,14 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 use woodgap_core::clock::Millis;
-use woodgap_core::relay::shutdown::{Plan, Shutdown};
+use woodgap_core::relay::shutdown::{LOOK, Looks, Plan, Shutdown};
 
 use crate::state::State;
 
 /// How often it is checked whether all is done.
 const CHECK: Duration = Duration::from_millis(50);
+/// A check that comes so late after the one before shows that the process stood still.
+const LATE: Millis = Millis(200);
 /// How long callers may come, if they keep a list of entries for as long as they are told,
 /// or three times as long, as some do.
 const CALLERS_LEAVE: Millis = Millis(3_500);
@@ -43,6 +45,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
+    let mut looks = Looks::new(state.now());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -50,17 +53,18 @@
             // Addresses and bounds hold for the life of a process; what changes
             // in between comes from the platform.
             _ = reload.recv() => log::info!("told to reload: the settings hold until the next start"),
+            () = tokio::time::sleep(Duration::from_millis(LOOK.0)) => looks.look(state.now()),
         }
     }
-    wind_down(state).await;
+    wind_down(state, looks.told(state.now())).await;
     Ok(())
 }
 
-/// Stops as planned: leaves the lists and finishes what runs. Whoever calls it ends the
-/// relay afterwards, with all that still runs.
-pub async fn wind_down(state: &Rc<State>) {
-    let shutdown = state.stop();
-    log::info!(running = state.running.get(); "stopping");
+/// Stops as planned, told to at this moment: leaves the lists and finishes what runs.
+/// Whoever calls it ends the relay afterwards, with all that still runs.
+pub async fn wind_down(state: &Rc<State>, told: Millis) {
+    let shutdown = state.stop(told);
+    log::info!(running = state.running.get(), noticed_ms = (state.now() - told).0; "stopping");
     // The platform may be away: that must not hold up what callers wait for.
     tokio::select! {
         () = drain(state, &shutdown) => {}
@@ -84,9 +88,14 @@
 /// of an answer are told shortly before that there will be none.
 async fn drain(state: &State, shutdown: &Shutdown) {
     let mut is_said = false;
+    let mut checked = shutdown.began();
     loop {
         let now = state.now();
-        let is_idle = state.running.get() == 0 && state.unwritten.get() == 0;
+        // What came while the process stood still is yet to be read: 20 of 20 requests of open
+        // connections went without an answer.
+        let stood_still = now - checked > LATE;
+        checked = now;
+        let is_idle = !stood_still && state.running.get() == 0 && state.unwritten.get() == 0;
         // A look that comes late still leaves the time to say and write the last word.
         let can_end = is_idle || is_said;
         if can_end && shutdown.is_over(is_idle, now) {
--- a/crates/relay/tests/contract/last_lines.rs
+++ b/crates/relay/tests/contract/last_lines.rs
@@ -11,6 +11,7 @@
 use actix_rt::System;
 use logforth::append::Append;
 use logforth::record::Record;
+use rstest::rstest;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tempfile::NamedTempFile;
@@ -127,23 +128,28 @@
     assert!(took <= Duration::from_secs(4), "it ended after {took:?}");
 }
 
-/// A process that stood still in a stop finds requests that came meanwhile: each gets an
-/// answer, though nothing ran when it stood still.
-#[test]
-fn what_came_while_a_stopping_process_stood_still_gets_an_answer() {
+/// A process that stood still in a stop, or from before it, finds requests that came meanwhile:
+/// each gets an answer, though nothing ran when it stood still.
+#[rstest]
+#[case::in_a_stop(1_000)]
+#[case::from_before_the_stop(0)]
+fn what_came_while_a_stopping_process_stood_still_gets_an_answer(#[case] after: u64) {
     let endpoint = Endpoint::always(vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Wait]);
     let (mut child, listen, _kept) = running(&endpoint, 8);
     drop(stream(listen));
     let mut callers: Vec<_> = (0..20).map(|_| Caller::connect(listen)).collect();
     // They have been taken, as a later one is answered.
     drop(stream(listen));
-    signal(&child, Signal::TERM);
-    std::thread::sleep(Duration::from_secs(1));
+    if after > 0 {
+        signal(&child, Signal::TERM);
+        std::thread::sleep(Duration::from_millis(after));
+    }
     signal(&child, Signal::STOP);
+    signal(&child, Signal::TERM);
     for caller in &mut callers {
         caller.send(&request("GET", "/stream/", "r1", ""), b"");
     }
-    std::thread::sleep(Duration::from_secs(3));
+    std::thread::sleep(Duration::from_secs(4));
     signal(&child, Signal::CONT);
     let answered = callers.iter_mut().filter_map(Caller::answer).count();
     assert!(child.wait().unwrap().success());
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -219,7 +219,7 @@
                 );
                 started.send(all).unwrap();
                 match told_to_stop.recv().await {
-                    Some(()) => stop::wind_down(&state).await,
+                    Some(()) => stop::wind_down(&state, state.now()).await,
                     // The test does not stop it, and its callers may still be there.
                     None => std::future::pending().await,
                 }
