A request whose body comes after its time is over is not begun

Cause: its body was waited for as long as its caller would wait, and nothing asked whether the route's time was over by then: a request was begun with no time left, in a stop as well, where an end in the past counts as one before the entry's. Ruled out: the same question at each choice of an endpoint, as an attempt after a first one is asked already; to bound the body by the route's time, which needs the route before the body (the caller would hear sooner: left). Change: admit answers 408, not run.

--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -84,6 +84,10 @@
         account.work(work);
     }
     let deadline = arrived + patience.min(route.timeout);
+    if state.now() >= deadline {
+        // It would be begun with no time left: a write that runs and whose answer nobody gets.
+        return Err(late_body());
+    }
     let uri = request.uri();
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
     Ok(Admitted {
@@ -147,11 +151,15 @@
         Ok(())
     };
     let limit = Duration::from_millis(patience.0);
-    let late = |_| Problem::not_run(Code::RequestTimeout, "the body did not come in time");
+    let late = |_| late_body();
     tokio::time::timeout(limit, reading).await.map_err(late)??;
     Ok(body.freeze())
 }
 
+fn late_body() -> Problem {
+    Problem::not_run(Code::RequestTimeout, "the body did not come in time")
+}
+
 /// The host that the caller names, in its header or in an absolute target.
 fn host(request: &Request) -> String {
     let named = request.headers().get("host");
--- a/crates/relay/tests/contract/stops.rs
+++ b/crates/relay/tests/contract/stops.rs
@@ -117,6 +117,30 @@
     assert_eq!(endpoint.seen().len(), 0);
 }
 
+/// A body that comes after the time of its request is over is not sent on: in a stop or not,
+/// there is no time left in which it could be answered.
+#[rstest]
+#[case::in_a_stop(true)]
+#[case::at_any_time(false)]
+fn a_body_that_comes_after_its_time_is_not_sent_on(#[case] is_stopping: bool) {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let site = Site::with_grace(8.0, &[endpoint.address]);
+    // Leaves a connection on which a request can be sent at once.
+    assert_eq!(get(site.requests, "/read/", "r0", "").status, 200);
+    let mut caller = Caller::connect(site.requests);
+    let length = "Content-Length: 4\r\n";
+    caller.send(&request("POST", "/soon/", "r1", length), b"ab");
+    assert_eq!(get(site.requests, "/nowhere/", "r2", "").status, 404);
+    if is_stopping {
+        site.stop();
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    caller.send("", b"cd");
+    let answer = caller.answer().expect("an answer");
+    assert_eq!(endpoint.seen().len(), 1, "{}", answer.head);
+    assert!(answer.text().contains("not_run"), "{}", answer.text());
+}
+
 /// A second attempt is begun by the same rule as the first.
 #[test]
 fn a_second_attempt_that_may_outlast_the_entry_is_not_made() {
