--- /dev/null
+++ b/crates/core/tests/relay/lives.rs
@@ -0,0 +1,3 @@
+//! Endpoints that start again under their name: what is known of one life.
+
+mod loads;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod force;
 mod health;
+mod lives;
 mod outage;
 mod pace;
 mod plan;
--- a/crates/core/tests/relay/source.rs
+++ b/crates/core/tests/relay/source.rs
@@ -17,7 +17,7 @@
     ..ENGINE
 };
 
-fn moving(work: &Work) -> Ask<'_> {
+pub fn moving(work: &Work) -> Ask<'_> {
     Ask {
         engine: Some(MOVING),
         ..ask(work)
