One reader of refusals for documents and orders in the operators' command

Ruled out: one `conflict` for both, since a conflict of documents shows the difference and one of orders what is in force; a method of `client::Answer`, which knows no terminal.

Change: `refusal::refused` is used by both. Nothing is printed otherwise.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use awc::http::StatusCode;
-use woodgap_core::admin::{APPLY_PATH, Applied, Conflict, Refused};
+use woodgap_core::admin::{APPLY_PATH, Applied, Conflict};
 use woodgap_core::config::Document;
 use woodgap_settings::document;
 
@@ -11,6 +11,7 @@
 use crate::difference::Difference;
 use crate::error::Error;
 use crate::options::Apply;
+use crate::refusal::refused;
 use crate::terminal::Terminal;
 
 pub mod wait;
@@ -127,17 +128,6 @@
     }
 }
 
-fn refused(answer: &Answer, key: String, terminal: &mut Terminal<'_>) -> Error {
-    let refused: Refused = match answer.decode() {
-        Ok(refused) => refused,
-        Err(_) => return answer.failure(),
-    };
-    for problem in refused.problems {
-        terminal.print(&problem);
-    }
-    Error::Refused { key }
-}
-
 fn tell_applied(key: &str, identity: &str, applied: Applied, terminal: &mut Terminal<'_>) {
     let before = if applied.already {
         ", accepted before"
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod key;
 pub mod options;
 pub mod order;
+mod refusal;
 pub mod table;
 pub mod terminal;
 
--- a/crates/ctl/src/order.rs
+++ b/crates/ctl/src/order.rs
@@ -2,7 +2,7 @@
 
 use awc::http::StatusCode;
 use woodgap_core::admin::{
-    AppliedOrder, ApplyOrder, ORDERS_PATH, OrderConflict, OrderHolder, Ordered, Orders, Refused,
+    AppliedOrder, ApplyOrder, ORDERS_PATH, OrderConflict, OrderHolder, Ordered, Orders,
 };
 use woodgap_core::orders::{Kept, Order, Scope, Wanted};
 use woodgap_settings::order;
@@ -11,6 +11,7 @@
 use crate::error::Error;
 use crate::fleet::word;
 use crate::options::{Change, OrderCommand};
+use crate::refusal::refused;
 use crate::table;
 use crate::terminal::Terminal;
 
@@ -91,17 +92,6 @@
     }
 }
 
-fn refused(answer: &Answer, key: String, terminal: &mut Terminal<'_>) -> Error {
-    let refused: Refused = match answer.decode() {
-        Ok(refused) => refused,
-        Err(_) => return answer.failure(),
-    };
-    for problem in refused.problems {
-        terminal.print(&problem);
-    }
-    Error::Refused { key }
-}
-
 async fn show(client: &Client, json: bool, terminal: &mut Terminal<'_>) -> Result<(), Error> {
     let answer = client.ask(&Call::get(ORDERS_PATH.to_owned())).await;
     let orders: Orders = answer.map_err(Error::Unreachable)?.good("list of orders")?;
