The newest sound plan of an answer is in force, whatever follows it

Cause: of the plans of one feed the source gave the newest only; where that could not be read or was refused, a sound one before it was passed over, and the cursor went on. Ruled out: to choose in the adapter, which decides nothing and does not know which plan is refused. Change: an answer brings its plans, the newest last, removed ones included; the newest that is sound comes in force, and those that can't be used are told once for each answer that is new. Where none is usable, the one in force is confirmed, as before.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -14,7 +14,7 @@
 use woodgap_core::relay::{Plan, Table};
 
 use crate::source::row::{Content, Faults, Row};
-use crate::source::{Endpoints, Error, News};
+use crate::source::{Endpoints, Error, News, Plans};
 use crate::state::State;
 use crate::upkeep;
 
@@ -52,23 +52,9 @@
                 }
                 cursor = Some(news.cursor);
                 let as_of = dating.date(asked, news.made, state.now());
-                let row = news.content;
-                let version = row.as_ref().map(|row| row.version);
-                let plan = row.and_then(|row| {
-                    if told != version {
-                        Faults::new("configuration")
-                            .note(std::slice::from_ref(&row), &state.metrics);
-                        told = version;
-                    }
-                    usable(row)
-                });
-                if let Some(plan) = plan {
-                    take_plan(&state, plan, as_of, "platform");
-                } else {
-                    // Also where the newest can't be read: the one before stays in force.
-                    let version = state.force.borrow().version();
-                    state.confirm_plan(version, as_of);
-                }
+                let plans = news.content.unwrap_or_default();
+                tell_plans(&plans, &mut told, &state);
+                take_newest(&state, plans, as_of);
             }
             None if link.lost_history => cursor = None,
             None => state.is_platform_lost.set(true),
@@ -76,6 +62,30 @@
     }
 }
 
+/// Tells of plans that can't be used, once where they are read again.
+fn tell_plans(plans: &[Row<Plan>], told: &mut Option<u64>, state: &State) {
+    let newest = plans.last().map(|row| row.version);
+    if newest.is_some() && *told != newest {
+        Faults::new("configuration").note(plans, &state.metrics);
+        *told = newest;
+    }
+}
+
+/// Puts the newest sound one of these plans in force.
+fn take_newest(state: &State, plans: Plans, as_of: Millis) {
+    let mut newest_first = plans.into_iter().rev().filter_map(usable).peekable();
+    if newest_first.peek().is_none() {
+        // Also where the newest can't be read: the one before stays in force.
+        let version = state.force.borrow().version();
+        state.confirm_plan(version, as_of);
+    }
+    for plan in newest_first {
+        if take_plan(state, plan, as_of, "platform") {
+            return;
+        }
+    }
+}
+
 /// Follows the endpoints for as long as the process runs.
 pub async fn endpoints(state: Rc<State>) {
     let mut cursor = None;
@@ -206,18 +216,19 @@
     }
 }
 
-/// Puts a plan in force, if it is sound and not older than the one that is.
-pub fn take_plan(state: &State, plan: Plan, as_of: Millis, source: &str) {
+/// Puts a plan in force, if it is sound and not older than the one that is. Gives back
+/// whether it is sound.
+pub fn take_plan(state: &State, plan: Plan, as_of: Millis, source: &str) -> bool {
     let version = plan.version;
     if version == state.force.borrow().version() {
         state.confirm_plan(version, as_of);
-        return;
+        return true;
     }
     let table = match Table::new(plan) {
         Ok(table) => Arc::new(table),
         Err(error) => {
             log::error!(version = version, source = source, error = error.to_string(); "a plan was refused");
-            return;
+            return false;
         }
     };
     let (routes, before) = (table.plan().routes.len(), state.force.borrow().version());
@@ -236,6 +247,7 @@
         age_ms = age.0, outcome = outcome;
         "a plan was learnt"
     );
+    true
 }
 
 /// Takes a whole list of endpoints.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -53,14 +53,17 @@
     NotUnderstood(String),
 }
 
+/// The configurations that an answer brought, the newest last.
+pub type Plans = Vec<Row<Plan>>;
+
 /// Where an entry takes messages of other entries, by name.
 pub type Addresses = Vec<Row<SocketAddr>>;
 
 /// A source; see the module.
 pub trait Source {
-    /// The configuration, if it changed after the cursor; the whole without one.
+    /// The configuration, as often as it changed after the cursor; the newest without one.
     /// With a cursor, the answer may be held for `wait` while nothing changes.
-    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Row<Plan>>>;
+    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Plans>>;
 
     /// The endpoints, in the same way.
     fn endpoints(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Endpoints>>;
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -11,13 +11,12 @@
 use serde_json::Value;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::Plan;
 use woodgap_core::relay::roster::Endpoint;
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
 
 use crate::source::row::{self as source, Check, Unusable};
-use crate::source::{Addresses, Answer, Endpoints, Error, News, Source};
+use crate::source::{Addresses, Answer, Endpoints, Error, News, Plans, Source};
 
 const PLANS: &str = "relay";
 const PLAN: &str = "plan";
@@ -44,11 +43,7 @@
         }
     }
 
-    async fn read_plan(
-        &self,
-        after: Option<u64>,
-        wait: Millis,
-    ) -> Result<News<source::Row<Plan>>, Error> {
+    async fn read_plan(&self, after: Option<u64>, wait: Millis) -> Result<News<Plans>, Error> {
         self.pause(after, wait).await;
         let rows = self.platform.read(&[Place::new(PLANS, PLAN)]).await;
         let row = rows.map_err(unavailable)?.into_iter().next().flatten();
@@ -69,7 +64,7 @@
         let cursor = row.version;
         Ok(News {
             cursor,
-            content: Some(decoded(&row)),
+            content: Some(vec![decoded(&row)]),
             made: None,
         })
     }
@@ -137,7 +132,7 @@
 }
 
 impl Source for Own {
-    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<source::Row<Plan>>> {
+    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Plans>> {
         self.read_plan(after, wait).boxed_local()
     }
 
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -15,7 +15,7 @@
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::source::row::Row;
-use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Source};
+use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Plans, Source};
 use woodgap_relay::start::{self, Form};
 use woodgap_relay::stop;
 use woodgap_settings::relay;
@@ -55,7 +55,7 @@
 }
 
 impl Source for Fixed {
-    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Row<Plan>>> {
+    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Plans>> {
         async move {
             let cursor = self.told()?.plan.map_or(0, |plan| plan.version);
             pause(after, cursor).await;
@@ -65,7 +65,7 @@
                 cursor,
                 content: plan
                     .filter(|_| after != Some(cursor))
-                    .map(|plan| Row::new("plan", cursor, Ok(plan))),
+                    .map(|plan| vec![Row::new("plan", cursor, Ok(plan))]),
                 made: None,
             })
         }
