The product's own list holds rows above what one answer may hold

Cause: a page of 1,000 rows that together exceed 16 MiB was an answer that is not read, and the whole list failed with it. Ruled out: a greater bound, which only moves the fault; to halve the page on any answer that is unknown, since a platform that says nothing would be asked ten times over. Change: the client tells an answer that is too large from one that never came (for writes both leave it open whether they took effect); the source then asks for half as many rows, down to one, and for twice as many after each page that was read. Rows are decoded page by page, so large ones that can't be used are not kept.

Measured: 300 broken rows of 60 kB beside a sound one failed before ("payload reached size limit") and are read now.

--- a/crates/burn/src/source.rs
+++ b/crates/burn/src/source.rs
@@ -138,8 +138,8 @@
     for _ in 1..retry.attempts {
         match ordered(table, scan).await {
             Err(Error::Unavailable(_)) => {}
-            // A timeout or a cut answer: the page may have been too large.
-            Err(Error::Unknown(_)) => scan.limit = (scan.limit / 2).max(1),
+            // After a timeout or a cut answer, too, the page may have been too large.
+            Err(Error::Unknown(_) | Error::TooLarge) => scan.limit = (scan.limit / 2).max(1),
             done => return done,
         }
         actix_rt::time::sleep(delay).await;
--- a/crates/burn/tests/burn/reading.rs
+++ b/crates/burn/tests/burn/reading.rs
@@ -103,6 +103,7 @@
 #[case::no_fault(vec![])]
 #[case::at_the_start(vec![Some(out()), Some(unknown())])]
 #[case::between_pages(vec![None, Some(out()), Some(out()), None, Some(unknown())])]
+#[case::too_large(vec![None, Some(Error::TooLarge), Some(Error::TooLarge)])]
 #[actix_rt::test]
 async fn a_short_outage_leaves_the_reading_whole(#[case] faults: Vec<Option<Error>>) {
     let (reading, rows) = Fake::new(&fleet(), faults).read().await;
--- a/crates/entry/src/once/batch.rs
+++ b/crates/entry/src/once/batch.rs
@@ -78,7 +78,9 @@
             (0..count).map(fate).collect()
         }
         // An answer that does not fit the question says nothing either.
-        Ok(Outcome::Committed { .. }) | Err(Error::Unknown(_)) => all(Written::Unknown),
+        Ok(Outcome::Committed { .. }) | Err(Error::Unknown(_) | Error::TooLarge) => {
+            all(Written::Unknown)
+        }
         Err(Error::Unavailable(_) | Error::Rejected(_)) => all(Written::Unavailable),
     }
 }
--- a/crates/entry/src/once/batch/tests.rs
+++ b/crates/entry/src/once/batch/tests.rs
@@ -37,6 +37,7 @@
 #[case::conflict_of_nothing_asked(Ok(conflict(&[9])), [CONFLICT; 3])]
 #[case::versions_missing(Ok(committed(&[4])), [UNKNOWN; 3])]
 #[case::no_answer(Err(Error::Unknown(String::new())), [UNKNOWN; 3])]
+#[case::too_large(Err(Error::TooLarge), [UNKNOWN; 3])]
 #[case::out(Err(Error::Unavailable(String::new())), [UNAVAILABLE; 3])]
 #[case::malformed(Err(Error::Rejected(String::new())), [UNAVAILABLE; 3])]
 fn each_change_has_its_fate(#[case] result: Result<Outcome, Error>, #[case] expected: [Fate; 3]) {
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -98,7 +98,7 @@
         Ok(_) => Told::Nothing,
         Err(Error::Unavailable(_)) => Told::NotDone,
         Err(Error::Rejected(_)) => Told::Refused,
-        Err(Error::Unknown(_)) => Told::Unclear,
+        Err(Error::Unknown(_) | Error::TooLarge) => Told::Unclear,
     }
 }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::StatusCode;
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
@@ -175,15 +175,15 @@
 
 async fn body<S>(mut response: ClientResponse<S>, also_good: &[StatusCode]) -> Result<Bytes, Error>
 where
-    S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+    S: futures_util::Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
     let status = response.status();
     let announced = length(&response);
-    let body = response
-        .body()
-        .limit(BODY_LIMIT)
-        .await
-        .map_err(|error| Error::Unknown(error.to_string()))?;
+    let read = response.body().limit(BODY_LIMIT).await;
+    let body = read.map_err(|error| match error {
+        PayloadError::Overflow => Error::TooLarge,
+        error => Error::Unknown(error.to_string()),
+    })?;
     // The client takes a body that is cut off for one that has ended.
     if announced.is_some_and(|length| length != body.len()) {
         return Err(Error::Unknown("the answer was cut off".to_owned()));
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::roster::Endpoint;
+use woodgap_platform::Error as PlatformError;
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
 
@@ -75,9 +75,8 @@
         wait: Millis,
     ) -> Result<News<Endpoints>, Error> {
         self.pause(after, wait).await;
-        let rows = self.rows(ENDPOINTS).await?;
-        let cursor = rows.iter().map(|row| row.version).max().unwrap_or(0);
-        let endpoints = rows.iter().map(decoded::<Endpoint>).collect();
+        let endpoints = self.rows(ENDPOINTS).await?;
+        let cursor = endpoints.iter().map(|row| row.version).max().unwrap_or(0);
         Ok(News {
             cursor,
             content: Some(Endpoints::All(endpoints)),
@@ -85,7 +84,11 @@
         })
     }
 
-    async fn rows(&self, table: &str) -> Result<Vec<Row>, Error> {
+    /// All rows of a table, decoded page by page: large ones that can't be used are not kept.
+    async fn rows<T: Check + DeserializeOwned>(
+        &self,
+        table: &str,
+    ) -> Result<Vec<source::Row<T>>, Error> {
         let mut scan = Scan {
             table: table.to_owned(),
             prefix: String::new(),
@@ -94,13 +97,24 @@
         };
         let mut rows = Vec::new();
         loop {
-            let page = self.platform.scan(&scan).await.map_err(unavailable)?;
-            let is_last = page.len() < scan.limit;
-            rows.extend(page);
-            match rows.last() {
-                Some(last) if !is_last => scan.after.clone_from(&last.key),
+            let page = self.page(&mut scan).await?;
+            rows.extend(page.iter().map(decoded));
+            match page.last() {
+                Some(last) if page.len() >= scan.limit => scan.after.clone_from(&last.key),
                 _ => return Ok(rows),
             }
+            // Most rows are small, also where those before were not.
+            scan.limit = (scan.limit * 2).min(Scan::MOST);
+        }
+    }
+
+    /// The next rows, as many as one answer holds: the limit falls to that.
+    async fn page(&self, scan: &mut Scan) -> Result<Vec<Row>, Error> {
+        loop {
+            match self.platform.scan(scan).await {
+                Err(PlatformError::TooLarge) if scan.limit > 1 => scan.limit /= 2,
+                page => return page.map_err(unavailable),
+            }
         }
     }
 
@@ -114,14 +128,13 @@
     }
 
     async fn read_entries(&self) -> Result<Addresses, Error> {
-        let rows = self.rows(ENTRIES).await?;
-        Ok(rows.iter().map(decoded).collect())
+        self.rows(ENTRIES).await
     }
 }
 
 // `map_err` hands errors over by value.
 #[allow(clippy::needless_pass_by_value)]
-fn unavailable(error: woodgap_platform::Error) -> Error {
+fn unavailable(error: PlatformError) -> Error {
     Error::Unavailable(error.to_string())
 }
 
--- a/crates/relay/tests/contract/rows.rs
+++ b/crates/relay/tests/contract/rows.rs
@@ -112,3 +112,25 @@
     };
     assert_eq!(rows.into_iter().filter_map(usable).count(), 1);
 }
+
+/// More rows than one answer of the table service may hold, by their bytes.
+#[actix_rt::test]
+async fn megabytes_of_broken_rows_hide_none_of_the_own_source() {
+    let platform = Stand::platform();
+    let client = || Platform::new(&platform.url(""), Duration::from_mins(1));
+    let place = |key: &str| Place::new("relay-endpoints", key);
+    let broken = json!("v".repeat(60_000));
+    let puts = (0..300).map(|at| format!("a-{at:03}"));
+    let transaction = puts.fold(Transaction::default(), |transaction, key| {
+        transaction.put(place(&key), broken.clone())
+    });
+    let transaction = transaction.put(place("i-1"), value("10.0.0.1:80"));
+    client().transact(&transaction).await.unwrap();
+    let own = Own::new(client(), Millis(10));
+    let news = own.endpoints(None, Millis(0)).await.unwrap();
+    let Some(Endpoints::All(rows)) = news.content else {
+        panic!("no list")
+    };
+    assert_eq!(rows.len(), 301);
+    assert_eq!(rows.into_iter().filter_map(usable).count(), 1);
+}
