--- a/crates/relay/src/source/row.rs
+++ b/crates/relay/src/source/row.rs
@@ -179,6 +179,10 @@
             if bytes.len() > T::MOST_BYTES {
                 return Err(Unusable::Size(bytes.len()));
             }
+            // The decoder would take a list for the values of a form without their names.
+            if bytes.trim_ascii_start().starts_with(b"[") {
+                return Err(Unusable::Form("a list".to_owned()));
+            }
             let value = serde_json::from_slice(&bytes);
             value.map_err(|error| Unusable::Form(error.to_string()))
         });
