--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -304,6 +304,7 @@
             route("/write-twice/", Kind::NonIdempotent, 2, false),
             route("/stream/", Kind::Stream, 1, false),
             route("/stream-twice/", Kind::Stream, 2, false),
+            route("/stream-resumed/", Kind::Stream, 2, true),
             Route {
                 shares: vec![Share {
                     service: "model".to_owned(),
