Test that a process that stood still over the end of its stop says its last word

Ruled out by it: that the end is taken at the first look after a standstill, before the last word. Change: a test only. Measured: passes, in the run of all contract tests that follows.

--- a/crates/relay/tests/contract/last_lines.rs
+++ b/crates/relay/tests/contract/last_lines.rs
@@ -156,6 +156,31 @@
     assert_eq!(answered, callers.len());
 }
 
+/// A process that stood still over the end of its stop still says its last word to those that
+/// wait.
+#[test]
+fn a_process_that_stood_still_over_its_end_says_its_last_word() {
+    let endpoint = Endpoint::numbered(|number| match number {
+        0 => vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Wait],
+        _ => vec![Step::Hold],
+    });
+    let (mut child, listen, _kept) = running(&endpoint, 2);
+    drop(stream(listen));
+    let before = endpoint.seen().len();
+    let mut caller = Caller::connect(listen);
+    let length = "Content-Length: 0\r\n";
+    caller.send(&request("POST", "/write/", "r1", length), b"");
+    site::until(|| endpoint.seen().len() > before);
+    signal(&child, Signal::TERM);
+    std::thread::sleep(Duration::from_millis(300));
+    signal(&child, Signal::STOP);
+    std::thread::sleep(Duration::from_secs(2));
+    signal(&child, Signal::CONT);
+    let answer = caller.answer();
+    assert!(child.wait().unwrap().success());
+    assert_eq!(answer.expect("an answer").status, 502);
+}
+
 /// Writes a plan and one endpoint to the platform.
 fn tell(platform: &Stand, address: SocketAddr) {
     let client = Platform::new(&platform.url(""), TIMEOUT);
