--- a/crates/relay/tests/contract/rows.rs
+++ b/crates/relay/tests/contract/rows.rs
@@ -92,6 +92,40 @@
     }
 }
 
+fn remembered(faults: &Faults) -> usize {
+    format!("{faults:?}").len()
+}
+
+/// Of rows that can't be used their keys are kept, and only while the rows are there.
+#[test]
+fn little_is_remembered_of_ten_thousand_broken_rows() {
+    const ROWS: usize = 10_000;
+    /// A key of this test with its quotes and the space between two.
+    const MOST_KEY: usize = 16;
+    let broken = json!("v".repeat(1_000)).to_string();
+    let metrics = Metrics::new().unwrap();
+    let mut faults = Faults::new("endpoints");
+    let empty = remembered(&faults);
+    for round in 0..3 {
+        let keys = (0..ROWS).map(|at| format!("{round}-{at}"));
+        let rows: Vec<_> = keys.map(|key| read(&key, broken.as_bytes())).collect();
+        faults.replace(&rows, &metrics);
+        faults.note(&rows, &metrics);
+        assert!(remembered(&faults) < empty + ROWS * MOST_KEY);
+        let removed = rows.into_iter().map(|row| Row::<Endpoint> {
+            content: Content::Removed,
+            ..row
+        });
+        let (removed, half) = (removed.collect::<Vec<_>>(), ROWS / 2);
+        faults.note(&removed[..half], &metrics);
+        assert!(remembered(&faults) < empty + half * MOST_KEY);
+    }
+    faults.replace::<Endpoint>(&[], &metrics);
+    assert_eq!(remembered(&faults), empty);
+    let told = metrics.unusable_rows.with_label_values(&["endpoints"]);
+    assert_eq!(told.get(), 3 * ROWS as u64);
+}
+
 /// A scan of the table service has a bound; what comes after it is read as well.
 #[actix_rt::test]
 async fn thousands_of_broken_rows_hide_none_of_the_own_source() {
