A test keeps the port of its dead endpoint, which another test's relay could take

Cause: the test freed a port and listed it as an endpoint that is gone; one of 14 runs of all contract tests got 401 for 200. Another relay on that port answers 401: shown by a trial that starts one there (three of three runs). Ruled out: a fault of the relay, which passes a whole answer on. Change: the port is bound and does not listen.

--- a/crates/relay/tests/contract/answers.rs
+++ b/crates/relay/tests/contract/answers.rs
@@ -1,6 +1,7 @@
 //! What a caller gets of an endpoint's answer, however the endpoint behaves.
 
 use rstest::rstest;
+use tokio::net::TcpSocket;
 
 use crate::caller::{Caller, get, post, request};
 use crate::endpoint::{Endpoint, Step, declined, head, whole};
@@ -112,11 +113,13 @@
     assert!(statuses.contains(&200), "{statuses:?}");
 }
 
+/// Its port is kept by a socket that does not listen, as a relay of another test could take
+/// a free one: that one then answered 401.
 #[test]
 fn a_dead_endpoint_costs_nothing() {
-    let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let dead = TcpSocket::new_v4().unwrap();
+    dead.bind(([127, 0, 0, 1], 0).into()).unwrap();
     let address = dead.local_addr().unwrap();
-    drop(dead);
     let endpoint = Endpoint::always(vec![whole("yes")]);
     let site = Site::start(&[address, endpoint.address]);
     for id in ["r1", "r2", "r3"] {
