Tests: when a signal counts, by a table; and the recorded chat, whose caller waits for 15 s

Cause: Looks had one example and a test by processes alone; no contract test sent the caller's patience of the record. Change: tests, and a page's word on what one answer of the table holds.

--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::clock::Millis;
-use woodgap_core::relay::shutdown::{End, Plan, Shutdown};
+use woodgap_core::relay::shutdown::{End, Looks, Plan, Shutdown};
 
 const BEGAN: Millis = Millis(100_000);
 
@@ -122,6 +122,28 @@
     assert_eq!(shutdown.ends(), entry(30_000).ends());
 }
 
+/// A signal counts from when it is seen, or from before a standstill in which it may have come;
+/// looks that come somewhat late, as on a slow machine, are no standstill.
+#[rstest]
+#[case::in_time(&[100, 200, 300], 350, 350)]
+#[case::before_any_look(&[], 50, 50)]
+#[case::some_looks_late(&[100, 220, 340], 400, 400)]
+#[case::seen_before_the_timer(&[100, 200], 2_200, 100)]
+#[case::seen_after_the_timer(&[100, 200, 2_200], 2_200, 200)]
+#[case::standing_still_from_the_start(&[3_000], 3_000, 0)]
+#[case::long_after_a_standstill(&[100, 200, 2_200, 2_300], 2_350, 2_350)]
+fn a_signal_counts_from_before_a_standstill(
+    #[case] looked: &[u64],
+    #[case] seen: u64,
+    #[case] told: u64,
+) {
+    let mut looks = Looks::new(at(0));
+    for look in looked {
+        looks.look(at(*look));
+    }
+    assert_eq!(looks.told(at(seen)), at(told));
+}
+
 proptest! {
     /// Whatever the grace: what is taken ends in time by its deadline, or is forecast to and
     /// came early; and nothing is taken that could not be known before its forecast.
--- a/crates/relay/tests/contract/stops.rs
+++ b/crates/relay/tests/contract/stops.rs
@@ -59,6 +59,9 @@
     std::thread::sleep(Duration::from_millis(3_100));
     let before = endpoint.seen().len();
     assert_turned_away(&get(site.requests, "/chat/", "r1", SHORT));
+    // As in the record: its caller waits for 15 s.
+    let patient = format!("{SHORT}X-Woodgap-Patience-Ms: 15000\r\n");
+    assert_turned_away(&get(site.requests, "/chat/", "r2", &patient));
     assert_eq!(endpoint.seen().len(), before);
 }
 
