The product's own entry counts a stop from before a standstill too, and a hangup ends nothing

Cause: the same as in the relay: the grace counted from when the signal was noticed, so that an entry that had stood still took what it could not finish. SIGHUP had no handler and ended the process at once, with all that ran. Ruled out: to read the settings again at SIGHUP, which the relay does not either. Change: shutdown::Looks in entry::stop; the hangup is logged.

--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -102,7 +102,7 @@
             }
             Action::SendAll(to) => self.send_all(to),
             Action::Probe(endpoint, address) => self.probe(endpoint, address, context),
-            Action::Leave => self.shared.stop(),
+            Action::Leave => self.shared.stop(self.shared.clock.now()),
             Action::Stop => {
                 log::error!("a later life of this entry has started: stopping this one");
                 self.shared.end();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,6 +8,7 @@
 use cadence::StatsdClient;
 use tokio::sync::{Notify, watch};
 use woodgap_core::burn;
+use woodgap_core::clock::Millis;
 use woodgap_core::membership::Member;
 use woodgap_core::name;
 use woodgap_core::relay::shutdown::Shutdown;
@@ -114,9 +115,9 @@
         }
     }
 
-    /// Takes no new work from now on.
-    pub fn stop(&self) {
-        let shutdown = stop::shutdown(self.settings.grace, self.clock.now());
+    /// Takes no new work from now on; the entry was told to stop at this moment.
+    pub fn stop(&self, told: Millis) {
+        let shutdown = stop::shutdown(self.settings.grace, told);
         self.shutdown
             .send_modify(|begun| *begun = begun.or(Some(shutdown)));
         self.deferred.stop();
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -8,7 +8,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::config::document::Measure;
 use woodgap_core::control::Event;
-use woodgap_core::relay::shutdown::{End, MARGIN, Plan, Shutdown};
+use woodgap_core::relay::shutdown::{self, End, Looks, MARGIN, Plan, Shutdown};
 
 use crate::caller::entries::LIFETIME;
 use crate::request::Head;
@@ -111,10 +111,11 @@
     Millis(grace.0 * AFTERWARDS_PERCENT / 100)
 }
 
-/// The signals that ask for a planned stop.
+/// The signals that ask for a planned stop, and the one that asks for the settings anew.
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    reload: Signal,
 }
 
 impl Signals {
@@ -122,13 +123,20 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
         })
     }
 
+    /// Waits for one that asks for a stop.
     async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => {
+                    log::info!("told to reload: the settings hold until the next start");
+                }
+            }
         }
     }
 }
@@ -141,11 +149,8 @@
 /// If signals can't be received.
 pub async fn on_signal(shared: Arc<Shared>, server: ServerHandle) -> std::io::Result<()> {
     let mut signals = Signals::new()?;
-    tokio::select! {
-        () = signals.next() => log::info!("told to stop: finishing what runs"),
-        () = shared.ended() => {}
-    }
-    shared.stop();
+    let told = told(&shared, &mut signals).await;
+    shared.stop(told);
     shared.control.tell(Event::Stop);
     let graceful = tokio::select! {
         done = finish(&shared) => done,
@@ -161,6 +166,24 @@
     Ok(())
 }
 
+/// Waits until the process is to stop, and gives back when it was told so: before a
+/// standstill in which the signal may have come, as the grace counts from then.
+async fn told(shared: &Shared, signals: &mut Signals) -> Millis {
+    let now = || shared.clock.now();
+    let mut looks = Looks::new(now());
+    let look = Duration::from_millis(shutdown::LOOK.0);
+    loop {
+        tokio::select! {
+            () = signals.next() => break,
+            () = shared.ended() => return now(),
+            () = tokio::time::sleep(look) => looks.look(now()),
+        }
+    }
+    let told = looks.told(now());
+    log::info!(noticed_ms = (now() - told).0; "told to stop: finishing what runs");
+    told
+}
+
 /// Waits until nothing runs; false if that took too long.
 async fn finish(shared: &Shared) -> bool {
     // An operator may have drained the entry long before.
--- a/crates/entry/tests/contract/main.rs
+++ b/crates/entry/tests/contract/main.rs
@@ -11,3 +11,4 @@
 mod seen;
 mod services;
 mod site;
+mod stops;
--- a/crates/harness/src/entry.rs
+++ b/crates/harness/src/entry.rs
@@ -107,6 +107,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks for the settings to be read again (SIGHUP).
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits for the end of the process and returns its exit code.
     ///
     /// # Panics
