--- a/crates/relay/tests/contract/others.rs
+++ b/crates/relay/tests/contract/others.rs
@@ -87,7 +87,8 @@
     for id in ["r2", "r3", "r4", "r5"] {
         assert_eq!(get(second.requests, "/read/", id, "").status, 200);
     }
-    assert_eq!(servers[0].seen().len(), before);
+    let seen = servers[0].seen();
+    assert_eq!(seen.len(), before, "{seen:?}");
     let mut newer = plan(7);
     newer.workspaces[0].keys.clear();
     first.source.0.lock().unwrap().plan = Some(newer);
--- a/crates/relay/tests/contract/rests.rs
+++ b/crates/relay/tests/contract/rests.rs
@@ -20,10 +20,11 @@
     assert_eq!(send("r0"), 200);
     std::thread::sleep(REST);
     // Nobody knows whether this one ran: it is not sent again.
-    assert_eq!(send("r1"), 502);
+    assert_eq!(send("r1"), 502, "{:?}", endpoint.seen());
     assert_eq!(send("r2"), 200);
     std::thread::sleep(REST);
     assert_eq!(send("r3"), 200);
-    let connections: Vec<_> = endpoint.seen().iter().map(|seen| seen.connection).collect();
-    assert_eq!(connections, [0, 0, 1, 2]);
+    let seen = endpoint.seen();
+    let connections: Vec<_> = seen.iter().map(|seen| seen.connection).collect();
+    assert_eq!(connections, [0, 0, 1, 2], "{seen:?}");
 }
