Lines tell by a fingerprint which requests are alike

Cause: in the incident no identity is cut off twice, as a caller's attempts have one each; whether one body stood beside all the ends of engines could not be told from the lines. No decision is changed. Measured: a test of a process's lines, which had no such field before.

--- a/crates/relay/src/request/account.rs
+++ b/crates/relay/src/request/account.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use woodgap_core::clock::Millis;
+use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::relay::Work;
 use woodgap_core::relay::division;
 use woodgap_core::relay::engine::Choice;
@@ -36,6 +37,8 @@
     /// How long the entry had been stopping at the arrival.
     stopping_for: Option<Millis>,
     id: String,
+    /// Empty until the request is admitted.
+    fingerprint: String,
     route: String,
     plan: (u64, Millis),
     service: String,
@@ -65,6 +68,7 @@
             stopping_for,
             state: Rc::clone(state),
             id: String::new(),
+            fingerprint: String::new(),
             route: String::new(),
             plan: (0, Millis::ZERO),
             service: String::new(),
@@ -91,6 +95,11 @@
         id.clone_into(&mut self.id);
     }
 
+    /// Notes what tells that two requests of a caller are the same.
+    pub fn fingerprint(&mut self, fingerprint: Fingerprint) {
+        self.fingerprint = fingerprint.to_string();
+    }
+
     /// Notes the route, and by which plan it was found.
     pub fn route(&mut self, route: &Route, version: u64, age: Millis) {
         route.name.clone_into(&mut self.route);
@@ -134,8 +143,8 @@
             .with_label_values(&["failed"])
             .inc();
         log::info!(
-            request = self.id, endpoint = self.endpoint, sends = self.sends,
-            reused = self.reused, took_ms = self.took().0, reason = reason;
+            request = self.id, fingerprint = self.fingerprint,
+            endpoint = self.endpoint, sends = self.sends, reused = self.reused, took_ms = self.took().0, reason = reason;
             "attempt failed"
         );
     }
@@ -233,7 +242,7 @@
             ..
         } = self.promise;
         log::info!(
-            request = self.id, outcome = outcome, status = status, verdict = verdict,
+            request = self.id, fingerprint = self.fingerprint, outcome = outcome, status = status, verdict = verdict,
             reason = reason, took_ms = took.0,
             first_byte_ms = self.first_byte.map_or(0, |it| it.0),
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use woodgap_core::clock::Millis;
+use woodgap_core::fingerprint::{self, Fingerprint};
 use woodgap_core::relay::Table;
 use woodgap_core::relay::plan::{Kind, Route, Service, Workspace};
 
@@ -41,6 +42,8 @@
     pub workspace: Option<Arc<Workspace>>,
     /// How urgent it is to a model engine; none for plain services.
     pub urgency: Option<u8>,
+    /// What tells that it is the same as others of its caller.
+    pub fingerprint: Fingerprint,
     /// When it must have ended.
     pub deadline: Millis,
 }
@@ -90,6 +93,14 @@
     }
     let uri = request.uri();
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    let fingerprint = Fingerprint::of(&fingerprint::Request {
+        caller: workspace.as_deref().map_or("", |it| it.name.as_str()),
+        method: request.method().as_str(),
+        host: &host.to_ascii_lowercase(),
+        target,
+        body: &body,
+    });
+    account.fingerprint(fingerprint);
     Ok(Admitted {
         method: request.method().clone(),
         target: target.to_owned(),
@@ -100,6 +111,7 @@
         service,
         workspace,
         urgency,
+        fingerprint,
         deadline,
     })
 }
--- a/crates/relay/tests/contract/last_lines.rs
+++ b/crates/relay/tests/contract/last_lines.rs
@@ -21,8 +21,8 @@
 use woodgap_platform::table::{Place, Table, Transaction};
 use woodgap_relay::logs::Queue;
 
-use crate::caller::{Caller, request};
-use crate::endpoint::{EVENTS, Endpoint, Step, chunk, head};
+use crate::caller::{Caller, post, request};
+use crate::endpoint::{EVENTS, Endpoint, Step, chunk, head, whole};
 use crate::site;
 
 /// Streams that run when the process ends.
@@ -192,6 +192,32 @@
     assert_eq!(answer.expect("an answer").status, 502);
 }
 
+/// Each attempt of a caller has an identity of its own, so the lines tell by the fingerprint that
+/// two requests have the same body: those that failed as those that were answered.
+#[test]
+fn lines_tell_which_requests_are_alike() {
+    let served = vec![whole("yes")];
+    let (mut child, listen, kept) = running(&Endpoint::always(served), 1);
+    for (id, body) in [("r1", "one"), ("r2", "one"), ("r3", "another")] {
+        site::until(|| post(listen, "/write/", id, body.as_bytes()).status == 200);
+    }
+    signal(&child, Signal::TERM);
+    assert!(child.wait().unwrap().success());
+    let lines = kept.lines.join().unwrap();
+    let fingerprint = |id: &str| {
+        let of_request = |line: &&Value| {
+            line["message"] == "request ended"
+                && line["kvs"]["request"] == id
+                && line["kvs"]["status"] == 200
+        };
+        let line = lines.iter().find(of_request).unwrap();
+        line["kvs"]["fingerprint"].as_str().unwrap().to_owned()
+    };
+    assert_eq!(fingerprint("r1"), fingerprint("r2"));
+    assert_ne!(fingerprint("r1"), fingerprint("r3"));
+    assert_eq!(fingerprint("r1").len(), 32);
+}
+
 /// Writes a plan and one endpoint to the platform.
 fn tell(platform: &Stand, address: SocketAddr) {
     let client = Platform::new(&platform.url(""), TIMEOUT);
