Failing test: entries that are all started anew forget what they withhold

Symptom: with all entries replaced twice, 6 sends of a body that ends endpoints arrive later than 3 s after its third end, 9 in all; 3 are allowed. What entries know of it is only in their memories.

--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -42,12 +42,19 @@
             arrivals,
             sites: Vec::new(),
         };
+        fleet.start_entries();
+        fleet
+    }
+
+    /// Starts entries in place of all that there are: these are as good as killed, as nobody
+    /// asks them any more, and no other entry knows of them.
+    fn start_entries(&mut self) {
+        self.sites.clear();
         for at in 0..ENTRIES {
-            let site = fleet.entry(at);
-            fleet.sites.push(site);
+            let site = self.entry(at);
+            self.sites.push(site);
         }
-        fleet.until_met();
-        fleet
+        self.until_met();
     }
 
     /// Another entry, which finds the others through the platform.
@@ -114,6 +121,22 @@
     assert!(late <= MOST_LATE, "{late} late arrivals, {all} in all");
 }
 
+/// What entries have learnt outlasts them: all of them are killed and started anew, twice, while
+/// the caller goes on.
+#[test]
+fn what_is_withheld_outlasts_all_entries() {
+    let mut fleet = Fleet::start();
+    for _ in 0..3 {
+        for number in 0..SENDS / 2 {
+            fleet.send(number, "/write/");
+        }
+        fleet.start_entries();
+    }
+    let late = fleet.late();
+    let all = fleet.arrivals.lock().unwrap().len();
+    assert!(late <= MOST_LATE, "{late} late arrivals, {all} in all");
+}
+
 /// Nobody is to blame where endpoints end by themselves: a request that stands beside many of
 /// these ends, at one endpoint after the other, is served on.
 #[test]
