What is withheld is kept by the platform, for entries that start when all others are gone

Seen by callers: with all entries replaced, a request that crashes endpoints crashed three more each time (6 too late, 9 in all, in the failing test). Cause: what entries knew was only in their memories. Change: the entry that sees a crash of a withheld request writes what is known of it to the platform's table, again for each crash of a trial, and removes it once a run ends well. At a start those that others ask first read the table, beside the plan, and tell the others; an entry takes requests only then, or after a second. Why it holds: an entry that takes requests has read the rows, or heard from one that has; where the platform is away there is no plan to serve by either, unless other entries have it, and these know what is withheld. Ruled out: to have each entry read (295 calls at a return of everything), and to read without being waited for (the first three sends came within 0.6 s of the start). Tests: the failing one passes; rows through both sources, with rows of another writer; a message with all it may hold stays within its datagram. The stand-in's endpoints have addresses of their own, as another test got the port of one that was down (seen once).

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -23,7 +23,7 @@
 mod message;
 mod record;
 
-pub use message::Told;
+pub use message::{Kept, Told};
 pub use record::Crash;
 
 use std::cmp::Reverse;
@@ -46,7 +46,7 @@
 /// How often it may crash an endpoint after that.
 pub const MOST_TRIALS: u32 = 3;
 /// After so long without a crash a request is forgotten: above the other holds.
-const KEEP: Millis = Millis::from_secs(2 * 3_600);
+pub const KEEP: Millis = Millis::from_secs(2 * 3_600);
 /// The most requests that are remembered with their crashes, in 0.3 kB each. A crash at the
 /// planned size cuts off 47.
 const MOST_RECORDS: usize = 1_024;
@@ -148,6 +148,12 @@
         (now < hold.until).then_some(hold)
     }
 
+    /// What is known of a request, as others are told; none if it is not withheld.
+    pub fn of_held(&self, request: Fingerprint, now: Millis) -> Option<Told> {
+        self.hold(request, now)?;
+        Some(self.records.get(&request)?.as_told(request, now))
+    }
+
     /// All requests that are withheld.
     pub fn held(&self, now: Millis) -> impl Iterator<Item = (Fingerprint, Hold)> {
         let all = self.records.keys();
--- a/crates/core/src/quarantine/message.rs
+++ b/crates/core/src/quarantine/message.rs
@@ -6,7 +6,8 @@
 use crate::clock::Millis;
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::Crash;
-use crate::quarantine::record::Counted;
+use crate::quarantine::KEEP;
+use crate::quarantine::record::{Counted, MOST_CRASHES};
 
 /// What an entry knows of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +23,66 @@
     pub crashes: Vec<Heard>,
 }
 
+/// What the platform keeps of a request that is withheld, for entries that start when all others
+/// are gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// What was known of it.
+    pub told: Told,
+    /// When that was, by the time of day: entries that are gone share no other clock with those
+    /// that come. A step of it makes a hold some seconds longer or shorter.
+    pub written_unix: Millis,
+}
+
+impl Kept {
+    /// What is known of it, as of this time of day.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::fingerprint::{Fingerprint, Request};
+    /// use woodgap_core::quarantine::{Crash, Kept, Quarantine};
+    ///
+    /// let request = Request { caller: "", method: "GET", host: "", target: "/", body: b"" };
+    /// let request = Fingerprint::of(&request);
+    /// let mut quarantine = Quarantine::default();
+    /// for endpoint in 1..=3 {
+    ///     let at = Millis::from_secs(u64::from(endpoint));
+    ///     quarantine.crashed(request, Crash { endpoint, sent: at, at }, at);
+    /// }
+    /// let now = Millis::from_secs(5);
+    /// let told = quarantine.of_held(request, now).unwrap();
+    /// let kept = Kept { told, written_unix: Millis::from_secs(1_000) };
+    /// let mut later = Quarantine::default();
+    /// later.told(&[kept.told_at(Millis::from_secs(1_060))], Millis::from_secs(100));
+    /// assert!(later.hold(request, Millis::from_secs(100)).is_some());
+    /// ```
+    pub fn told_at(&self, now_unix: Millis) -> Told {
+        let since = now_unix - self.written_unix;
+        let crashes = self.told.crashes.iter();
+        let crashes = crashes.map(|heard| Heard {
+            age: heard.age + since,
+            ..*heard
+        });
+        Told {
+            crashes: crashes.collect(),
+            ..self.told.clone()
+        }
+    }
+
+    /// Whether it may be what an entry has written: its moments lie within what is remembered.
+    pub fn is_sound(&self) -> bool {
+        let crashes = &self.told.crashes;
+        let is_recent = |heard: &Heard| heard.age <= KEEP && heard.lasted <= KEEP;
+        crashes.len() <= MOST_CRASHES && crashes.iter().all(is_recent)
+    }
+
+    /// Whether it is forgotten by this time of day.
+    pub fn is_over(&self, now_unix: Millis) -> bool {
+        let told = self.told_at(now_unix);
+        told.crashes.iter().all(|heard| heard.age >= KEEP)
+    }
+}
+
 /// A crash, by how long ago it was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heard {
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -7,7 +7,7 @@
 
 /// The most crashes that are remembered of one request: those that withhold it for as long as
 /// it is remembered, and some.
-const MOST_CRASHES: usize = 8;
+pub const MOST_CRASHES: usize = 8;
 /// By how much later than it was a crash may seem that another entry has told of: messages are
 /// under way for so long.
 const LAG: Millis = Millis(30);
@@ -155,9 +155,14 @@
         added.fold(false, |any, added| any | added)
     }
 
-    /// What other entries are told.
+    /// Tells other entries.
     pub fn tell(&mut self, request: Fingerprint, now: Millis) -> Told {
         self.last_told = now;
+        self.as_told(request, now)
+    }
+
+    /// What other entries are told.
+    pub fn as_told(&self, request: Fingerprint, now: Millis) -> Told {
         let crashes = self.crashes.iter();
         Told {
             request,
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -62,7 +62,7 @@
 
 /// The time until the next round: short while there is nothing to serve by yet.
 fn until_next(state: &State) -> Duration {
-    let round = if state.knows_all() {
+    let round = if state.knows_all() && state.knows_withheld() {
         ROUND
     } else {
         FIRST_ROUND
@@ -254,6 +254,9 @@
         }
         self.state.rests.borrow_mut().told(&message.rests, now);
         self.state.told_of_crashes(&message.suspects);
+        if message.knows.withheld {
+            self.state.has_read_withheld.set(true);
+        }
         if message.is_answer {
             self.learn(&message, now);
         } else {
@@ -315,5 +318,6 @@
         plan_age: force.age(now),
         endpoints: roster.revision(),
         endpoints_age: roster.age(now),
+        withheld: state.has_read_withheld.get(),
     }
 }
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -59,6 +59,8 @@
     pub endpoints: u64,
     /// How long ago that was known to be the newest.
     pub endpoints_age: Millis,
+    /// Whether the entry knows what the platform keeps of requests that are withheld.
+    pub withheld: bool,
 }
 
 /// Asks for what is newer, over TCP.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod options;
+pub mod quarantine;
 pub mod request;
 pub mod source;
 pub mod start;
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -12,7 +12,9 @@
 use futures_util::future::LocalBoxFuture;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
+use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
+use woodgap_core::quarantine::Kept;
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::roster::Endpoint;
 
@@ -76,6 +78,15 @@
 
     /// What all entries have told; some may be gone.
     fn entries(&self) -> Answer<'_, Addresses>;
+
+    /// Keeps what is known of a request that is withheld.
+    fn keep<'a>(&'a self, kept: &'a Kept) -> Answer<'a, ()>;
+
+    /// Takes that back.
+    fn forget(&self, request: Fingerprint) -> Answer<'_, ()>;
+
+    /// What all entries keep of requests that are withheld.
+    fn kept(&self) -> Answer<'_, Vec<Row<Kept>>>;
 }
 
 /// An answer to come.
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -1,7 +1,8 @@
 //! The product's own source: rows of the table service, read again and again.
 //!
 //! The plan is the row `plan` of the table `relay`; endpoints are the rows of
-//! `relay-endpoints`, entries those of `relay-entries`.
+//! `relay-endpoints`, entries those of `relay-entries`, requests that are withheld those of
+//! `relay-withheld`.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,7 +11,9 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use woodgap_core::clock::Millis;
+use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
+use woodgap_core::quarantine::Kept;
 use woodgap_platform::Error as PlatformError;
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
@@ -22,6 +25,7 @@
 const PLAN: &str = "plan";
 const ENDPOINTS: &str = "relay-endpoints";
 const ENTRIES: &str = "relay-entries";
+const WITHHELD: &str = "relay-withheld";
 
 /// The product's own source.
 pub struct Own {
@@ -167,4 +171,23 @@
     fn entries(&self) -> Answer<'_, Addresses> {
         self.read_entries().boxed_local()
     }
+
+    fn keep<'a>(&'a self, kept: &'a Kept) -> Answer<'a, ()> {
+        async move {
+            let value = serde_json::to_value(kept);
+            let value = value.map_err(|error| Error::NotUnderstood(error.to_string()))?;
+            let place = Place::new(WITHHELD, &kept.told.request.to_string());
+            self.write(place, Some(value)).await
+        }
+        .boxed_local()
+    }
+
+    fn forget(&self, request: Fingerprint) -> Answer<'_, ()> {
+        let place = Place::new(WITHHELD, &request.to_string());
+        self.write(place, None).boxed_local()
+    }
+
+    fn kept(&self) -> Answer<'_, Vec<source::Row<Kept>>> {
+        self.rows(WITHHELD).boxed_local()
+    }
 }
--- a/crates/relay/src/source/row.rs
+++ b/crates/relay/src/source/row.rs
@@ -7,6 +7,7 @@
 use actix_http::header::HeaderValue;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use woodgap_core::quarantine::Kept;
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::roster::Endpoint;
 
@@ -62,8 +63,8 @@
     /// A name in it is empty, too long, or can't be sent as a header.
     #[error("`{0}` is no name")]
     Name(String),
-    /// It names another endpoint than its key.
-    #[error("it names another endpoint: `{0}`")]
+    /// It names something else than its key.
+    #[error("it names something else: `{0}`")]
     Stranger(String),
     /// Nothing can be connected to at the address.
     #[error("nothing can be connected to at {0}")]
@@ -113,6 +114,20 @@
     }
 }
 
+impl Check for Kept {
+    const MOST_BYTES: usize = MOST_BYTES;
+
+    fn check(&self, key: &str) -> Result<(), Unusable> {
+        if self.told.request.to_string() != key {
+            return Err(Unusable::Stranger(self.told.request.to_string()));
+        }
+        if !self.is_sound() {
+            return Err(Unusable::Form("crashes that are not remembered".to_owned()));
+        }
+        Ok(())
+    }
+}
+
 impl Check for Plan {
     // Only the source bounds it; whether it is sound is seen where it comes in force.
     const MOST_BYTES: usize = usize::MAX;
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -22,7 +22,7 @@
 use crate::source::Source;
 use crate::source::row::Faults;
 use crate::state::State;
-use crate::{follow, logs, stop, upkeep};
+use crate::{follow, logs, quarantine, stop, upkeep};
 
 /// The pause before a task that ended is started again.
 const RESTART: Millis = Millis(100);
@@ -31,7 +31,7 @@
 const ANNOUNCE: Millis = Millis(1_000);
 /// How many entries tell the platform of themselves, for those whose seeds are all
 /// gone: any one of them knows the others.
-const ANNOUNCED: usize = 4;
+pub const ANNOUNCED: usize = 4;
 
 /// Why the relay could not run.
 #[derive(Debug, Error)]
@@ -117,6 +117,7 @@
     supervise("endpoints", &state, follow::endpoints);
     supervise("upkeep", &state, upkeep::run);
     supervise("announce", &state, announce);
+    supervise("quarantine", &state, quarantine::run);
     let settings = &state.settings;
     log::info!(
         entry = settings.name.as_str(), data_centre = settings.data_centre.as_str(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one relay share. All of them run on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use tokio::sync::{Notify, watch};
@@ -35,6 +35,10 @@
 /// a request that is being sent still arrives.
 const LEAVE_MARGIN: Millis = Millis(400);
 
+/// How long after its start an entry takes no requests, for want of what is withheld. It is one
+/// call, beside those that bring the plan, and three endpoints where it is not waited for.
+const WITHHELD_PATIENCE: Millis = Millis(1_000);
+
 /// The reading of the clock at the start of a process, an hour: a moment before the
 /// start must be told from the start itself, else a plan that was last confirmed
 /// before it would look as young as the process.
@@ -88,6 +92,12 @@
     pub connecting: RefCell<HashSet<name::Life>>,
     /// Requests that crash the endpoints that run them.
     pub quarantine: RefCell<Quarantine>,
+    /// Requests of which the platform is to keep, or to forget, what is known.
+    pub unkept: RefCell<BTreeSet<Fingerprint>>,
+    /// There are some.
+    pub to_keep: Notify,
+    /// Whether this entry has read what the platform keeps, or heard of it from one that has.
+    pub has_read_withheld: Cell<bool>,
     /// Endpoints that broke off, of which it is being found out whether they have crashed.
     pub checks: RefCell<Checks>,
     incarnation: name::Incarnation,
@@ -138,6 +148,9 @@
             fetches: RefCell::default(),
             connecting: RefCell::default(),
             quarantine: RefCell::default(),
+            unkept: RefCell::default(),
+            to_keep: Notify::new(),
+            has_read_withheld: Cell::new(false),
             checks: RefCell::default(),
             incarnation: name::Incarnation(clock.unix().0),
             started: ORIGIN,
@@ -209,10 +222,18 @@
         self.force.borrow().table().is_some() && self.roster.borrow().revision() > 0
     }
 
+    /// Whether it knows which requests were withheld before its start, or has waited for that
+    /// long enough.
+    pub fn knows_withheld(&self) -> bool {
+        let life = self.now() - self.started;
+        self.has_read_withheld.get() || life >= WITHHELD_PATIENCE
+    }
+
     /// Whether the relay should get requests: it is not stopping, and knows the
     /// endpoints and a plan that it may use.
     pub fn is_ready(&self) -> bool {
-        self.knows_all() && self.trusts_keys() && self.stopping_since().is_none()
+        let knows = self.knows_all() && self.knows_withheld();
+        knows && self.trusts_keys() && self.stopping_since().is_none()
     }
 
     /// Where this entry stands among the others as a reader of the platform; it is the
@@ -300,6 +321,10 @@
         let now = self.now();
         let change = self.quarantine.borrow_mut().crashed(request, crash, now);
         self.quarantine_changed(&change);
+        // Who sees a crash writes it down: not all entries, as they hear of it.
+        if self.quarantine.borrow().hold(request, now).is_some() {
+            self.rewrite(request);
+        }
     }
 
     /// Takes in that a request has ended, and its endpoint goes on.
@@ -307,6 +332,15 @@
         let now = self.now();
         let change = self.quarantine.borrow_mut().survived(request, now);
         self.quarantine_changed(&change);
+        if change.released.contains(&request) {
+            self.rewrite(request);
+        }
+    }
+
+    /// Has the platform told anew what is known of a request.
+    fn rewrite(&self, request: Fingerprint) {
+        self.unkept.borrow_mut().insert(request);
+        self.to_keep.notify_one();
     }
 
     /// Takes in what another entry tells of requests that crash endpoints.
--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -6,10 +6,14 @@
 //! `not sent: Connection refused`, at one endpoint after the other, and 27 of the 48 requests that
 //! were cut off were of one workspace, no two with the same identity.
 
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use woodgap_core::fingerprint::Fingerprint;
+use woodgap_core::quarantine::Kept;
 
 use crate::caller::{get, post};
 use crate::crashing::{Arrivals, Crashing, FATAL};
@@ -31,6 +35,8 @@
     endpoints: Vec<Crashing>,
     arrivals: Arrivals,
     sites: Vec<Site>,
+    /// What the platform keeps.
+    kept: Arc<Mutex<BTreeMap<Fingerprint, Kept>>>,
 }
 
 impl Fleet {
@@ -41,6 +47,7 @@
             endpoints,
             arrivals,
             sites: Vec::new(),
+            kept: Arc::default(),
         };
         fleet.start_entries();
         fleet
@@ -60,7 +67,11 @@
     /// Another entry, which finds the others through the platform.
     fn entry(&self, at: usize) -> Site {
         let source = source(&[]);
-        source.0.lock().unwrap().entries = self.sites.iter().map(|site| site.peer).collect();
+        {
+            let mut told = source.0.lock().unwrap();
+            told.entries = self.sites.iter().map(|site| site.peer).collect();
+            told.kept = Arc::clone(&self.kept);
+        }
         self.list(&source);
         let site = Site::with(&format!("dub-a-{at}"), source);
         site.until_ready();
--- a/crates/relay/tests/contract/crashing.rs
+++ b/crates/relay/tests/contract/crashing.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -41,7 +41,7 @@
 impl Crashing {
     /// One that notes fatal requests in `arrivals`.
     pub fn start(arrivals: &Arrivals) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let listener = TcpListener::bind((own_ip(), 0)).unwrap();
         let address = listener.local_addr().unwrap();
         let life = Arc::new(Life {
             started: AtomicU64::new(1),
@@ -67,6 +67,15 @@
     }
 }
 
+/// An address of the loopback that nothing else uses: while nothing listens there, its port may
+/// not go to another test.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, high.max(1), low, number)
+}
+
 impl Life {
     fn end(&self) {
         *self.has_ended.lock().unwrap() = true;
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -2,15 +2,20 @@
 
 use rstest::rstest;
 use woodgap_core::clock::Millis;
+use woodgap_core::fingerprint::{self, Fingerprint};
 use woodgap_core::name;
+use woodgap_core::quarantine::{Crash, Quarantine};
 use woodgap_core::relay::Ask;
 use woodgap_core::relay::engine::Loads;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::plan::Engine;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::work::Work;
-use woodgap_relay::gossip::message::{self, Knowledge, Listed, MOST_BYTES, MOST_SHARES, Message};
+use woodgap_relay::gossip::message::{
+    self, Knowledge, Listed, MOST_BYTES, MOST_SHARES, MOST_SUSPECTS, Message,
+};
 
+use crate::peer::{IGNORANT, question};
 use crate::site;
 
 fn member(number: u64) -> Member {
@@ -79,6 +84,7 @@
             plan_age: Millis(u64::MAX),
             endpoints: u64::MAX,
             endpoints_age: Millis(u64::MAX),
+            withheld: true,
         },
         known: usize::MAX,
         told: vec![member(2)],
@@ -103,6 +109,7 @@
             plan_age: Millis(0),
             endpoints: 1,
             endpoints_age: Millis(0),
+            withheld: true,
         },
         known: 300,
         told: Vec::new(),
@@ -135,3 +142,45 @@
         assert_eq!(postcard::from_bytes::<Listed>(&bytes), Ok(listed));
     }
 }
+
+/// What is told of requests that endpoints crashed with fits beside the load, as many as it may.
+#[rstest]
+#[case::small(1, 1, 12)]
+#[case::full(22, 48, 3)]
+fn a_message_is_filled_with_suspects_up_to_its_size(
+    #[case] services: usize,
+    #[case] engines: usize,
+    #[case] least: usize,
+) {
+    let mut message = question("e-1", "127.0.0.1:1".parse().unwrap(), IGNORANT);
+    message.tidings = busy(services, engines).tidings(MOST_SHARES, Millis(18_000));
+    let mut quarantine = Quarantine::default();
+    for number in 0_u32..40 {
+        let request = fingerprint::Request {
+            caller: "murphy",
+            method: "POST",
+            host: "album.example",
+            target: "/captions/",
+            body: &number.to_le_bytes(),
+        };
+        for endpoint in 0..3 {
+            let sent = Millis(1_000 * u64::from(endpoint));
+            let at = sent + Millis(500);
+            let crash = Crash {
+                endpoint: u32::MAX - endpoint,
+                sent,
+                at,
+            };
+            quarantine.crashed(Fingerprint::of(&request), crash, at);
+        }
+    }
+    let suspects = quarantine.tell(MOST_SUSPECTS, Millis(4_000));
+    message::accuse(&mut message, suspects).unwrap();
+    let bytes = message::encode(&message).unwrap();
+    assert!(bytes.len() <= MOST_BYTES, "{} bytes", bytes.len());
+    assert!(
+        message.suspects.len() >= least,
+        "{} told",
+        message.suspects.len()
+    );
+}
--- a/crates/relay/tests/contract/peer.rs
+++ b/crates/relay/tests/contract/peer.rs
@@ -14,6 +14,7 @@
     plan_age: Millis(0),
     endpoints: 0,
     endpoints_age: Millis(0),
+    withheld: false,
 };
 
 /// A question of an entry at this address that knows so much.
--- a/crates/relay/tests/contract/silent_tellers.rs
+++ b/crates/relay/tests/contract/silent_tellers.rs
@@ -22,6 +22,7 @@
     plan_age: Millis(0),
     endpoints: REVISION,
     endpoints_age: Millis(0),
+    withheld: true,
 };
 
 /// Another entry, with one port for its messages and for what is fetched from it.
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -1,5 +1,6 @@
 //! A relay in a thread of the test, with a source that the test holds.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
@@ -10,7 +11,9 @@
 use futures_util::FutureExt;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use woodgap_core::clock::Millis;
+use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
+use woodgap_core::quarantine::Kept;
 use woodgap_core::relay::plan::{Engine, Kind, Limits, Plan, Route, Service, Share, Workspace};
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
@@ -32,6 +35,8 @@
     pub is_announced: bool,
     /// Whether it can't take that back: there is no answer.
     pub is_withdrawal_lost: bool,
+    /// What entries keep of requests that are withheld; several sites may share it.
+    pub kept: Arc<Mutex<BTreeMap<Fingerprint, Kept>>>,
 }
 
 /// A source that tells what the test says.
@@ -102,6 +107,35 @@
         async { Ok(()) }.boxed_local()
     }
 
+    fn keep<'a>(&'a self, kept: &'a Kept) -> Answer<'a, ()> {
+        async move {
+            let shared = self.told()?.kept;
+            let mut shared = shared.lock().unwrap();
+            shared.insert(kept.told.request, kept.clone());
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn forget(&self, request: Fingerprint) -> Answer<'_, ()> {
+        async move {
+            self.told()?.kept.lock().unwrap().remove(&request);
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn kept(&self) -> Answer<'_, Vec<Row<Kept>>> {
+        async move {
+            let shared = self.told()?.kept;
+            let shared = shared.lock().unwrap();
+            let rows = shared.iter();
+            let rows = rows.map(|(key, kept)| Row::new(&key.to_string(), 1, Ok(kept.clone())));
+            Ok(rows.collect())
+        }
+        .boxed_local()
+    }
+
     fn entries(&self) -> Answer<'_, Addresses> {
         // Known also while the rest is not: the list was read before.
         let entries = self.0.lock().unwrap().entries.clone();
