--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -16,7 +16,7 @@
 use woodgap_core::quarantine::Kept;
 
 use crate::caller::{get, post};
-use crate::crashing::{Arrivals, Crashing, FATAL};
+use crate::crashing::{Arrivals, Crashing, DOWN, FATAL};
 use crate::site::{Fixed, Site, source, until};
 
 /// How many endpoints and entries there are.
@@ -40,9 +40,10 @@
 }
 
 impl Fleet {
-    fn start() -> Self {
+    fn start(down: Duration) -> Self {
         let arrivals = Arrivals::default();
-        let endpoints: Vec<_> = (0..ENDPOINTS).map(|_| Crashing::start(&arrivals)).collect();
+        let endpoints = (0..ENDPOINTS).map(|_| Crashing::start(&arrivals, down));
+        let endpoints = endpoints.collect();
         let mut fleet = Self {
             endpoints,
             arrivals,
@@ -123,7 +124,17 @@
 #[case::write("/write/")]
 #[case::stream("/stream/")]
 fn a_body_that_ends_endpoints_reaches_few_more(#[case] target: &str) {
-    let fleet = Fleet::start();
+    reaches_few_more(&Fleet::start(DOWN), target);
+}
+
+/// Where an endpoint listens again before anybody can see that it was gone, its row tells that
+/// it has started anew.
+#[test]
+fn endpoints_that_are_back_at_once_are_no_exception() {
+    reaches_few_more(&Fleet::start(Duration::ZERO), "/write/");
+}
+
+fn reaches_few_more(fleet: &Fleet, target: &str) {
     for number in 0..SENDS {
         fleet.send(number, target);
     }
@@ -136,7 +147,7 @@
 /// the caller goes on.
 #[test]
 fn what_is_withheld_outlasts_all_entries() {
-    let mut fleet = Fleet::start();
+    let mut fleet = Fleet::start(DOWN);
     for _ in 0..3 {
         for number in 0..SENDS / 2 {
             fleet.send(number, "/write/");
@@ -152,7 +163,7 @@
 /// these ends, at one endpoint after the other, is served on.
 #[test]
 fn endpoints_that_end_by_themselves_hold_nobody_back() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(DOWN);
     for number in 0..SENDS {
         fleet.endpoints[number % ENDPOINTS].end();
         fleet.list_anew();
--- a/crates/relay/tests/contract/crashing.rs
+++ b/crates/relay/tests/contract/crashing.rs
@@ -17,8 +17,8 @@
 /// Ends each endpoint that begins to run it.
 pub const FATAL: &[u8] = b"a body that ends its endpoint";
 
-/// How long nothing listens after an end.
-const DOWN: Duration = Duration::from_millis(800);
+/// How long nothing listens after an end, usually.
+pub const DOWN: Duration = Duration::from_millis(800);
 /// Between two looks for new connections.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -35,18 +35,20 @@
     started: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
     has_ended: Mutex<bool>,
+    down: Duration,
     arrivals: Arrivals,
 }
 
 impl Crashing {
-    /// One that notes fatal requests in `arrivals`.
-    pub fn start(arrivals: &Arrivals) -> Self {
+    /// One that notes fatal requests in `arrivals`, and is gone for so long after each.
+    pub fn start(arrivals: &Arrivals, down: Duration) -> Self {
         let listener = TcpListener::bind((own_ip(), 0)).unwrap();
         let address = listener.local_addr().unwrap();
         let life = Arc::new(Life {
             started: AtomicU64::new(1),
             connections: Mutex::default(),
             has_ended: Mutex::default(),
+            down,
             arrivals: Arc::clone(arrivals),
         });
         let living = Arc::clone(&life);
@@ -90,7 +92,7 @@
             // It may be gone already.
             let _ = connection.shutdown(Shutdown::Both);
         }
-        sleep(DOWN);
+        sleep(life.down);
         life.started.fetch_add(1, Ordering::Relaxed);
         *life.has_ended.lock().unwrap() = false;
         listener = TcpListener::bind(address).unwrap();
