A later start of an endpoint tells that it crashed, also where it listens again at once

Cause: a refused connection was the only sign of a crash. Change: requests that an endpoint broke off wait for five seconds for its row; a later start under its name means that what broke off last, and all within a second before it, was its crash. An endpoint that was leaving has ended as planned. Why it holds: an endpoint that starts under its name is listed with its start within two seconds or so, by whoever reads the rows, and a new life is no reason by itself: only broken connections count. Ruled out: to take each broken connection for a crash, as connections are reset and answers lost for other reasons.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -444,6 +444,12 @@
             .collect()
     }
 
+    /// Whether another life of the endpoint is known: this one is over.
+    pub fn has_another(&self, life: &name::Life) -> bool {
+        let known = self.endpoints.get(&life.id);
+        known.is_some_and(|known| known.endpoint.life != *life)
+    }
+
     /// An endpoint, if it is known and this life of it is the one that is.
     pub fn get(&self, life: &name::Life) -> Option<&Endpoint> {
         let known = self.endpoints.get(&life.id);
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection breaks for many reasons: the endpoint drops one request, a link fails, a process
 //! in between resets it. Where nothing takes connections at the address right afterwards, the
-//! endpoint is gone, and each request that it had may be the cause.
+//! endpoint is gone, and each request that it had may be the cause. So it is where something
+//! does, and the endpoint is then listed with a later start.
 
 use std::collections::HashMap;
 use std::io;
@@ -22,6 +23,9 @@
 
 /// All connections to an endpoint that crashes break within this time.
 const TOGETHER: Millis = Millis(1_000);
+/// How long after a connection broke a later start of the endpoint tells that it had crashed: a
+/// row is written within a second or two of the start, and read soon after.
+const LISTED: Millis = Millis(5_000);
 /// How long a connection rests that was opened to see whether the endpoint goes on.
 const REST: Millis = Millis(1_000);
 
@@ -42,98 +46,125 @@
     by_life: HashMap<name::Life, Check>,
 }
 
+#[derive(Default)]
 struct Check {
-    checking: Shared<LocalBoxFuture<'static, ()>>,
-    /// The requests that wait for what is found.
+    /// Finds out whether the endpoint is gone, while it does.
+    checking: Option<Shared<LocalBoxFuture<'static, ()>>>,
+    /// The requests that wait for what is found, the last one to break at the end.
     suspects: Vec<Suspect>,
     /// When the endpoint was found to have crashed.
     crashed: Option<Millis>,
 }
 
-/// Takes in that an endpoint broke off a request, and finds out whether it has crashed.
+impl Check {
+    fn is_recent(&self, now: Millis) -> bool {
+        let last = self.suspects.last().map(|suspect| suspect.cut);
+        let waits = last.is_some_and(|last| now - last < LISTED);
+        self.checking.is_some() || waits || self.has_crashed(now)
+    }
+
+    fn has_crashed(&self, now: Millis) -> bool {
+        self.crashed.is_some_and(|at| now - at < TOGETHER)
+    }
+
+    /// The endpoint has crashed: gives back the requests that it had then.
+    fn crash(&mut self, now: Millis) -> Vec<Suspect> {
+        self.crashed = Some(now);
+        let mut suspects = std::mem::take(&mut self.suspects);
+        let last = suspects.last().map_or(now, |suspect| suspect.cut);
+        suspects.retain(|suspect| last - suspect.cut < TOGETHER);
+        suspects
+    }
+}
+
+/// Takes in that an endpoint broke off a request, and finds out whether it has crashed. One that
+/// was about to leave has ended as planned.
 pub fn check(state: &Rc<State>, life: &name::Life, address: SocketAddr, suspect: Suspect) {
+    if is_leaving(state, life) {
+        return;
+    }
     let now = state.now();
     let mut checks = state.checks.borrow_mut();
     checks.by_life.retain(|_, check| check.is_recent(now));
-    if let Some(check) = checks.by_life.get_mut(life) {
-        if check.crashed.is_none() {
-            check.suspects.push(suspect);
-            return;
-        }
+    let check = checks.by_life.entry(life.clone()).or_default();
+    if check.has_crashed(now) {
         drop(checks);
         accuse(state, life, &[suspect]);
         return;
     }
-    let checking = find_out(Rc::clone(state), life.clone(), address);
-    let checking = checking.boxed_local().shared();
-    let check = Check {
-        checking: checking.clone(),
-        suspects: vec![suspect],
-        crashed: None,
-    };
-    checks.by_life.insert(life.clone(), check);
-    actix_rt::spawn(checking);
+    check.suspects.push(suspect);
+    if check.checking.is_none() {
+        let checking = find_out(Rc::clone(state), life.clone(), address);
+        let checking = checking.boxed_local().shared();
+        check.checking = Some(checking.clone());
+        actix_rt::spawn(checking);
+    }
 }
 
-/// Waits until it is known whether the endpoint has crashed, if that is being found out.
+fn is_leaving(state: &State, life: &name::Life) -> bool {
+    let roster = state.roster.borrow();
+    roster.get(life).is_some_and(|endpoint| endpoint.leaving)
+}
+
+/// Waits until it is known whether the endpoint is gone, if that is being found out.
 pub async fn checked(state: &State, life: &name::Life) {
     let checking = {
         let checks = state.checks.borrow();
         let check = checks.by_life.get(life);
-        check.map(|check| check.checking.clone())
+        check.and_then(|check| check.checking.clone())
     };
     if let Some(checking) = checking {
         checking.await;
     }
 }
 
-impl Check {
-    fn is_recent(&self, now: Millis) -> bool {
-        self.crashed.is_none_or(|at| now - at < TOGETHER)
+/// Takes in that the endpoint is listed with a later start: what broke off last was its crash.
+pub fn outlived(state: &State, life: &name::Life) {
+    let is_awaited = {
+        let mut checks = state.checks.borrow_mut();
+        checks
+            .by_life
+            .retain(|_, check| check.is_recent(state.now()));
+        let check = checks.by_life.get(life);
+        check.is_some_and(|check| !check.suspects.is_empty())
+    };
+    if is_awaited {
+        note_crash(state, life);
     }
 }
 
 async fn find_out(state: Rc<State>, life: name::Life, address: SocketAddr) {
     let opened = Connection::open(address).await;
     let now = state.now();
+    if let Some(check) = state.checks.borrow_mut().by_life.get_mut(&life) {
+        check.checking = None;
+    }
     match opened {
         Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            let suspects = {
-                let mut checks = state.checks.borrow_mut();
-                let check = checks.by_life.get_mut(&life);
-                check.map_or_else(Vec::new, |check| {
-                    check.crashed = Some(now);
-                    std::mem::take(&mut check.suspects)
-                })
-            };
-            log::info!(
-                endpoint = life.id.as_str(), requests = suspects.len();
-                "an endpoint has crashed"
-            );
-            state.metrics.crashes.inc();
-            accuse(&state, &life, &suspects);
-        }
-        Err(_) => {
-            // It may be out of reach: nothing is known.
-            state.checks.borrow_mut().by_life.remove(&life);
+            note_crash(&state, &life);
         }
+        // It may be out of reach: nothing is known.
+        Err(_) => {}
         Ok(connection) => {
-            state.checks.borrow_mut().by_life.remove(&life);
             let mut pool = state.pool.borrow_mut();
             pool.put(&life, connection, REST, now);
         }
     }
 }
 
-/// Counts the crash for these requests. An endpoint that was about to leave has ended as planned.
-fn accuse(state: &State, life: &name::Life, suspects: &[Suspect]) {
-    let is_leaving = {
-        let roster = state.roster.borrow();
-        roster.get(life).is_some_and(|endpoint| endpoint.leaving)
+fn note_crash(state: &State, life: &name::Life) {
+    let suspects = {
+        let mut checks = state.checks.borrow_mut();
+        let check = checks.by_life.entry(life.clone()).or_default();
+        check.crash(state.now())
     };
-    if is_leaving {
-        return;
-    }
+    log::info!(endpoint = life.id.as_str(), requests = suspects.len(); "an endpoint has crashed");
+    state.metrics.crashes.inc();
+    accuse(state, life, &suspects);
+}
+
+/// Counts the crash for these requests.
+fn accuse(state: &State, life: &name::Life, suspects: &[Suspect]) {
     for suspect in suspects {
         let crash = Crash {
             endpoint: tidings::life_key(life),
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -8,6 +8,7 @@
 use woodgap_core::relay::health::Sign;
 
 use crate::logs;
+use crate::request::crash;
 use crate::state::State;
 use crate::upstream::Connection;
 
@@ -53,6 +54,10 @@
             "an endpoint is taken for gone"
         );
         state.pool.borrow_mut().close(life);
+        let is_outlived = state.roster.borrow().has_another(life);
+        if is_outlived {
+            crash::outlived(state, life);
+        }
     }
     state.loads.borrow_mut().forget(&gone);
 }
