The soak plays a request that ends the endpoints that run it

Cause: neither soak nor tests sent one body again under new identities, so that nothing showed that it is not remembered. Change: in half of the runs one caller does so at any entry; endpoints start again after it, as in a restart. The draws of earlier faults stay as they are. A contract test besides, where something before the endpoint takes connections while it is gone; it passes.

--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -7,6 +7,7 @@
 //! were cut off were of one workspace, no two with the same identity.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -16,7 +17,7 @@
 use woodgap_core::quarantine::Kept;
 
 use crate::caller::{get, post};
-use crate::crashing::{Arrivals, Crashing, DOWN, FATAL};
+use crate::crashing::{Arrivals, Crashing, DOWN, Down, FATAL};
 use crate::site::{Fixed, Site, source, until};
 
 /// How many endpoints and entries there are.
@@ -40,7 +41,7 @@
 }
 
 impl Fleet {
-    fn start(down: Duration) -> Self {
+    fn start(down: Down) -> Self {
         let arrivals = Arrivals::default();
         let endpoints = (0..ENDPOINTS).map(|_| Crashing::start(&arrivals, down));
         let endpoints = endpoints.collect();
@@ -110,6 +111,19 @@
         sleep(PAUSE);
     }
 
+    /// Sends it as often as the caller does.
+    fn send_all(&self, target: &str) {
+        for number in 0..SENDS {
+            self.send(number, target);
+        }
+    }
+
+    fn check(&self) {
+        let late = self.late();
+        let all = self.arrivals.lock().unwrap().len();
+        assert!(late <= MOST_LATE, "{late} late arrivals, {all} in all");
+    }
+
     /// How many sends reached endpoints later than the bound after the third.
     fn late(&self) -> usize {
         let arrivals = self.arrivals.lock().unwrap();
@@ -131,16 +145,43 @@
 /// it has started anew.
 #[test]
 fn endpoints_that_are_back_at_once_are_no_exception() {
-    reaches_few_more(&Fleet::start(Duration::ZERO), "/write/");
+    reaches_few_more(&Fleet::start(Down::Refuses(Duration::ZERO)), "/write/");
+}
+
+/// Where something before the endpoint takes connections while it is gone, other requests are
+/// cut off by that, later than those that the endpoint had when it crashed.
+#[test]
+fn endpoints_behind_something_that_takes_connections_are_no_exception() {
+    let down = Down::Fronted(Duration::from_millis(1_800));
+    let fleet = Fleet::start(down);
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for site in &fleet.sites {
+            scope.spawn(|| {
+                for number in 0.. {
+                    if is_over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let body = number.to_string();
+                    post(
+                        site.requests,
+                        "/read/",
+                        &format!("o{number}"),
+                        body.as_bytes(),
+                    );
+                    sleep(PAUSE / 10);
+                }
+            });
+        }
+        fleet.send_all("/write/");
+        is_over.store(true, Ordering::Relaxed);
+    });
+    fleet.check();
 }
 
 fn reaches_few_more(fleet: &Fleet, target: &str) {
-    for number in 0..SENDS {
-        fleet.send(number, target);
-    }
-    let late = fleet.late();
-    let all = fleet.arrivals.lock().unwrap().len();
-    assert!(late <= MOST_LATE, "{late} late arrivals, {all} in all");
+    fleet.send_all(target);
+    fleet.check();
 }
 
 /// What entries have learnt outlasts them: all of them are killed and started anew, twice, while
@@ -154,9 +195,7 @@
         }
         fleet.start_entries();
     }
-    let late = fleet.late();
-    let all = fleet.arrivals.lock().unwrap().len();
-    assert!(late <= MOST_LATE, "{late} late arrivals, {all} in all");
+    fleet.check();
 }
 
 /// Nobody is to blame where endpoints end by themselves: a request that stands beside many of
--- a/crates/relay/tests/contract/crashing.rs
+++ b/crates/relay/tests/contract/crashing.rs
@@ -17,8 +17,17 @@
 /// Ends each endpoint that begins to run it.
 pub const FATAL: &[u8] = b"a body that ends its endpoint";
 
-/// How long nothing listens after an end, usually.
-pub const DOWN: Duration = Duration::from_millis(800);
+/// How an endpoint is gone after an end.
+#[derive(Clone, Copy, Debug)]
+pub enum Down {
+    /// Nothing listens for so long.
+    Refuses(Duration),
+    /// Something before it takes connections for so long, and closes them.
+    Fronted(Duration),
+}
+
+/// How an endpoint is gone usually.
+pub const DOWN: Down = Down::Refuses(Duration::from_millis(800));
 /// Between two looks for new connections.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -35,13 +44,13 @@
     started: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
     has_ended: Mutex<bool>,
-    down: Duration,
+    down: Down,
     arrivals: Arrivals,
 }
 
 impl Crashing {
-    /// One that notes fatal requests in `arrivals`, and is gone for so long after each.
-    pub fn start(arrivals: &Arrivals, down: Duration) -> Self {
+    /// One that notes fatal requests in `arrivals`, and is gone so after each.
+    pub fn start(arrivals: &Arrivals, down: Down) -> Self {
         let listener = TcpListener::bind((own_ip(), 0)).unwrap();
         let address = listener.local_addr().unwrap();
         let life = Arc::new(Life {
@@ -87,18 +96,33 @@
 fn live(life: &Arc<Life>, address: SocketAddr, mut listener: TcpListener) {
     loop {
         serve(life, &listener);
-        drop(listener);
+        let is_fronted = matches!(life.down, Down::Fronted(_));
+        let front = is_fronted.then_some(listener);
         for connection in life.connections.lock().unwrap().drain(..) {
             // It may be gone already.
             let _ = connection.shutdown(Shutdown::Both);
         }
-        sleep(life.down);
+        match life.down {
+            Down::Refuses(span) => sleep(span),
+            Down::Fronted(span) => close_all(front.as_ref().expect("it listens"), span),
+        }
+        drop(front);
         life.started.fetch_add(1, Ordering::Relaxed);
         *life.has_ended.lock().unwrap() = false;
         listener = TcpListener::bind(address).unwrap();
     }
 }
 
+/// Takes connections and closes them, for so long.
+fn close_all(listener: &TcpListener, span: Duration) {
+    let until = Instant::now() + span;
+    while Instant::now() < until {
+        if listener.accept().is_err() {
+            sleep(LOOK);
+        }
+    }
+}
+
 /// Takes connections until the end of this life.
 fn serve(life: &Arc<Life>, listener: &TcpListener) {
     listener.set_nonblocking(true).unwrap();
--- a/crates/relay/tests/soak/caller.rs
+++ b/crates/relay/tests/soak/caller.rs
@@ -44,6 +44,10 @@
 const NEW_CONNECTIONS: f64 = 0.2;
 /// The part of its requests that a caller sends with the second key.
 const SECOND_KEY: f64 = 0.3;
+/// The pause between two sends of what ends endpoints, in ms.
+const FATAL_PAUSE: std::ops::Range<u64> = 100..600;
+/// The body of what ends endpoints.
+const FATAL_BODY: &[u8] = b"the same each time";
 /// The longest pause between two requests of a caller, in ms.
 const LONGEST_PAUSE: u64 = 30;
 /// The largest body that is read, in bytes.
@@ -81,6 +85,8 @@
     /// How many events a stream is to have.
     events: usize,
     patience: Duration,
+    /// Whether it ends the endpoint that runs it.
+    is_fatal: bool,
 }
 
 impl Order {
@@ -90,6 +96,7 @@
             key,
             events: EVENTS,
             patience: PATIENCE,
+            is_fatal: false,
         }
     }
 
@@ -104,6 +111,7 @@
             key,
             events,
             patience: if is_hasty { hasty } else { LONG_PATIENCE },
+            is_fatal: false,
         }
     }
 
@@ -285,6 +293,34 @@
     desk.send(connection, life, &id, order).await;
 }
 
+/// Sends one request that ends the endpoints which run it, again and again, each time under a
+/// new identity and at any entry that takes callers.
+pub async fn send_fatal(name: String, seed: u64, record: Record, entries: Entries) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let order = Order {
+        is_fatal: true,
+        ..Order::short(
+            *Kind::ALL.choose(&mut random).expect("there are kinds"),
+            KEYS[0],
+        )
+    };
+    let pause = Duration::from_millis(random.random_range(FATAL_PAUSE));
+    let desk = Desk { record, entries };
+    for number in 0.. {
+        tokio::time::sleep(pause).await;
+        if desk.entries.is_over() {
+            return;
+        }
+        let Some((address, life)) = desk.entries.open().choose(&mut random).copied() else {
+            continue;
+        };
+        if let Ok(connection) = Connection::open(address).await {
+            let id = format!("{name}-{number}");
+            desk.send(connection, life, &id, order).await;
+        }
+    }
+}
+
 /// Sends a request and checks its answer; gives back the connection if it can be
 /// used again.
 async fn ask(
@@ -293,8 +329,9 @@
     id: &str,
     record: &Record,
 ) -> (End, Option<Connection>) {
+    let body = body(order, id);
     let head = request(order, id);
-    let Ok(answer) = connection.exchange(&head, id.as_bytes()).await else {
+    let Ok(answer) = connection.exchange(&head, body).await else {
         return (End::Nothing, None);
     };
     let status = answer.status.as_u16();
@@ -313,6 +350,9 @@
     if status == 503 && !is_plain_refusal(&answer, &got) {
         record.broken(Problem::Unsaid(id.to_owned()));
     }
+    if status != 200 && !order.is_fatal && is_withheld(&got) {
+        record.broken(Problem::Withheld(id.to_owned()));
+    }
     connection.rest();
     let kept = connection.is_sound().then_some(connection);
     (End::Answered(status), kept)
@@ -325,23 +365,38 @@
     says_so && answer.text("retry-after").is_some()
 }
 
+fn is_withheld(got: &[u8]) -> bool {
+    let body: Option<serde_json::Value> = serde_json::from_slice(got).ok();
+    body.is_some_and(|body| body["error"] == "withheld")
+}
+
+fn body(order: Order, id: &str) -> &[u8] {
+    if order.is_fatal {
+        FATAL_BODY
+    } else {
+        id.as_bytes()
+    }
+}
+
 fn request(order: Order, id: &str) -> bytes::BytesMut {
-    let length = id.len().to_string();
+    let length = body(order, id).len().to_string();
     let key = format!("Bearer {}", order.key);
     let patience = order.patience.as_millis().to_string();
     let events = order.events.to_string();
-    let headers = [
+    let mut headers = vec![
         ("Host", b"album.example".as_slice()),
         ("X-Woodgap-Request", id.as_bytes()),
         ("X-Woodgap-Patience-Ms", patience.as_bytes()),
         ("Authorization", key.as_bytes()),
         ("Content-Length", length.as_bytes()),
-        (endpoint::EVENTS, events.as_bytes()),
     ];
     // Plain requests have no events.
-    let is_stream = matches!(order.kind, Kind::Stream | Kind::Long);
-    let count = headers.len() - usize::from(!is_stream);
-    let headers = headers.into_iter().take(count);
+    if matches!(order.kind, Kind::Stream | Kind::Long) {
+        headers.push((endpoint::EVENTS, events.as_bytes()));
+    }
+    if order.is_fatal {
+        headers.push((endpoint::FATAL, b"1"));
+    }
     connection::head(&Method::POST, order.kind.path(), headers)
 }
 
--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use woodgap_harness::until;
 
@@ -22,6 +23,8 @@
 pub const GAP: Duration = Duration::from_millis(15);
 /// Says how many events a stream is to have.
 pub const EVENTS: &str = "x-soak-events";
+/// Says that the request ends the endpoint that begins to run it.
+pub const FATAL: &str = "x-soak-fatal";
 /// Of so many requests one meets a [`Mishap`].
 const ONE_BAD: u32 = 6;
 
@@ -63,11 +66,18 @@
     record: Record,
     /// Which of its lives this is, from 0.
     life: Rc<watch::Sender<u64>>,
+    /// Tells the name of the endpoint that a request has ended.
+    ended: UnboundedSender<String>,
 }
 
 impl Endpoint {
     /// Starts an endpoint.
-    pub async fn start(name: String, seed: u64, record: Record) -> Self {
+    pub async fn start(
+        name: String,
+        seed: u64,
+        record: Record,
+        ended: UnboundedSender<String>,
+    ) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("loopback has a free port");
         let (life, _) = watch::channel(0);
@@ -77,6 +87,7 @@
             random: Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed))),
             record,
             life: Rc::new(life),
+            ended,
         };
         actix_rt::spawn(endpoint.clone().accept(listener));
         endpoint
@@ -156,6 +167,14 @@
         }
         let way = stream.peer_addr().ok()?;
         let run = self.record.runs(&id, &self.name, life, way);
+        if !header(head, FATAL).is_empty() {
+            self.record.has_run(&id, run, Outcome::Badly);
+            self.record.fatal(&id);
+            self.stop();
+            // Nobody waits for it once the run is over.
+            let _ = self.ended.send(self.name.clone());
+            return None;
+        }
         let is_bad = mishap.is_some_and(|mishap| mishap != Mishap::Surplus);
         let own = if is_bad {
             Outcome::Badly
--- a/crates/relay/tests/soak/entries.rs
+++ b/crates/relay/tests/soak/entries.rs
@@ -20,8 +20,8 @@
 }
 
 /// What is known of one process's life.
-#[derive(Default)]
 struct Life {
+    started: Instant,
     /// When it was first frozen or killed.
     hurt: Option<Instant>,
     /// When it was first told to stop.
@@ -69,6 +69,14 @@
         self.0.lives.borrow()[life].hurt.is_some()
     }
 
+    /// Whether nothing befell a process throughout a span: it had been started before, and was
+    /// neither frozen nor killed nor told to stop.
+    pub fn was_sound(&self, life: usize, from: Instant, until: Instant) -> bool {
+        let life = &self.0.lives.borrow()[life];
+        let is_later = |at: Option<Instant>| at.is_none_or(|at| at > until);
+        life.started <= from && is_later(life.hurt) && is_later(life.told)
+    }
+
     /// Whether a process was frozen or killed until a moment.
     pub fn was_hurt(&self, life: usize, until: Instant) -> bool {
         let hurt = self.0.lives.borrow()[life].hurt;
@@ -94,7 +102,12 @@
     pub fn start(&self, slot: usize, platform: SocketAddr) {
         let process = Process::start(&format!("entry-{slot}"), platform);
         let mut lives = self.0.lives.borrow_mut();
-        lives.push(Life::default());
+        lives.push(Life {
+            started: Instant::now(),
+            hurt: None,
+            told: None,
+            refused: BTreeSet::new(),
+        });
         let started = Slot {
             process: Some(process),
             life: lives.len() - 1,
--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -35,6 +35,8 @@
 const SERIES_SPAN: u64 = 4_000;
 /// How many restarts of endpoints come on top.
 const RESTARTS: std::ops::RangeInclusive<usize> = 4..=8;
+/// How long an endpoint is gone that a request has ended, in ms.
+const REVIVAL_GAP: std::ops::Range<u64> = 100..800;
 /// How long an endpoint that starts again does not listen, in ms.
 const RESTART_GAP: std::ops::RangeInclusive<u64> = 5..=80;
 /// How long after it listens again its row may be written, in ms.
@@ -197,6 +199,18 @@
     (0..count).map(one).collect()
 }
 
+/// Draws how an endpoint starts again that a request has ended: not before some time, as one
+/// that has crashed loads its model again.
+pub fn draw_revival(random: &mut ChaCha8Rng) -> Restart {
+    let gap = random.random_range(REVIVAL_GAP);
+    let late = random.random_range(LISTED_LATE);
+    Restart {
+        gap: Duration::from_millis(gap),
+        listed: Listed::After(Duration::from_millis(late)),
+        is_twice: false,
+    }
+}
+
 /// Draws rows that can't be used, beside sound ones and over them.
 pub fn draw_rows(random: &mut ChaCha8Rng, endpoints: usize) -> Vec<Event> {
     let count = random.random_range(ROWS);
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -112,6 +112,11 @@
     WentBack(String, usize),
     /// A leaving endpoint got a request, so many ms after it was listed so.
     Leaving(String, u128),
+    /// So many requests that end endpoints reached some more, later than the bound after the
+    /// third that they ended, by entries that nothing had befallen; and all that did.
+    Fatal(usize, usize),
+    /// A request was withheld that ends no endpoint.
+    Withheld(String),
     /// A process did not end well when told to stop.
     Exit(usize, ExitStatus),
 }
@@ -128,6 +133,8 @@
     runs: BTreeMap<String, Vec<Run>>,
     /// Connections to endpoints that proxies have reset, by the proxy's own address.
     resets: Vec<(SocketAddr, Instant)>,
+    /// Requests that have ended an endpoint.
+    fatal: Vec<(String, Instant)>,
     problems: Vec<Problem>,
 }
 
@@ -178,6 +185,17 @@
         self.0.borrow_mut().resets.push(reset);
     }
 
+    /// Notes that a request has ended an endpoint.
+    pub fn fatal(&self, id: &str) {
+        let fatal = (id.to_owned(), Instant::now());
+        self.0.borrow_mut().fatal.push(fatal);
+    }
+
+    /// The requests that have ended endpoints, in their order.
+    pub fn all_fatal(&self) -> Vec<(String, Instant)> {
+        self.0.borrow().fatal.clone()
+    }
+
     /// Whether a proxy reset the connection of a run before a moment.
     pub fn was_reset(&self, run: &Run, until: Instant) -> bool {
         let all = self.0.borrow();
@@ -248,8 +266,10 @@
         let cut = count(&|sent| sent.end == Some(End::Cut));
         let nothing = count(&|sent| sent.end == Some(End::Nothing));
         format!(
-            "{} sent, {ok} answered, {refused} refused or failed, {cut} cut, {nothing} without an answer",
-            all.sent.len()
+            "{} sent, {ok} answered, {refused} refused or failed, {cut} cut, \
+             {nothing} without an answer, {} ended an endpoint",
+            all.sent.len(),
+            all.fatal.len()
         )
     }
 }
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use woodgap_core::relay::Plan;
 use woodgap_harness::{Stand, until};
 use woodgap_platform::http::Platform;
@@ -30,6 +31,9 @@
 const ENDPOINTS: usize = 4;
 /// How many callers there are, or one for each entry where these are more.
 const CALLERS: usize = 20;
+/// The part of the runs in which one caller sends what ends endpoints: it takes down many, so
+/// that less of the other faults meets a request.
+const FATAL_RUNS: f64 = 0.5;
 /// How long callers go on after the last fault has ended.
 const QUIET: Duration = Duration::from_millis(800);
 /// How many callers come late to the processes of a series that is told to stop, besides all
@@ -52,10 +56,14 @@
     herds: ChaCha8Rng,
     scene: Rc<Scene>,
     callers: Vec<JoinHandle<()>>,
+    /// Has endpoints start again that requests have ended.
+    reviving: JoinHandle<()>,
 }
 
 /// What the faults act on.
 struct Scene {
+    /// Takes the names of endpoints that requests have ended.
+    ended: UnboundedSender<String>,
     record: Record,
     /// How many entries there are.
     size: usize,
@@ -83,7 +91,7 @@
     /// Starts everything, with so many entries, and waits until it serves.
     pub async fn start(seed: u64, entries: usize) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let [more, restarts, rows, herds] = [1, 2, 3, 4].map(|stream| {
+        let [more, restarts, rows, herds, mut fatal] = [1, 2, 3, 4, 5].map(|stream| {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
             random.set_stream(stream);
             random
@@ -92,7 +100,9 @@
         let platform = Stand::platform();
         let platform_path = Proxy::start(platform.address, Record::default()).await;
         let client = Platform::new(&platform.url(""), WRITE_TIMEOUT);
+        let (ended, has_ended) = unbounded_channel();
         let scene = Rc::new(Scene {
+            ended,
             record: record.clone(),
             size: entries,
             entries: Entries::default(),
@@ -121,6 +131,12 @@
         for slot in 0..entries {
             scene.until_served(slot, "start").await;
         }
+        let reviving = Rc::clone(&scene).revive(has_ended, fatal.random());
+        let reviving = actix_rt::spawn(reviving);
+        let (name, entries_open) = (format!("s{seed}-fatal"), scene.entries.clone());
+        let sending = caller::send_fatal(name, fatal.random(), record.clone(), entries_open);
+        let has_fatal = fatal.random_bool(FATAL_RUNS);
+        let sending = has_fatal.then(|| actix_rt::spawn(sending));
         let callers = (0..CALLERS.max(entries)).map(|number| {
             let name = format!("s{seed}-c{number}");
             let entries = scene.entries.clone();
@@ -128,7 +144,8 @@
             actix_rt::spawn(caller.run())
         });
         Self {
-            callers: callers.collect(),
+            callers: callers.chain(sending).collect(),
+            reviving,
             random,
             more,
             restarts,
@@ -180,6 +197,8 @@
         let mut problems = self.scene.record.problems();
         problems.extend(self.scene.timed_problems());
         problems.extend(self.scene.stop_problems());
+        problems.extend(self.scene.fatal_problems());
+        self.reviving.abort();
         problems
     }
 
@@ -191,6 +210,24 @@
 }
 
 impl Scene {
+    /// Has each endpoint start again that a request has ended.
+    async fn revive(self: Rc<Self>, mut ended: UnboundedReceiver<String>, seed: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        while let Some(name) = ended.recv().await {
+            let at = {
+                let endpoints = self.endpoints.borrow();
+                let is_it = |it: &Member| it.row.life.id.as_str() == name;
+                endpoints.iter().position(is_it)
+            };
+            let restart = fault::draw_revival(&mut random);
+            // One that was replaced meanwhile is not missed.
+            if let Some(at) = at {
+                let scene = Rc::clone(&self);
+                actix_rt::spawn(async move { scene.start_again(at, restart).await });
+            }
+        }
+    }
+
     async fn play(&self, event: Event, seed: u64) {
         tokio::time::sleep(event.at).await;
         let lasts = || tokio::time::sleep(event.lasts);
--- a/crates/relay/tests/soak/world/checks.rs
+++ b/crates/relay/tests/soak/world/checks.rs
@@ -14,6 +14,11 @@
 
 /// How many requests each entry gets at a time until each endpoint had one.
 const ROUND: usize = 8;
+/// So long after what ends endpoints has ended the third, it may reach so many more, through
+/// entries that nothing has befallen for that long.
+const FATAL_BOUND: Duration = Duration::from_secs(3);
+const MOST_FATAL: usize = 3;
+
 impl Scene {
     /// Waits until each endpoint has run something in its life of now.
     pub(super) async fn until_all_run(&self) {
@@ -88,6 +93,21 @@
         problems
     }
 
+    /// Whether what ends endpoints reached too many of them.
+    pub(super) fn fatal_problems(&self) -> Option<Problem> {
+        let fatal = self.record.all_fatal();
+        let (_, third) = fatal.get(2)?;
+        let sent: BTreeMap<_, _> = self.record.all_sent().into_iter().collect();
+        let is_late = |id: &String, at: Instant| {
+            let in_touch = at.checked_sub(FATAL_BOUND).unwrap_or(at);
+            let life = sent.get(id).map(|it| it.life);
+            let is_sound = life.is_some_and(|it| self.entries.was_sound(it, in_touch, at));
+            at > *third + FATAL_BOUND && is_sound && !self.was_platform_faulty_in(in_touch, at)
+        };
+        let late = fatal.iter().filter(|(id, at)| is_late(id, *at)).count();
+        (late > MOST_FATAL).then_some(Problem::Fatal(late, fatal.len()))
+    }
+
     /// Broken promises of planned stops.
     pub(super) fn stop_problems(&self) -> Vec<Problem> {
         let sent = self.record.all_sent();
@@ -125,10 +145,13 @@
     /// Whether the platform misbehaved within the bound after a moment: what it has
     /// accepted may then not be known.
     pub(super) fn was_platform_faulty(&self, at: Instant) -> bool {
-        let until = at + Duration::from_millis(LEAVE);
+        self.was_platform_faulty_in(at, at + Duration::from_millis(LEAVE))
+    }
+
+    fn was_platform_faulty_in(&self, from: Instant, until: Instant) -> bool {
         let faults = self.platform_faults.borrow();
         faults
             .iter()
-            .any(|(begun, ended)| *begun < until && *ended > at)
+            .any(|(begun, ended)| *begun < until && *ended > from)
     }
 }
--- a/crates/relay/tests/soak/world/members.rs
+++ b/crates/relay/tests/soak/world/members.rs
@@ -39,7 +39,8 @@
         let number = self.next_endpoint.get();
         self.next_endpoint.set(number + 1);
         let name = format!("e-{number}");
-        let endpoint = endpoint::Endpoint::start(name.clone(), seed, self.record.clone()).await;
+        let (record, ended) = (self.record.clone(), self.ended.clone());
+        let endpoint = endpoint::Endpoint::start(name.clone(), seed, record, ended).await;
         let proxy = Proxy::start(endpoint.address, self.record.clone()).await;
         let row = roster::Endpoint {
             life: name::Life {
