Failing test: a run that ended well does not void crashes that are told with a later one

Symptom: an entry at which a request ended well is told of two crashes before that and one after it, and tells all three on; entries that saw no run of it could then withhold it. Found by reading.

--- a/crates/core/tests/quarantine/cases.rs
+++ b/crates/core/tests/quarantine/cases.rs
@@ -174,6 +174,21 @@
     assert_eq!(second.tell(9, Millis(2_100))[0].crashes, []);
 }
 
+/// Of crashes that are told together, those before a run that ended well are void, and the one
+/// after it counts.
+#[test]
+fn a_run_that_ended_well_between_crashes_voids_those_before() {
+    let (mut first, one) = after(&row(CRASHES));
+    let mut second = Quarantine::default();
+    second.survived(one, Millis(2_050));
+    second.told(&first.tell(9, Millis(3_100)), Millis(3_100));
+    assert_eq!(second.hold(one, Millis(3_100)), None);
+    let told = second.tell(9, Millis(3_100));
+    assert_eq!(told[0].crashes.len(), 1);
+    first.told(&told, Millis(3_200));
+    assert_eq!(first.hold(one, Millis(3_200)), None);
+}
+
 #[test]
 fn a_hold_ends_doubles_and_is_the_last_in_the_end() {
     let (mut quarantine, one) = after(&row(CRASHES));
