A run that ended well voids all crashes before it, whatever came after

Seen by callers: none yet; a popular request could be withheld by entries that have seen no run of it, as crashes that a good run had voided came with a later one. Cause: the count was ended only where no crash was later than the run. Change: crashes up to the run go, those after it stay, and others are told that what was counted before is void.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -138,7 +138,7 @@
         let Some(record) = self.records.get_mut(&request) else {
             return Change::default();
         };
-        record.acquit(now);
+        record.acquit(now, now);
         self.judge(false, now)
     }
 
@@ -202,8 +202,7 @@
             let record = self.records.entry(told.request).or_default();
             is_urgent |= record.merge(told, now);
             if let Some(survived) = self.survived.get(&told.request) {
-                record.is_popular = true;
-                record.acquit_before(*survived, now);
+                record.acquit(*survived, now);
             }
         }
         if all.is_empty() {
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -118,27 +118,17 @@
         self.crashes.remove(extra.unwrap_or(0));
     }
 
-    /// Ends the count of crashes.
-    pub fn acquit(&mut self, now: Millis) {
+    /// Takes in that a run ended well at this moment: it was not the cause of crashes before.
+    pub fn acquit(&mut self, moment: Millis, now: Millis) {
         self.is_popular = true;
-        if !self.crashes.is_empty() {
-            self.crashes.clear();
+        let before = self.crashes.len();
+        self.crashes.retain(|counted| counted.crash.at > moment);
+        if self.crashes.len() < before {
             self.acquittals += 1;
             self.changed = now;
         }
     }
 
-    /// Ends the count of crashes, unless some are later than this moment.
-    pub fn acquit_before(&mut self, moment: Millis, now: Millis) {
-        if self
-            .crashes
-            .last()
-            .is_some_and(|last| last.crash.at <= moment)
-        {
-            self.acquit(now);
-        }
-    }
-
     /// Takes in what another entry tells; gives back what [`Self::add`] does.
     pub fn merge(&mut self, told: &Told, now: Millis) -> bool {
         self.is_popular |= told.is_popular;
