Whether an endpoint is gone is asked twice where a packet may be lost

Cause, by reading: the question whether an endpoint has crashed is a connection with 300 ms, less than TCP takes to send a lost packet again; on links that lose packets a crash then counts only once its row shows a later start, or not at all. Change: one more try after a time-out.

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -134,7 +134,7 @@
 }
 
 async fn find_out(state: Rc<State>, life: name::Life, address: SocketAddr) {
-    let opened = Connection::open(address).await;
+    let opened = open(address).await;
     let now = state.now();
     if let Some(check) = state.checks.borrow_mut().by_life.get_mut(&life) {
         check.checking = None;
@@ -152,6 +152,17 @@
     }
 }
 
+/// Connects to an endpoint; once more if there was no answer, as a lost packet is sent again only
+/// after a second.
+async fn open(address: SocketAddr) -> Result<Connection, Error> {
+    match Connection::open(address).await {
+        Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::TimedOut => {
+            Connection::open(address).await
+        }
+        opened => opened,
+    }
+}
+
 fn note_crash(state: &State, life: &name::Life) {
     let suspects = {
         let mut checks = state.checks.borrow_mut();
