--- a/crates/causes/src/cause.rs
+++ b/crates/causes/src/cause.rs
@@ -35,13 +35,15 @@
     Platform,
     /// Its entry was about to stop, or ended in the middle of it.
     Stop,
+    /// It crashes the endpoints that run it, and was not sent.
+    Withheld,
     /// The caller went before the end.
     Caller,
 }
 
 impl Cause {
     /// All causes, in the order of tables and plots.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Refusal,
         Self::Queue,
         Self::Prompt,
@@ -52,6 +54,7 @@
         Self::Deadline,
         Self::Platform,
         Self::Stop,
+        Self::Withheld,
         Self::Caller,
     ];
 
@@ -68,6 +71,7 @@
             Self::Deadline => "deadline",
             Self::Platform => "platform",
             Self::Stop => "stop",
+            Self::Withheld => "withheld",
             Self::Caller => "caller",
         }
     }
@@ -152,6 +156,7 @@
         "overloaded" => Cause::Refusal,
         "not_ready" => Cause::Platform,
         "stopping" => Cause::Stop,
+        "withheld" => Cause::Withheld,
         "timeout" => Cause::Deadline,
         "no_endpoint" | "endpoint_failed" => Cause::Crash,
         _ => return Verdict::NotOwed,
--- a/crates/causes/src/render/plot.rs
+++ b/crates/causes/src/render/plot.rs
@@ -11,7 +11,7 @@
 const SIZE: (u32, u32) = (960, 420);
 
 /// Colours that stay apart for colour-blind readers, one for each cause.
-const COLOURS: [RGBColor; 11] = [
+const COLOURS: [RGBColor; Cause::ALL.len()] = [
     RGBColor(0, 114, 178),
     RGBColor(213, 94, 0),
     RGBColor(0, 158, 115),
@@ -22,6 +22,7 @@
     RGBColor(120, 60, 20),
     RGBColor(90, 90, 90),
     RGBColor(170, 170, 170),
+    RGBColor(130, 0, 130),
     RGBColor(0, 0, 0),
 ];
 
--- a/crates/causes/tests/report.rs
+++ b/crates/causes/tests/report.rs
@@ -42,6 +42,7 @@
 #[case::turned_away(&[FAILED, (r#""reason":"""#, r#""reason":"overloaded: 900 ms""#)], Verdict::Lost(Cause::Refusal))]
 #[case::no_plan(&[FAILED, (r#""reason":"""#, r#""reason":"not_ready: none""#)], Verdict::Lost(Cause::Platform))]
 #[case::stopping(&[FAILED, (r#""reason":"""#, r#""reason":"stopping: soon""#)], Verdict::Lost(Cause::Stop))]
+#[case::crashes_endpoints(&[FAILED, (r#""reason":"""#, r#""reason":"withheld: 3 endpoints""#)], Verdict::Lost(Cause::Withheld))]
 #[case::entry_ended(&[CUT, (r#""reason":"""#, r#""reason":"this entry ended""#)], Verdict::Lost(Cause::Stop))]
 #[case::no_key(&[FAILED, (r#""reason":"""#, r#""reason":"unknown_key: none""#)], Verdict::NotOwed)]
 #[case::gone_midway(&[(r#""complete""#, r#""abandoned""#)], Verdict::Lost(Cause::Caller))]
--- a/crates/core/tests/quarantine/cases.rs
+++ b/crates/core/tests/quarantine/cases.rs
@@ -255,3 +255,14 @@
     others.sort();
     assert_eq!(heard, others);
 }
+
+/// What one request takes in a message, with one crash and with three, in bytes.
+#[test]
+fn what_is_told_is_short() {
+    let bytes = |count: usize| {
+        let (mut quarantine, _) = after(&row(count));
+        let told = quarantine.tell(1, Millis(count as u64 * 1_000 + 500));
+        postcard::to_stdvec(&told[0]).unwrap().len()
+    };
+    insta::assert_debug_snapshot!((bytes(1), bytes(3)));
+}
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -31,6 +31,9 @@
 const ENDPOINTS: usize = 4;
 /// How many callers there are, or one for each entry where these are more.
 const CALLERS: usize = 20;
+/// The same in runs in which one of them sends what ends endpoints: entries are bound again when
+/// nothing has befallen them for three seconds.
+const FATAL_QUIET: Duration = Duration::from_secs(5);
 /// The part of the runs in which one caller sends what ends endpoints: it takes down many, so
 /// that less of the other faults meets a request.
 const FATAL_RUNS: f64 = 0.5;
@@ -58,6 +61,7 @@
     callers: Vec<JoinHandle<()>>,
     /// Has endpoints start again that requests have ended.
     reviving: JoinHandle<()>,
+    has_fatal: bool,
 }
 
 /// What the faults act on.
@@ -146,6 +150,7 @@
         Self {
             callers: callers.chain(sending).collect(),
             reviving,
+            has_fatal,
             random,
             more,
             restarts,
@@ -181,7 +186,8 @@
         for event in playing {
             event.await.expect("a fault is played to its end");
         }
-        tokio::time::sleep(QUIET).await;
+        let quiet = if self.has_fatal { FATAL_QUIET } else { QUIET };
+        tokio::time::sleep(quiet).await;
     }
 
     /// Waits until all is served again, ends, and tells which promises were broken.
