Failing test: long streams that crashes cut off, and that callers send again, are withheld

Symptom: endpoints crash by themselves, one a second of nine; three of the streams of 3 s that are cut off three times in a row are put down as the cause.

--- a/crates/core/tests/quarantine/fleet.rs
+++ b/crates/core/tests/quarantine/fleet.rs
@@ -41,6 +41,8 @@
     together: usize,
     /// How long other requests run.
     run: u64,
+    /// Whether callers send again what a crash has cut off, again and again.
+    resends: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -74,6 +76,8 @@
     served: usize,
     asked: usize,
     urgent: Vec<usize>,
+    /// What callers send again.
+    again: Vec<Fingerprint>,
 }
 
 impl Sim {
@@ -92,6 +96,7 @@
             served: 0,
             asked: 0,
             urgent: Vec::new(),
+            again: Vec::new(),
         }
     }
 
@@ -112,6 +117,9 @@
         self.send(self.popular);
         let number = self.now / STEP / 2;
         self.send(request(&format!("seldom {number}")));
+        for request in std::mem::take(&mut self.again) {
+            self.send(request);
+        }
         self.end_runs();
         if self.is_due(self.world.by_itself) {
             for _ in 0..self.world.together {
@@ -200,6 +208,9 @@
             if change.is_urgent {
                 self.urgent.push(run.entry);
             }
+            if self.world.resends && run.request != self.fatal {
+                self.again.push(run.request);
+            }
         }
     }
 
@@ -250,6 +261,7 @@
         by_itself: Some(period),
         together,
         run: 100,
+        resends: false,
     }
 }
 
@@ -263,6 +275,7 @@
         by_itself: None,
         together: 0,
         run: 100,
+        resends: false,
     }
 }
 
@@ -327,6 +340,21 @@
     }
 }
 
+/// Long streams are cut off by many crashes, and their callers send them again at once. Each was cut
+/// off at another place: what crashes endpoints does so at the same one each time.
+#[test]
+fn long_streams_that_crashes_cut_off_are_put_down_to_no_request() {
+    for seed in 0..6 {
+        let world = World {
+            run: 3_000,
+            resends: true,
+            ..by_itself(6, 9, 1_000, 1)
+        };
+        let sim = Sim::play(world, seed);
+        assert_eq!(sim.blamed, 0, "seed {seed}");
+    }
+}
+
 /// How many endpoints one request takes down, and what is left for the others.
 #[test]
 fn figures() {
