Only crashes at the same place of the answer, and early in it, tell that a request is their cause

Cause: a stream of some seconds that its caller sends again at once meets the next crash with a likelihood of one in ten, so that three in a row are no sign. What crashes an endpoint does so at the same place of its answer each time, by what is asked of us in the first pieces. Change: each crash is told with the number of pieces that had come; a row is made of crashes at the same place (four pieces apart at most), and a place after the eighth piece needs five. Ruled out: to count the crashes of other endpoints at the same moment against it, as many different requests that crash endpoints would excuse one another.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -9,7 +9,9 @@
 //! themselves too. A request is withheld only if
 //!
 //! - it was sent again after each of [`CRASHES`] crashes, to crash the next endpoint: many
-//!   endpoints that end at the same moment are one such crash, however many had the request;
+//!   endpoints that end at the same moment are one such crash, however many had the request. All
+//!   of them came at the same place of its answer: a long stream may be cut off by many crashes,
+//!   but at any place;
 //! - no run of it has ended well since, at any entry that has told of it. A request that ended
 //!   well lately needs [`DOUBTFUL`] crashes, as it may merely be popular;
 //! - one of those crashes at least cut off no request with as many crashes as this one. Until
@@ -38,6 +40,10 @@
 /// After how many it is withheld where another request, or chance, may be the cause. Three
 /// crashes by chance in a row are seen where endpoints flap; two more cost two endpoints.
 pub const DOUBTFUL: usize = 5;
+/// Crashes after more pieces of an answer need [`DOUBTFUL`], too: a request that crashes what begins
+/// to run it does so in its first pieces, and where crashes come at even intervals they cut off a
+/// stream that is sent again after each one at the same place.
+const EARLY: u32 = 8;
 /// How long a request is withheld after the crash that led to it: an endpoint is mended, or its
 /// program replaced, in minutes.
 pub const HOLD: Millis = Millis::from_secs(600);
@@ -104,7 +110,7 @@
     /// for endpoint in 1..=3 {
     ///     let sent = Millis::from_secs(u64::from(endpoint));
     ///     assert_eq!(quarantine.hold(request, sent), None);
-    ///     let crash = Crash { endpoint, sent, at: sent + Millis(300) };
+    ///     let crash = Crash { endpoint, sent, at: sent + Millis(300), pieces: 0 };
     ///     quarantine.crashed(request, crash, crash.at);
     /// }
     /// assert!(quarantine.hold(request, Millis(4_000)).is_some());
@@ -254,7 +260,7 @@
         // Crashes that another request explains better are not put down to this one.
         let explains = |other: &Record| other.crashes() > own || other.is_held_before(record);
         let is_explained = |crash: &Crash| beside(crash).any(explains);
-        let left = record.without(is_explained);
+        let left = record.without(|crash| is_explained(crash) || crash.pieces > EARLY);
         let is_alone = record
             .all()
             .any(|crash| beside(crash).all(|other| other.crashes() < own));
--- a/crates/core/src/quarantine/message.rs
+++ b/crates/core/src/quarantine/message.rs
@@ -47,7 +47,8 @@
     /// let mut quarantine = Quarantine::default();
     /// for endpoint in 1..=3 {
     ///     let at = Millis::from_secs(u64::from(endpoint));
-    ///     quarantine.crashed(request, Crash { endpoint, sent: at, at }, at);
+    ///     let crash = Crash { endpoint, sent: at, at, pieces: 0 };
+    ///     quarantine.crashed(request, crash, at);
     /// }
     /// let now = Millis::from_secs(5);
     /// let told = quarantine.of_held(request, now).unwrap();
@@ -90,6 +91,8 @@
     /// How long the endpoint had the request.
     lasted: Millis,
     age: Millis,
+    /// How many pieces of the answer had come.
+    pieces: u32,
     /// How many runs of the request it cut off.
     runs: u32,
 }
@@ -102,6 +105,7 @@
             endpoint: crash.endpoint,
             lasted: crash.at - crash.sent,
             age: now - crash.at,
+            pieces: crash.pieces,
             runs: *runs,
         }
     }
@@ -113,6 +117,7 @@
             endpoint: self.endpoint,
             sent: at - self.lasted,
             at,
+            pieces: self.pieces,
         };
         Counted {
             crash,
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -11,6 +11,9 @@
 /// By how much later than it was a crash may seem that another entry has told of: messages are
 /// under way for so long.
 const LAG: Millis = Millis(30);
+/// By how many pieces the same place of an answer may differ: several events may come as one
+/// piece. Long streams have a hundred.
+const ALIKE: u32 = 4;
 /// News of one crash that come by several ways differ by less than this; the same endpoint does
 /// not crash twice within it.
 const SAME: Millis = Millis(2_000);
@@ -24,6 +27,8 @@
     pub sent: Millis,
     /// When it crashed.
     pub at: Millis,
+    /// How many pieces of its answer had come by then.
+    pub pieces: u32,
 }
 
 /// A crash, and how many runs of the request it cut off.
@@ -36,6 +41,12 @@
 }
 
 impl Crash {
+    /// Whether both came at the same place of the answer. What crashes endpoints does so there each
+    /// time; a stream that others cut off is cut off anywhere.
+    fn is_like(&self, other: &Self) -> bool {
+        self.pieces.abs_diff(other.pieces) <= ALIKE
+    }
+
     fn is_same(&self, other: &Self) -> bool {
         let apart = (self.at - other.at).max(other.at - self.at);
         self.endpoint == other.endpoint && apart < SAME
@@ -106,15 +117,19 @@
         self.crashes() > before && before > 0
     }
 
-    /// Drops one crash of too many: the earliest of those that add nothing to the row, as many
-    /// may come in the time that one run of the request takes.
+    /// Drops one crash of too many: the earliest of those that add nothing to the longest row, as
+    /// many may come in the time that one run of the request takes.
     fn shorten(&mut self) {
         if self.crashes.len() <= MOST_CRASHES {
             return;
         }
+        let length = |one: &&Crash| in_a_row(self.all().filter(|crash| crash.is_like(one)));
+        let Some(one) = self.all().max_by_key(length).copied() else {
+            return;
+        };
         let mut row = Row::default();
-        let is_extra = |counted: &Counted| !row.takes(&counted.crash);
-        let extra = self.crashes.iter().position(is_extra);
+        let is_extra = |crash: &Crash| !(crash.is_like(&one) && row.takes(crash));
+        let extra = self.all().position(is_extra);
         self.crashes.remove(extra.unwrap_or(0));
     }
 
@@ -162,10 +177,10 @@
         }
     }
 
-    /// How many endpoints have crashed with it, one after the other: each was sent it after the
-    /// one before had crashed.
+    /// How many endpoints have crashed with it, one after the other and at the same place of its
+    /// answer: each was sent it after the one before had crashed.
     pub fn crashes(&self) -> usize {
-        in_a_row(self.all())
+        self.without(|_| false)
     }
 
     /// How many runs of it were cut off.
@@ -176,7 +191,9 @@
 
     /// The same without some of the crashes.
     pub fn without(&self, explained: impl Fn(&Crash) -> bool) -> usize {
-        in_a_row(self.all().filter(|crash| !explained(crash)))
+        let counted = || self.all().filter(|crash| !explained(crash));
+        let rows = counted().map(|one| in_a_row(counted().filter(|crash| crash.is_like(one))));
+        rows.max().unwrap_or(0)
     }
 
     /// All its crashes.
--- a/crates/core/tests/quarantine/cases.rs
+++ b/crates/core/tests/quarantine/cases.rs
@@ -25,6 +25,14 @@
         .collect()
 }
 
+/// Crashes in a row, after so many pieces of the answer.
+fn at_places<const COUNT: usize>(pieces: [u32; COUNT]) -> Vec<Crash> {
+    let crashes = row(COUNT).into_iter().zip(pieces);
+    crashes
+        .map(|(crash, pieces)| Crash { pieces, ..crash })
+        .collect()
+}
+
 #[rstest]
 #[case::two(&row(2), false)]
 #[case::three(&row(3), true)]
@@ -36,6 +44,11 @@
 )]
 #[case::one_crash_told_three_times(&[crash(1, 1_000), crash(1, 1_200), crash(1, 1_900)], false)]
 #[case::one_endpoint_three_times(&[crash(1, 1_000), crash(1, 4_000), crash(1, 8_000)], true)]
+#[case::in_the_first_pieces(&at_places([4, 2, 6]), true)]
+#[case::at_the_same_place(&at_places([40, 42, 39]), false)]
+#[case::at_the_same_place_five_times(&at_places([40, 42, 39, 40, 41]), true)]
+#[case::anywhere(&at_places([0, 40, 90]), false)]
+#[case::at_the_same_place_in_the_end(&at_places([90, 3, 0, 1]), true)]
 #[case::at_once_and_then_two(
     &[crash(1, 1_000), crash(2, 1_000), crash(3, 2_000), crash(4, 3_000)], true
 )]
@@ -57,6 +70,7 @@
             sent: Millis(u64::from(it) * 100),
             at: Millis(u64::from(it) * 100 + 1_000),
             endpoint: it,
+            pieces: 0,
         })
         .collect();
     let (quarantine, one) = after(&crashes);
@@ -201,6 +215,7 @@
             endpoint,
             sent: hold.until,
             at: hold.until + Millis(100),
+            pieces: 0,
         };
         quarantine.crashed(one, trial, trial.at);
         assert!(quarantine.hold(one, trial.at).is_some());
--- a/crates/core/tests/quarantine/fleet.rs
+++ b/crates/core/tests/quarantine/fleet.rs
@@ -20,6 +20,8 @@
 /// As between entries: the time between two rounds, and whom each one asks.
 const ROUND: u64 = 300;
 const ASKED: usize = 6;
+/// The time between two pieces of an answer.
+const PIECE: u64 = 30;
 /// So long after its third crash a request may reach this many endpoints more.
 const BOUND: u64 = 3_000;
 const MOST_LATE: usize = 3;
@@ -203,6 +205,11 @@
                 endpoint: life,
                 sent: Millis(run.sent),
                 at: now,
+                pieces: if run.request == self.fatal {
+                    0
+                } else {
+                    u32::try_from((now.0 - run.sent) / PIECE).unwrap()
+                },
             };
             let change = self.entries[run.entry].crashed(run.request, crash, now);
             if change.is_urgent {
--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -24,5 +24,6 @@
         endpoint,
         sent: Millis(at - 100),
         at: Millis(at),
+        pieces: 0,
     }
 }
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -38,6 +38,8 @@
     pub sent: Millis,
     /// When the connection broke.
     pub cut: Millis,
+    /// How many pieces of the answer had come.
+    pub pieces: u32,
 }
 
 /// The endpoints that broke off of late.
@@ -181,6 +183,7 @@
             endpoint: tidings::life_key(life),
             sent: suspect.sent,
             at: suspect.cut,
+            pieces: suspect.pieces,
         };
         state.crashed(suspect.request, crash);
     }
--- a/crates/relay/src/request/place.rs
+++ b/crates/relay/src/request/place.rs
@@ -1,5 +1,6 @@
 //! A request's place at an endpoint.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -26,6 +27,8 @@
     address: SocketAddr,
     fingerprint: Fingerprint,
     taken: Millis,
+    /// How many pieces of the answer have come.
+    pieces: Cell<u32>,
     is_plain: bool,
     /// Tokens that an event of a model engine holds; 0 for a plain service.
     event_tokens: u32,
@@ -44,6 +47,7 @@
             address: choice.endpoint.address,
             fingerprint: request.fingerprint,
             taken: now,
+            pieces: Cell::new(0),
             is_plain: ask.work.is_none(),
             event_tokens: ask.engine.map_or(0, |engine| engine.event_tokens),
         }
@@ -63,6 +67,7 @@
 
     /// Notes an event of the answer.
     pub fn event(&self) {
+        self.pieces.set(self.pieces.get().saturating_add(1));
         if self.event_tokens > 0 {
             let now = self.state.now();
             let mut loads = self.state.loads.borrow_mut();
@@ -83,6 +88,7 @@
             request: self.fingerprint,
             sent: self.taken,
             cut: self.state.now(),
+            pieces: self.pieces.get(),
         };
         crash::check(&self.state, self.endpoint(), self.address, suspect);
     }
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -170,6 +170,7 @@
                 endpoint: u32::MAX - endpoint,
                 sent,
                 at,
+                pieces: u32::MAX,
             };
             quarantine.crashed(Fingerprint::of(&request), crash, at);
         }
