Data centres that operators empty get nothing more

Cause: of the operator's table only the configuration was read; nothing in the sources knew of an evacuation.

The set of evacuated data centres comes with the plan, by the same question, messages and fetches, before it, so that no plan is in force without it. It is kept with the revision at which it stood: of two the later counts, whichever way they come (a property test plays three readers of one history). Endpoints there are never chosen, also for repeats, resumed streams and prompts that are taken from another; elsewhere even those in reserve go before them. With none left callers are told so at once. Endpoints are not ordered there, nor counted as there.

Messages between entries have form 9: entries of two forms don't hear one another, as before.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -19,6 +19,7 @@
 
 use crate::clock::Millis;
 use crate::name;
+use crate::relay::Evacuation;
 
 /// An endpoint as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -430,12 +431,13 @@
         gone
     }
 
-    /// The endpoints of a service that may be used: the ready ones, or those in
-    /// reserve and away where none is ready.
-    pub fn usable(&self, service: &str, now: Millis) -> Vec<&Endpoint> {
+    /// The endpoints of a service that may be used, none in data centres that are evacuated:
+    /// the ready ones, or those in reserve and away where none is ready.
+    pub fn usable(&self, service: &str, evacuation: &Evacuation, now: Millis) -> Vec<&Endpoint> {
         let of_service = || {
             let known = self.endpoints.values();
-            known.filter(|known| known.endpoint.service == service)
+            let of_service = known.filter(|known| known.endpoint.service == service);
+            of_service.filter(|known| !evacuation.covers(&known.endpoint.data_centre))
         };
         let ready: Vec<_> = of_service()
             .filter(|known| known.is_ready(now))
--- a/crates/core/tests/relay/lives/rosters.rs
+++ b/crates/core/tests/relay/lives/rosters.rs
@@ -6,8 +6,8 @@
 use proptest::sample::Index;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::Roster;
 use woodgap_core::relay::roster::{Change, Endpoint};
+use woodgap_core::relay::{Evacuation, Roster};
 
 use crate::roster::{RESERVE, endpoint, row, started};
 
@@ -69,7 +69,9 @@
     }
 
     fn life(&self) -> Option<name::Life> {
-        let usable = self.roster.usable("engines", Millis::ZERO);
+        let usable = self
+            .roster
+            .usable("engines", &Evacuation::default(), Millis::ZERO);
         usable.first().map(|it| it.life.clone())
     }
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod duty;
 mod engine;
+mod evacuation;
 mod farewell;
 mod fleet;
 mod force;
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -4,8 +4,8 @@
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::Roster;
 use woodgap_core::relay::roster::{Change, Endpoint};
+use woodgap_core::relay::{Evacuation, Roster};
 
 pub const RESERVE: Millis = Millis(1_600);
 
@@ -47,7 +47,7 @@
 }
 
 fn usable(roster: &Roster, now: u64) -> Vec<&str> {
-    let usable = roster.usable("engines", Millis(now));
+    let usable = roster.usable("engines", &Evacuation::default(), Millis(now));
     usable.iter().map(|it| it.life.id.as_str()).collect()
 }
 
@@ -167,7 +167,7 @@
 }
 
 fn starts(roster: &Roster) -> Vec<Option<Millis>> {
-    let usable = roster.usable("engines", Millis(5));
+    let usable = roster.usable("engines", &Evacuation::default(), Millis(5));
     usable.iter().map(|it| it.life.started_unix).collect()
 }
 
--- a/crates/relay/src/duties/scaling.rs
+++ b/crates/relay/src/duties/scaling.rs
@@ -54,6 +54,9 @@
             self.summarised = now;
         }
         for (service, limits) in services {
+            if limits.prices.is_empty() {
+                continue;
+            }
             let running = running(state, &service, &limits);
             let entries = state.fleet.borrow().size();
             let demand = state.loads.borrow().engines_needed(&service, entries, now);
@@ -131,7 +134,13 @@
     let services = table.plan().services.iter();
     let engines = services.filter(|it| it.engine.is_some());
     let scaled = engines.filter_map(|it| Some((it.name.clone(), it.scaling.clone()?)));
-    scaled.collect()
+    // Nothing is ordered where nothing may be sent to.
+    let evacuation = state.evacuation.borrow();
+    let outside = |(name, mut limits): (String, Limits)| {
+        limits.prices.retain(|at, _| !evacuation.covers(at));
+        (name, limits)
+    };
+    scaled.map(outside).collect()
 }
 
 /// The endpoints of a service that are ready, also none, by data centre.
@@ -141,7 +150,8 @@
     let roster = state.roster.borrow();
     let ready = roster
         .listed()
-        .filter(|it| it.service == service && !it.leaving);
+        .filter(|it| it.service == service && !it.leaving)
+        .filter(|it| !state.evacuation.borrow().covers(&it.data_centre));
     for endpoint in ready {
         let count = counts.entry(endpoint.data_centre.clone()).or_default();
         if endpoint.reclaimable {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -11,10 +11,10 @@
 use woodgap_core::relay::duty::{self, Duty, LOOK, Subject};
 use woodgap_core::relay::force::Offer;
 use woodgap_core::relay::roster::{Change, Endpoint};
-use woodgap_core::relay::{Plan, Table};
+use woodgap_core::relay::{Evacuation, Plan, Table};
 
 use crate::source::row::{Content, Faults, Row};
-use crate::source::{Endpoints, Error, News, Plans};
+use crate::source::{Endpoints, Error, Evacuations, News, Operators, Plans};
 use crate::state::State;
 use crate::upkeep;
 
@@ -52,7 +52,14 @@
                 }
                 cursor = Some(news.cursor);
                 let as_of = dating.date(asked, news.made, state.now());
-                let plans = news.content.unwrap_or_default();
+                let (plans, evacuations) = match news.content {
+                    Some(Operators { plans, evacuations }) => (plans, evacuations),
+                    None => (Plans::new(), None),
+                };
+                // First, so that no plan is in force without them.
+                if let Some(evacuations) = evacuations {
+                    take_evacuations(&state, evacuations);
+                }
                 tell_plans(&plans, &mut told, &state);
                 take_newest(&state, plans, as_of);
             }
@@ -86,6 +93,38 @@
     }
 }
 
+fn take_evacuations(state: &State, evacuations: Evacuations) {
+    let mut known = state.evacuation.borrow_mut();
+    let is_news = match evacuations {
+        Evacuations::All(whole) => known.replace(whole),
+        Evacuations::Changes(changes) => known.apply(&changes),
+    };
+    drop(known);
+    if is_news {
+        tell_evacuation(state, "platform");
+    }
+}
+
+/// Takes the data centres that are evacuated, as another entry knows them.
+pub fn take_evacuation(state: &State, evacuation: Evacuation) {
+    let is_news = state.evacuation.borrow_mut().replace(evacuation);
+    if is_news {
+        tell_evacuation(state, "entry");
+    }
+}
+
+/// Tells of a change: the log, and the other entries.
+fn tell_evacuation(state: &State, source: &str) {
+    let evacuation = state.evacuation.borrow();
+    let emptied = evacuation.data_centres().iter();
+    let emptied: Vec<_> = emptied.map(name::DataCentre::as_str).collect();
+    log::info!(
+        data_centres = emptied.join(" "), revision = evacuation.revision(), source = source;
+        "the evacuated data centres have changed"
+    );
+    state.news.notify_one();
+}
+
 /// Follows the endpoints for as long as the process runs.
 pub async fn endpoints(state: Rc<State>) {
     let mut cursor = None;
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -367,7 +367,8 @@
     fn fetch_newer(&self, message: &Message) {
         let has_plan = message.knows.plan > self.state.force.borrow().version();
         let has_endpoints = message.knows.endpoints > self.state.roster.borrow().revision();
-        if has_plan || has_endpoints {
+        let has_evacuation = message.knows.evacuation > self.state.evacuation.borrow().revision();
+        if has_plan || has_endpoints || has_evacuation {
             fetch::begin(&self.state, message.from.peer);
         }
     }
@@ -387,6 +388,7 @@
         plan_age: force.age(now),
         endpoints: roster.revision(),
         endpoints_age: roster.age(now),
+        evacuation: state.evacuation.borrow().revision(),
         withheld: state.has_read_withheld.get(),
     }
 }
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -85,6 +85,7 @@
     let question = Fetch {
         plan: state.force.borrow().version(),
         endpoints: state.roster.borrow().revision(),
+        evacuation: state.evacuation.borrow().revision(),
     };
     let limit = Duration::from_millis(TIMEOUT.0);
     let fetched = match tokio::time::timeout(limit, ask(from, question)).await {
@@ -99,6 +100,9 @@
         }
     };
     let knows = fetched.knows;
+    if let Some(evacuation) = fetched.evacuation {
+        follow::take_evacuation(state, evacuation);
+    }
     if let Some(plan) = fetched.plan {
         follow::take_plan(state, plan, asked - knows.plan_age, "entry");
     }
@@ -156,10 +160,13 @@
     let changes = roster.since(question.endpoints).map(Listed::Changes);
     let all = || Listed::All(roster.listed().cloned().collect());
     let endpoints = has_newer.then(|| changes.unwrap_or_else(all));
+    let evacuation = state.evacuation.borrow();
+    let has_newer = evacuation.revision() > question.evacuation;
     Fetched {
         knows,
         plan: plan.map(|table| table.plan().clone()),
         endpoints,
+        evacuation: has_newer.then(|| evacuation.clone()),
     }
 }
 
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -4,17 +4,17 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::quarantine;
-use woodgap_core::relay::Plan;
 use woodgap_core::relay::claim::Claim;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::rest;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::tidings::Tidings;
 use woodgap_core::relay::usage;
+use woodgap_core::relay::{Evacuation, Plan};
 
 /// The first byte of each message: the version of this form. Entries of another form
 /// are not heard, so that nothing is read for what it is not.
-pub const FORM: u8 = 8;
+pub const FORM: u8 = 9;
 /// The first byte of a message that only tells counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The largest datagram, in bytes: what passes every link whole.
@@ -79,6 +79,8 @@
     pub endpoints: u64,
     /// How long ago that was known to be the newest.
     pub endpoints_age: Millis,
+    /// The revision of the data centres that are evacuated; 0 where none ever was.
+    pub evacuation: u64,
     /// Whether the entry knows what the platform keeps of requests that are withheld.
     pub withheld: bool,
 }
@@ -90,6 +92,8 @@
     pub plan: u64,
     /// The revision of the endpoints that the asker has.
     pub endpoints: u64,
+    /// The revision of the evacuated data centres that the asker has.
+    pub evacuation: u64,
 }
 
 /// What is newer.
@@ -101,6 +105,8 @@
     pub plan: Option<Plan>,
     /// The endpoints, if the list is newer.
     pub endpoints: Option<Listed>,
+    /// The data centres that are evacuated, if that is newer.
+    pub evacuation: Option<Evacuation>,
 }
 
 /// Endpoints that an entry lacks.
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -133,7 +133,8 @@
     let now = state.now();
     may_send(state, request, now)?;
     let roster = state.roster.borrow();
-    let usable = roster.usable(&request.service.name, now);
+    let evacuation = state.evacuation.borrow();
+    let usable = roster.usable(&request.service.name, &evacuation, now);
     let limit = connection_limit(state, request);
     let open: Vec<_> = usable
         .into_iter()
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -16,6 +16,7 @@
 use woodgap_core::name;
 use woodgap_core::quarantine::Kept;
 use woodgap_core::relay::Plan;
+use woodgap_core::relay::evacuation::{self, Evacuation};
 use woodgap_core::relay::roster::Endpoint;
 
 use crate::source::row::Row;
@@ -58,14 +59,33 @@
 /// The configurations that an answer brought, the newest last.
 pub type Plans = Vec<Row<Plan>>;
 
+/// What operators say.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operators {
+    /// The configurations that are new.
+    pub plans: Plans,
+    /// The data centres that they empty; none where nothing is told of them.
+    pub evacuations: Option<Evacuations>,
+}
+
+/// Data centres that are evacuated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Evacuations {
+    /// All of them.
+    All(Evacuation),
+    /// What changed since the cursor that was asked with.
+    Changes(Vec<evacuation::Change>),
+}
+
 /// Where an entry takes messages of other entries, by name.
 pub type Addresses = Vec<Row<SocketAddr>>;
 
 /// A source; see the module.
 pub trait Source {
     /// The configuration, as often as it changed after the cursor; the newest without one.
-    /// With a cursor, the answer may be held for `wait` while nothing changes.
-    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Plans>>;
+    /// The data centres that are evacuated, in the same way. With a cursor, the answer may be
+    /// held for `wait` while nothing changes.
+    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Operators>>;
 
     /// The endpoints, in the same way.
     fn endpoints(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Endpoints>>;
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -1,28 +1,33 @@
 //! The product's own source: rows of the table service, read again and again.
 //!
-//! The plan is the row `plan` of the table `relay`; endpoints are the rows of
+//! The plan is the row `plan` of the table `relay`, the data centres that are evacuated are
+//! listed in its row `evacuation`; endpoints are the rows of
 //! `relay-endpoints`, entries those of `relay-entries`, requests that are withheld those of
 //! `relay-withheld`.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use woodgap_core::clock::Millis;
 use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
 use woodgap_core::quarantine::Kept;
+use woodgap_core::relay::Evacuation;
 use woodgap_platform::Error as PlatformError;
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
 
 use crate::source::row::{self as source, Check, Unusable};
-use crate::source::{Addresses, Answer, Endpoints, Error, News, Plans, Source};
+use crate::source::{Addresses, Answer, Endpoints, Error, Evacuations, News, Operators, Source};
 
 const PLANS: &str = "relay";
 const PLAN: &str = "plan";
+const EVACUATION: &str = "evacuation";
 const ENDPOINTS: &str = "relay-endpoints";
 const ENTRIES: &str = "relay-entries";
 const WITHHELD: &str = "relay-withheld";
@@ -47,28 +52,22 @@
         }
     }
 
-    async fn read_plan(&self, after: Option<u64>, wait: Millis) -> Result<News<Plans>, Error> {
+    async fn read_plan(&self, after: Option<u64>, wait: Millis) -> Result<News<Operators>, Error> {
         self.pause(after, wait).await;
-        let rows = self.platform.read(&[Place::new(PLANS, PLAN)]).await;
-        let row = rows.map_err(unavailable)?.into_iter().next().flatten();
-        let Some(row) = row else {
-            return Ok(News {
-                cursor: 0,
-                content: None,
-                made: None,
-            });
+        let places = [PLAN, EVACUATION].map(|key| Place::new(PLANS, key));
+        let rows = self.platform.read(&places).await.map_err(unavailable)?;
+        let mut rows = rows.into_iter();
+        let (plan, evacuation) = (rows.next().flatten(), rows.next().flatten());
+        let cursor = plan.as_ref().map_or(0, |row| row.version);
+        let plan = plan.filter(|row| after != Some(row.version));
+        let operators = Operators {
+            plans: plan.iter().map(decoded).collect(),
+            evacuations: evacuation.as_ref().and_then(evacuated),
         };
-        if after == Some(row.version) {
-            return Ok(News {
-                cursor: row.version,
-                content: None,
-                made: None,
-            });
-        }
-        let cursor = row.version;
+        let has_news = !operators.plans.is_empty() || operators.evacuations.is_some();
         Ok(News {
             cursor,
-            content: Some(vec![decoded(&row)]),
+            content: has_news.then_some(operators),
             made: None,
         })
     }
@@ -142,6 +141,29 @@
     Error::Unavailable(error.to_string())
 }
 
+/// The row on data centres that are evacuated.
+#[derive(Deserialize)]
+struct Emptied {
+    data_centres: BTreeSet<name::DataCentre>,
+}
+
+/// A row that can't be read changes nothing: it does not say which data centres it is about.
+fn evacuated(row: &Row) -> Option<Evacuations> {
+    match Emptied::deserialize(&row.value) {
+        Ok(it) => Some(Evacuations::All(Evacuation::new(
+            row.version,
+            it.data_centres,
+        ))),
+        Err(error) => {
+            log::warn!(
+                version = row.version, reason = error.to_string();
+                "the row on evacuated data centres can't be used"
+            );
+            None
+        }
+    }
+}
+
 fn decoded<T: Check + DeserializeOwned>(row: &Row) -> source::Row<T> {
     let bytes = serde_json::to_vec(&row.value);
     let bytes = bytes.map_err(|error| Unusable::Encoding(error.to_string()));
@@ -149,7 +171,7 @@
 }
 
 impl Source for Own {
-    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Plans>> {
+    fn plan(&self, after: Option<u64>, wait: Millis) -> Answer<'_, News<Operators>> {
         self.read_plan(after, wait).boxed_local()
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -18,7 +18,7 @@
 use woodgap_core::relay::shutdown::Shutdown;
 use woodgap_core::relay::true_time::Readings;
 use woodgap_core::relay::usage::{Meter, Sums, Window};
-use woodgap_core::relay::{Force, Roster};
+use woodgap_core::relay::{Evacuation, Force, Roster};
 use woodgap_platform::clock::Clock;
 use woodgap_settings::relay::Relay as Settings;
 
@@ -62,6 +62,8 @@
     pub duties: Option<duties::Form>,
     /// The plan in force.
     pub force: RefCell<Force>,
+    /// The data centres that operators empty.
+    pub evacuation: RefCell<Evacuation>,
     /// The endpoints.
     pub roster: RefCell<Roster>,
     /// Their load.
@@ -144,6 +146,7 @@
             source,
             duties,
             force: RefCell::default(),
+            evacuation: RefCell::default(),
             roster: RefCell::new(Roster::new(reserve)),
             loads: RefCell::new(Loads::new(settings.data_centre.clone(), rand::random())),
             pool: RefCell::default(),
--- a/crates/relay/tests/contract/duties.rs
+++ b/crates/relay/tests/contract/duties.rs
@@ -8,7 +8,8 @@
 
 use serde_json::json;
 use woodgap_core::clock::Millis;
-use woodgap_core::name::Workspace;
+use woodgap_core::name::{DataCentre, Workspace};
+use woodgap_core::relay::Evacuation;
 use woodgap_core::relay::plan::{Engine, Scaling};
 use woodgap_core::relay::sizing::Wish;
 use woodgap_core::relay::usage::{Counts, Window};
@@ -213,7 +214,19 @@
 /// A fleet of one before a service whose endpoints can be ordered.
 fn scaled(engine: Option<Engine>) -> Fleet {
     let server = Endpoint::always(vec![whole("yes")]);
-    let told = source(&[server.address]);
+    Fleet::with(1, &scalable(&[server.address], engine))
+}
+
+const ENGINE: Engine = Engine {
+    slots: 8,
+    memory_tokens: 100_000,
+    event_tokens: 1,
+    moves_prompts: false,
+};
+
+/// A plan whose first service may have endpoints in two data centres.
+fn scalable(endpoints: &[SocketAddr], engine: Option<Engine>) -> Fixed {
+    let told = source(endpoints);
     if let Some(plan) = &mut told.0.lock().unwrap().plan {
         plan.services[0].engine = engine;
         plan.services[0].scaling = Some(Scaling {
@@ -224,18 +237,13 @@
             prices: [("dub-a".into(), 1.0), ("dub-b".into(), 1.0)].into(),
         });
     }
-    Fleet::with(1, &told)
+    told
 }
 
 /// Reclaimable endpoints that cost little are ordered in the place of those that were found.
 #[test]
 fn cheaper_endpoints_are_ordered() {
-    let fleet = scaled(Some(Engine {
-        slots: 8,
-        memory_tokens: 100_000,
-        event_tokens: 1,
-        moves_prompts: false,
-    }));
+    let fleet = scaled(Some(ENGINE));
     let is_order = |call: &Call| {
         let Call::Order(order) = call else {
             return false;
@@ -250,6 +258,27 @@
     fleet.check_numbers();
 }
 
+/// What may not be sent to is not ordered either, and what runs elsewhere has to be enough.
+#[test]
+fn nothing_is_ordered_in_an_evacuated_data_centre() {
+    let server = Endpoint::always(vec![whole("yes")]);
+    let told = scalable(&[server.address], Some(ENGINE));
+    let evacuated = [DataCentre::from("dub-b")].into();
+    told.0.lock().unwrap().evacuation = Evacuation::new(1, evacuated);
+    let fleet = Fleet::with(1, &told);
+    let places = || {
+        let calls = fleet.platform.calls();
+        let orders = calls.into_iter().filter_map(|(_, call)| match call {
+            Call::Order(order) => Some(order.wish.at.to_string()),
+            Call::Report(_) => None,
+        });
+        orders.collect::<Vec<_>>()
+    };
+    until(|| !places().is_empty());
+    fleet.until_reported(4);
+    assert!(places().iter().all(|at| at == "dub-a"), "{:?}", places());
+}
+
 /// What plain services need is not known: theirs are left as they are.
 #[test]
 fn endpoints_of_plain_services_are_not_ordered() {
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -7,6 +7,7 @@
 mod desk;
 mod duties;
 mod endpoint;
+mod evacuation;
 mod forwarding;
 mod last_lines;
 mod leave;
--- a/crates/relay/tests/contract/others.rs
+++ b/crates/relay/tests/contract/others.rs
@@ -130,7 +130,7 @@
     let ask = |form: &[u8]| {
         let mut stream = TcpStream::connect(site.peer).unwrap();
         // The length of the question, and that nothing is known.
-        let question = [form, &[0, 0, 0, 2, 0, 0]].concat();
+        let question = [form, &[0, 0, 0, 3, 0, 0, 0]].concat();
         stream.write_all(&question).unwrap();
         let mut answer = Vec::new();
         let _ = stream.read_to_end(&mut answer);
--- a/crates/relay/tests/contract/peer.rs
+++ b/crates/relay/tests/contract/peer.rs
@@ -14,6 +14,7 @@
     plan_age: Millis(0),
     endpoints: 0,
     endpoints_age: Millis(0),
+    evacuation: 0,
     withheld: false,
 };
 
--- a/crates/relay/tests/contract/silent_tellers.rs
+++ b/crates/relay/tests/contract/silent_tellers.rs
@@ -22,6 +22,7 @@
     plan_age: Millis(0),
     endpoints: REVISION,
     endpoints_age: Millis(0),
+    evacuation: 0,
     withheld: true,
 };
 
@@ -142,6 +143,7 @@
         knows: KNOWLEDGE,
         plan: None,
         endpoints: Some(Listed::Changes(changes)),
+        evacuation: None,
     };
     (site, server, fetched)
 }
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -15,12 +15,15 @@
 use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
 use woodgap_core::quarantine::Kept;
+use woodgap_core::relay::Evacuation;
 use woodgap_core::relay::plan::{Engine, Kind, Limits, Plan, Route, Service, Share, Workspace};
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::duties;
 use woodgap_relay::source::row::Row;
-use woodgap_relay::source::{Addresses, Answer, Endpoints, Error, News, Plans, Source};
+use woodgap_relay::source::{
+    Addresses, Answer, Endpoints, Error, Evacuations, News, Operators, Source,
+};
 use woodgap_relay::start::{self, Form};
 use woodgap_relay::stop;
 use woodgap_settings::relay;
@@ -32,6 +35,8 @@
 pub struct Told {
     pub plan: Option<Plan>,
     pub endpoints: Vec<roster::Endpoint>,
+    /// The data centres that operators empty.
+    pub evacuation: Evacuation,
     pub is_down: bool,
     /// Where other entries take messages.
     pub entries: Vec<SocketAddr>,
@@ -64,17 +69,20 @@
 }
 
 impl Source for Fixed {
-    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Plans>> {
+    fn plan(&self, after: Option<u64>, _: Millis) -> Answer<'_, News<Operators>> {
         async move {
             let cursor = self.told()?.plan.map_or(0, |plan| plan.version);
             pause(after, cursor).await;
-            let plan = self.told()?.plan;
-            let cursor = plan.as_ref().map_or(0, |plan| plan.version);
+            let told = self.told()?;
+            let cursor = told.plan.as_ref().map_or(0, |plan| plan.version);
+            let plan = told.plan.filter(|_| after != Some(cursor));
+            let plans = plan.map(|plan| Row::new("plan", cursor, Ok(plan)));
             Ok(News {
                 cursor,
-                content: plan
-                    .filter(|_| after != Some(cursor))
-                    .map(|plan| vec![Row::new("plan", cursor, Ok(plan))]),
+                content: Some(Operators {
+                    plans: plans.into_iter().collect(),
+                    evacuations: Some(Evacuations::All(told.evacuation)),
+                }),
                 made: None,
             })
         }
