Cold endpoints get what they bear from the whole fleet, from few entries each

Cause: nothing in the sources knew that an endpoint is cold, nor how much it bears.

The row's time is taken from the moment of the row. Of each cold endpoint's requests a second, each comes from another entry: those next to it on a ring of hashes, with one request in 1.1 s each. Simulated with 9 to 985 entries that all send as much as they may, also cut in two, with nine of ten others known and with some that know nobody: never over the bound of the users' pages, and at least half of what the endpoint bears. Weighed by calculation only: a share for each entry (one request in 7 s at 63 entries, in 112 s at 985, so that endpoints would stay idle), and draws of each entry for itself (their sum is spread as chance is, and exceeds the bound in one of 500 seconds of each endpoint). An entry that has just started sends nothing to cold endpoints for three seconds, as hundreds may have started with it. Where all are cold, callers beyond that are told to come back in a second.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -29,12 +29,13 @@
 pub mod tidings;
 pub mod true_time;
 pub mod usage;
+pub mod warming;
 pub mod work;
 
 pub use ask::Ask;
 pub use budget::Budget;
-pub use force::Force;
 pub use evacuation::Evacuation;
+pub use force::Force;
 pub use plan::Plan;
 pub use roster::Roster;
 pub use table::Table;
--- a/crates/core/src/relay/duty.rs
+++ b/crates/core/src/relay/duty.rs
@@ -96,10 +96,15 @@
 impl Standing {
     /// Whether the entry has run for long enough to know its rank.
     pub fn is_settled(&self) -> bool {
-        self.life >= SETTLED
+        is_settled(self.life)
     }
 }
 
+/// Whether an entry that has run for so long knows nearly all of the fleet.
+pub fn is_settled(life: Millis) -> bool {
+    life >= SETTLED
+}
+
 /// The duty of an entry, looked for once in a [`LOOK`]; `lot` is drawn anew for each look,
 /// evenly from 0 to 1.
 ///
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -15,6 +15,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::tidings;
+use crate::relay::warming::{self, Sector};
 
 /// How many rounds of messages an entry may miss before it is taken for gone:
 /// one may be lost and one late.
@@ -77,6 +78,8 @@
     data_centre: name::DataCentre,
     round: Millis,
     members: BTreeMap<name::Entry, (Member, Heard)>,
+    /// The most entries that were ever known at once, the own one included.
+    largest: usize,
     /// Whose turn it is, by counts of those that were asked.
     next: Split<usize>,
     /// How often the others were told that this entry stops, and when last.
@@ -148,6 +151,7 @@
             data_centre,
             round,
             members: BTreeMap::new(),
+            largest: 1,
             next,
             farewells: 0,
             took_leave: None,
@@ -175,7 +179,7 @@
             directly: Some(now),
             known: now,
         };
-        self.members.insert(member.name.clone(), (member, heard));
+        self.know(member, heard);
         !was_live
     }
 
@@ -190,10 +194,15 @@
                 directly: None,
                 known: now,
             };
-            self.members.insert(member.name.clone(), (member, heard));
+            self.know(member, heard);
         }
     }
 
+    fn know(&mut self, member: Member, heard: Heard) {
+        self.members.insert(member.name.clone(), (member, heard));
+        self.largest = self.largest.max(self.size());
+    }
+
     /// Whom to ask in this round: some in turns over all that are known, and some that
     /// were never heard.
     pub fn round(&mut self, now: Millis) -> Vec<SocketAddr> {
@@ -365,6 +374,15 @@
         self.members.values().map(|(member, _)| member)
     }
 
+    /// The part of the cold endpoints that this entry sends to, where each bears so many
+    /// requests a second, and how many requests it may send to one in a second. An entry that
+    /// is cut off goes on with its part of the fleet as it was.
+    pub fn warming(&self, per_second: f64) -> (Sector, usize) {
+        let (senders, each) = warming::division(per_second, self.largest);
+        let others = self.known().filter(|it| !it.stopping).map(|it| &it.name);
+        (Sector::new(&self.own, others, senders), each)
+    }
+
     /// How long news take to reach all entries: each round, those that have them
     /// are asked by as many others as are asked in one.
     pub fn spread(&self) -> Millis {
--- a/crates/core/src/relay/plan.rs
+++ b/crates/core/src/relay/plan.rs
@@ -119,6 +119,10 @@
     /// How many endpoints it may have, where that can be ordered.
     #[serde(default)]
     pub scaling: Option<Scaling>,
+    /// How many requests a second a cold endpoint bears from all entries together; none where
+    /// that is not bounded.
+    #[serde(default)]
+    pub cold_rate: Option<f64>,
 }
 
 /// How many endpoints a service may have in each data centre, and what they cost.
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -39,6 +39,20 @@
     pub leaving: bool,
     /// Whether the platform may take it away at short notice.
     pub reclaimable: bool,
+    /// For how long from the moment of this row it bears only few requests.
+    pub cold_for: Millis,
+}
+
+impl Endpoint {
+    /// Whether another row says the same but for how cold it is.
+    fn is_alike(&self, other: &Self) -> bool {
+        let cold_for = self.cold_for;
+        *self
+            == Self {
+                cold_for,
+                ..other.clone()
+            }
+    }
 }
 
 /// An endpoint as it is written: its name and start side by side, the start last, so
@@ -54,6 +68,8 @@
     #[serde(default)]
     reclaimable: bool,
     #[serde(default)]
+    cold_for: Millis,
+    #[serde(default)]
     started_unix: Option<Millis>,
 }
 
@@ -70,6 +86,7 @@
             slots: row.slots,
             leaving: row.leaving,
             reclaimable: row.reclaimable,
+            cold_for: row.cold_for,
         }
     }
 }
@@ -84,6 +101,7 @@
             slots: endpoint.slots,
             leaving: endpoint.leaving,
             reclaimable: endpoint.reclaimable,
+            cold_for: endpoint.cold_for,
             started_unix: endpoint.life.started_unix,
         }
     }
@@ -108,6 +126,8 @@
 struct Known {
     endpoint: Endpoint,
     standing: Standing,
+    /// Until when it bears only few requests.
+    cold_until: Millis,
     /// The life with the latest start that was listed. It outlasts a row without a start.
     latest: name::Life,
     /// A row that was listed after this one and tells of an earlier start, and until when
@@ -116,7 +136,7 @@
 }
 
 impl Known {
-    fn new(endpoint: &Endpoint) -> Self {
+    fn new(endpoint: &Endpoint, now: Millis) -> Self {
         let standing = if endpoint.leaving {
             Standing::Leaving
         } else {
@@ -125,6 +145,7 @@
         Self {
             endpoint: endpoint.clone(),
             standing,
+            cold_until: now + endpoint.cold_for,
             latest: endpoint.life.clone(),
             doubted: None,
         }
@@ -336,7 +357,7 @@
                 self.doubt(endpoint, now);
                 return false;
             }
-            Change::Listed(endpoint) => self.list(endpoint),
+            Change::Listed(endpoint) => self.list(endpoint, now),
             Change::Missing(name) => self.miss(name, now),
         }
         true
@@ -347,13 +368,14 @@
         self.as_of = self.as_of.max(as_of);
     }
 
-    fn list(&mut self, endpoint: &Endpoint) {
-        let mut known = Known::new(endpoint);
+    fn list(&mut self, endpoint: &Endpoint, now: Millis) {
+        let mut known = Known::new(endpoint, now);
         if let Some(before) = self.endpoints.remove(&endpoint.life.id) {
             if endpoint.life.started_unix.is_none() {
                 known.latest = before.latest;
             }
-            if before.endpoint == *endpoint && matches!(before.standing, Standing::Away(_)) {
+            let is_away = matches!(before.standing, Standing::Away(_));
+            if is_away && before.endpoint.is_alike(endpoint) {
                 known.standing = before.standing;
             }
             if before.endpoint.life != endpoint.life {
@@ -385,14 +407,14 @@
         });
         let believed: Vec<_> = doubted.map(|(endpoint, _)| endpoint).collect();
         for endpoint in &believed {
-            self.list(endpoint);
+            self.list(endpoint, now);
         }
     }
 
     /// Notes that another endpoint answers at this one's address.
     pub fn note_away(&mut self, endpoint: &Endpoint, now: Millis) {
         let known = self.endpoints.get_mut(&endpoint.life.id);
-        let known = known.filter(|known| known.endpoint == *endpoint);
+        let known = known.filter(|known| known.endpoint.is_alike(endpoint));
         if let Some(known) = known.filter(|known| known.standing != Standing::Leaving) {
             known.standing = Standing::Away(now + AWAY);
         }
@@ -452,6 +474,13 @@
             .collect()
     }
 
+    /// Whether an endpoint bears only few requests now.
+    pub fn is_cold(&self, life: &name::Life, now: Millis) -> bool {
+        let known = self.endpoints.get(&life.id);
+        let known = known.filter(|known| known.endpoint.life == *life);
+        known.is_some_and(|known| now < known.cold_until)
+    }
+
     /// Whether another life of the endpoint is known: this one is over.
     pub fn has_another(&self, life: &name::Life) -> bool {
         let known = self.endpoints.get(&life.id);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -24,3 +24,4 @@
 mod time;
 mod true_time;
 mod usage;
+mod warming;
--- a/crates/core/tests/relay/plan.rs
+++ b/crates/core/tests/relay/plan.rs
@@ -43,6 +43,7 @@
         connections: 100,
         engine: None,
         scaling: None,
+        cold_rate: None,
     };
     Plan {
         version,
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -23,6 +23,7 @@
         slots: 64,
         leaving: false,
         reclaimable: false,
+        cold_for: Millis::ZERO,
     }
 }
 
--- a/crates/core/tests/relay/table.rs
+++ b/crates/core/tests/relay/table.rs
@@ -82,6 +82,7 @@
         connections: 1,
         engine: None,
         scaling: None,
+        cold_rate: None,
     });
     let table = Table::new(plan).unwrap();
     let route = table.route("album.example", "/a/").unwrap();
--- /dev/null
+++ b/crates/core/tests/relay/warming.rs
@@ -0,0 +1,146 @@
+//! Cold endpoints before a fleet of entries that know one another in part.
+
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_core::name::{Endpoint, Entry, Life};
+use woodgap_core::relay::Roster;
+use woodgap_core::relay::prefix::mix;
+use woodgap_core::relay::roster::Change;
+use woodgap_core::relay::warming::{Sector, Sent, division};
+
+use crate::roster::{RESERVE, endpoint};
+
+/// What the users' pages allow in a second at an endpoint that bears so many.
+fn bound(rate: f64) -> usize {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let bound = (rate * 1.5 + 5.0) as usize;
+    bound
+}
+
+fn entry(at: usize) -> Entry {
+    Entry::from(format!("front-dub-{at}"))
+}
+
+fn cold(at: usize) -> Life {
+    Life::from(Endpoint::from(format!("i-{at}")))
+}
+
+/// Every entry would send every cold endpoint a request each 10 ms for three seconds; `knows`
+/// says which entries an entry knows. The most that came to one endpoint in any second, and the
+/// mean of all seconds.
+fn play(
+    entries: usize,
+    endpoints: usize,
+    rate: f64,
+    knows: impl Fn(usize, usize) -> bool,
+) -> (usize, f64) {
+    let names: Vec<_> = (0..entries).map(entry).collect();
+    let (senders, each) = division(rate, entries);
+    let mut arrivals: BTreeMap<usize, Vec<u64>> = BTreeMap::new();
+    for own in 0..entries {
+        let others = names.iter().enumerate();
+        let others = others.filter(|(at, _)| *at != own && knows(own, *at));
+        let sector = Sector::new(&names[own], others.map(|(_, name)| name), senders);
+        let mine: Vec<_> = (0..endpoints)
+            .filter(|at| sector.holds(&cold(*at)))
+            .collect();
+        let mut sent = Sent::default();
+        for at in mine {
+            let life = cold(at);
+            // Entries do not tick together.
+            let shift = mix(own as u64, at as u64) % 1_000;
+            for now in (shift..shift + 3_000).step_by(10) {
+                if sent.may_send(&life, each, Millis(now)) {
+                    sent.note(&life, Millis(now));
+                    arrivals.entry(at).or_default().push(now);
+                }
+            }
+        }
+    }
+    let mut most = 0;
+    let mut all = 0;
+    for times in arrivals.values_mut() {
+        times.sort_unstable();
+        all += times.len();
+        for (first, begin) in times.iter().enumerate() {
+            let within = times[first..].partition_point(|at| *at < begin + 1_000);
+            most = most.max(within);
+        }
+    }
+    (most, all as f64 / endpoints as f64 / 3.0)
+}
+
+/// Whatever entries send, the sum stays within the bound, and most of what the endpoints bear is
+/// used, so that they take their part soon.
+#[rstest]
+#[case::small(9, 12, 8.8)]
+#[case::middle(63, 140, 8.8)]
+#[case::large(295, 300, 8.8)]
+#[case::whole_fleet(985, 400, 8.8)]
+#[case::fast_endpoints(63, 40, 40.0)]
+#[case::slow_endpoints(63, 40, 1.5)]
+fn the_sum_of_all_entries_stays_within_the_bound(
+    #[case] entries: usize,
+    #[case] endpoints: usize,
+    #[case] rate: f64,
+) {
+    let (most, mean) = play(entries, endpoints, rate, |_, _| true);
+    assert!(most <= bound(rate), "{most} in a second");
+    assert!(mean >= 0.5 * rate.floor(), "{mean} a second of {rate}");
+}
+
+/// A cut in two, entries that know nine of ten others, and some that know nobody.
+#[rstest]
+fn the_bound_holds_where_entries_do_not_know_one_another(
+    #[values(9, 63, 295, 985)] entries: usize,
+    #[values(0, 1, 2)] way: u8,
+) {
+    let knows = |own: usize, other: usize| match way {
+        0 => (own % 2) == (other % 2),
+        1 => !mix(own as u64, other as u64).is_multiple_of(10),
+        _ => own > 2,
+    };
+    let (most, _) = play(entries, 150, 8.8, knows);
+    assert!(most <= bound(8.8), "{most} in a second");
+}
+
+/// An endpoint is cold from the moment of its row on, for as long as that says; the same row
+/// told again does not make it cold anew.
+#[test]
+fn an_endpoint_is_cold_for_as_long_as_its_row_says() {
+    let mut roster = Roster::new(RESERVE);
+    let mut row = endpoint("i-1");
+    row.cold_for = Millis(3_000);
+    let life = row.life.clone();
+    roster.replace(vec![row.clone()], 1, Millis(100), Millis(100));
+    assert!(roster.is_cold(&life, Millis(3_099)));
+    assert!(!roster.is_cold(&life, Millis(3_100)));
+    roster.replace(vec![row.clone()], 2, Millis(9_000), Millis(9_000));
+    assert!(!roster.is_cold(&life, Millis(9_000)));
+    // It may turn cold again at any moment.
+    row.cold_for = Millis(2_000);
+    roster.apply(vec![(3, Change::Listed(row))], Millis(9_500), Millis(9_500));
+    assert!(roster.is_cold(&life, Millis(11_499)));
+    assert!(!roster.is_cold(&life, Millis(11_500)));
+}
+
+/// Another program answers at its address: that it tells how cold it is does not hide that.
+#[test]
+fn one_that_is_away_stays_away_while_its_coldness_changes() {
+    let mut roster = Roster::new(RESERVE);
+    let mut row = endpoint("i-1");
+    row.cold_for = Millis(3_000);
+    roster.replace(vec![row.clone(), endpoint("i-2")], 1, Millis(0), Millis(0));
+    roster.note_away(&row, Millis(5));
+    row.cold_for = Millis(1_000);
+    roster.apply(vec![(2, Change::Listed(row))], Millis(9), Millis(9));
+    let usable = roster.usable(
+        "engines",
+        &woodgap_core::relay::Evacuation::default(),
+        Millis(9),
+    );
+    assert_eq!(usable.len(), 1);
+    assert_eq!(usable[0].life.id.as_str(), "i-2");
+}
--- a/crates/fake/tests/placement/site.rs
+++ b/crates/fake/tests/placement/site.rs
@@ -127,6 +127,7 @@
             slots: 64,
             leaving: false,
             reclaimable: false,
+            cold_for: Millis::ZERO,
         };
         let loads = |at: usize| Loads::new(data_centre(at), at as u64);
         Self {
--- a/crates/relay/src/request/place.rs
+++ b/crates/relay/src/request/place.rs
@@ -47,6 +47,9 @@
         let now = state.now();
         let ticket = state.loads.borrow_mut().begin(choice, &ask, now);
         state.pool.borrow_mut().occupy(ticket.endpoint());
+        if state.roster.borrow().is_cold(ticket.endpoint(), now) {
+            state.warmed.borrow_mut().note(ticket.endpoint(), now);
+        }
         Self {
             state: Rc::clone(state),
             ticket,
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -9,8 +9,10 @@
 use woodgap_core::name;
 use woodgap_core::relay::Ask;
 use woodgap_core::relay::admission::{self, Claim, Verdict as Admission};
+use woodgap_core::relay::duty;
 use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::plan::Kind;
+use woodgap_core::relay::roster::Endpoint;
 use woodgap_core::relay::shutdown::End;
 use woodgap_core::verdict::Verdict;
 
@@ -25,6 +27,8 @@
 
 /// How many endpoints are tried without anything being sent to them.
 const MOST_UNSENT: u32 = 4;
+/// When callers should come back to a service whose endpoints all warm up.
+const WARMING: Millis = Millis(1_000);
 /// When callers should come back to a service without an endpoint.
 const NO_ENDPOINT: Millis = Millis(300);
 /// An idempotent request is tried elsewhere once it took so many times its
@@ -135,6 +139,12 @@
     let roster = state.roster.borrow();
     let evacuation = state.evacuation.borrow();
     let usable = roster.usable(&request.service.name, &evacuation, now);
+    let has_any = !usable.is_empty();
+    let usable = without_cold(state, request, usable, now);
+    if has_any && usable.is_empty() {
+        let message = format!("the endpoints of `{}` are warming up", request.service.name);
+        return Err(Problem::not_run(Code::Overloaded, message).retry_after(WARMING));
+    }
     let limit = connection_limit(state, request);
     let open: Vec<_> = usable
         .into_iter()
@@ -161,6 +171,30 @@
     }
 }
 
+/// Leaves out the cold endpoints that get no request of this entry now. One that has just
+/// started does not know yet which of them are its own.
+fn without_cold<'e>(
+    state: &State,
+    request: &Admitted,
+    usable: Vec<&'e Endpoint>,
+    now: Millis,
+) -> Vec<&'e Endpoint> {
+    let roster = state.roster.borrow();
+    let is_cold = |endpoint: &&Endpoint| roster.is_cold(&endpoint.life, now);
+    let rate = request.service.cold_rate;
+    let Some(rate) = rate.filter(|_| usable.iter().any(is_cold)) else {
+        return usable;
+    };
+    let (sector, each) = state.fleet.borrow().warming(rate);
+    let warmed = state.warmed.borrow();
+    let is_own = |life: &name::Life| duty::is_settled(state.life()) && sector.holds(life);
+    let may_send = |endpoint: &&Endpoint| {
+        let life = &endpoint.life;
+        !is_cold(endpoint) || (is_own(life) && warmed.may_send(life, each, now))
+    };
+    usable.into_iter().filter(may_send).collect()
+}
+
 /// Whether the request may be sent at all: not one that crashes the endpoints that run it.
 fn may_send(state: &State, request: &Admitted, now: Millis) -> Result<(), Problem> {
     let hold = state.quarantine.borrow().hold(request.fingerprint, now);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -18,7 +18,7 @@
 use woodgap_core::relay::shutdown::Shutdown;
 use woodgap_core::relay::true_time::Readings;
 use woodgap_core::relay::usage::{Meter, Sums, Window};
-use woodgap_core::relay::{Evacuation, Force, Roster};
+use woodgap_core::relay::{Evacuation, Force, Roster, warming};
 use woodgap_platform::clock::Clock;
 use woodgap_settings::relay::Relay as Settings;
 
@@ -66,6 +66,8 @@
     pub evacuation: RefCell<Evacuation>,
     /// The endpoints.
     pub roster: RefCell<Roster>,
+    /// What was sent to cold ones.
+    pub warmed: RefCell<warming::Sent>,
     /// Their load.
     pub loads: RefCell<Loads>,
     /// Connections to them.
@@ -147,6 +149,7 @@
             duties,
             force: RefCell::default(),
             evacuation: RefCell::default(),
+            warmed: RefCell::default(),
             roster: RefCell::new(Roster::new(reserve)),
             loads: RefCell::new(Loads::new(settings.data_centre.clone(), rand::random())),
             pool: RefCell::default(),
@@ -302,8 +305,7 @@
     /// Whether it knows which requests were withheld before its start, or has waited for that
     /// long enough.
     pub fn knows_withheld(&self) -> bool {
-        let life = self.now() - self.started;
-        self.has_read_withheld.get() || life >= WITHHELD_PATIENCE
+        self.has_read_withheld.get() || self.life() >= WITHHELD_PATIENCE
     }
 
     /// Whether the relay should get requests: it is not stopping, and knows the
@@ -313,6 +315,11 @@
         knows && self.trusts_keys() && self.stopping_since().is_none()
     }
 
+    /// For how long this process has run.
+    pub fn life(&self) -> Millis {
+        self.now() - self.started
+    }
+
     /// Where this entry stands among the others as a reader of the platform; it is the
     /// last of all while it is stopping.
     pub fn standing(&self) -> Standing {
@@ -329,7 +336,7 @@
             is_seed: self.is_seed(),
             is_first_start: self.settings.first_start,
             is_acting: !is_stopping && now < self.acts_until.get(),
-            life: now - self.started,
+            life: self.life(),
             peers: fleet.peers(now),
             spread: fleet.spread(),
         }
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -37,6 +37,7 @@
 fn round(state: &Rc<State>, now: Millis) {
     drop_gone(state, now);
     state.pool.borrow_mut().sweep(now);
+    state.warmed.borrow_mut().expire(now);
     let due = state.loads.borrow().due(now);
     for endpoint in due {
         try_again(state, endpoint);
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod cold;
 mod crashes;
 mod crashing;
 mod desk;
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -57,6 +57,7 @@
             slots: 64,
             leaving: false,
             reclaimable: false,
+            cold_for: Millis::ZERO,
         };
         let work = Work {
             prompt_tokens: 3_000_000,
@@ -99,8 +100,8 @@
             plan_age: Millis(u64::MAX),
             endpoints: u64::MAX,
             endpoints_age: Millis(u64::MAX),
-            withheld: true,
             evacuation: u64::MAX,
+            withheld: true,
         },
         known: usize::MAX,
         told: vec![member(2)],
@@ -127,8 +128,8 @@
             plan_age: Millis(0),
             endpoints: 1,
             endpoints_age: Millis(0),
-            withheld: true,
             evacuation: 1,
+            withheld: true,
         },
         known: 300,
         told: Vec::new(),
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -341,6 +341,7 @@
         slots: 8,
         leaving: false,
         reclaimable: false,
+        cold_for: Millis::ZERO,
     }
 }
 
@@ -396,6 +397,7 @@
                 connections: 100,
                 engine: None,
                 scaling: None,
+                cold_rate: None,
             },
             Service {
                 name: "model".to_owned(),
@@ -407,6 +409,7 @@
                     moves_prompts: false,
                 }),
                 scaling: None,
+                cold_rate: None,
             },
         ],
         workspaces: vec![Workspace {
--- a/crates/relay/tests/soak/rows.rs
+++ b/crates/relay/tests/soak/rows.rs
@@ -41,6 +41,7 @@
 mod tests {
     use rand::SeedableRng;
     use rand_chacha::ChaCha8Rng;
+    use woodgap_core::clock::Millis;
     use woodgap_core::name;
     use woodgap_core::relay::roster::Endpoint;
     use woodgap_relay::source::row::{Content, Row};
@@ -57,6 +58,7 @@
             slots: 8,
             leaving: false,
             reclaimable: false,
+            cold_for: Millis::ZERO,
         };
         let mut random = ChaCha8Rng::seed_from_u64(1);
         for _ in 0..300 {
--- a/crates/relay/tests/soak/world/members.rs
+++ b/crates/relay/tests/soak/world/members.rs
@@ -53,6 +53,7 @@
             slots: 8,
             leaving: false,
             reclaimable: false,
+            cold_for: Millis::ZERO,
         };
         self.list(&row).await;
         Member {
--- a/crates/relay/tests/soak/world/plan.rs
+++ b/crates/relay/tests/soak/world/plan.rs
@@ -62,6 +62,7 @@
             connections: 200,
             engine: None,
             scaling: None,
+            cold_rate: None,
         }],
         workspaces: vec![workspace("first", KEYS[0]), workspace("second", KEYS[1])],
         limits: plan::Limits::default(),
