A list of endpoints is taken in time that grows with its length, not with its square

Each known endpoint was looked up in the new list one by one.

No test fails first: what was wrong is a time, and tests here have no bounds in time. The model of the roster's tests covers what the list says.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -12,7 +12,7 @@
 //! program that does not tell its start. It is a life of its own beside those with one,
 //! and does not make an earlier start good again.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -280,12 +280,11 @@
         if revision < self.revision {
             return Vec::new();
         }
-        let known = self.endpoints.values();
-        let is_in_list = |id: &name::Endpoint| list.iter().any(|it| it.life.id == *id);
-        let listed = known.filter(|known| known.is_listed());
+        let in_list: HashSet<_> = list.iter().map(|it| &it.life.id).collect();
+        let listed = self.endpoints.values().filter(|known| known.is_listed());
         let missing = listed
             .map(|known| &known.endpoint.life.id)
-            .filter(|id| !is_in_list(id));
+            .filter(|id| !in_list.contains(id));
         let mut changes: Vec<_> = missing.cloned().map(Change::Missing).collect();
         let news = list.into_iter().filter(|endpoint| self.is_news(endpoint));
         changes.extend(news.map(Change::Listed));
