Endpoints of an evacuated data centre are given up once enough run elsewhere

They get nothing and were paid for until the evacuation ended. The next order comes only when all that is assured runs in the other data centres; the first order after the end is by price, as ever. Simulated: what the demand needs runs elsewhere from 6 s on, and none there after 26 s.

--- a/crates/core/src/relay/sizing.rs
+++ b/crates/core/src/relay/sizing.rs
@@ -122,6 +122,8 @@
     pub scaling: &'a Scaling,
     /// Endpoints that are ready.
     pub running: &'a Counts,
+    /// Those of data centres where nothing may be sent, which the scaling does not name.
+    pub idle: &'a Counts,
     /// How many endpoints its requests need at ease.
     pub demand: f64,
     /// How many times that is to be assured.
@@ -149,9 +151,22 @@
         let all = wanted
             .into_iter()
             .flat_map(|(at, count)| wishes(&at, count));
-        let due = all.filter(|wish| self.is_due(sight, wish, now));
+        let due = all.filter(|wish| self.is_due(sight.scaling, sight.running, wish, now));
         // What is added first, so that nothing is missing while what is too much leaves.
-        due.min_by_key(|wish| wish.count < running(sight, wish))
+        let next = due.min_by_key(|wish| wish.count < running(sight.running, wish));
+        next.or_else(|| self.release(sight, now))
+    }
+
+    /// Gives up endpoints that get nothing, once enough run elsewhere.
+    fn release(&self, sight: &Sight<'_>, now: Millis) -> Option<Wish> {
+        if assured(sight.running) < self.needed {
+            return None;
+        }
+        let places = sight.idle.keys();
+        let mut none = places.flat_map(|at| wishes(at, Count::default()));
+        none.find(|wish| {
+            running(sight.idle, wish) > 0 && self.is_due(sight.scaling, sight.idle, wish, now)
+        })
     }
 
     /// Notes that an order was taken.
@@ -293,12 +308,12 @@
 
     /// Whether an order is to be made: it differs from the last one, or that one had no effect.
     /// Small differences wait until no more come.
-    fn is_due(&self, sight: &Sight<'_>, wish: &Wish, now: Millis) -> bool {
+    fn is_due(&self, scaling: &Scaling, counts: &Counts, wish: &Wish, now: Millis) -> bool {
         let is_dry = self.dry.get(&wish.at).is_some_and(|until| now < *until);
         if wish.is_reclaimable && is_dry {
             return false;
         }
-        let running = running(sight, wish);
+        let running = running(counts, wish);
         let made = self.made.get(&(wish.at.clone(), wish.is_reclaimable));
         let last = made.map_or(running, |made| made.count);
         if wish.count != last {
@@ -306,7 +321,7 @@
             let is_large = difference > LARGE * f64::from(last);
             return is_large || now - self.changed >= SETTLED;
         }
-        let is_late = |made: &Made| now - made.at > sight.scaling.boot + LISTING;
+        let is_late = |made: &Made| now - made.at > scaling.boot + LISTING;
         wish.count > running && made.is_some_and(is_late)
     }
 }
@@ -346,8 +361,8 @@
     })
 }
 
-fn running(sight: &Sight<'_>, wish: &Wish) -> u32 {
-    let running = sight.running.get(&wish.at).copied().unwrap_or_default();
+fn running(counts: &Counts, wish: &Wish) -> u32 {
+    let running = counts.get(&wish.at).copied().unwrap_or_default();
     running.of(wish.is_reclaimable)
 }
 
--- a/crates/core/tests/relay/sizing.rs
+++ b/crates/core/tests/relay/sizing.rs
@@ -39,6 +39,8 @@
     groups: BTreeMap<(DataCentre, bool), Group>,
     now: Millis,
     dry_until: Millis,
+    /// Data centres where nothing may be sent.
+    evacuated: Vec<DataCentre>,
     orders: Vec<Millis>,
     refused: usize,
     /// Endpoints times ms, at their price.
@@ -59,6 +61,7 @@
             // All that runs at first has started long ago.
             now: Millis(100_000),
             dry_until: Millis::ZERO,
+            evacuated: Vec::new(),
             orders: Vec::new(),
             refused: 0,
             paid: 0.0,
@@ -97,11 +100,17 @@
 
     /// One look of whoever sizes the service.
     fn look(&mut self, sizing: &mut Sizing, demand: f64) {
-        let running = self.running();
-        let scaling = self.scaling.clone();
+        let mut running = self.running();
+        let mut scaling = self.scaling.clone();
+        let mut idle = Counts::new();
+        for at in &self.evacuated {
+            scaling.prices.remove(at);
+            idle.extend(running.remove_entry(at));
+        }
         let sight = Sight {
             scaling: &scaling,
             running: &running,
+            idle: &idle,
             demand,
             headroom: 1.3,
         };
@@ -334,3 +343,33 @@
         }
     }
 }
+
+/// What runs where nothing may be sent is replaced elsewhere first, then given up, and ordered
+/// again once that is over.
+#[rstest]
+#[case::reclaimable_ones_cost_little(Some(0.15))]
+#[case::only_kept_ones(None)]
+fn an_evacuated_data_centre_is_replaced_and_then_given_up(#[case] price: Option<f64>) {
+    let mut platform = Platform::new(scaling(price), 20);
+    let mut sizing = Sizing::default();
+    platform.run(&mut sizing, Millis(40_000), 40.0);
+    let place = DataCentre::from("a");
+    let here = |platform: &Platform| platform.running()[&place].all();
+    let elsewhere = |platform: &Platform| platform.total() - here(platform);
+    assert!(here(&platform) > 0);
+    platform.evacuated.push(place.clone());
+    // The time that an endpoint takes to start, and some looks.
+    platform.run(&mut sizing, Millis(6_000), 40.0);
+    assert!(elsewhere(&platform) >= 40, "{:?}", platform.running());
+    let until = platform.now + Millis(20_000);
+    while platform.now < until {
+        platform.look(&mut sizing, 40.0);
+        let running = platform.running();
+        assert!(elsewhere(&platform) >= 40, "{running:?}");
+    }
+    assert_eq!(here(&platform), 0);
+    platform.evacuated.clear();
+    platform.run(&mut sizing, Millis(30_000), 40.0);
+    assert!(here(&platform) > 0, "it is the cheapest");
+    assert!(assured(&platform.running()) >= 40);
+}
--- a/crates/relay/src/duties/scaling.rs
+++ b/crates/relay/src/duties/scaling.rs
@@ -57,12 +57,13 @@
             if limits.prices.is_empty() {
                 continue;
             }
-            let running = running(state, &service, &limits);
+            let (running, idle) = running(state, &service, &limits);
             let entries = state.fleet.borrow().size();
             let demand = state.loads.borrow().engines_needed(&service, entries, now);
             let sight = Sight {
                 scaling: &limits,
                 running: &running,
+                idle: &idle,
                 demand,
                 headroom,
             };
@@ -143,16 +144,20 @@
     scaled.map(outside).collect()
 }
 
-/// The endpoints of a service that are ready, also none, by data centre.
-fn running(state: &State, service: &str, limits: &Limits) -> Counts {
+/// The endpoints of a service that are ready, also none, by data centre: those that may be sent
+/// to, and those in data centres that are evacuated.
+fn running(state: &State, service: &str, limits: &Limits) -> (Counts, Counts) {
     let places = limits.prices.keys();
     let mut counts: Counts = places.map(|at| (at.clone(), Count::default())).collect();
     let roster = state.roster.borrow();
     let ready = roster
         .listed()
-        .filter(|it| it.service == service && !it.leaving)
-        .filter(|it| !state.evacuation.borrow().covers(&it.data_centre));
+        .filter(|it| it.service == service && !it.leaving);
+    let evacuation = state.evacuation.borrow();
+    let mut idle = Counts::new();
     for endpoint in ready {
+        let is_idle = evacuation.covers(&endpoint.data_centre);
+        let counts = if is_idle { &mut idle } else { &mut counts };
         let count = counts.entry(endpoint.data_centre.clone()).or_default();
         if endpoint.reclaimable {
             count.reclaimable += 1;
@@ -160,5 +165,5 @@
             count.kept += 1;
         }
     }
-    counts
+    (counts, idle)
 }
