Hundreds of changes of a large list are told as differences

Whoever lacked more than 64 changes got the whole list, whatever its length.

As many changes are kept now as half of the endpoints: to tell them takes less than the whole. The number follows the list, so it holds at any size; the test has 1,000, 10,000 and 20,000 (red before). Not kept for it: a revision with each endpoint, which forgets nothing, but needs to tell what was listed and removed between two lists; left for later.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -216,8 +216,10 @@
 /// row outlasts it, some seconds. In four plays of days with endpoints that start again at
 /// their old address the mean worth is 0.629 with this, 0.593 without.
 const AWAY: Millis = Millis(10_000);
-/// How many of the latest changes are kept.
-const MOST_RECENT: usize = 64;
+/// So many of the latest changes are kept at least, and as many as this part of the endpoints:
+/// telling them takes fewer bytes than the whole list does.
+const LEAST_RECENT: usize = 64;
+const RECENT_PART: usize = 2;
 
 /// One difference between two lists.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -332,7 +334,8 @@
                 taken.push((revision, change));
             }
         }
-        while self.recent.len() > MOST_RECENT {
+        let most = LEAST_RECENT.max(self.endpoints.len() / RECENT_PART);
+        while self.recent.len() > most {
             if let Some((revision, _)) = self.recent.pop_front() {
                 self.recent_after = revision;
             }
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -418,3 +418,24 @@
     feed(&mut roster, &[row(&listed)]);
     assert_eq!(usable(&roster, now), expected);
 }
+
+/// Hundreds of endpoints of a large list are replaced at once: whoever lacks that gets the
+/// differences, and not the whole list anew.
+#[rstest]
+#[case(1_000)]
+#[case(10_000)]
+#[case(20_000)]
+fn many_changes_of_a_large_list_are_told_as_differences(#[case] count: usize) {
+    let names: Vec<_> = (0..count).map(|at| format!("e{at}")).collect();
+    let list = names.iter().map(|name| endpoint(name));
+    let mut roster = roster(list.collect());
+    let replaced = names.iter().take(count / 8).zip(0..);
+    let changes = replaced.flat_map(|(name, at)| {
+        let gone = Change::Missing(name::Endpoint::from(name.as_str()));
+        let new = Change::Listed(endpoint(&format!("new-{at}")));
+        [(20 + 2 * at, gone), (21 + 2 * at, new)]
+    });
+    roster.apply(changes.collect(), Millis(5), Millis(5));
+    let told = roster.since(10).map(|it| it.len());
+    assert_eq!(told, Some(count / 8 * 2));
+}
