A list that takes long is fetched to its end, and few are sent at a time

An exchange ended after one second in all, and began anew; with 97 that ask each seed for a list of some hundred kB none was done in that time on a link of 20 Mbit/s. A test gives a list in twelve pieces over three seconds: it was never taken (stopped after five minutes), and is now.

An exchange ends when nothing comes or goes for a second, or after ten. Of whole lists four are sent at a time; whoever asks for a fifth is told nothing and asks one of those that have it. So the number that have the list doubles with each turn, where all shared one link before.

--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -16,11 +16,21 @@
 use crate::gossip::message::{FORM, Fetch, Fetched, Listed};
 use crate::state::State;
 
-/// The longest time for one exchange.
+/// How long nothing may come or go in an exchange.
 const TIMEOUT: Millis = Millis(1_000);
+/// The longest time for one exchange: a list of some 10,000 endpoints, over a link that hundreds of
+/// others want the same of.
+const LONGEST: Millis = Millis(10_000);
+/// So many bytes are read or written at once.
+const PIECE: usize = 16 * 1024;
 /// The largest message, in bytes: thousands of routes.
 const MOST_BYTES: u32 = 8 * 1024 * 1024;
 
+/// How many whole lists an entry sends at the same time, at most. Of hundreds that start together
+/// and ask the same few, those that have theirs soon give it to the others; else none is done
+/// before all are.
+const MOST_LISTS: usize = 4;
+
 /// How many entries are asked at the same time, at most.
 const MOST: usize = 3;
 /// After so long without an answer another entry is asked as well: the one asked may be
@@ -28,10 +38,13 @@
 /// it took 2.1 s with one question at a time.
 const PATIENCE: Millis = Millis(300);
 
-/// The questions to other entries that are under way.
+/// The questions to other entries that are under way, and the longest answers to theirs.
 #[derive(Debug, Default)]
 pub struct Fetches {
+    /// Whom, and when something last came from there.
     running: Vec<(SocketAddr, Millis)>,
+    /// How many whole lists this entry is sending.
+    sending: usize,
 }
 
 impl Fetches {
@@ -40,9 +53,42 @@
     pub fn may_begin(&self, from: SocketAddr, knows_all: bool, now: Millis) -> bool {
         let patience = if knows_all { PATIENCE } else { TIMEOUT };
         let is_free =
-            |(asked, began): &(SocketAddr, Millis)| *asked != from && now - *began >= patience;
+            |(asked, heard): &(SocketAddr, Millis)| *asked != from && now - *heard >= patience;
         self.running.len() < MOST && self.running.iter().all(is_free)
     }
+
+    /// Notes that something has come from an entry: no other one needs to be asked meanwhile.
+    fn came(&mut self, from: SocketAddr, now: Millis) {
+        let asked = self.running.iter_mut().find(|(asked, _)| *asked == from);
+        if let Some((_, heard)) = asked {
+            *heard = now;
+        }
+    }
+}
+
+/// A whole list that is being sent, for as long as it is.
+struct Sending {
+    state: Rc<State>,
+}
+
+impl Sending {
+    /// None while as many are sent as may be.
+    fn begin(state: &Rc<State>) -> Option<Self> {
+        let mut fetches = state.fetches.borrow_mut();
+        if fetches.sending >= MOST_LISTS {
+            return None;
+        }
+        fetches.sending += 1;
+        Some(Self {
+            state: Rc::clone(state),
+        })
+    }
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        self.state.fetches.borrow_mut().sending -= 1;
+    }
 }
 
 /// A question that is under way, for as long as it is.
@@ -87,8 +133,9 @@
         endpoints: state.roster.borrow().revision(),
         evacuation: state.evacuation.borrow().revision(),
     };
-    let limit = Duration::from_millis(TIMEOUT.0);
-    let fetched = match tokio::time::timeout(limit, ask(from, question)).await {
+    let came = || state.fetches.borrow_mut().came(from, state.now());
+    let limit = Duration::from_millis(LONGEST.0);
+    let fetched = match tokio::time::timeout(limit, ask(from, question, came)).await {
         Ok(Ok(fetched)) => fetched,
         Ok(Err(error)) => {
             log::info!(from = from.to_string(), error = error.to_string(); "nothing was fetched");
@@ -116,10 +163,10 @@
     }
 }
 
-async fn ask(from: SocketAddr, question: Fetch) -> io::Result<Fetched> {
-    let mut stream = TcpStream::connect(from).await?;
+async fn ask(from: SocketAddr, question: Fetch, came: impl Fn()) -> io::Result<Fetched> {
+    let mut stream = in_time(TcpStream::connect(from)).await?;
     write(&mut stream, &question).await?;
-    read(&mut stream).await
+    read(&mut stream, came).await
 }
 
 /// Answers other entries for as long as the process runs.
@@ -138,10 +185,11 @@
 }
 
 async fn answer(state: Rc<State>, mut stream: TcpStream) {
-    let limit = Duration::from_millis(TIMEOUT.0);
+    let limit = Duration::from_millis(LONGEST.0);
     let answering = async {
-        let question: Fetch = read(&mut stream).await?;
-        write(&mut stream, &newer(&state, question)).await
+        let question: Fetch = read(&mut stream, || {}).await?;
+        let (newer, _sending) = newer(&state, question);
+        write(&mut stream, &newer).await
     };
     match tokio::time::timeout(limit, answering).await {
         Ok(Ok(())) => {}
@@ -150,43 +198,70 @@
     }
 }
 
-fn newer(state: &State, question: Fetch) -> Fetched {
+/// What is newer than an entry has told. While too many others are sent whole lists, there is none
+/// in it: whoever asked hears of others that have it.
+fn newer(state: &Rc<State>, question: Fetch) -> (Fetched, Option<Sending>) {
     let knows = knowledge(state);
     let force = state.force.borrow();
     let has_newer = force.version() > question.plan;
     let plan = force.table().filter(|_| has_newer);
     let roster = state.roster.borrow();
     let has_newer = roster.revision() > question.endpoints;
-    let changes = roster.since(question.endpoints).map(Listed::Changes);
-    let all = || Listed::All(roster.listed().cloned().collect());
-    let endpoints = has_newer.then(|| changes.unwrap_or_else(all));
+    let changes = roster.since(question.endpoints).filter(|_| has_newer);
+    let sending = if has_newer && changes.is_none() {
+        Sending::begin(state)
+    } else {
+        None
+    };
+    let all = sending.as_ref();
+    let all = all.map(|_| Listed::All(roster.listed().cloned().collect()));
+    let endpoints = changes.map(Listed::Changes).or(all);
     let evacuation = state.evacuation.borrow();
     let has_newer = evacuation.revision() > question.evacuation;
-    Fetched {
+    let newer = Fetched {
         knows,
         plan: plan.map(|table| table.plan().clone()),
         endpoints,
         evacuation: has_newer.then(|| evacuation.clone()),
-    }
+    };
+    (newer, sending)
 }
 
 async fn write(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
     let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
-    stream.write_u8(FORM).await?;
-    stream.write_u32(length).await?;
-    stream.write_all(&bytes).await
+    in_time(stream.write_u8(FORM)).await?;
+    in_time(stream.write_u32(length)).await?;
+    for piece in bytes.chunks(PIECE) {
+        in_time(stream.write_all(piece)).await?;
+    }
+    Ok(())
 }
 
-async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
-    if stream.read_u8().await? != FORM {
+/// Reads a message; `came` is told of each piece.
+async fn read<T: DeserializeOwned>(stream: &mut TcpStream, came: impl Fn()) -> io::Result<T> {
+    if in_time(stream.read_u8()).await? != FORM {
         return Err(io::Error::other("the message has another form"));
     }
-    let length = stream.read_u32().await?;
+    let length = in_time(stream.read_u32()).await?;
     if length > MOST_BYTES {
         return Err(io::Error::other("the message is too large"));
     }
     let mut bytes = vec![0; usize::try_from(length).map_err(io::Error::other)?];
-    stream.read_exact(&mut bytes).await?;
+    let mut read = 0;
+    while read < bytes.len() {
+        match in_time(stream.read(&mut bytes[read..])).await? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            more => read += more,
+        }
+        came();
+    }
     postcard::from_bytes(&bytes).map_err(io::Error::other)
 }
+
+/// A step of an exchange, which must not stand still.
+async fn in_time<T>(step: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let limit = Duration::from_millis(TIMEOUT.0);
+    let step = tokio::time::timeout(limit, step).await;
+    step.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
--- a/crates/relay/tests/contract/silent_tellers.rs
+++ b/crates/relay/tests/contract/silent_tellers.rs
@@ -3,11 +3,14 @@
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::time::Duration;
 
 use serde::Serialize;
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::roster::{self, Change};
-use woodgap_relay::gossip::message::{self, FORM, Fetched, Knowledge, Listed, MOST_BYTES, Message};
+use woodgap_relay::gossip::message::{
+    self, FORM, Fetch, Fetched, Knowledge, Listed, MOST_BYTES, Message,
+};
 
 use crate::endpoint::{Endpoint, whole};
 use crate::peer;
@@ -16,6 +19,10 @@
 /// The revision at which the endpoint leaves; the relay's own source tells of an earlier one.
 const REVISION: u64 = 10;
 
+/// In so many pieces, so far apart, a list comes over a slow link.
+const PIECES: usize = 12;
+const PAUSE: Duration = Duration::from_millis(250);
+
 /// What the tellers know.
 const KNOWLEDGE: Knowledge = Knowledge {
     plan: 1,
@@ -94,24 +101,47 @@
 
     /// Gives the relay what it asks for, if it does.
     fn serve(&self, fetched: &Fetched) {
-        let Some(mut stream) = self.asked() else {
+        if let Some(mut stream) = self.question() {
+            write(&mut stream, fetched);
+        }
+    }
+
+    /// The same over a link on which it takes for long, but never stands still.
+    fn serve_slowly(&self, fetched: &Fetched) {
+        let Some(mut stream) = self.question() else {
             return;
         };
+        let framed = framed(fetched);
+        for piece in framed.chunks(framed.len().div_ceil(PIECES)) {
+            // The relay may have given up.
+            if stream.write_all(piece).is_err() {
+                return;
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+
+    /// A connection on which the relay has asked.
+    fn question(&self) -> Option<TcpStream> {
+        let mut stream = self.asked()?;
         stream.set_nonblocking(false).unwrap();
         let mut head = [0; 5];
         stream.read_exact(&mut head).unwrap();
         let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
         let mut question = vec![0; usize::try_from(length).unwrap()];
         stream.read_exact(&mut question).unwrap();
-        write(&mut stream, fetched);
+        Some(stream)
     }
 }
 
 fn write(stream: &mut TcpStream, message: &impl Serialize) {
+    stream.write_all(&framed(message)).unwrap();
+}
+
+fn framed(message: &impl Serialize) -> Vec<u8> {
     let bytes = postcard::to_stdvec(message).unwrap();
     let length = u32::try_from(bytes.len()).unwrap();
-    let framed = [&[FORM][..], &length.to_be_bytes(), &bytes].concat();
-    stream.write_all(&framed).unwrap();
+    [&[FORM][..], &length.to_be_bytes(), &bytes].concat()
 }
 
 /// Whether the relay has given up on a connection.
@@ -174,3 +204,66 @@
         knows
     });
 }
+
+/// A list that takes longer than an answer usually does is taken as long as it goes on coming:
+/// to give it up and begin anew would bring nothing, however often.
+#[test]
+fn a_list_that_comes_slowly_is_taken() {
+    let (site, _server, mut fetched) = scene();
+    let listed = (0..400).map(|at| endpoint(at, ([10, 0, 0, 1], 80).into()));
+    fetched.endpoints = Some(Listed::All(listed.collect()));
+    let live = Other::start("live");
+    until(|| {
+        live.tell(site.peer);
+        live.hear(site.peer, true);
+        live.serve_slowly(&fetched);
+        live.heard.get() >= REVISION
+    });
+}
+
+/// Connections on which nobody reads, each with a question for the whole list.
+fn unread(site: &Site, count: usize) -> Vec<TcpStream> {
+    let asking = (0..count).map(|_| {
+        let mut stream = TcpStream::connect(site.peer).unwrap();
+        write(&mut stream, &NOTHING);
+        stream
+    });
+    asking.collect()
+}
+
+/// What an entry asks that has just started.
+const NOTHING: Fetch = Fetch {
+    plan: 0,
+    endpoints: 0,
+    evacuation: 0,
+};
+
+fn answer(stream: &mut TcpStream) -> Fetched {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).unwrap();
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
+    let mut bytes = vec![0; usize::try_from(length).unwrap()];
+    stream.read_exact(&mut bytes).unwrap();
+    postcard::from_bytes(&bytes).unwrap()
+}
+
+/// Of many that ask for a long list at once, the first few get it whole; the others are told to
+/// ask elsewhere, and get it once those are done.
+#[test]
+fn a_long_list_is_sent_to_few_at_a_time() {
+    let server = Endpoint::always(vec![whole("yes")]);
+    let told = source(&[server.address]);
+    // More than what is under way on a connection holds.
+    let listed = (1..300_000).map(|at| endpoint(at, ([10, 0, 0, 1], 80).into()));
+    told.0.lock().unwrap().endpoints.extend(listed);
+    let site = Site::with_trust("dub-a-1", "\"revoke_ms\": 60000", told);
+    site.until_ready();
+    let held = unread(&site, 4);
+    let ask = || {
+        let mut stream = unread(&site, 1).remove(0);
+        answer(&mut stream).endpoints
+    };
+    until(|| ask().is_none());
+    drop(held);
+    until(|| ask().is_some());
+}
