The port of an endpoint that is gone stays its own for the whole test

By reading: the site dropped the sockets of endpoints written by hand once it had started, so the port was free and the stand-in of another test, one that answers garbage, got it. The site keeps them now; what the test asks is unchanged.

--- a/crates/entry/tests/contract/site.rs
+++ b/crates/entry/tests/contract/site.rs
@@ -31,6 +31,8 @@
     pub entry: Entry,
     /// Engines and plain services.
     pub endpoints: Vec<Stand>,
+    /// Their ports are theirs for as long as the site runs.
+    _raw: Vec<Raw>,
     client: Client,
     platform: Stand,
     identities: Cell<u32>,
@@ -98,6 +100,7 @@
         let site = Self {
             entry: Entry::logged(Path::new(ENTRY), &settings(&platform, &plan.settings)),
             endpoints: plan.endpoints,
+            _raw: plan.raw,
             client: Client::builder()
                 .connector(connect::strict())
                 .timeout(STUCK)
