--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -38,7 +38,7 @@
     /// let entries: Vec<_> = (0..60).map(|it| name::Entry::from(format!("e-{it}"))).collect();
     /// let endpoint = name::Life::from(name::Endpoint::from("i-1"));
     /// let sector = |own: &name::Entry| {
-    ///     Arc::new(own, entries.iter().filter(|it| *it != own), 8)
+    ///     Sector::new(own, entries.iter().filter(|it| *it != own), 8)
     /// };
     /// let senders = entries.iter().filter(|it| sector(it).holds(&endpoint));
     /// assert_eq!(senders.count(), 8);
