--- a/crates/core/src/relay/duty.rs
+++ b/crates/core/src/relay/duty.rs
@@ -101,6 +101,14 @@
 }
 
 /// Whether an entry that has run for so long knows nearly all of the fleet.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::relay::duty::is_settled;
+///
+/// assert!(!is_settled(Millis(2_999)));
+/// assert!(is_settled(Millis(3_000)));
+/// ```
 pub fn is_settled(life: Millis) -> bool {
     life >= SETTLED
 }
--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -96,6 +96,19 @@
 }
 
 /// The requests that this entry has sent to cold endpoints.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::name;
+/// use woodgap_core::relay::warming::Sent;
+///
+/// let endpoint = name::Life::from(name::Endpoint::from("i-1"));
+/// let mut sent = Sent::default();
+/// sent.note(&endpoint, Millis(0));
+/// assert!(!sent.may_send(&endpoint, 1, Millis(1_000)));
+/// assert!(sent.may_send(&endpoint, 2, Millis(1_000)));
+/// assert!(sent.may_send(&endpoint, 1, Millis(1_100)));
+/// ```
 #[derive(Debug, Default)]
 pub struct Sent {
     endpoints: HashMap<name::Life, VecDeque<Millis>>,
