Read once more: one way to take evacuations, one rule for what operators' news are, less to hold

No change of behaviour. Found by reading the whole change: - an evacuation from another entry was taken by a twin of the function for the platform's; - both sources asked by a copy of the same lines whether an answer says anything: Operators::news; - whether an endpoint is cold was looked up twice for each where one was, with the whole list walked first: once now, in the same order, and the entry's share is found out only if needed; - the part of the ring kept a flag and a start that follow from one span; - what an entry lacks of the list is decided in one function with early returns, where a version was compared in three lines of one name; a service without a data centre left is dropped where the services are listed. The module on cold endpoints tells no longer what was weighed: docs/design/newcomers.md does.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -1,6 +1,6 @@
 //! What the list of endpoints costs an entry: memory, and time for each list and choice.
 //!
-//! Each size is measured in a process of its own, since the peak of memory is a process's:
+//! Each size has a process of its own, since the peak of memory is a process's:
 //!
 //!     cargo bench -p woodgap-core --bench fleet [-- ENDPOINTS...]
 
--- a/crates/core/src/relay/engine/part.rs
+++ b/crates/core/src/relay/engine/part.rs
@@ -60,7 +60,7 @@
     /// plain service, of which it is not known what it needs. So many entries share the demand.
     pub fn in_use<'e>(
         &mut self,
-        mut endpoints: Vec<&'e Endpoint>,
+        endpoints: Vec<&'e Endpoint>,
         ask: &Ask<'_>,
         entries: usize,
         now: Millis,
@@ -75,13 +75,15 @@
         let needed = self.engines_needed(&service, entries, now);
         let part = self.parts.entry(service).or_insert_with(|| Part::new(now));
         let count = part.settle(needed, now);
-        if count < endpoints.len() {
-            let place = |it: &&Endpoint| tidings::life_hash(&it.life);
-            let mut placed: Vec<_> = endpoints.iter().map(|it| (place(it), *it)).collect();
-            placed.select_nth_unstable_by_key(count, |(place, _)| *place);
-            endpoints.clear();
-            endpoints.extend(placed[..count].iter().map(|(_, engine)| *engine));
+        if count >= endpoints.len() {
+            return endpoints;
         }
-        endpoints
+        let placed = endpoints.into_iter();
+        let mut placed: Vec<_> = placed
+            .map(|it| (tidings::life_hash(&it.life), it))
+            .collect();
+        placed.select_nth_unstable_by_key(count, |(place, _)| *place);
+        placed.truncate(count);
+        placed.into_iter().map(|(_, engine)| engine).collect()
     }
 }
--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -5,8 +5,7 @@
 //! sees only its own requests. So the requests of each cold endpoint come from a few entries:
 //! as many as it bears requests in a second, each with one in a second. They are those next
 //! to it on a ring of hashes, so that entries that know the fleet differently differ only in
-//! who is next to a missing one. Weighed: a share for every entry, which would be one request
-//! in seconds at each, and draws, whose sum exceeds the bound by chance.
+//! who is next to a missing one.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -18,13 +17,13 @@
 /// apart on arrival than they were on sending.
 const SPAN: Millis = Millis(1_100);
 
-/// The part of the ring whose cold endpoints an entry may send to, from where to where; the
-/// whole ring where all entries may.
+/// The part of the ring whose cold endpoints an entry may send to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sector {
-    after: u64,
+    /// Where it ends: at the entry itself.
     through: u64,
-    is_whole: bool,
+    /// How long it is; none for the whole ring, where all entries may.
+    span: Option<u64>,
 }
 
 impl Sector {
@@ -50,26 +49,17 @@
     ) -> Self {
         let through = point(own);
         let mut before: Vec<_> = others.map(|it| through.wrapping_sub(point(it))).collect();
-        let is_whole = before.len() < senders;
-        let after = if is_whole {
-            through
-        } else {
+        let span = (before.len() >= senders).then(|| {
             let (_, span, _) = before.select_nth_unstable(senders.max(1) - 1);
-            through.wrapping_sub(*span)
-        };
-        Self {
-            after,
-            through,
-            is_whole,
-        }
+            *span
+        });
+        Self { through, span }
     }
 
     /// Whether an endpoint lies in it.
     pub fn holds(&self, endpoint: &name::Life) -> bool {
-        let from_start = tidings::life_hash(endpoint).wrapping_sub(self.after);
-        let length = self.through.wrapping_sub(self.after);
-        // The start itself belongs to the entry before.
-        self.is_whole || (from_start > 0 && from_start <= length)
+        let to_end = self.through.wrapping_sub(tidings::life_hash(endpoint));
+        self.span.is_none_or(|span| to_end < span)
     }
 }
 
--- a/crates/relay/src/duties/scaling.rs
+++ b/crates/relay/src/duties/scaling.rs
@@ -54,9 +54,6 @@
             self.summarised = now;
         }
         for (service, limits) in services {
-            if limits.prices.is_empty() {
-                continue;
-            }
             let (running, idle) = running(state, &service, &limits);
             let entries = state.fleet.borrow().size();
             let demand = state.loads.borrow().engines_needed(&service, entries, now);
@@ -141,7 +138,10 @@
         limits.prices.retain(|at, _| !evacuation.covers(at));
         (name, limits)
     };
-    scaled.map(outside).collect()
+    let scaled = scaled.map(outside);
+    scaled
+        .filter(|(_, limits)| !limits.prices.is_empty())
+        .collect()
 }
 
 /// The endpoints of a service that are ready, also none, by data centre: those that may be sent
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -11,7 +11,7 @@
 use woodgap_core::relay::duty::{self, Duty, LOOK, Subject};
 use woodgap_core::relay::force::Offer;
 use woodgap_core::relay::roster::{Change, Endpoint};
-use woodgap_core::relay::{Evacuation, Plan, Table};
+use woodgap_core::relay::{Plan, Table};
 
 use crate::source::row::{Content, Faults, Row};
 use crate::source::{Endpoints, Error, Evacuations, News, Operators, Plans};
@@ -52,13 +52,10 @@
                 }
                 cursor = Some(news.cursor);
                 let as_of = dating.date(asked, news.made, state.now());
-                let (plans, evacuations) = match news.content {
-                    Some(Operators { plans, evacuations }) => (plans, evacuations),
-                    None => (Plans::new(), None),
-                };
+                let Operators { plans, evacuations } = news.content.unwrap_or_default();
                 // First, so that no plan is in force without them.
                 if let Some(evacuations) = evacuations {
-                    take_evacuations(&state, evacuations);
+                    take_evacuations(&state, evacuations, "platform");
                 }
                 tell_plans(&plans, &mut told, &state);
                 take_newest(&state, plans, as_of);
@@ -93,7 +90,8 @@
     }
 }
 
-fn take_evacuations(state: &State, evacuations: Evacuations) {
+/// Takes the data centres that are evacuated, or what has changed of them.
+pub fn take_evacuations(state: &State, evacuations: Evacuations, source: &str) {
     let mut known = state.evacuation.borrow_mut();
     let is_news = match evacuations {
         Evacuations::All(whole) => known.replace(whole),
@@ -101,15 +99,7 @@
     };
     drop(known);
     if is_news {
-        tell_evacuation(state, "platform");
-    }
-}
-
-/// Takes the data centres that are evacuated, as another entry knows them.
-pub fn take_evacuation(state: &State, evacuation: Evacuation) {
-    let is_news = state.evacuation.borrow_mut().replace(evacuation);
-    if is_news {
-        tell_evacuation(state, "entry");
+        tell_evacuation(state, source);
     }
 }
 
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -14,6 +14,7 @@
 use crate::follow;
 use crate::gossip::exchange::knowledge;
 use crate::gossip::message::{FORM, Fetch, Fetched, Listed};
+use crate::source::Evacuations;
 use crate::state::State;
 
 /// How long nothing may come or go in an exchange.
@@ -148,7 +149,7 @@
     };
     let knows = fetched.knows;
     if let Some(evacuation) = fetched.evacuation {
-        follow::take_evacuation(state, evacuation);
+        follow::take_evacuations(state, Evacuations::All(evacuation), "entry");
     }
     if let Some(plan) = fetched.plan {
         follow::take_plan(state, plan, asked - knows.plan_age, "entry");
@@ -198,24 +199,13 @@
     }
 }
 
-/// What is newer than an entry has told. While too many others are sent whole lists, there is none
-/// in it: whoever asked hears of others that have it.
+/// What is newer than an entry has told, and what is held for as long as that is sent.
 fn newer(state: &Rc<State>, question: Fetch) -> (Fetched, Option<Sending>) {
     let knows = knowledge(state);
     let force = state.force.borrow();
     let has_newer = force.version() > question.plan;
     let plan = force.table().filter(|_| has_newer);
-    let roster = state.roster.borrow();
-    let has_newer = roster.revision() > question.endpoints;
-    let changes = roster.since(question.endpoints).filter(|_| has_newer);
-    let sending = if has_newer && changes.is_none() {
-        Sending::begin(state)
-    } else {
-        None
-    };
-    let all = sending.as_ref();
-    let all = all.map(|_| Listed::All(roster.listed().cloned().collect()));
-    let endpoints = changes.map(Listed::Changes).or(all);
+    let (endpoints, sending) = lacking(state, question.endpoints);
     let evacuation = state.evacuation.borrow();
     let has_newer = evacuation.revision() > question.evacuation;
     let newer = Fetched {
@@ -227,6 +217,21 @@
     (newer, sending)
 }
 
+/// The endpoints that an entry lacks which knows this revision. While too many others are sent
+/// whole lists, it gets none: it hears of others that have it.
+fn lacking(state: &Rc<State>, revision: u64) -> (Option<Listed>, Option<Sending>) {
+    let roster = state.roster.borrow();
+    if roster.revision() <= revision {
+        return (None, None);
+    }
+    if let Some(changes) = roster.since(revision) {
+        return (Some(Listed::Changes(changes)), None);
+    }
+    let sending = Sending::begin(state);
+    let all = || Listed::All(roster.listed().cloned().collect());
+    (sending.is_some().then(all), sending)
+}
+
 async fn write(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
     let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -1,5 +1,6 @@
 //! Carries a request to its end, over as many attempts as it may have.
 
+use std::cell::LazyCell;
 use std::rc::Rc;
 
 use actix_http::Request;
@@ -146,14 +147,15 @@
         return Err(Problem::not_run(Code::Overloaded, message).retry_after(WARMING));
     }
     let entries = state.fleet.borrow().size();
-    let in_use = (state.loads.borrow_mut()).in_use(usable, &request.ask(), entries, now);
+    let mut loads = state.loads.borrow_mut();
+    let in_use = loads.in_use(usable, &request.ask(), entries, now);
     let limit = connection_limit(state, request);
     let open: Vec<_> = in_use
         .into_iter()
         .filter(|endpoint| !attempts.tried.contains(&endpoint.life))
         .filter(|endpoint| state.pool.borrow().busy(&endpoint.life) < limit)
         .collect();
-    let choice = state.loads.borrow_mut().choose(&open, &request.ask(), now);
+    let choice = loads.choose(&open, &request.ask(), now);
     let missing = || {
         let message = format!("no endpoint of `{}` can be reached", request.service.name);
         Problem::not_run(Code::NoEndpoint, message).retry_after(NO_ENDPOINT)
@@ -181,18 +183,21 @@
     usable: Vec<&'e Endpoint>,
     now: Millis,
 ) -> Vec<&'e Endpoint> {
-    let roster = state.roster.borrow();
-    let is_cold = |endpoint: &&Endpoint| roster.is_cold(&endpoint.life, now);
-    let rate = request.service.cold_rate;
-    let Some(rate) = rate.filter(|_| usable.iter().any(is_cold)) else {
+    let Some(rate) = request.service.cold_rate else {
         return usable;
     };
-    let (sector, each) = state.fleet.borrow().warming(rate);
+    let roster = state.roster.borrow();
     let warmed = state.warmed.borrow();
-    let is_own = |life: &name::Life| duty::is_settled(state.life()) && sector.holds(life);
+    let is_settled = duty::is_settled(state.life());
+    // Asked for only once there is a cold one.
+    let share = LazyCell::new(|| state.fleet.borrow().warming(rate));
     let may_send = |endpoint: &&Endpoint| {
         let life = &endpoint.life;
-        !is_cold(endpoint) || (is_own(life) && warmed.may_send(life, each, now))
+        if !roster.is_cold(life, now) {
+            return true;
+        }
+        let (sector, each) = &*share;
+        is_settled && sector.holds(life) && warmed.may_send(life, *each, now)
     };
     usable.into_iter().filter(may_send).collect()
 }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -60,7 +60,7 @@
 pub type Plans = Vec<Row<Plan>>;
 
 /// What operators say.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operators {
     /// The configurations that are new.
     pub plans: Plans,
@@ -68,6 +68,14 @@
     pub evacuations: Option<Evacuations>,
 }
 
+impl Operators {
+    /// What is said, if anything is.
+    pub fn news(self) -> Option<Self> {
+        let has_news = !self.plans.is_empty() || self.evacuations.is_some();
+        has_news.then_some(self)
+    }
+}
+
 /// Data centres that are evacuated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Evacuations {
--- a/crates/relay/src/source/own.rs
+++ b/crates/relay/src/source/own.rs
@@ -64,10 +64,9 @@
             plans: plan.iter().map(decoded).collect(),
             evacuations: evacuation.as_ref().and_then(evacuated),
         };
-        let has_news = !operators.plans.is_empty() || operators.evacuations.is_some();
         Ok(News {
             cursor,
-            content: has_news.then_some(operators),
+            content: operators.news(),
             made: None,
         })
     }
