Entries keep the others' clocks only where there are duties

Each message put its reading into a map and walked over all of them, some 40 messages a second and as many readings as there are entries, also on deployments without duties, where nothing asks for the agreed time: 'State::unix' is called for counting use, settling and reporting alone. By reading; not measured. With duties nothing changes, so the walk for each message stays there: it grows with the entries (see docs/design/fleet.md, what binds).

--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -309,7 +309,8 @@
             let mut loads = self.state.loads.borrow_mut();
             loads.tell(&message.from.name, &message.tidings, now);
         }
-        {
+        // Only the duties go by the time on which entries agree.
+        if self.state.settings.duties.is_some() {
             let own = self.state.clock.unix();
             let mut readings = self.state.readings.borrow_mut();
             readings.told(&message.from.name, message.unix, own, now);
