What is done for each message of another entry no longer walks over all entries

Cause: for each message an entry counted how many others it knows, nearby and far (Fleet::sizes, for the patience of each), counted all that answer to see whether the sender is a newcomer, and collected and rotated all that answer to tell of one of them. That is entries times messages, at the fleet's size some 40 messages a second, and at a return of all a thousand in two seconds.

Change: the number of known entries is kept; a newcomer is looked for only among fleets where one may be; entries are told of in the order of names, from the one told last on.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +79,8 @@
     data_centre: name::DataCentre,
     round: Millis,
     members: BTreeMap<name::Entry, (Member, Heard)>,
+    /// How many of them there are: asked for with each message.
+    sizes: Split<usize>,
     /// The most entries that were ever known at once, the own one included.
     largest: usize,
     /// Whose turn it is, by counts of those that were asked.
@@ -98,6 +101,14 @@
     fn of(self, is_near: bool) -> T {
         if is_near { self.near } else { self.far }
     }
+
+    fn of_mut(&mut self, is_near: bool) -> &mut T {
+        if is_near {
+            &mut self.near
+        } else {
+            &mut self.far
+        }
+    }
 }
 
 impl Split<usize> {
@@ -151,6 +162,7 @@
             data_centre,
             round,
             members: BTreeMap::new(),
+            sizes: Split { near: 0, far: 0 },
             largest: 1,
             next,
             farewells: 0,
@@ -199,7 +211,13 @@
     }
 
     fn know(&mut self, member: Member, heard: Heard) {
-        self.members.insert(member.name.clone(), (member, heard));
+        let is_near = self.is_near(&member);
+        let known = self.members.insert(member.name.clone(), (member, heard));
+        if let Some((before, _)) = known {
+            let was_near = self.is_near(&before);
+            *self.sizes.of_mut(was_near) -= 1;
+        }
+        *self.sizes.of_mut(is_near) += 1;
         self.largest = self.largest.max(self.size());
     }
 
@@ -207,7 +225,7 @@
     /// were never heard.
     pub fn round(&mut self, now: Millis) -> Vec<SocketAddr> {
         self.forget(now);
-        let asked = self.sizes().asked();
+        let asked = self.sizes.asked();
         let mut to = self.turn(true, asked.near);
         to.extend(self.turn(false, asked.far));
         let unheard = self.members.values();
@@ -263,7 +281,7 @@
     }
 
     fn forget(&mut self, now: Millis) {
-        let turns = self.sizes().turns();
+        let turns = self.sizes.turns();
         let longest =
             |turns: u64| Millis(self.round.0 * FORGOTTEN_ROUNDS.max(FORGOTTEN_TURNS * turns));
         let longest = Split {
@@ -271,8 +289,12 @@
             far: longest(turns.far),
         };
         let own = &self.data_centre;
+        let sizes = &mut self.sizes;
         self.members.retain(|_, (member, heard)| {
-            now - heard.known < longest.of(member.data_centre == *own)
+            let is_near = member.data_centre == *own;
+            let stays = now - heard.known < longest.of(is_near);
+            *sizes.of_mut(is_near) -= usize::from(!stays);
+            stays
         });
     }
 
@@ -280,17 +302,9 @@
         member.data_centre == self.data_centre
     }
 
-    /// How many are known.
-    fn sizes(&self) -> Split<usize> {
-        let members = self.members.values();
-        let near = members.filter(|(member, _)| self.is_near(member)).count();
-        let far = self.members.len() - near;
-        Split { near, far }
-    }
-
     /// How long an entry may be silent: the more there are, the rarer each is asked.
     fn patience(&self) -> Split<Millis> {
-        let turns = self.sizes().turns();
+        let turns = self.sizes.turns();
         let patience = |turns: u64| Millis(self.round.0 * (MISSED_ROUNDS + turns - 1));
         Split {
             near: patience(turns.near),
@@ -314,24 +328,38 @@
     pub fn answering(&self, now: Millis) -> impl Iterator<Item = &Member> {
         let patience = self.patience();
         let all = self.members.values();
-        all.filter(move |(member, heard)| {
-            heard.within(patience.of(self.is_near(member)), now) && !member.stopping
-        })
-        .map(|(member, _)| member)
+        all.filter(move |known| self.answers(known, patience, now))
+            .map(|(member, _)| member)
     }
 
-    /// All other answering entries, in turns: from the place given on, and around.
-    pub fn answering_from(&self, place: usize, now: Millis) -> Vec<&Member> {
-        let mut answering: Vec<_> = self.answering(now).collect();
-        let first = place % answering.len().max(1);
-        answering.rotate_left(first);
-        answering
+    fn answers(&self, known: &(Member, Heard), patience: Split<Millis>, now: Millis) -> bool {
+        let (member, heard) = known;
+        heard.within(patience.of(self.is_near(member)), now) && !member.stopping
+    }
+
+    /// All other answering entries, in turns: from the one after `last` on, and around.
+    pub fn answering_after<'a>(
+        &'a self,
+        last: Option<&'a name::Entry>,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a Member> {
+        let after = last.map_or(Bound::Unbounded, Bound::Excluded);
+        let before = last.map(|last| self.members.range::<name::Entry, _>(..=last));
+        let from_last = self
+            .members
+            .range::<name::Entry, _>((after, Bound::Unbounded));
+        let turns = from_last.chain(before.into_iter().flatten());
+        let patience = self.patience();
+        let all = turns.map(|(_, known)| known);
+        all.filter(move |known| self.answers(known, patience, now))
+            .map(|(member, _)| member)
     }
 
     /// Whether one that knows so many entries lacks many of those that answer this one.
     pub fn is_newcomer(&self, known: usize, now: Millis) -> bool {
-        let answering = self.answering(now).count();
-        (known as f64) < NEWCOMER_PART * answering as f64
+        let lacks = |of: usize| (known as f64) < NEWCOMER_PART * of as f64;
+        // No more answer than are known, and these need not be counted.
+        lacks(self.members.len()) && lacks(self.answering(now).count())
     }
 
     /// The other entries that answer and take requests.
@@ -360,7 +388,7 @@
         let heard: Vec<_> = heard.map(|(member, _)| self.is_near(member)).collect();
         let near = heard.iter().filter(|is_near| **is_near).count();
         let far = heard.len() - near;
-        let (sizes, asked) = (self.sizes(), self.sizes().asked());
+        let (sizes, asked) = (self.sizes, self.sizes.asked());
         let near = within_reach(near, asked.near, sizes.near);
         let far = within_reach(far, asked.far, sizes.far);
         // Not more than a few times what is known.
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -224,6 +224,25 @@
     assert!(!fleet.is_newcomer(1, Millis(60_000)));
 }
 
+/// Others are told of in turns, each as often as the next, also while some come and go.
+#[test]
+fn entries_are_told_of_in_turns() {
+    let mut fleet = fleet();
+    for name in ["e1", "e2", "e3"] {
+        fleet.heard(in_data_centre(name, "dub-a", 1), Millis(0));
+    }
+    let next = |fleet: &Fleet, last: Option<&str>| {
+        let last = last.map(name::Entry::from);
+        let next = fleet.answering_after(last.as_ref(), Millis(0));
+        next.map(|it| it.name.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(next(&fleet, None), ["e1", "e2", "e3"]);
+    assert_eq!(next(&fleet, Some("e1")), ["e2", "e3", "e1"]);
+    assert_eq!(next(&fleet, Some("e3")), ["e1", "e2", "e3"]);
+    // One that is gone keeps its place among the names.
+    assert_eq!(next(&fleet, Some("e15")), ["e2", "e3", "e1"]);
+}
+
 /// Where few are nearby, the rest of a round goes elsewhere.
 #[test]
 fn a_round_that_needs_few_nearby_asks_others_elsewhere() {
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod plan;
 mod prefix;
 mod rest;
+mod returning;
 mod roster;
 mod shutdown;
 mod sizing;
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -40,7 +40,7 @@
         socket,
         asked: HashMap::new(),
         next: rand::random(),
-        told_next: 0,
+        told_last: None,
         newcomers: 0,
         stopping: Vec::new(),
         summarised: Millis::ZERO,
@@ -80,7 +80,8 @@
     /// When each question was sent.
     asked: HashMap<u64, Millis>,
     next: u64,
-    told_next: usize,
+    /// Of whom others were told last.
+    told_last: Option<name::Entry>,
     /// Entries that answer since the last summary.
     newcomers: usize,
     /// Entries that have said since the last summary that they stop.
@@ -206,10 +207,11 @@
     fn told(&mut self) -> Vec<Member> {
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
-        let answering = fleet.answering_from(self.told_next, now);
-        let told = answering.into_iter().take(USUALLY_TOLD);
-        let told: Vec<_> = told.cloned().collect();
-        self.told_next = self.told_next.wrapping_add(told.len());
+        let answering = fleet.answering_after(self.told_last.as_ref(), now);
+        let told: Vec<_> = answering.take(USUALLY_TOLD).cloned().collect();
+        if let Some(last) = told.last() {
+            self.told_last = Some(last.name.clone());
+        }
         told
     }
 
@@ -218,15 +220,15 @@
     fn introduce(&mut self, answer: &mut Message, newcomer: &Member) {
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
-        let mut others = fleet.answering_from(self.told_next, now);
-        others.retain(|it| it.name != newcomer.name);
+        let others = fleet.answering_after(self.told_last.as_ref(), now);
+        let mut others: Vec<_> = others.filter(|it| it.name != newcomer.name).collect();
         others.sort_by_key(|it| it.data_centre != newcomer.data_centre);
-        let before = answer.told.len();
         if let Err(error) = message::fill(answer, &others) {
             log::debug!(error = error.to_string(); "an entry can't be told of");
         }
-        let more = answer.told.len() - before;
-        self.told_next = self.told_next.wrapping_add(more);
+        if let Some(last) = answer.told.last() {
+            self.told_last = Some(last.name.clone());
+        }
     }
 
     fn send(&self, message: &Message, address: SocketAddr) {
