--- a/crates/core/tests/relay/outage.rs
+++ b/crates/core/tests/relay/outage.rs
@@ -255,7 +255,8 @@
     }
 }
 
-fn member(at: usize) -> Member {
+/// An entry by its number, which is the port of its address too; in five data centres.
+pub fn member(at: usize) -> Member {
     let port = u16::try_from(at).expect("a small fleet");
     Member {
         name: name::Entry::from(format!("entry-{at:03}")),
--- a/crates/core/tests/relay/returning.rs
+++ b/crates/core/tests/relay/returning.rs
@@ -11,6 +11,8 @@
 use woodgap_core::relay::duty::{self, Duty, Knows, LOOK, Standing, Subject};
 use woodgap_core::relay::fleet::{Fleet, Member};
 
+use crate::outage::member;
+
 /// The time between two rounds of messages, and of an entry that knows nothing yet.
 const ROUNDS: (u64, u64) = (300, 50);
 /// A step of the simulation; a message takes one.
@@ -287,20 +289,6 @@
     usize::from(member.peer.port())
 }
 
-fn member(at: usize) -> Member {
-    let port = u16::try_from(at).expect("a small fleet");
-    Member {
-        name: name::Entry::from(format!("entry-{at:03}")),
-        incarnation: name::Incarnation(1),
-        peer: ([10, 0, 0, 1], port).into(),
-        front: ([10, 0, 0, 1], 80).into(),
-        data_centre: name::DataCentre::from(format!("dub-{}", at % 5)),
-        stopping: false,
-        ready: true,
-        reaches_platform: true,
-    }
-}
-
 /// Two seconds after the entries that others ask first are back, each knows all endpoints.
 #[rstest]
 #[case::tens(Size { entries: 30, endpoints: 300, page: 50, calls: 2_000 })]
