Newcomers of each data centre are told of all there by and by

Cause, found on reading the change before: who is told of was kept as one cursor by name, also for newcomers, who are told of those of their own data centre first. Newcomers of several data centres that come in turn moved it to and fro, so that each was told of the same first sixteen nearby.

Change: one cursor for each data centre's newcomers; who is told of is decided in core::relay::fleet.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -355,6 +355,20 @@
             .map(|(member, _)| member)
     }
 
+    /// Whom a newcomer is told of, the first ones first: those of its own data centre, from the
+    /// one on that comes after the `last` of whom newcomers there were told.
+    pub fn introduction<'a>(
+        &'a self,
+        newcomer: &Member,
+        last: Option<&'a name::Entry>,
+        now: Millis,
+    ) -> Vec<&'a Member> {
+        let others = self.answering_after(last, now);
+        let mut others: Vec<_> = others.filter(|it| it.name != newcomer.name).collect();
+        others.sort_by_key(|it| it.data_centre != newcomer.data_centre);
+        others
+    }
+
     /// Whether one that knows so many entries lacks many of those that answer this one.
     pub fn is_newcomer(&self, known: usize, now: Millis) -> bool {
         let lacks = |of: usize| (known as f64) < NEWCOMER_PART * of as f64;
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -1,5 +1,7 @@
 //! What an entry knows of the others.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
@@ -243,6 +245,31 @@
     assert_eq!(next(&fleet, Some("e15")), ["e2", "e3", "e1"]);
 }
 
+/// Newcomers of several data centres come in turn, and each is told of three: those of one data
+/// centre hear of all there by and by, whatever the others were told of meanwhile.
+#[test]
+fn newcomers_of_each_data_centre_hear_of_all_there() {
+    let mut fleet = fleet();
+    let data_centres = ["dub-a", "dub-b"];
+    for (index, data_centre) in (0..24_u16).zip(data_centres.into_iter().cycle()) {
+        let name = format!("{data_centre}-{index:02}");
+        fleet.heard(in_data_centre(&name, data_centre, index), Millis(0));
+    }
+    let mut introduced = BTreeMap::new();
+    let mut told = BTreeSet::new();
+    for (index, data_centre) in (100..108).zip(data_centres.into_iter().cycle()) {
+        let newcomer = in_data_centre("new", data_centre, index);
+        let last: Option<&name::Entry> = introduced.get(data_centre);
+        let others = fleet.introduction(&newcomer, last, Millis(0));
+        let others: Vec<_> = others.into_iter().take(3).cloned().collect();
+        let is_near = |it: &Member| it.data_centre == newcomer.data_centre;
+        assert!(others.iter().all(is_near));
+        introduced.insert(data_centre, others[2].name.clone());
+        told.extend(others.into_iter().map(|it| it.name));
+    }
+    assert_eq!(told.len(), 24);
+}
+
 /// Where few are nearby, the rest of a round goes elsewhere.
 #[test]
 fn a_round_that_needs_few_nearby_asks_others_elsewhere() {
--- a/crates/core/tests/relay/returning.rs
+++ b/crates/core/tests/relay/returning.rs
@@ -70,7 +70,8 @@
     /// From whom a list is fetched, until when.
     fetches: Option<(usize, Millis, bool)>,
     sending: usize,
-    told_last: Option<name::Entry>,
+    /// Of whom newcomers of each data centre were told last.
+    introduced: BTreeMap<name::DataCentre, name::Entry>,
 }
 
 struct World {
@@ -98,7 +99,7 @@
                 failures: 0,
                 fetches: None,
                 sending: 0,
-                told_last: None,
+                introduced: BTreeMap::new(),
             }
         };
         Self {
@@ -244,9 +245,14 @@
             let known = self.entries[from].fleet.size() - 1;
             let entry = &mut self.entries[to];
             if entry.fleet.is_newcomer(known, now) {
-                let others = entry.fleet.answering_after(entry.told_last.as_ref(), now);
-                let told: Vec<_> = others.take(TOLD).cloned().collect();
-                entry.told_last = told.last().map(|it| it.name.clone());
+                let newcomer = member(from);
+                let last = entry.introduced.get(&newcomer.data_centre);
+                let others = entry.fleet.introduction(&newcomer, last, now);
+                let told: Vec<_> = others.into_iter().take(TOLD).cloned().collect();
+                if let Some(last) = told.last() {
+                    let last = last.name.clone();
+                    entry.introduced.insert(newcomer.data_centre, last);
+                }
                 let told = told.iter().map(number).collect();
                 self.told.insert((to, from), told);
             }
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -1,6 +1,6 @@
 //! The rounds of questions, and the answers to those of others.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -41,6 +41,7 @@
         asked: HashMap::new(),
         next: rand::random(),
         told_last: None,
+        introduced: BTreeMap::new(),
         newcomers: 0,
         stopping: Vec::new(),
         summarised: Millis::ZERO,
@@ -82,6 +83,8 @@
     next: u64,
     /// Of whom others were told last.
     told_last: Option<name::Entry>,
+    /// Of whom newcomers of each data centre were told last.
+    introduced: BTreeMap<name::DataCentre, name::Entry>,
     /// Entries that answer since the last summary.
     newcomers: usize,
     /// Entries that have said since the last summary that they stop.
@@ -220,14 +223,15 @@
     fn introduce(&mut self, answer: &mut Message, newcomer: &Member) {
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
-        let others = fleet.answering_after(self.told_last.as_ref(), now);
-        let mut others: Vec<_> = others.filter(|it| it.name != newcomer.name).collect();
-        others.sort_by_key(|it| it.data_centre != newcomer.data_centre);
+        let last = self.introduced.get(&newcomer.data_centre);
+        let others = fleet.introduction(newcomer, last, now);
+        let before = answer.told.len();
         if let Err(error) = message::fill(answer, &others) {
             log::debug!(error = error.to_string(); "an entry can't be told of");
         }
-        if let Some(last) = answer.told.last() {
-            self.told_last = Some(last.name.clone());
+        if let Some(last) = answer.told[before..].last() {
+            let data_centre = newcomer.data_centre.clone();
+            self.introduced.insert(data_centre, last.name.clone());
         }
     }
 
