Failing tests: older news undo an evacuation that was confirmed since; a row stays behind at a stop

An entry reads the whole table at revision 6 and finds what it knows from revision 0, an empty set; it keeps revision 0, and another entry's set of revision 5 then counts as newer. With the set given, withdrawn and given again it is the other way round: the entry sends to endpoints of a data centre that is evacuated, for as long as no further change comes. Two tables of the case, one each way.

process::it_serves_until_it_is_told_to_stop: the store had the entry's row, and was not told to remove it. The signal came before the entry had read the answer to its write, so that it did not count itself as announced (the calls in the log: the write, no removal). Contract test with an answer that never comes.

--- a/crates/core/tests/relay/evacuation.rs
+++ b/crates/core/tests/relay/evacuation.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use proptest::prelude::*;
+use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::name::DataCentre;
 use woodgap_core::relay::Roster;
@@ -106,6 +107,28 @@
     }
 }
 
+/// An entry that has read the whole table takes nothing older, also where it read what it knew.
+#[rstest]
+#[case::given_and_withdrawn(&[], &["dub-0"])]
+#[case::withdrawn_and_given_again(&["dub-0"], &[])]
+fn what_was_confirmed_is_not_undone_by_older_news(
+    #[case] confirmed: &[&str],
+    #[case] meanwhile: &[&str],
+) {
+    let set = |names: &[&str]| names.iter().map(|it| DataCentre::from(*it)).collect();
+    let mut entry = Evacuation::new(3, set(confirmed));
+    assert!(
+        !entry.replace(Evacuation::new(7, set(confirmed))),
+        "no news"
+    );
+    assert!(!entry.replace(Evacuation::new(5, set(meanwhile))));
+    assert_eq!(entry, Evacuation::new(7, set(confirmed)));
+    // Whoever knows what held meanwhile learns from it what holds now.
+    let mut other = Evacuation::new(5, set(meanwhile));
+    assert!(other.replace(entry));
+    assert_eq!(other.data_centres(), &set(confirmed));
+}
+
 fn at(name: &str, place: &str) -> Endpoint {
     Endpoint {
         data_centre: DataCentre::from(place),
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -42,6 +42,10 @@
     pub entries: Vec<SocketAddr>,
     /// Whether the entry has told of itself.
     pub is_announced: bool,
+    /// Whether there is no answer to that.
+    pub is_announcement_held: bool,
+    /// Whether the entry has taken it back.
+    pub is_withdrawn: bool,
     /// Whether it can't take that back: there is no answer.
     pub is_withdrawal_lost: bool,
     /// What entries keep of requests that are withheld; several sites may share it.
@@ -108,14 +112,20 @@
     }
 
     fn announce<'a>(&'a self, _: &'a name::Entry, _: SocketAddr) -> Answer<'a, ()> {
-        self.0.lock().unwrap().is_announced = true;
+        let mut told = self.0.lock().unwrap();
+        told.is_announced = true;
+        if told.is_announcement_held {
+            return std::future::pending().boxed_local();
+        }
         async { Ok(()) }.boxed_local()
     }
 
     fn withdraw<'a>(&'a self, _: &'a name::Entry) -> Answer<'a, ()> {
-        if self.0.lock().unwrap().is_withdrawal_lost {
+        let mut told = self.0.lock().unwrap();
+        if told.is_withdrawal_lost {
             return std::future::pending().boxed_local();
         }
+        told.is_withdrawn = true;
         async { Ok(()) }.boxed_local()
     }
 
--- a/crates/relay/tests/contract/stops.rs
+++ b/crates/relay/tests/contract/stops.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::{Answer, Caller, get, request};
 use crate::endpoint::{EVENTS, Endpoint, Step, chunk, declined, head, whole};
-use crate::site::{Site, until};
+use crate::site::{Site, source, until};
 
 /// Headers of a chat whose length is known: tokens of the prompt, and the most that come out.
 const SHORT: &str = "X-Woodgap-Work: {\"prompt_tokens\":20,\"output_limit\":10,\"output_hint\":null,\"parts\":[]}\r\n";
@@ -271,3 +271,15 @@
         }
     }
 }
+
+/// An entry that is told to stop before it knows whether its row was written takes the row back.
+#[test]
+fn a_row_that_may_have_been_written_is_taken_back() {
+    let told = source(&[]);
+    told.0.lock().unwrap().is_announcement_held = true;
+    let site = Site::with("dub-a-1", told);
+    until(|| site.source.0.lock().unwrap().is_announced);
+    site.tell_to_stop();
+    until(|| site.has_ended());
+    assert!(site.source.0.lock().unwrap().is_withdrawn);
+}
