A set of evacuated data centres that is read anew counts from then on

Symptom: an entry that had read the table anew and found what it knew took older news of another entry for newer: requests to a data centre that is evacuated (given, withdrawn, given again), or none to one that is not any more, until the next change.

Cause: Evacuation::replace kept the old revision where the set was the same, so that the entry forgot until when it knew it to hold. Ruled out: the feed (its changes are taken in order) and the program's order of taking (the case is in the pure decision). Mend: the revision is the last one at which the set is known to have stood. That the same set is no news still holds: nothing is logged or told at once. Others fetch it once after each whole read of the table, some hundred bytes each; whole reads are made at the start and by whoever becomes a reader.

--- a/crates/core/src/relay/evacuation.rs
+++ b/crates/core/src/relay/evacuation.rs
@@ -54,7 +54,7 @@
         }
     }
 
-    /// The revision of the last known change; 0 where none was ever learnt.
+    /// The last revision at which the set is known to have stood; 0 where none was ever learnt.
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -69,13 +69,15 @@
         self.data_centres.contains(data_centre)
     }
 
-    /// Takes the whole set as it stood at a revision. Gives back whether that changes
-    /// anything; the same set at a later revision is no news for others.
+    /// Takes the whole set as it stood at a revision. Gives back whether that changes anything.
+    ///
+    /// The same set at a later revision is no news, but what held in between no longer counts.
     pub fn replace(&mut self, whole: Self) -> bool {
-        let is_news = whole.revision > self.revision && whole.data_centres != self.data_centres;
-        if is_news {
-            *self = whole;
+        if whole.revision <= self.revision {
+            return false;
         }
+        let is_news = whole.data_centres != self.data_centres;
+        *self = whole;
         is_news
     }
 
