An entry that is told to stop takes back a row that may have been written

Symptom: the platform's table names an entry that is gone, until its name is written again. Ruled out: a lost answer to the removal, since none was sent.

Mend: from before the write on the row may be there, and a stop removes it. On the users' platform both calls go over one connection in turn, so that the removal can't overtake the write; an entry that stops begins no announcement. The contract test with an answer that never comes failed before; stops and process tests green.

--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -197,6 +197,7 @@
         // One that stops is the last by its rank.
         let is_first = standing.is_settled() && standing.rank < ANNOUNCED;
         if is_first && !state.is_announced.get() {
+            state.may_be_announced.set(true);
             let announcing = state.source.announce(&settings.name, settings.peer_listen);
             match announcing.await {
                 Ok(()) => state.is_announced.set(true),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -96,6 +96,8 @@
     pub ask_endpoints: Notify,
     /// Whether the platform was told of this entry.
     pub is_announced: Cell<bool>,
+    /// Whether it may have been: the answer may be lost, or yet to come.
+    pub may_be_announced: Cell<bool>,
     /// Questions to other entries for what is newer there.
     pub fetches: RefCell<Fetches>,
     /// Endpoints that are being connected to, to see whether they are back.
@@ -169,6 +171,7 @@
             is_platform_lost: Cell::new(false),
             ask_endpoints: Notify::new(),
             is_announced: Cell::new(false),
+            may_be_announced: Cell::new(false),
             fetches: RefCell::default(),
             connecting: RefCell::default(),
             quarantine: RefCell::default(),
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -76,7 +76,7 @@
 
 /// Takes this entry's row off the platform, and waits without end.
 async fn withdraw_and_wait(state: &State) {
-    if state.is_announced.get()
+    if state.may_be_announced.get()
         && let Err(error) = state.source.withdraw(&state.settings.name).await
     {
         log::info!(error = error.to_string(); "the entry's row stays behind");
