--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -30,6 +30,13 @@
 
 use crate::desk::Desk;
 
+/// A change of the entry's own row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    Announcement,
+    Withdrawal,
+}
+
 /// What the source tells.
 #[derive(Clone, Default)]
 pub struct Told {
@@ -42,12 +49,10 @@
     pub entries: Vec<SocketAddr>,
     /// Whether the entry has told of itself.
     pub is_announced: bool,
-    /// Whether there is no answer to that.
-    pub is_announcement_held: bool,
     /// Whether the entry has taken it back.
     pub is_withdrawn: bool,
-    /// Whether it can't take that back: there is no answer.
-    pub is_withdrawal_lost: bool,
+    /// What is done and never answered.
+    pub unanswered: Option<Unanswered>,
     /// What entries keep of requests that are withheld; several sites may share it.
     pub kept: Arc<Mutex<BTreeMap<Fingerprint, Kept>>>,
 }
@@ -114,7 +119,7 @@
     fn announce<'a>(&'a self, _: &'a name::Entry, _: SocketAddr) -> Answer<'a, ()> {
         let mut told = self.0.lock().unwrap();
         told.is_announced = true;
-        if told.is_announcement_held {
+        if told.unanswered == Some(Unanswered::Announcement) {
             return std::future::pending().boxed_local();
         }
         async { Ok(()) }.boxed_local()
@@ -122,7 +127,7 @@
 
     fn withdraw<'a>(&'a self, _: &'a name::Entry) -> Answer<'a, ()> {
         let mut told = self.0.lock().unwrap();
-        if told.is_withdrawal_lost {
+        if told.unanswered == Some(Unanswered::Withdrawal) {
             return std::future::pending().boxed_local();
         }
         told.is_withdrawn = true;
--- a/crates/relay/tests/contract/stops.rs
+++ b/crates/relay/tests/contract/stops.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::{Answer, Caller, get, request};
 use crate::endpoint::{EVENTS, Endpoint, Step, chunk, declined, head, whole};
-use crate::site::{Site, source, until};
+use crate::site::{Site, Unanswered, source, until};
 
 /// Headers of a chat whose length is known: tokens of the prompt, and the most that come out.
 const SHORT: &str = "X-Woodgap-Work: {\"prompt_tokens\":20,\"output_limit\":10,\"output_hint\":null,\"parts\":[]}\r\n";
@@ -199,7 +199,7 @@
     let endpoint = Endpoint::always(vec![Step::Hold]);
     let site = Site::with_grace(2.0, &[endpoint.address]);
     until(|| site.source.0.lock().unwrap().is_announced);
-    site.source.0.lock().unwrap().is_withdrawal_lost = true;
+    site.source.0.lock().unwrap().unanswered = Some(Unanswered::Withdrawal);
     let mut caller = waiting_at(&endpoint, &site);
     site.stop();
     assert_eq!(caller.answer().expect("an answer").status, 502);
@@ -276,7 +276,7 @@
 #[test]
 fn a_row_that_may_have_been_written_is_taken_back() {
     let told = source(&[]);
-    told.0.lock().unwrap().is_announcement_held = true;
+    told.0.lock().unwrap().unanswered = Some(Unanswered::Announcement);
     let site = Site::with("dub-a-1", told);
     until(|| site.source.0.lock().unwrap().is_announced);
     site.tell_to_stop();
