--- a/crates/core/tests/relay/returning.rs
+++ b/crates/core/tests/relay/returning.rs
@@ -61,14 +61,30 @@
     Pauses { until: Millis },
 }
 
+/// A question or an answer of an entry.
+struct Message {
+    from: usize,
+    to: usize,
+    is_answer: bool,
+    /// Whom a newcomer is told of.
+    told: Vec<usize>,
+}
+
+/// A list that an entry asks another one for.
+struct Fetch {
+    from: usize,
+    ends: Millis,
+    /// Whether it is sent: the other one may be sending too many.
+    is_sent: bool,
+}
+
 struct Entry {
     fleet: Fleet,
     starts: Millis,
     knows: bool,
     task: Option<Task>,
     failures: u32,
-    /// From whom a list is fetched, until when.
-    fetches: Option<(usize, Millis, bool)>,
+    fetches: Option<Fetch>,
     sending: usize,
     /// Of whom newcomers of each data centre were told last.
     introduced: BTreeMap<name::DataCentre, name::Entry>,
@@ -78,8 +94,7 @@
     size: Size,
     entries: Vec<Entry>,
     random: ChaCha8Rng,
-    messages: BTreeMap<Millis, Vec<(usize, usize, bool)>>,
-    told: BTreeMap<(usize, usize), Vec<usize>>,
+    messages: BTreeMap<Millis, Vec<Message>>,
     /// Calls that the platform answers in this step yet.
     left: f64,
     calls: usize,
@@ -107,7 +122,6 @@
             entries: (0..size.entries).map(&mut entry).collect(),
             random,
             messages: BTreeMap::new(),
-            told: BTreeMap::new(),
             left: 0.0,
             calls: 0,
         }
@@ -118,8 +132,8 @@
         let mut now = Millis::ZERO;
         while now.0 < END && self.entries.iter().any(|it| !it.knows) {
             self.left = self.size.calls as f64 * STEP.0 as f64 / 1_000.0;
-            for (from, to, is_answer) in self.messages.remove(&now).unwrap_or_default() {
-                self.receive(from, to, is_answer, now);
+            for message in self.messages.remove(&now).unwrap_or_default() {
+                self.receive(&message, now);
             }
             // Whoever is served first by the platform differs from step to step.
             let first = self.random.random_range(0..self.entries.len());
@@ -224,45 +238,62 @@
         let known: Vec<_> = self.entries[at].fleet.known().map(number).collect();
         to.extend((0..SEEDS).filter(|seed| *seed != at && !known.contains(seed)));
         for other in to {
-            self.send(at, other, false, now);
+            let question = Message {
+                from: at,
+                to: other,
+                is_answer: false,
+                told: Vec::new(),
+            };
+            self.send(question, now);
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, is_answer: bool, now: Millis) {
-        let message = (from, to, is_answer);
+    fn send(&mut self, message: Message, now: Millis) {
         self.messages.entry(now + STEP).or_default().push(message);
     }
 
-    fn receive(&mut self, from: usize, to: usize, is_answer: bool, now: Millis) {
+    fn receive(&mut self, message: &Message, now: Millis) {
+        let Message { from, to, .. } = *message;
         if now < self.entries[to].starts {
             return;
         }
-        for other in self.told.remove(&(from, to)).unwrap_or_default() {
-            self.entries[to].fleet.told(member(other), now);
+        let fleet = &mut self.entries[to].fleet;
+        for other in &message.told {
+            fleet.told(member(*other), now);
         }
-        self.entries[to].fleet.heard(member(from), now);
-        if !is_answer {
-            let known = self.entries[from].fleet.size() - 1;
-            let entry = &mut self.entries[to];
-            if entry.fleet.is_newcomer(known, now) {
-                let newcomer = member(from);
-                let last = entry.introduced.get(&newcomer.data_centre);
-                let others = entry.fleet.introduction(&newcomer, last, now);
-                let told: Vec<_> = others.into_iter().take(TOLD).cloned().collect();
-                if let Some(last) = told.last() {
-                    let last = last.name.clone();
-                    entry.introduced.insert(newcomer.data_centre, last);
-                }
-                let told = told.iter().map(number).collect();
-                self.told.insert((to, from), told);
-            }
-            self.send(to, from, true, now);
+        fleet.heard(member(from), now);
+        if !message.is_answer {
+            let answer = Message {
+                from: to,
+                to: from,
+                is_answer: true,
+                told: self.introduce(to, from, now),
+            };
+            self.send(answer, now);
         }
         if self.entries[from].knows && !self.entries[to].knows {
             self.fetch(to, from, now);
         }
     }
 
+    /// Whom an entry tells another one of, if that has just started.
+    fn introduce(&mut self, at: usize, to: usize, now: Millis) -> Vec<usize> {
+        let known = self.entries[to].fleet.size() - 1;
+        let entry = &mut self.entries[at];
+        if !entry.fleet.is_newcomer(known, now) {
+            return Vec::new();
+        }
+        let newcomer = member(to);
+        let last = entry.introduced.get(&newcomer.data_centre);
+        let others = entry.fleet.introduction(&newcomer, last, now);
+        let told: Vec<_> = others.into_iter().take(TOLD).cloned().collect();
+        if let Some(last) = told.last() {
+            let last = last.name.clone();
+            entry.introduced.insert(newcomer.data_centre, last);
+        }
+        told.iter().map(number).collect()
+    }
+
     fn fetch(&mut self, at: usize, from: usize, now: Millis) {
         if self.entries[at].fetches.is_some() {
             return;
@@ -275,14 +306,17 @@
             STEP + STEP
         };
         assert!(takes < PATIENCE);
-        self.entries[at].fetches = Some((from, now + takes, is_sent));
+        self.entries[at].fetches = Some(Fetch {
+            from,
+            ends: now + takes,
+            is_sent,
+        });
     }
 
     fn end_fetch(&mut self, at: usize, now: Millis) {
-        let ended = self.entries[at]
-            .fetches
-            .take_if(|(_, ends, _)| *ends <= now);
-        if let Some((from, _, true)) = ended {
+        let fetches = &mut self.entries[at].fetches;
+        let ended = fetches.take_if(|fetch| fetch.ends <= now);
+        if let Some(Fetch { from, .. }) = ended.filter(|fetch| fetch.is_sent) {
             self.entries[from].sending -= 1;
             if !self.entries[at].knows {
                 self.learn(at, now);
