What the platform knows of an entry is one value with three states, in place of two flags

Cause: the mend of rows that stay behind put may_be_announced beside is_announced; both move together, and one of the four combinations can't be. Now Announcement: unsaid, unanswered, taken. Behaviour is the same: a row is written until it is taken, and a stop takes it back unless nothing was said.

--- a/crates/core/tests/relay/returning.rs
+++ b/crates/core/tests/relay/returning.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// When the last entry knew the endpoints, counted from when the last seed was back.
+    /// When the last entry knew the endpoints, counted from when the first seed could be back.
     fn play(&mut self) -> Millis {
         let mut now = Millis::ZERO;
         while now.0 < END && self.entries.iter().any(|it| !it.knows) {
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -21,7 +21,7 @@
 use crate::metrics::Metrics;
 use crate::source::Source;
 use crate::source::row::Faults;
-use crate::state::State;
+use crate::state::{Announcement, State};
 use crate::{duties, follow, logs, quarantine, stop, upkeep};
 
 /// The pause before a task that ended is started again.
@@ -196,11 +196,11 @@
         let standing = state.standing();
         // One that stops is the last by its rank.
         let is_first = standing.is_settled() && standing.rank < ANNOUNCED;
-        if is_first && !state.is_announced.get() {
-            state.may_be_announced.set(true);
+        if is_first && state.announcement.get() != Announcement::Taken {
+            state.announcement.set(Announcement::Unanswered);
             let announcing = state.source.announce(&settings.name, settings.peer_listen);
             match announcing.await {
-                Ok(()) => state.is_announced.set(true),
+                Ok(()) => state.announcement.set(Announcement::Taken),
                 Err(error) => log::info!(error = error.to_string(); "not announced yet"),
             }
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -48,6 +48,17 @@
 /// before it would look as young as the process.
 const ORIGIN: Millis = Millis(3_600_000);
 
+/// What the platform knows of this entry from itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announcement {
+    /// It was told nothing.
+    Unsaid,
+    /// It may have been told: the answer is lost, or yet to come.
+    Unanswered,
+    /// It has said that it knows.
+    Taken,
+}
+
 /// What the tasks of one relay share.
 pub struct State {
     /// The settings.
@@ -95,9 +106,7 @@
     /// The endpoints are to be asked for as well, since nobody else may.
     pub ask_endpoints: Notify,
     /// Whether the platform was told of this entry.
-    pub is_announced: Cell<bool>,
-    /// Whether it may have been: the answer may be lost, or yet to come.
-    pub may_be_announced: Cell<bool>,
+    pub announcement: Cell<Announcement>,
     /// Questions to other entries for what is newer there.
     pub fetches: RefCell<Fetches>,
     /// Endpoints that are being connected to, to see whether they are back.
@@ -170,8 +179,7 @@
             platform_is_back: Notify::new(),
             is_platform_lost: Cell::new(false),
             ask_endpoints: Notify::new(),
-            is_announced: Cell::new(false),
-            may_be_announced: Cell::new(false),
+            announcement: Cell::new(Announcement::Unsaid),
             fetches: RefCell::default(),
             connecting: RefCell::default(),
             quarantine: RefCell::default(),
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -8,7 +8,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::shutdown::{LOOK, Looks, Plan, Shutdown};
 
-use crate::state::State;
+use crate::state::{Announcement, State};
 
 /// How often it is checked whether all is done.
 const CHECK: Duration = Duration::from_millis(50);
@@ -76,7 +76,7 @@
 
 /// Takes this entry's row off the platform, and waits without end.
 async fn withdraw_and_wait(state: &State) {
-    if state.may_be_announced.get()
+    if state.announcement.get() != Announcement::Unsaid
         && let Err(error) = state.source.withdraw(&state.settings.name).await
     {
         log::info!(error = error.to_string(); "the entry's row stays behind");
