Access log: the rate limit that an endpoint named in its answer

Requests and failed attempts now have the field rate_limit, with the value of the answer (empty if none is named, 'invalid' if it can't be read), beside endpoint and sends.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -55,6 +55,18 @@
     pub source: Option<SocketAddr>,
 }
 
+/// An optional header.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Field<T> {
+    /// The header is missing.
+    #[default]
+    Missing,
+    /// The header has no valid value, or several.
+    Invalid,
+    /// The header's value.
+    Valid(T),
+}
+
 /// What an endpoint says in the head of an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reply<'a> {
@@ -66,6 +78,9 @@
     pub declined: Option<Decline>,
     /// Its load.
     pub load: Option<Report>,
+    /// How many requests per second it takes from all entries together, for as long as it
+    /// says so.
+    pub rate_limit: Field<f64>,
 }
 
 /// Why an endpoint has not run a request.
@@ -159,6 +174,36 @@
     span.transpose()
 }
 
+/// A header that holds a number from 0 on, possibly with decimals. Headers that contradict each
+/// other are invalid.
+///
+/// ```
+/// use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+/// use woodgap_relay::dialect::{Field, decimal};
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(decimal(&headers, "limit"), Field::Missing);
+/// headers.append(HeaderName::from_static("limit"), HeaderValue::from_static("1.5"));
+/// assert_eq!(decimal(&headers, "limit"), Field::Valid(1.5));
+/// headers.append(HeaderName::from_static("limit"), HeaderValue::from_static("2"));
+/// assert_eq!(decimal(&headers, "limit"), Field::Invalid);
+/// ```
+pub fn decimal(headers: &HeaderMap, name: &str) -> Field<f64> {
+    let mut values = headers.get_all(name);
+    let Some(first) = values.next() else {
+        return Field::Missing;
+    };
+    if values.any(|other| other != first) {
+        return Field::Invalid;
+    }
+    let number = first
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let number = number.filter(|number: &f64| number.is_finite() && *number >= 0.0);
+    number.map_or(Field::Invalid, Field::Valid)
+}
+
 /// A parameter of a query, as it stands there.
 pub fn parameter<'q>(query: &'q str, name: &str) -> Option<&'q str> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -2,7 +2,7 @@
 
 use woodgap_core::relay::engine::Report;
 
-use crate::dialect::{Decline, Reply, Stamp};
+use crate::dialect::{self, Decline, Reply, Stamp};
 use crate::upstream::Head;
 
 /// The names of headers in one dialect, in lower case.
@@ -23,6 +23,7 @@
 ///     request: "request",
 ///     seal: "seal",
 ///     load: "load",
+///     rate_limit: "rate-limit",
 /// };
 /// assert!(names.passes("accept"));
 /// assert!(!names.passes("left-ms"));
@@ -59,6 +60,8 @@
     pub seal: &'static str,
     /// From an endpoint: requests running, requests waiting and slots.
     pub load: &'static str,
+    /// From an endpoint: requests per second that it takes from all entries together.
+    pub rate_limit: &'static str,
 }
 
 impl Names {
@@ -113,6 +116,7 @@
             is_sealed: head.headers.contains_key(self.seal),
             declined,
             load: head.header_str(self.load).and_then(report),
+            rate_limit: dialect::decimal(&head.headers, self.rate_limit),
         }
     }
 }
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -27,6 +27,7 @@
     request: "x-woodgap-request",
     seal: "x-woodgap-seal",
     load: "x-woodgap-load",
+    rate_limit: "x-woodgap-rate-limit",
 };
 
 /// The product's own dialect: headers that begin with `X-Woodgap-`, and the
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -9,6 +9,7 @@
 use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::plan::Route;
 
+use crate::dialect::{Field, Reply};
 use crate::request::Problem;
 use crate::request::problem::Code;
 use crate::state::State;
@@ -49,6 +50,8 @@
     choice: Option<Choice>,
     objectives: Objectives,
     reused: bool,
+    /// The rate limit that the endpoint of the last answer named.
+    rate_limit: Field<f64>,
     first_byte: Option<Millis>,
     last_piece: Option<Millis>,
     longest_pause: Millis,
@@ -78,6 +81,7 @@
             choice: None,
             objectives: Objectives::default(),
             reused: false,
+            rate_limit: Field::Missing,
             first_byte: None,
             last_piece: None,
             longest_pause: Millis::ZERO,
@@ -135,6 +139,20 @@
         self.reused = reused;
     }
 
+    /// Records what the endpoint says of itself in the head of its answer.
+    pub fn record_reply(&mut self, reply: &Reply<'_>) {
+        self.rate_limit = reply.rate_limit;
+    }
+
+    /// The rate limit as logged: empty if none was named.
+    fn rate_limit_text(&self) -> String {
+        match self.rate_limit {
+            Field::Missing => String::new(),
+            Field::Invalid => "invalid".to_owned(),
+            Field::Valid(per_second) => per_second.to_string(),
+        }
+    }
+
     /// Logs and counts a failed attempt.
     pub fn record_failed_attempt(&self, reason: &str) {
         self.state
@@ -145,7 +163,8 @@
         log::info!(
             request = self.id, fingerprint = self.fingerprint,
             endpoint = self.endpoint, sends = self.sends,
-            reused = self.reused, took_ms = self.elapsed().0, reason = reason;
+            reused = self.reused, rate_limit = self.rate_limit_text(),
+            took_ms = self.elapsed().0, reason = reason;
             "attempt failed"
         );
     }
@@ -249,7 +268,7 @@
             first_byte_ms = self.first_byte.map_or(0, |it| it.0),
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
-            endpoint = self.endpoint, reused = self.reused,
+            endpoint = self.endpoint, reused = self.reused, rate_limit = self.rate_limit_text(),
             expected_wait_ms = figure(|it| it.expected_wait), cost_ms = figure(|it| it.cost),
             queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
             unread_tokens = figure(|it| it.prefill_tokens), expected_run_ms = figure(|it| it.stream_time),
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -145,6 +145,7 @@
     }
     placement.record_first_byte();
     let reply = state.dialect.reply(&response);
+    record.record_reply(&reply);
     if let Some(load) = reply.load {
         let now = state.now();
         state
