Failing test: an endpoint gets more than the rate limit that it names

Three entries that know one another, before an endpoint that names a limit of 2 requests per second in each answer, and two slower ones. From 3 s after the limit was first named, 17 requests in 4 s are allowed (one and a half times the limit, and 5).

until_met moves to the site, as both fleets of the contract tests need it.

--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -16,9 +16,9 @@
 use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::quarantine::StoredHistory;
 
-use crate::caller::{get, post};
+use crate::caller::post;
 use crate::crashing::{Arrivals, Crashing, DOWN, Down, FATAL};
-use crate::site::{Fixed, Site, source, until};
+use crate::site::{Fixed, Site, source, until_met};
 
 /// How many endpoints and entries there are.
 const ENDPOINTS: usize = 12;
@@ -63,7 +63,7 @@
             let site = self.entry(at);
             self.sites.push(site);
         }
-        self.until_met();
+        until_met(&self.sites);
     }
 
     /// Another entry, which finds the others through the platform.
@@ -80,17 +80,6 @@
         site
     }
 
-    /// Waits until each entry names all of them to callers.
-    fn until_met(&self) {
-        until(|| {
-            self.sites.iter().all(|site| {
-                let text = get(site.directory, "/v1/entries", "x", "").text();
-                let mut all = self.sites.iter();
-                all.all(|other| text.contains(&other.requests.to_string()))
-            })
-        });
-    }
-
     fn list(&self, source: &Fixed) {
         let rows = self.endpoints.iter().enumerate();
         source.0.lock().unwrap().endpoints = rows.map(|(at, it)| it.row(at)).collect();
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -17,6 +17,7 @@
 mod others;
 mod own_questions;
 mod peer;
+mod rate_limits;
 mod refusals;
 mod rests;
 mod rows;
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -347,6 +347,17 @@
     panic!("waited in vain");
 }
 
+/// Waits until each of these entries names all of them to callers.
+pub fn until_met(sites: &[Site]) {
+    until(|| {
+        sites.iter().all(|site| {
+            let text = crate::caller::get(site.directory, "/v1/entries", "x", "").text();
+            let mut all = sites.iter();
+            all.all(|other| text.contains(&other.requests.to_string()))
+        })
+    });
+}
+
 pub fn endpoint(at: usize, address: SocketAddr) -> roster::Endpoint {
     roster::Endpoint {
         life: name::Life::from(name::Endpoint::from(format!("i-{at}"))),
