Endpoints get no more than the rate limit that they name, from all entries

What callers saw: nothing at first. An engine in need named a limit for all entries together, and went on getting requests as if it had not: 16 in 4 s where 15 are allowed, by all six entries.

Cause: the relay had no notion of what an endpoint asks for in its answers. The header was not read, and endpoints were chosen by load, prompt and distance alone. Class: back-pressure that nobody reads. The recorded logs rule out the two other hypotheses: one entry sent five requests within 1.1 s, so no entry held the limit even by itself, and 'sends' is 1 in the lines of what arrived, so no repeats came beside the choice.

Change: core::relay::rate_limit. All requests, first ones and repeats, pass run::choose, which now leaves out endpoints whose limit is used up. The limit is divided without communication: (whole requests per second + 4) entries next to the endpoint on the ring that cold endpoints have already, each with an equal part by a token bucket that begins with less than one token. So at most 5 N + 4 requests arrive in 4 s at a limit of N, and 6 N + 5 are allowed. The senders tell the others (a field of the gossip message, at once when it changes), since the others never see an answer of the endpoint. The limit is read in every answer: errors, refusals, answers to other requests on the same connection; not in a 421, which is another endpoint's. A successful answer without it ends it, and the rate then doubles each 0.5 s for 4 s, as all entries would otherwise turn to the idle endpoint at once. Where all endpoints are at their limits, the caller is told when about the next one is taken.

Ruled out: an equal part for each entry (300 full buckets at a limit of 1.7); parts by live entries (each side of a partition would take the whole limit).

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -22,6 +22,7 @@
 pub mod plan;
 pub mod prefix;
 pub mod profile;
+pub mod rate_limit;
 pub mod rest;
 pub mod roster;
 pub mod shutdown;
--- a/crates/core/src/relay/admission.rs
+++ b/crates/core/src/relay/admission.rs
@@ -17,6 +17,10 @@
 /// completes some of its requests.
 pub const MIN_RETRY_AFTER: Millis = Millis(50);
 
+/// The maximum delay before a caller should retry that was refused for a rate limit, in ms:
+/// another entry may take the request sooner.
+pub const MAX_RETRY_AFTER: Millis = Millis(2_000);
+
 /// The longest expected time to the first event, in percent of its target. Half of the streams
 /// forecast to exceed the target still begin in time, and a late stream keeps some value.
 /// Score over four days with faults, mean of twelve runs: 0.662 with 150, 0.649 with 100.
@@ -71,6 +75,27 @@
     Decision::Refuse(MIN_RETRY_AFTER.max(Millis(delay)))
 }
 
+/// When a caller should retry that was refused because the endpoints together take no more than
+/// this many requests per second: about when they take the next one. `jitter` is as for
+/// [`decide`].
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::relay::admission::{MAX_RETRY_AFTER, MIN_RETRY_AFTER, retry_after_rate};
+///
+/// assert_eq!(retry_after_rate(4.0, 0.0), Millis(250));
+/// assert_eq!(retry_after_rate(4.0, 1.0), Millis(500));
+/// assert_eq!(retry_after_rate(1_000.0, 0.0), MIN_RETRY_AFTER);
+/// assert_eq!(retry_after_rate(0.0, 0.0), MAX_RETRY_AFTER);
+/// ```
+pub fn retry_after_rate(per_second: f64, jitter: f64) -> Millis {
+    let interval = 1_000.0 / per_second * (1.0 + jitter);
+    // Limited to a few seconds.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let interval = interval.min(MAX_RETRY_AFTER.0 as f64) as u64;
+    MIN_RETRY_AFTER.max(Millis(interval))
+}
+
 impl LatencyRequirement {
     /// The longest acceptable time to the first byte of the answer.
     pub fn max_wait(&self) -> Millis {
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -16,7 +16,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::load_report;
-use crate::relay::warming::{self, RingRange};
+use crate::relay::warming::{self, Ring, RingRange};
 
 /// Rounds that an entry may miss before it is considered gone: one message may be lost and one
 /// late.
@@ -447,8 +447,14 @@
     /// the peak size of the fleet, so that an entry that is partitioned keeps its share.
     pub fn warmup_share(&self, per_second: f64) -> (RingRange, usize) {
         let (senders, each) = warming::split_rate(per_second, self.peak_size);
+        (self.ring().range(senders), each)
+    }
+
+    /// The entries on a hash ring: the own one, and those that have not expired and are not
+    /// stopping. An entry that is partitioned thus divides rates as before, for a while.
+    pub fn ring(&self) -> Ring {
         let others = self.known().filter(|it| !it.stopping).map(|it| &it.name);
-        (RingRange::new(&self.own, others, senders), each)
+        Ring::new(&self.own, others)
     }
 
     /// How long an update takes to reach all entries: in each round, every entry that has it is
--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -17,7 +17,27 @@
 /// closer together on arrival than when they were sent.
 const SPAN: Millis = Millis(1_100);
 
-/// The range of the hash ring whose cold endpoints an entry may send to.
+/// The entries on a hash ring, as seen from one of them.
+///
+/// ```
+/// use woodgap_core::name;
+/// use woodgap_core::relay::warming::Ring;
+///
+/// let entries: Vec<_> = (0..60).map(|it| name::Entry::from(format!("e-{it}"))).collect();
+/// let endpoint = name::Life::from(name::Endpoint::from("i-1"));
+/// let ring = |own: &name::Entry| Ring::new(own, entries.iter().filter(|it| *it != own));
+/// let senders = entries.iter().filter(|it| ring(it).range(8).contains(&endpoint));
+/// assert_eq!(senders.count(), 8);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Ring {
+    /// The position of the entry itself.
+    own: u64,
+    /// How far each of the others precedes it, in ascending order.
+    distances: Vec<u64>,
+}
+
+/// The range of the hash ring whose endpoints an entry may send to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RingRange {
     /// The end of the range: the position of the entry itself.
@@ -27,38 +47,32 @@
     length: Option<u64>,
 }
 
-impl RingRange {
-    /// The range of an entry among the others that it knows, if `senders` entries may send to each
-    /// cold endpoint.
-    ///
-    /// ```
-    /// use woodgap_core::name;
-    /// use woodgap_core::relay::warming::RingRange;
-    ///
-    /// let entries: Vec<_> = (0..60).map(|it| name::Entry::from(format!("e-{it}"))).collect();
-    /// let endpoint = name::Life::from(name::Endpoint::from("i-1"));
-    /// let range = |own: &name::Entry| {
-    ///     RingRange::new(own, entries.iter().filter(|it| *it != own), 8)
-    /// };
-    /// let senders = entries.iter().filter(|it| range(it).contains(&endpoint));
-    /// assert_eq!(senders.count(), 8);
-    /// ```
-    pub fn new<'a>(
-        own: &name::Entry,
-        others: impl Iterator<Item = &'a name::Entry>,
-        senders: usize,
-    ) -> Self {
-        let end = ring_position(own);
+impl Ring {
+    /// The ring of an entry and the others that it knows.
+    pub fn new<'a>(own: &name::Entry, others: impl Iterator<Item = &'a name::Entry>) -> Self {
+        let own = ring_position(own);
         let mut distances: Vec<_> = others
-            .map(|it| end.wrapping_sub(ring_position(it)))
+            .map(|it| own.wrapping_sub(ring_position(it)))
             .collect();
-        let length = (distances.len() >= senders).then(|| {
-            let (_, length, _) = distances.select_nth_unstable(senders.max(1) - 1);
-            *length
-        });
-        Self { end, length }
+        distances.sort_unstable();
+        Self { own, distances }
+    }
+
+    /// The number of entries.
+    pub fn entries(&self) -> usize {
+        self.distances.len() + 1
+    }
+
+    /// The range of the entry if `senders` entries may send to each endpoint.
+    pub fn range(&self, senders: usize) -> RingRange {
+        RingRange {
+            end: self.own,
+            length: self.distances.get(senders.max(1) - 1).copied(),
+        }
     }
+}
 
+impl RingRange {
     /// Whether the endpoint lies in the range.
     pub fn contains(&self, endpoint: &name::Life) -> bool {
         let distance = self.end.wrapping_sub(load_report::life_hash(endpoint));
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod outage;
 mod plan;
 mod prefix;
+mod rate_limit;
 mod rest;
 mod roster;
 mod shutdown;
--- a/crates/core/tests/relay/warming.rs
+++ b/crates/core/tests/relay/warming.rs
@@ -8,7 +8,7 @@
 use woodgap_core::relay::Roster;
 use woodgap_core::relay::prefix::mix;
 use woodgap_core::relay::roster::Change;
-use woodgap_core::relay::warming::{RingRange, SendHistory, split_rate};
+use woodgap_core::relay::warming::{Ring, SendHistory, split_rate};
 
 use crate::roster::{FALLBACK_PERIOD, endpoint};
 
@@ -43,7 +43,8 @@
     for own in 0..entries {
         let others = names.iter().enumerate();
         let others = others.filter(|(at, _)| *at != own && knows(own, *at));
-        let range = RingRange::new(&names[own], others.map(|(_, name)| name), senders);
+        let ring = Ring::new(&names[own], others.map(|(_, name)| name));
+        let range = ring.range(senders);
         let assigned: Vec<_> = (0..endpoints)
             .filter(|at| range.contains(&cold(*at)))
             .collect();
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -15,9 +15,11 @@
 use woodgap_core::relay::load_report::LoadReport;
 
 use crate::gossip::message::{
-    self, Knowledge, MAX_DATAGRAM_BYTES, MAX_LOADS, MAX_SUSPECTS, MEMBERS_PER_MESSAGE, Message,
+    self, Knowledge, MAX_DATAGRAM_BYTES, MAX_LOADS, MAX_RATE_LIMITS, MAX_SUSPECTS,
+    MEMBERS_PER_MESSAGE, Message,
 };
 use crate::gossip::{ROUND_INTERVAL, STARTUP_ROUND_INTERVAL, fetch};
+use crate::request::notice;
 use crate::state::State;
 
 /// Answers that take longer than this are ignored.
@@ -178,11 +180,17 @@
 
     fn message(&mut self, number: u64, is_answer: bool) -> Message {
         let now = self.state.now();
-        let load = self.state.loads.borrow().gossip(MAX_LOADS, now);
+        let rate_limits = {
+            let mut limits = self.state.rate_limits.borrow_mut();
+            limits.notices(MAX_RATE_LIMITS, now)
+        };
+        let max_loads = MAX_LOADS - rate_limits.len();
+        let load = self.state.loads.borrow().gossip(max_loads, now);
         let mut message = Message {
             members: self.next_members(),
             load,
             idle_limits: self.state.rests.borrow().report(now),
+            rate_limits,
             ..self.base_message(number, is_answer)
         };
         let suspects = self
@@ -207,6 +215,7 @@
             members: Vec::new(),
             load: LoadReport::default(),
             idle_limits: Vec::new(),
+            rate_limits: Vec::new(),
             suspects: Vec::new(),
             unix: self.state.clock.unix(),
             claim: self.state.claim.borrow().clone(),
@@ -335,6 +344,7 @@
             .rests
             .borrow_mut()
             .merge(&message.idle_limits, now);
+        notice::merge_rate_limits(&self.state, &message.rate_limits, now);
         self.state.told_of_crashes(&message.suspects);
         if message.knowledge.withheld {
             self.state.has_read_withheld.set(true);
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -7,6 +7,7 @@
 use woodgap_core::relay::claim::Claim;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::load_report::LoadReport;
+use woodgap_core::relay::rate_limit;
 use woodgap_core::relay::rest;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::usage;
@@ -14,7 +15,7 @@
 
 /// The first byte of each message: the version of the wire format. Messages of another
 /// version are dropped, so that they are never misread.
-pub const FORM: u8 = 9;
+pub const FORM: u8 = 10;
 /// The first byte of a datagram that carries only usage counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The largest datagram, in bytes: small enough to cross every link without fragmentation.
@@ -24,6 +25,9 @@
 /// The maximum number of requests that one message reports as suspected of crashing endpoints.
 /// One takes 25 bytes with one crash and 37 bytes with three.
 pub const MAX_SUSPECTS: usize = 12;
+/// The maximum number of endpoints whose rate limits one message reports. Each takes the place of
+/// an endpoint whose load is reported, which is larger.
+pub const MAX_RATE_LIMITS: usize = 8;
 /// How many other entries a message describes, unless it answers one that has just started.
 pub const MEMBERS_PER_MESSAGE: usize = 1;
 
@@ -50,6 +54,8 @@
     pub load: LoadReport,
     /// How long connections to endpoints may stay idle, as observed by the sender.
     pub idle_limits: Vec<rest::IdleLimit>,
+    /// Rate limits that endpoints name.
+    pub rate_limits: Vec<rate_limit::Notice>,
     /// Requests that were running on endpoints when these crashed.
     pub suspects: Vec<quarantine::CrashHistory>,
     /// The sender's time of day, in ms since the Unix epoch.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -45,6 +45,10 @@
     pub withheld: IntCounter,
     /// Different requests that are withheld.
     pub quarantined: IntGauge,
+    /// Endpoints that are limited by the rate limit that they name or have named.
+    pub limited_endpoints: IntGauge,
+    /// Requests that were not sent, since all endpoints were at their rate limits.
+    pub rate_limited: IntCounter,
     /// Whether this entry has the duties of one entry at a time: 1 or 0.
     pub has_duties: IntGauge,
     /// Windows of use, by what became of them.
@@ -89,6 +93,14 @@
                 "Requests that were not sent: they crash endpoints",
             )?,
             quarantined: IntGauge::new("quarantined", "Different requests that are withheld")?,
+            limited_endpoints: IntGauge::new(
+                "limited_endpoints",
+                "Endpoints that name a rate limit, or did so lately",
+            )?,
+            rate_limited: IntCounter::new(
+                "rate_limited",
+                "Requests that were not sent: all endpoints were at their rate limits",
+            )?,
             has_duties: IntGauge::new("has_duties", "Whether this entry has the duties")?,
             windows: counters(
                 "windows",
@@ -120,6 +132,8 @@
         registry.register(Box::new(self.crashes.clone()))?;
         registry.register(Box::new(self.withheld.clone()))?;
         registry.register(Box::new(self.quarantined.clone()))?;
+        registry.register(Box::new(self.limited_endpoints.clone()))?;
+        registry.register(Box::new(self.rate_limited.clone()))?;
         registry.register(Box::new(self.has_duties.clone()))?;
         registry.register(Box::new(self.windows.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod crash;
 pub mod forward;
+pub mod notice;
 pub mod placement;
 pub mod problem;
 pub mod response;
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::dialect::{Decline, Reply};
 use crate::request::placement::{MAX_DISCARDED_BYTES, Placement};
-use crate::request::{AccessRecord, AdmittedRequest, EndpointResponse, forward, response};
+use crate::request::{AccessRecord, AdmittedRequest, EndpointResponse, forward, notice, response};
 use crate::state::State;
 use crate::upstream::pool;
 use crate::upstream::{Connection, Error, Head};
@@ -128,6 +128,8 @@
     let mut response = exchanged?;
     let mut stray = 0;
     while !belongs_to(state, &response, request) {
+        let reply = state.dialect.reply(&response);
+        notice::record_reply(state, placement.endpoint(), &reply, response.status);
         stray += 1;
         if stray > MAX_STRAY_RESPONSES {
             return Err(AttemptError::Broken(
@@ -136,7 +138,7 @@
         }
         log::warn!(
             request = request.call.id, endpoint = placement.endpoint().id.as_str(),
-            answered = state.dialect.reply(&response).id.unwrap_or("");
+            answered = reply.id.unwrap_or("");
             "skipped a response to another request"
         );
         let framing = response.framing(&request.method)?;
@@ -146,6 +148,7 @@
     placement.record_first_byte();
     let reply = state.dialect.reply(&response);
     record.record_reply(&reply);
+    notice::record_reply(state, placement.endpoint(), &reply, response.status);
     if let Some(load) = reply.load {
         let now = state.now();
         state
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -50,6 +50,10 @@
         if state.roster.borrow().is_cold(ticket.endpoint(), now) {
             state.warmed.borrow_mut().record(ticket.endpoint(), now);
         }
+        state
+            .rate_limits
+            .borrow_mut()
+            .record_send(ticket.endpoint());
         Self {
             state: Rc::clone(state),
             ticket,
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -150,6 +150,7 @@
         let message = format!("the endpoints of `{}` are warming up", request.service.name);
         return Err(Problem::not_run(Code::Overloaded, message).retry_after(WARM_UP_RETRY_AFTER));
     }
+    let usable = exclude_limited(state, request, usable, now)?;
     let entries = state.fleet.borrow().size();
     let mut loads = state.loads.borrow_mut();
     let active = loads.active_subset(usable, &request.profile(), entries, now);
@@ -209,6 +210,35 @@
     usable.into_iter().filter(may_send).collect()
 }
 
+/// Filters out the endpoints that have named a rate limit of which this entry's part is used up.
+fn exclude_limited<'e>(
+    state: &State,
+    request: &AdmittedRequest,
+    usable: Vec<&'e Endpoint>,
+    now: Millis,
+) -> Result<Vec<&'e Endpoint>, Problem> {
+    let mut limits = state.rate_limits.borrow_mut();
+    if usable.is_empty() || limits.count(now) == 0 {
+        return Ok(usable);
+    }
+    let is_settled = duty::has_converged(state.life());
+    let ring = is_settled.then(|| state.fleet.borrow().ring());
+    let rates = usable.iter().filter_map(|it| limits.rate(&it.life, now));
+    let total_rate = rates.sum::<f64>();
+    let may_send = |endpoint: &&Endpoint| limits.may_send(&endpoint.life, ring.as_ref(), now);
+    let remaining: Vec<_> = usable.into_iter().filter(may_send).collect();
+    if !remaining.is_empty() {
+        return Ok(remaining);
+    }
+    state.metrics.rate_limited.inc();
+    let message = format!(
+        "the endpoints of `{}` take {total_rate:.1} requests per second",
+        request.service.name
+    );
+    let retry_after = admission::retry_after_rate(total_rate, rand::random());
+    Err(Problem::not_run(Code::Overloaded, message).retry_after(retry_after))
+}
+
 /// Rejects a quarantined request, which crashes the endpoints that run it.
 fn check_quarantine(state: &State, request: &AdmittedRequest, now: Millis) -> Result<(), Problem> {
     let hold = state.quarantine.borrow().hold(request.fingerprint, now);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -14,6 +14,7 @@
 use woodgap_core::relay::duty::{self, Confirmation, EntryStatus, PollDecision, Subject};
 use woodgap_core::relay::engine::LoadBalancer;
 use woodgap_core::relay::fleet::{Fleet, Member};
+use woodgap_core::relay::rate_limit::RateLimits;
 use woodgap_core::relay::rest::IdleLimits;
 use woodgap_core::relay::shutdown::Shutdown;
 use woodgap_core::relay::true_time::MedianClock;
@@ -81,6 +82,8 @@
     pub warmed: RefCell<warming::SendHistory>,
     /// Their load.
     pub loads: RefCell<LoadBalancer>,
+    /// The rate limits that they name.
+    pub rate_limits: RefCell<RateLimits>,
     /// Connections to them.
     pub pool: RefCell<Pool>,
     /// How long those may rest.
@@ -166,6 +169,7 @@
                 settings.data_centre.clone(),
                 rand::random(),
             )),
+            rate_limits: RefCell::new(RateLimits::new(rand::random())),
             pool: RefCell::default(),
             rests: RefCell::default(),
             fleet: RefCell::new(Fleet::new(
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -38,6 +38,7 @@
     drop_gone(state, now);
     state.pool.borrow_mut().sweep(now);
     state.warmed.borrow_mut().expire(now);
+    state.rate_limits.borrow_mut().expire(now);
     let due = state.loads.borrow().due_for_reconnect(now);
     for endpoint in due {
         try_again(state, endpoint);
@@ -61,6 +62,7 @@
         }
     }
     state.loads.borrow_mut().remove(&gone);
+    state.rate_limits.borrow_mut().remove(&gone);
 }
 
 /// Connects to a suspended endpoint, to see whether it is back: no request has
@@ -110,6 +112,8 @@
     metrics.running.set(gauge(state.running.get() as u64));
     let quarantined = state.quarantine.borrow().withheld(now).count();
     metrics.quarantined.set(gauge(quarantined as u64));
+    let limited = state.rate_limits.borrow().count(now);
+    metrics.limited_endpoints.set(gauge(limited as u64));
     let dropped = logs::take_dropped();
     if dropped > 0 {
         metrics.dropped_lines.inc_by(dropped);
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -10,11 +10,12 @@
 use woodgap_core::relay::engine::LoadBalancer;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::plan::Engine;
+use woodgap_core::relay::rate_limit::{self, RateLimits};
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::usage::Window;
 use woodgap_core::relay::work::Work;
 use woodgap_relay::gossip::message::{
-    self, Knowledge, Listed, MAX_DATAGRAM_BYTES, MAX_LOADS, MAX_SUSPECTS, Message,
+    self, Knowledge, Listed, MAX_DATAGRAM_BYTES, MAX_LOADS, MAX_RATE_LIMITS, MAX_SUSPECTS, Message,
 };
 
 use crate::peer::{IGNORANT, question};
@@ -83,13 +84,24 @@
     loads
 }
 
+/// The rate limits of many endpoints, in as many bytes as they may take.
+fn rate_limits() -> Vec<rate_limit::Notice> {
+    let mut limits = RateLimits::new(1);
+    for number in 0..2 * MAX_RATE_LIMITS {
+        let life = name::Life::from(name::Endpoint::from(format!("i-{number}")));
+        limits.record(&life, Some(f64::MAX), Millis(0));
+    }
+    limits.notices(MAX_RATE_LIMITS, Millis(599_999))
+}
+
 /// However much an entry has to tell, it fits into one datagram.
 #[rstest]
 #[case::one_service(1, 120)]
 #[case::some_services(4, 30)]
 #[case::all_models_of_a_large_site(22, 10)]
 fn a_message_fits_into_a_datagram(#[case] services: usize, #[case] engines: usize) {
-    let load = busy(services, engines).gossip(MAX_LOADS, Millis(18_000));
+    let rate_limits = rate_limits();
+    let load = busy(services, engines).gossip(MAX_LOADS - rate_limits.len(), Millis(18_000));
     assert!(!load.endpoints.is_empty() && !load.services.is_empty());
     let message = Message {
         number: u64::MAX,
@@ -107,6 +119,7 @@
         members: vec![member(2)],
         load,
         idle_limits: Vec::new(),
+        rate_limits,
         suspects: Vec::new(),
         unix: Millis(u64::MAX),
         claim: Some(claim()),
@@ -135,6 +148,7 @@
         members: Vec::new(),
         load: busy(1, 20).gossip(MAX_LOADS, Millis(18_000)),
         idle_limits: Vec::new(),
+        rate_limits: Vec::new(),
         suspects: Vec::new(),
         unix: Millis(1),
         claim: None,
--- a/crates/relay/tests/contract/peer.rs
+++ b/crates/relay/tests/contract/peer.rs
@@ -38,6 +38,7 @@
         members: Vec::new(),
         load: LoadReport::default(),
         idle_limits: Vec::new(),
+        rate_limits: Vec::new(),
         suspects: Vec::new(),
         unix: Millis(1_600_000_000_000),
         claim: None,
--- a/crates/relay/tests/contract/rate_limits.rs
+++ b/crates/relay/tests/contract/rate_limits.rs
@@ -1,5 +1,6 @@
 //! An endpoint that names a rate limit in its answers must not get more from all entries together.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -8,7 +9,7 @@
 
 use crate::caller::get;
 use crate::endpoint::{EVENTS, Endpoint, Step, chunk, head};
-use crate::site::{Site, source, until_met};
+use crate::site::{Site, source, until, until_met};
 
 /// How many entries there are, and how many endpoints beside the limited one.
 const ENTRIES: usize = 3;
@@ -158,3 +159,105 @@
         "other endpoints take what the limited one does not"
     );
 }
+
+/// Whether the entry takes this endpoint for limited, by its metrics.
+fn is_limited(site: &Site) -> bool {
+    let metrics = get(site.metrics, "/metrics", "x", "").text();
+    metrics.contains("limited_endpoints 1")
+}
+
+/// An entry to which the endpoint has never answered knows of its limit, and of its end.
+#[test]
+fn entries_hear_of_limits_from_one_another() {
+    let names_limit = Arc::new(AtomicBool::new(true));
+    let naming = Arc::clone(&names_limit);
+    let endpoint = Endpoint::numbered(move |_| {
+        let limit = format!("X-Woodgap-Rate-Limit: {LIMIT}\r\n");
+        let is_named = naming.load(Ordering::Relaxed);
+        Answer::Body.steps(if is_named { &limit } else { "" })
+    });
+    let sites = entries(&[endpoint.address]);
+    get(sites[0].requests, "/read/", "r", "");
+    until(|| sites.iter().all(is_limited));
+    names_limit.store(false, Ordering::Relaxed);
+    // The first entry asks again at the rate that is its own.
+    until(|| {
+        get(sites[0].requests, "/read/", "r", "");
+        !sites.iter().any(is_limited)
+    });
+    for site in &sites {
+        assert_eq!(get(site.requests, "/read/", "r", "").status, 200);
+    }
+}
+
+/// A caller whom no endpoint may take is told so at once, and when to come back.
+#[test]
+fn a_request_beyond_all_limits_is_refused_with_a_time_to_retry() {
+    let limited = Limited::start(Answer::Body);
+    let sites = entries(&[limited.endpoint.address]);
+    send_for(&sites, "/read/", KNOWN_AFTER);
+    let answers = (0..30).map(|_| get(sites[0].requests, "/write/", "r", ""));
+    let refused: Vec<_> = answers.filter(|it| it.status == 503).collect();
+    assert!(!refused.is_empty());
+    for answer in refused {
+        assert!(answer.text().contains("\"verdict\":\"not_run\""));
+        assert!(answer.text().contains("\"error\":\"overloaded\""));
+        assert!(!answer.header("retry-after").is_empty());
+    }
+}
+
+/// What is no limit, or another endpoint's, changes nothing.
+#[rstest]
+#[case::unreadable("200 OK", "X-Woodgap-Seal: s\r\nX-Woodgap-Rate-Limit: few\r\n")]
+#[case::contradictory(
+    "200 OK",
+    "X-Woodgap-Seal: s\r\nX-Woodgap-Rate-Limit: 1\r\nX-Woodgap-Rate-Limit: 2\r\n"
+)]
+#[case::of_another_endpoint("421 Misdirected Request", "X-Woodgap-Rate-Limit: 1\r\n")]
+fn only_a_readable_limit_of_the_endpoint_itself_counts(
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+) {
+    let endpoint =
+        Endpoint::numbered(move |_| vec![head(status, &format!("{headers}Content-Length: 0\r\n"))]);
+    let site = Site::start(&[endpoint.address]);
+    get(site.requests, "/read/", "r", "");
+    // Longer than the metrics take to show it.
+    sleep(Duration::from_secs(1));
+    assert!(!is_limited(&site));
+}
+
+/// The endpoint names its limit in each of these answers, and in no other.
+#[rstest]
+#[case::error("500 Internal Server Error", "Content-Length: 0\r\n")]
+#[case::refusal(
+    "503 Service Unavailable",
+    "X-Woodgap-Verdict: not_run\r\nContent-Length: 0\r\n"
+)]
+#[case::answer_without_a_seal("200 OK", "Content-Length: 0\r\n")]
+fn a_limit_counts_in_every_answer(#[case] status: &'static str, #[case] headers: &'static str) {
+    let endpoint = Endpoint::numbered(move |_| {
+        vec![head(
+            status,
+            &format!("X-Woodgap-Rate-Limit: 2\r\n{headers}"),
+        )]
+    });
+    let site = Site::start(&[endpoint.address]);
+    get(site.requests, "/read/", "r", "");
+    until(|| is_limited(&site));
+}
+
+/// An answer to another request comes first, and only it names the limit.
+#[test]
+fn a_limit_counts_in_an_answer_to_another_request() {
+    let stray = Step::Send(
+        "HTTP/1.1 500 X\r\nX-Woodgap-Request: other\r\nX-Woodgap-Rate-Limit: 2\r\n\
+         Content-Length: 0\r\n\r\n"
+            .to_owned(),
+    );
+    let own = head("500 Internal Server Error", "Content-Length: 0\r\n");
+    let endpoint = Endpoint::always(vec![stray, own]);
+    let site = Site::start(&[endpoint.address]);
+    get(site.requests, "/read/", "r", "");
+    until(|| is_limited(&site));
+}
