Soak: endpoints name rate limits, and what they get is checked

In a run, none to two of the four endpoints name a limit of 0 to 6 requests per second for nine seconds, in all answers. The draws come from a stream of their own, so that the faults of a seed are as they were.

--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -1,9 +1,9 @@
 //! A stand-in endpoint: it records each run, and answers well, badly or not at all.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -15,7 +15,7 @@
 use woodgap_harness::until;
 
 use crate::proxy::reset;
-use crate::record::{Outcome, Record};
+use crate::record::{Arrival, Outcome, Record};
 
 /// The longest time that it works on a request, in ms.
 const LONGEST_WORK: u64 = 150;
@@ -68,6 +68,17 @@
     life: Rc<watch::Sender<u64>>,
     /// Tells the name of the endpoint that a request has ended.
     ended: UnboundedSender<String>,
+    /// How many requests per second it takes from all entries together.
+    limit: Rc<Cell<Option<f64>>>,
+}
+
+/// What an answer names besides its status and body.
+struct Names<'a> {
+    /// The request that it answers.
+    id: &'a str,
+    endpoint: &'a str,
+    /// Further headers, each with its end of line.
+    headers: String,
 }
 
 impl Endpoint {
@@ -88,6 +99,7 @@
             record,
             life: Rc::new(life),
             ended,
+            limit: Rc::default(),
         };
         actix_rt::spawn(endpoint.clone().accept(listener));
         endpoint
@@ -98,6 +110,18 @@
         *self.life.borrow()
     }
 
+    /// Has its answers name a rate limit, or none.
+    pub fn name_limit(&self, per_second: Option<f64>) {
+        self.limit.set(per_second);
+    }
+
+    /// The headers in which its answers say what it asks for.
+    fn headers(&self) -> String {
+        let limit = self.limit.get();
+        let limit = limit.map(|limit| format!("X-Woodgap-Rate-Limit: {limit}\r\n"));
+        limit.unwrap_or_default()
+    }
+
     /// Ends its life: it listens no more, and all its connections are reset.
     pub fn stop(&self) {
         self.life.send_modify(|life| *life += 1);
@@ -160,10 +184,21 @@
             (mishap.filter(|_| is_bad), work)
         };
         if header(head, "x-woodgap-endpoint") != self.name {
-            return send(stream, &refusal(421, &id)).await;
+            return send(stream, &refusal(421, &id, "")).await;
         }
+        self.record.arrived(Arrival {
+            request: id.clone(),
+            endpoint: (self.name.clone(), life),
+            at: Instant::now(),
+            limit: self.limit.get(),
+        });
+        let names = Names {
+            id: &id,
+            endpoint: &self.name,
+            headers: self.headers(),
+        };
         if mishap == Some(Mishap::Declined) {
-            return send(stream, &refusal(503, &id)).await;
+            return send(stream, &refusal(503, &id, &names.headers)).await;
         }
         let way = stream.peer_addr().ok()?;
         let run = self.record.runs(&id, &self.name, life, way);
@@ -183,7 +218,7 @@
         };
         let running = async {
             pause(stream, Duration::from_millis(work)).await?;
-            carry_out(stream, head, &id, &self.name, mishap).await
+            carry_out(stream, head, &names, mishap).await
         };
         let step = running.await;
         let outcome = step.map_or(Outcome::Left, |_| own);
@@ -191,7 +226,7 @@
         match step? {
             After::Keep => Some(()),
             After::Close => None,
-            After::Surplus => send(stream, &failure("nobody")).await,
+            After::Surplus => send(stream, &failure("nobody", &names.headers)).await,
         }
     }
 }
@@ -218,13 +253,17 @@
 async fn carry_out(
     stream: &mut TcpStream,
     head: &str,
-    id: &str,
-    name: &str,
+    names: &Names<'_>,
     mishap: Option<Mishap>,
 ) -> Option<After> {
+    let Names {
+        id,
+        endpoint,
+        headers,
+    } = names;
     match mishap {
         Some(Mishap::Failed) => {
-            send(stream, &failure(id)).await?;
+            send(stream, &failure(id, headers)).await?;
             return Some(After::Keep);
         }
         Some(Mishap::Lost) => return Some(After::Close),
@@ -235,11 +274,11 @@
         _ => {}
     }
     if let Ok(count) = header(head, EVENTS).parse() {
-        return events(stream, id, count, mishap).await;
+        return events(stream, names, count, mishap).await;
     }
-    let body = body(id, name);
+    let body = body(id, endpoint);
     let head = format!(
-        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: {name}\r\n\
+        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: {endpoint}\r\n{headers}\
          Content-Length: {}\r\n\r\n",
         body.len()
     );
@@ -258,12 +297,13 @@
 
 async fn events(
     stream: &mut TcpStream,
-    id: &str,
+    names: &Names<'_>,
     count: usize,
     mishap: Option<Mishap>,
 ) -> Option<After> {
+    let Names { id, headers, .. } = names;
     let head = format!(
-        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n\
+        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n{headers}\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     send(stream, &head).await?;
@@ -296,14 +336,14 @@
     Some(())
 }
 
-fn failure(id: &str) -> String {
-    format!("HTTP/1.1 500 X\r\nX-Woodgap-Request: {id}\r\nContent-Length: 0\r\n\r\n")
+fn failure(id: &str, headers: &str) -> String {
+    format!("HTTP/1.1 500 X\r\nX-Woodgap-Request: {id}\r\n{headers}Content-Length: 0\r\n\r\n")
 }
 
-fn refusal(status: u16, id: &str) -> String {
+fn refusal(status: u16, id: &str, headers: &str) -> String {
     format!(
         "HTTP/1.1 {status} X\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Verdict: not_run\r\n\
-         Content-Length: 0\r\n\r\n"
+         {headers}Content-Length: 0\r\n\r\n"
     )
 }
 
--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -51,6 +51,13 @@
 /// How long the row of an endpoint can't be used, in ms.
 const SPOILT: std::ops::RangeInclusive<u64> = 100..=900;
 
+/// How many endpoints name a rate limit, from when to when, in ms, and of how many requests in
+/// ten seconds. The limit is judged only after some seconds.
+const LIMITS: std::ops::RangeInclusive<usize> = 0..=2;
+const LIMIT_START: std::ops::RangeInclusive<u64> = 0..=1_500;
+const LIMIT_LASTS: u64 = 9_000;
+const LIMIT: std::ops::RangeInclusive<u32> = 0..=60;
+
 /// The grace of a stop, in ms.
 const GRACE_MS: u64 = GRACE.as_secs() * 1_000;
 
@@ -81,6 +88,8 @@
     Litter(usize),
     /// The row of an endpoint can't be used for a while.
     Spoil(usize),
+    /// The answers of an endpoint name a rate limit for a while, in requests per ten seconds.
+    Limit(usize, u32),
 }
 
 /// How an endpoint starts again.
@@ -227,6 +236,17 @@
     (0..count).map(one).collect()
 }
 
+/// Draws endpoints that name a rate limit.
+pub fn draw_limits(random: &mut ChaCha8Rng, endpoints: usize) -> Vec<Event> {
+    let count = random.random_range(LIMITS);
+    let one = |endpoint| {
+        let at = random.random_range(LIMIT_START);
+        let per_ten_seconds = random.random_range(LIMIT);
+        Event::new(at, LIMIT_LASTS, Fault::Limit(endpoint, per_ten_seconds))
+    };
+    (0..count.min(endpoints)).map(one).collect()
+}
+
 fn stops(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
     let slot = random.random_range(0..entries);
     let other = (slot + random.random_range(1..entries)) % entries;
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -87,6 +87,17 @@
     pub outcome: Outcome,
 }
 
+/// A request that has reached an endpoint, whether it then runs or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub request: String,
+    /// The endpoint, and which of its lives it is in.
+    pub endpoint: (String, u64),
+    pub at: Instant,
+    /// The rate limit that the endpoint names by then.
+    pub limit: Option<f64>,
+}
+
 /// What breaks a promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Problem {
@@ -115,6 +126,8 @@
     /// So many requests that end endpoints reached some more, later than the bound after the
     /// third that they ended, by entries that nothing had befallen; and all that did.
     Fatal(usize, usize),
+    /// An endpoint that named a rate limit got so many requests, and so many were allowed.
+    Limited(String, usize, usize),
     /// A request was withheld that ends no endpoint.
     Withheld(String),
     /// A duty was done under a lower number than one before it.
@@ -139,6 +152,7 @@
 struct All {
     sent: BTreeMap<String, Sent>,
     runs: BTreeMap<String, Vec<Run>>,
+    arrivals: Vec<Arrival>,
     /// Connections to endpoints that proxies have reset, by the proxy's own address.
     resets: Vec<(SocketAddr, Instant)>,
     /// Requests that have ended an endpoint.
@@ -187,6 +201,16 @@
         }
     }
 
+    /// Notes that a request has reached an endpoint.
+    pub fn arrived(&self, arrival: Arrival) {
+        self.0.borrow_mut().arrivals.push(arrival);
+    }
+
+    /// All requests that have reached endpoints, in their order.
+    pub fn all_arrivals(&self) -> Vec<Arrival> {
+        self.0.borrow().arrivals.clone()
+    }
+
     /// Notes that a proxy resets one of its connections to an endpoint.
     pub fn reset(&self, way: SocketAddr) {
         let reset = (way, Instant::now());
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -1,6 +1,7 @@
 //! One run: the platform, endpoints and entries of a seed, their callers and faults.
 
 mod checks;
+mod limits;
 mod members;
 mod plan;
 
@@ -58,6 +59,7 @@
     restarts: ChaCha8Rng,
     rows: ChaCha8Rng,
     herds: ChaCha8Rng,
+    limits: ChaCha8Rng,
     scene: Rc<Scene>,
     callers: Vec<JoinHandle<()>>,
     /// Has endpoints start again that requests have ended.
@@ -96,7 +98,7 @@
     /// Starts everything, with so many entries, and waits until it serves.
     pub async fn start(seed: u64, entries: usize) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let [more, restarts, rows, herds, mut fatal] = [1, 2, 3, 4, 5].map(|stream| {
+        let [more, restarts, rows, herds, mut fatal, limits] = [1, 2, 3, 4, 5, 6].map(|stream| {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
             random.set_stream(stream);
             random
@@ -157,6 +159,7 @@
             restarts,
             rows,
             herds,
+            limits,
             scene,
         }
     }
@@ -179,6 +182,9 @@
         let herds = fault::draw_herds(&mut self.herds, entries);
         let herds = herds.into_iter().map(|event| (event, self.herds.random()));
         seeded.extend(herds);
+        // These draw nothing as they are played.
+        let limits = fault::draw_limits(&mut self.limits, ENDPOINTS);
+        seeded.extend(limits.into_iter().map(|event| (event, 0)));
         let playing = seeded.into_iter().map(|(event, seed)| {
             let scene = Rc::clone(&self.scene);
             actix_rt::spawn(async move { scene.play(event, seed).await })
@@ -205,6 +211,7 @@
         problems.extend(self.scene.timed_problems());
         problems.extend(self.scene.stop_problems());
         problems.extend(self.scene.fatal_problems());
+        problems.extend(limits::problems(&self.scene));
         let calls = self.scene.until_reported().await;
         problems.extend(duties::problems(&calls));
         let left_out = duties::left_out(&calls);
@@ -289,6 +296,12 @@
                 lasts().await;
                 self.list_again(&member).await;
             }
+            Fault::Limit(at, per_ten_seconds) => {
+                let Member { endpoint, .. } = self.endpoints.borrow()[at].clone();
+                endpoint.name_limit(Some(f64::from(per_ten_seconds) / 10.0));
+                lasts().await;
+                endpoint.name_limit(None);
+            }
         }
     }
 
