--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -81,6 +81,8 @@
     /// How many requests per second it takes from all entries together, for as long as it
     /// says so.
     pub rate_limit: Field<f64>,
+    /// Whether it is about to leave, and wants no more requests.
+    pub leaving: Field<bool>,
 }
 
 /// Why an endpoint has not run a request.
@@ -189,6 +191,33 @@
 /// assert_eq!(decimal(&headers, "limit"), Field::Invalid);
 /// ```
 pub fn decimal(headers: &HeaderMap, name: &str) -> Field<f64> {
+    field(headers, name, |text| {
+        let number = text.parse().ok();
+        number.filter(|number: &f64| number.is_finite() && *number >= 0.0)
+    })
+}
+
+/// A header that is 1 or 0. Headers that contradict each other are invalid.
+///
+/// ```
+/// use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+/// use woodgap_relay::dialect::{Field, flag};
+///
+/// let mut headers = HeaderMap::new();
+/// headers.append(HeaderName::from_static("leaving"), HeaderValue::from_static("1"));
+/// assert_eq!(flag(&headers, "leaving"), Field::Valid(true));
+/// headers.append(HeaderName::from_static("leaving"), HeaderValue::from_static("0"));
+/// assert_eq!(flag(&headers, "leaving"), Field::Invalid);
+/// ```
+pub fn flag(headers: &HeaderMap, name: &str) -> Field<bool> {
+    field(headers, name, |text| match text {
+        "1" => Some(true),
+        "0" => Some(false),
+        _ => None,
+    })
+}
+
+fn field<T>(headers: &HeaderMap, name: &str, parse: impl Fn(&str) -> Option<T>) -> Field<T> {
     let mut values = headers.get_all(name);
     let Some(first) = values.next() else {
         return Field::Missing;
@@ -196,12 +225,9 @@
     if values.any(|other| other != first) {
         return Field::Invalid;
     }
-    let number = first
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok());
-    let number = number.filter(|number: &f64| number.is_finite() && *number >= 0.0);
-    number.map_or(Field::Invalid, Field::Valid)
+    let text = first.to_str().ok();
+    let value = text.and_then(|text| parse(text.trim()));
+    value.map_or(Field::Invalid, Field::Valid)
 }
 
 /// A parameter of a query, as it stands there.
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -24,6 +24,7 @@
 ///     seal: "seal",
 ///     load: "load",
 ///     rate_limit: "rate-limit",
+///     leaving: "leaving",
 /// };
 /// assert!(names.passes("accept"));
 /// assert!(!names.passes("left-ms"));
@@ -62,6 +63,8 @@
     pub load: &'static str,
     /// From an endpoint: requests per second that it takes from all entries together.
     pub rate_limit: &'static str,
+    /// From an endpoint: 1 if it is about to leave.
+    pub leaving: &'static str,
 }
 
 impl Names {
@@ -117,6 +120,7 @@
             declined,
             load: head.header_str(self.load).and_then(report),
             rate_limit: dialect::decimal(&head.headers, self.rate_limit),
+            leaving: dialect::flag(&head.headers, self.leaving),
         }
     }
 }
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -28,6 +28,7 @@
     seal: "x-woodgap-seal",
     load: "x-woodgap-load",
     rate_limit: "x-woodgap-rate-limit",
+    leaving: "x-woodgap-leaving",
 };
 
 /// The product's own dialect: headers that begin with `X-Woodgap-`, and the
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -52,6 +52,8 @@
     reused: bool,
     /// The rate limit that the endpoint of the last answer named.
     rate_limit: Field<f64>,
+    /// Whether that endpoint said that it is leaving.
+    is_leaving: bool,
     first_byte: Option<Millis>,
     last_piece: Option<Millis>,
     longest_pause: Millis,
@@ -82,6 +84,7 @@
             objectives: Objectives::default(),
             reused: false,
             rate_limit: Field::Missing,
+            is_leaving: false,
             first_byte: None,
             last_piece: None,
             longest_pause: Millis::ZERO,
@@ -142,6 +145,7 @@
     /// Records what the endpoint says of itself in the head of its answer.
     pub fn record_reply(&mut self, reply: &Reply<'_>) {
         self.rate_limit = reply.rate_limit;
+        self.is_leaving = reply.leaving == Field::Valid(true);
     }
 
     /// The rate limit as logged: empty if none was named.
@@ -164,6 +168,7 @@
             request = self.id, fingerprint = self.fingerprint,
             endpoint = self.endpoint, sends = self.sends,
             reused = self.reused, rate_limit = self.rate_limit_text(),
+            endpoint_leaving = self.is_leaving,
             took_ms = self.elapsed().0, reason = reason;
             "attempt failed"
         );
@@ -269,6 +274,7 @@
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
             endpoint = self.endpoint, reused = self.reused, rate_limit = self.rate_limit_text(),
+            endpoint_leaving = self.is_leaving,
             expected_wait_ms = figure(|it| it.expected_wait), cost_ms = figure(|it| it.cost),
             queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
             unread_tokens = figure(|it| it.prefill_tokens), expected_run_ms = figure(|it| it.stream_time),
