--- a/crates/relay/tests/contract/endpoint.rs
+++ b/crates/relay/tests/contract/endpoint.rs
@@ -241,3 +241,27 @@
 pub fn chunk(text: &str) -> Step {
     Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
 }
+
+/// A whole answer: a body, or a stream of events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Body,
+    Events,
+}
+
+impl Answer {
+    /// The answer with these headers besides its own.
+    pub fn steps(self, headers: &str) -> Vec<Step> {
+        match self {
+            Self::Body => {
+                let all = format!("X-Woodgap-Seal: s\r\nContent-Length: 3\r\n{headers}");
+                vec![head("200 OK", &all), Step::Send("yes".to_owned())]
+            }
+            Self::Events => {
+                let all = format!("{EVENTS}{headers}");
+                let end = Step::Send("0\r\n\r\n".to_owned());
+                vec![head("200 OK", &all), chunk("id: 1\n\n"), end]
+            }
+        }
+    }
+}
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -12,6 +12,7 @@
 mod forwarding;
 mod last_lines;
 mod leave;
+mod leaving_endpoints;
 mod lives;
 mod messages;
 mod others;
--- a/crates/relay/tests/contract/rate_limits.rs
+++ b/crates/relay/tests/contract/rate_limits.rs
@@ -8,8 +8,8 @@
 use rstest::rstest;
 
 use crate::caller::get;
-use crate::endpoint::{EVENTS, Endpoint, Step, chunk, head};
-use crate::site::{Site, source, until, until_met};
+use crate::endpoint::{Answer, Endpoint, Step, head};
+use crate::site::{Site, fleet, until};
 
 /// How many entries there are, and how many endpoints beside the limited one.
 const ENTRIES: usize = 3;
@@ -35,30 +35,6 @@
     arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
-/// How an endpoint answers: with a body, or with a stream of events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Answer {
-    Body,
-    Events,
-}
-
-impl Answer {
-    /// An answer that carries these headers.
-    fn steps(self, headers: &str) -> Vec<Step> {
-        match self {
-            Self::Body => {
-                let all = format!("X-Woodgap-Seal: s\r\nContent-Length: 3\r\n{headers}");
-                vec![head("200 OK", &all), Step::Send("yes".to_owned())]
-            }
-            Self::Events => {
-                let all = format!("{EVENTS}{headers}");
-                let end = Step::Send("0\r\n\r\n".to_owned());
-                vec![head("200 OK", &all), chunk("id: 1\n\n"), end]
-            }
-        }
-    }
-}
-
 impl Limited {
     fn start(answer: Answer) -> Self {
         let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
@@ -96,20 +72,6 @@
     allowed
 }
 
-/// Entries that know one another, before these endpoints.
-fn entries(addresses: &[std::net::SocketAddr]) -> Vec<Site> {
-    let mut sites: Vec<Site> = Vec::new();
-    for at in 0..ENTRIES {
-        let source = source(addresses);
-        source.0.lock().unwrap().entries = sites.iter().map(|site| site.peer).collect();
-        let site = Site::with(&format!("dub-a-{at}"), source);
-        site.until_ready();
-        sites.push(site);
-    }
-    until_met(&sites);
-    sites
-}
-
 /// Sends requests to each entry for so long. Returns how many got another status than 200.
 fn send_for(sites: &[Site], target: &str, span: Duration) -> usize {
     let until = Instant::now() + span;
@@ -150,7 +112,7 @@
     let others: Vec<_> = (0..OTHERS).map(|_| Endpoint::numbered(other)).collect();
     let mut addresses = vec![limited.endpoint.address];
     addresses.extend(others.iter().map(|it| it.address));
-    let sites = entries(&addresses);
+    let sites = fleet(ENTRIES, &addresses);
     let failed = send_for(&sites, target, KNOWN_AFTER + 2 * WINDOW);
     let most = limited.most_in_a_window();
     assert!(most <= bound(), "{most} requests, {} allowed", bound());
@@ -176,7 +138,7 @@
         let is_named = naming.load(Ordering::Relaxed);
         Answer::Body.steps(if is_named { &limit } else { "" })
     });
-    let sites = entries(&[endpoint.address]);
+    let sites = fleet(ENTRIES, &[endpoint.address]);
     get(sites[0].requests, "/read/", "r", "");
     until(|| sites.iter().all(is_limited));
     names_limit.store(false, Ordering::Relaxed);
@@ -194,7 +156,7 @@
 #[test]
 fn a_request_beyond_all_limits_is_refused_with_a_time_to_retry() {
     let limited = Limited::start(Answer::Body);
-    let sites = entries(&[limited.endpoint.address]);
+    let sites = fleet(ENTRIES, &[limited.endpoint.address]);
     send_for(&sites, "/read/", KNOWN_AFTER);
     let answers = (0..30).map(|_| get(sites[0].requests, "/write/", "r", ""));
     let refused: Vec<_> = answers.filter(|it| it.status == 503).collect();
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -358,6 +358,20 @@
     });
 }
 
+/// So many entries that know one another, before these endpoints.
+pub fn fleet(entries: usize, endpoints: &[SocketAddr]) -> Vec<Site> {
+    let mut sites: Vec<Site> = Vec::new();
+    for at in 0..entries {
+        let source = source(endpoints);
+        source.0.lock().unwrap().entries = sites.iter().map(|site| site.peer).collect();
+        let site = Site::with(&format!("dub-a-{at}"), source);
+        site.until_ready();
+        sites.push(site);
+    }
+    until_met(&sites);
+    sites
+}
+
 pub fn endpoint(at: usize, address: SocketAddr) -> roster::Endpoint {
     roster::Endpoint {
         life: name::Life::from(name::Endpoint::from(format!("i-{at}"))),
