An endpoint that says it is leaving gets no more requests from any entry

What callers saw: requests went to an endpoint up to 2.8 s after its answers had told the entries that sent them that it leaves; with it gone, they would have been cut off.

Cause: the relay knew that an endpoint leaves only from its row at the platform, and what answers said was not read. While the platform was down the row could not change. Class: as with rate limits, back-pressure that nobody reads; here with two sources of one fact, of which only the slower counted. The third hypothesis (held up on the way) is ruled out by the 4 ms that they took, the second (a last resort) by two other endpoints that were ready.

Change: core::relay::departure keeps the lives that have said so, in the roster, whose usable() every first choice and every repeat passes; a row that is back after an outage does not bring one back, another life is another endpoint. Entries tell one another, at once when it is new. It is read in every answer, except in a 421, which is another endpoint's. Found by looking for the same cause elsewhere: connections that such an endpoint breaks off counted as a crash against its requests, and it counted as room where endpoints are ordered.

A message has at most 6 limits and 3 departures, so that some loads fit beside 22 services (the contract test of the datagram failed with 8 and 4).

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod claim;
 pub mod dating;
+pub mod departure;
 pub mod division;
 pub mod duty;
 pub mod engine;
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -23,6 +23,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::Evacuation;
+use crate::relay::departure::{self, Departures};
 
 /// Whether an endpoint may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,6 +121,8 @@
     fallback_period: Millis,
     /// By name, so that at most one life of each is known.
     endpoints: BTreeMap<name::Endpoint, Record>,
+    /// Lives that have said in their answers that they are leaving.
+    departures: Departures,
     /// Lives that have ended and were not yet returned by [`Roster::expire`].
     retired: Vec<name::Life>,
     /// The latest changes with their revisions, for entries that lack only these.
@@ -157,6 +160,7 @@
             as_of: Millis::ZERO,
             fallback_period,
             endpoints: BTreeMap::new(),
+            departures: Departures::default(),
             retired: Vec::new(),
             recent_changes: VecDeque::new(),
             history_start: 0,
@@ -358,10 +362,33 @@
         }
     }
 
+    /// Records that an answer of the endpoint says that it is leaving. Returns whether this is new.
+    pub fn record_departure(&mut self, life: &name::Life, now: Millis) -> bool {
+        self.departures.record(life, now)
+    }
+
+    /// Takes over which endpoints another entry has heard to be leaving. Returns the new ones, by
+    /// [`load_report::life_key`](crate::relay::load_report::life_key).
+    pub fn merge_departures(&mut self, notices: &[departure::Notice], now: Millis) -> Vec<u32> {
+        self.departures.merge(notices, now)
+    }
+
+    /// What to tell another entry of endpoints that are leaving, at most `max` notices.
+    pub fn departure_notices(&mut self, max: usize, now: Millis) -> Vec<departure::Notice> {
+        self.departures.notices(max, now)
+    }
+
+    /// Whether an endpoint is leaving, by its row or by its own word.
+    pub fn is_leaving(&self, life: &name::Life) -> bool {
+        let is_listed_so = self.get(life).is_some_and(|endpoint| endpoint.leaving);
+        is_listed_so || self.departures.contains(life)
+    }
+
     /// Drops the unlisted endpoints whose fallback period has passed. Returns the lives that ended
     /// since the last call: these, those that had left, and those replaced by another life.
     pub fn expire(&mut self, now: Millis) -> Vec<name::Life> {
         self.accept_unconfirmed(now);
+        self.departures.expire(now);
         let mut ended = std::mem::take(&mut self.retired);
         self.endpoints.retain(|_, record| {
             let is_expired = record.is_expired(now);
@@ -376,12 +403,15 @@
     }
 
     /// The usable endpoints of a service outside evacuated data centres: the ready ones or, if none
-    /// is ready, those that are unlisted or whose address was reused.
+    /// is ready, those that are unlisted or whose address was reused. Those that have said that
+    /// they are leaving are not usable, whatever their rows say.
     pub fn usable(&self, service: &str, evacuation: &Evacuation, now: Millis) -> Vec<&Endpoint> {
         let of_service = || {
             let records = self.endpoints.values();
             let of_service = records.filter(|record| record.endpoint.service == service);
-            of_service.filter(|record| !evacuation.covers(&record.endpoint.data_centre))
+            of_service
+                .filter(|record| !evacuation.covers(&record.endpoint.data_centre))
+                .filter(|record| !self.departures.contains(&record.endpoint.life))
         };
         let ready: Vec<_> = of_service()
             .filter(|record| record.is_ready(now))
--- a/crates/relay/src/duties/scaling.rs
+++ b/crates/relay/src/duties/scaling.rs
@@ -157,7 +157,7 @@
     let roster = state.roster.borrow();
     let ready = roster
         .listed()
-        .filter(|it| it.service == service && !it.leaving);
+        .filter(|it| it.service == service && !it.leaving && !roster.is_leaving(&it.life));
     let evacuation = state.evacuation.borrow();
     let mut idle = EndpointCounts::new();
     for endpoint in ready {
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -15,7 +15,7 @@
 use woodgap_core::relay::load_report::LoadReport;
 
 use crate::gossip::message::{
-    self, Knowledge, MAX_DATAGRAM_BYTES, MAX_LOADS, MAX_RATE_LIMITS, MAX_SUSPECTS,
+    self, Knowledge, MAX_DATAGRAM_BYTES, MAX_DEPARTURES, MAX_LOADS, MAX_RATE_LIMITS, MAX_SUSPECTS,
     MEMBERS_PER_MESSAGE, Message,
 };
 use crate::gossip::{ROUND_INTERVAL, STARTUP_ROUND_INTERVAL, fetch};
@@ -184,13 +184,18 @@
             let mut limits = self.state.rate_limits.borrow_mut();
             limits.notices(MAX_RATE_LIMITS, now)
         };
-        let max_loads = MAX_LOADS - rate_limits.len();
+        let departures = {
+            let mut roster = self.state.roster.borrow_mut();
+            roster.departure_notices(MAX_DEPARTURES, now)
+        };
+        let max_loads = MAX_LOADS - rate_limits.len() - departures.len();
         let load = self.state.loads.borrow().gossip(max_loads, now);
         let mut message = Message {
             members: self.next_members(),
             load,
             idle_limits: self.state.rests.borrow().report(now),
             rate_limits,
+            departures,
             ..self.base_message(number, is_answer)
         };
         let suspects = self
@@ -216,6 +221,7 @@
             load: LoadReport::default(),
             idle_limits: Vec::new(),
             rate_limits: Vec::new(),
+            departures: Vec::new(),
             suspects: Vec::new(),
             unix: self.state.clock.unix(),
             claim: self.state.claim.borrow().clone(),
@@ -345,6 +351,7 @@
             .borrow_mut()
             .merge(&message.idle_limits, now);
         notice::merge_rate_limits(&self.state, &message.rate_limits, now);
+        notice::merge_departures(&self.state, &message.departures, now);
         self.state.told_of_crashes(&message.suspects);
         if message.knowledge.withheld {
             self.state.has_read_withheld.set(true);
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -5,6 +5,7 @@
 use woodgap_core::name;
 use woodgap_core::quarantine;
 use woodgap_core::relay::claim::Claim;
+use woodgap_core::relay::departure;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::load_report::LoadReport;
 use woodgap_core::relay::rate_limit;
@@ -15,7 +16,7 @@
 
 /// The first byte of each message: the version of the wire format. Messages of another
 /// version are dropped, so that they are never misread.
-pub const FORM: u8 = 10;
+pub const FORM: u8 = 11;
 /// The first byte of a datagram that carries only usage counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The largest datagram, in bytes: small enough to cross every link without fragmentation.
@@ -27,7 +28,9 @@
 pub const MAX_SUSPECTS: usize = 12;
 /// The maximum number of endpoints whose rate limits one message reports. Each takes the place of
 /// an endpoint whose load is reported, which is larger.
-pub const MAX_RATE_LIMITS: usize = 8;
+pub const MAX_RATE_LIMITS: usize = 6;
+/// The same for endpoints that say that they are leaving.
+pub const MAX_DEPARTURES: usize = 3;
 /// How many other entries a message describes, unless it answers one that has just started.
 pub const MEMBERS_PER_MESSAGE: usize = 1;
 
@@ -56,6 +59,8 @@
     pub idle_limits: Vec<rest::IdleLimit>,
     /// Rate limits that endpoints name.
     pub rate_limits: Vec<rate_limit::Notice>,
+    /// Endpoints that say that they are leaving.
+    pub departures: Vec<departure::Notice>,
     /// Requests that were running on endpoints when these crashed.
     pub suspects: Vec<quarantine::CrashHistory>,
     /// The sender's time of day, in ms since the Unix epoch.
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -86,7 +86,7 @@
     address: SocketAddr,
     suspect: Suspect,
 ) {
-    if is_leaving(state, life) {
+    if state.roster.borrow().is_leaving(life) {
         return;
     }
     let now = state.now();
@@ -107,11 +107,6 @@
     }
 }
 
-fn is_leaving(state: &State, life: &name::Life) -> bool {
-    let roster = state.roster.borrow();
-    roster.get(life).is_some_and(|endpoint| endpoint.leaving)
-}
-
 /// Waits for the running probe of the endpoint, if any.
 pub async fn wait_for_check(state: &State, life: &name::Life) {
     let probe = {
--- a/crates/relay/src/request/notice.rs
+++ b/crates/relay/src/request/notice.rs
@@ -3,8 +3,8 @@
 use actix_http::StatusCode;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::relay::load_report;
-use woodgap_core::relay::rate_limit::{Change, Notice};
+use woodgap_core::relay::rate_limit::{self, Change};
+use woodgap_core::relay::{departure, load_report};
 
 use crate::dialect::{Decline, Field, Reply};
 use crate::state::State;
@@ -17,6 +17,43 @@
         return;
     }
     record_rate_limit(state, endpoint, reply.rate_limit, status);
+    if reply.leaving == Field::Valid(true) {
+        record_departure(state, endpoint);
+    }
+}
+
+fn record_departure(state: &State, endpoint: &name::Life) {
+    let now = state.now();
+    if state.roster.borrow_mut().record_departure(endpoint, now) {
+        log_departure(endpoint.id.as_str(), "answer");
+        state.news.notify_one();
+    }
+}
+
+/// Takes over which endpoints another entry has heard to be leaving.
+pub fn merge_departures(state: &State, notices: &[departure::Notice], now: Millis) {
+    let new = state.roster.borrow_mut().merge_departures(notices, now);
+    if new.is_empty() {
+        return;
+    }
+    for key in new {
+        log_departure(&listed_name(state, key), "entry");
+    }
+    // Others hear of it from more than one entry.
+    state.news.notify_one();
+}
+
+fn log_departure(endpoint: &str, source: &str) {
+    log::info!(endpoint = endpoint, source = source; "an endpoint says that it is leaving");
+}
+
+/// The name of the endpoint with this [`load_report::life_key`]; empty if none is listed, as
+/// another entry may know of it first.
+fn listed_name(state: &State, key: u32) -> String {
+    let roster = state.roster.borrow();
+    let mut listed = roster.listed();
+    let endpoint = listed.find(|it| load_report::life_key(&it.life) == key);
+    endpoint.map_or_else(String::new, |it| it.life.id.to_string())
 }
 
 /// Only a successful answer without a limit shows that there is none: an error may come from a
@@ -42,18 +79,13 @@
 }
 
 /// Takes over the rate limits that another entry tells.
-pub fn merge_rate_limits(state: &State, notices: &[Notice], now: Millis) {
+pub fn merge_rate_limits(state: &State, notices: &[rate_limit::Notice], now: Millis) {
     let changes = state.rate_limits.borrow_mut().merge(notices, now);
     if changes.is_empty() {
         return;
     }
-    let roster = state.roster.borrow();
     for (key, change) in changes {
-        let mut listed = roster.listed();
-        let endpoint = listed.find(|it| load_report::life_key(&it.life) == key);
-        // Another entry may know of an endpoint first.
-        let name = endpoint.map_or("", |it| it.life.id.as_str());
-        log_change(name, change, "entry");
+        log_change(&listed_name(state, key), change, "entry");
     }
     // Others hear of it from more than one entry.
     state.news.notify_one();
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -7,6 +7,7 @@
 use woodgap_core::quarantine::{Crash, Quarantine};
 use woodgap_core::relay::RequestProfile;
 use woodgap_core::relay::claim::Claim;
+use woodgap_core::relay::departure::{self, Departures};
 use woodgap_core::relay::engine::LoadBalancer;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::plan::Engine;
@@ -15,7 +16,8 @@
 use woodgap_core::relay::usage::Window;
 use woodgap_core::relay::work::Work;
 use woodgap_relay::gossip::message::{
-    self, Knowledge, Listed, MAX_DATAGRAM_BYTES, MAX_LOADS, MAX_RATE_LIMITS, MAX_SUSPECTS, Message,
+    self, Knowledge, Listed, MAX_DATAGRAM_BYTES, MAX_DEPARTURES, MAX_LOADS, MAX_RATE_LIMITS,
+    MAX_SUSPECTS, Message,
 };
 
 use crate::peer::{IGNORANT, question};
@@ -94,6 +96,16 @@
     limits.notices(MAX_RATE_LIMITS, Millis(599_999))
 }
 
+/// Many endpoints that are leaving, in as many bytes as they may take.
+fn departures() -> Vec<departure::Notice> {
+    let mut departures = Departures::default();
+    for number in 0..2 * MAX_DEPARTURES {
+        let life = name::Life::from(name::Endpoint::from(format!("i-{number}")));
+        departures.record(&life, Millis(0));
+    }
+    departures.notices(MAX_DEPARTURES, Millis(599_999))
+}
+
 /// However much an entry has to tell, it fits into one datagram.
 #[rstest]
 #[case::one_service(1, 120)]
@@ -101,7 +113,9 @@
 #[case::all_models_of_a_large_site(22, 10)]
 fn a_message_fits_into_a_datagram(#[case] services: usize, #[case] engines: usize) {
     let rate_limits = rate_limits();
-    let load = busy(services, engines).gossip(MAX_LOADS - rate_limits.len(), Millis(18_000));
+    let departures = departures();
+    let max_loads = MAX_LOADS - rate_limits.len() - departures.len();
+    let load = busy(services, engines).gossip(max_loads, Millis(18_000));
     assert!(!load.endpoints.is_empty() && !load.services.is_empty());
     let message = Message {
         number: u64::MAX,
@@ -120,6 +134,7 @@
         load,
         idle_limits: Vec::new(),
         rate_limits,
+        departures,
         suspects: Vec::new(),
         unix: Millis(u64::MAX),
         claim: Some(claim()),
@@ -149,6 +164,7 @@
         load: busy(1, 20).gossip(MAX_LOADS, Millis(18_000)),
         idle_limits: Vec::new(),
         rate_limits: Vec::new(),
+        departures: Vec::new(),
         suspects: Vec::new(),
         unix: Millis(1),
         claim: None,
