--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -67,6 +67,17 @@
     Valid(T),
 }
 
+impl<T> Field<T> {
+    /// Converts the value, if there is one.
+    pub fn map<U>(self, convert: impl FnOnce(T) -> U) -> Field<U> {
+        match self {
+            Self::Missing => Field::Missing,
+            Self::Invalid => Field::Invalid,
+            Self::Valid(value) => Field::Valid(convert(value)),
+        }
+    }
+}
+
 /// What an endpoint says in the head of an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reply<'a> {
@@ -83,6 +94,8 @@
     pub rate_limit: Field<f64>,
     /// Whether it is about to leave, and wants no more requests.
     pub leaving: Field<bool>,
+    /// For how long it wants no more requests from this entry, if it turns this one away.
+    pub back_off: Field<Millis>,
 }
 
 /// Why an endpoint has not run a request.
@@ -197,6 +210,26 @@
     })
 }
 
+/// `Retry-After` in seconds, possibly with decimals, rounded up to milliseconds.
+///
+/// ```
+/// use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+/// use woodgap_core::clock::Millis;
+/// use woodgap_relay::dialect::{Field, retry_after};
+///
+/// let mut headers = HeaderMap::new();
+/// headers.append(HeaderName::from_static("retry-after"), HeaderValue::from_static("1.5"));
+/// assert_eq!(retry_after(&headers), Field::Valid(Millis(1_500)));
+/// ```
+pub fn retry_after(headers: &HeaderMap) -> Field<Millis> {
+    decimal(headers, "retry-after").map(|seconds| {
+        // Not negative; what is too large becomes the largest number.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let span = (seconds * 1_000.0).ceil() as u64;
+        Millis(span)
+    })
+}
+
 /// A header that is 1 or 0. Headers that contradict each other are invalid.
 ///
 /// ```
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -1,8 +1,10 @@
 //! The headers between the relay and endpoints, whatever a dialect calls them.
 
+use actix_http::StatusCode;
+use woodgap_core::clock::Millis;
 use woodgap_core::relay::engine::Report;
 
-use crate::dialect::{self, Decline, Reply, Stamp};
+use crate::dialect::{self, Decline, Field, Reply, Stamp};
 use crate::upstream::Head;
 
 /// The names of headers in one dialect, in lower case.
@@ -121,10 +123,22 @@
             load: head.header_str(self.load).and_then(report),
             rate_limit: dialect::decimal(&head.headers, self.rate_limit),
             leaving: dialect::flag(&head.headers, self.leaving),
+            back_off: back_off(head, declined),
         }
     }
 }
 
+/// Any 503 may ask for a back-off, a 429 only if the endpoint itself has turned the request away:
+/// else it may be the answer to one caller who asks too often.
+fn back_off(head: &Head, declined: Option<Decline>) -> Field<Millis> {
+    let is_unavailable = head.status == StatusCode::SERVICE_UNAVAILABLE;
+    if is_unavailable || declined == Some(Decline::Full) {
+        dialect::retry_after(&head.headers)
+    } else {
+        Field::Missing
+    }
+}
+
 /// Three whole numbers separated by commas: running, waiting, slots.
 fn report(text: &str) -> Option<Report> {
     let mut figures = text.split(',').map(|figure| figure.trim().parse().ok());
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -54,6 +54,8 @@
     rate_limit: Field<f64>,
     /// Whether that endpoint said that it is leaving.
     is_leaving: bool,
+    /// The back-off that the endpoint of the last answer asked for.
+    back_off: Field<Millis>,
     first_byte: Option<Millis>,
     last_piece: Option<Millis>,
     longest_pause: Millis,
@@ -85,6 +87,7 @@
             reused: false,
             rate_limit: Field::Missing,
             is_leaving: false,
+            back_off: Field::Missing,
             first_byte: None,
             last_piece: None,
             longest_pause: Millis::ZERO,
@@ -146,15 +149,7 @@
     pub fn record_reply(&mut self, reply: &Reply<'_>) {
         self.rate_limit = reply.rate_limit;
         self.is_leaving = reply.leaving == Field::Valid(true);
-    }
-
-    /// The rate limit as logged: empty if none was named.
-    fn rate_limit_text(&self) -> String {
-        match self.rate_limit {
-            Field::Missing => String::new(),
-            Field::Invalid => "invalid".to_owned(),
-            Field::Valid(per_second) => per_second.to_string(),
-        }
+        self.back_off = reply.back_off;
     }
 
     /// Logs and counts a failed attempt.
@@ -167,7 +162,8 @@
         log::info!(
             request = self.id, fingerprint = self.fingerprint,
             endpoint = self.endpoint, sends = self.sends,
-            reused = self.reused, rate_limit = self.rate_limit_text(),
+            reused = self.reused, rate_limit = text(self.rate_limit),
+            back_off_ms = text(self.back_off.map(|it| it.0)),
             endpoint_leaving = self.is_leaving,
             took_ms = self.elapsed().0, reason = reason;
             "attempt failed"
@@ -273,7 +269,8 @@
             first_byte_ms = self.first_byte.map_or(0, |it| it.0),
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
-            endpoint = self.endpoint, reused = self.reused, rate_limit = self.rate_limit_text(),
+            endpoint = self.endpoint, reused = self.reused, rate_limit = text(self.rate_limit),
+            back_off_ms = text(self.back_off.map(|it| it.0)),
             endpoint_leaving = self.is_leaving,
             expected_wait_ms = figure(|it| it.expected_wait), cost_ms = figure(|it| it.cost),
             queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
@@ -290,6 +287,15 @@
     }
 }
 
+/// An optional header as logged: empty if it was missing.
+fn text<T: ToString>(field: Field<T>) -> String {
+    match field {
+        Field::Missing => String::new(),
+        Field::Invalid => "invalid".to_owned(),
+        Field::Valid(value) => value.to_string(),
+    }
+}
+
 impl Drop for AccessRecord {
     fn drop(&mut self) {
         if !self.closed {
