Failing test: an endpoint that asks for a back-off goes on getting requests

One entry before an endpoint that turns every request away at once with Retry-After 3, and one that works 30 ms on each.

--- /dev/null
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -0,0 +1,91 @@
+//! An endpoint that turns an entry away and says for how long must be left alone by it.
+
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use crate::caller::get;
+use crate::endpoint::{Answer, Endpoint, Step, head};
+use crate::site::{Site, fleet};
+
+/// The back-off that is asked for.
+const BACK_OFF: Duration = Duration::from_secs(3);
+/// For how long requests are sent, less than the back-off.
+const SENDING: Duration = Duration::from_millis(2_900);
+/// From so long after it was asked for until its end, at most so many requests may still come.
+const KNOWN_AFTER: Duration = Duration::from_millis(500);
+const ALLOWED: usize = 2;
+/// How long the other endpoint works on a request: the one that turns all away seems faster.
+const WORK: Duration = Duration::from_millis(30);
+/// The headers of an answer that turns a request away for [`BACK_OFF`].
+const TURNED_AWAY: &str = "X-Woodgap-Verdict: not_run\r\nRetry-After: 3\r\nContent-Length: 0\r\n";
+
+/// An endpoint that notes when requests arrive.
+struct Noting {
+    endpoint: Endpoint,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl Noting {
+    /// Does with each request, counted from 0, what the script says.
+    fn numbered(script: impl Fn(usize) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
+        let noting = Arc::clone(&arrivals);
+        let endpoint = Endpoint::numbered(move |number| {
+            noting.lock().unwrap().push(Instant::now());
+            script(number)
+        });
+        Self { endpoint, arrivals }
+    }
+
+    /// Turns every request away.
+    fn overloaded() -> Self {
+        Self::numbered(|_| vec![head("503 Service Unavailable", TURNED_AWAY)])
+    }
+
+    fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().unwrap().clone()
+    }
+}
+
+/// An endpoint that is slower than one that turns requests away.
+fn working(answer: Answer) -> Endpoint {
+    Endpoint::numbered(move |_| {
+        sleep(WORK);
+        answer.steps("")
+    })
+}
+
+/// Sends requests to an entry for so long. Returns their statuses.
+fn send_for(site: &Site, target: &str, span: Duration) -> Vec<u16> {
+    let until = Instant::now() + span;
+    let mut statuses = Vec::new();
+    while Instant::now() < until {
+        statuses.push(get(site.requests, target, "r", "").status);
+        sleep(Duration::from_millis(5));
+    }
+    statuses
+}
+
+/// Engines that had asked for 3 s got up to 8 requests in that time, and their callers 503.
+#[rstest]
+#[case::plain_service("/read/", Answer::Body)]
+#[case::stream("/stream-twice/", Answer::Events)]
+fn an_endpoint_that_asks_for_a_back_off_is_left_alone(
+    #[case] target: &str,
+    #[case] answer: Answer,
+) {
+    let overloaded = Noting::overloaded();
+    let other = working(answer);
+    let sites = fleet(1, &[overloaded.endpoint.address, other.address]);
+    let statuses = send_for(&sites[0], target, SENDING);
+    let arrivals = overloaded.arrivals();
+    let first = arrivals[0];
+    let early = |at: &&Instant| **at >= first + KNOWN_AFTER && **at < first + BACK_OFF;
+    let count = arrivals.iter().filter(early).count();
+    assert!(count <= ALLOWED, "{count} requests, {ALLOWED} allowed");
+    let refused = statuses.iter().filter(|status| **status != 200).count();
+    assert_eq!(refused, 0, "the other endpoint serves all");
+}
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -1,6 +1,7 @@
 //! What callers see, and what endpoints get, case by case.
 
 mod answers;
+mod back_offs;
 mod caller;
 mod cold;
 mod crashes;
