An endpoint that asks an entry for a back-off is left alone by it

What callers saw: 503 for streams while six of nine engines had room. Three engines turned every request away with Retry-After 3 and got up to 55 a second together; a request went to one of them, then to a second one, and its route allows no third attempt.

Cause: Retry-After of an endpoint was not read. Class: as with rate limits and departures, back-pressure that nobody reads. What made it worse is that an engine which declines within a millisecond has nothing in flight, so that it seems the least loaded one.

Change: core::relay::back_off. For as long as it asks (five minutes at most), an endpoint gets nothing from this entry; then one request at a time until it takes one, at a moment that differs between entries by a tenth. Other entries are not told, as each is asked by itself. run::choose, which first tries and repeats pass, leaves such endpoints out, and refuses at once with a time to come back where there is no other. It is read from any 503, and from a 429 by which the endpoint itself turns the request away.

--- /dev/null
+++ b/crates/core/tests/relay/back_off.rs
@@ -0,0 +1,85 @@
+//! Back-offs that endpoints ask an entry for.
+
+use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_core::name;
+use woodgap_core::relay::back_off::BackOffs;
+
+fn endpoint() -> name::Life {
+    name::Life::from(name::Endpoint::from("e-1"))
+}
+
+/// When an endpoint gets a request again that turned one away at 0.
+fn first_send(back_offs: &BackOffs) -> Option<u64> {
+    (0..400_000).find(|at| back_offs.may_send(&endpoint(), Millis(*at)))
+}
+
+#[rstest]
+#[case::as_asked(3_000, 0.0, 3_000)]
+#[case::spread_over_a_tenth(3_000, 1.0, 3_300)]
+#[case::nothing(0, 1.0, 0)]
+#[case::beyond_bounds(u64::MAX, 0.0, 300_000)]
+fn an_endpoint_gets_nothing_for_as_long_as_it_asks(
+    #[case] span: u64,
+    #[case] jitter: f64,
+    #[case] expected: u64,
+) {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(span), jitter, Millis(0));
+    assert_eq!(first_send(&back_offs), Some(expected));
+}
+
+/// Requests that were under way are turned away as well, and some of them ask for less.
+#[rstest]
+#[case::longer(5_000, 5_100)]
+#[case::shorter(500, 3_000)]
+#[case::nothing(0, 3_000)]
+fn the_longest_back_off_holds(#[case] second: u64, #[case] expected: u64) {
+    let mut back_offs = BackOffs::default();
+    assert!(back_offs.record(&endpoint(), Millis(3_000), 0.0, Millis(0)));
+    assert!(!back_offs.record(&endpoint(), Millis(second), 0.0, Millis(100)));
+    assert_eq!(first_send(&back_offs), Some(expected));
+}
+
+#[test]
+fn an_answer_to_an_earlier_request_ends_no_back_off() {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(3_000), 0.0, Millis(0));
+    assert!(!back_offs.record_taken(&endpoint(), Millis(2_000)));
+    assert!(!back_offs.may_send(&endpoint(), Millis(2_000)));
+}
+
+#[test]
+fn one_request_at_a_time_follows_a_back_off() {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(3_000), 0.0, Millis(0));
+    back_offs.record_send(&endpoint(), Millis(3_000));
+    assert!(!back_offs.may_send(&endpoint(), Millis(3_999)));
+    // The first one has no answer: another one may have.
+    assert!(back_offs.may_send(&endpoint(), Millis(4_000)));
+    back_offs.record_send(&endpoint(), Millis(4_000));
+    assert!(!back_offs.may_send(&endpoint(), Millis(4_500)));
+    assert!(back_offs.record_taken(&endpoint(), Millis(4_600)));
+    assert!(back_offs.may_send(&endpoint(), Millis(4_600)));
+    assert!(back_offs.is_empty());
+}
+
+/// The one request is turned away as well.
+#[test]
+fn a_back_off_may_follow_another_one() {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(3_000), 0.0, Millis(0));
+    back_offs.record_send(&endpoint(), Millis(3_000));
+    back_offs.record(&endpoint(), Millis(2_000), 0.0, Millis(3_010));
+    assert!(!back_offs.may_send(&endpoint(), Millis(5_009)));
+    assert!(back_offs.may_send(&endpoint(), Millis(5_010)));
+}
+
+#[test]
+fn back_offs_of_lives_that_are_over_are_forgotten() {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(3_000), 0.0, Millis(0));
+    back_offs.remove(&[endpoint()]);
+    assert_eq!(back_offs.count(), 0);
+    assert!(back_offs.may_send(&endpoint(), Millis(0)));
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod active_plan;
 mod admission;
+mod back_off;
 mod budget;
 mod claim;
 mod duty;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -47,6 +47,10 @@
     pub quarantined: IntGauge,
     /// Endpoints that are limited by the rate limit that they name or have named.
     pub limited_endpoints: IntGauge,
+    /// Endpoints that have asked this entry for a back-off, and have taken no request since.
+    pub back_offs: IntGauge,
+    /// Requests that were not sent, since all endpoints had asked for a back-off.
+    pub backed_off: IntCounter,
     /// Requests that were not sent, since all endpoints were at their rate limits.
     pub rate_limited: IntCounter,
     /// Whether this entry has the duties of one entry at a time: 1 or 0.
@@ -97,6 +101,14 @@
                 "limited_endpoints",
                 "Endpoints that name a rate limit, or did so lately",
             )?,
+            back_offs: IntGauge::new(
+                "back_offs",
+                "Endpoints that have asked for a back-off, and taken no request since",
+            )?,
+            backed_off: IntCounter::new(
+                "backed_off",
+                "Requests that were not sent: all endpoints had asked for a back-off",
+            )?,
             rate_limited: IntCounter::new(
                 "rate_limited",
                 "Requests that were not sent: all endpoints were at their rate limits",
@@ -133,6 +145,8 @@
         registry.register(Box::new(self.withheld.clone()))?;
         registry.register(Box::new(self.quarantined.clone()))?;
         registry.register(Box::new(self.limited_endpoints.clone()))?;
+        registry.register(Box::new(self.back_offs.clone()))?;
+        registry.register(Box::new(self.backed_off.clone()))?;
         registry.register(Box::new(self.rate_limited.clone()))?;
         registry.register(Box::new(self.has_duties.clone()))?;
         registry.register(Box::new(self.windows.clone()))?;
--- a/crates/relay/src/request/notice.rs
+++ b/crates/relay/src/request/notice.rs
@@ -20,6 +20,22 @@
     if reply.leaving == Field::Valid(true) {
         record_departure(state, endpoint);
     }
+    record_back_off(state, endpoint, reply, status);
+}
+
+fn record_back_off(state: &State, endpoint: &name::Life, reply: &Reply<'_>, status: StatusCode) {
+    let now = state.now();
+    let mut back_offs = state.back_offs.borrow_mut();
+    if let Field::Valid(span) = reply.back_off {
+        if back_offs.record(endpoint, span, rand::random(), now) {
+            log::info!(endpoint = endpoint.id.as_str(), for_ms = span.0; "an endpoint asks for a back-off");
+        }
+        return;
+    }
+    let is_taken = reply.declined.is_none() && status != StatusCode::SERVICE_UNAVAILABLE;
+    if is_taken && back_offs.record_taken(endpoint, now) {
+        log::info!(endpoint = endpoint.id.as_str(); "an endpoint takes requests again");
+    }
 }
 
 fn record_departure(state: &State, endpoint: &name::Life) {
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -54,6 +54,10 @@
             .rate_limits
             .borrow_mut()
             .record_send(ticket.endpoint());
+        state
+            .back_offs
+            .borrow_mut()
+            .record_send(ticket.endpoint(), now);
         Self {
             state: Rc::clone(state),
             ticket,
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -150,6 +150,7 @@
         let message = format!("the endpoints of `{}` are warming up", request.service.name);
         return Err(Problem::not_run(Code::Overloaded, message).retry_after(WARM_UP_RETRY_AFTER));
     }
+    let usable = exclude_backed_off(state, request, usable, now)?;
     let usable = exclude_limited(state, request, usable, now)?;
     let entries = state.fleet.borrow().size();
     let mut loads = state.loads.borrow_mut();
@@ -210,6 +211,33 @@
     usable.into_iter().filter(may_send).collect()
 }
 
+/// Filters out the endpoints that have asked this entry for a back-off.
+fn exclude_backed_off<'e>(
+    state: &State,
+    request: &AdmittedRequest,
+    usable: Vec<&'e Endpoint>,
+    now: Millis,
+) -> Result<Vec<&'e Endpoint>, Problem> {
+    let back_offs = state.back_offs.borrow();
+    if usable.is_empty() || back_offs.is_empty() {
+        return Ok(usable);
+    }
+    let remaining = usable.iter().map(|it| back_offs.remaining(&it.life, now));
+    let shortest = remaining.min().unwrap_or_default();
+    let may_send = |endpoint: &&Endpoint| back_offs.may_send(&endpoint.life, now);
+    let open: Vec<_> = usable.into_iter().filter(may_send).collect();
+    if !open.is_empty() {
+        return Ok(open);
+    }
+    state.metrics.backed_off.inc();
+    let message = format!(
+        "the endpoints of `{}` ask for a back-off",
+        request.service.name
+    );
+    let retry_after = shortest.clamp(admission::MIN_RETRY_AFTER, admission::MAX_RETRY_AFTER);
+    Err(Problem::not_run(Code::Overloaded, message).retry_after(retry_after))
+}
+
 /// Filters out the endpoints that have named a rate limit of which this entry's part is used up.
 fn exclude_limited<'e>(
     state: &State,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -9,6 +9,7 @@
 use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
 use woodgap_core::quarantine::{Change, Crash, CrashHistory, Quarantine};
+use woodgap_core::relay::back_off::BackOffs;
 use woodgap_core::relay::budget::{RetryBudget, RetryLimit};
 use woodgap_core::relay::claim::Claim;
 use woodgap_core::relay::duty::{self, Confirmation, EntryStatus, PollDecision, Subject};
@@ -82,6 +83,8 @@
     pub warmed: RefCell<warming::SendHistory>,
     /// Their load.
     pub loads: RefCell<LoadBalancer>,
+    /// The back-offs that they ask this entry for.
+    pub back_offs: RefCell<BackOffs>,
     /// The rate limits that they name.
     pub rate_limits: RefCell<RateLimits>,
     /// Connections to them.
@@ -169,6 +172,7 @@
                 settings.data_centre.clone(),
                 rand::random(),
             )),
+            back_offs: RefCell::default(),
             rate_limits: RefCell::new(RateLimits::new(rand::random())),
             pool: RefCell::default(),
             rests: RefCell::default(),
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -63,6 +63,7 @@
     }
     state.loads.borrow_mut().remove(&gone);
     state.rate_limits.borrow_mut().remove(&gone);
+    state.back_offs.borrow_mut().remove(&gone);
 }
 
 /// Connects to a suspended endpoint, to see whether it is back: no request has
@@ -114,6 +115,8 @@
     metrics.quarantined.set(gauge(quarantined as u64));
     let limited = state.rate_limits.borrow().count(now);
     metrics.limited_endpoints.set(gauge(limited as u64));
+    let back_offs = state.back_offs.borrow().count();
+    metrics.back_offs.set(gauge(back_offs as u64));
     let dropped = logs::take_dropped();
     if dropped > 0 {
         metrics.dropped_lines.inc_by(dropped);
--- a/crates/relay/tests/contract/back_offs.rs
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -89,3 +89,69 @@
     let refused = statuses.iter().filter(|status| **status != 200).count();
     assert_eq!(refused, 0, "the other endpoint serves all");
 }
+
+/// After the back-off it gets one request at a time until it takes one, and then its part again.
+#[test]
+fn an_endpoint_is_used_again_after_its_back_off() {
+    let recovering = Noting::numbered(|number| {
+        let turned_away = TURNED_AWAY.replace("Retry-After: 3", "Retry-After: 1");
+        if number < 2 {
+            return vec![head("503 Service Unavailable", &turned_away)];
+        }
+        Answer::Body.steps("")
+    });
+    let other = working(Answer::Body);
+    let sites = fleet(1, &[recovering.endpoint.address, other.address]);
+    send_for(&sites[0], "/read/", Duration::from_secs(4));
+    let arrivals = recovering.arrivals();
+    let gaps: Vec<_> = arrivals.windows(2).map(|two| two[1] - two[0]).collect();
+    let back_off = Duration::from_millis(950);
+    assert!(gaps[0] >= back_off && gaps[1] >= back_off, "{gaps:?}");
+    assert!(arrivals.len() > 10, "{} requests", arrivals.len());
+}
+
+/// A caller whom no endpoint may take is told so at once, and when to come back.
+#[test]
+fn where_all_endpoints_ask_for_a_back_off_the_caller_does_not_wait() {
+    let overloaded = Noting::overloaded();
+    let sites = fleet(1, &[overloaded.endpoint.address]);
+    get(sites[0].requests, "/write/", "r1", "");
+    let answer = get(sites[0].requests, "/write/", "r2", "");
+    assert_eq!(answer.status, 503);
+    assert!(
+        answer.text().contains("ask for a back-off"),
+        "{}",
+        answer.text()
+    );
+    assert!(answer.text().contains("\"verdict\":\"not_run\""));
+    assert!(!answer.header("retry-after").is_empty());
+    assert_eq!(overloaded.arrivals().len(), 1);
+}
+
+/// Each of these is the first answer of the only endpoint.
+#[rstest]
+#[case::may_have_run("503 X", "X-Woodgap-Seal: s\r\nRetry-After: 3\r\n", true)]
+#[case::too_many("429 X", "X-Woodgap-Verdict: not_run\r\nRetry-After: 3\r\n", true)]
+#[case::one_caller_asks_too_often("429 X", "X-Woodgap-Seal: s\r\nRetry-After: 3\r\n", false)]
+#[case::of_another_endpoint("421 X", "Retry-After: 3\r\n", false)]
+#[case::not_said("503 X", "X-Woodgap-Verdict: not_run\r\n", false)]
+#[case::at_once("503 X", "X-Woodgap-Verdict: not_run\r\nRetry-After: 0\r\n", false)]
+#[case::negative("503 X", "X-Woodgap-Verdict: not_run\r\nRetry-After: -3\r\n", false)]
+#[case::unreadable("503 X", "X-Woodgap-Verdict: not_run\r\nRetry-After: later\r\n", false)]
+#[case::contradictory(
+    "503 X",
+    "X-Woodgap-Verdict: not_run\r\nRetry-After: 3\r\nRetry-After: 4\r\n",
+    false
+)]
+fn only_a_readable_back_off_of_the_endpoint_itself_counts(
+    #[case] status: &str,
+    #[case] headers: &str,
+    #[case] counts: bool,
+) {
+    let first = vec![head(status, &format!("{headers}Content-Length: 0\r\n"))];
+    let endpoint = Endpoint::first(first, Answer::Body.steps(""));
+    let sites = fleet(1, &[endpoint.address]);
+    get(sites[0].requests, "/open/", "r1", "");
+    let answer = get(sites[0].requests, "/open/", "r2", "");
+    assert_eq!(answer.status == 503, counts, "{}", answer.text());
+}
