Failing test: an endpoint that declines everything at once draws the traffic

Found by looking for what made the back-offs worse. Of 90 writes (one attempt each) before three endpoints, of which one declines at once without asking for a back-off and two work 30 ms, 89 went to the one that declines, and their callers got 503; its part would be 30.

--- a/crates/relay/tests/contract/back_offs.rs
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 
 use crate::caller::get;
-use crate::endpoint::{Answer, Endpoint, Step, head};
+use crate::endpoint::{Answer, Endpoint, Step, declined, head};
 use crate::site::{Site, fleet};
 
 /// The back-off that is asked for.
@@ -22,6 +22,9 @@
 /// The headers of an answer that turns a request away for [`BACK_OFF`].
 const TURNED_AWAY: &str = "X-Woodgap-Verdict: not_run\r\nRetry-After: 3\r\nContent-Length: 0\r\n";
 
+/// How many requests are sent to three endpoints.
+const REQUESTS: usize = 90;
+
 /// An endpoint that notes when requests arrive.
 struct Noting {
     endpoint: Endpoint,
@@ -155,3 +158,18 @@
     let answer = get(sites[0].requests, "/open/", "r2", "");
     assert_eq!(answer.status == 503, counts, "{}", answer.text());
 }
+
+/// It answers within a millisecond and has nothing in flight, so that it seemed the best one to
+/// each request.
+#[test]
+fn an_endpoint_that_declines_at_once_gets_no_more_than_its_part() {
+    let declining = Endpoint::always(vec![declined()]);
+    let others = [working(Answer::Body), working(Answer::Body)];
+    let addresses = [declining.address, others[0].address, others[1].address];
+    let sites = fleet(1, &addresses);
+    for _ in 0..REQUESTS {
+        get(sites[0].requests, "/write/", "r", "");
+    }
+    let count = declining.seen().len();
+    assert!(count <= REQUESTS / addresses.len(), "{count} of {REQUESTS}");
+}
