An endpoint that declines everything at once no longer draws the traffic

What callers saw: where one of three endpoints declined each request within a millisecond, 89 of 90 requests with one attempt got 503.

Cause: load is estimated from what is in flight and how long answers took. An endpoint that declines has nothing in flight and is fast, so it is the best one for the next request as well. Class: a refusal counted as an answer.

Change: core::relay::back_off, for declines without Retry-After as well: 50 ms, doubled with each decline in a row up to 1.6 s, ended by the first request that is taken; from the second decline on one request at a time.

choose is split: exclude_unwilling has all filters, after those that were tried.

--- a/crates/core/src/relay/back_off.rs
+++ b/crates/core/src/relay/back_off.rs
@@ -1,9 +1,13 @@
-//! Back-offs that endpoints ask this entry for.
+//! Back-offs from endpoints that turn requests away.
 //!
 //! An endpoint that turns a request away may say for how long it wants no more of them from the
 //! entry that sent it. Afterwards it gets one request at a time until it takes one, as it would
 //! otherwise get everything again that it could not bear. Other entries are not told: each is asked
 //! by itself.
+//!
+//! An endpoint that declines without saying for how long gets a short back-off, which doubles with
+//! each decline until it takes a request: as it answers at once and has nothing in flight, it would
+//! seem the least loaded one. Such an endpoint is still used where there is no better one.
 
 use std::collections::HashMap;
 
@@ -17,9 +21,20 @@
 /// After a back-off, another request is sent this long after one that had no answer.
 const TRIAL_TIMEOUT: Millis = Millis(1_000);
 
-#[derive(Clone, Copy, Debug)]
+/// The back-off after the first of several declines, and the longest one.
+const FIRST_DECLINE: Millis = Millis(50);
+const LAST_DECLINE: Millis = Millis(1_600);
+/// From so many declines in a row on, an endpoint gets one request at a time. A single one only
+/// shows that it was full at that moment.
+const MIN_DECLINES: u32 = 2;
+
+#[derive(Clone, Copy, Debug, Default)]
 struct Record {
     until: Millis,
+    /// Whether the endpoint asked for the back-off.
+    is_asked: bool,
+    /// Declines in a row without a word on how long to stay away.
+    declines: u32,
     /// When the last request after the back-off was sent, while it has no answer.
     trial: Option<Millis>,
 }
@@ -60,19 +75,31 @@
         if span == Millis::ZERO {
             return false;
         }
-        let span = span.min(MAX_BACK_OFF);
-        // A part of a back-off.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let extra = Millis((span.0 as f64 * JITTER * jitter) as u64);
-        let until = now + span + extra;
-        let known = self.records.get(endpoint);
-        let known = known.copied();
-        let record = Record {
-            until: known.map_or(until, |known| known.until.max(until)),
-            trial: None,
-        };
-        self.records.insert(endpoint.clone(), record);
-        known.is_none()
+        let record = self.records.entry(endpoint.clone()).or_default();
+        let was_asked = record.is_asked;
+        record.is_asked = true;
+        record.extend(span.min(MAX_BACK_OFF), jitter, now);
+        !was_asked
+    }
+
+    /// Records that the endpoint declined a request without asking for a back-off; `jitter` is as
+    /// for [`BackOffs::record`]. Returns the back-off that follows; `None` if one is running, as
+    /// the request was sent before it.
+    pub fn record_declined(
+        &mut self,
+        endpoint: &name::Life,
+        jitter: f64,
+        now: Millis,
+    ) -> Option<Millis> {
+        let record = self.records.entry(endpoint.clone()).or_default();
+        if now < record.until {
+            return None;
+        }
+        let doublings = record.declines.min(16);
+        let span = LAST_DECLINE.min(Millis(FIRST_DECLINE.0 << doublings));
+        record.declines += 1;
+        record.extend(span, jitter, now);
+        Some(span)
     }
 
     /// Whether this entry may send the endpoint a request now.
@@ -81,14 +108,23 @@
         record.is_none_or(|record| record.may_send(now))
     }
 
-    /// Whether all endpoints are in use.
+    /// Whether the endpoint may get a request where no other one may: it has not asked for the
+    /// back-off.
+    pub fn is_fallback(&self, endpoint: &name::Life) -> bool {
+        let record = self.records.get(endpoint);
+        record.is_none_or(|record| !record.is_asked)
+    }
+
+    /// Whether there are no back-offs.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
     /// The number of endpoints that get nothing, or one request at a time.
-    pub fn count(&self) -> usize {
-        self.records.len()
+    pub fn count(&self, now: Millis) -> usize {
+        let records = self.records.values();
+        let backed_off = records.filter(|it| now < it.until || it.is_on_trial());
+        backed_off.count()
     }
 
     /// How much longer the endpoint is to get nothing; zero if it may get something.
@@ -104,15 +140,16 @@
         }
     }
 
-    /// Records that the endpoint has taken a request. Returns whether this ends a back-off; an
-    /// answer to an earlier request does not.
+    /// Records that the endpoint has taken a request. Returns whether this ends a back-off that it
+    /// had asked for; an answer to an earlier request does not.
     pub fn record_taken(&mut self, endpoint: &name::Life, now: Millis) -> bool {
         let record = self.records.get(endpoint);
-        let is_over = record.is_some_and(|record| now >= record.until);
-        if is_over {
-            self.records.remove(endpoint);
-        }
-        is_over
+        let Some(record) = record.filter(|record| now >= record.until) else {
+            return false;
+        };
+        let was_asked = record.is_asked;
+        self.records.remove(endpoint);
+        was_asked
     }
 
     /// Forgets endpoints that no longer exist.
@@ -124,8 +161,21 @@
 }
 
 impl Record {
+    fn extend(&mut self, span: Millis, jitter: f64, now: Millis) {
+        // A part of a back-off.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let extra = Millis((span.0 as f64 * JITTER * jitter) as u64);
+        self.until = self.until.max(now + span + extra);
+        self.trial = None;
+    }
+
+    /// Whether it gets one request at a time after the back-off.
+    fn is_on_trial(&self) -> bool {
+        self.is_asked || self.declines >= MIN_DECLINES
+    }
+
     fn may_send(&self, now: Millis) -> bool {
         let is_trying = self.trial.is_some_and(|sent| now - sent < TRIAL_TIMEOUT);
-        now >= self.until && !is_trying
+        now >= self.until && !(is_trying && self.is_on_trial())
     }
 }
--- a/crates/core/tests/relay/back_off.rs
+++ b/crates/core/tests/relay/back_off.rs
@@ -80,6 +80,45 @@
     let mut back_offs = BackOffs::default();
     back_offs.record(&endpoint(), Millis(3_000), 0.0, Millis(0));
     back_offs.remove(&[endpoint()]);
-    assert_eq!(back_offs.count(), 0);
+    assert_eq!(back_offs.count(Millis(0)), 0);
     assert!(back_offs.may_send(&endpoint(), Millis(0)));
 }
+
+/// Each request is declined as soon as it is sent.
+#[test]
+fn back_offs_double_with_each_decline() {
+    let mut back_offs = BackOffs::default();
+    let mut now = Millis(0);
+    let spans = [50, 100, 200, 400, 800, 1_600, 1_600];
+    for span in spans {
+        assert!(back_offs.may_send(&endpoint(), now));
+        back_offs.record_send(&endpoint(), now);
+        let next = back_offs.record_declined(&endpoint(), 0.0, now);
+        assert_eq!(next, Some(Millis(span)));
+        // Requests that were sent together count once.
+        assert_eq!(back_offs.record_declined(&endpoint(), 0.0, now), None);
+        now = now + Millis(span);
+    }
+    assert!(
+        !back_offs.record_taken(&endpoint(), now),
+        "it had not asked for one"
+    );
+    assert_eq!(
+        back_offs.record_declined(&endpoint(), 0.0, now),
+        Some(Millis(50))
+    );
+}
+
+#[rstest]
+#[case::full_for_a_moment(1, true)]
+#[case::full_for_longer(2, false)]
+fn several_requests_at_a_time_follow_a_single_decline(#[case] declines: u32, #[case] open: bool) {
+    let mut back_offs = BackOffs::default();
+    let mut now = Millis(0);
+    for _ in 0..declines {
+        back_offs.record_declined(&endpoint(), 0.0, now);
+        now = now + Millis(200);
+    }
+    back_offs.record_send(&endpoint(), now);
+    assert_eq!(back_offs.may_send(&endpoint(), now), open);
+}
--- a/crates/relay/src/request/notice.rs
+++ b/crates/relay/src/request/notice.rs
@@ -32,7 +32,11 @@
         }
         return;
     }
-    let is_taken = reply.declined.is_none() && status != StatusCode::SERVICE_UNAVAILABLE;
+    if reply.declined.is_some() {
+        back_offs.record_declined(endpoint, rand::random(), now);
+        return;
+    }
+    let is_taken = status != StatusCode::SERVICE_UNAVAILABLE;
     if is_taken && back_offs.record_taken(endpoint, now) {
         log::info!(endpoint = endpoint.id.as_str(); "an endpoint takes requests again");
     }
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -144,21 +144,13 @@
     let roster = state.roster.borrow();
     let evacuation = state.evacuation.borrow();
     let usable = roster.usable(&request.service.name, &evacuation, now);
-    let has_any = !usable.is_empty();
-    let usable = exclude_cold(state, request, usable, now);
-    if has_any && usable.is_empty() {
-        let message = format!("the endpoints of `{}` are warming up", request.service.name);
-        return Err(Problem::not_run(Code::Overloaded, message).retry_after(WARM_UP_RETRY_AFTER));
-    }
-    let usable = exclude_backed_off(state, request, usable, now)?;
-    let usable = exclude_limited(state, request, usable, now)?;
+    let usable = exclude_unwilling(state, request, attempts, usable, now)?;
     let entries = state.fleet.borrow().size();
     let mut loads = state.loads.borrow_mut();
     let active = loads.active_subset(usable, &request.profile(), entries, now);
     let limit = connection_limit(state, request);
     let candidates: Vec<_> = active
         .into_iter()
-        .filter(|endpoint| !attempts.tried.contains(&endpoint.life))
         .filter(|endpoint| state.pool.borrow().busy(&endpoint.life) < limit)
         .collect();
     let choice = loads.choose(&candidates, &request.profile(), now);
@@ -184,6 +176,28 @@
     }
 }
 
+/// Filters out the endpoints that were tried, and those that may not get a request of this entry
+/// now.
+fn exclude_unwilling<'e>(
+    state: &State,
+    request: &AdmittedRequest,
+    attempts: &Attempts,
+    usable: Vec<&'e Endpoint>,
+    now: Millis,
+) -> Result<Vec<&'e Endpoint>, Problem> {
+    let has_any = !usable.is_empty();
+    let usable = exclude_cold(state, request, usable, now);
+    if has_any && usable.is_empty() {
+        let message = format!("the endpoints of `{}` are warming up", request.service.name);
+        return Err(Problem::not_run(Code::Overloaded, message).retry_after(WARM_UP_RETRY_AFTER));
+    }
+    let untried = usable
+        .into_iter()
+        .filter(|endpoint| !attempts.tried.contains(&endpoint.life));
+    let usable = exclude_backed_off(state, request, untried.collect(), now)?;
+    exclude_limited(state, request, usable, now)
+}
+
 /// Filters out the cold endpoints that this entry may not send to now. An entry that has just
 /// started sends to none, as it does not know its share yet.
 fn exclude_cold<'e>(
@@ -211,7 +225,8 @@
     usable.into_iter().filter(may_send).collect()
 }
 
-/// Filters out the endpoints that have asked this entry for a back-off.
+/// Filters out the endpoints that have asked this entry for a back-off and, if any others remain,
+/// those that have just declined requests.
 fn exclude_backed_off<'e>(
     state: &State,
     request: &AdmittedRequest,
@@ -224,10 +239,18 @@
     }
     let remaining = usable.iter().map(|it| back_offs.remaining(&it.life, now));
     let shortest = remaining.min().unwrap_or_default();
-    let may_send = |endpoint: &&Endpoint| back_offs.may_send(&endpoint.life, now);
-    let open: Vec<_> = usable.into_iter().filter(may_send).collect();
-    if !open.is_empty() {
-        return Ok(open);
+    let loads = state.loads.borrow();
+    let is_open = |endpoint: &Endpoint| {
+        back_offs.may_send(&endpoint.life, now) && !loads.is_suspended(&endpoint.life)
+    };
+    let has_open = usable.iter().any(|endpoint| is_open(endpoint));
+    let may_use = |endpoint: &&Endpoint| {
+        let life = &endpoint.life;
+        back_offs.may_send(life, now) || (!has_open && back_offs.is_fallback(life))
+    };
+    let remaining: Vec<_> = usable.into_iter().filter(may_use).collect();
+    if !remaining.is_empty() {
+        return Ok(remaining);
     }
     state.metrics.backed_off.inc();
     let message = format!(
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -115,7 +115,7 @@
     metrics.quarantined.set(gauge(quarantined as u64));
     let limited = state.rate_limits.borrow().count(now);
     metrics.limited_endpoints.set(gauge(limited as u64));
-    let back_offs = state.back_offs.borrow().count();
+    let back_offs = state.back_offs.borrow().count(now);
     metrics.back_offs.set(gauge(back_offs as u64));
     let dropped = logs::take_dropped();
     if dropped > 0 {
--- a/crates/relay/tests/contract/back_offs.rs
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -173,3 +173,16 @@
     let count = declining.seen().len();
     assert!(count <= REQUESTS / addresses.len(), "{count} of {REQUESTS}");
 }
+
+/// Two endpoints have declined before, and a request that a third one fails goes to one of them.
+#[test]
+fn an_endpoint_that_has_declined_is_better_than_none() {
+    let declining = [0, 1].map(|_| Endpoint::first(vec![declined()], Answer::Body.steps("")));
+    let failing = Endpoint::always(vec![Step::Reset]);
+    let addresses = [declining[0].address, declining[1].address, failing.address];
+    let sites = fleet(1, &addresses);
+    for _ in 0..addresses.len() {
+        get(sites[0].requests, "/write/", "r", "");
+    }
+    assert_eq!(get(sites[0].requests, "/read/", "r", "").status, 200);
+}
