Access log: a word on leaving that can't be read shows as such

endpoint_leaving is true, false or invalid as the answer says, and empty where it says nothing, as rate_limit and back_off_ms are: a malformed header is ignored, and the line tells. Checked: clippy of relay and adapter.

--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -53,7 +53,7 @@
     /// The rate limit that the endpoint of the last answer named.
     rate_limit: Field<f64>,
     /// Whether that endpoint said that it is leaving.
-    is_leaving: bool,
+    leaving: Field<bool>,
     /// The back-off that the endpoint of the last answer asked for.
     back_off: Field<Millis>,
     first_byte: Option<Millis>,
@@ -86,7 +86,7 @@
             objectives: Objectives::default(),
             reused: false,
             rate_limit: Field::Missing,
-            is_leaving: false,
+            leaving: Field::Missing,
             back_off: Field::Missing,
             first_byte: None,
             last_piece: None,
@@ -148,7 +148,7 @@
     /// Records what the endpoint says of itself in the head of its answer.
     pub fn record_reply(&mut self, reply: &Reply<'_>) {
         self.rate_limit = reply.rate_limit;
-        self.is_leaving = reply.leaving == Field::Valid(true);
+        self.leaving = reply.leaving;
         self.back_off = reply.back_off;
     }
 
@@ -164,7 +164,7 @@
             endpoint = self.endpoint, sends = self.sends,
             reused = self.reused, rate_limit = text(self.rate_limit),
             back_off_ms = text(self.back_off.map(|it| it.0)),
-            endpoint_leaving = self.is_leaving,
+            endpoint_leaving = text(self.leaving),
             took_ms = self.elapsed().0, reason = reason;
             "attempt failed"
         );
@@ -271,7 +271,7 @@
             service = self.service, workspace = self.workspace, sends = self.sends,
             endpoint = self.endpoint, reused = self.reused, rate_limit = text(self.rate_limit),
             back_off_ms = text(self.back_off.map(|it| it.0)),
-            endpoint_leaving = self.is_leaving,
+            endpoint_leaving = text(self.leaving),
             expected_wait_ms = figure(|it| it.expected_wait), cost_ms = figure(|it| it.cost),
             queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
             unread_tokens = figure(|it| it.prefill_tokens), expected_run_ms = figure(|it| it.stream_time),
