Soak: endpoints say that they leave, or ask for back-offs, and what they get is checked

An endpoint that is replaced says in its answers that it leaves, and half of the rows tell so only 3.5 s later. Up to two times in a run an endpoint turns every request away for 1.5 s, with Retry-After 2. Checked: no request reaches an endpoint that was sent later than the bound after an answer had told the same process that it leaves; at most two reach one from a process within the back-off from half a second on. Processes that were frozen or killed are not bound, nor any where the way to the endpoint misbehaved.

--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -25,6 +25,8 @@
 pub const EVENTS: &str = "x-soak-events";
 /// Says that the request ends the endpoint that begins to run it.
 pub const FATAL: &str = "x-soak-fatal";
+/// The back-off that an overloaded endpoint asks for.
+pub const BACK_OFF: Duration = Duration::from_secs(2);
 /// Of so many requests one meets a [`Mishap`].
 const ONE_BAD: u32 = 6;
 
@@ -70,6 +72,10 @@
     ended: UnboundedSender<String>,
     /// How many requests per second it takes from all entries together.
     limit: Rc<Cell<Option<f64>>>,
+    /// Whether its answers say that it is leaving.
+    is_leaving: Rc<Cell<bool>>,
+    /// Whether it turns every request away, and asks for a back-off.
+    is_overloaded: Rc<Cell<bool>>,
 }
 
 /// What an answer names besides its status and body.
@@ -100,6 +106,8 @@
             life: Rc::new(life),
             ended,
             limit: Rc::default(),
+            is_leaving: Rc::default(),
+            is_overloaded: Rc::default(),
         };
         actix_rt::spawn(endpoint.clone().accept(listener));
         endpoint
@@ -115,11 +123,22 @@
         self.limit.set(per_second);
     }
 
+    /// Has its answers say that it is leaving.
+    pub fn say_leaving(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Has it turn every request away, or serve again.
+    pub fn overload(&self, is_overloaded: bool) {
+        self.is_overloaded.set(is_overloaded);
+    }
+
     /// The headers in which its answers say what it asks for.
     fn headers(&self) -> String {
         let limit = self.limit.get();
         let limit = limit.map(|limit| format!("X-Woodgap-Rate-Limit: {limit}\r\n"));
-        limit.unwrap_or_default()
+        let leaving = self.is_leaving.get().then_some("X-Woodgap-Leaving: 1\r\n");
+        limit.unwrap_or_default() + leaving.unwrap_or_default()
     }
 
     /// Ends its life: it listens no more, and all its connections are reset.
@@ -191,12 +210,18 @@
             endpoint: (self.name.clone(), life),
             at: Instant::now(),
             limit: self.limit.get(),
+            is_leaving: self.is_leaving.get(),
+            is_turned_away: self.is_overloaded.get(),
         });
         let names = Names {
             id: &id,
             endpoint: &self.name,
             headers: self.headers(),
         };
+        if self.is_overloaded.get() {
+            let headers = format!("{}Retry-After: {}\r\n", names.headers, BACK_OFF.as_secs());
+            return send(stream, &refusal(503, &id, &headers)).await;
+        }
         if mishap == Some(Mishap::Declined) {
             return send(stream, &refusal(503, &id, &names.headers)).await;
         }
--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -59,6 +59,12 @@
 const LIMIT_LASTS: u64 = 9_500;
 const LIMIT: std::ops::RangeInclusive<u32> = 0..=60;
 
+/// How many times an endpoint turns all away for a while, when that begins, and how long it lasts,
+/// in ms.
+const OVERLOADS: std::ops::RangeInclusive<usize> = 0..=2;
+const OVERLOAD_START: std::ops::RangeInclusive<u64> = 2_000..=7_000;
+const OVERLOAD_LASTS: u64 = 1_500;
+
 /// The grace of a stop, in ms.
 const GRACE_MS: u64 = GRACE.as_secs() * 1_000;
 
@@ -91,6 +97,8 @@
     Spoil(usize),
     /// The answers of an endpoint name a rate limit for a while, in requests per ten seconds.
     Limit(usize, u32),
+    /// An endpoint turns every request away for a while, and asks for a back-off.
+    Overload(usize),
 }
 
 /// How an endpoint starts again.
@@ -248,6 +256,20 @@
     (0..count.min(endpoints)).map(one).collect()
 }
 
+/// Draws endpoints that turn every request away for a while.
+pub fn draw_overloads(random: &mut ChaCha8Rng, endpoints: usize) -> Vec<Event> {
+    let count = random.random_range(OVERLOADS);
+    let one = |_| {
+        let at = random.random_range(OVERLOAD_START);
+        Event::new(
+            at,
+            OVERLOAD_LASTS,
+            Fault::Overload(random.random_range(0..endpoints)),
+        )
+    };
+    (0..count).map(one).collect()
+}
+
 fn stops(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
     let slot = random.random_range(0..entries);
     let other = (slot + random.random_range(1..entries)) % entries;
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -96,6 +96,10 @@
     pub at: Instant,
     /// The rate limit that the endpoint names by then.
     pub limit: Option<f64>,
+    /// Whether it says by then that it is leaving.
+    pub is_leaving: bool,
+    /// Whether it is turned away, with a back-off.
+    pub is_turned_away: bool,
 }
 
 /// What breaks a promise.
@@ -123,6 +127,12 @@
     WentBack(String, usize),
     /// A leaving endpoint got a request, so many ms after it was listed so.
     Leaving(String, u128),
+    /// An endpoint that had told the process in an answer that it leaves got a request from it, so
+    /// many ms after that.
+    SaidLeaving(String, u128),
+    /// An endpoint that had asked a process for a back-off got so many requests from it in that
+    /// time.
+    BackedOff(String, usize),
     /// So many requests that end endpoints reached some more, later than the bound after the
     /// third that they ended, by entries that nothing had befallen; and all that did.
     Fatal(usize, usize),
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -1,6 +1,8 @@
 //! One run: the platform, endpoints and entries of a seed, their callers and faults.
 
+mod back_offs;
 mod checks;
+mod departures;
 mod limits;
 mod members;
 mod plan;
@@ -184,7 +186,9 @@
         seeded.extend(herds);
         // These draw nothing as they are played.
         let limits = fault::draw_limits(&mut self.limits, ENDPOINTS);
-        seeded.extend(limits.into_iter().map(|event| (event, 0)));
+        let overloads = fault::draw_overloads(&mut self.limits, ENDPOINTS);
+        let both = limits.into_iter().chain(overloads);
+        seeded.extend(both.map(|event| (event, 0)));
         let playing = seeded.into_iter().map(|(event, seed)| {
             let scene = Rc::clone(&self.scene);
             actix_rt::spawn(async move { scene.play(event, seed).await })
@@ -212,6 +216,8 @@
         problems.extend(self.scene.stop_problems());
         problems.extend(self.scene.fatal_problems());
         problems.extend(limits::problems(&self.scene));
+        problems.extend(departures::problems(&self.scene));
+        problems.extend(back_offs::problems(&self.scene));
         let calls = self.scene.until_reported().await;
         problems.extend(duties::problems(&calls));
         let left_out = duties::left_out(&calls);
@@ -302,6 +308,12 @@
                 lasts().await;
                 endpoint.name_limit(None);
             }
+            Fault::Overload(at) => {
+                let Member { endpoint, .. } = self.endpoints.borrow()[at].clone();
+                endpoint.overload(true);
+                lasts().await;
+                endpoint.overload(false);
+            }
         }
     }
 
--- a/crates/relay/tests/soak/world/checks.rs
+++ b/crates/relay/tests/soak/world/checks.rs
@@ -15,6 +15,8 @@
 
 /// How many requests each entry gets at a time until each endpoint had one.
 const ROUND: usize = 8;
+/// How long after a fault of the way to an endpoint requests may still be held up.
+const HELD_UP: Duration = Duration::from_secs(1);
 /// So long after what ends endpoints has ended the third, it may reach so many more, through
 /// entries that nothing has befallen for that long.
 const FATAL_BOUND: Duration = Duration::from_secs(3);
@@ -154,6 +156,14 @@
         })
     }
 
+    /// Whether the way to an endpoint misbehaved between two moments: requests that were held up
+    /// come all at once.
+    pub(super) fn was_path_faulty(&self, endpoint: &str, from: Instant, until: Instant) -> bool {
+        let faults = self.path_faults.borrow();
+        let mut faults = faults.iter().filter(|(name, ..)| name == endpoint);
+        faults.any(|(_, begun, ended)| *begun < until && *ended + HELD_UP > from)
+    }
+
     /// Whether the platform misbehaved within the bound after a moment: what it has
     /// accepted may then not be known.
     pub(super) fn was_platform_faulty(&self, at: Instant) -> bool {
--- a/crates/relay/tests/soak/world/limits.rs
+++ b/crates/relay/tests/soak/world/limits.rs
@@ -34,6 +34,7 @@
             endpoint,
             at,
             limit: Some(limit),
+            ..
         } = arrival
         else {
             continue;
@@ -59,7 +60,7 @@
     let starts = starts.filter(|at| *at >= first.at + KNOWN_AFTER);
     let mut excesses = starts.filter_map(|start| {
         let end = start + WINDOW;
-        if was_harmed(scene, endpoint, start, end) {
+        if scene.was_path_faulty(endpoint, start, end) {
             return None;
         }
         let within = all.iter().filter(|it| it.at >= start && it.at < end);
@@ -79,10 +80,3 @@
     });
     excesses.next()
 }
-
-/// Whether the way to the endpoint misbehaved: requests that were held up come all at once.
-fn was_harmed(scene: &Scene, endpoint: &str, from: Instant, until: Instant) -> bool {
-    let faults = scene.path_faults.borrow();
-    let mut faults = faults.iter().filter(|(name, ..)| name == endpoint);
-    faults.any(|(_, begun, ended)| *begun < until && *ended + TOLD_AFTER > from)
-}
--- a/crates/relay/tests/soak/world/members.rs
+++ b/crates/relay/tests/soak/world/members.rs
@@ -21,6 +21,8 @@
 const FIRST_START: u64 = 1_796_256_000_000;
 /// How long an endpoint that starts twice listens in between.
 const BRIEFLY: Duration = Duration::from_millis(10);
+/// How long after its answers the row of an endpoint may tell that it leaves.
+const LISTED_LATE: Duration = Duration::from_millis(3_500);
 /// How many rows that can't be used have keys of their own; later ones go over these.
 const MOST_LITTER: usize = 400;
 
@@ -78,6 +80,11 @@
     pub(super) async fn replace(&self, at: usize, seed: u64) {
         let fresh = self.add_endpoint(seed).await;
         let replaced = std::mem::replace(&mut self.endpoints.borrow_mut()[at], fresh);
+        // Half of the rows tell so late, as when the platform is away.
+        replaced.endpoint.say_leaving();
+        if seed.is_multiple_of(2) {
+            tokio::time::sleep(LISTED_LATE).await;
+        }
         let mut old = replaced.row;
         old.leaving = true;
         self.list(&old).await;
