--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod back_off;
 mod budget;
 mod claim;
+mod departure;
 mod duty;
 mod engine;
 mod engine_speed;
