Answers that differ don't undo a rate limit, nor set off messages each time

What would have been seen: an endpoint of which some parts don't name its limit, or which names another one in each answer, got all that there is by turns, and each answer was news that every entry passes on to six others at once.

Cause: each answer was taken as the endpoint's whole state. Class: a flapping signal without hysteresis. Found by reading the change as a newcomer.

Change: an answer without a limit lifts it only if none has named it for a second; a change of the value is told at once only half a second after the one before, and else in the next message.

--- a/crates/core/src/relay/rate_limit.rs
+++ b/crates/core/src/relay/rate_limit.rs
@@ -8,7 +8,7 @@
 //! the same moment from full buckets.
 //!
 //! Entries tell each other of limits, as only the senders see the endpoint's answers. A limit holds
-//! until an answer names none; then the rate grows step by step, as all entries would otherwise
+//! until answers cease to name it; then the rate grows step by step, as all entries would otherwise
 //! send to the idle endpoint at once.
 
 use std::collections::{HashMap, HashSet};
@@ -38,8 +38,13 @@
 /// A notice of another entry contradicts the known one only if it is newer by more than this: its
 /// age does not include the time in transit.
 const REORDER_MARGIN: Millis = Millis(50);
-/// Changes of a limit by less than this factor are not told at once.
+/// Changes of a limit by less than this factor are not told at once, nor those that follow another
+/// one within the interval.
 const NEWS_FACTOR: f64 = 1.2;
+const NEWS_INTERVAL: Millis = Millis(500);
+/// A limit is lifted by an answer without one only if none has named it for this long: some parts
+/// of an endpoint may not know of it.
+const LIFT_DELAY: Millis = Millis(1_000);
 /// How long a limit is remembered of which nothing more is heard.
 const LIFETIME: Millis = Millis(600_000);
 
@@ -73,6 +78,10 @@
     lifted_at: Option<Millis>,
     /// When an answer last said so.
     observed_at: Millis,
+    /// When an answer last named the limit.
+    named_at: Millis,
+    /// When a change was last told at once.
+    news_at: Millis,
     /// Requests that this entry may send.
     tokens: f64,
     filled_at: Millis,
@@ -102,17 +111,35 @@
     /// Takes over what an answer said at `observed_at`. Returns the change if it is worth
     /// telling at once.
     fn update(&mut self, limit: Option<f64>, observed_at: Millis, now: Millis) -> Option<Change> {
-        self.observed_at = observed_at;
-        let was_lifted = self.lifted_at.is_some();
-        let Some(limit) = limit else {
-            self.lifted_at.get_or_insert(now);
-            return (!was_lifted).then_some(Change::Lifted);
-        };
+        match limit {
+            Some(limit) => self.name(limit, observed_at, now),
+            None => self.lift(observed_at, now),
+        }
+    }
+
+    fn name(&mut self, limit: f64, observed_at: Millis, now: Millis) -> Option<Change> {
         let ratio = limit.max(MIN_RATE) / self.per_second.max(MIN_RATE);
-        let is_news = was_lifted || ratio.max(ratio.recip()) > NEWS_FACTOR;
-        self.lifted_at = None;
+        let is_large = ratio.max(ratio.recip()) > NEWS_FACTOR;
+        let is_news = is_large && now - self.news_at >= NEWS_INTERVAL;
+        let was_lifted = self.lifted_at.take().is_some();
         self.per_second = limit;
-        is_news.then_some(Change::Named(limit))
+        self.observed_at = observed_at;
+        self.named_at = observed_at;
+        if !was_lifted && !is_news {
+            return None;
+        }
+        self.news_at = now;
+        Some(Change::Named(limit))
+    }
+
+    fn lift(&mut self, observed_at: Millis, now: Millis) -> Option<Change> {
+        let was_lifted = self.lifted_at.is_some();
+        if !was_lifted && now - self.named_at < LIFT_DELAY {
+            return None;
+        }
+        self.observed_at = observed_at;
+        self.lifted_at.get_or_insert(now);
+        (!was_lifted).then_some(Change::Lifted)
     }
 }
 
@@ -205,6 +232,8 @@
             per_second: limit,
             lifted_at: None,
             observed_at,
+            named_at: observed_at,
+            news_at: now,
             tokens: f64::from(draw) / f64::from(u32::MAX),
             filled_at: now,
             told_at: Millis::ZERO,
