--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -27,6 +27,7 @@
 pub mod rate_limit;
 pub mod rest;
 pub mod roster;
+mod rotation;
 pub mod shutdown;
 pub mod sizing;
 pub mod table;
--- a/crates/core/src/relay/departure.rs
+++ b/crates/core/src/relay/departure.rs
@@ -11,6 +11,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::load_report;
+use crate::relay::rotation::{self, Tellable};
 
 /// How long a departure is remembered after it was last heard of. It outlasts an outage of the
 /// platform, after which the row of an endpoint that has not left yet may be back.
@@ -33,6 +34,16 @@
     told_at: Millis,
 }
 
+impl Tellable for Record {
+    fn told_at(&self) -> Millis {
+        self.told_at
+    }
+
+    fn set_told_at(&mut self, now: Millis) {
+        self.told_at = now;
+    }
+}
+
 /// The endpoints that have said that they are leaving.
 ///
 /// ```
@@ -86,15 +97,10 @@
     /// What to tell another entry, at most `max` notices: what no entry was told first, then what
     /// was told the longest time ago.
     pub fn notices(&mut self, max: usize, now: Millis) -> Vec<Notice> {
-        let mut records: Vec<_> = self.records.iter_mut().collect();
-        records.sort_by_key(|(key, record)| (record.told_at, **key));
-        let chosen = records.into_iter().take(max);
-        let notices = chosen.map(|(key, record)| {
-            record.told_at = now;
-            Notice {
-                endpoint: *key,
-                age: now - record.observed_at,
-            }
+        let chosen = rotation::next_to_tell(&mut self.records, max, now);
+        let notices = chosen.map(|(endpoint, record)| Notice {
+            endpoint,
+            age: now - record.observed_at,
         });
         notices.collect()
     }
--- a/crates/core/src/relay/rate_limit.rs
+++ b/crates/core/src/relay/rate_limit.rs
@@ -19,6 +19,7 @@
 use crate::name;
 use crate::relay::load_report;
 use crate::relay::prefix;
+use crate::relay::rotation::{self, Tellable};
 use crate::relay::warming::Ring;
 
 /// A limit below this rate counts as this rate, in requests per second: if nothing were sent,
@@ -143,6 +144,16 @@
     }
 }
 
+impl Tellable for Record {
+    fn told_at(&self) -> Millis {
+        self.told_at
+    }
+
+    fn set_told_at(&mut self, now: Millis) {
+        self.told_at = now;
+    }
+}
+
 /// The rate limits of endpoints, and what this entry may send to them.
 ///
 /// ```
@@ -263,20 +274,14 @@
     /// What to tell another entry, at most `max` notices: changes first, then what was told the
     /// longest time ago.
     pub fn notices(&mut self, max: usize, now: Millis) -> Vec<Notice> {
-        let mut records: Vec<_> = self.records.iter_mut().collect();
-        records.sort_by_key(|(key, record)| (record.told_at, **key));
-        let chosen = records.into_iter().take(max);
-        let notices = chosen.map(|(key, record)| {
-            record.told_at = now;
+        let chosen = rotation::next_to_tell(&mut self.records, max, now);
+        let notices = chosen.map(|(endpoint, record)| Notice {
+            endpoint,
             // Enough digits for a rate.
             #[allow(clippy::cast_possible_truncation)]
-            let per_second = record.per_second as f32;
-            Notice {
-                endpoint: *key,
-                per_second,
-                is_lifted: record.lifted_at.is_some(),
-                age: now - record.observed_at,
-            }
+            per_second: record.per_second as f32,
+            is_lifted: record.lifted_at.is_some(),
+            age: now - record.observed_at,
         });
         notices.collect()
     }
