--- a/crates/relay/tests/contract/back_offs.rs
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use woodgap_core::clock::Millis;
 
 use crate::caller::get;
 use crate::endpoint::{Answer, Endpoint, Step, declined, head};
@@ -186,3 +187,19 @@
     }
     assert_eq!(get(sites[0].requests, "/read/", "r", "").status, 200);
 }
+
+/// The endpoint had started again, and its row told so only after it had turned the entry away.
+#[test]
+fn a_back_off_outlasts_a_row_that_is_late() {
+    let overloaded = Noting::overloaded();
+    let other = working(Answer::Body);
+    let sites = fleet(1, &[overloaded.endpoint.address, other.address]);
+    send_for(&sites[0], "/read/", Duration::from_millis(200));
+    let before = overloaded.arrivals().len();
+    let started = Some(Millis(1));
+    let mut told = sites[0].source.0.lock().unwrap();
+    told.endpoints[0].life.started_unix = started;
+    drop(told);
+    send_for(&sites[0], "/read/", Duration::from_secs(2));
+    assert_eq!(overloaded.arrivals().len(), before);
+}
