A back-off holds for the life of an endpoint that was listed after it asked for it

Cause: an endpoint that starts again under its name answers before its row tells of the new life; what it asks for is put down to the life before, and went with it. Class: state under an identity that is learnt late. Not on the users' platform, where each start has a name of its own.

Change: when a later life is listed, a back-off that was asked for within the last 5 s (a row is written a second or two after the start) is the later life's. One that was asked for earlier was the earlier life's.

--- a/crates/core/src/relay/back_off.rs
+++ b/crates/core/src/relay/back_off.rs
@@ -28,9 +28,15 @@
 /// shows that it was full at that moment.
 const MIN_DECLINES: u32 = 2;
 
+/// How long before a later life of an endpoint is listed it may have answered already: its row is
+/// written within a second or two of its start, and read soon after.
+const LATE_ROW: Millis = Millis(5_000);
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
     until: Millis,
+    /// When the endpoint last asked for a back-off.
+    asked_at: Millis,
     /// Whether the endpoint asked for the back-off.
     is_asked: bool,
     /// Declines in a row without a word on how long to stay away.
@@ -78,6 +84,7 @@
         let record = self.records.entry(endpoint.clone()).or_default();
         let was_asked = record.is_asked;
         record.is_asked = true;
+        record.asked_at = now;
         record.extend(span.min(MAX_BACK_OFF), jitter, now);
         !was_asked
     }
@@ -152,6 +159,17 @@
         was_asked
     }
 
+    /// Records that a later life of an endpoint is listed. It may have answered before that, as if
+    /// it were the earlier one: what that has asked for lately holds for the later one.
+    pub fn succeed(&mut self, earlier: &name::Life, later: &name::Life, now: Millis) {
+        let Some(record) = self.records.remove(earlier) else {
+            return;
+        };
+        if record.is_asked && now - record.asked_at < LATE_ROW {
+            self.records.entry(later.clone()).or_insert(record);
+        }
+    }
+
     /// Forgets endpoints that no longer exist.
     pub fn remove(&mut self, endpoints: &[name::Life]) {
         for endpoint in endpoints {
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -433,10 +433,11 @@
         record.is_some_and(|record| now < record.cold_until)
     }
 
-    /// Whether another life of the endpoint is known, which means that this one has ended.
-    pub fn has_other_life(&self, life: &name::Life) -> bool {
+    /// Another life of the endpoint, if one is known, which means that this one has ended.
+    pub fn other_life(&self, life: &name::Life) -> Option<&name::Life> {
         let record = self.endpoints.get(&life.id);
-        record.is_some_and(|record| record.endpoint.life != *life)
+        let known = record.map(|record| &record.endpoint.life);
+        known.filter(|known| *known != life)
     }
 
     /// The endpoint, if this life of it is the known one.
--- a/crates/core/tests/relay/back_off.rs
+++ b/crates/core/tests/relay/back_off.rs
@@ -122,3 +122,19 @@
     back_offs.record_send(&endpoint(), now);
     assert_eq!(back_offs.may_send(&endpoint(), now), open);
 }
+
+/// A later life is listed so long after the earlier one has asked for a back-off.
+#[rstest]
+#[case::it_may_have_asked(4_999, false)]
+#[case::the_earlier_one_asked(5_000, true)]
+fn a_back_off_holds_for_a_life_that_was_listed_late(#[case] after: u64, #[case] may_send: bool) {
+    let later = name::Life {
+        started_unix: Some(Millis(1)),
+        ..endpoint()
+    };
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(60_000), 0.0, Millis(0));
+    back_offs.succeed(&endpoint(), &later, Millis(after));
+    assert_eq!(back_offs.may_send(&later, Millis(after)), may_send);
+    assert!(back_offs.may_send(&endpoint(), Millis(after)));
+}
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -56,9 +56,11 @@
             "an endpoint is taken for gone"
         );
         state.pool.borrow_mut().close(life);
-        let is_outlived = state.roster.borrow().has_other_life(life);
-        if is_outlived {
+        let later = state.roster.borrow().other_life(life).cloned();
+        if let Some(later) = later {
             crash::record_restart(state, life);
+            let mut back_offs = state.back_offs.borrow_mut();
+            back_offs.succeed(life, &later, now);
         }
     }
     state.loads.borrow_mut().remove(&gone);
