A rate limit holds for the life of an endpoint that was listed after it was named

What was said within 5 s before is now the later life's. Departures are left as they are: an endpoint that left and is back with a later start must be used.

--- a/crates/core/src/relay/back_off.rs
+++ b/crates/core/src/relay/back_off.rs
@@ -30,7 +30,7 @@
 
 /// How long before a later life of an endpoint is listed it may have answered already: its row is
 /// written within a second or two of its start, and read soon after.
-const LATE_ROW: Millis = Millis(5_000);
+pub(super) const LATE_ROW: Millis = Millis(5_000);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
--- a/crates/core/src/relay/rate_limit.rs
+++ b/crates/core/src/relay/rate_limit.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Millis;
 use crate::name;
+use crate::relay::back_off::LATE_ROW;
 use crate::relay::load_report;
 use crate::relay::prefix;
 use crate::relay::rotation::{self, Tellable};
@@ -323,6 +324,18 @@
         }
     }
 
+    /// Records that a later life of an endpoint is listed. It may have answered before that, as if
+    /// it were the earlier one: what that has said lately holds for the later one.
+    pub fn succeed(&mut self, earlier: &name::Life, later: &name::Life, now: Millis) {
+        let Some(record) = self.records.remove(&load_report::life_key(earlier)) else {
+            return;
+        };
+        if now - record.observed_at < LATE_ROW {
+            let key = load_report::life_key(later);
+            self.records.entry(key).or_insert(record);
+        }
+    }
+
     /// Forgets endpoints that no longer exist.
     pub fn remove(&mut self, endpoints: &[name::Life]) {
         for endpoint in endpoints {
--- a/crates/core/tests/relay/rate_limit.rs
+++ b/crates/core/tests/relay/rate_limit.rs
@@ -267,3 +267,19 @@
     // In ten seconds, at most one for each round of messages.
     assert!(news <= 34, "{news} times news");
 }
+
+/// A later life is listed so long after an answer has named a limit.
+#[rstest]
+#[case::it_may_have_named_it(4_999, Some(2.0))]
+#[case::the_earlier_one_named_it(5_000, None)]
+fn a_limit_holds_for_a_life_that_was_listed_late(#[case] after: u64, #[case] rate: Option<f64>) {
+    let later = name::Life {
+        started_unix: Some(Millis(1)),
+        ..endpoint(0)
+    };
+    let mut limits = RateLimits::new(1);
+    limits.record(&endpoint(0), Some(2.0), Millis(0));
+    limits.succeed(&endpoint(0), &later, Millis(after));
+    assert_eq!(limits.rate(&later, Millis(after)), rate);
+    assert_eq!(limits.rate(&endpoint(0), Millis(after)), None);
+}
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -59,8 +59,8 @@
         let later = state.roster.borrow().other_life(life).cloned();
         if let Some(later) = later {
             crash::record_restart(state, life);
-            let mut back_offs = state.back_offs.borrow_mut();
-            back_offs.succeed(life, &later, now);
+            state.back_offs.borrow_mut().succeed(life, &later, now);
+            state.rate_limits.borrow_mut().succeed(life, &later, now);
         }
     }
     state.loads.borrow_mut().remove(&gone);
