Contract: a message full of loads alone is tested again

When limits and departures joined the messages, the datagram test got both in each case, with fewer loads, and no longer had the one that it had before: all loads and neither of them. All twelve combinations are tested now.

--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -108,12 +108,11 @@
 
 /// However much an entry has to tell, it fits into one datagram.
 #[rstest]
-#[case::one_service(1, 120)]
-#[case::some_services(4, 30)]
-#[case::all_models_of_a_large_site(22, 10)]
-fn a_message_fits_into_a_datagram(#[case] services: usize, #[case] engines: usize) {
-    let rate_limits = rate_limits();
-    let departures = departures();
+fn a_message_fits_into_a_datagram(
+    #[values((1, 120), (4, 30), (22, 10))] (services, engines): (usize, usize),
+    #[values(Vec::new(), rate_limits())] rate_limits: Vec<rate_limit::Notice>,
+    #[values(Vec::new(), departures())] departures: Vec<departure::Notice>,
+) {
     let max_loads = MAX_LOADS - rate_limits.len() - departures.len();
     let load = busy(services, engines).gossip(max_loads, Millis(18_000));
     assert!(!load.endpoints.is_empty() && !load.services.is_empty());
