On-demand endpoints take the room of reclaimable ones that can't be had

Cause: while reclaimable endpoints are refused, on-demand ones are ordered for them, but within the limit of a data centre the refused ones still counted as wanted. Where the wanted ones fill the limit, there was no room for any.

Change: reclaimable endpoints that were just refused are left out of what is wanted, and on-demand endpoints that are still booting stay ordered when the refusal lapses.

Ruled out: a late order (the refusal came 0.7 s after the loss) and a slow start (the next accepted order served after 4 s).

The simulated platform now cancels an order when it reclaims, and checks that no more is ordered than the limit: both are stricter than before.

--- a/crates/core/src/relay/sizing.rs
+++ b/crates/core/src/relay/sizing.rs
@@ -96,6 +96,13 @@
     at: Millis,
 }
 
+impl PlacedOrder {
+    /// Whether its endpoints should have been listed by now.
+    fn is_late(&self, scaling: &Scaling, now: Millis) -> bool {
+        now - self.at > scaling.boot + LISTING_DELAY
+    }
+}
+
 /// The autoscaler of one service.
 #[derive(Debug, Default)]
 pub struct Autoscaler {
@@ -259,6 +266,7 @@
     fn desired(&self, observation: &Observation<'_>, now: Millis) -> EndpointCounts {
         let mut desired = self.allocation.clone();
         if self.unavailable_until.values().any(|until| now < *until) {
+            self.omit_unavailable(&mut desired, observation, now);
             self.substitute_on_demand(&mut desired, observation);
         }
         let available = reclaimable(observation.running);
@@ -266,15 +274,15 @@
         let min_available = self.min_available(&desired, observation);
         let mut to_retain = min_available.saturating_sub(guaranteed(&available) + on_demand);
         for at in by_price(observation.scaling) {
-            let running = observation.running.get(at).copied().unwrap_or_default();
+            let present = self.present_on_demand(at, observation, now);
             let count = desired.entry(at.clone()).or_default();
-            let retained = to_retain.min(running.on_demand.saturating_sub(count.on_demand));
+            let retained = to_retain.min(present.saturating_sub(count.on_demand));
             to_retain -= retained;
             count.on_demand += retained;
             let free = observation
                 .scaling
                 .most
-                .saturating_sub(count.on_demand.max(running.on_demand));
+                .saturating_sub(count.on_demand.max(present));
             count.reclaimable = count.reclaimable.min(free);
         }
         desired
@@ -302,6 +310,38 @@
         round_up(f64::from(self.needed) * share).max(self.recent_demand())
     }
 
+    /// Leaves out the reclaimable endpoints that can't be had now: the limit of a data centre counts
+    /// both kinds, and on-demand endpoints get their room.
+    fn omit_unavailable(
+        &self,
+        desired: &mut EndpointCounts,
+        observation: &Observation<'_>,
+        now: Millis,
+    ) {
+        for (at, count) in desired {
+            let until = self.unavailable_until.get(at);
+            if until.is_some_and(|until| now < *until) {
+                let running = observation.running.get(at).copied().unwrap_or_default();
+                count.reclaimable = count.reclaimable.min(running.reclaimable);
+            }
+        }
+    }
+
+    /// The on-demand endpoints of a data centre that run or are still booting.
+    fn present_on_demand(
+        &self,
+        at: &name::DataCentre,
+        observation: &Observation<'_>,
+        now: Millis,
+    ) -> u32 {
+        let running = observation.running.get(at).copied().unwrap_or_default();
+        let order = self.orders.get(&(at.clone(), false));
+        let booting = order.filter(|order| !order.is_late(observation.scaling, now));
+        running
+            .on_demand
+            .max(booting.map_or(0, |order| order.count))
+    }
+
     /// Adds on-demand endpoints for unavailable reclaimable ones, up to the current demand.
     fn substitute_on_demand(&self, desired: &mut EndpointCounts, observation: &Observation<'_>) {
         let available: u32 = reclaimable(observation.running)
@@ -346,8 +386,7 @@
             let is_large = difference > LARGE_CHANGE * f64::from(last);
             return is_large || now - self.desired_since >= STABLE_PERIOD;
         }
-        let is_late = |order: &PlacedOrder| now - order.at > scaling.boot + LISTING_DELAY;
-        request.count > running && order.is_some_and(is_late)
+        request.count > running && order.is_some_and(|order| order.is_late(scaling, now))
     }
 }
 
--- a/crates/core/tests/relay/sizing.rs
+++ b/crates/core/tests/relay/sizing.rs
@@ -88,15 +88,21 @@
         counts.collect()
     }
 
+    /// The endpoints ordered in a data centre, of both kinds together.
+    fn ordered(&self, at: &DataCentre) -> u32 {
+        let groups = [true, false].map(|it| self.groups.get(&(at.clone(), it)));
+        groups.into_iter().flatten().map(|it| it.ordered).sum()
+    }
+
     fn total(&self) -> u32 {
         self.running().values().map(|it| it.total()).sum()
     }
 
-    /// Reclaims all reclaimable endpoints of a data centre; the platform refuses new ones anywhere
-    /// for a while.
+    /// Reclaims all reclaimable endpoints of a data centre and cancels their order; the platform
+    /// refuses new ones anywhere for a while.
     fn reclaim(&mut self, at: &str, outage: Millis) {
         let group = self.groups.entry((DataCentre::from(at), true));
-        group.or_default().running.clear();
+        *group.or_default() = Group::default();
         self.unavailable_until = self.now + outage;
     }
 
@@ -125,6 +131,8 @@
             }
             let group = (request.data_centre.clone(), request.is_reclaimable);
             self.groups.entry(group).or_default().ordered = request.count;
+            let ordered = self.ordered(&request.data_centre);
+            assert!(ordered <= self.scaling.most, "{ordered} with {request:?}");
             autoscaler.accepted(&request, self.now);
         }
         self.apply_orders();
@@ -225,6 +233,27 @@
     assert!(running.values().all(|it| it.on_demand == 0), "{running:?}");
 }
 
+/// Endpoints fill two data centres to their limits when these lose all of them: on-demand endpoints
+/// must not wait for the room of reclaimable ones that cannot be had.
+#[test]
+fn on_demand_endpoints_take_the_room_of_unavailable_ones() {
+    let mut platform = Platform::new(scaling(Some(0.15)), 20);
+    let mut autoscaler = Autoscaler::default();
+    platform.run(&mut autoscaler, Millis(25_000), 10.0);
+    platform.run(&mut autoscaler, Millis(10_000), 120.0);
+    let running = platform.running();
+    assert!(running.values().all(|it| it.reclaimable == 40), "{running:?}");
+    platform.reclaim("a", Millis(9_000));
+    platform.reclaim("c", Millis(9_000));
+    // The boot time and the time until the first order.
+    platform.run(&mut autoscaler, Millis(5_000), 120.0);
+    let lowest = lowest(&mut platform, &mut autoscaler, Millis(15_000), 120.0);
+    assert!(lowest >= 80, "only {lowest} run");
+    platform.run(&mut autoscaler, Millis(60_000), 10.0);
+    let running = platform.running();
+    assert!(running.values().all(|it| it.on_demand == 0), "{running:?}");
+}
+
 /// When the demand triples, the reserve and new endpoints cover it within the boot time.
 #[test]
 fn a_burst_is_served_by_reserve_and_new_endpoints() {
