Messages between entries carry reports on scheduled services

Shapes only: LoadReport gains what an entry observes of a scheduled service, and the loads that endpoints report. Nothing fills them yet. The wire version rises to 12.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -28,6 +28,7 @@
 pub mod rest;
 pub mod roster;
 mod rotation;
+pub mod scheduling;
 pub mod shutdown;
 pub mod sizing;
 pub mod table;
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -13,7 +13,7 @@
 mod token_timing;
 
 pub use choice::Choice;
-pub use load::Report;
+pub use load::{Report, ReportNotice};
 
 use std::collections::HashMap;
 
--- a/crates/core/src/relay/engine/gossip.rs
+++ b/crates/core/src/relay/engine/gossip.rs
@@ -35,6 +35,7 @@
         LoadReport {
             endpoints,
             services,
+            ..LoadReport::default()
         }
     }
 
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::relay::RequestProfile;
 use crate::relay::engine::Choice;
@@ -58,6 +60,19 @@
     pub slots: u32,
 }
 
+/// An endpoint's last report, as entries tell it to one another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportNotice {
+    /// The [`life_key`](crate::relay::load_report::life_key) of the endpoint.
+    pub endpoint: u32,
+    /// Requests running and waiting.
+    pub in_flight: u16,
+    /// How long work takes there, in percent of the usual time; 0 if it is not reported.
+    pub slowdown_percent: u16,
+    /// The age of the report, in ms.
+    pub age_ms: u16,
+}
+
 /// The load of one endpoint.
 #[derive(Debug)]
 pub(super) struct Load {
--- a/crates/core/src/relay/load_report.rs
+++ b/crates/core/src/relay/load_report.rs
@@ -6,9 +6,11 @@
 
 use crate::clock::Millis;
 use crate::name;
+use crate::relay::engine::ReportNotice;
 use crate::relay::engine_speed;
 use crate::relay::lateness::Lateness;
 use crate::relay::prefix;
+use crate::relay::scheduling;
 
 /// How long another entry's report is used: the entry may have left since.
 const REPORT_TTL: Millis = Millis(1_500);
@@ -58,6 +60,10 @@
     pub endpoints: Vec<EndpointLoad>,
     /// Its load by service.
     pub services: Vec<ServiceLoad>,
+    /// What it observes of the services that are scheduled.
+    pub scheduling: Vec<scheduling::Report>,
+    /// The most recent loads that endpoints of these services reported.
+    pub reports: Vec<ReportNotice>,
 }
 
 /// The latest report of each other entry.
@@ -70,6 +76,7 @@
 struct PeerReport {
     endpoints: HashMap<u32, EndpointLoad>,
     services: Vec<ServiceLoad>,
+    scheduling: Vec<scheduling::Report>,
     received_at: Millis,
 }
 
@@ -91,6 +98,7 @@
         let report = PeerReport {
             endpoints: endpoints.collect(),
             services: report.services.clone(),
+            scheduling: report.scheduling.clone(),
             received_at: now,
         };
         self.reports.insert(entry.clone(), report);
@@ -139,6 +147,17 @@
         all
     }
 
+    /// What the other entries observe of a service.
+    pub fn scheduling(
+        &self,
+        service: &str,
+        now: Millis,
+    ) -> impl Iterator<Item = &scheduling::Report> {
+        let key = name_key(service);
+        let reports = self.live(now).flat_map(|report| &report.scheduling);
+        reports.filter(move |report| report.service == key)
+    }
+
     fn live(&self, now: Millis) -> impl Iterator<Item = &PeerReport> {
         let reports = self.reports.values();
         reports.filter(move |report| now - report.received_at < REPORT_TTL)
--- /dev/null
+++ b/crates/core/src/relay/scheduling.rs
@@ -0,0 +1,11 @@
+//! Scheduling of a service that has too little capacity, by all entries together.
+//!
+//! Each entry decides about its own requests, by what all entries observe: how much is asked of a
+//! service, and how much of it is answered in time. `docs/SCHEDULING.md` describes the parts.
+
+pub mod queue;
+pub mod report;
+pub mod returns;
+pub mod room;
+
+pub use report::Report;
--- /dev/null
+++ b/crates/core/src/relay/scheduling/queue.rs
@@ -0,0 +1,1 @@
+//! The waiting list of one service at one entry.
--- /dev/null
+++ b/crates/core/src/relay/scheduling/returns.rs
@@ -0,0 +1,1 @@
+//! Planned retries of refused callers.
--- a/crates/core/tests/relay/sizing.rs
+++ b/crates/core/tests/relay/sizing.rs
@@ -242,7 +242,10 @@
     platform.run(&mut autoscaler, Millis(25_000), 10.0);
     platform.run(&mut autoscaler, Millis(10_000), 120.0);
     let running = platform.running();
-    assert!(running.values().all(|it| it.reclaimable == 40), "{running:?}");
+    assert!(
+        running.values().all(|it| it.reclaimable == 40),
+        "{running:?}"
+    );
     platform.reclaim("a", Millis(9_000));
     platform.reclaim("c", Millis(9_000));
     // The boot time and the time until the first order.
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -16,7 +16,7 @@
 
 /// The first byte of each message: the version of the wire format. Messages of another
 /// version are dropped, so that they are never misread.
-pub const FORM: u8 = 11;
+pub const FORM: u8 = 12;
 /// The first byte of a datagram that carries only usage counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The largest datagram, in bytes: small enough to cross every link without fragmentation.
