Sizing: the room of unavailable endpoints is used only where the rest can't do the work

Change: the refused endpoints' room counts as free only while fewer endpoints run than half of the demand, which refers to a utilisation of about a half. Else orders are as they were before.

--- a/crates/core/src/relay/sizing.rs
+++ b/crates/core/src/relay/sizing.rs
@@ -36,6 +36,9 @@
 /// The share of the ordered endpoints that must run before the platform counts as having started
 /// them: some may fail at any time.
 const STARTED_SHARE: f64 = 0.9;
+/// The utilisation to which the demand refers, about half of what an endpoint can do: 0.4 of its
+/// slots and 0.6 of its time for prompts.
+const NORMAL_UTILIZATION: f64 = 0.5;
 /// The number of samples that determine the current demand.
 const RECENT_SAMPLES: usize = 4;
 /// How long after booting an endpoint may take to be listed.
@@ -266,7 +269,9 @@
     fn desired(&self, observation: &Observation<'_>, now: Millis) -> EndpointCounts {
         let mut desired = self.allocation.clone();
         if self.unavailable_until.values().any(|until| now < *until) {
-            self.omit_unavailable(&mut desired, observation, now);
+            if self.is_short(observation) {
+                self.omit_unavailable(&mut desired, observation, now);
+            }
             self.substitute_on_demand(&mut desired, observation);
         }
         let available = reclaimable(observation.running);
@@ -310,6 +315,13 @@
         round_up(f64::from(self.needed) * share).max(self.recent_demand())
     }
 
+    /// Whether so few endpoints run that the requests exceed what they can do at full utilisation.
+    /// Above that, it is cheaper to wait for reclaimable endpoints than to replace them.
+    fn is_short(&self, observation: &Observation<'_>) -> bool {
+        let running: u32 = observation.running.values().map(|it| it.total()).sum();
+        f64::from(running) < NORMAL_UTILIZATION * self.recent_peak()
+    }
+
     /// Leaves out the reclaimable endpoints that can't be had now: the limit of a data centre counts
     /// both kinds, and on-demand endpoints get their room.
     fn omit_unavailable(
@@ -353,11 +365,15 @@
         allocation::add_on_demand(missing, desired, observation.scaling);
     }
 
-    /// How many endpoints the current requests need.
+    /// How many endpoints the current requests need, within the required capacity.
     fn recent_demand(&self) -> u32 {
+        round_up(self.recent_peak()).min(self.needed)
+    }
+
+    /// How many endpoints the current requests need at normal utilisation.
+    fn recent_peak(&self) -> f64 {
         let recent = self.samples.iter().rev().take(RECENT_SAMPLES);
-        let peak = recent.map(|(_, demand)| *demand).fold(0.0, f64::max);
-        round_up(peak).min(self.needed)
+        recent.map(|(_, demand)| *demand).fold(0.0, f64::max)
     }
 
     /// Whether an order is due: it differs from the last one, or that one had no effect in time.
--- a/crates/core/tests/relay/sizing.rs
+++ b/crates/core/tests/relay/sizing.rs
@@ -257,6 +257,20 @@
     assert!(running.values().all(|it| it.on_demand == 0), "{running:?}");
 }
 
+/// While the remaining endpoints can do all of the work, a full data centre waits for reclaimable
+/// ones: on-demand ones in their room cost several times as much and are kept for long.
+#[test]
+fn a_small_loss_is_not_replaced_by_on_demand_endpoints() {
+    let mut platform = Platform::new(scaling(Some(0.15)), 20);
+    let mut autoscaler = Autoscaler::default();
+    platform.run(&mut autoscaler, Millis(25_000), 10.0);
+    platform.run(&mut autoscaler, Millis(10_000), 120.0);
+    platform.reclaim("a", Millis(9_000));
+    platform.run(&mut autoscaler, Millis(9_000), 120.0);
+    let running = platform.running();
+    assert!(running.values().all(|it| it.on_demand == 0), "{running:?}");
+}
+
 /// When the demand triples, the reserve and new endpoints cover it within the boot time.
 #[test]
 fn a_burst_is_served_by_reserve_and_new_endpoints() {
