Limits and back-offs hold again for a life that is listed again

Cause: an endpoint whose row lapses while the platform is away is taken for gone once it has been a fallback for long enough, and `upkeep::drop_gone` then removed its rate limit and its back-off. If the same life was listed again, it got requests as if it had named neither, until its next answers named them.

Change: `core::relay::retention` keeps the records of lives that are given up and of which no later life is known, for ten minutes (as departures are), at most 2,048 of either kind, the oldest of which are dropped. `drop_gone` puts them in force when the same life is listed again. It runs right after each change of the list, before a request can choose the endpoint. A limit does not replace one that another entry has told of since and that is newer; a back-off is joined with what late answers have begun. Back-offs that follow a decline without a word are not kept: the endpoint has not asked for them. A later life is treated as before, by `succeed`.

Weighed: to leave the records where they are until they expire. They would be counted in the metrics, and told to all entries in place of loads, for endpoints that mostly don't come back.

Evidence: the contract tests `an_endpoint_that_is_listed_again_gets_no_more_than_its_limit` and `an_endpoint_that_is_listed_again_is_left_alone_for_as_long_as_it_asked`.

Why it works: the record is moved, not rebuilt, so that the end of a back-off and the tokens of a limit's bucket are those that they would have been. A bucket fills up meanwhile to one token or half a second's, for which the bound of 5 N + 4 requests within 4 s is calculated.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -26,6 +26,7 @@
 pub mod profile;
 pub mod rate_limit;
 pub mod rest;
+mod retention;
 pub mod roster;
 mod rotation;
 pub mod scheduling;
--- a/crates/core/src/relay/back_off.rs
+++ b/crates/core/src/relay/back_off.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Millis;
 use crate::name;
+use crate::relay::retention::Retention;
 
 /// A longer back-off counts as this long.
 const MAX_BACK_OFF: Millis = Millis(300_000);
@@ -66,6 +67,8 @@
 #[derive(Debug, Default)]
 pub struct BackOffs {
     records: HashMap<name::Life, Record>,
+    /// Back-offs that given-up lives have asked for.
+    given_up: Retention<Record>,
 }
 
 impl BackOffs {
@@ -170,6 +173,45 @@
         }
     }
 
+    /// Records that an endpoint is taken for gone, and no later life of it is known. A back-off that
+    /// it has asked for is kept for a while, in case the same life is listed again.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::name;
+    /// use woodgap_core::relay::back_off::BackOffs;
+    ///
+    /// let endpoint = name::Life::from(name::Endpoint::from("e-1"));
+    /// let mut back_offs = BackOffs::default();
+    /// back_offs.record(&endpoint, Millis(60_000), 0.0, Millis(0));
+    /// back_offs.give_up(&endpoint, Millis(10_000));
+    /// assert!(back_offs.is_empty());
+    /// let restored = back_offs.restore(|life| *life == endpoint, Millis(20_000));
+    /// assert_eq!(restored, [endpoint.clone()]);
+    /// assert!(!back_offs.may_send(&endpoint, Millis(59_999)));
+    /// ```
+    pub fn give_up(&mut self, endpoint: &name::Life, now: Millis) {
+        let record = self.records.remove(endpoint);
+        if let Some(record) = record.filter(|record| record.is_asked) {
+            self.given_up.keep(endpoint, record, now);
+        }
+    }
+
+    /// Puts the back-offs of given-up lives that are listed again in force. Returns these lives.
+    pub fn restore(
+        &mut self,
+        is_listed: impl Fn(&name::Life) -> bool,
+        now: Millis,
+    ) -> Vec<name::Life> {
+        let listed = self.given_up.take_listed(is_listed, now).into_iter();
+        let restored = listed.map(|(life, record)| {
+            let known = self.records.entry(life.clone()).or_default();
+            known.add(&record);
+            life
+        });
+        restored.collect()
+    }
+
     /// Forgets endpoints that no longer exist.
     pub fn remove(&mut self, endpoints: &[name::Life]) {
         for endpoint in endpoints {
@@ -179,6 +221,16 @@
 }
 
 impl Record {
+    /// Adds what was kept of the same life. Answers to requests that were under way when it was
+    /// given up may have begun this record.
+    fn add(&mut self, kept: &Self) {
+        self.until = self.until.max(kept.until);
+        self.asked_at = self.asked_at.max(kept.asked_at);
+        self.is_asked |= kept.is_asked;
+        self.declines = self.declines.max(kept.declines);
+        self.trial = self.trial.max(kept.trial);
+    }
+
     fn extend(&mut self, span: Millis, jitter: f64, now: Millis) {
         // A part of a back-off.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/core/src/relay/rate_limit.rs
+++ b/crates/core/src/relay/rate_limit.rs
@@ -20,6 +20,7 @@
 use crate::relay::back_off::LATE_ROW;
 use crate::relay::load_report;
 use crate::relay::prefix;
+use crate::relay::retention::Retention;
 use crate::relay::rotation::{self, Tellable};
 use crate::relay::warming::Ring;
 
@@ -180,6 +181,8 @@
     records: HashMap<u32, Record>,
     /// Endpoints whose last limit could not be read.
     invalid: HashSet<u32>,
+    /// Limits of lives that were given up. They are neither counted nor told.
+    given_up: Retention<Record>,
     /// Differs between entries, so that their buckets fill at different times.
     seed: u64,
 }
@@ -336,6 +339,50 @@
         }
     }
 
+    /// Records that an endpoint is taken for gone, and no later life of it is known. Its limit is
+    /// kept for a while, in case the same life is listed again.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::name;
+    /// use woodgap_core::relay::rate_limit::RateLimits;
+    ///
+    /// let endpoint = name::Life::from(name::Endpoint::from("e-1"));
+    /// let mut limits = RateLimits::new(1);
+    /// limits.record(&endpoint, Some(2.0), Millis(0));
+    /// limits.give_up(&endpoint, Millis(10_000));
+    /// assert_eq!(limits.count(Millis(10_000)), 0);
+    /// let restored = limits.restore(|life| *life == endpoint, Millis(20_000));
+    /// assert_eq!(restored, [endpoint.clone()]);
+    /// assert_eq!(limits.rate(&endpoint, Millis(20_000)), Some(2.0));
+    /// ```
+    pub fn give_up(&mut self, endpoint: &name::Life, now: Millis) {
+        if let Some(record) = self.records.remove(&load_report::life_key(endpoint)) {
+            self.given_up.keep(endpoint, record, now);
+        }
+    }
+
+    /// Puts the limits of given-up lives that are listed again in force, unless something newer is
+    /// known. Returns these lives.
+    pub fn restore(
+        &mut self,
+        is_listed: impl Fn(&name::Life) -> bool,
+        now: Millis,
+    ) -> Vec<name::Life> {
+        let mut restored = Vec::new();
+        for (life, record) in self.given_up.take_listed(is_listed, now) {
+            let key = load_report::life_key(&life);
+            let known = self.records.get(&key);
+            let is_newest = known.is_none_or(|known| known.observed_at <= record.observed_at);
+            if is_newest && now - record.observed_at < LIFETIME {
+                let told_at = Millis::ZERO;
+                self.records.insert(key, Record { told_at, ..record });
+                restored.push(life);
+            }
+        }
+        restored
+    }
+
     /// Forgets endpoints that no longer exist.
     pub fn remove(&mut self, endpoints: &[name::Life]) {
         for endpoint in endpoints {
--- a/crates/core/tests/relay/back_off.rs
+++ b/crates/core/tests/relay/back_off.rs
@@ -138,3 +138,63 @@
     assert_eq!(back_offs.may_send(&later, Millis(after)), may_send);
     assert!(back_offs.may_send(&endpoint(), Millis(after)));
 }
+
+/// An endpoint is taken for gone while the platform is away, and listed again so long after.
+#[rstest]
+#[case::at_once(1, false)]
+#[case::before_its_end(299_999, false)]
+#[case::after_its_end(300_000, true)]
+fn a_back_off_holds_for_a_life_that_is_listed_again(#[case] at: u64, #[case] may_send: bool) {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(300_000), 0.0, Millis(0));
+    back_offs.give_up(&endpoint(), Millis(0));
+    back_offs.remove(&[endpoint()]);
+    assert!(back_offs.is_empty());
+    back_offs.restore(|life| *life == endpoint(), Millis(at));
+    assert_eq!(back_offs.may_send(&endpoint(), Millis(at)), may_send);
+}
+
+/// It has not taken a request since.
+#[rstest]
+#[case::within_ten_minutes(599_999, 1)]
+#[case::later(600_000, 0)]
+fn a_life_that_is_listed_again_after_its_back_off_gets_one_request(
+    #[case] listed: u64,
+    #[case] count: usize,
+) {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(3_000), 0.0, Millis(0));
+    back_offs.give_up(&endpoint(), Millis(0));
+    back_offs.restore(|_| true, Millis(listed));
+    assert_eq!(back_offs.count(Millis(listed)), count);
+    back_offs.record_send(&endpoint(), Millis(listed));
+    assert_eq!(back_offs.may_send(&endpoint(), Millis(listed)), count == 0);
+}
+
+/// A request that was under way when the endpoint was given up is declined without a word.
+#[test]
+fn a_late_decline_does_not_replace_a_back_off_that_is_kept() {
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(60_000), 0.0, Millis(0));
+    back_offs.give_up(&endpoint(), Millis(10_000));
+    back_offs.record_declined(&endpoint(), 0.0, Millis(10_500));
+    back_offs.restore(|_| true, Millis(20_000));
+    assert!(!back_offs.may_send(&endpoint(), Millis(59_999)));
+    assert!(!back_offs.is_fallback(&endpoint()));
+}
+
+#[test]
+fn what_a_given_up_life_has_not_asked_for_or_another_one_has_is_not_restored() {
+    let later = name::Life {
+        started_unix: Some(Millis(1)),
+        ..endpoint()
+    };
+    let mut back_offs = BackOffs::default();
+    back_offs.record(&endpoint(), Millis(60_000), 0.0, Millis(0));
+    back_offs.record_declined(&later, 0.0, Millis(0));
+    for life in [endpoint(), later.clone()] {
+        back_offs.give_up(&life, Millis(0));
+    }
+    assert_eq!(back_offs.restore(|life| *life == later, Millis(1)), []);
+    assert!(back_offs.may_send(&later, Millis(1)));
+}
--- a/crates/core/tests/relay/rate_limit.rs
+++ b/crates/core/tests/relay/rate_limit.rs
@@ -283,3 +283,65 @@
     assert_eq!(limits.rate(&later, Millis(after)), rate);
     assert_eq!(limits.rate(&endpoint(0), Millis(after)), None);
 }
+
+/// An endpoint is taken for gone while the platform is away, and listed again so long after.
+#[rstest]
+#[case::within_ten_minutes(599_999, Some(2.0))]
+#[case::later(600_000, None)]
+fn a_limit_holds_for_a_life_that_is_listed_again(#[case] at: u64, #[case] rate: Option<f64>) {
+    let life = endpoint(0);
+    let mut limits = RateLimits::new(1);
+    limits.record(&life, Some(2.0), Millis(0));
+    limits.notices(8, Millis(0));
+    limits.record(&endpoint(1), Some(2.0), Millis(0));
+    limits.give_up(&life, Millis(0));
+    limits.remove(std::slice::from_ref(&life));
+    assert_eq!(limits.rate(&life, Millis(0)), None);
+    limits.restore(|listed| *listed == life, Millis(at));
+    assert_eq!(limits.rate(&life, Millis(at)), rate);
+    // Entries that have started meanwhile hear of it at once.
+    let told = limits.notices(8, Millis(at));
+    assert_eq!(told.iter().any(|it| it.endpoint == key(0)), rate.is_some());
+}
+
+#[test]
+fn a_limit_of_a_given_up_life_is_neither_told_nor_another_lifes() {
+    let later = name::Life {
+        started_unix: Some(Millis(1)),
+        ..endpoint(0)
+    };
+    let mut limits = RateLimits::new(1);
+    limits.record(&endpoint(0), Some(2.0), Millis(0));
+    limits.give_up(&endpoint(0), Millis(0));
+    assert_eq!(limits.count(Millis(0)), 0);
+    assert_eq!(limits.notices(8, Millis(0)), []);
+    assert_eq!(limits.restore(|life| *life == later, Millis(1)), []);
+    assert_eq!(limits.rate(&later, Millis(1)), None);
+}
+
+/// Another entry tells of the life after this one has given it up.
+#[rstest]
+#[case::newer(1_000, Some(5.0))]
+#[case::older(11_000, Some(2.0))]
+fn a_limit_that_is_restored_undoes_nothing_newer(#[case] age: u64, #[case] rate: Option<f64>) {
+    let life = endpoint(0);
+    let mut limits = RateLimits::new(1);
+    limits.record(&life, Some(2.0), Millis(10_000));
+    limits.give_up(&life, Millis(15_000));
+    limits.merge(&[notice(5.0, false, age)], Millis(20_000));
+    limits.restore(|listed| *listed == life, Millis(20_000));
+    assert_eq!(limits.rate(&life, Millis(20_000)), rate);
+}
+
+/// All endpoints of a large site are given up at once.
+#[test]
+fn limits_of_given_up_lives_are_bounded_in_number() {
+    let mut limits = RateLimits::new(1);
+    for number in 0..5_600 {
+        limits.record(&endpoint(number), Some(2.0), Millis(0));
+        limits.give_up(&endpoint(number), Millis(number as u64));
+    }
+    assert_eq!(limits.restore(|_| true, Millis(5_600)).len(), 2_048);
+    let kept = |number| limits.rate(&endpoint(number), Millis(5_600));
+    assert_eq!((kept(0), kept(5_599)), (None, Some(2.0)));
+}
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -46,7 +46,8 @@
     gauges(state, now);
 }
 
-/// Forgets all of lives that are over: their load, and their resting connections.
+/// Forgets all of lives that are over: their load, and their resting connections. What they have
+/// asked for is kept for a while, and holds again for those that are listed again.
 pub fn drop_gone(state: &State, now: Millis) {
     let gone = state.roster.borrow_mut().expire(now);
     for life in &gone {
@@ -61,11 +62,27 @@
             crash::record_restart(state, life);
             state.back_offs.borrow_mut().succeed(life, &later, now);
             state.rate_limits.borrow_mut().succeed(life, &later, now);
+        } else {
+            state.back_offs.borrow_mut().give_up(life, now);
+            state.rate_limits.borrow_mut().give_up(life, now);
         }
     }
     state.loads.borrow_mut().remove(&gone);
     state.rate_limits.borrow_mut().remove(&gone);
     state.back_offs.borrow_mut().remove(&gone);
+    restore_listed(state, now);
+}
+
+/// Puts in force what lives had asked for that were taken for gone and are listed again.
+fn restore_listed(state: &State, now: Millis) {
+    let roster = state.roster.borrow();
+    let is_listed = |life: &name::Life| roster.get(life).is_some();
+    for life in state.rate_limits.borrow_mut().restore(is_listed, now) {
+        log::info!(endpoint = life.id.as_str(); "an endpoint is listed again, its rate limit holds");
+    }
+    for life in state.back_offs.borrow_mut().restore(is_listed, now) {
+        log::info!(endpoint = life.id.as_str(); "an endpoint is listed again, its back-off holds");
+    }
 }
 
 /// Connects to a suspended endpoint, to see whether it is back: no request has
--- a/crates/relay/tests/contract/back_offs.rs
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -9,7 +9,7 @@
 
 use crate::caller::get;
 use crate::endpoint::{Answer, Endpoint, Step, declined, head};
-use crate::site::{Site, fleet};
+use crate::site::{Site, fleet, until};
 
 /// The back-off that is asked for.
 const BACK_OFF: Duration = Duration::from_secs(3);
@@ -203,3 +203,24 @@
     send_for(&sites[0], "/read/", Duration::from_secs(2));
     assert_eq!(overloaded.arrivals().len(), before);
 }
+
+/// The row had lapsed for longer than an endpoint is kept without one, but not than it had asked for.
+#[test]
+fn an_endpoint_that_is_listed_again_is_left_alone_for_as_long_as_it_asked() {
+    let turned_away = TURNED_AWAY.replace("Retry-After: 3", "Retry-After: 60");
+    let overloaded = Noting::numbered(move |_| vec![head("503 Service Unavailable", &turned_away)]);
+    let sites = fleet(1, &[overloaded.endpoint.address]);
+    let site = &sites[0];
+    let shows = |gauge: &str| {
+        let metrics = get(site.metrics, "/metrics", "x", "").text();
+        metrics.contains(gauge)
+    };
+    get(site.requests, "/write/", "r", "");
+    until(|| shows("back_offs 1"));
+    let row = site.source.0.lock().unwrap().endpoints.remove(0);
+    until(|| shows("back_offs 0"));
+    site.source.0.lock().unwrap().endpoints.push(row);
+    until(|| shows("\nendpoints 1\n"));
+    get(site.requests, "/write/", "r", "");
+    assert_eq!(overloaded.arrivals().len(), 1);
+}
--- a/crates/relay/tests/contract/rate_limits.rs
+++ b/crates/relay/tests/contract/rate_limits.rs
@@ -26,6 +26,9 @@
 /// The pause between two requests of a caller; each entry has one.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// How many requests are sent at once, more than [`bound`].
+const BURST: usize = 40;
+
 /// How long the other endpoints work on a request: the limited one seems the best.
 const WORK: Duration = Duration::from_millis(30);
 
@@ -37,10 +40,16 @@
 
 impl Limited {
     fn start(answer: Answer) -> Self {
+        Self::working(answer, Duration::ZERO)
+    }
+
+    /// Works on each request for so long.
+    fn working(answer: Answer, work: Duration) -> Self {
         let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
         let noting = Arc::clone(&arrivals);
         let endpoint = Endpoint::numbered(move |_| {
             noting.lock().unwrap().push(Instant::now());
+            sleep(work);
             answer.steps(&format!("X-Woodgap-Rate-Limit: {LIMIT}\r\n"))
         });
         Self { endpoint, arrivals }
@@ -223,3 +232,28 @@
     get(site.requests, "/read/", "r", "");
     until(|| is_limited(&site));
 }
+
+/// The row had lapsed for longer than an endpoint is kept without one, and 40 requests came at once.
+#[test]
+fn an_endpoint_that_is_listed_again_gets_no_more_than_its_limit() {
+    let limited = Limited::working(Answer::Body, Duration::from_millis(300));
+    let sites = fleet(1, &[limited.endpoint.address]);
+    let site = &sites[0];
+    get(site.requests, "/write/", "r", "");
+    until(|| is_limited(site));
+    let row = site.source.0.lock().unwrap().endpoints.remove(0);
+    until(|| !is_limited(site));
+    let before = limited.arrivals.lock().unwrap().len();
+    site.source.0.lock().unwrap().endpoints.push(row);
+    until(|| {
+        let metrics = get(site.metrics, "/metrics", "x", "").text();
+        metrics.contains("\nendpoints 1\n")
+    });
+    std::thread::scope(|scope| {
+        for _ in 0..BURST {
+            scope.spawn(|| get(site.requests, "/write/", "r", ""));
+        }
+    });
+    let count = limited.arrivals.lock().unwrap().len() - before;
+    assert!(count <= bound(), "{count} requests, {} allowed", bound());
+}
