The time of a refusal is no sample of an endpoint's speed

Cause: `request::attempt` recorded the first byte of each answer before it read what the answer says, so that a refusal entered the endpoint's slowness, the prefill rate of the service's engines and the service time of a plain service. An endpoint that declines at once seemed fast when its back-off ended.

Change: an answer that declines the request or asks for a back-off (`Reply::is_refusal`) goes to `LoadBalancer::record_refusal`, which ends the request's prefill and its being overdue, and samples nothing. A 503 with `Retry-After` counts as a refusal also where it does not say that the request has not run: it starts a back-off. An error without either is sampled as before.

Evidence: the contract test `an_endpoint_that_declines_at_once_does_not_seem_fast`: an endpoint takes 300 ms for each of three requests and then declines forty; when its back-off is over, the next request went to it instead of an idle fast one, and the caller got 503. With the change the fast one serves it.

Why it works: the samples are taken in `record_first_byte` alone, and a refusal no longer gets there.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -129,7 +129,7 @@
         demand.record_request(profile, prefill_tokens, now);
     }
 
-    /// Records the first byte of an answer.
+    /// Records the first byte of an answer that is no refusal.
     pub fn record_first_byte(&mut self, ticket: &Ticket, is_plain: bool, now: Millis) {
         let Some(load) = self.endpoints.get_mut(&ticket.endpoint) else {
             return;
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Records that the endpoint answered by refusing the request, which is no sample of its speed.
+    pub fn record_refusal(&mut self, ticket: &Ticket) {
+        if let Some(load) = self.endpoints.get_mut(&ticket.endpoint) {
+            load.record_refusal(ticket.number);
+        }
+    }
+
     /// Records an event of a stream that contains this many tokens.
     pub fn record_event(&mut self, ticket: &Ticket, tokens: u32, now: Millis) {
         let Some(load) = self.endpoints.get_mut(&ticket.endpoint) else {
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -216,7 +216,7 @@
         self.in_flight.insert(number, request);
     }
 
-    /// Records the first byte of an answer, which ends the prefill. Returns how long it took,
+    /// Records the first byte of an answer that is no refusal, which ends the prefill. Returns how long it took,
     /// in ms, or `None` if the request is unknown.
     pub fn record_first_byte(
         &mut self,
@@ -238,6 +238,15 @@
         Some(took)
     }
 
+    /// Records that the endpoint refused a request: its prompt is not prefilled there. How soon it
+    /// said so shows nothing about its speed.
+    pub fn record_refusal(&mut self, number: u64) {
+        if let Some(request) = self.in_flight.get_mut(&number) {
+            request.has_answered = true;
+            request.pending_prefill = 0;
+        }
+    }
+
     /// Records an event of a stream. Returns the gap before it, in ms.
     pub fn record_event(&mut self, number: u64, now: Millis) -> Option<Millis> {
         let request = self.in_flight.get_mut(&number)?;
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -238,6 +238,44 @@
     assert_eq!(entry.serve(&PLAIN, 0), "e1");
 }
 
+/// The expected wait of a request, before and after an engine or a plain endpoint refuses others.
+#[rstest]
+#[case::at_once(0)]
+#[case::soon(50)]
+#[case::late(2_000)]
+fn a_refusal_is_no_sample_of_speed(#[case] took: u64, #[values(true, false)] is_plain: bool) {
+    let new_work = caption(99, 999);
+    let probe = if is_plain { PLAIN } else { profile(&new_work) };
+    let mut entry = Entry::new(1);
+    let wait = |entry: &mut Entry| entry.choose(&probe, took).unwrap().expected_wait;
+    let before = wait(&mut entry);
+    for own in 0..20 {
+        let work = caption(own, 100 + own);
+        let refused = if is_plain { PLAIN } else { profile(&work) };
+        entry.send(&refused, 0);
+        let ticket = entry.tickets.pop().unwrap();
+        entry.balancer.record_refusal(&ticket);
+        entry.balancer.end(&ticket, Millis(took));
+    }
+    let after = wait(&mut entry);
+    assert!((after - before).abs() < 1e-9, "{before} {after}");
+}
+
+/// Its answer is there, so that it neither waits nor is a failure when it ends late.
+#[test]
+fn a_refused_request_is_not_overdue() {
+    let mut entry = Entry::new(2);
+    let refusing = entry.send(&PLAIN, 0);
+    let ticket = entry.tickets.pop().unwrap();
+    entry.balancer.record_refusal(&ticket);
+    entry.endpoints.retain(|it| it.life == life(&refusing));
+    let before = entry.choose(&PLAIN, 0).unwrap().cost;
+    let late = entry.choose(&PLAIN, 60_000).unwrap().cost;
+    entry.balancer.end(&ticket, Millis(60_000));
+    let after = entry.choose(&PLAIN, 60_000).unwrap().cost;
+    assert!(late <= before && after <= before, "{before} {late} {after}");
+}
+
 /// After a stall of the entry itself, answers seem to have taken long. The entry must still
 /// use the endpoint, or no sample would ever correct the value.
 #[test]
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -98,6 +98,26 @@
     pub back_off: Field<Millis>,
 }
 
+impl Reply<'_> {
+    /// Whether the endpoint has turned the request away: it has declined it, or asks for a back-off.
+    ///
+    /// ```
+    /// use actix_http::StatusCode;
+    /// use actix_http::header::HeaderMap;
+    /// use woodgap_relay::dialect::Decline;
+    /// use woodgap_relay::dialect::own::NAMES;
+    /// use woodgap_relay::upstream::Head;
+    ///
+    /// let status = StatusCode::SERVICE_UNAVAILABLE;
+    /// let head = Head { status, headers: HeaderMap::new(), keeps_alive: true };
+    /// assert!(NAMES.reply(&head, Some(Decline::Full)).is_refusal());
+    /// assert!(!NAMES.reply(&head, None).is_refusal());
+    /// ```
+    pub fn is_refusal(&self) -> bool {
+        self.declined.is_some() || matches!(self.back_off, Field::Valid(_))
+    }
+}
+
 /// Why an endpoint has not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decline {
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -145,8 +145,12 @@
         connection.read_body(framing, MAX_DISCARDED_BYTES).await?;
         response = connection.next_head().await?;
     }
-    placement.record_first_byte();
     let reply = state.dialect.reply(&response);
+    if reply.is_refusal() {
+        placement.record_refusal();
+    } else {
+        placement.record_first_byte();
+    }
     record.record_reply(&reply);
     notice::record_reply(state, placement.endpoint(), &reply, response.status);
     if let Some(load) = reply.load {
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -78,7 +78,12 @@
         self.ticket.endpoint()
     }
 
-    /// Records the first byte of the response.
+    /// Records that the endpoint refused the request.
+    pub fn record_refusal(&self) {
+        self.state.loads.borrow_mut().record_refusal(&self.ticket);
+    }
+
+    /// Records the first byte of a response that is no refusal.
     pub fn record_first_byte(&self) {
         let now = self.state.now();
         let mut loads = self.state.loads.borrow_mut();
--- a/crates/relay/tests/contract/back_offs.rs
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -26,6 +26,12 @@
 /// How many requests are sent to three endpoints.
 const REQUESTS: usize = 90;
 
+/// How many requests an endpoint takes slowly, and how many it declines then.
+const SLOW_ANSWERS: usize = 3;
+const DECLINES: usize = 40;
+/// Longer than the longest back-off of an endpoint that declines without a word.
+const LONGEST_DECLINE: Duration = Duration::from_secs(2);
+
 /// An endpoint that notes when requests arrive.
 struct Noting {
     endpoint: Endpoint,
@@ -62,6 +68,12 @@
     })
 }
 
+/// Whether the metrics of an entry have this text.
+fn shows(site: &Site, text: &str) -> bool {
+    let metrics = get(site.metrics, "/metrics", "x", "").text();
+    metrics.contains(text)
+}
+
 /// Sends requests to an entry for so long. Returns their statuses.
 fn send_for(site: &Site, target: &str, span: Duration) -> Vec<u16> {
     let until = Instant::now() + span;
@@ -175,6 +187,33 @@
     assert!(count <= REQUESTS / addresses.len(), "{count} of {REQUESTS}");
 }
 
+/// It took 300 ms for a request, then declined others within a millisecond, and seemed the faster one.
+#[test]
+fn an_endpoint_that_declines_at_once_does_not_seem_fast() {
+    let slow = Endpoint::numbered(|number| {
+        if number >= SLOW_ANSWERS {
+            return vec![declined()];
+        }
+        sleep(Duration::from_millis(300));
+        Answer::Body.steps("")
+    });
+    let fast = Endpoint::always(Answer::Body.steps(""));
+    let sites = fleet(1, &[slow.address, fast.address]);
+    let site = &sites[0];
+    let row = site.source.0.lock().unwrap().endpoints.remove(1);
+    until(|| shows(site, "\nendpoints 1\n"));
+    for _ in 0..SLOW_ANSWERS + DECLINES {
+        get(site.requests, "/write/", "r", "");
+    }
+    let before = slow.seen().len();
+    assert_eq!(before, SLOW_ANSWERS + DECLINES, "the only endpoint");
+    site.source.0.lock().unwrap().endpoints.push(row);
+    until(|| shows(site, "\nendpoints 2\n"));
+    sleep(LONGEST_DECLINE);
+    let status = get(site.requests, "/write/", "r", "").status;
+    assert_eq!((slow.seen().len() - before, status), (0, 200));
+}
+
 /// Two endpoints have declined before, and a request that a third one fails goes to one of them.
 #[test]
 fn an_endpoint_that_has_declined_is_better_than_none() {
@@ -211,16 +250,12 @@
     let overloaded = Noting::numbered(move |_| vec![head("503 Service Unavailable", &turned_away)]);
     let sites = fleet(1, &[overloaded.endpoint.address]);
     let site = &sites[0];
-    let shows = |gauge: &str| {
-        let metrics = get(site.metrics, "/metrics", "x", "").text();
-        metrics.contains(gauge)
-    };
     get(site.requests, "/write/", "r", "");
-    until(|| shows("back_offs 1"));
+    until(|| shows(site, "back_offs 1"));
     let row = site.source.0.lock().unwrap().endpoints.remove(0);
-    until(|| shows("back_offs 0"));
+    until(|| shows(site, "back_offs 0"));
     site.source.0.lock().unwrap().endpoints.push(row);
-    until(|| shows("\nendpoints 1\n"));
+    until(|| shows(site, "\nendpoints 1\n"));
     get(site.requests, "/write/", "r", "");
     assert_eq!(overloaded.arrivals().len(), 1);
 }
