--- a/crates/relay/tests/contract/back_offs.rs
+++ b/crates/relay/tests/contract/back_offs.rs
@@ -9,7 +9,7 @@
 
 use crate::caller::get;
 use crate::endpoint::{Answer, Endpoint, Step, declined, head};
-use crate::site::{Site, fleet};
+use crate::site::{Site, fleet, until};
 
 /// The back-off that is asked for.
 const BACK_OFF: Duration = Duration::from_secs(3);
@@ -26,6 +26,12 @@
 /// How many requests are sent to three endpoints.
 const REQUESTS: usize = 90;
 
+/// How many requests an endpoint takes slowly, and how many it declines then.
+const SLOW_ANSWERS: usize = 3;
+const DECLINES: usize = 40;
+/// Longer than the longest back-off of an endpoint that declines without a word.
+const LONGEST_DECLINE: Duration = Duration::from_secs(2);
+
 /// An endpoint that notes when requests arrive.
 struct Noting {
     endpoint: Endpoint,
@@ -62,6 +68,12 @@
     })
 }
 
+/// Whether the metrics of an entry have this text.
+fn shows(site: &Site, text: &str) -> bool {
+    let metrics = get(site.metrics, "/metrics", "x", "").text();
+    metrics.contains(text)
+}
+
 /// Sends requests to an entry for so long. Returns their statuses.
 fn send_for(site: &Site, target: &str, span: Duration) -> Vec<u16> {
     let until = Instant::now() + span;
@@ -175,6 +187,33 @@
     assert!(count <= REQUESTS / addresses.len(), "{count} of {REQUESTS}");
 }
 
+/// It took 300 ms for a request, then declined others within a millisecond, and seemed the faster one.
+#[test]
+fn an_endpoint_that_declines_at_once_does_not_seem_fast() {
+    let slow = Endpoint::numbered(|number| {
+        if number >= SLOW_ANSWERS {
+            return vec![declined()];
+        }
+        sleep(Duration::from_millis(300));
+        Answer::Body.steps("")
+    });
+    let fast = Endpoint::always(Answer::Body.steps(""));
+    let sites = fleet(1, &[slow.address, fast.address]);
+    let site = &sites[0];
+    let row = site.source.0.lock().unwrap().endpoints.remove(1);
+    until(|| shows(site, "\nendpoints 1\n"));
+    for _ in 0..SLOW_ANSWERS + DECLINES {
+        get(site.requests, "/write/", "r", "");
+    }
+    let before = slow.seen().len();
+    assert_eq!(before, SLOW_ANSWERS + DECLINES, "the only endpoint");
+    site.source.0.lock().unwrap().endpoints.push(row);
+    until(|| shows(site, "\nendpoints 2\n"));
+    sleep(LONGEST_DECLINE);
+    let status = get(site.requests, "/write/", "r", "").status;
+    assert_eq!((slow.seen().len() - before, status), (0, 200));
+}
+
 /// Two endpoints have declined before, and a request that a third one fails goes to one of them.
 #[test]
 fn an_endpoint_that_has_declined_is_better_than_none() {
@@ -203,3 +242,20 @@
     send_for(&sites[0], "/read/", Duration::from_secs(2));
     assert_eq!(overloaded.arrivals().len(), before);
 }
+
+/// The row had lapsed for longer than an endpoint is kept without one, but not than it had asked for.
+#[test]
+fn an_endpoint_that_is_listed_again_is_left_alone_for_as_long_as_it_asked() {
+    let turned_away = TURNED_AWAY.replace("Retry-After: 3", "Retry-After: 60");
+    let overloaded = Noting::numbered(move |_| vec![head("503 Service Unavailable", &turned_away)]);
+    let sites = fleet(1, &[overloaded.endpoint.address]);
+    let site = &sites[0];
+    get(site.requests, "/write/", "r", "");
+    until(|| shows(site, "back_offs 1"));
+    let row = site.source.0.lock().unwrap().endpoints.remove(0);
+    until(|| shows(site, "back_offs 0"));
+    site.source.0.lock().unwrap().endpoints.push(row);
+    until(|| shows(site, "\nendpoints 1\n"));
+    get(site.requests, "/write/", "r", "");
+    assert_eq!(overloaded.arrivals().len(), 1);
+}
