Relay settings: an optional section for scheduling

Which services are scheduled and how many bytes of requests may wait are settings of an entry (docs/SCHEDULING.md). Nothing reads them yet; without the section nothing changes.

The keys are optional, as the defaults suit every site; the section itself enables the feature. waiting_bytes is from 4096 to 1 GiB, both accepted.

--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -22,6 +22,10 @@
 /// The most that a service may be able to do beyond its demand, as a factor, and what it usually is.
 const MOST_HEADROOM: f64 = 20.0;
 const USUAL_HEADROOM: f64 = 0.8;
+/// The range and the usual number of bytes of requests that may wait for one service.
+const LEAST_WAITING_BYTES: usize = 4 * 1024;
+const MOST_WAITING_BYTES: usize = 1024 * 1024 * 1024;
+const USUAL_WAITING_BYTES: usize = 1024 * 1024;
 /// The most descriptors of a process that can be asked for.
 const MOST_DESCRIPTORS: usize = 1_048_576;
 
@@ -53,6 +57,8 @@
     pub bounds: Bounds,
     /// What one entry at a time does for the platform; none where nothing is asked for.
     pub duties: Option<Duties>,
+    /// How requests to services with too little capacity are scheduled; none where they are not.
+    pub scheduling: Option<Scheduling>,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
     /// The least severe lines that are logged.
@@ -114,6 +120,40 @@
     }
 }
 
+/// How requests to services with too little capacity are scheduled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Scheduling {
+    /// The services that are scheduled.
+    pub services: Services,
+    /// The most bytes of requests that may wait at this entry for one service.
+    pub waiting_bytes: usize,
+}
+
+/// Which services are scheduled.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Services {
+    /// Every service.
+    All,
+    /// Services whose endpoints report in their answers how long work takes there.
+    #[default]
+    Uneven,
+}
+
+impl Services {
+    const WORDS: &[(&str, Self)] = &[("all", Self::All), ("uneven", Self::Uneven)];
+}
+
+impl Scheduling {
+    fn read(section: &Section) -> Self {
+        let services = rule::choice(Services::WORDS);
+        let bytes = rule::whole(LEAST_WAITING_BYTES, MOST_WAITING_BYTES);
+        Self {
+            services: section.or("services", &services, Services::default()),
+            waiting_bytes: section.or("waiting_bytes", &bytes, USUAL_WAITING_BYTES),
+        }
+    }
+}
+
 /// What operators promise their callers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -207,6 +247,11 @@
     } else {
         None
     };
+    let scheduling = if section.has("scheduling") {
+        section.within("scheduling", Scheduling::read)
+    } else {
+        None
+    };
     let descriptors = section.or("descriptors", &rule::whole(64, MOST_DESCRIPTORS), 1_024);
     let log_level = section.or(
         "log_level",
@@ -226,6 +271,7 @@
         platform: platform?,
         bounds: bounds?,
         duties,
+        scheduling,
         descriptors,
         log_level,
     })
--- a/crates/settings/tests/samples.rs
+++ b/crates/settings/tests/samples.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use woodgap_core::config::{Catalog, Document};
+use woodgap_settings::relay::{Scheduling, Services};
 use woodgap_settings::{Kind, burn, document, entry, relay};
 
 #[rstest]
@@ -86,6 +87,54 @@
     insta::assert_snapshot!(problems);
 }
 
+/// The least settings of a relay, with this section `scheduling` beside them.
+fn with_scheduling(section: &str) -> String {
+    format!(
+        r#"{{"name": "a1", "data_centre": "dub-a", "listen": "127.0.0.1:0",
+        "directory_listen": "127.0.0.1:0", "ready_listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+        "platform": {{"url": "http://127.0.0.1:8080/"}},
+        "bounds": {{"revoke_ms": 5000, "leave_ms": 2000, "grace_s": 8,
+            "entries_lifetime_s": 5, "repeat_ratio": 0.2, "repeat_slack": 52,
+            "repeat_window_s": 10}}{section}}}"#
+    )
+}
+
+/// Requests are scheduled only where the section is there, and each key has its default.
+#[rstest]
+#[case::none("", None)]
+#[case::defaults(r#", "scheduling": {}"#, Some((Services::Uneven, 1_048_576)))]
+#[case::uneven(r#", "scheduling": {"services": "uneven"}"#, Some((Services::Uneven, 1_048_576)))]
+#[case::all_and_least(
+    r#", "scheduling": {"services": "all", "waiting_bytes": 4096}"#,
+    Some((Services::All, 4_096))
+)]
+#[case::most(
+    r#", "scheduling": {"waiting_bytes": 1073741824}"#,
+    Some((Services::Uneven, 1_073_741_824))
+)]
+fn scheduling_is_optional(#[case] section: &str, #[case] expected: Option<(Services, usize)>) {
+    let relay = relay::parse(&with_scheduling(section), "relay.jsonc").unwrap();
+    let expected = expected.map(|(services, waiting_bytes)| Scheduling {
+        services,
+        waiting_bytes,
+    });
+    assert_eq!(relay.scheduling, expected);
+}
+
+#[rstest]
+#[case::values(
+    "scheduling-values",
+    r#"{"services": "some", "waiting_bytes": 4095, "waiting_ms": 100}"#
+)]
+#[case::too_many_bytes("scheduling-too-many-bytes", r#"{"waiting_bytes": 1073741825}"#)]
+#[case::no_object("scheduling-no-object", r#""all""#)]
+fn scheduling_is_checked_whole(#[case] name: &str, #[case] section: &str) {
+    let section = format!(r#", "scheduling": {section}"#);
+    let problems = relay::parse(&with_scheduling(&section), "relay.jsonc").unwrap_err();
+    insta::assert_snapshot!(name, problems);
+}
+
 /// What a file that gives only the required keys gets.
 #[test]
 fn defaults() {
