Plan: a workspace has a weight

Shares of a service with too little capacity are weighted max-min fair among workspaces (docs/SCHEDULING.md), so a plan needs a weight for each: 0.01 to 100, 1 where it is left out, so that existing plans stay valid. Plan::check refuses any other, NaN included, with the workspace's name and the range.

Plans travel between entries by postcard, so the wire form changes.

There was no sample of a relay's plan: samples/dublin/relay-plan.json, with a test.

--- a/crates/core/src/relay/plan.rs
+++ b/crates/core/src/relay/plan.rs
@@ -164,6 +164,31 @@
     /// Orders requests of equal route priority at model engines; 0 is the most urgent.
     #[serde(default)]
     pub priority: u8,
+    /// Its share of a service with too little capacity, relative to other workspaces; from
+    /// [`MIN_WEIGHT`] to [`MAX_WEIGHT`].
+    #[serde(default = "default_weight")]
+    pub weight: f64,
+}
+
+/// The smallest weight of a workspace: waiting lists take weights in whole hundredths.
+pub const MIN_WEIGHT: f64 = 0.01;
+/// The largest weight of a workspace.
+pub const MAX_WEIGHT: f64 = 100.0;
+/// The weight of a workspace whose share is not configured.
+pub const DEFAULT_WEIGHT: f64 = 1.0;
+
+const fn default_weight() -> f64 {
+    DEFAULT_WEIGHT
+}
+
+impl Workspace {
+    fn check(&self) -> Result<(), Error> {
+        if (MIN_WEIGHT..=MAX_WEIGHT).contains(&self.weight) {
+            Ok(())
+        } else {
+            Err(Error::InvalidWeight(self.name.clone()))
+        }
+    }
 }
 
 /// Limits on requests.
@@ -209,10 +234,13 @@
     /// A key identifies two workspaces.
     #[error("workspaces `{0}` and `{1}` have a key in common")]
     DuplicateKey(String, String),
+    /// The weight of a workspace is out of range, or not a number.
+    #[error("workspace `{0}`: the weight must be a number from {MIN_WEIGHT} to {MAX_WEIGHT}")]
+    InvalidWeight(String),
 }
 
 impl Plan {
-    /// Checks each route, and that the services it refers to exist.
+    /// Checks each route, that the services it refers to exist, and the weights of workspaces.
     ///
     /// # Errors
     ///
@@ -220,7 +248,8 @@
     pub fn check(&self) -> Result<(), Error> {
         self.routes
             .iter()
-            .try_for_each(|route| self.check_route(route))
+            .try_for_each(|route| self.check_route(route))?;
+        self.workspaces.iter().try_for_each(Workspace::check)
     }
 
     fn check_route(&self, route: &Route) -> Result<(), Error> {
--- a/crates/core/tests/relay/plan.rs
+++ b/crates/core/tests/relay/plan.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::Table;
-use woodgap_core::relay::plan::{Error, Kind, Plan, Route, Service, Share, Workspace};
+use woodgap_core::relay::plan::{self, Error, Kind, Plan, Route, Service, Share, Workspace};
 
 pub fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -34,6 +34,7 @@
         name: name.to_owned(),
         keys: vec![key.to_owned()],
         priority,
+        weight: plan::DEFAULT_WEIGHT,
     }
 }
 
@@ -84,6 +85,42 @@
     assert_eq!(Table::new(plan).unwrap_err(), error);
 }
 
+/// A weight of 0 or one that is no number would leave its workspace, or all others, without a
+/// share.
+#[rstest]
+#[case::least(0.01, true)]
+#[case::default(1.0, true)]
+#[case::most(100.0, true)]
+#[case::too_small(0.009, false)]
+#[case::zero(0.0, false)]
+#[case::negative(-1.0, false)]
+#[case::too_large(100.1, false)]
+#[case::not_a_number(f64::NAN, false)]
+#[case::infinite(f64::INFINITY, false)]
+fn a_weight_has_a_range(#[case] weight: f64, #[case] is_valid: bool) {
+    let mut plan = plan(1, vec![]);
+    plan.workspaces[1].weight = weight;
+    let error = Error::InvalidWeight("byrne".to_owned());
+    assert_eq!(plan.check(), if is_valid { Ok(()) } else { Err(error) });
+}
+
+/// The message names the workspace and the range.
+#[test]
+fn an_invalid_weight_is_explained() {
+    let error = Error::InvalidWeight("byrne".to_owned()).to_string();
+    let expected = "workspace `byrne`: the weight must be a number from 0.01 to 100";
+    assert_eq!(error, expected);
+}
+
+/// Plans that were written before there were weights stay valid.
+#[rstest]
+#[case::without(r#"{"name": "byrne", "keys": []}"#, 1.0)]
+#[case::with(r#"{"name": "byrne", "keys": [], "weight": 2.5}"#, 2.5)]
+fn a_weight_may_be_left_out(#[case] text: &str, #[case] weight: f64) {
+    let workspace: Workspace = serde_json::from_str(text).unwrap();
+    assert!((workspace.weight - weight).abs() < f64::EPSILON);
+}
+
 #[rstest]
 #[case::idempotent(Kind::Idempotent, false, true)]
 #[case::not_idempotent(Kind::NonIdempotent, false, false)]
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -16,7 +16,9 @@
 use woodgap_core::name;
 use woodgap_core::quarantine::StoredHistory;
 use woodgap_core::relay::Evacuation;
-use woodgap_core::relay::plan::{Engine, Kind, Limits, Plan, Route, Service, Share, Workspace};
+use woodgap_core::relay::plan::{
+    DEFAULT_WEIGHT, Engine, Kind, Limits, Plan, Route, Service, Share, Workspace,
+};
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::duties;
@@ -456,6 +458,7 @@
             name: "murphy".to_owned(),
             keys: vec!["key-m".to_owned()],
             priority: 0,
+            weight: DEFAULT_WEIGHT,
         }],
         limits: Limits {
             body_bytes: 256 * 1024,
--- a/crates/relay/tests/soak/world/plan.rs
+++ b/crates/relay/tests/soak/world/plan.rs
@@ -48,6 +48,7 @@
         name: name.to_owned(),
         keys: vec![key.to_owned()],
         priority: 0,
+        weight: plan::DEFAULT_WEIGHT,
     };
     Plan {
         version: 0,
--- a/crates/settings/tests/samples.rs
+++ b/crates/settings/tests/samples.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use woodgap_core::config::{Catalog, Document};
+use woodgap_core::relay::Plan;
 use woodgap_settings::relay::{Scheduling, Services};
 use woodgap_settings::{Kind, burn, document, entry, relay};
 
@@ -60,6 +61,16 @@
     insta::assert_debug_snapshot!(relay::load(path).unwrap());
 }
 
+/// The sample's workspaces show a weight that is given, and one that is left out.
+#[test]
+fn the_sample_of_a_plan() {
+    let text = fs::read_to_string("../../samples/dublin/relay-plan.json").unwrap();
+    let plan: Plan = serde_json::from_str(&text).unwrap();
+    assert_eq!(plan.check(), Ok(()));
+    let weights: Vec<_> = plan.workspaces.iter().map(|it| it.weight).collect();
+    assert_eq!(weights, [2.0, 1.0]);
+}
+
 #[test]
 fn a_relays_settings_are_checked_whole() {
     let text = r#"{"name": "a 1", "data_centre": "dub-a", "listen": "dublin:80",
