Native dialect: refusals tell the time to retry in milliseconds as well

What callers saw: with 1.5 s in all, each refused caller was told to come back after 1 s, since Retry-After in whole seconds is rounded up; none could come back in time.

Change: retry-after-ms in whole milliseconds beside Retry-After, which stays as it was. Ruled out: decimals in Retry-After, which callers of the native dialect need not understand.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use actix_http::header::{HeaderMap, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use thiserror::Error;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
@@ -135,8 +135,8 @@
     /// Reads the head of an answer.
     fn reply<'h>(&self, head: &'h Head) -> Reply<'h>;
 
-    /// A time to come back, as a value of `Retry-After`.
-    fn retry_after(&self, span: Millis) -> HeaderValue;
+    /// The headers of a refusal that tell the caller to retry after this span.
+    fn retry_after(&self, span: Millis, add: &mut dyn FnMut(HeaderName, HeaderValue));
 
     /// The header that carries a request's identity in answers.
     fn id_header(&self) -> &'static str;
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use actix_http::header::{HeaderMap, HeaderValue};
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use serde::Serialize;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
@@ -15,6 +15,8 @@
 const PATIENCE: &str = "x-woodgap-patience-ms";
 const WORK: &str = "x-woodgap-work";
 const VERDICT: &str = "x-woodgap-verdict";
+/// `Retry-After` in whole milliseconds.
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
 
 /// The names of the headers that every dialect has.
 pub const NAMES: Names = Names {
@@ -75,8 +77,11 @@
         NAMES.reply(head, declined)
     }
 
-    fn retry_after(&self, span: Millis) -> HeaderValue {
-        HeaderValue::from(span.0.div_ceil(1_000))
+    /// `Retry-After` is for callers that know only whole seconds, the other header for those that
+    /// wait for less than a second altogether.
+    fn retry_after(&self, span: Millis, add: &mut dyn FnMut(HeaderName, HeaderValue)) {
+        add(header::RETRY_AFTER, span.0.div_ceil(1_000).into());
+        add(RETRY_AFTER_MS, span.0.into());
     }
 
     fn id_header(&self) -> &'static str {
--- a/crates/relay/src/request/problem.rs
+++ b/crates/relay/src/request/problem.rs
@@ -159,7 +159,9 @@
             HeaderValue::from_static("application/json"),
         );
         if let Some(span) = self.retry_after {
-            headers.insert(header::RETRY_AFTER, dialect.retry_after(span));
+            dialect.retry_after(span, &mut |name, value| {
+                headers.insert(name, value);
+            });
         }
         if let Ok(id) = HeaderValue::from_str(id) {
             headers.insert(HeaderName::from_static(dialect.id_header()), id);
--- a/crates/relay/tests/contract/refusals.rs
+++ b/crates/relay/tests/contract/refusals.rs
@@ -1,9 +1,13 @@
 //! Requests that are not passed on, and what their callers are told.
 
+use actix_http::header::{self, HeaderName, HeaderValue};
 use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_relay::dialect::Dialect;
+use woodgap_relay::dialect::own::Own;
 
 use crate::caller::{Caller, get, post};
-use crate::endpoint::{Endpoint, declined, head, whole};
+use crate::endpoint::{Endpoint, Step, declined, head, whole};
 use crate::site::{Fixed, Site, TRUST, plan, source, until};
 
 #[rstest]
@@ -89,6 +93,51 @@
     assert_ne!(answer.header("retry-after"), "");
 }
 
+/// A caller that waits for a second and a half can't come back after whole seconds: it was always
+/// told "1". The time in milliseconds says when, and the one in seconds is not earlier.
+#[rstest]
+#[case::all_endpoints_decline(vec![declined()], "/write/")]
+#[case::less_than_a_second(vec![declined()], "/soon/")]
+#[case::a_longer_back_off(
+    vec![head(
+        "503 X",
+        "X-Woodgap-Verdict: not_run\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n",
+    )],
+    "/write/"
+)]
+fn a_refusal_tells_the_time_to_retry_in_milliseconds(#[case] steps: Vec<Step>, #[case] path: &str) {
+    let endpoint = Endpoint::always(steps);
+    let site = Site::start(&[endpoint.address]);
+    post(site.requests, path, "r1", b"x");
+    let answer = post(site.requests, path, "r2", b"x");
+    assert_eq!(answer.status, 503);
+    let millis: u64 = answer.header("retry-after-ms").parse().unwrap();
+    let seconds: u64 = answer.header("retry-after").parse().unwrap();
+    assert!(millis > 0);
+    assert_eq!(seconds, millis.div_ceil(1_000));
+}
+
+/// Seconds are rounded up: a caller that reads only these never comes back too early.
+#[rstest]
+#[case(0, "0", "0")]
+#[case(50, "1", "50")]
+#[case(1_000, "1", "1000")]
+#[case(1_001, "2", "1001")]
+fn a_time_to_retry_is_in_seconds_and_milliseconds(
+    #[case] span: u64,
+    #[case] seconds: &'static str,
+    #[case] millis: &'static str,
+) {
+    let mut headers = Vec::new();
+    Own.retry_after(Millis(span), &mut |name, value| headers.push((name, value)));
+    let millis_name = HeaderName::from_static("retry-after-ms");
+    let expected = [
+        (header::RETRY_AFTER, HeaderValue::from_static(seconds)),
+        (millis_name, HeaderValue::from_static(millis)),
+    ];
+    assert_eq!(headers, expected);
+}
+
 #[test]
 fn nothing_is_passed_on_before_a_plan_is_known() {
     let site = Site::with("dub-a-1", Fixed::default());
