Case tests of a service with too little capacity, known to fail

Endpoints finish each request exactly 40 ms after the one before, however late their threads wake, so that the capacity is 100 requests per second also on a busy machine. Up to 16 requests wait at one, 640 ms: late answers are possible, lost callers are not. The parts of the requests in time count from when a caller first sent them; the part of the capacity counts answers by the sending of the request that they answer.

--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -23,6 +23,7 @@
 mod refusals;
 mod rests;
 mod rows;
+mod scarce;
 mod silent_tellers;
 mod site;
 mod stops;
