The waiting list takes requests with their own cost, weight and precedence

Cause: the relay is to order requests by the same waiting list as the pool, where a request's cost is known in advance, workspaces differ in weight, a returned request goes first within its tier, and requests leave after a fraction of a second.

Change: Waiting::insert_with takes these terms, Waiting::insert keeps those of the pool. A class may have a weight of its minimum share, may keep the share that it was owed when its requests are refused, and may be given credit for service in tier order; all three are off in the pool. Waiting::service_order predicts the order of service, Waiting::shed_candidate_in names the request to shed from one tier.

Ruled out: a weight of the workspace through Ask::weight, which only divides the workspace's own share among its classes.

Ring::owner names the entry that owns a key; it keeps the names beside the distances.

The tests of the pool are unchanged and pass.

--- a/crates/core/src/pool/class.rs
+++ b/crates/core/src/pool/class.rs
@@ -36,6 +36,9 @@
     pub active: u32,
     /// Time from the arrival of a request to its deadline.
     pub target: Millis,
+    /// Factor of its minimum share, more than 0; 1 unless the user of the
+    /// waiting list gives classes different ones.
+    pub share_weight: f64,
     last_active: Millis,
 }
 
@@ -121,6 +124,7 @@
             bucket: DEFAULT_BUCKET,
             active: 0,
             target: Millis::ZERO,
+            share_weight: 1.0,
             last_active: now,
         };
         let id = self.store(class);
--- a/crates/core/src/pool/fair_queue.rs
+++ b/crates/core/src/pool/fair_queue.rs
@@ -36,12 +36,14 @@
 struct WorkspaceLoad {
     flows: u32,
     weight: f64,
+    /// The workspace's own weight, that of the first of these flows.
+    workspace_weight: f64,
 }
 
 /// The waiting flows of one tier.
 ///
-/// Virtual time advances with the service given, divided by the number of
-/// waiting workspaces. A flow is within its share if the start tag of its next
+/// Virtual time advances with the service given, divided by the total weight
+/// of the waiting workspaces. A flow is within its share if the start tag of its next
 /// service is not after virtual time. Flows within their share come first, by
 /// earliest deadline. Next come flows ahead of their share, and last those
 /// whose requests can't meet their target.
@@ -50,12 +52,18 @@
     virtual_time: f64,
     buckets: [DurationBucket; BUCKETS],
     workspaces: HashMap<name::Workspace, WorkspaceLoad>,
+    /// Total weight of these workspaces.
+    total_weight: f64,
 }
 
 impl FairQueue {
     /// Adds a flow that got its first waiting request.
     pub fn join(&mut self, flow: &mut Flow) {
         let load = self.workspaces.entry(flow.workspace.clone()).or_default();
+        if load.flows == 0 {
+            load.workspace_weight = flow.workspace_weight;
+            self.total_weight += load.workspace_weight;
+        }
         load.flows += 1;
         load.weight += flow.weight;
         flow.virtual_start = flow.virtual_start.max(self.virtual_time);
@@ -69,6 +77,7 @@
         load.flows -= 1;
         load.weight -= flow.weight;
         if load.flows == 0 {
+            self.total_weight -= load.workspace_weight;
             self.workspaces.remove(&flow.workspace);
         }
     }
@@ -134,8 +143,13 @@
     pub fn charge(&mut self, flow: &mut Flow, cost: f64) {
         let load = self.workspaces.get(&flow.workspace);
         let weight = load.map_or(1.0, |load| flow.weight / load.weight.max(flow.weight));
-        flow.virtual_start += cost / weight;
-        self.virtual_time += cost / self.workspaces.len().max(1) as f64;
+        flow.virtual_start += cost / (weight * flow.workspace_weight);
+        let total_weight = if self.workspaces.is_empty() {
+            flow.workspace_weight
+        } else {
+            self.total_weight
+        };
+        self.virtual_time += cost / total_weight;
     }
 
     /// Returns whether the flow would start at the same tag as a new one.
--- a/crates/core/src/pool/flow.rs
+++ b/crates/core/src/pool/flow.rs
@@ -5,6 +5,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::pool::fair_queue::Spot;
+use crate::pool::tag::Tag;
 use crate::tier::Tier;
 
 /// A flow: the unit between which a tier's service is shared.
@@ -18,6 +19,8 @@
     pub workspace: name::Workspace,
     /// The class's weight within the workspace.
     pub weight: f64,
+    /// The workspace's weight relative to the others of the tier.
+    pub workspace_weight: f64,
     /// Start tag of its next service, in its tier's virtual time.
     pub virtual_start: f64,
     /// Number of active runs.
@@ -29,7 +32,7 @@
     /// Position in its tier's fair queue.
     pub spot: Option<Spot>,
     /// Key in its tier's shed order.
-    pub shed_key: Option<(usize, u64)>,
+    pub shed_key: Option<(Tag, u64)>,
     /// Requests that can still meet their target, by deadline.
     on_time: BTreeSet<DeadlineKey>,
     /// Requests that can't meet their target, by deadline.
@@ -60,6 +63,7 @@
             class,
             workspace,
             weight: 1.0,
+            workspace_weight: 1.0,
             virtual_start: 0.0,
             running: 0,
             idle_since: now,
@@ -144,15 +148,21 @@
         self.exempt = exempt;
     }
 
-    /// Returns how many first attempts may be shed, and the newest first
-    /// attempt.
-    pub fn compute_shed_key(&self) -> Option<(usize, u64)> {
+    /// Returns how many requests wait, relative to the workspace's weight.
+    pub fn weighted_len(&self) -> Tag {
+        Tag((self.on_time.len() + self.late.len()) as f64 / self.workspace_weight)
+    }
+
+    /// Returns how many first attempts may be shed, relative to the
+    /// workspace's weight, and the newest first attempt.
+    pub fn compute_shed_key(&self) -> Option<(Tag, u64)> {
         let exempt = self
             .exempt
             .is_some_and(|number| self.first_attempts.contains(&number));
         let count = self.first_attempts.len() - usize::from(exempt);
         let newest = self.first_attempts.last()?;
-        (count > 0).then_some((count, *newest))
+        let weighted = Tag(count as f64 / self.workspace_weight);
+        (count > 0).then_some((weighted, *newest))
     }
 
     /// Moves requests whose deadline passes before `earliest_finish` to the
--- a/crates/core/src/pool/share.rs
+++ b/crates/core/src/pool/share.rs
@@ -5,6 +5,11 @@
 
 use crate::pool::tag::Tag;
 
+/// How many requests' worth of its share a class keeps from before, if its
+/// requests were refused. With one, it loses what it is owed while it waits for
+/// the next request.
+const MAX_CREDIT: f64 = 2.0;
+
 /// Account and round-robin order of a waiting class.
 #[derive(Debug, Default)]
 struct ClassShare {
@@ -23,6 +28,9 @@
 pub struct Shares {
     share: f64,
     total: f64,
+    /// How many requests' worth of service in tier order count towards the
+    /// share that follows.
+    max_advance: f64,
     /// Tokens guaranteed so far to a class that has been waiting all the time.
     virtual_time: f64,
     next_turn: u64,
@@ -30,6 +38,9 @@
     /// Start tags of classes that stopped waiting after receiving more than
     /// their share.
     debts: BTreeMap<u32, f64>,
+    /// Start tags of classes whose last waiting request left without service
+    /// before its class got its share.
+    credits: BTreeMap<u32, f64>,
     due: BTreeSet<(Tag, u32)>,
 }
 
@@ -39,19 +50,34 @@
         Self {
             share,
             total,
+            max_advance: 0.0,
             virtual_time: 0.0,
             next_turn: 0,
             owed: BTreeMap::new(),
             debts: BTreeMap::new(),
+            credits: BTreeMap::new(),
             due: BTreeSet::new(),
         }
     }
 
-    /// Adds a flow that got its first waiting request; returns its turn.
-    pub fn join(&mut self, class: u32, flow: u32) -> u64 {
+    /// Counts service that a class got by its tier's order also towards its
+    /// later share, up to this number of requests, so that a class that got
+    /// more than its share a moment ago does not overtake higher tiers.
+    #[must_use]
+    pub fn with_advance(self, max_advance: f64) -> Self {
+        Self {
+            max_advance,
+            ..self
+        }
+    }
+
+    /// Adds a flow that got its first waiting request; returns its turn. A
+    /// class is credited at most [`MAX_CREDIT`] times the `cost` of this request
+    /// from before.
+    pub fn join(&mut self, class: u32, flow: u32, cost: f64) -> u64 {
         let turn = self.next_turn;
         self.next_turn += 1;
-        self.class_mut(class).turns.insert((turn, flow));
+        self.class_mut(class, cost).turns.insert((turn, flow));
         turn
     }
 
@@ -63,6 +89,18 @@
         self.remove_if_empty(class);
     }
 
+    /// Removes a flow whose last waiting request is refused. The class keeps
+    /// the share that it has not received, for its next request.
+    pub fn leave_unserved(&mut self, class: u32, flow: u32, turn: u64) {
+        let start = self.owed.get(&class).map(|owed| owed.virtual_start);
+        self.leave(class, flow, turn);
+        if !self.owed.contains_key(&class)
+            && let Some(start) = start.filter(|start| *start <= self.virtual_time)
+        {
+            self.credits.insert(class, start);
+        }
+    }
+
     /// Moves a flow that was served to the end of the round; returns its new
     /// turn.
     pub fn rotate(&mut self, class: u32, flow: u32, turn: u64) -> u64 {
@@ -136,12 +174,13 @@
     }
 
     /// Credits service that the class got by its tier's order against its
-    /// minimum share, without putting it into debt.
+    /// minimum share, without putting it into debt beyond the advance.
     pub fn credit_tier_service(&mut self, class: u32, cost: f64) {
+        let limit = self.virtual_time + self.max_advance * cost;
         if let Some(owed) = self.owed.get_mut(&class)
-            && owed.virtual_start < self.virtual_time
+            && owed.virtual_start < limit
         {
-            owed.virtual_start = (owed.virtual_start + cost).min(self.virtual_time);
+            owed.virtual_start = (owed.virtual_start + cost).min(limit);
         }
     }
 
@@ -151,16 +190,21 @@
         self.debts.retain(|_, debt| *debt > virtual_time);
     }
 
-    /// Forgets the debt of a class.
+    /// Forgets the debt and the credit of a class.
     pub fn forget_debt(&mut self, class: u32) {
         self.debts.remove(&class);
+        self.credits.remove(&class);
     }
 
-    fn class_mut(&mut self, class: u32) -> &mut ClassShare {
+    fn class_mut(&mut self, class: u32, cost: f64) -> &mut ClassShare {
         let virtual_time = self.virtual_time;
         let debt = self.debts.remove(&class).unwrap_or(virtual_time);
+        let credit = self.credits.remove(&class);
+        let start = credit.map_or(debt.max(virtual_time), |it| {
+            it.max(virtual_time - MAX_CREDIT * cost)
+        });
         self.owed.entry(class).or_insert_with(|| ClassShare {
-            virtual_start: debt.max(virtual_time),
+            virtual_start: start,
             ..ClassShare::default()
         })
     }
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -1,6 +1,6 @@
 //! The waiting list of a pool: its requests in service order and in shed order.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use crate::clock::Millis;
 use crate::name;
@@ -10,6 +10,7 @@
 use crate::pool::flow::{Flow, Flows};
 use crate::pool::reserve::BUCKETS;
 use crate::pool::share::Shares;
+use crate::pool::tag::Tag;
 use crate::tier::Tier;
 
 /// How long an idle flow that is ahead of its share is kept.
@@ -26,9 +27,45 @@
     pub flow: u32,
     /// When it started waiting.
     pub since: Millis,
+    /// Its own terms.
+    pub terms: Terms,
+}
+
+/// The terms of a waiting request that differ between the users of the list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Its cost; `None` for the expected cost of its class.
+    pub cost: Option<f64>,
+    /// The weight of its workspace relative to others, more than 0.
+    pub workspace_weight: f64,
+    /// Whether it is served before the others of its tier, and shed after
+    /// them.
+    pub goes_first: bool,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            cost: None,
+            workspace_weight: 1.0,
+            goes_first: false,
+        }
+    }
 }
 
 impl QueuedRequest {
+    /// Returns whether it is shed only if its tier has no other to shed.
+    fn is_shed_last(&self) -> bool {
+        self.is_retry() || self.terms.goes_first
+    }
+
+    /// Returns its cost in units of its class's minimum share.
+    fn share_cost(&self, classes: &Classes) -> f64 {
+        let class = classes.get(self.class);
+        let cost = self.terms.cost;
+        cost.unwrap_or_else(|| class.history.expected_cost()) / class.share_weight
+    }
+
     /// Returns whether an endpoint has failed it before.
     pub fn is_retry(&self) -> bool {
         !self.waiter.ask.avoid.is_empty()
@@ -39,10 +76,12 @@
 #[derive(Debug, Default)]
 struct Queue {
     service_order: FairQueue,
-    /// Flows by the number of their first attempts that may be shed, then by
-    /// the newest of these.
-    shed_order: BTreeSet<(usize, u64, u32)>,
-    /// Retries that may be shed, by arrival.
+    /// Requests that go first, by arrival.
+    first: BTreeSet<u64>,
+    /// Flows by the number of their first attempts that may be shed, relative
+    /// to their weight, then by the newest of these.
+    shed_order: BTreeSet<(Tag, u64, u32)>,
+    /// Retries and requests that go first, if they may be shed, by arrival.
     sheddable_retries: BTreeSet<u64>,
     count: u32,
 }
@@ -53,6 +92,9 @@
     }
 }
 
+/// How a flow without waiting requests leaves the minimum shares.
+type LeaveShare = fn(&mut Shares, u32, u32, u64);
+
 /// The waiting list of a pool.
 #[derive(Debug)]
 pub struct Waiting {
@@ -112,6 +154,12 @@
         &self.requests[&number]
     }
 
+    /// Returns how many requests wait in a request's flow, relative to the
+    /// weight of its workspace.
+    pub fn weighted_flow_len(&self, number: u64) -> Tag {
+        self.flows.get(self.get(number).flow).weighted_len()
+    }
+
     /// Returns the id of the flow of this class and workspace, assigning one on
     /// first use.
     pub fn flow(
@@ -136,6 +184,18 @@
 
     /// Adds a request that does not wait yet.
     pub fn insert(&mut self, now: Millis, classes: &Classes, class: u32, waiter: Waiter) {
+        self.insert_with(now, classes, class, waiter, Terms::default());
+    }
+
+    /// Adds a request that does not wait yet, on its own terms.
+    pub fn insert_with(
+        &mut self,
+        now: Millis,
+        classes: &Classes,
+        class: u32,
+        waiter: Waiter,
+        terms: Terms,
+    ) {
         let flow = self.flow(now, classes, class, &waiter.ask.workspace);
         let number = self.next_number;
         self.next_number += 1;
@@ -144,8 +204,9 @@
             class,
             flow,
             since: now,
+            terms,
         };
-        self.join(&queued, number);
+        self.join(classes, &queued, number);
         self.by_request.insert(queued.waiter.ask.request, number);
         self.requests.insert(number, queued);
         self.refresh(now, classes, class, flow);
@@ -164,11 +225,19 @@
 
     /// Removes a request by number.
     pub fn remove(&mut self, now: Millis, classes: &Classes, number: u64) -> Option<QueuedRequest> {
-        let queued = self.requests.remove(&number)?;
-        self.by_request.remove(&queued.waiter.ask.request);
-        self.leave(&queued, number);
-        self.refresh(now, classes, queued.class, queued.flow);
-        Some(queued)
+        self.remove_with(now, classes, number, Shares::leave)
+    }
+
+    /// Removes a request that was refused, or that was granted from its class's
+    /// minimum share. The class keeps the share that it has not received.
+    pub fn remove_keeping_share(
+        &mut self,
+        now: Millis,
+        classes: &Classes,
+        request: name::Request,
+    ) -> Option<QueuedRequest> {
+        let number = *self.by_request.get(&request)?;
+        self.remove_with(now, classes, number, Shares::leave_unserved)
     }
 
     /// Returns the numbers of the requests held by an entry's incarnation.
@@ -193,7 +262,8 @@
     }
 
     /// Returns the requests that a tier serves next from the allowed buckets:
-    /// the first `count` requests of each of the first `count` flows.
+    /// the first `count` requests that go first, then the first `count`
+    /// requests of each of the first `count` flows.
     pub fn next_requests(
         &mut self,
         now: Millis,
@@ -205,18 +275,46 @@
         let Some(queue) = self.queues.get_mut(&tier) else {
             return Vec::new();
         };
+        let mut next: Vec<u64> = queue.first.iter().take(count).copied().collect();
         let fair_queue = &mut queue.service_order;
         let flows = fair_queue.next_flows(now, allowed, count, &mut self.flows, classes);
         let order = |id: u32| self.flows.get(id).service_order().take(count);
-        flows.into_iter().flat_map(order).collect()
+        let others = flows.into_iter().flat_map(order);
+        next.extend(others.filter(|number| !queue.first.contains(number)));
+        next
+    }
+
+    /// Predicts the order in which the waiting requests are served if no other
+    /// comes and all cost the same: those due by the minimum share of their
+    /// class, then tier by tier, flows in turn.
+    pub fn service_order(&mut self, now: Millis, classes: &Classes) -> Vec<u64> {
+        let mut order: Vec<u64> = self.due().collect();
+        for queue in self.queues.values_mut().filter(|queue| queue.count > 0) {
+            order.extend(&queue.first);
+            let count = queue.count as usize;
+            let fair_queue = &mut queue.service_order;
+            let flows =
+                fair_queue.next_flows(now, [true; BUCKETS], count, &mut self.flows, classes);
+            order.extend(in_turn(&flows, &self.flows));
+        }
+        let mut seen = HashSet::new();
+        order.retain(|number| seen.insert(*number));
+        order
     }
 
     /// Returns the request to shed: in the lowest tier, from the flow with the
     /// most requests that may be shed, one that can't meet its target, else the
-    /// newest. Retries are chosen only if the tier has no first attempt to
-    /// shed.
+    /// newest. Retries and requests that go first are chosen only if the tier
+    /// has no other to shed.
     pub fn shed_candidate(&mut self, now: Millis, classes: &Classes) -> Option<u64> {
-        let queue = self.queues.values().rev().find(|queue| queue.can_shed())?;
+        let mut queues = self.queues.iter().rev();
+        let (tier, _) = queues.find(|(_, queue)| queue.can_shed())?;
+        self.shed_candidate_in(now, classes, *tier)
+    }
+
+    /// Returns the request to shed from this tier, as [`Self::shed_candidate`].
+    pub fn shed_candidate_in(&mut self, now: Millis, classes: &Classes, tier: Tier) -> Option<u64> {
+        let queue = self.queues.get(&tier)?;
         let Some((_, _, flow)) = queue.shed_order.last() else {
             return queue.sheddable_retries.last().copied();
         };
@@ -238,10 +336,11 @@
         from_class_share: bool,
     ) {
         self.shares.record_service(cost);
+        let share_cost = cost / classes.get(class).share_weight;
         if from_class_share {
-            self.shares.charge(class, cost);
+            self.shares.charge(class, share_cost);
         } else {
-            self.shares.credit_tier_service(class, cost);
+            self.shares.credit_tier_service(class, share_cost);
         }
         let tier = classes.get(class).tier;
         let fair_queue = &mut self.queues.entry(tier).or_default().service_order;
@@ -292,32 +391,52 @@
         });
     }
 
-    fn join(&mut self, queued: &QueuedRequest, number: u64) {
+    fn join(&mut self, classes: &Classes, queued: &QueuedRequest, number: u64) {
         let ask = &queued.waiter.ask;
         let flow = self.flows.get_mut(queued.flow);
         let queue = self.queues.entry(ask.tier).or_default();
         queue.count += 1;
         if flow.is_empty() {
             flow.weight = ask.weight.max(1) as f64;
+            flow.workspace_weight = queued.terms.workspace_weight;
             queue.service_order.join(flow);
-            flow.turn = self.shares.join(queued.class, queued.flow);
+            let cost = queued.share_cost(classes);
+            flow.turn = self.shares.join(queued.class, queued.flow, cost);
         }
-        flow.insert(number, ask.deadline, !queued.is_retry());
-        if queued.is_retry() {
+        flow.insert(number, ask.deadline, !queued.is_shed_last());
+        if queued.is_shed_last() {
             queue.sheddable_retries.insert(number);
         }
+        if queued.terms.goes_first {
+            queue.first.insert(number);
+        }
     }
 
-    fn leave(&mut self, queued: &QueuedRequest, number: u64) {
+    fn remove_with(
+        &mut self,
+        now: Millis,
+        classes: &Classes,
+        number: u64,
+        leave_share: LeaveShare,
+    ) -> Option<QueuedRequest> {
+        let queued = self.requests.remove(&number)?;
+        self.by_request.remove(&queued.waiter.ask.request);
+        self.leave(&queued, number, leave_share);
+        self.refresh(now, classes, queued.class, queued.flow);
+        Some(queued)
+    }
+
+    fn leave(&mut self, queued: &QueuedRequest, number: u64, leave_share: LeaveShare) {
         let ask = &queued.waiter.ask;
         let flow = self.flows.get_mut(queued.flow);
         let queue = self.queues.entry(ask.tier).or_default();
         queue.count -= 1;
         queue.sheddable_retries.remove(&number);
+        queue.first.remove(&number);
         flow.remove(number, ask.deadline);
         if flow.is_empty() {
             queue.service_order.leave(flow);
-            self.shares.leave(queued.class, queued.flow, flow.turn);
+            leave_share(&mut self.shares, queued.class, queued.flow, flow.turn);
         }
     }
 
@@ -339,7 +458,8 @@
             old.inspect(|number| self.set_exempt(*number, false));
             new.inspect(|number| self.set_exempt(*number, true));
         }
-        let cost = classes.get(class).history.expected_cost();
+        let head = new.and_then(|number| self.requests.get(&number));
+        let cost = head.map_or(0.0, |queued| queued.share_cost(classes));
         self.shares.set_head(class, new, cost);
     }
 
@@ -347,7 +467,7 @@
         let Some(queued) = self.requests.get(&number) else {
             return;
         };
-        if queued.is_retry() {
+        if queued.is_shed_last() {
             let queue = self.queues.entry(queued.waiter.ask.tier).or_default();
             if exempt {
                 queue.sheddable_retries.remove(&number);
@@ -378,3 +498,17 @@
         flow.shed_key = shed_key;
     }
 }
+
+/// Returns the requests of these flows in the order of a round in which each
+/// workspace has as many turns as its weight.
+fn in_turn(ids: &[u32], flows: &Flows) -> impl Iterator<Item = u64> {
+    let mut turns = Vec::new();
+    for (position, id) in ids.iter().enumerate() {
+        let flow = flows.get(*id);
+        let weight = flow.workspace_weight;
+        let requests = flow.service_order().enumerate();
+        turns.extend(requests.map(|(turn, number)| (Tag(turn as f64 / weight), position, number)));
+    }
+    turns.sort_unstable();
+    turns.into_iter().map(|(_, _, number)| number)
+}
--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -33,8 +33,9 @@
 pub struct Ring {
     /// The position of the entry itself.
     own: u64,
-    /// How far each of the others precedes it, in ascending order.
-    distances: Vec<u64>,
+    /// All entries, each with how far it precedes the entry itself, in ascending order. The first
+    /// distance is that of the entry itself, 0.
+    entries: Vec<(u64, name::Entry)>,
 }
 
 /// The range of the hash ring whose endpoints an entry may send to.
@@ -50,24 +51,46 @@
 impl Ring {
     /// The ring of an entry and the others that it knows.
     pub fn new<'a>(own: &name::Entry, others: impl Iterator<Item = &'a name::Entry>) -> Self {
-        let own = ring_position(own);
-        let mut distances: Vec<_> = others
-            .map(|it| own.wrapping_sub(ring_position(it)))
+        let position = ring_position(own);
+        let mut entries: Vec<_> = others
+            .map(|it| (position.wrapping_sub(ring_position(it)), it.clone()))
             .collect();
-        distances.sort_unstable();
-        Self { own, distances }
+        entries.push((0, own.clone()));
+        entries.sort_unstable();
+        Self {
+            own: position,
+            entries,
+        }
     }
 
     /// The number of entries.
     pub fn entries(&self) -> usize {
-        self.distances.len() + 1
+        self.entries.len()
+    }
+
+    /// The owner of a uniformly distributed key: the first entry at or after it on the ring. All
+    /// entries that know the same entries name the same owner.
+    ///
+    /// ```
+    /// use woodgap_core::name;
+    /// use woodgap_core::relay::warming::Ring;
+    ///
+    /// let (first, second) = (name::Entry::from("e-1"), name::Entry::from("e-2"));
+    /// let seen_by_first = Ring::new(&first, [&second].into_iter());
+    /// let seen_by_second = Ring::new(&second, [&first].into_iter());
+    /// assert_eq!(seen_by_first.owner(7), seen_by_second.owner(7));
+    /// ```
+    pub fn owner(&self, key: u64) -> &name::Entry {
+        let distance = self.own.wrapping_sub(key);
+        let preceding = self.entries.partition_point(|(it, _)| *it <= distance);
+        &self.entries[preceding - 1].1
     }
 
     /// The range of the entry if `senders` entries may send to each endpoint.
     pub fn range(&self, senders: usize) -> RingRange {
         RingRange {
             end: self.own,
-            length: self.distances.get(senders.max(1) - 1).copied(),
+            length: self.entries.get(senders.max(1)).map(|(it, _)| *it),
         }
     }
 }
