--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -12,6 +12,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::load_report;
+use crate::relay::prefix;
 
 /// The window in which requests are counted: one second, plus the time by which two requests may be
 /// closer together on arrival than when they were sent.
@@ -68,8 +69,11 @@
         self.entries.len()
     }
 
-    /// The owner of a uniformly distributed key: the first entry at or after it on the ring. All
-    /// entries that know the same entries name the same owner.
+    /// The owner of a key, by rendezvous hashing of the positions. All entries that know the same
+    /// entries name the same owner, and those that differ by one disagree about its keys only.
+    ///
+    /// The first entry after the key would own up to eight times the mean: positions on the ring
+    /// are random.
     ///
     /// ```
     /// use woodgap_core::name;
@@ -81,9 +85,11 @@
     /// assert_eq!(seen_by_first.owner(7), seen_by_second.owner(7));
     /// ```
     pub fn owner(&self, key: u64) -> &name::Entry {
-        let distance = self.own.wrapping_sub(key);
-        let preceding = self.entries.partition_point(|(it, _)| *it <= distance);
-        &self.entries[preceding - 1].1
+        let scores = self.entries.iter().map(|(distance, entry)| {
+            let position = self.own.wrapping_sub(*distance);
+            (prefix::mix(position, key), entry)
+        });
+        scores.max().map_or(&self.entries[0].1, |(_, entry)| entry)
     }
 
     /// The range of the entry if `senders` entries may send to each endpoint.
