--- a/crates/core/src/relay/scheduling/queue.rs
+++ b/crates/core/src/relay/scheduling/queue.rs
@@ -429,6 +429,8 @@
         if from_class_share {
             self.waiting.rotate(now, classes, class, flow);
         }
+        // Runs are not followed: what the flow is ahead of its share is kept from now on.
+        self.waiting.end(now, flow);
         self.bucket.take(cost);
         self.remove(number, from_class_share, now);
         out.push(Decision::Admit(number));
