--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -12,6 +12,7 @@
 use crate::clock::Millis;
 use crate::name;
 use crate::relay::load_report;
+use crate::relay::prefix;
 
 /// The window in which requests are counted: one second, plus the time by which two requests may be
 /// closer together on arrival than when they were sent.
@@ -33,8 +34,9 @@
 pub struct Ring {
     /// The position of the entry itself.
     own: u64,
-    /// How far each of the others precedes it, in ascending order.
-    distances: Vec<u64>,
+    /// All entries, each with how far it precedes the entry itself, in ascending order. The first
+    /// distance is that of the entry itself, 0.
+    entries: Vec<(u64, name::Entry)>,
 }
 
 /// The range of the hash ring whose endpoints an entry may send to.
@@ -50,24 +52,51 @@
 impl Ring {
     /// The ring of an entry and the others that it knows.
     pub fn new<'a>(own: &name::Entry, others: impl Iterator<Item = &'a name::Entry>) -> Self {
-        let own = ring_position(own);
-        let mut distances: Vec<_> = others
-            .map(|it| own.wrapping_sub(ring_position(it)))
+        let position = ring_position(own);
+        let mut entries: Vec<_> = others
+            .map(|it| (position.wrapping_sub(ring_position(it)), it.clone()))
             .collect();
-        distances.sort_unstable();
-        Self { own, distances }
+        entries.push((0, own.clone()));
+        entries.sort_unstable();
+        Self {
+            own: position,
+            entries,
+        }
     }
 
     /// The number of entries.
     pub fn entries(&self) -> usize {
-        self.distances.len() + 1
+        self.entries.len()
+    }
+
+    /// The owner of a key, by rendezvous hashing of the positions. All entries that know the same
+    /// entries name the same owner, and those that differ by one disagree about its keys only.
+    ///
+    /// The first entry after the key would own up to eight times the mean: positions on the ring
+    /// are random.
+    ///
+    /// ```
+    /// use woodgap_core::name;
+    /// use woodgap_core::relay::warming::Ring;
+    ///
+    /// let (first, second) = (name::Entry::from("e-1"), name::Entry::from("e-2"));
+    /// let seen_by_first = Ring::new(&first, [&second].into_iter());
+    /// let seen_by_second = Ring::new(&second, [&first].into_iter());
+    /// assert_eq!(seen_by_first.owner(7), seen_by_second.owner(7));
+    /// ```
+    pub fn owner(&self, key: u64) -> &name::Entry {
+        let scores = self.entries.iter().map(|(distance, entry)| {
+            let position = self.own.wrapping_sub(*distance);
+            (prefix::mix(position, key), entry)
+        });
+        scores.max().map_or(&self.entries[0].1, |(_, entry)| entry)
     }
 
     /// The range of the entry if `senders` entries may send to each endpoint.
     pub fn range(&self, senders: usize) -> RingRange {
         RingRange {
             end: self.own,
-            length: self.distances.get(senders.max(1) - 1).copied(),
+            length: self.entries.get(senders.max(1)).map(|(it, _)| *it),
         }
     }
 }
