--- a/crates/core/src/relay/division.rs
+++ b/crates/core/src/relay/division.rs
@@ -155,6 +155,6 @@
 }
 
 /// The decoding time of the answer, in prompt tokens that could be prefilled meanwhile.
-fn decode_time(work: &Work) -> f64 {
+pub(super) fn decode_time(work: &Work) -> f64 {
     f64::from(work.expected_output()) * PREFILL_TOKENS_PER_OUTPUT_TOKEN
 }
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -13,6 +13,7 @@
 mod token_timing;
 
 pub use choice::Choice;
+pub(super) use load::expected_shared;
 pub use load::{Report, ReportNotice};
 
 use std::collections::HashMap;
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -326,7 +326,7 @@
 }
 
 /// Tokens of shared parts that are expected in the cache of their owner.
-pub(super) fn expected_shared(parts: &[Part]) -> f64 {
+pub(in crate::relay) fn expected_shared(parts: &[Part]) -> f64 {
     let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
     EXPECTED_CACHED_SHARE * f64::from(tokens)
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod rate_limit;
 mod rest;
 mod roster;
+mod scheduling;
 mod shutdown;
 mod sizing;
 mod source;
--- /dev/null
+++ b/crates/core/tests/relay/scheduling.rs
@@ -0,0 +1,5 @@
+//! Scheduling of a service that has too little capacity.
+
+mod model;
+mod patterns;
+mod shares;
