--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -22,6 +22,7 @@
 mod rest;
 mod returns;
 mod roster;
+mod scheduling;
 mod shutdown;
 mod sizing;
 mod source;
