Choose endpoints of scheduled services by what they report

Endpoints of one service work at speeds that change several times a second, and a report reached only the entry whose request carried it; the fourth figure of the load header was not read. For services that are set as scheduled, entries now keep the last report of each endpoint, pass the 24 most recent ones on in their gossip messages, and use slowdown, requests in flight and the wait for a slot in choice and forecast.

What was counted decays within the time in which an endpoint processes it.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -6,14 +6,17 @@
 
 mod candidates;
 mod choice;
+mod current;
+mod endpoint_report;
 mod gossip;
+mod holding;
 mod load;
 mod source;
 mod subset;
 mod token_timing;
 
 pub use choice::Choice;
-pub use load::{Report, ReportNotice};
+pub use endpoint_report::{MAX_NOTICES, Report, ReportNotice};
 
 use std::collections::HashMap;
 
@@ -24,7 +27,9 @@
 use crate::relay::engine_speed::EngineSpeed;
 use crate::relay::fading::DecayingAverage;
 use crate::relay::health::HealthSignal;
-use crate::relay::load_report::PeerReports;
+use crate::relay::load_report::{self, PeerReports};
+use endpoint_report::EndpointReports;
+use holding::HoldingTime;
 use load::Load;
 use subset::ActiveSubset;
 
@@ -58,6 +63,8 @@
     /// The engines of each service that are in use.
     subsets: HashMap<String, ActiveSubset>,
     peers: PeerReports,
+    reports: EndpointReports,
+    holding_times: HashMap<String, HoldingTime>,
     next_number: u64,
     /// The seed of the random samples of engines; each entry samples differently.
     seed: u64,
@@ -75,6 +82,8 @@
             speeds: HashMap::new(),
             subsets: HashMap::new(),
             peers: PeerReports::default(),
+            reports: EndpointReports::default(),
+            holding_times: HashMap::new(),
             next_number: 0,
             seed,
             draws: 0,
@@ -193,6 +202,8 @@
     pub fn record_report(&mut self, endpoint: &name::Life, report: Report, now: Millis) {
         if let Some(load) = self.endpoints.get_mut(endpoint) {
             load.record_report(report, now);
+            let key = load_report::life_key(endpoint);
+            self.reports.record(key, load, report, now);
         }
     }
 
@@ -205,8 +216,13 @@
 
     /// Removes the request from the load of its endpoint.
     pub fn end(&mut self, ticket: &Ticket, now: Millis) {
-        if let Some(load) = self.endpoints.get_mut(&ticket.endpoint) {
-            load.end(ticket.number, now);
+        let Some(load) = self.endpoints.get_mut(&ticket.endpoint) else {
+            return;
+        };
+        let held = load.end(ticket.number, now);
+        if let Some(held) = held.filter(|_| self.reports.is_scheduled(&load.service)) {
+            let time = self.holding_times.entry(load.service.clone());
+            time.or_default().record(held);
         }
     }
 
@@ -214,6 +230,7 @@
     pub fn remove(&mut self, endpoints: &[name::Life]) {
         for endpoint in endpoints {
             self.endpoints.remove(endpoint);
+            self.reports.forget(load_report::life_key(endpoint));
         }
     }
 }
--- a/crates/core/src/relay/engine/choice.rs
+++ b/crates/core/src/relay/engine/choice.rs
@@ -4,6 +4,7 @@
 use crate::relay::RequestProfile;
 use crate::relay::division::Partition;
 use crate::relay::engine::candidates::PrefixOwners;
+use crate::relay::engine::current::Occupancy;
 use crate::relay::engine::load::{
     Estimate, Load, estimate_engine, expected_cached, expected_shared, known_cached,
 };
@@ -41,6 +42,9 @@
     pub expected_wait: f64,
     /// The part of the wait that is known to be due to other requests, in ms.
     pub queue: f64,
+    /// The part of the wait that is a wait for a slot, in ms; 0 where the service is not
+    /// scheduled.
+    pub slot_wait: f64,
     /// Requests of this entry at the endpoint.
     pub own_running: usize,
     /// Known requests of all entries at the endpoint.
@@ -120,11 +124,13 @@
         });
         let best = choices.min_by(|(_, left), (_, right)| left.cost.total_cmp(&right.cost));
         let (endpoint, CostedEstimate { estimate, cost }) = best?;
+        self.record_use(endpoint, now);
         let source = self.select_source(&open, endpoint, owners, profile);
         Some(Choice {
             endpoint: endpoint.clone(),
             expected_wait: estimate.expected_wait,
             queue: estimate.queue,
+            slot_wait: estimate.slot_wait,
             own_running: self.own_running(&endpoint.life),
             running: estimate.running,
             stream_time: estimate.stream_time,
@@ -201,15 +207,27 @@
         now: Millis,
     ) -> CostedEstimate {
         let load = self.endpoints.get(&endpoint.life);
-        let estimate = match (profile.work, profile.engine) {
+        let is_scheduled = self.reports.is_scheduled(&endpoint.service);
+        let mut estimate = match (profile.work, profile.engine) {
             (Some(work), Some(engine)) => {
-                let peers = self
+                let mut peers = self
                     .peers
                     .load_at(&endpoint.life, speed.prefill_rate(), now);
+                if is_scheduled {
+                    let occupancy = Occupancy::of_engine(engine.slots);
+                    let own = self.own_running(&endpoint.life) as f64;
+                    peers.running = self.remaining_at(&endpoint.life, occupancy, now) - own;
+                }
                 estimate_engine(load, peers, work, engine, is_preferred, speed, now)
             }
+            _ if is_scheduled => self.estimate_scheduled_service(endpoint, now),
             _ => self.estimate_service(load, endpoint, now),
         };
+        if is_scheduled {
+            let slots = profile.engine.map_or(endpoint.slots, |engine| engine.slots);
+            estimate = self.with_slot_wait(estimate, &endpoint.service, slots);
+            estimate = estimate.slowed(self.slowdown(&endpoint.life, now));
+        }
         let slowness = load.map_or(1.0, |load| load.slowness(now));
         let failing = load.map_or(0.0, |load| load.health.failure_rate());
         let overdue = load.map_or(0.0, |load| load.overdue(now));
@@ -226,10 +244,15 @@
         }
     }
 
+    /// The mean time of a request to a plain service, in ms.
+    pub(super) fn service_time(&self, service: &str, now: Millis) -> f64 {
+        let time = self.service_time.get(service);
+        time.map_or(DEFAULT_SERVICE_TIME, |time| time.value_at(now))
+    }
+
     /// The estimate for a request at an endpoint of a plain service.
     fn estimate_service(&self, load: Option<&Load>, endpoint: &Endpoint, now: Millis) -> Estimate {
-        let time = self.service_time.get(&endpoint.service);
-        let time = time.map_or(DEFAULT_SERVICE_TIME, |time| time.value_at(now));
+        let time = self.service_time(&endpoint.service, now);
         let own = load.map_or(0.0, |load| load.running() as f64);
         let peers = load.map_or(0.0, |load| load.reported_others(now));
         let slots = f64::from(endpoint.slots.max(1));
@@ -237,6 +260,7 @@
         Estimate {
             expected_wait: time * (1.0 + waiting),
             queue: DEFAULT_SERVICE_TIME * waiting,
+            slot_wait: 0.0,
             disturbance: 0.0,
             cached_tokens: 0,
             prefill_tokens: 0.0,
--- a/crates/core/src/relay/engine/gossip.rs
+++ b/crates/core/src/relay/engine/gossip.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Millis;
 use crate::name;
-use crate::relay::engine::LoadBalancer;
+use crate::relay::engine::{LoadBalancer, MAX_NOTICES, ReportNotice};
 use crate::relay::load_report::{self, EndpointLoad, LoadReport, ServiceLoad};
 
 /// The most services whose demand one message reports: it has to fit into a datagram together
@@ -13,6 +13,9 @@
 const MAX_WORKS: usize = 10;
 /// The number of endpoint records that take as much space as the record of one service.
 const SHARES_PER_WORK: usize = 4;
+/// Reports of endpoints take 11 bytes each, endpoint records 15: four of the former displace
+/// three of the latter.
+const NOTICES_PER_SHARES: (usize, usize) = (4, 3);
 
 impl LoadBalancer {
     /// This entry's load for the others, with at most `max_shares` endpoints.
@@ -29,16 +32,26 @@
         let services = self.works(now);
         let max_shares =
             max_shares.saturating_sub(SHARES_PER_WORK * services.len().saturating_sub(1));
+        let reports = self.notices(max_shares, now);
+        let displaced = reports.len() * NOTICES_PER_SHARES.1;
+        let max_shares = max_shares.saturating_sub(displaced.div_ceil(NOTICES_PER_SHARES.0));
         let mut endpoints: Vec<_> = endpoints.collect();
         endpoints.sort_unstable_by_key(|share| Reverse((share.prefill_tokens, share.running)));
         endpoints.truncate(max_shares);
         LoadReport {
             endpoints,
             services,
+            reports,
             ..LoadReport::default()
         }
     }
 
+    /// The most recent reports of endpoints, in at most half of the space for endpoint records.
+    fn notices(&self, max_shares: usize, now: Millis) -> Vec<ReportNotice> {
+        let space = max_shares / 2 * NOTICES_PER_SHARES.0 / NOTICES_PER_SHARES.1;
+        self.reports.notices(space.min(MAX_NOTICES), now)
+    }
+
     /// The demand for each service, the largest first.
     fn works(&self, now: Millis) -> Vec<ServiceLoad> {
         let services = self
@@ -59,6 +72,7 @@
     /// Takes in the load that another entry reports.
     pub fn apply_gossip(&mut self, entry: &name::Entry, tidings: &LoadReport, now: Millis) {
         self.peers.record(entry, tidings, now);
+        self.reports.record_notices(&tidings.reports, now);
         for (service, speed) in &mut self.speeds {
             let key = load_report::name_key(service);
             let mut services = tidings.services.iter();
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -2,11 +2,10 @@
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-
 use crate::clock::Millis;
 use crate::relay::RequestProfile;
 use crate::relay::engine::Choice;
+use crate::relay::engine::endpoint_report::{REPORT_LIFETIME, Report};
 use crate::relay::engine::token_timing::TokenTiming;
 use crate::relay::engine_speed::EngineSpeed;
 use crate::relay::fading::DecayingAverage;
@@ -44,35 +43,9 @@
 const OVERDUE_SLACK: f64 = 200.0;
 /// The share of a shared prefix that is expected in the cache of its owner.
 const EXPECTED_CACHED_SHARE: f64 = 0.9;
-/// A load report counts for nothing after this time.
-const REPORT_LIFETIME: Millis = Millis(1_000);
 /// The range of the factor by which an endpoint is slower than expected.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 20.0);
 
-/// The load that an endpoint reported in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Report {
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub slots: u32,
-}
-
-/// An endpoint's last report, as entries tell it to one another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReportNotice {
-    /// The [`life_key`](crate::relay::load_report::life_key) of the endpoint.
-    pub endpoint: u32,
-    /// Requests running and waiting.
-    pub in_flight: u16,
-    /// How long work takes there, in percent of the usual time; 0 if it is not reported.
-    pub slowdown_percent: u16,
-    /// The age of the report, in ms.
-    pub age_ms: u16,
-}
-
 /// The load of one endpoint.
 #[derive(Debug)]
 pub(super) struct Load {
@@ -93,6 +66,8 @@
     began: Millis,
     /// The expected wait, in ms.
     expected: f64,
+    /// The part of it that is a wait for a slot, in ms.
+    slot_wait: f64,
     /// Prompt tokens that are not prefilled yet.
     pending_prefill: u32,
     /// Memory that it uses or will use, in tokens.
@@ -111,6 +86,8 @@
     pub expected_wait: f64,
     /// The part of the wait that is known to be due to other requests, in ms.
     pub queue: f64,
+    /// The part of it that is a wait for a slot, in ms.
+    pub slot_wait: f64,
     /// The delay of other requests, in ms.
     pub disturbance: f64,
     /// Prompt tokens that are expected to be cached there.
@@ -150,6 +127,12 @@
         self.in_flight.len()
     }
 
+    /// The number of own requests there that began after this time.
+    pub fn begun_since(&self, time: Millis) -> usize {
+        let requests = self.in_flight.values();
+        requests.filter(|request| request.began > time).count()
+    }
+
     /// Prompt tokens of the own requests that are not prefilled yet.
     pub fn pending_prefill(&self) -> u32 {
         self.in_flight
@@ -207,6 +190,7 @@
         let request = InFlight {
             began: now,
             expected: choice.expected_wait,
+            slot_wait: choice.slot_wait,
             pending_prefill: prompt.saturating_sub(choice.cached_tokens),
             reserved_tokens: prompt + output,
             has_answered: false,
@@ -216,8 +200,8 @@
         self.in_flight.insert(number, request);
     }
 
-    /// Records the first byte of an answer, which ends the prefill. Returns how long it took,
-    /// in ms, or `None` if the request is unknown.
+    /// Records the first byte of an answer, which ends the prefill. Returns how long it took
+    /// without the expected wait for a slot, in ms, or `None` if the request is unknown.
     pub fn record_first_byte(
         &mut self,
         number: u64,
@@ -228,14 +212,15 @@
         request.has_answered = true;
         request.pending_prefill = 0;
         let took = (now - request.began).0 as f64;
-        if request.prefill_ahead >= MIN_PREFILL_SAMPLE && took >= MIN_PREFILL_TIME {
-            speed.record_prefill(request.prefill_ahead, took);
+        let worked = (took - request.slot_wait).max(0.0);
+        if request.prefill_ahead >= MIN_PREFILL_SAMPLE && worked >= MIN_PREFILL_TIME {
+            speed.record_prefill(request.prefill_ahead, worked);
         }
         let ratio = took / request.expected.max(1.0);
         let sample = ratio * self.slowness.value_at(now);
         self.slowness
             .record(sample.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1), now);
-        Some(took)
+        Some(worked)
     }
 
     /// Records an event of a stream. Returns the gap before it, in ms.
@@ -251,14 +236,14 @@
     }
 
     /// Removes a request. If its answer is overdue, that counts as a failure of the endpoint,
-    /// whichever side ended it.
-    pub fn end(&mut self, number: u64, now: Millis) {
-        let Some(request) = self.in_flight.remove(&number) else {
-            return;
-        };
+    /// whichever side ended it. Returns how long an answered request held a slot, in ms.
+    pub fn end(&mut self, number: u64, now: Millis) -> Option<f64> {
+        let request = self.in_flight.remove(&number)?;
         if !request.has_answered && request.overdue(now) > 0.0 {
             self.health.record(HealthSignal::Failure, now);
         }
+        let held = (now - request.began).0 as f64 - request.slot_wait;
+        request.has_answered.then_some(held.max(0.0))
     }
 
     /// Records what a connection or an answer shows about the endpoint.
@@ -299,6 +284,7 @@
     Estimate {
         expected_wait: queue + own_prefill / prefill_rate,
         queue,
+        slot_wait: 0.0,
         disturbance: PREFILL_COST * own_prefill / prefill_rate
             + crowding * CROWDING_COST
             + STREAM_TIME_COST * stream_time,
--- a/crates/core/src/relay/load_report.rs
+++ b/crates/core/src/relay/load_report.rs
@@ -1,5 +1,7 @@
 //! The load reports that entries exchange: their load by endpoint and by service.
 
+mod running;
+
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
@@ -11,6 +13,7 @@
 use crate::relay::lateness::Lateness;
 use crate::relay::prefix;
 use crate::relay::scheduling;
+use running::RunningSums;
 
 /// How long another entry's report is used: the entry may have left since.
 const REPORT_TTL: Millis = Millis(1_500);
@@ -70,6 +73,8 @@
 #[derive(Debug, Default)]
 pub struct PeerReports {
     reports: HashMap<name::Entry, PeerReport>,
+    running: RunningSums,
+    last_recorded: Millis,
 }
 
 #[derive(Debug)]
@@ -101,9 +106,37 @@
             scheduling: report.scheduling.clone(),
             received_at: now,
         };
-        self.reports.insert(entry.clone(), report);
-        self.reports
-            .retain(|_, report| now - report.received_at < REPORT_TTL);
+        self.running.add(report.endpoints.values());
+        if let Some(previous) = self.reports.insert(entry.clone(), report) {
+            self.running.subtract(previous.endpoints.values());
+        }
+        let expired =
+            |_: &name::Entry, report: &mut PeerReport| now - report.received_at >= REPORT_TTL;
+        for (_, report) in self.reports.extract_if(expired) {
+            self.running.subtract(report.endpoints.values());
+        }
+        self.last_recorded = now;
+    }
+
+    /// The requests of the other entries at an endpoint, by its [`life_key`], that are expected to
+    /// be still there, if each stays for `holding` ms.
+    pub(super) fn remaining_at(&self, endpoint: u32, holding: f64, now: Millis) -> f64 {
+        let remaining = |report: &PeerReport| {
+            let load = report.endpoints.get(&endpoint)?;
+            let age = (now - report.received_at).0 as f64;
+            Some(f64::from(load.running) * remaining_part(age, holding))
+        };
+        self.live(now).filter_map(remaining).sum()
+    }
+
+    /// In-flight requests of the other entries at an endpoint, by its [`life_key`]. It counts
+    /// expired reports until the next one arrives, and takes the same time for any number of
+    /// entries.
+    pub(super) fn running_at(&self, endpoint: u32, now: Millis) -> u32 {
+        if now - self.last_recorded >= REPORT_TTL {
+            return 0;
+        }
+        self.running.at(endpoint)
     }
 
     /// The number of other entries with a recent report.
@@ -164,6 +197,12 @@
     }
 }
 
+/// The part of what was seen at a random time of its `lifetime` that still is after `age`, both in
+/// ms.
+pub(super) fn remaining_part(age: f64, lifetime: f64) -> f64 {
+    (1.0 - age / lifetime).max(0.0)
+}
+
 /// A 32-bit hash of a name. Two names collide with a probability of one in 2^32; their loads are
 /// then summed.
 pub fn name_key(name: &str) -> u32 {
--- a/crates/core/tests/relay/engine.rs
+++ b/crates/core/tests/relay/engine.rs
@@ -221,6 +221,7 @@
         running: 64,
         waiting: 100,
         slots: 64,
+        slowdown_percent: None,
     };
     let name = life(&busy);
     entry.balancer.record_report(&name, report, Millis(0));
@@ -304,7 +305,7 @@
 #[case::reported_load(|entry: &mut Entry| {
     entry.serve(&profile(&caption(7, 1)), 0);
     let life = entry.endpoints[0].life.clone();
-    let report = Report { running: 64, waiting: 100, slots: 64 };
+    let report = Report { running: 64, waiting: 100, slots: 64, slowdown_percent: None };
     entry.balancer.record_report(&life, report, Millis(0));
 })]
 #[case::told_by_others(|entry: &mut Entry| {
@@ -355,6 +356,7 @@
         running: 64,
         waiting: 100,
         slots: 64,
+        slowdown_percent: None,
     };
     entry.balancer.record_report(&earlier, report, Millis(2));
     entry
--- a/crates/core/tests/relay/lives/loads.rs
+++ b/crates/core/tests/relay/lives/loads.rs
@@ -146,6 +146,7 @@
                     running,
                     waiting: running / 2,
                     slots: 64,
+                    slowdown_percent: None,
                 };
                 self.balancer.record_report(life, report, self.now);
             }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod claim;
 mod departure;
 mod duty;
+mod endpoint_report;
 mod engine;
 mod engine_speed;
 mod evacuation;
--- a/crates/fake/tests/placement/main.rs
+++ b/crates/fake/tests/placement/main.rs
@@ -88,3 +88,37 @@
     );
     late[2]
 }
+
+/// Engines whose speed changes: the reports that entries exchange must not make more streams late
+/// than choices without them, with the usual traffic and with a burst.
+#[rstest]
+#[case::usual(1.0)]
+#[case::burst(1.8)]
+fn reports_of_uneven_engines_do_no_harm(#[case] load: f64) {
+    let late = |is_scheduled| {
+        let of_seed = |seed| late_at_uneven_engines(load, is_scheduled, seed);
+        (1..=3).map(of_seed).sum::<f64>() / 3.0
+    };
+    let (with, without) = (late(true), late(false));
+    println!("late at uneven engines, load {load}: {with:.4} with reports, {without:.4} without");
+    assert!(with <= without);
+}
+
+fn late_at_uneven_engines(load: f64, is_scheduled: bool, seed: u64) -> f64 {
+    let rates = Rates {
+        captions: 220.0 * load,
+        descriptions: 140.0 * load,
+        narrations: 105.0 * load,
+    };
+    let mut site = Site::new(LARGE, seed);
+    site.make_uneven(is_scheduled);
+    site.play(2_000, rates);
+    site.forget();
+    site.play(6_000, rates);
+    let late = [Kind::Caption, Kind::Description, Kind::Narration].map(|kind| site.late(kind));
+    println!(
+        "late: {late:.4?}, scheduled: {is_scheduled}, put back: {}",
+        site.preempted
+    );
+    late.iter().sum::<f64>() / 3.0
+}
--- a/crates/fake/tests/placement/site.rs
+++ b/crates/fake/tests/placement/site.rs
@@ -11,6 +11,7 @@
 use woodgap_core::relay::fleet::FANOUT;
 use woodgap_core::relay::health::HealthSignal;
 use woodgap_core::relay::plan;
+use woodgap_core::relay::prefix::mix;
 use woodgap_core::relay::roster::Endpoint;
 use woodgap_core::relay::work::{Part, Work};
 use woodgap_fake::batch::{Engine, Happening, Make, Request};
@@ -108,6 +109,8 @@
     ended: Vec<Sent>,
     /// Requests that engines put back.
     pub preempted: usize,
+    /// Whether some engines are slow at any moment.
+    is_uneven: bool,
     next: u64,
     now: u64,
 }
@@ -142,6 +145,7 @@
             sent: BTreeMap::new(),
             ended: Vec::new(),
             preempted: 0,
+            is_uneven: false,
             next: 0,
             now: 0,
         }
@@ -170,6 +174,22 @@
         self.now += span;
     }
 
+    /// From now on 15 of 100 engines are 2.5 times as slow, each for 600 ms, and report it. Entries
+    /// use the reports if the service is scheduled.
+    pub fn make_uneven(&mut self, is_scheduled: bool) {
+        self.is_uneven = true;
+        for entry in &mut self.entries {
+            entry.set_scheduled("engines", is_scheduled);
+        }
+    }
+
+    fn slowdown_percent(&self, place: usize, now: u64) -> u16 {
+        let place = place as u64;
+        let phase = (now + mix(place, 0) % 600) / 600;
+        let is_slow = self.is_uneven && mix(mix(place, 1), phase) % 100 < 15;
+        if is_slow { 250 } else { 100 }
+    }
+
     /// Takes engines down; their requests are gone.
     pub fn crash(&mut self, engines: impl Iterator<Item = usize>) {
         for place in engines {
@@ -309,6 +329,7 @@
         for place in 0..self.engines.len() {
             while self.busy[place] <= now as f64 && !self.engines[place].is_idle() {
                 let (took, happenings) = self.engines[place].step();
+                let took = took * f64::from(self.slowdown_percent(place, now)) / 100.0;
                 self.busy[place] = self.busy[place].max(now as f64 - 1.0) + took;
                 for happening in happenings {
                     self.happen(place, happening, self.busy[place]);
@@ -324,7 +345,8 @@
         match happening {
             Happening::Preempted(_) => self.preempted += 1,
             Happening::Event(number) => {
-                let report = report(&self.engines[place]);
+                let slowdown_percent = self.slowdown_percent(place, now.0);
+                let report = report(&self.engines[place], slowdown_percent);
                 let sent = self.sent.get_mut(&number).expect("it is with the engine");
                 let entry = &mut self.entries[sent.entry];
                 if let Some(last) = sent.last.replace(at) {
@@ -373,11 +395,12 @@
     }
 }
 
-fn report(engine: &Engine) -> Report {
+fn report(engine: &Engine, slowdown_percent: u16) -> Report {
     let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
     Report {
         running: count(engine.running()),
         waiting: count(engine.waiting()),
         slots: 64,
+        slowdown_percent: Some(slowdown_percent),
     }
 }
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -61,7 +61,8 @@
     pub request: &'static str,
     /// From an endpoint: with it, it vouches for the body.
     pub seal: &'static str,
-    /// From an endpoint: requests running, requests waiting and slots.
+    /// From an endpoint: requests running, requests waiting, slots and, optionally, how long work
+    /// takes now, in percent of the usual time.
     pub load: &'static str,
     /// From an endpoint: requests per second that it takes from all entries together.
     pub rate_limit: &'static str,
@@ -139,12 +140,20 @@
     }
 }
 
-/// Three whole numbers separated by commas: running, waiting, slots.
+/// Whole numbers separated by commas: running, waiting, slots and, optionally, how long work takes
+/// in percent of the usual time.
 fn report(text: &str) -> Option<Report> {
-    let mut figures = text.split(',').map(|figure| figure.trim().parse().ok());
+    let mut figures = text.split(',').map(str::trim);
+    let mut count = || figures.next()?.parse().ok();
     Some(Report {
-        running: figures.next()??,
-        waiting: figures.next()??,
-        slots: figures.next()??,
+        running: count()?,
+        waiting: count()?,
+        slots: count()?,
+        slowdown_percent: figures.next().and_then(slowdown_percent),
     })
 }
+
+/// No work takes no time: 0 is read as no figure.
+fn slowdown_percent(figure: &str) -> Option<u16> {
+    figure.parse().ok().filter(|percent| *percent > 0)
+}
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -15,6 +15,7 @@
 mod leave;
 mod leaving_endpoints;
 mod lives;
+mod load_header;
 mod messages;
 mod others;
 mod own_questions;
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -8,8 +8,9 @@
 use woodgap_core::relay::RequestProfile;
 use woodgap_core::relay::claim::Claim;
 use woodgap_core::relay::departure::{self, Departures};
-use woodgap_core::relay::engine::LoadBalancer;
+use woodgap_core::relay::engine::{LoadBalancer, ReportNotice};
 use woodgap_core::relay::fleet::Member;
+use woodgap_core::relay::load_report::LoadReport;
 use woodgap_core::relay::plan::Engine;
 use woodgap_core::relay::rate_limit::{self, RateLimits};
 use woodgap_core::relay::roster::{Change, Endpoint};
@@ -106,16 +107,35 @@
     departures.notices(MAX_DEPARTURES, Millis(599_999))
 }
 
+/// Reports of many endpoints, in as many bytes as they may take.
+fn reports() -> LoadReport {
+    let report = |endpoint| ReportNotice {
+        endpoint,
+        in_flight: u16::MAX,
+        slowdown_percent: u16::MAX,
+        age_ms: 999,
+    };
+    LoadReport {
+        reports: (u32::MAX - 50..u32::MAX).map(report).collect(),
+        ..LoadReport::default()
+    }
+}
+
 /// However much an entry has to tell, it fits into one datagram.
 #[rstest]
 fn a_message_fits_into_a_datagram(
     #[values((1, 120), (4, 30), (22, 10))] (services, engines): (usize, usize),
     #[values(Vec::new(), rate_limits())] rate_limits: Vec<rate_limit::Notice>,
     #[values(Vec::new(), departures())] departures: Vec<departure::Notice>,
+    #[values(false, true)] has_reports: bool,
 ) {
     let max_loads = MAX_LOADS - rate_limits.len() - departures.len();
-    let load = busy(services, engines).gossip(max_loads, Millis(18_000));
+    let mut loads = busy(services, engines);
+    loads.set_scheduled("model-0", has_reports);
+    loads.apply_gossip(&name::Entry::from("e-9"), &reports(), Millis(18_000));
+    let load = loads.gossip(max_loads, Millis(18_000));
     assert!(!load.endpoints.is_empty() && !load.services.is_empty());
+    assert_eq!(load.reports.is_empty(), !has_reports);
     let message = Message {
         number: u64::MAX,
         is_answer: true,
