Scheduler of one entry: rooms, waiting lists and planned retries of its services

core::relay::scheduling::scheduler puts the parts together, without I/O.

Found when they first ran together, before four plain endpoints: - The cost of a plain request was a low quantile of response times. Now the shortest recent response time. - The level began at what a window had measured that was half empty, and rose by 4% a second. Now it begins at what the endpoints can serve as far as is known, if that is more, and rises quickly in its first three seconds; waiting requests begin it as well. - Late answers counted only from half of the slots in use. Requests of workspaces within their share now go ahead of the rate by 300 ms at most. - Callers without a promise were told a third of their time, and came back in vain.

--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -67,6 +67,12 @@
         hasher.finalize_xof().fill(&mut bytes);
         Self(bytes)
     }
+
+    /// The first eight bytes, as a uniformly distributed number.
+    pub fn key(self) -> u64 {
+        let first = self.0.first_chunk().copied().unwrap_or_default();
+        u64::from_le_bytes(first)
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/core/src/relay/engine/current.rs
+++ b/crates/core/src/relay/engine/current.rs
@@ -6,6 +6,7 @@
 use crate::relay::engine::{LoadBalancer, holding};
 use crate::relay::load_report;
 use crate::relay::roster::Endpoint;
+use crate::relay::scheduling;
 
 impl LoadBalancer {
     /// The capacity of these endpoints in units of an endpoint that works at its usual speed: the
@@ -49,6 +50,26 @@
         each.map(|it| 1.0 / self.slowdown(&it.life, now)).sum()
     }
 
+    /// What the other entries report of a scheduled service.
+    pub fn peer_scheduling(
+        &self,
+        service: &str,
+        now: Millis,
+    ) -> impl Iterator<Item = &scheduling::Report> {
+        self.peers.scheduling(service, now)
+    }
+
+    /// Prompt tokens that one of a service's engines prefills per ms.
+    pub fn prefill_rate(&self, service: &str) -> f64 {
+        self.speed(service).prefill_rate()
+    }
+
+    /// The requests of this entry at these endpoints.
+    pub fn own_in_flight(&self, endpoints: &[&Endpoint]) -> u32 {
+        let own = endpoints.iter().map(|it| self.own_running(&it.life));
+        u32::try_from(own.sum::<usize>()).unwrap_or(u32::MAX)
+    }
+
     /// The requests in flight at these endpoints: at each the larger of the number known from
     /// entries and the number that the endpoint reported. See [`LoadBalancer::capacity`].
     pub fn in_flight(&self, endpoints: &[&Endpoint], now: Millis) -> f64 {
--- a/crates/core/src/relay/scheduling.rs
+++ b/crates/core/src/relay/scheduling.rs
@@ -11,7 +11,9 @@
 pub mod report;
 pub mod returns;
 pub mod room;
+pub mod scheduler;
 pub mod share;
 
 pub use report::Report;
 pub use room::Room;
+pub use scheduler::Scheduler;
--- a/crates/core/src/relay/scheduling/cost.rs
+++ b/crates/core/src/relay/scheduling/cost.rs
@@ -1,15 +1,14 @@
 //! The cost of a request: what it takes of the capacity of its service.
 
 use crate::clock::Millis;
-use crate::pool::estimate::SampleWindow;
 use crate::relay::division;
 use crate::relay::engine;
 use crate::relay::plan::Engine;
 use crate::relay::work::Work;
 
-/// The quantile of recent response times that counts as the time for which a request uses a
-/// slot. Higher ones contain the wait for a slot.
-const SERVICE_TIME_QUANTILE: f64 = 0.25;
+/// The growth of the shortest response time per second, as a part of it: a service that has become
+/// slower is followed within a minute, and an overload does not last as long.
+const GROWTH_PER_SECOND: f64 = 0.01;
 /// The cost of a request to a plain service before any answer has been measured, in ms.
 const DEFAULT_SERVICE_TIME: f64 = 20.0;
 
@@ -33,16 +32,22 @@
     prefill + division::decode_time(work) / f64::from(engine.slots.max(1))
 }
 
-/// The time for which a request of one route uses a slot of its plain service.
-#[derive(Clone, Debug, Default)]
+/// The time for which a request of one route uses a slot of its plain service: the shortest recent
+/// response time. In an overload even a low quantile consists of waiting, and the same capacity
+/// would seem to be several times as large.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceTime {
-    times: SampleWindow,
+    /// In ms, with when it was measured.
+    shortest: Option<(f64, Millis)>,
 }
 
 impl ServiceTime {
     /// Records the response time of a request.
-    pub fn record(&mut self, took: Millis) {
-        self.times.add(took.0 as f64);
+    pub fn record(&mut self, took: Millis, now: Millis) {
+        let took = (took.0 as f64).max(1.0);
+        if self.shortest(now).is_none_or(|shortest| took <= shortest) {
+            self.shortest = Some((took, now));
+        }
     }
 
     /// The cost of a request, in ms.
@@ -52,13 +57,20 @@
     /// use woodgap_core::relay::scheduling::cost::ServiceTime;
     ///
     /// let mut time = ServiceTime::default();
+    /// assert_eq!(time.cost(Millis(1_000)), 20.0);
     /// for took in [30, 31, 250, 400, 900] {
-    ///     time.record(Millis(took));
+    ///     time.record(Millis(took), Millis(1_000));
     /// }
-    /// assert_eq!(time.cost(), 31.0);
+    /// assert_eq!(time.cost(Millis(1_000)), 30.0);
+    /// assert!(time.cost(Millis(61_000)) < 60.0);
     /// ```
-    pub fn cost(&self) -> f64 {
-        let time = self.times.quantile(SERVICE_TIME_QUANTILE);
-        time.unwrap_or(DEFAULT_SERVICE_TIME).max(1.0)
+    pub fn cost(&self, now: Millis) -> f64 {
+        self.shortest(now).unwrap_or(DEFAULT_SERVICE_TIME)
+    }
+
+    /// The shortest time, which grows with its age until it is measured again.
+    fn shortest(&self, now: Millis) -> Option<f64> {
+        let (shortest, at) = self.shortest?;
+        Some(shortest * (GROWTH_PER_SECOND * (now - at).0 as f64 / 1_000.0).exp())
     }
 }
--- a/crates/core/src/relay/scheduling/level.rs
+++ b/crates/core/src/relay/scheduling/level.rs
@@ -11,8 +11,10 @@
 
 /// The part of late answers that random arrivals cause near the capacity.
 const LATE_TOLERANCE: f64 = 0.05;
-/// The part of the endpoints' slots from which late answers show a lack of capacity.
-const MIN_OCCUPANCY: f64 = 0.5;
+/// The occupancy from which late answers begin to count, and from which they count fully: below,
+/// they come from single slow endpoints. Engines that can't read all prompts in time are short of
+/// capacity although half of their slots are free.
+const OCCUPANCY_RANGE: (f64, f64) = (0.2, 0.35);
 /// The part of the base that is left free when all answers are late.
 const MAX_CUT: f64 = 0.5;
 /// The longest time for which a part is left free.
@@ -50,10 +52,16 @@
 /// endpoints fill, so that it ends before answers are late.
 const RISE_PER_SECOND: f64 = 0.2;
 const MAX_ROOM: f64 = 0.2;
+/// The same at the beginning of an overload, below what the endpoints can serve as far as is known:
+/// it undoes what was measured too low while the rates were still rising.
+const QUICK_RISE_PER_SECOND: f64 = 3.0;
+const BEGINNING: Millis = Millis(3_000);
 /// The occupancy at which it ends if no request waits, and the mean wait that random arrivals may
 /// cause besides, as a part of the latency target.
 const MAX_OCCUPANCY: f64 = 0.95;
 const ALLOWED_WAIT: f64 = 0.05;
+/// The wait, as a part of the latency target, that shows a lack of capacity.
+const LONG_WAIT: f64 = 0.25;
 /// The part of the base that is left free when requests wait at the endpoints for the whole
 /// latency target. At a target of 400 ms and with reports two seconds late, three times as much
 /// makes the product of gain and delay large enough for an oscillation.
@@ -87,6 +95,9 @@
     pub occupancy: f64,
     /// The cost of the requests in flight for which there is no slot.
     pub waiting: f64,
+    /// The rate that the usable endpoints can serve, as far as is known without a measurement; 0 if
+    /// it is not.
+    pub nominal: f64,
     /// The cost of as many requests as there are slots.
     pub slot_cost: f64,
     /// The late fraction of this entry's own answers, which is known without delay.
@@ -108,6 +119,8 @@
 pub struct Level {
     /// The cost per second that can be served, per unit of endpoint capacity.
     base: Option<f64>,
+    /// When there was last no limit.
+    began_at: Millis,
     cut: Option<Cut>,
     /// The part of the base that is left free because requests wait.
     ease: f64,
@@ -195,7 +208,8 @@
         self.occupancy += (seen.occupancy - self.occupancy) * approach(interval, AVERAGE_MS);
         self.correct(seen, interval);
         if self.base.is_none() {
-            self.begin(seen);
+            self.begin(seen, target);
+            self.began_at = now;
         }
         if let Some(base) = self.base {
             self.adjust(base, seen, target, interval, now);
@@ -221,12 +235,15 @@
         }
     }
 
-    fn begin(&mut self, seen: &Observation) {
+    fn begin(&mut self, seen: &Observation, target: Millis) {
         let peers = seen.peer_base.filter(|base| {
             seen.limited_peers >= MIN_LIMITED_PEERS && base * seen.endpoint_capacity < seen.offered
         });
         let capacity = seen.endpoint_capacity.max(self.average_capacity);
-        let own = (pressure(seen) > 0.0).then_some(seen.served / capacity);
+        let served = seen.served / capacity;
+        let nominal = USED_PART * seen.nominal / seen.endpoint_capacity;
+        let is_short = pressure(seen) > 0.0 || has_long_wait(seen, target);
+        let own = is_short.then_some(served.max(nominal));
         self.base = peers.or(own).filter(|base| *base > 0.0);
     }
 
@@ -246,7 +263,9 @@
         let base = self.follow_capacity(base, pressure, seen, interval);
         let base = self.fall(base, pressure, seen, target, now);
         self.ease = ease(base, seen, target);
-        let base = base * rise(base, self.occupancy, seen, target, interval);
+        let is_beginning = now < self.began_at + BEGINNING;
+        let rise = rise(base, self.occupancy, seen, target, is_beginning, interval);
+        let base = base * rise;
         let base = base + approach_peers(base, seen, interval);
         self.base = Some(base.max(self.floor() / seen.endpoint_capacity));
     }
@@ -337,7 +356,8 @@
 
 fn pressure_of(late_fraction: f64, occupancy: f64) -> f64 {
     let late = (late_fraction - LATE_TOLERANCE) / (1.0 - LATE_TOLERANCE);
-    let full = (occupancy - MIN_OCCUPANCY) / (1.0 - MIN_OCCUPANCY);
+    let (first, all) = OCCUPANCY_RANGE;
+    let full = (occupancy - first) / (all - first);
     late.clamp(0.0, 1.0) * full.clamp(0.0, 1.0)
 }
 
@@ -348,20 +368,40 @@
 }
 
 /// What is left free so that the wait at the endpoints does not grow to the latency target.
+/// Whether requests wait at the endpoints for so long that answers will be late: that shows a lack
+/// of capacity before the first answer is.
+fn has_long_wait(seen: &Observation, target: Millis) -> bool {
+    let wait = seen.waiting * 1_000.0 / seen.nominal.max(f64::MIN_POSITIVE);
+    seen.nominal > 0.0 && wait > LONG_WAIT * target.0 as f64
+}
+
 fn ease(base: f64, seen: &Observation, target: Millis) -> f64 {
     let wait = seen.waiting * 1_000.0 / (base * seen.endpoint_capacity).max(f64::MIN_POSITIVE);
     EASE * (wait / target.0.max(1) as f64).min(1.0)
 }
 
 /// The factor by which the base rises.
-fn rise(base: f64, occupancy: f64, seen: &Observation, target: Millis, interval: f64) -> f64 {
+fn rise(
+    base: f64,
+    occupancy: f64,
+    seen: &Observation,
+    target: Millis,
+    is_beginning: bool,
+    interval: f64,
+) -> f64 {
     if late_fraction(seen) > LATE_TOLERANCE || !is_refusing(seen) {
         return 1.0;
     }
     let waiting = ALLOWED_WAIT * target.0 as f64 / 1_000.0 * base * seen.endpoint_capacity;
     let full = MAX_OCCUPANCY + waiting / seen.slot_cost.max(1.0);
     let room = (full - occupancy).clamp(0.0, MAX_ROOM);
-    1.0 + RISE_PER_SECOND * room * interval / 1_000.0
+    let is_below = base * seen.endpoint_capacity < USED_PART * seen.nominal;
+    let rise = if is_below && is_beginning {
+        QUICK_RISE_PER_SECOND
+    } else {
+        RISE_PER_SECOND
+    };
+    1.0 + rise * room * interval / 1_000.0
 }
 
 fn is_refusing(seen: &Observation) -> bool {
--- a/crates/core/src/relay/scheduling/queue.rs
+++ b/crates/core/src/relay/scheduling/queue.rs
@@ -40,6 +40,9 @@
 /// Without it, a less urgent class overtakes each burst of urgent requests although it is served
 /// well in between.
 const SHARE_ADVANCE: f64 = 8.0;
+/// How far requests within the share of their workspace may be ahead of the rate, in ms: one round
+/// of messages, after which the shares are renewed.
+const MAX_ADVANCE_MS: f64 = 300.0;
 /// The smallest factor of a class's minimum share.
 const MIN_SHARE_WEIGHT: f64 = 1e-6;
 /// The largest cost or rate that is computed with, far above any real one.
@@ -68,6 +71,8 @@
     pub target: Millis,
     /// Whether it was promised capacity and is on time.
     pub has_returned: bool,
+    /// Whether its workspace asks for no more than its share, so that all of it is to be admitted.
+    pub is_within_share: bool,
 }
 
 /// A decision about a request.
@@ -92,6 +97,34 @@
     WaitedTooLong,
 }
 
+impl Reason {
+    /// The reason as written in logs and metrics.
+    ///
+    /// ```
+    /// use woodgap_core::relay::scheduling::queue::Reason;
+    ///
+    /// assert_eq!(Reason::NoRoom.as_str(), "no_room");
+    /// ```
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OverShare => "over_share",
+            Self::NoRoom => "no_room",
+            Self::QueueFull => "queue_full",
+            Self::WaitedTooLong => "waited_too_long",
+        }
+    }
+
+    /// The reason as told to the caller.
+    pub const fn message(self) -> &'static str {
+        match self {
+            Self::OverShare => "the workspace asks for more than its share of the service",
+            Self::NoRoom => "the service has no room for the request in time",
+            Self::QueueFull => "too many requests wait for the service",
+            Self::WaitedTooLong => "the service had no room for the request in time",
+        }
+    }
+}
+
 /// What is known of a waiting request beside its place in the order.
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -99,6 +132,7 @@
     bytes: usize,
     /// When it must be admitted at the latest.
     latest: Millis,
+    is_within_share: bool,
 }
 
 /// The waiting list of one service at one entry.
@@ -117,6 +151,7 @@
 ///     bytes: 900,
 ///     target: Millis(400),
 ///     has_returned: false,
+///     is_within_share: false,
 /// };
 /// let mut queue = Queue::default();
 /// let mut out = Vec::new();
@@ -200,6 +235,7 @@
     ///     bytes: 900,
     ///     target: Millis(400),
     ///     has_returned: false,
+    ///     is_within_share: false,
     /// };
     /// let (mut queue, mut out) = (Queue::default(), Vec::new());
     /// queue.set_rate(Some(100.0), Millis(0), &mut out);
@@ -356,6 +392,7 @@
             cost,
             bytes: applicant.bytes,
             latest: now + Millis(applicant.target.0 / WAIT_DIVISOR),
+            is_within_share: applicant.is_within_share,
         };
         self.held.insert(applicant.number, held);
         self.latest.insert((held.latest, applicant.number));
@@ -472,7 +509,12 @@
     /// Refuses requests until each of the others is expected to be admitted in time.
     fn refuse_hopeless(&mut self, now: Millis, out: &mut Vec<Decision>) {
         while let Some(number) = self.hopeless(now) {
-            let number = self.number(number);
+            let queued = number;
+            let number = self.number(queued);
+            if self.may_exceed_rate(number) {
+                self.admit_one(queued, false, now, out);
+                continue;
+            }
             let is_over = self.held[&number].latest <= now;
             let reason = if is_over {
                 Reason::WaitedTooLong
@@ -483,6 +525,12 @@
         }
     }
 
+    /// Whether a request is admitted ahead of the rate. What workspaces within their share ask for
+    /// is known only as a mean, and others wait for it.
+    fn may_exceed_rate(&self, number: u64) -> bool {
+        self.held[&number].is_within_share && self.bucket.wait_after(0.0) < MAX_ADVANCE_MS
+    }
+
     /// The request to refuse if one can't be admitted in time: the shed candidate of its tier if
     /// that goes before it and belongs to a flow with more waiting requests, else the request
     /// itself. Without the latter condition, the newest request of a small workspace would be
--- a/crates/core/src/relay/scheduling/returns.rs
+++ b/crates/core/src/relay/scheduling/returns.rs
@@ -17,7 +17,7 @@
 const LATEST_RETRY_DIVISOR: u64 = 3;
 /// The earliest announced time: an immediate retry meets the same shortage.
 const MIN_DELAY: Millis = Millis(50);
-/// The part of a third over which retries without a promise are spread.
+/// The part of the remaining time over which callers without a promise are spread.
 const SPREAD: f64 = 0.2;
 /// How much earlier than announced a retry may arrive.
 const MAX_EARLINESS: Millis = Millis(100);
@@ -72,7 +72,7 @@
     /// assert_eq!((plan().after, plan().after), (Millis(50), Millis(150)));
     /// let last = plan();
     /// assert!(!last.is_promised);
-    /// assert_eq!(last.after, Millis(180));
+    /// assert_eq!(last.after, Millis(540));
     /// ```
     pub fn plan(
         &mut self,
@@ -96,12 +96,7 @@
                 slot: Some(slot),
             };
         }
-        let spread = third.0 as f64 * SPREAD * sample.clamp(0.0, 1.0);
-        Return {
-            after: third - whole_millis(spread),
-            is_promised: false,
-            slot: None,
-        }
+        unpromised(remaining, sample)
     }
 
     /// Gives back a promise that was not announced because the owner knew the request.
@@ -174,6 +169,25 @@
     }
 }
 
+/// What a caller is told that still waits for `remaining` and gets no promise: about the time at
+/// which it gives up, as there is no room for it before. `sample` is as for [`Planner::plan`].
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::relay::scheduling::returns::unpromised;
+///
+/// assert_eq!(unpromised(Millis(600), 0.0).after, Millis(600));
+/// assert_eq!(unpromised(Millis(600), 1.0).after, Millis(480));
+/// ```
+pub fn unpromised(remaining: Millis, sample: f64) -> Return {
+    let spread = remaining.0 as f64 * SPREAD * sample.clamp(0.0, 1.0);
+    Return {
+        after: remaining - whole_millis(spread),
+        is_promised: false,
+        slot: None,
+    }
+}
+
 /// Asks the owner of a request's promise what the request is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
--- a/crates/core/src/relay/scheduling/room.rs
+++ b/crates/core/src/relay/scheduling/room.rs
@@ -45,6 +45,10 @@
     pub endpoint_capacity: f64,
     /// The requests that the usable endpoints can run at once.
     pub slots: f64,
+    /// The cost per second that they can serve, as far as is known without a measurement.
+    pub nominal: f64,
+    /// The shortest latency target of the requests to the service.
+    pub target: Millis,
 }
 
 /// The state for metrics and logs. Rates are those of all entries together.
@@ -72,7 +76,13 @@
 ///
 /// let mut room = Room::default();
 /// let request = RequestInfo { workspace: "w-1", weight: 1.0, priority: 0, cost: 30.0 };
-/// let around = Surroundings { entries: 1, endpoint_capacity: 2.0, slots: 4.0 };
+/// let around = Surroundings {
+///     entries: 1,
+///     endpoint_capacity: 2.0,
+///     slots: 4.0,
+///     nominal: 300.0,
+///     target: Millis(200),
+/// };
 /// for at in 0..100 {
 ///     room.record_arrival(&request, Millis(at * 10));
 ///     room.record_admission(&request, Millis(at * 10));
@@ -81,7 +91,7 @@
 ///         room.record_outcome(30.0, true, Millis(at * 10));
 ///     }
 /// }
-/// room.update(std::iter::empty(), 90, &around, Millis(200), Millis(1_000));
+/// room.update(std::iter::empty(), 90, &around, Millis(1_000));
 /// assert!(room.fraction(0, "w-1") < 0.1);
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -140,14 +150,13 @@
         peers: impl Iterator<Item = &'r Report>,
         in_flight: u32,
         surroundings: &Surroundings,
-        target: Millis,
         now: Millis,
     ) {
         let mut own = self.demand.full_report(now);
         self.complete(&mut own, in_flight);
         self.totals = Totals::new(&own, peers, surroundings.entries);
         let seen = self.observe(in_flight, surroundings, now);
-        self.level.update(&seen, target, now);
+        self.level.update(&seen, surroundings.target, now);
         let limit = self.level.corrected_limit();
         self.shares = limit.map(|limit| Shares::new(limit, &self.totals));
         let interval = ((now - self.updated_at).0 as f64).min(MAX_INTERVAL);
@@ -206,6 +215,7 @@
             late: totals.late,
             occupancy: totals.in_flight / slots,
             waiting: (totals.in_flight - slots).max(0.0) * self.demand.mean_cost(now),
+            nominal: surroundings.nominal,
             slot_cost: slots * self.demand.mean_cost(now),
             own_late: self.demand.late_fraction(now),
             own_occupancy: own_in_flight / slots,
--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::relay::plan::{Error, Kind, Limits, Plan, Route, Service, Workspace};
+use crate::relay::plan::{Error, Kind, Limits, Plan, Route, Service, Share, Workspace};
 
 /// The number of priority levels that model engines distinguish.
 const URGENCY_LEVELS: usize = 10;
@@ -15,8 +15,10 @@
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
     keys: HashMap<String, Arc<Workspace>>,
     services: HashMap<String, Arc<Service>>,
-    /// Pairs of route priority and workspace priority, most urgent first.
+    /// Pairs of route priority and workspace priority of streams, most urgent first.
     priority_pairs: Vec<(u8, u8)>,
+    /// The same of all requests to each service.
+    service_pairs: HashMap<String, Vec<(u8, u8)>>,
 }
 
 /// The key of a request is missing or unknown.
@@ -44,13 +46,18 @@
         let services = services
             .map(|service| (service.name.clone(), Arc::new(service.clone())))
             .collect();
-        let priority_pairs = priority_pairs(&plan);
+        let priority_pairs = priority_pairs(&plan, |route| route.kind == Kind::Stream);
+        let service_pairs = plan.services.iter();
+        let service_pairs = service_pairs
+            .map(|service| (service.name.clone(), service_pairs_of(&plan, &service.name)))
+            .collect();
         Ok(Self {
             plan,
             hosts,
             keys,
             services,
             priority_pairs,
+            service_pairs,
         })
     }
 
@@ -128,14 +135,21 @@
         last
     }
 
+    /// The priority of a request among those to its service; 0 is the most urgent. The route's
+    /// priority takes precedence over the workspace's.
+    pub fn priority(&self, service: &str, workspace: Option<&Workspace>, route: &Route) -> u8 {
+        let pairs = self.service_pairs.get(service);
+        let rank = pairs.map_or(0, |pairs| rank(pairs, workspace, route));
+        u8::try_from(rank).unwrap_or(u8::MAX)
+    }
+
     /// The urgency of a request for a model engine, from 0, the most urgent, to 9.
     ///
     /// The route's priority takes precedence over the workspace's: an engine that is short of
     /// memory preempts the least urgent requests, and an urgent kind of request must not give way
     /// to one that can wait. Only pairs of priorities that occur in the plan take up a level.
     pub fn urgency(&self, workspace: Option<&Workspace>, route: &Route) -> u8 {
-        let pair = (route.priority, workspace.map_or(0, |it| it.priority));
-        let rank = self.priority_pairs.partition_point(|it| *it < pair);
+        let rank = rank(&self.priority_pairs, workspace, route);
         let max_rank = self.priority_pairs.len().max(1) - 1;
         let level = if max_rank < URGENCY_LEVELS {
             rank
@@ -146,6 +160,12 @@
     }
 }
 
+/// The position of a request among these pairs of priorities.
+fn rank(pairs: &[(u8, u8)], workspace: Option<&Workspace>, route: &Route) -> usize {
+    let pair = (route.priority, workspace.map_or(0, |it| it.priority));
+    pairs.partition_point(|it| *it < pair)
+}
+
 fn index_routes(routes: &[Route]) -> Result<HashMap<String, HashMap<String, Arc<Route>>>, Error> {
     let mut hosts: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
     for route in routes {
@@ -176,11 +196,16 @@
     Ok(keys)
 }
 
-/// All pairs of route priority and workspace priority that requests to model engines can have, most
+fn service_pairs_of(plan: &Plan, service: &str) -> Vec<(u8, u8)> {
+    let sends_to = |it: &Share| it.service == service && it.weight > 0;
+    priority_pairs(plan, |route| route.shares.iter().any(sends_to))
+}
+
+/// All pairs of route priority and workspace priority that requests on some routes can have, most
 /// urgent first.
-fn priority_pairs(plan: &Plan) -> Vec<(u8, u8)> {
-    let streams = plan.routes.iter().filter(|it| it.kind == Kind::Stream);
-    let routes: Vec<u8> = streams.map(|route| route.priority).collect();
+fn priority_pairs(plan: &Plan, is_counted: impl Fn(&Route) -> bool) -> Vec<(u8, u8)> {
+    let routes = plan.routes.iter().filter(|it| is_counted(it));
+    let routes: Vec<u8> = routes.map(|route| route.priority).collect();
     let workspaces = plan.workspaces.iter().map(|it| it.priority).chain([0]);
     let mut pairs: Vec<_> = workspaces
         .flat_map(|workspace| routes.iter().map(move |route| (*route, workspace)))
--- a/crates/core/tests/relay/queue.rs
+++ b/crates/core/tests/relay/queue.rs
@@ -23,6 +23,7 @@
         bytes: 900,
         target: Millis(400),
         has_returned: false,
+        is_within_share: false,
     }
 }
 
