Relay: requests to scheduled services are admitted by the scheduler

relay::scheduling waits for decisions, carries them out, asks the owners of promises and renews the level each round of messages. Reports travel with the loads; claims and answers are datagrams of their own. The line of a request tells how long it waited, why it was refused and what its caller was told; metrics and a line a second tell the level. The setting scheduling.admission turns the admission off, so that only the choice of endpoints uses their reports. Without the section scheduling nothing changes.

--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -20,6 +20,8 @@
 };
 use crate::gossip::{ROUND_INTERVAL, STARTUP_ROUND_INTERVAL, fetch};
 use crate::request::notice;
+use crate::scheduling::round::LOADS_PER_REPORT;
+use crate::scheduling::{claim, round};
 use crate::state::State;
 
 /// Answers that take longer than this are ignored.
@@ -107,6 +109,7 @@
             self.send_stop_notices(now);
         }
         self.send_counts(now);
+        round::update(&self.state);
         let mut to = self.state.fleet.borrow_mut().gossip_targets(now);
         to.extend(self.unknown_addresses());
         let query = self.message(0, false);
@@ -188,8 +191,11 @@
             let mut roster = self.state.roster.borrow_mut();
             roster.departure_notices(MAX_DEPARTURES, now)
         };
-        let max_loads = MAX_LOADS - rate_limits.len() - departures.len();
-        let load = self.state.loads.borrow().gossip(max_loads, now);
+        let scheduling = round::reports(&self.state, now);
+        let max_loads =
+            MAX_LOADS - rate_limits.len() - departures.len() - scheduling.len() * LOADS_PER_REPORT;
+        let mut load = self.state.loads.borrow().gossip(max_loads, now);
+        load.scheduling = scheduling;
         let mut message = Message {
             members: self.next_members(),
             load,
@@ -315,6 +321,10 @@
             self.record_counts(counts);
             return;
         }
+        if let Some(message) = message::decode_return(bytes) {
+            claim::receive(&self.state, &message, sender);
+            return;
+        }
         let Some(message) = message::decode(bytes) else {
             log::debug!(from = sender.to_string(); "dropped a datagram that is malformed or of another wire version");
             return;
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -11,6 +11,7 @@
 use woodgap_core::relay::rate_limit;
 use woodgap_core::relay::rest;
 use woodgap_core::relay::roster::{Change, Endpoint};
+use woodgap_core::relay::scheduling::returns;
 use woodgap_core::relay::usage;
 use woodgap_core::relay::{Evacuation, Plan};
 
@@ -19,6 +20,8 @@
 pub const FORM: u8 = 12;
 /// The first byte of a datagram that carries only usage counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
+/// The first byte of a datagram on the planned retry of a refused caller.
+const RETURN_FORM: u8 = FORM | 0x40;
 /// The largest datagram, in bytes: small enough to cross every link without fragmentation.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The maximum number of endpoints whose load one message reports.
@@ -80,6 +83,16 @@
     pub window_counts: usage::WindowCounts,
 }
 
+/// A message on the planned retry of a refused caller, between an entry that refuses a request and
+/// the owner of its promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReturnMessage {
+    /// Asks the owner.
+    Claim(returns::Claim),
+    /// The owner's answer.
+    Answer(returns::Answer),
+}
+
 /// The versions of the data that an entry has, and how old their confirmation is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Knowledge {
@@ -217,6 +230,26 @@
     postcard::from_bytes(counts).ok()
 }
 
+/// Encodes a message on a planned retry.
+///
+/// # Errors
+///
+/// If a field can't be serialised.
+pub fn encode_return(message: &ReturnMessage) -> Result<Vec<u8>, postcard::Error> {
+    let mut bytes = vec![RETURN_FORM];
+    bytes.extend(postcard::to_stdvec(message)?);
+    Ok(bytes)
+}
+
+/// Decodes a message on a planned retry; `None` if it is of another kind or malformed.
+pub fn decode_return(bytes: &[u8]) -> Option<ReturnMessage> {
+    let (version, message) = bytes.split_first()?;
+    if *version != RETURN_FORM {
+        return None;
+    }
+    postcard::from_bytes(message).ok()
+}
+
 /// Decodes a message; `None` if it has another wire version or is malformed.
 pub fn decode(bytes: &[u8]) -> Option<Message> {
     let (version, message) = bytes.split_first()?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod options;
 pub mod quarantine;
 pub mod request;
+pub mod scheduling;
 pub mod source;
 pub mod start;
 pub mod state;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,10 +1,12 @@
 //! Counters and histograms, served as text for whoever asks.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
+use woodgap_core::relay::scheduling::room::Snapshot;
+
 /// Bounds of the histograms' buckets, in ms: from a plain service's answer to
 /// the longest that callers wait.
 const BUCKETS: &[f64] = &[
@@ -59,6 +61,12 @@
     pub windows: IntCounterVec,
     /// Orders of endpoints, by outcome.
     pub orders: IntCounterVec,
+    /// Requests to scheduled services that were refused, by reason.
+    pub scheduling_refusals: IntCounterVec,
+    /// Claims to a promise that their owner did not answer in time.
+    pub unanswered_claims: IntCounter,
+    /// The state of each scheduled service, by service and figure; costs are per second.
+    pub scheduling: GaugeVec,
     /// Lines of the log that were not written, since there were too many.
     pub dropped_lines: IntCounter,
 }
@@ -120,6 +128,22 @@
                 "outcome",
             )?,
             orders: counters("orders", "Orders of endpoints by outcome", "outcome")?,
+            scheduling_refusals: counters(
+                "scheduling_refusals",
+                "Requests to scheduled services that were refused, by reason",
+                "reason",
+            )?,
+            unanswered_claims: IntCounter::new(
+                "unanswered_claims",
+                "Claims to a promised retry that were not answered in time",
+            )?,
+            scheduling: GaugeVec::new(
+                Opts::new(
+                    "scheduling",
+                    "Scheduled services: cost per second and counts",
+                ),
+                &["service", "figure"],
+            )?,
             dropped_lines: IntCounter::new("dropped_lines", "Lines of the log not written")?,
             registry,
         };
@@ -151,9 +175,30 @@
         registry.register(Box::new(self.has_duties.clone()))?;
         registry.register(Box::new(self.windows.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
+        registry.register(Box::new(self.scheduling_refusals.clone()))?;
+        registry.register(Box::new(self.unanswered_claims.clone()))?;
+        registry.register(Box::new(self.scheduling.clone()))?;
         registry.register(Box::new(self.dropped_lines.clone()))
     }
 
+    /// Sets the figures of a scheduled service; a level of 0 stands for none.
+    pub fn set_scheduling(&self, service: &str, snapshot: &Snapshot, backlog: f64) {
+        let set = |figure: &str, value: f64| {
+            self.scheduling
+                .with_label_values(&[service, figure])
+                .set(value);
+        };
+        set("level", snapshot.level.unwrap_or_default());
+        set("offered", snapshot.offered);
+        set("served", snapshot.served);
+        set("late", snapshot.late);
+        set("waiting", backlog);
+        set("workspaces_over_share", snapshot.over_share as f64);
+        for (priority, fraction) in &snapshot.fractions {
+            set(&format!("admitted_fraction_{priority}"), *fraction);
+        }
+    }
+
     /// All metrics as text.
     ///
     /// ```
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -8,10 +8,13 @@
 use woodgap_core::relay::division;
 use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::plan::Route;
+use woodgap_core::verdict::Verdict;
 
 use crate::dialect::{Field, Reply};
 use crate::request::Problem;
 use crate::request::problem::Code;
+use crate::scheduling::Admission;
+use crate::scheduling::announcement::Announcement;
 use crate::state::State;
 
 /// Reason for aborting a request that was still running at the end of a planned stop.
@@ -59,6 +62,10 @@
     first_byte: Option<Millis>,
     last_piece: Option<Millis>,
     longest_pause: Millis,
+    /// The admission to a scheduled service.
+    admission: Option<Admission>,
+    /// Why a scheduled request was refused, and what its caller was told.
+    refusal: Option<(&'static str, Announcement)>,
     closed: bool,
 }
 
@@ -91,6 +98,8 @@
             first_byte: None,
             last_piece: None,
             longest_pause: Millis::ZERO,
+            admission: None,
+            refusal: None,
             closed: false,
         }
     }
@@ -139,6 +148,21 @@
         self.choice = Some(choice.clone());
     }
 
+    /// Sets the admission of a request to a scheduled service.
+    pub fn set_admission(&mut self, admission: Admission) {
+        self.admission = Some(admission);
+    }
+
+    /// Whether the request was admitted to a scheduled service.
+    pub fn is_scheduled(&self) -> bool {
+        self.admission.is_some()
+    }
+
+    /// Sets why a scheduled request is refused, and what its caller is told.
+    pub fn set_announcement(&mut self, reason: &'static str, announcement: Announcement) {
+        self.refusal = Some((reason, announcement));
+    }
+
     /// Records that the request is sent, and whether on a reused connection.
     pub fn record_send(&mut self, reused: bool) {
         self.sends += 1;
@@ -174,6 +198,10 @@
     pub fn record_first_byte(&mut self) {
         let elapsed = self.elapsed();
         self.first_byte.get_or_insert(elapsed);
+        let is_late = elapsed > self.objectives.target;
+        if let Some(admission) = &mut self.admission {
+            admission.record_first_byte(is_late);
+        }
         self.state
             .metrics
             .attempts
@@ -199,12 +227,12 @@
         let max_gap = self.objectives.gap;
         let has_stalled = max_gap > Millis::ZERO && self.longest_pause > max_gap;
         self.record_lateness(first_byte > self.objectives.target || has_stalled);
-        self.close("complete", status, "ran", "");
+        self.close("complete", status, Verdict::Ran, "");
     }
 
     /// Closes the record of a request whose response was cut off.
     pub fn abort(&mut self, status: u16, reason: &str) {
-        self.close("cut", status, "ran", reason);
+        self.close("cut", status, Verdict::Ran, reason);
     }
 
     /// Closes the record of a request that got an error instead of an endpoint's response.
@@ -213,9 +241,8 @@
             self.record_lateness(true);
         }
         let status = problem.status().as_u16();
-        let verdict = problem.verdict.as_str();
         let reason = format!("{}: {}", problem.code.as_str(), problem.message);
-        self.close("failed", status, verdict, &reason);
+        self.close("failed", status, problem.verdict, &reason);
     }
 
     /// The error for the caller if this entry ends before the response; says whether the request
@@ -236,13 +263,19 @@
         }
     }
 
-    fn elapsed(&self) -> Millis {
+    /// The time since the request arrived.
+    pub fn elapsed(&self) -> Millis {
         self.state.now() - self.arrived
     }
 
-    fn close(&mut self, outcome: &str, status: u16, verdict: &str, reason: &str) {
+    fn close(&mut self, outcome: &str, status: u16, verdict: Verdict, reason: &str) {
         self.closed = true;
+        let verdict_word = verdict.as_str();
         let elapsed = self.elapsed();
+        let is_late = elapsed > self.objectives.target;
+        if let Some(admission) = &mut self.admission {
+            admission.record_end(verdict, is_late);
+        }
         self.state
             .metrics
             .requests
@@ -253,6 +286,8 @@
             .with_label_values(&[&self.service])
             .observe(elapsed.0 as f64);
         let choice = self.choice.as_ref();
+        let admission = self.admission.as_ref();
+        let refusal = self.refusal;
         let figure = |of: fn(&Choice) -> f64| choice.map_or(0.0, of).round();
         let source = choice.and_then(|it| it.prompt_source.as_ref());
         let Objectives {
@@ -264,7 +299,7 @@
         } = self.objectives;
         log::info!(
             request = self.id, fingerprint = self.fingerprint,
-            outcome = outcome, status = status, verdict = verdict,
+            outcome = outcome, status = status, verdict = verdict_word,
             reason = reason, took_ms = elapsed.0,
             first_byte_ms = self.first_byte.map_or(0, |it| it.0),
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
@@ -279,6 +314,11 @@
             prompt_source = source.map_or("", |it| it.life.id.as_str()),
             target_ms = target.0, gap_ms = gap.0, longest_pause_ms = self.longest_pause.0,
             prompt_tokens = prompt_tokens, output_tokens = output_tokens,
+            waited_ms = admission.map_or(0, |it| it.waited.0),
+            has_returned = admission.is_some_and(|it| it.has_returned),
+            refused_for = refusal.map_or("", |it| it.0),
+            retry_after_ms = refusal.and_then(|it| it.1.after()).map_or(0, |it| it.0),
+            is_retry_promised = refusal.is_some_and(|it| it.1.is_promised()),
             connection_age_ms = self.connection_age.0,
             is_stopping = self.stopping_for.is_some(),
             stopping_for_ms = self.stopping_for.unwrap_or_default().0;
@@ -304,7 +344,7 @@
             } else {
                 ("abandoned", "the caller has gone")
             };
-            self.close(outcome, 0, "may_have_run", reason);
+            self.close(outcome, 0, Verdict::MayHaveRun, reason);
         }
         self.state.running.set(self.state.running.get() - 1);
     }
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -40,6 +40,8 @@
     pub service: Arc<Service>,
     /// The caller's workspace; `None` on a public route, or if the plan has no workspaces.
     pub workspace: Option<Arc<Workspace>>,
+    /// The priority among the requests to its service; 0 is the most urgent.
+    pub priority: u8,
     /// The priority for a model engine; `None` for plain services.
     pub urgency: Option<u8>,
     /// Identifies repetitions of the same request by the same caller.
@@ -78,6 +80,7 @@
     );
     let workspace = identify_workspace(state, &table, &route, call.key.as_deref())?;
     let service = pick_service(&table, &route)?;
+    let priority = table.priority(&service.name, workspace.as_deref(), &route);
     let urgency = (route.kind == Kind::Stream).then(|| table.urgency(workspace.as_deref(), &route));
     record.set_service(
         &service.name,
@@ -110,6 +113,7 @@
         route,
         service,
         workspace,
+        priority,
         urgency,
         fingerprint,
         deadline,
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -9,7 +9,10 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::relay::RequestProfile;
-use woodgap_core::relay::admission::{self, Decision as Admission, LatencyRequirement};
+use woodgap_core::relay::admission::{
+    Decision as Admission, LatencyRequirement, MAX_RETRY_AFTER, MIN_RETRY_AFTER, decide,
+    retry_after_rate,
+};
 use woodgap_core::relay::duty;
 use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::plan::Kind;
@@ -24,6 +27,7 @@
 use crate::request::crash;
 use crate::request::problem::Code;
 use crate::request::{AccessRecord, EndpointResponse, Problem};
+use crate::scheduling::{admission, announcement};
 use crate::state::State;
 
 /// Maximum number of attempts that fail before any byte is sent.
@@ -81,6 +85,7 @@
 ) -> Result<(EndpointResponse, Millis), Problem> {
     let admitted = admit::admit(state, request, record).await?;
     state.count_request(&admitted.service.name);
+    admission::admit(state, &admitted, record).await?;
     let response = run_attempts(state, &admitted, record).await?;
     Ok((response, admitted.deadline))
 }
@@ -110,7 +115,12 @@
     loop {
         let choice = match choose(state, request, &attempts) {
             Ok(choice) => choice,
-            Err(problem) => return attempts.finish(problem),
+            Err(problem) => {
+                let problem = attempts
+                    .announce_retry(state, request, record, problem)
+                    .await;
+                return attempts.finish(problem);
+            }
         };
         let deadline = attempts.attempt_deadline(state.now(), request);
         let failure = match attempt(state, request, &choice, deadline, record).await {
@@ -163,7 +173,7 @@
     if !ends_in_time(state, request, &choice, now) {
         return Err(Problem::stopping());
     }
-    match admission::decide(&choice, requirement, rand::random()) {
+    match decide(&choice, requirement, rand::random()) {
         Admission::Admit => Ok(choice),
         Admission::Refuse(retry_after) => {
             let bound = requirement.max_wait_for(&choice);
@@ -257,7 +267,7 @@
         "the endpoints of `{}` ask for a back-off",
         request.service.name
     );
-    let retry_after = shortest.clamp(admission::MIN_RETRY_AFTER, admission::MAX_RETRY_AFTER);
+    let retry_after = shortest.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
     Err(Problem::not_run(Code::Overloaded, message).retry_after(retry_after))
 }
 
@@ -286,7 +296,7 @@
         "the endpoints of `{}` take {total_rate:.1} requests per second",
         request.service.name
     );
-    let retry_after = admission::retry_after_rate(total_rate, rand::random());
+    let retry_after = retry_after_rate(total_rate, rand::random());
     Err(Problem::not_run(Code::Overloaded, message).retry_after(retry_after))
 }
 
@@ -318,6 +328,22 @@
 }
 
 impl Attempts {
+    /// Tells the caller of a scheduled request that found no endpoint before its first attempt when
+    /// it is to retry.
+    async fn announce_retry(
+        &self,
+        state: &State,
+        request: &AdmittedRequest,
+        record: &mut AccessRecord,
+        problem: Problem,
+    ) -> Problem {
+        let is_first = self.tried.is_empty();
+        if !is_first || problem.code != Code::Overloaded || !record.is_scheduled() {
+            return problem;
+        }
+        announcement::replace(state, request, record, problem).await
+    }
+
     /// The deadline of the next attempt.
     fn attempt_deadline(&self, now: Millis, request: &AdmittedRequest) -> Millis {
         let may_repeat =
@@ -393,7 +419,7 @@
                     AttemptError::Declined(Decline::Full) => Code::Overloaded,
                     _ => Code::NoEndpoint,
                 };
-                Problem::not_run(code, message).retry_after(admission::MIN_RETRY_AFTER)
+                Problem::not_run(code, message).retry_after(MIN_RETRY_AFTER)
             }
             Some(_) if now >= request.deadline => Problem::may_have_run(Code::Timeout, message),
             Some(_) => Problem::may_have_run(Code::EndpointFailed, message),
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -22,7 +22,7 @@
 use crate::source::Source;
 use crate::source::row::UnusableRows;
 use crate::state::{Announcement, State};
-use crate::{duties, follow, logs, quarantine, stop, upkeep};
+use crate::{duties, follow, logs, quarantine, scheduling, stop, upkeep};
 
 /// The pause before a task that ended is started again.
 const RESTART: Millis = Millis(100);
@@ -127,6 +127,7 @@
     supervise("announce", &state, announce);
     supervise("quarantine", &state, quarantine::run);
     supervise("duties", &state, duties::run);
+    supervise("scheduling", &state, scheduling::run);
     let settings = &state.settings;
     log::info!(
         entry = settings.name.as_str(), data_centre = settings.data_centre.as_str(),
@@ -159,6 +160,7 @@
 fn talk(state: &Rc<State>, sockets: Sockets) -> Result<(), Error> {
     let socket = UdpSocket::from_std(sockets.messages).map_err(Error::Process)?;
     let socket = Rc::new(socket);
+    state.scheduling.set_socket(Rc::clone(&socket));
     let listener = TcpListener::from_std(sockets.fetch).map_err(Error::Process)?;
     actix_rt::spawn(fetch::serve(Rc::clone(state), listener));
     supervise("exchange", state, move |state| {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -30,6 +30,7 @@
 use crate::gossip::fetch::Fetches;
 use crate::metrics::Metrics;
 use crate::request::crash::CrashChecks;
+use crate::scheduling::Scheduling;
 use crate::source::Source;
 use crate::stop;
 use crate::upstream::Pool;
@@ -83,6 +84,8 @@
     pub warmed: RefCell<warming::SendHistory>,
     /// Their load.
     pub loads: RefCell<LoadBalancer>,
+    /// Which requests they get, where there is too little room for all.
+    pub scheduling: Scheduling,
     /// The back-offs that they ask this entry for.
     pub back_offs: RefCell<BackOffs>,
     /// The rate limits that they name.
@@ -172,6 +175,7 @@
                 settings.data_centre.clone(),
                 rand::random(),
             )),
+            scheduling: Scheduling::new(settings.scheduling.as_ref()),
             back_offs: RefCell::default(),
             rate_limits: RefCell::new(RateLimits::new(rand::random())),
             pool: RefCell::default(),
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -125,6 +125,9 @@
 pub struct Scheduling {
     /// The services that are scheduled.
     pub services: Services,
+    /// Whether requests are admitted by what all entries observe; else only the choice of endpoints
+    /// uses what endpoints report to any entry.
+    pub admission: bool,
     /// The most bytes of requests that may wait at this entry for one service.
     pub waiting_bytes: usize,
 }
@@ -149,6 +152,7 @@
         let bytes = rule::whole(LEAST_WAITING_BYTES, MOST_WAITING_BYTES);
         Self {
             services: section.or("services", &services, Services::default()),
+            admission: section.or("admission", &rule::boolean(), true),
             waiting_bytes: section.or("waiting_bytes", &bytes, USUAL_WAITING_BYTES),
         }
     }
--- a/crates/settings/tests/samples.rs
+++ b/crates/settings/tests/samples.rs
@@ -128,11 +128,19 @@
     let relay = relay::parse(&with_scheduling(section), "relay.jsonc").unwrap();
     let expected = expected.map(|(services, waiting_bytes)| Scheduling {
         services,
+        admission: true,
         waiting_bytes,
     });
     assert_eq!(relay.scheduling, expected);
 }
 
+#[test]
+fn scheduling_without_admission() {
+    let section = r#", "scheduling": {"admission": false}"#;
+    let relay = relay::parse(&with_scheduling(section), "relay.jsonc").unwrap();
+    assert!(relay.scheduling.is_some_and(|it| !it.admission));
+}
+
 #[rstest]
 #[case::values(
     "scheduling-values",
