--- a/crates/core/src/relay/scheduling/level.rs
+++ b/crates/core/src/relay/scheduling/level.rs
@@ -160,7 +160,7 @@
     /// let mut level = Level::default();
     /// let mut seen = Observation {
     ///     offered: 300.0, admitted: 300.0, served: 100.0, late: 60.0,
-    ///     occupancy: 0.4, endpoint_capacity: 4.0, heard: 1.0, ..Observation::default()
+    ///     occupancy: 0.1, endpoint_capacity: 4.0, heard: 1.0, ..Observation::default()
     /// };
     /// level.update(&seen, Millis(400), Millis(1_000));
     /// assert_eq!(level.limit(), None); // The endpoints have room.
