--- a/crates/core/tests/relay/endpoint_report.rs
+++ b/crates/core/tests/relay/endpoint_report.rs
@@ -41,7 +41,7 @@
     Perfect,
 }
 
-/// Twenty entries in front of endpoints with one slot each, and the late part of the answers.
+/// Twenty entries in front of endpoints with a few slots each, and the late part of the answers.
 struct Fleet {
     entries: Vec<LoadBalancer>,
     endpoints: Vec<Endpoint>,
--- a/crates/core/tests/relay/queue.rs
+++ b/crates/core/tests/relay/queue.rs
@@ -105,6 +105,46 @@
         .collect()
 }
 
+/// Guards against requests within their share that are admitted ahead of the rate without a bound:
+/// no more than what the bucket saves up (100 ms) and one round of messages (300 ms) may be ahead.
+#[rstest]
+fn the_advance_of_requests_within_their_share_is_bounded(#[values(1, 2, 3)] seed: u64) {
+    let mut own = applicant(0, "murphy");
+    own.is_within_share = true;
+    let requests: Vec<_> = (0..)
+        .zip(arrivals(2.0 * RATE, 60, seed))
+        .map(|(number, at)| (at, Applicant { number, ..own }, 1.0))
+        .collect();
+    let decisions = replay(&requests);
+    let admitted = decisions
+        .iter()
+        .filter(|it| matches!(it.0, Decision::Admit(_)));
+    let mut times: Vec<_> = admitted.map(|it| it.1).collect();
+    times.sort_unstable();
+    for (count, at) in (1..).zip(times) {
+        let most = RATE * (at as f64 + 400.0) / 1_000.0 + 1.0;
+        assert!(f64::from(count) <= most, "{count} requests after {at} ms");
+    }
+}
+
+/// Guards against requests that wait for the rate although their workspace is within its share.
+#[test]
+fn requests_within_their_share_are_admitted_ahead_of_the_rate() {
+    let admitted_at_once = |is_within_share| {
+        let (mut queue, mut out) = (queue(), Vec::new());
+        for number in 0..10 {
+            let mut request = applicant(number, "murphy");
+            request.is_within_share = is_within_share;
+            queue.offer(&request, 1.0, Millis(1), &mut out);
+        }
+        let is_admitted = |it: &&Decision| matches!(it, Decision::Admit(_));
+        out.iter().filter(is_admitted).count()
+    };
+    // 300 ms of 33 requests per second are 9.9.
+    assert_eq!(admitted_at_once(true), 10);
+    assert!(admitted_at_once(false) < 5);
+}
+
 /// How many requests the same bucket admits in order of arrival, each within `max_wait` ms or
 /// never. No order admits more, since all cost the same and may wait equally long.
 fn reference(times: &[u64], max_wait: f64) -> usize {
--- a/crates/relay/src/scheduling/admission.rs
+++ b/crates/relay/src/scheduling/admission.rs
@@ -69,7 +69,7 @@
         result = offer(state, &request, false).await;
     }
     if let Err(reason) = result {
-        let announcement = announcement::last_chance(state, admitted);
+        let announcement = announcement::without_promise(state, admitted);
         return Err(refusal(state, record, reason, announcement));
     }
     record.set_admission(Admission {
--- a/crates/relay/src/scheduling/announcement.rs
+++ b/crates/relay/src/scheduling/announcement.rs
@@ -53,7 +53,7 @@
     reason: Reason,
 ) -> Announcement {
     if reason == Reason::OverShare {
-        return last_chance(state, admitted);
+        return without_promise(state, admitted);
     }
     let now = state.now();
     let remaining = admitted.deadline - now;
@@ -71,12 +71,13 @@
         Standing::New => Announcement::Unpromised(planned.after),
         Standing::AsTold => Announcement::AsTold,
         Standing::Early(left) => Announcement::Promised(left),
-        Standing::Repeated => last_chance(state, admitted),
+        Standing::Repeated => without_promise(state, admitted),
     }
 }
 
-/// The latest time at which the caller can retry with a chance to be served.
-pub fn last_chance(state: &State, admitted: &AdmittedRequest) -> Announcement {
+/// A time to retry for a caller for which no capacity can be kept: about when it gives up, so that
+/// its retries take nothing from others.
+pub fn without_promise(state: &State, admitted: &AdmittedRequest) -> Announcement {
     let remaining = admitted.deadline - state.now();
     let planned = returns::unpromised(remaining, rand::random());
     Announcement::Unpromised(planned.after)
@@ -93,7 +94,7 @@
     let request = admitted.scheduling_request(state, record.elapsed());
     let announcement = match plan(state, admitted, &request, Reason::NoRoom).await {
         // There is no endpoint for it even so.
-        Announcement::AsTold => last_chance(state, admitted),
+        Announcement::AsTold => without_promise(state, admitted),
         announcement => announcement,
     };
     record.set_announcement("forecast", announcement);
--- a/crates/relay/src/scheduling/round.rs
+++ b/crates/relay/src/scheduling/round.rs
@@ -31,6 +31,16 @@
     if state.settings.scheduling.is_none() {
         return;
     }
+    let has_services = state
+        .scheduling
+        .scheduler
+        .borrow()
+        .snapshots()
+        .next()
+        .is_some();
+    if !has_services {
+        return;
+    }
     let now = state.now();
     let mut decisions = Vec::new();
     for service in services(state) {
