Relay: metrics and log lines on lost links to endpoints

Cause: an entry that reaches no endpoint and one whose endpoints have all failed looked alike in logs and metrics, and the moment at which an entry had lost all, or had one again, was told nowhere; so two hypotheses of the incident could not be told apart.

Gauges unreachable_endpoints and isolated, counter isolations, two log lines. No request is treated in another way.

Measured: tests of the check's size and of the state; contract tests with links that are cut see the gauge rise and fall.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -19,6 +19,7 @@
 pub mod fading;
 pub mod fleet;
 pub mod health;
+pub mod isolation;
 pub mod lateness;
 pub mod load_report;
 pub mod plan;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod fleet_restart;
 mod health;
+mod isolation;
 mod lives;
 mod outage;
 mod plan;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod front;
 pub mod gossip;
+pub mod links;
 pub mod logs;
 pub mod metrics;
 pub mod options;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -37,6 +37,12 @@
     pub plan_age: IntGauge,
     /// Endpoints that are listed.
     pub endpoints: IntGauge,
+    /// Listed endpoints that can't be connected to.
+    pub unreachable_endpoints: IntGauge,
+    /// Whether this entry has lost its links to all endpoints: 1 or 0.
+    pub isolated: IntGauge,
+    /// How often it has lost them.
+    pub isolations: IntCounter,
     /// Other entries that answer.
     pub entries: IntGauge,
     /// Requests that are being served.
@@ -97,6 +103,18 @@
             plan_version: IntGauge::new("plan_version", "Version of the plan in force")?,
             plan_age: IntGauge::new("plan_age_ms", "Age of the plan's last confirmation")?,
             endpoints: IntGauge::new("endpoints", "Endpoints that are listed")?,
+            unreachable_endpoints: IntGauge::new(
+                "unreachable_endpoints",
+                "Listed endpoints that can't be connected to",
+            )?,
+            isolated: IntGauge::new(
+                "isolated",
+                "Whether this entry has lost its links to all endpoints",
+            )?,
+            isolations: IntCounter::new(
+                "isolations",
+                "How often this entry has lost its links to all endpoints",
+            )?,
             entries: IntGauge::new("entries", "Other entries that answer")?,
             running: IntGauge::new("running", "Requests that are being served")?,
             crashes: IntCounter::new("crashes", "Endpoints that have crashed with requests")?,
@@ -163,6 +181,9 @@
         registry.register(Box::new(self.plan_version.clone()))?;
         registry.register(Box::new(self.plan_age.clone()))?;
         registry.register(Box::new(self.endpoints.clone()))?;
+        registry.register(Box::new(self.unreachable_endpoints.clone()))?;
+        registry.register(Box::new(self.isolated.clone()))?;
+        registry.register(Box::new(self.isolations.clone()))?;
         registry.register(Box::new(self.entries.clone()))?;
         registry.register(Box::new(self.running.clone()))?;
         registry.register(Box::new(self.crashes.clone()))?;
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -10,6 +10,7 @@
 use woodgap_core::verdict::Verdict;
 
 use crate::dialect::{Decline, Reply};
+use crate::links;
 use crate::request::placement::{MAX_DISCARDED_BYTES, Placement};
 use crate::request::{AccessRecord, AdmittedRequest, EndpointResponse, forward, notice, response};
 use crate::state::State;
@@ -213,8 +214,11 @@
     }
     state.metrics.connects.inc();
     let opened = Connection::open(endpoint.address).await;
-    if opened.is_err() {
+    if opened.is_ok() {
+        links::record_connected(state);
+    } else {
         state.pool.borrow_mut().close(&endpoint.life);
+        links::suspect(state);
     }
     Ok((opened?, Millis::ZERO))
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -15,6 +15,7 @@
 use woodgap_core::relay::duty::{self, Confirmation, EntryStatus, PollDecision, Subject};
 use woodgap_core::relay::engine::LoadBalancer;
 use woodgap_core::relay::fleet::{Fleet, Member};
+use woodgap_core::relay::isolation::Isolation;
 use woodgap_core::relay::rate_limit::RateLimits;
 use woodgap_core::relay::rest::IdleLimits;
 use woodgap_core::relay::shutdown::Shutdown;
@@ -28,6 +29,7 @@
 use crate::duties;
 use crate::gossip;
 use crate::gossip::fetch::Fetches;
+use crate::links::LinkCheck;
 use crate::metrics::Metrics;
 use crate::request::crash::CrashChecks;
 use crate::scheduling::Scheduling;
@@ -90,6 +92,10 @@
     pub back_offs: RefCell<BackOffs>,
     /// The rate limits that they name.
     pub rate_limits: RefCell<RateLimits>,
+    /// Whether this entry has lost its links to all of them.
+    pub isolation: RefCell<Isolation>,
+    /// The check of these links that is running.
+    pub link_check: LinkCheck,
     /// Connections to them.
     pub pool: RefCell<Pool>,
     /// How long those may rest.
@@ -178,6 +184,8 @@
             scheduling: Scheduling::new(settings.scheduling.as_ref()),
             back_offs: RefCell::default(),
             rate_limits: RefCell::new(RateLimits::new(rand::random())),
+            isolation: RefCell::default(),
+            link_check: LinkCheck::default(),
             pool: RefCell::default(),
             rests: RefCell::default(),
             fleet: RefCell::new(Fleet::new(
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -7,6 +7,7 @@
 use woodgap_core::name;
 use woodgap_core::relay::health::HealthSignal;
 
+use crate::links;
 use crate::logs;
 use crate::request::crash;
 use crate::state::State;
@@ -43,6 +44,9 @@
     for endpoint in due {
         try_again(state, endpoint);
     }
+    if state.isolation.borrow().is_isolated() {
+        links::suspect(state);
+    }
     gauges(state, now);
 }
 
@@ -101,8 +105,10 @@
         let opened = Connection::open(known.address).await;
         let now = state.now();
         let sign = if opened.is_ok() {
+            links::record_connected(&state);
             HealthSignal::Success
         } else {
+            links::suspect(&state);
             HealthSignal::Lost
         };
         state.loads.borrow_mut().record_signal(&endpoint, sign, now);
@@ -125,8 +131,15 @@
         metrics.plan_version.set(gauge(force.version()));
         metrics.plan_age.set(gauge(force.age(now).0));
     }
-    let endpoints = state.roster.borrow().listed().count();
-    metrics.endpoints.set(gauge(endpoints as u64));
+    {
+        let roster = state.roster.borrow();
+        let loads = state.loads.borrow();
+        metrics.endpoints.set(gauge(roster.listed().count() as u64));
+        let suspended = roster.listed().filter(|it| loads.is_suspended(&it.life));
+        metrics
+            .unreachable_endpoints
+            .set(gauge(suspended.count() as u64));
+    }
     let entries = state.fleet.borrow().live(now).count();
     metrics.entries.set(gauge(entries as u64));
     metrics.running.set(gauge(state.running.get() as u64));
