Entries that reach no endpoint hand requests to others that do

Callers saw: 503, no endpoint can be reached, for as long as an entry had lost its links to all endpoints, while others served.

Cause: an entry knew no way to an endpoint but its own links, and took their loss for that of the endpoints.

Change: an entry that can't connect to any endpoint, or finds none of a service, hands the request to a live entry that reaches endpoints, by HTTP on the port for messages between entries, and passes the answer on. A request goes on once at most. The other entry is told how long the caller waits and at how many endpoints the request may still be tried; it checks the key and makes the repeats out of its budget. Not counted twice as a request. At most an eighth of the descriptors and 8 MiB are taken, three entries asked; an entry that turned a service away is not asked for it for 0.5 s, and after three nobody is. What was lost on the way after it was sent is not repeated. Members say whether they reach endpoints (message form 13). When a link is back all endpoints are tried at once, so that not all goes to the first one.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -18,6 +18,7 @@
 pub mod evacuation;
 pub mod fading;
 pub mod fleet;
+pub mod handover;
 pub mod health;
 pub mod isolation;
 pub mod lateness;
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -109,6 +109,13 @@
         due.map(|(life, _)| life.clone()).collect()
     }
 
+    /// Makes the next connection attempts to all suspended endpoints due.
+    pub fn end_backoffs(&mut self, now: Millis) {
+        for load in self.endpoints.values_mut() {
+            load.health.end_backoff(now);
+        }
+    }
+
     fn own_running(&self, endpoint: &name::Life) -> usize {
         self.endpoints.get(endpoint).map_or(0, Load::running)
     }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -53,6 +53,8 @@
 const NEWCOMER_RATIO: f64 = 0.8;
 
 /// An entry, as described in its own messages.
+// The flags are independent of one another.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Unique in the fleet.
@@ -71,6 +73,8 @@
     pub ready: bool,
     /// Whether the platform answers it.
     pub reaches_platform: bool,
+    /// Whether it can connect to endpoints.
+    pub reaches_endpoints: bool,
 }
 
 /// The other entries.
--- a/crates/core/src/relay/health.rs
+++ b/crates/core/src/relay/health.rs
@@ -72,6 +72,12 @@
         self.is_suspended() && now >= self.suspended_until
     }
 
+    /// Makes the next connection attempt due: that the endpoint was lost showed nothing about it.
+    pub fn end_backoff(&mut self, now: Millis) {
+        self.suspended_until = self.suspended_until.min(now);
+        self.losses_since_success = self.losses_since_success.min(1);
+    }
+
     /// The recent share of failed attempts, from 0 to 1.
     pub fn failure_rate(&self) -> f64 {
         self.failure_rate
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -19,6 +19,7 @@
         stopping: false,
         ready: true,
         reaches_platform: true,
+        reaches_endpoints: true,
     }
 }
 
--- a/crates/core/tests/relay/outage.rs
+++ b/crates/core/tests/relay/outage.rs
@@ -240,6 +240,7 @@
     fn receive(&mut self, message: &Message, now: Millis) {
         let sender = Member {
             reaches_platform: !self.entries[message.from].is_platform_lost,
+            reaches_endpoints: true,
             ..member(message.from)
         };
         let entry = &mut self.entries[message.to];
@@ -270,6 +271,7 @@
         stopping: false,
         ready: true,
         reaches_platform: true,
+        reaches_endpoints: true,
     }
 }
 
--- a/crates/core/tests/relay/stop_notices.rs
+++ b/crates/core/tests/relay/stop_notices.rs
@@ -55,6 +55,7 @@
         stopping: false,
         ready: true,
         reaches_platform: true,
+        reaches_endpoints: true,
     }
 }
 
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -145,6 +145,9 @@
     /// [`Malformed`] if the request can't be passed on so.
     fn call(&self, headers: &HeaderMap) -> Result<Call, Malformed>;
 
+    /// The header in which a caller says how long it waits, in milliseconds.
+    fn patience_header(&self) -> &'static str;
+
     /// Whether a caller's header goes on to endpoints. Headers that concern one
     /// connection are not asked about.
     fn passes(&self, header: &str) -> bool;
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -60,6 +60,10 @@
         })
     }
 
+    fn patience_header(&self) -> &'static str {
+        PATIENCE
+    }
+
     fn passes(&self, header: &str) -> bool {
         NAMES.passes(header)
     }
--- a/crates/relay/src/front/server.rs
+++ b/crates/relay/src/front/server.rs
@@ -20,6 +20,7 @@
 use woodgap_core::relay::plan::Limits;
 
 use crate::front::{Stream, directory};
+use crate::request::admit::Origin;
 use crate::request::run;
 use crate::state::State;
 
@@ -27,6 +28,8 @@
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The size of the response buffer per connection for slow callers, in bytes.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
+/// How long connections of other entries may rest; longer than these keep them.
+const HANDOVER_KEEP_ALIVE: Duration = Duration::from_secs(10);
 /// The divisor that gives callers their share of the file descriptors; the rest is left for
 /// endpoints, other entries and the platform.
 const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
@@ -36,6 +39,8 @@
 pub enum Purpose {
     /// Callers' requests, which are forwarded to endpoints.
     Requests,
+    /// Requests that other entries hand over.
+    Handovers,
     /// The list of entries, and the entry's readiness.
     Directory,
     /// The entry's metrics.
@@ -50,9 +55,14 @@
 
 /// An HTTP server on one listener.
 pub struct Server {
+    acceptor: Acceptor,
+    listener: TcpListener,
+}
+
+/// Serves connections that were accepted.
+pub struct Acceptor {
     state: Rc<State>,
     purpose: Purpose,
-    listener: TcpListener,
     handler: RefCell<Option<(Limits, Handler)>>,
 }
 
@@ -68,20 +78,19 @@
         purpose: Purpose,
     ) -> io::Result<Self> {
         Ok(Self {
-            state: Rc::clone(state),
-            purpose,
+            acceptor: Acceptor::new(state, purpose),
             listener: TcpListener::from_std(listener)?,
-            handler: RefCell::default(),
         })
     }
 
     /// Accepts connections for as long as the process runs.
     pub async fn run(self) {
-        let max_connections = self.state.settings.descriptors / CALLER_DESCRIPTOR_DIVISOR;
+        let state = &self.acceptor.state;
+        let max_connections = state.settings.descriptors / CALLER_DESCRIPTOR_DIVISOR;
         loop {
             match self.listener.accept().await {
-                Ok((stream, _)) if self.state.connections.get() < max_connections => {
-                    self.take(stream).await;
+                Ok((stream, _)) if state.connections.get() < max_connections => {
+                    self.acceptor.take(stream).await;
                 }
                 Ok(_) => {
                     log::warn!(connections = max_connections; "connection closed: too many open connections");
@@ -93,8 +102,20 @@
             }
         }
     }
+}
+
+impl Acceptor {
+    /// Serves connections for this purpose.
+    pub fn new(state: &Rc<State>, purpose: Purpose) -> Self {
+        Self {
+            state: Rc::clone(state),
+            purpose,
+            handler: RefCell::default(),
+        }
+    }
 
-    async fn take(&self, stream: TcpStream) {
+    /// Serves a connection that was just accepted.
+    pub async fn take(&self, stream: TcpStream) {
         let Ok(stream) = Stream::new(stream, &self.state) else {
             return;
         };
@@ -138,7 +159,7 @@
         .on_connect_ext(|stream: &Stream, data| {
             data.insert(ConnectedAt(stream.connected_at()));
         })
-        .keep_alive(Duration::from_millis(limits.idle_timeout.0))
+        .keep_alive(keep_alive(purpose, limits))
         .client_request_timeout(Duration::from_millis(limits.header_timeout.0))
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         // HTTP clients half-close a connection only when they abandon the request.
@@ -166,10 +187,20 @@
     }
 }
 
+fn keep_alive(purpose: Purpose, limits: &Limits) -> Duration {
+    match purpose {
+        Purpose::Handovers => HANDOVER_KEEP_ALIVE,
+        Purpose::Requests | Purpose::Directory | Purpose::Metrics => {
+            Duration::from_millis(limits.idle_timeout.0)
+        }
+    }
+}
+
 async fn respond(state: Rc<State>, purpose: Purpose, request: Request) -> Response<BoxBody> {
     let is_stopping = state.stopping_since().is_some();
     let mut response = match purpose {
-        Purpose::Requests => run::serve(Rc::clone(&state), request).await,
+        Purpose::Requests => run::serve(Rc::clone(&state), request, Origin::Caller).await,
+        Purpose::Handovers => run::serve(Rc::clone(&state), request, Origin::Entry).await,
         Purpose::Directory => directory::answer(&state, &request),
         Purpose::Metrics => directory::metrics(&state, &request),
     };
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -12,6 +12,7 @@
 use woodgap_core::clock::Millis;
 
 use crate::follow;
+use crate::front::server::{Acceptor, Purpose};
 use crate::gossip::exchange::knowledge;
 use crate::gossip::message::{FORM, FetchRequest, FetchResponse, Listed};
 use crate::source::Evacuations;
@@ -184,12 +185,22 @@
     read(&mut stream, on_progress).await
 }
 
-/// Answers other entries for as long as the process runs.
+/// Answers other entries for as long as the process runs: fetches, and requests that they hand
+/// over, which are HTTP.
 pub async fn serve(state: Rc<State>, listener: TcpListener) {
+    let handovers = Rc::new(Acceptor::new(&state, Purpose::Handovers));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(answer(Rc::clone(&state), stream));
+                let state = Rc::clone(&state);
+                let handovers = Rc::clone(&handovers);
+                actix_rt::spawn(async move {
+                    if is_http(&stream).await {
+                        handovers.take(stream).await;
+                    } else {
+                        answer(state, stream).await;
+                    }
+                });
             }
             Err(error) => {
                 log::warn!(error = error.to_string(); "an entry's connection can't be taken");
@@ -199,6 +210,14 @@
     }
 }
 
+/// Whether a connection carries HTTP: methods begin with a letter, and the version of a fetch is
+/// a lower number.
+async fn is_http(stream: &TcpStream) -> bool {
+    let mut first = [0];
+    let peeked = with_idle_timeout(stream.peek(&mut first)).await;
+    peeked.is_ok_and(|count| count > 0) && first[0].is_ascii_uppercase()
+}
+
 async fn answer(state: Rc<State>, mut stream: TcpStream) {
     let limit = Duration::from_millis(EXCHANGE_TIMEOUT.0);
     let answering = async {
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -55,6 +55,7 @@
         state.metrics.isolations.inc();
         let endpoints = state.roster.borrow().listed().count();
         log::warn!(endpoints = endpoints; "no endpoint can be connected to any more");
+        state.news.notify_one();
     }
     reaches_any
 }
@@ -101,6 +102,9 @@
     let ended = state.isolation.borrow_mut().record_connected(now);
     if let Some(lasted) = ended {
         state.metrics.isolated.set(0);
+        // Else all requests go to the first endpoint that is back.
+        state.loads.borrow_mut().end_backoffs(now);
+        state.news.notify_one();
         log::info!(for_ms = lasted.0; "endpoints can be connected to again");
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -25,6 +25,8 @@
     pub whole: HistogramVec,
     /// Requests sent to endpoints, by how the attempt ended.
     pub attempts: IntCounterVec,
+    /// Requests handed to other entries, and taken from them, by outcome.
+    pub handovers: IntCounterVec,
     /// Connections opened to endpoints.
     pub connects: IntCounter,
     /// Calls to the platform, by outcome.
@@ -97,6 +99,11 @@
             first_byte: histogram("first_byte_ms", "Arrival to first byte of the answer")?,
             whole: histogram("whole_ms", "Arrival to end")?,
             attempts: counters("attempts", "Attempts at endpoints by outcome", "outcome")?,
+            handovers: counters(
+                "handovers",
+                "Requests handed to other entries, and taken from them",
+                "outcome",
+            )?,
             connects: IntCounter::new("connects", "Connections opened to endpoints")?,
             platform_calls: counters("platform_calls", "Calls to the platform", "outcome")?,
             unusable_rows: counters("unusable_rows", "Rows that have become unusable", "what")?,
@@ -175,6 +182,7 @@
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.whole.clone()))?;
         registry.register(Box::new(self.attempts.clone()))?;
+        registry.register(Box::new(self.handovers.clone()))?;
         registry.register(Box::new(self.connects.clone()))?;
         registry.register(Box::new(self.platform_calls.clone()))?;
         registry.register(Box::new(self.unusable_rows.clone()))?;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -5,9 +5,11 @@
 pub mod attempt;
 pub mod crash;
 pub mod forward;
+pub mod handover;
 pub mod notice;
 pub mod placement;
 pub mod problem;
+pub mod responder;
 pub mod response;
 pub mod run;
 
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -7,11 +7,13 @@
 use woodgap_core::relay::Work;
 use woodgap_core::relay::division;
 use woodgap_core::relay::engine::Choice;
+use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::plan::Route;
 use woodgap_core::verdict::Verdict;
 
 use crate::dialect::{Field, Reply};
 use crate::request::Problem;
+use crate::request::handover::Accepted;
 use crate::request::problem::Code;
 use crate::scheduling::Admission;
 use crate::scheduling::announcement::Announcement;
@@ -49,6 +51,10 @@
     workspace: String,
     sends: u32,
     endpoint: String,
+    /// The other entry to which the request was last handed.
+    handed_to: String,
+    /// The room that a request of another entry takes here.
+    accepted: Option<Accepted>,
     /// The last chosen endpoint, with the estimates behind the choice.
     choice: Option<Choice>,
     objectives: Objectives,
@@ -89,6 +95,8 @@
             workspace: String::new(),
             sends: 0,
             endpoint: String::new(),
+            handed_to: String::new(),
+            accepted: None,
             choice: None,
             objectives: Objectives::default(),
             reused: false,
@@ -142,6 +150,23 @@
             .clone_into(&mut self.workspace);
     }
 
+    /// Sets that the request was taken from another entry.
+    pub fn set_accepted(&mut self, accepted: Accepted) {
+        self.accepted = Some(accepted);
+    }
+
+    /// Whether the request was taken from another entry.
+    pub fn is_of_entry(&self) -> bool {
+        self.accepted.is_some()
+    }
+
+    /// Sets the other entry to which the request is handed.
+    pub fn set_handover(&mut self, member: &Member) {
+        self.handed_to = member.name.to_string();
+        self.endpoint.clear();
+        self.choice = None;
+    }
+
     /// Sets the chosen endpoint and the estimates behind the choice.
     pub fn set_choice(&mut self, choice: &Choice) {
         self.endpoint = choice.endpoint.life.id.to_string();
@@ -185,7 +210,7 @@
             .inc();
         log::info!(
             request = self.id, fingerprint = self.fingerprint,
-            endpoint = self.endpoint, sends = self.sends,
+            endpoint = self.endpoint, handed_to = self.handed_to, sends = self.sends,
             reused = self.reused, rate_limit = text(self.rate_limit),
             back_off_ms = text(self.back_off.map(|it| it.0)),
             endpoint_leaving = text(self.leaving),
@@ -304,7 +329,9 @@
             first_byte_ms = self.first_byte.map_or(0, |it| it.0),
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
-            endpoint = self.endpoint, reused = self.reused, rate_limit = text(self.rate_limit),
+            endpoint = self.endpoint, handed_to = self.handed_to,
+            is_handed_over = self.is_of_entry(),
+            reused = self.reused, rate_limit = text(self.rate_limit),
             back_off_ms = text(self.back_off.map(|it| it.0)),
             endpoint_leaving = text(self.leaving),
             expected_wait_ms = figure(|it| it.expected_wait), cost_ms = figure(|it| it.cost),
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -14,6 +14,7 @@
 use woodgap_core::relay::plan::{Kind, Route, Service, Workspace};
 
 use crate::dialect::Call;
+use crate::request::handover::{self, Accepted};
 use crate::request::problem::{Code, OTHER_RELAY_RETRY_AFTER};
 use crate::request::{AccessRecord, Problem};
 use crate::state::State;
@@ -22,10 +23,25 @@
 /// rejected: a newer plan may contain them. Longer than the interval between two confirmations.
 const MAX_REJECTION_PLAN_AGE: Millis = Millis(3_000);
 
+/// Who has sent a request to this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Its caller.
+    Caller,
+    /// Another entry, which reaches no endpoint itself.
+    Entry,
+}
+
 /// A request to forward to an endpoint.
 pub struct AdmittedRequest {
     /// The parsed request headers.
     pub call: Call,
+    /// Who has sent it.
+    pub origin: Origin,
+    /// At how many endpoints it may be tried.
+    pub attempts: u32,
+    /// The requested host.
+    pub host: String,
     /// The HTTP method.
     pub method: Method,
     /// Path and query, unchanged.
@@ -58,6 +74,7 @@
 pub async fn admit(
     state: &Rc<State>,
     mut request: Request,
+    origin: Origin,
     record: &mut AccessRecord,
 ) -> Result<AdmittedRequest, Problem> {
     let arrived = state.now();
@@ -67,6 +84,9 @@
     record.set_id(&call.id);
     let max_wait = call.patience.unwrap_or(Millis(u64::MAX / 2));
     reject_if_stopping(state, &request, arrived + max_wait)?;
+    if origin == Origin::Entry {
+        record.set_accepted(Accepted::take(state, request.headers())?);
+    }
     let max_bytes = body_limit(state)?;
     let body = read_body(request.take_payload(), max_bytes, max_wait).await?;
     let table = table(state)?;
@@ -104,10 +124,21 @@
         body: &body,
     });
     record.set_fingerprint(fingerprint);
+    let mut headers = request.headers().clone();
+    let attempts = match origin {
+        Origin::Caller => route.attempts,
+        Origin::Entry => handover::attempts(&headers, route.attempts),
+    };
+    if origin == Origin::Entry {
+        handover::remove_headers(&mut headers);
+    }
     Ok(AdmittedRequest {
+        origin,
+        attempts,
+        host,
         method: request.method().clone(),
         target: target.to_owned(),
-        headers: request.headers().clone(),
+        headers,
         call,
         body,
         route,
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -12,7 +12,10 @@
 use crate::dialect::{Decline, Reply};
 use crate::links;
 use crate::request::placement::{MAX_DISCARDED_BYTES, Placement};
-use crate::request::{AccessRecord, AdmittedRequest, EndpointResponse, forward, notice, response};
+use crate::request::responder::Responder;
+use crate::request::{
+    AccessRecord, AdmittedRequest, EndpointResponse, Problem, forward, notice, response,
+};
 use crate::state::State;
 use crate::upstream::pool;
 use crate::upstream::{Connection, Error, Head};
@@ -38,6 +41,9 @@
     /// The response did not arrive in time.
     #[error("no answer in time")]
     TimedOut,
+    /// Another entry, to which the request was handed, reports an error of its own.
+    #[error("turned away by another entry: {}", .0.message)]
+    TurnedAway(Problem),
 }
 
 impl AttemptError {
@@ -46,6 +52,7 @@
         match self {
             Self::NotSent(_) | Self::Declined(_) => Verdict::NotRun,
             Self::Disconnected(_) | Self::Broken(_) | Self::TimedOut => Verdict::MayHaveRun,
+            Self::TurnedAway(problem) => problem.verdict,
         }
     }
 }
@@ -81,8 +88,9 @@
     let exchanged = exchanged.unwrap_or(Err(AttemptError::TimedOut));
     match exchanged {
         Ok((connection, head, max_idle)) => {
+            let responder = Responder::Endpoint(placement);
             let read_future =
-                EndpointResponse::read(connection, head, max_idle, &request.method, placement);
+                EndpointResponse::read(connection, head, max_idle, &request.method, responder);
             let remaining = Duration::from_millis((deadline - state.now()).0);
             let read_result = tokio::time::timeout(remaining, read_future).await;
             read_result.unwrap_or(Err(AttemptError::TimedOut))
@@ -104,7 +112,8 @@
 fn signal(failure: &AttemptError) -> HealthSignal {
     match failure {
         AttemptError::NotSent(_) => HealthSignal::Lost,
-        AttemptError::Declined(_) => HealthSignal::Success,
+        // No endpoint gives the latter.
+        AttemptError::Declined(_) | AttemptError::TurnedAway(_) => HealthSignal::Success,
         AttemptError::Disconnected(_) | AttemptError::Broken(_) | AttemptError::TimedOut => {
             HealthSignal::Failure
         }
--- a/crates/relay/src/request/forward.rs
+++ b/crates/relay/src/request/forward.rs
@@ -39,11 +39,15 @@
         .collect()
 }
 
-/// Builds the request head for the chosen endpoint.
-pub fn head(state: &State, request: &AdmittedRequest, choice: &Choice) -> BytesMut {
+/// The headers of the caller that concern more than one connection and pass this filter, with the
+/// length of the body.
+pub fn end_to_end_headers(
+    request: &AdmittedRequest,
+    passes: impl Fn(&str) -> bool,
+) -> Vec<(&str, Vec<u8>)> {
     let connection_options = connection_options(&request.headers);
     let forwarded = request.headers.iter().filter(|(name, _)| {
-        is_end_to_end(name.as_str(), &connection_options) && state.dialect.passes(name.as_str())
+        is_end_to_end(name.as_str(), &connection_options) && passes(name.as_str())
     });
     let mut headers: Vec<(&str, Vec<u8>)> = forwarded
         .map(|(name, value)| (name.as_str(), value.as_bytes().to_vec()))
@@ -53,6 +57,12 @@
         let length = request.body.len().to_string();
         headers.push(("content-length", length.into_bytes()));
     }
+    headers
+}
+
+/// Builds the request head for the chosen endpoint.
+pub fn head(state: &State, request: &AdmittedRequest, choice: &Choice) -> BytesMut {
+    let mut headers = end_to_end_headers(request, |name| state.dialect.passes(name));
     let stamp = Stamp {
         left: request.deadline - state.now(),
         endpoint: &choice.endpoint.life.id,
--- a/crates/relay/src/request/problem.rs
+++ b/crates/relay/src/request/problem.rs
@@ -1,10 +1,13 @@
 //! Error responses for callers.
 
+use std::str::FromStr;
+
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderName, HeaderValue};
 use serde::Serialize;
+use thiserror::Error;
 use woodgap_core::clock::Millis;
 use woodgap_core::verdict::Verdict;
 
@@ -62,6 +65,21 @@
         }
     }
 
+    const ALL: [Self; 12] = [
+        Self::BadRequest,
+        Self::BodyTooLarge,
+        Self::RequestTimeout,
+        Self::UnknownKey,
+        Self::UnknownRoute,
+        Self::NotReady,
+        Self::Stopping,
+        Self::NoEndpoint,
+        Self::Overloaded,
+        Self::EndpointFailed,
+        Self::Timeout,
+        Self::Withheld,
+    ];
+
     const fn status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -80,6 +98,20 @@
     }
 }
 
+/// No error code has this name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("unknown error code")]
+pub struct UnknownCode;
+
+impl FromStr for Code {
+    type Err = UnknownCode;
+
+    fn from_str(name: &str) -> Result<Self, UnknownCode> {
+        let mut all = Self::ALL.into_iter();
+        all.find(|code| code.as_str() == name).ok_or(UnknownCode)
+    }
+}
+
 /// An error that is reported to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -125,6 +157,16 @@
             .retry_after(OTHER_RELAY_RETRY_AFTER)
     }
 
+    /// Whether the request has not run for a cause that concerns one entry, so that another one
+    /// may serve it.
+    pub fn is_of_entry(&self) -> bool {
+        let concerns_entry = matches!(
+            self.code,
+            Code::NoEndpoint | Code::NotReady | Code::Stopping
+        );
+        concerns_entry && self.verdict == Verdict::NotRun
+    }
+
     /// Sets the time after which the caller should retry.
     #[must_use]
     pub fn retry_after(mut self, span: Millis) -> Self {
--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -13,7 +13,7 @@
 use crate::request::AccessRecord;
 use crate::request::attempt::AttemptError;
 use crate::request::forward::{connection_options, is_end_to_end};
-use crate::request::placement::Placement;
+use crate::request::responder::Responder;
 use crate::state::State;
 use crate::upstream::{Connection, Error, Framing, Head};
 
@@ -50,7 +50,7 @@
 pub struct BodyRemainder {
     connection: Connection,
     framing: Framing,
-    placement: Placement,
+    responder: Responder,
     /// How long the connection may stay idle in the pool afterwards.
     pause: Millis,
     /// The last two bytes received.
@@ -70,31 +70,31 @@
         head: Head,
         pause: Millis,
         method: &Method,
-        placement: Placement,
+        responder: Responder,
     ) -> Result<Self, AttemptError> {
         let read_result = Self::read_first(&mut connection, &head, method).await;
         let (framing, first) = match read_result {
             Ok(read) => read,
             Err(error) => {
-                placement.record_failure(&error);
+                responder.record_failure(&error);
                 return Err(error.into());
             }
         };
-        placement.record_start();
-        placement.record_signal(signal(head.status));
+        responder.record_start();
+        responder.record_signal(signal(head.status));
         let Some(framing) = framing else {
             let framing = head.framing(method);
             if framing.is_ok_and(|framing| !framing.is_close_delimited()) {
-                placement.record_survival(head.status);
+                responder.record_survival(head.status);
             }
-            placement.return_connection(connection, pause);
+            responder.return_connection(connection, pause);
             return Ok(Self::Whole { head, body: first });
         };
         let is_event_stream = is_event_stream(&head);
         let mut remainder = BodyRemainder {
             connection,
             framing,
-            placement,
+            responder,
             pause,
             tail: *b"\n\n",
             is_event_stream,
@@ -235,7 +235,7 @@
     async fn next_chunk(mut self) -> Option<(Result<Bytes, Error>, Option<Self>)> {
         if let Some(first) = self.first.take() {
             self.record.record_piece();
-            self.remainder.placement.event();
+            self.remainder.responder.event();
             return Some((Ok(first), Some(self)));
         }
         let remaining = Duration::from_millis((self.deadline - self.state.now()).0);
@@ -243,21 +243,21 @@
         match chunk.unwrap_or(Err(Error::TimedOut)) {
             Ok(Some(bytes)) => {
                 self.record.record_piece();
-                self.remainder.placement.event();
+                self.remainder.responder.event();
                 Some((Ok(bytes), Some(self)))
             }
             Ok(None) => {
                 self.record.complete(self.status.as_u16());
                 if !self.remainder.framing.is_close_delimited() {
-                    self.remainder.placement.record_survival(self.status);
+                    self.remainder.responder.record_survival(self.status);
                 }
                 self.remainder
-                    .placement
+                    .responder
                     .return_connection(self.remainder.connection, self.remainder.pause);
                 None
             }
             Err(error) => {
-                self.remainder.placement.record_failure(&error);
+                self.remainder.responder.record_failure(&error);
                 self.record.abort(self.status.as_u16(), &error.to_string());
                 // The server discards unwritten data when a body fails.
                 tokio::time::sleep(Duration::from_millis(FLUSH_DELAY.0)).await;
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -15,6 +15,7 @@
 };
 use woodgap_core::relay::duty;
 use woodgap_core::relay::engine::Choice;
+use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::plan::Kind;
 use woodgap_core::relay::roster::Endpoint;
 use woodgap_core::relay::shutdown::EndTime;
@@ -22,9 +23,10 @@
 
 use crate::dialect::Decline;
 use crate::front::server::ConnectedAt;
-use crate::request::admit::{self, AdmittedRequest};
+use crate::request::admit::{self, AdmittedRequest, Origin};
 use crate::request::attempt::{AttemptError, attempt};
 use crate::request::crash;
+use crate::request::handover;
 use crate::request::problem::Code;
 use crate::request::{AccessRecord, EndpointResponse, Problem};
 use crate::scheduling::{admission, announcement};
@@ -32,6 +34,9 @@
 
 /// Maximum number of attempts that fail before any byte is sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
+/// A request is handed to another entry after this number of them: one endpoint may be down, but
+/// two suggest that this entry's links are.
+const UNSENT_BEFORE_HANDOVER: u32 = 2;
 /// `Retry-After` for a service whose endpoints are all warming up.
 const WARM_UP_RETRY_AFTER: Millis = Millis(1_000);
 /// `Retry-After` for a service without a reachable endpoint.
@@ -61,19 +66,19 @@
 }
 
 /// Serves one request.
-pub async fn serve(state: Rc<State>, request: Request) -> Response<BoxBody> {
+pub async fn serve(state: Rc<State>, request: Request, origin: Origin) -> Response<BoxBody> {
     let connected = request.conn_data::<ConnectedAt>();
     let connected = connected.map_or_else(|| state.now(), |it| it.0);
     let mut record = AccessRecord::open(&state, connected);
     // Callers that still wait when the process is about to exit get an error response.
     let result = tokio::select! {
         biased;
-        result = process(&state, request, &mut record) => Some(result),
+        result = process(&state, request, origin, &mut record) => Some(result),
         () = state.closed() => None,
     };
     match result.unwrap_or_else(|| Err(record.shutdown_problem())) {
         Ok((response, deadline)) => response.respond(&state, record, deadline),
-        Err(problem) => refuse(&state, record, &problem),
+        Err(problem) => refuse(&state, record, origin, &problem),
     }
 }
 
@@ -81,24 +86,42 @@
 async fn process(
     state: &Rc<State>,
     request: Request,
+    origin: Origin,
     record: &mut AccessRecord,
 ) -> Result<(EndpointResponse, Millis), Problem> {
-    let admitted = admit::admit(state, request, record).await?;
-    state.count_request(&admitted.service.name);
-    admission::admit(state, &admitted, record).await?;
+    let admitted = admit::admit(state, request, origin, record).await?;
+    if origin == Origin::Caller {
+        state.count_request(&admitted.service.name);
+    }
+    // A request that is handed over is scheduled by the entry that sends it to an endpoint.
+    if peer_instead_of_endpoints(state, &admitted, &Attempts::default()).is_none() {
+        admission::admit(state, &admitted, record).await?;
+    }
     let response = run_attempts(state, &admitted, record).await?;
     Ok((response, admitted.deadline))
 }
 
-fn refuse(state: &State, mut record: AccessRecord, problem: &Problem) -> Response<BoxBody> {
+fn refuse(
+    state: &State,
+    mut record: AccessRecord,
+    origin: Origin,
+    problem: &Problem,
+) -> Response<BoxBody> {
     record.refuse(problem);
-    problem.to_response(state.dialect.as_ref(), record.id())
+    let mut response = problem.to_response(state.dialect.as_ref(), record.id());
+    if origin == Origin::Entry {
+        let (name, value) = handover::problem_header(problem);
+        response.headers_mut().insert(name, value);
+    }
+    response
 }
 
 /// The attempts at one request so far.
 #[derive(Default)]
 struct Attempts {
     tried: Vec<name::Life>,
+    /// The other entries that were asked.
+    peers: Vec<name::Entry>,
     unsent: u32,
     sent: u32,
     verdict: Option<Verdict>,
@@ -106,6 +129,12 @@
     failed_response: Option<EndpointResponse>,
 }
 
+/// Where the next attempt goes.
+enum Target {
+    Endpoint(Choice),
+    Peer(Member),
+}
+
 async fn run_attempts(
     state: &Rc<State>,
     request: &AdmittedRequest,
@@ -113,8 +142,8 @@
 ) -> Result<EndpointResponse, Problem> {
     let mut attempts = Attempts::default();
     loop {
-        let choice = match choose(state, request, &attempts) {
-            Ok(choice) => choice,
+        let target = match next_target(state, request, &attempts) {
+            Ok(target) => target,
             Err(problem) => {
                 let problem = attempts
                     .announce_retry(state, request, record, problem)
@@ -122,25 +151,60 @@
                 return attempts.finish(problem);
             }
         };
-        let deadline = attempts.attempt_deadline(state.now(), request);
-        let failure = match attempt(state, request, &choice, deadline, record).await {
+        let answered = attempts.run_one(state, request, &target, record).await;
+        let failure = match answered {
+            // Another entry has made all attempts that are allowed.
+            Ok(response) if matches!(target, Target::Peer(_)) => return Ok(response),
             Ok(response) if !attempts.may_retry(state, request, &response) => return Ok(response),
             Ok(response) => {
                 attempts.sent += 1;
-                attempts.tried.push(choice.endpoint.life);
                 attempts.failed_response = Some(response);
+                attempts.exclude(target);
                 continue;
             }
             Err(failure) => failure,
         };
         record.record_failed_attempt(&failure.to_string());
-        attempts.record(&failure, choice.endpoint.life.clone());
+        attempts.record(&failure, &target, request);
         if let Some(problem) = attempts.final_problem(state, request, &failure) {
             return attempts.finish(problem);
         }
         // A crash must be counted before the next endpoint is chosen.
-        crash::wait_for_check(state, &choice.endpoint.life).await;
+        if let Target::Endpoint(choice) = &target {
+            crash::wait_for_check(state, &choice.endpoint.life).await;
+        }
+        attempts.exclude(target);
+    }
+}
+
+/// Chooses an endpoint or, if this entry reaches none, another entry.
+fn next_target(
+    state: &State,
+    request: &AdmittedRequest,
+    attempts: &Attempts,
+) -> Result<Target, Problem> {
+    if let Some(peer) = peer_instead_of_endpoints(state, request, attempts) {
+        return Ok(Target::Peer(peer));
     }
+    match choose(state, request, attempts) {
+        Ok(choice) => Ok(Target::Endpoint(choice)),
+        Err(problem) if problem.code == Code::NoEndpoint => {
+            let peer = attempts.choose_peer(state, request);
+            peer.map(Target::Peer).ok_or(problem)
+        }
+        Err(problem) => Err(problem),
+    }
+}
+
+/// The entry to hand the request to without trying endpoints (again), if there is one.
+fn peer_instead_of_endpoints(
+    state: &State,
+    request: &AdmittedRequest,
+    attempts: &Attempts,
+) -> Option<Member> {
+    let is_isolated = state.isolation.borrow().is_isolated();
+    let is_due = is_isolated || attempts.unsent >= UNSENT_BEFORE_HANDOVER;
+    is_due.then(|| attempts.choose_peer(state, request))?
 }
 
 /// Chooses the best endpoint that has not been tried yet.
@@ -328,6 +392,49 @@
 }
 
 impl Attempts {
+    /// The entry to hand the request to, unless this one stops before the response can end.
+    fn choose_peer(&self, state: &State, request: &AdmittedRequest) -> Option<Member> {
+        let end = EndTime {
+            deadline: request.deadline,
+            forecast: None,
+        };
+        let ends_in_time = state
+            .shutdown()
+            .is_none_or(|shutdown| shutdown.accepts(end, state.now()));
+        if !ends_in_time || check_quarantine(state, request, state.now()).is_err() {
+            return None;
+        }
+        handover::choose(state, request, &self.peers)
+    }
+
+    /// Sends the request to an endpoint, or hands it to another entry.
+    async fn run_one(
+        &self,
+        state: &Rc<State>,
+        request: &AdmittedRequest,
+        target: &Target,
+        record: &mut AccessRecord,
+    ) -> Result<EndpointResponse, AttemptError> {
+        match target {
+            Target::Endpoint(choice) => {
+                let deadline = self.attempt_deadline(state.now(), request);
+                attempt(state, request, choice, deadline, record).await
+            }
+            Target::Peer(member) => {
+                let left = request.attempts.saturating_sub(self.sent).max(1);
+                handover::attempt(state, request, member, left, record).await
+            }
+        }
+    }
+
+    /// Excludes an endpoint or entry from further attempts.
+    fn exclude(&mut self, target: Target) {
+        match target {
+            Target::Endpoint(choice) => self.tried.push(choice.endpoint.life),
+            Target::Peer(member) => self.peers.push(member.name),
+        }
+    }
+
     /// Tells the caller of a scheduled request that found no endpoint before its first attempt when
     /// it is to retry.
     async fn announce_retry(
@@ -357,7 +464,7 @@
 
     /// Whether another attempt is allowed after the next one.
     fn has_attempt_after_next(&self, request: &AdmittedRequest) -> bool {
-        self.sent + 1 < request.route.attempts
+        self.sent + 1 < request.attempts
     }
 
     /// Whether to retry a server error on another endpoint.
@@ -375,12 +482,14 @@
             && state.spend_repeat(&request.service.name)
     }
 
-    fn record(&mut self, failure: &AttemptError, endpoint: name::Life) {
-        self.tried.push(endpoint);
-        if matches!(failure, AttemptError::NotSent(_)) {
-            self.unsent += 1;
-        } else {
-            self.sent += 1;
+    fn record(&mut self, failure: &AttemptError, target: &Target, request: &AdmittedRequest) {
+        match (failure, target) {
+            (AttemptError::NotSent(_), _) => self.unsent += 1,
+            // It was sent to no endpoint.
+            (AttemptError::TurnedAway(problem), _) if problem.is_of_entry() => {}
+            // The other entry may have made all attempts that are allowed.
+            (_, Target::Peer(_)) => self.sent = request.attempts,
+            (_, Target::Endpoint(_)) => self.sent += 1,
         }
         let verdict = failure.verdict();
         self.verdict = self.verdict.max(Some(verdict));
@@ -396,11 +505,13 @@
         let verdict = self.verdict.unwrap_or(Verdict::NotRun);
         let may_retry = match failure {
             AttemptError::NotSent(_) => self.unsent < MAX_UNSENT_ATTEMPTS,
+            AttemptError::TurnedAway(problem) if problem.is_of_entry() => true,
+            AttemptError::TurnedAway(problem) => return Some(problem.clone()),
             AttemptError::Declined(_)
             | AttemptError::Disconnected(_)
             | AttemptError::Broken(_)
             | AttemptError::TimedOut => {
-                self.sent < request.route.attempts
+                self.sent < request.attempts
                     && (verdict.safe_to_repeat() || request.route.repeatable())
                     && state.spend_repeat(&request.service.name)
             }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -32,6 +32,7 @@
 use crate::links::LinkCheck;
 use crate::metrics::Metrics;
 use crate::request::crash::CrashChecks;
+use crate::request::handover::Exchange;
 use crate::scheduling::Scheduling;
 use crate::source::Source;
 use crate::stop;
@@ -98,7 +99,9 @@
     pub link_check: LinkCheck,
     /// Connections to them.
     pub pool: RefCell<Pool>,
-    /// How long those may rest.
+    /// What is handed to other entries, and taken from them.
+    pub exchange: Exchange,
+    /// How long connections to endpoints may rest.
     pub rests: RefCell<IdleLimits>,
     /// The other entries.
     pub fleet: RefCell<Fleet>,
@@ -187,6 +190,7 @@
             isolation: RefCell::default(),
             link_check: LinkCheck::default(),
             pool: RefCell::default(),
+            exchange: Exchange::new(settings.descriptors),
             rests: RefCell::default(),
             fleet: RefCell::new(Fleet::new(
                 settings.name.clone(),
@@ -433,6 +437,7 @@
             stopping: self.stopping_since().is_some(),
             ready: self.is_ready(),
             reaches_platform: !self.is_platform_lost.get(),
+            reaches_endpoints: !self.isolation.borrow().is_isolated(),
         }
     }
 
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -38,6 +38,7 @@
 fn round(state: &Rc<State>, now: Millis) {
     drop_gone(state, now);
     state.pool.borrow_mut().sweep(now);
+    state.exchange.sweep(now);
     state.warmed.borrow_mut().expire(now);
     state.rate_limits.borrow_mut().expire(now);
     let due = state.loads.borrow().due_for_reconnect(now);
--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -1,6 +1,7 @@
-//! Pool of idle connections to endpoints.
+//! Pool of idle connections to endpoints, or to other entries.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
@@ -17,9 +18,17 @@
 
 /// Connections keyed by an endpoint's life, so that an endpoint that restarts under the same
 /// name never gets a request on a connection to its previous life.
-#[derive(Debug, Default)]
-pub struct Pool {
-    lines: HashMap<name::Life, EndpointConnections>,
+#[derive(Debug)]
+pub struct Pool<Key = name::Life> {
+    lines: HashMap<Key, EndpointConnections>,
+}
+
+impl<Key> Default for Pool<Key> {
+    fn default() -> Self {
+        Self {
+            lines: HashMap::new(),
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -35,13 +44,13 @@
     expires_at: Millis,
 }
 
-impl Pool {
+impl<Key: Clone + Eq + Hash> Pool<Key> {
     /// Takes the most recently used idle connection that is still reusable, and returns it
     /// with its idle time. `max_idle` limits the idle time, if given. Idle connections that
     /// don't qualify are closed on the way.
     pub fn take(
         &mut self,
-        endpoint: &name::Life,
+        endpoint: &Key,
         max_idle: Option<Millis>,
         now: Millis,
     ) -> Option<(Connection, Millis)> {
@@ -57,19 +66,19 @@
     }
 
     /// Counts a pooled or new connection as in use by a request.
-    pub fn acquire(&mut self, endpoint: &name::Life) {
+    pub fn acquire(&mut self, endpoint: &Key) {
         self.lines.entry(endpoint.clone()).or_default().busy += 1;
     }
 
     /// Reverts [`Self::acquire`] when the request is done with its connection.
-    pub fn release(&mut self, endpoint: &name::Life) {
+    pub fn release(&mut self, endpoint: &Key) {
         if let Some(connections) = self.lines.get_mut(endpoint) {
             connections.busy = connections.busy.saturating_sub(1);
         }
     }
 
     /// The number of connections in use by requests.
-    pub fn busy(&self, endpoint: &name::Life) -> usize {
+    pub fn busy(&self, endpoint: &Key) -> usize {
         self.lines
             .get(endpoint)
             .map_or(0, |connections| connections.busy)
@@ -79,7 +88,7 @@
     /// reusable, if `keep_alive` is zero or if the endpoint has enough idle connections.
     pub fn put(
         &mut self,
-        endpoint: &name::Life,
+        endpoint: &Key,
         mut connection: Connection,
         keep_alive: Millis,
         now: Millis,
@@ -99,7 +108,7 @@
     }
 
     /// Closes the idle connections to an endpoint.
-    pub fn close(&mut self, endpoint: &name::Life) {
+    pub fn close(&mut self, endpoint: &Key) {
         if let Some(connections) = self.lines.get_mut(endpoint) {
             connections.idle.clear();
         }
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -46,6 +46,7 @@
         stopping: false,
         ready: true,
         reaches_platform: true,
+        reaches_endpoints: true,
     }
 }
 
--- a/crates/relay/tests/contract/peer.rs
+++ b/crates/relay/tests/contract/peer.rs
@@ -32,6 +32,7 @@
             stopping: false,
             ready: true,
             reaches_platform: true,
+            reaches_endpoints: true,
         },
         knowledge,
         known_entries: 0,
