Callers are not sent to entries that reach no endpoint

Callers saw: an entry without links to endpoints stood in the lists of entries for as long as that lasted, and new connections went on coming to it.

Cause: the directory named all live entries, and an entry was live as long as others heard it. Loss of links is told between entries, and was not looked at.

Change: the directory leaves out entries that reach no endpoint, the own one too, unless none does. The readiness check stays: such an entry serves, by way of others.

Measured: the contract case failed on (waited a minute in vain) and passes; with links lost at all entries all are named again.

--- a/crates/relay/src/front/directory.rs
+++ b/crates/relay/src/front/directory.rs
@@ -56,15 +56,19 @@
 }
 
 /// The entries that a caller should use: the live ones of its data centre, or all live ones if
-/// there are fewer than [`MIN_LOCAL_ENTRIES`].
+/// there are fewer than [`MIN_LOCAL_ENTRIES`]. Those that reach no endpoint are left out, unless
+/// none does.
 fn entries(state: &State, near: Option<&name::DataCentre>) -> Vec<SocketAddr> {
     let now = state.now();
     let own = state.member();
     let fleet = state.fleet.borrow();
-    let live: Vec<_> = fleet
+    let mut live: Vec<_> = fleet
         .live(now)
         .chain((!own.stopping).then_some(&own))
         .collect();
+    if live.iter().any(|member| member.reaches_endpoints) {
+        live.retain(|member| member.reaches_endpoints);
+    }
     let is_near = |data_centre: &name::DataCentre| near == Some(data_centre);
     let near: Vec<_> = live
         .iter()
