An entry that has lost its links takes no endpoint for crashed

Change: a refusal counts as a crash only if this entry can connect to another endpoint, by the check of the links. With fewer than three endpoints it counts as before, since one request may have ended them all. The first step of a check is one connection instead of three.

Measured: the contract case failed on (three crashes) and passes; the contract cases of crashes pass as before.

--- a/crates/core/src/relay/isolation.rs
+++ b/crates/core/src/relay/isolation.rs
@@ -12,9 +12,9 @@
 use crate::relay::prefix;
 use crate::relay::roster::Endpoint;
 
-/// How many endpoints are connected to first. One that answers is enough, and while a single
-/// endpoint is down nearly all checks end here.
-const FIRST_WAVE: usize = 3;
+/// How many endpoints are connected to first. While a single endpoint is down, nearly all checks
+/// end with this one connection.
+const FIRST_WAVE: usize = 1;
 /// How many endpoints are connected to before the entry counts as isolated. If half of all
 /// endpoints are down, a sample of this size misses the others once in 65,000 checks.
 const MAX_PROBES: usize = 16;
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -1,9 +1,10 @@
 //! Detects whether an endpoint that dropped its connections has crashed.
 //!
 //! A connection can be lost for many reasons: the endpoint drops one request, a link fails, or an
-//! intermediary resets it. If the address refuses connections right afterwards, the endpoint has
-//! crashed, and each request that it had in flight may be the cause. The same holds if the address
-//! accepts connections, but the endpoint is then listed with a later start.
+//! intermediary resets it. If the address refuses connections right afterwards, while this entry
+//! reaches other endpoints, the endpoint has crashed, and each request that it had in flight may be
+//! the cause. The same holds if the address accepts connections, but the endpoint is then listed
+//! with a later start.
 
 use std::collections::HashMap;
 use std::io;
@@ -18,6 +19,7 @@
 use woodgap_core::quarantine::Crash;
 use woodgap_core::relay::load_report;
 
+use crate::links;
 use crate::state::State;
 use crate::upkeep;
 use crate::upstream::{Connection, Error};
@@ -28,6 +30,9 @@
 /// row is written within a second or two of the start, and read soon after.
 const RESTART_WINDOW: Millis = Millis(5_000);
 
+/// If fewer endpoints are listed, the loss of all does not suggest that links were lost.
+const MIN_ENDPOINTS: usize = 3;
+
 /// A request whose connection was lost.
 #[derive(Clone, Copy, Debug)]
 pub struct Suspect {
@@ -137,12 +142,11 @@
 async fn probe_endpoint(state: Rc<State>, life: name::Life, address: SocketAddr) {
     let opened = connect_with_retry(address).await;
     let now = state.now();
-    if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(&life) {
-        check.probe = None;
-    }
     match opened {
         Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            record_crash(&state, &life);
+            if has_links(&state).await {
+                record_crash(&state, &life);
+            }
         }
         // The endpoint may be unreachable, which says nothing about a crash.
         Err(_) => {}
@@ -151,6 +155,16 @@
             pool.put(&life, connection, upkeep::REST, now);
         }
     }
+    if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(&life) {
+        check.probe = None;
+    }
+}
+
+/// Whether this entry still has links to endpoints: else refused connections say nothing about a
+/// crash. With few endpoints, one request may have crashed them all.
+async fn has_links(state: &Rc<State>) -> bool {
+    let endpoints = state.roster.borrow().listed().count();
+    endpoints < MIN_ENDPOINTS || links::check(state).await
 }
 
 /// Connects to an endpoint and retries once on a timeout, as TCP retransmits a lost packet only
