Brittle endpoints: no entry has more requests there than its part of the slots

Callers would see: endpoints that fall over, with all that runs there, when entries that send at the same moment push them into refusals.

Cause: an endpoint's word that it fails if it has to turn many requests away was not read, and an entry learns that an endpoint is full by a refusal only.

While a service is brittle (3 s after an answer or another entry last said so), an entry has at most its part of each endpoint's slots there: slots over entries or, with more entries than slots, one at the entries next to the endpoint on the hash ring. An entry without any part hands the request over.

A property test on the parts, message sizes as before.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -7,6 +7,7 @@
 pub mod active_plan;
 pub mod admission;
 pub mod back_off;
+pub mod brittle;
 pub mod budget;
 pub mod claim;
 pub mod dating;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod active_plan;
 mod admission;
 mod back_off;
+mod brittle;
 mod budget;
 mod claim;
 mod departure;
@@ -13,6 +14,7 @@
 mod evacuation;
 mod fleet;
 mod fleet_restart;
+mod handover;
 mod health;
 mod isolation;
 mod lives;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -94,6 +94,8 @@
     pub rate_limit: Field<f64>,
     /// Whether it is about to leave, and wants no more requests.
     pub leaving: Field<bool>,
+    /// How many requests of all entries it can turn away in a second without failing.
+    pub brittle: Field<f64>,
     /// For how long it wants no more requests from this entry, if it turns this one away.
     pub back_off: Field<Millis>,
 }
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -27,6 +27,7 @@
 ///     load: "load",
 ///     rate_limit: "rate-limit",
 ///     leaving: "leaving",
+///     brittle: "brittle",
 /// };
 /// assert!(names.passes("accept"));
 /// assert!(!names.passes("left-ms"));
@@ -68,6 +69,9 @@
     pub rate_limit: &'static str,
     /// From an endpoint: 1 if it is about to leave.
     pub leaving: &'static str,
+    /// From an endpoint: how many requests of all entries it can turn away in a second; it fails
+    /// if there are more.
+    pub brittle: &'static str,
 }
 
 impl Names {
@@ -124,6 +128,7 @@
             load: head.header_str(self.load).and_then(report),
             rate_limit: dialect::decimal(&head.headers, self.rate_limit),
             leaving: dialect::flag(&head.headers, self.leaving),
+            brittle: dialect::decimal(&head.headers, self.brittle),
             back_off: back_off(head, declined),
         }
     }
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -31,6 +31,7 @@
     load: "x-woodgap-load",
     rate_limit: "x-woodgap-rate-limit",
     leaving: "x-woodgap-leaving",
+    brittle: "x-woodgap-brittle",
 };
 
 /// The product's own dialect: headers that begin with `X-Woodgap-`, and the
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -15,8 +15,8 @@
 use woodgap_core::relay::load_report::LoadReport;
 
 use crate::gossip::message::{
-    self, Knowledge, MAX_DATAGRAM_BYTES, MAX_DEPARTURES, MAX_LOADS, MAX_RATE_LIMITS, MAX_SUSPECTS,
-    MEMBERS_PER_MESSAGE, Message,
+    self, Knowledge, MAX_BRITTLE, MAX_DATAGRAM_BYTES, MAX_DEPARTURES, MAX_LOADS, MAX_RATE_LIMITS,
+    MAX_SUSPECTS, MEMBERS_PER_MESSAGE, Message,
 };
 use crate::gossip::{ROUND_INTERVAL, STARTUP_ROUND_INTERVAL, fetch};
 use crate::request::notice;
@@ -191,9 +191,13 @@
             let mut roster = self.state.roster.borrow_mut();
             roster.departure_notices(MAX_DEPARTURES, now)
         };
+        let brittle = self.state.brittle.borrow().notices(MAX_BRITTLE, now);
         let scheduling = round::reports(&self.state, now);
-        let max_loads =
-            MAX_LOADS - rate_limits.len() - departures.len() - scheduling.len() * LOADS_PER_REPORT;
+        let max_loads = MAX_LOADS
+            - rate_limits.len()
+            - departures.len()
+            - brittle.len()
+            - scheduling.len() * LOADS_PER_REPORT;
         let mut load = self.state.loads.borrow().gossip(max_loads, now);
         load.scheduling = scheduling;
         let mut message = Message {
@@ -202,6 +206,7 @@
             idle_limits: self.state.rests.borrow().report(now),
             rate_limits,
             departures,
+            brittle,
             ..self.base_message(number, is_answer)
         };
         let suspects = self
@@ -228,6 +233,7 @@
             idle_limits: Vec::new(),
             rate_limits: Vec::new(),
             departures: Vec::new(),
+            brittle: Vec::new(),
             suspects: Vec::new(),
             unix: self.state.clock.unix(),
             claim: self.state.claim.borrow().clone(),
@@ -361,6 +367,7 @@
             .borrow_mut()
             .merge(&message.idle_limits, now);
         notice::merge_rate_limits(&self.state, &message.rate_limits, now);
+        notice::merge_brittleness(&self.state, &message.brittle, now);
         notice::merge_departures(&self.state, &message.departures, now);
         self.state.told_of_crashes(&message.suspects);
         if message.knowledge.withheld {
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -4,6 +4,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::quarantine;
+use woodgap_core::relay::brittle;
 use woodgap_core::relay::claim::Claim;
 use woodgap_core::relay::departure;
 use woodgap_core::relay::fleet::Member;
@@ -34,6 +35,8 @@
 pub const MAX_RATE_LIMITS: usize = 6;
 /// The same for endpoints that say that they are leaving.
 pub const MAX_DEPARTURES: usize = 3;
+/// The same for services whose endpoints are brittle; what was said last goes first.
+pub const MAX_BRITTLE: usize = 1;
 /// How many other entries a message describes, unless it answers one that has just started.
 pub const MEMBERS_PER_MESSAGE: usize = 1;
 
@@ -62,6 +65,8 @@
     pub idle_limits: Vec<rest::IdleLimit>,
     /// Rate limits that endpoints name.
     pub rate_limits: Vec<rate_limit::Notice>,
+    /// Services whose endpoints are brittle.
+    pub brittle: Vec<brittle::Notice>,
     /// Endpoints that say that they are leaving.
     pub departures: Vec<departure::Notice>,
     /// Requests that were running on endpoints when these crashed.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -63,6 +63,10 @@
     pub backed_off: IntCounter,
     /// Requests that were not sent, since all endpoints were at their rate limits.
     pub rate_limited: IntCounter,
+    /// Services whose endpoints are brittle.
+    pub brittle_services: IntGauge,
+    /// Requests that were not sent, since this entry's part of brittle endpoints was in use.
+    pub brittle_refusals: IntCounter,
     /// Whether this entry has the duties of one entry at a time: 1 or 0.
     pub has_duties: IntGauge,
     /// Windows of use, by what became of them.
@@ -146,6 +150,14 @@
                 "rate_limited",
                 "Requests that were not sent: all endpoints were at their rate limits",
             )?,
+            brittle_services: IntGauge::new(
+                "brittle_services",
+                "Services whose endpoints fail if they have to refuse many requests",
+            )?,
+            brittle_refusals: IntCounter::new(
+                "brittle_refusals",
+                "Requests that were not sent: this entry's part of brittle endpoints was in use",
+            )?,
             has_duties: IntGauge::new("has_duties", "Whether this entry has the duties")?,
             windows: counters(
                 "windows",
@@ -201,6 +213,8 @@
         registry.register(Box::new(self.back_offs.clone()))?;
         registry.register(Box::new(self.backed_off.clone()))?;
         registry.register(Box::new(self.rate_limited.clone()))?;
+        registry.register(Box::new(self.brittle_services.clone()))?;
+        registry.register(Box::new(self.brittle_refusals.clone()))?;
         registry.register(Box::new(self.has_duties.clone()))?;
         registry.register(Box::new(self.windows.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
--- a/crates/relay/src/request/notice.rs
+++ b/crates/relay/src/request/notice.rs
@@ -4,7 +4,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::relay::rate_limit::{self, Change};
-use woodgap_core::relay::{departure, load_report};
+use woodgap_core::relay::{brittle, departure, load_report};
 
 use crate::dialect::{Decline, Field, Reply};
 use crate::state::State;
@@ -17,12 +17,40 @@
         return;
     }
     record_rate_limit(state, endpoint, reply.rate_limit, status);
+    record_brittleness(state, endpoint, reply.brittle);
     if reply.leaving == Field::Valid(true) {
         record_departure(state, endpoint);
     }
     record_back_off(state, endpoint, reply, status);
 }
 
+fn record_brittleness(state: &State, endpoint: &name::Life, refusals_per_second: Field<f64>) {
+    let Field::Valid(refusals_per_second) = refusals_per_second else {
+        return;
+    };
+    let roster = state.roster.borrow();
+    let Some(service) = roster.get(endpoint).map(|it| &it.service) else {
+        return;
+    };
+    if state.brittle.borrow_mut().record(service, state.now()) {
+        log::info!(
+            service = service.as_str(), endpoint = endpoint.id.as_str(),
+            refusals_per_second = refusals_per_second;
+            "the endpoints of a service are brittle"
+        );
+        state.news.notify_one();
+    }
+}
+
+/// Takes over which services another entry has heard to be brittle.
+pub fn merge_brittleness(state: &State, notices: &[brittle::Notice], now: Millis) {
+    if state.brittle.borrow_mut().merge(notices, now) {
+        log::info!("the endpoints of a service are brittle, as another entry tells");
+        // Others hear of it from more than one entry.
+        state.news.notify_one();
+    }
+}
+
 fn record_back_off(state: &State, endpoint: &name::Life, reply: &Reply<'_>, status: StatusCode) {
     let now = state.now();
     let mut back_offs = state.back_offs.borrow_mut();
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -13,6 +13,7 @@
     Decision as Admission, LatencyRequirement, MAX_RETRY_AFTER, MIN_RETRY_AFTER, decide,
     retry_after_rate,
 };
+use woodgap_core::relay::brittle;
 use woodgap_core::relay::duty;
 use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::fleet::Member;
@@ -41,6 +42,8 @@
 const WARM_UP_RETRY_AFTER: Millis = Millis(1_000);
 /// `Retry-After` for a service without a reachable endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Millis = Millis(300);
+/// `Retry-After` for a service whose endpoints are brittle: most requests end within this time.
+const BRITTLE_RETRY_AFTER: Millis = Millis(250);
 /// An idempotent request is retried on another endpoint after this multiple of its latency target:
 /// a response is unlikely by then.
 const ATTEMPT_TIMEOUT_TARGETS: u64 = 2;
@@ -269,7 +272,8 @@
         .into_iter()
         .filter(|endpoint| !attempts.tried.contains(&endpoint.life));
     let usable = exclude_backed_off(state, request, untried.collect(), now)?;
-    exclude_limited(state, request, usable, now)
+    let usable = exclude_limited(state, request, usable, now)?;
+    exclude_brittle(state, request, usable, now)
 }
 
 /// Filters out the cold endpoints that this entry may not send to now. An entry that has just
@@ -364,6 +368,41 @@
     Err(Problem::not_run(Code::Overloaded, message).retry_after(retry_after))
 }
 
+/// Filters out the endpoints of a brittle service at which this entry's part of the slots is in
+/// use.
+fn exclude_brittle<'e>(
+    state: &State,
+    request: &AdmittedRequest,
+    usable: Vec<&'e Endpoint>,
+    now: Millis,
+) -> Result<Vec<&'e Endpoint>, Problem> {
+    let service = request.service.name.as_str();
+    if usable.is_empty() || !state.brittle.borrow().contains(service, now) {
+        return Ok(usable);
+    }
+    let ring = state.fleet.borrow().ring();
+    let pool = state.pool.borrow();
+    let parts = usable.into_iter().map(|endpoint| {
+        let part = brittle::own_slots(endpoint.slots, &ring, &endpoint.life);
+        (endpoint, part)
+    });
+    let parts: Vec<_> = parts.filter(|(_, part)| *part > 0).collect();
+    if parts.is_empty() {
+        let message = format!("the brittle endpoints of `{service}` are left to other entries");
+        return Err(Problem::not_run(Code::NoEndpoint, message).retry_after(BRITTLE_RETRY_AFTER));
+    }
+    let free = parts
+        .into_iter()
+        .filter(|(endpoint, part)| pool.busy(&endpoint.life) < *part);
+    let remaining: Vec<_> = free.map(|(endpoint, _)| endpoint).collect();
+    if !remaining.is_empty() {
+        return Ok(remaining);
+    }
+    state.metrics.brittle_refusals.inc();
+    let message = format!("this entry's part of the brittle endpoints of `{service}` is in use");
+    Err(Problem::not_run(Code::Overloaded, message).retry_after(BRITTLE_RETRY_AFTER))
+}
+
 /// Rejects a quarantined request, which crashes the endpoints that run it.
 fn check_quarantine(state: &State, request: &AdmittedRequest, now: Millis) -> Result<(), Problem> {
     let hold = state.quarantine.borrow().hold(request.fingerprint, now);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,6 +10,7 @@
 use woodgap_core::name;
 use woodgap_core::quarantine::{Change, Crash, CrashHistory, Quarantine};
 use woodgap_core::relay::back_off::BackOffs;
+use woodgap_core::relay::brittle::BrittleServices;
 use woodgap_core::relay::budget::{RetryBudget, RetryLimit};
 use woodgap_core::relay::claim::Claim;
 use woodgap_core::relay::duty::{self, Confirmation, EntryStatus, PollDecision, Subject};
@@ -93,6 +94,8 @@
     pub back_offs: RefCell<BackOffs>,
     /// The rate limits that they name.
     pub rate_limits: RefCell<RateLimits>,
+    /// The services whose endpoints fail if they have to refuse many requests.
+    pub brittle: RefCell<BrittleServices>,
     /// Whether this entry has lost its links to all of them.
     pub isolation: RefCell<Isolation>,
     /// The check of these links that is running.
@@ -187,6 +190,7 @@
             scheduling: Scheduling::new(settings.scheduling.as_ref()),
             back_offs: RefCell::default(),
             rate_limits: RefCell::new(RateLimits::new(rand::random())),
+            brittle: RefCell::default(),
             isolation: RefCell::default(),
             link_check: LinkCheck::default(),
             pool: RefCell::default(),
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -41,6 +41,7 @@
     state.exchange.sweep(now);
     state.warmed.borrow_mut().expire(now);
     state.rate_limits.borrow_mut().expire(now);
+    state.brittle.borrow_mut().expire(now);
     let due = state.loads.borrow().due_for_reconnect(now);
     for endpoint in due {
         try_again(state, endpoint);
@@ -148,6 +149,8 @@
     metrics.quarantined.set(gauge(quarantined as u64));
     let limited = state.rate_limits.borrow().count(now);
     metrics.limited_endpoints.set(gauge(limited as u64));
+    let brittle = state.brittle.borrow().count(now);
+    metrics.brittle_services.set(gauge(brittle as u64));
     let back_offs = state.back_offs.borrow().count(now);
     metrics.back_offs.set(gauge(back_offs as u64));
     let dropped = logs::take_dropped();
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod back_offs;
+mod brittle;
 mod caller;
 mod cold;
 mod crashes;
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -6,6 +6,7 @@
 use woodgap_core::name;
 use woodgap_core::quarantine::{Crash, Quarantine};
 use woodgap_core::relay::RequestProfile;
+use woodgap_core::relay::brittle;
 use woodgap_core::relay::claim::Claim;
 use woodgap_core::relay::departure::{self, Departures};
 use woodgap_core::relay::engine::{LoadBalancer, ReportNotice};
@@ -17,8 +18,8 @@
 use woodgap_core::relay::usage::Window;
 use woodgap_core::relay::work::Work;
 use woodgap_relay::gossip::message::{
-    self, Knowledge, Listed, MAX_DATAGRAM_BYTES, MAX_DEPARTURES, MAX_LOADS, MAX_RATE_LIMITS,
-    MAX_SUSPECTS, Message,
+    self, Knowledge, Listed, MAX_BRITTLE, MAX_DATAGRAM_BYTES, MAX_DEPARTURES, MAX_LOADS,
+    MAX_RATE_LIMITS, MAX_SUSPECTS, Message,
 };
 
 use crate::peer::{IGNORANT, question};
@@ -99,6 +100,14 @@
 }
 
 /// Many endpoints that are leaving, in as many bytes as they may take.
+fn brittle() -> Vec<brittle::Notice> {
+    let notice = brittle::Notice {
+        service: u32::MAX,
+        age: Millis(2_999),
+    };
+    vec![notice; MAX_BRITTLE]
+}
+
 fn departures() -> Vec<departure::Notice> {
     let mut departures = Departures::default();
     for number in 0..2 * MAX_DEPARTURES {
@@ -128,9 +137,10 @@
     #[values((1, 120), (4, 30), (22, 10))] (services, engines): (usize, usize),
     #[values(Vec::new(), rate_limits())] rate_limits: Vec<rate_limit::Notice>,
     #[values(Vec::new(), departures())] departures: Vec<departure::Notice>,
+    #[values(Vec::new(), brittle())] brittle: Vec<brittle::Notice>,
     #[values(false, true)] has_reports: bool,
 ) {
-    let max_loads = MAX_LOADS - rate_limits.len() - departures.len();
+    let max_loads = MAX_LOADS - rate_limits.len() - departures.len() - brittle.len();
     let mut loads = busy(services, engines);
     loads.set_scheduled("model-0", has_reports);
     loads.apply_gossip(&name::Entry::from("e-9"), &reports(), Millis(18_000));
@@ -155,6 +165,7 @@
         idle_limits: Vec::new(),
         rate_limits,
         departures,
+        brittle,
         suspects: Vec::new(),
         unix: Millis(u64::MAX),
         claim: Some(claim()),
@@ -185,6 +196,7 @@
         idle_limits: Vec::new(),
         rate_limits: Vec::new(),
         departures: Vec::new(),
+        brittle: Vec::new(),
         suspects: Vec::new(),
         unix: Millis(1),
         claim: None,
--- a/crates/relay/tests/contract/peer.rs
+++ b/crates/relay/tests/contract/peer.rs
@@ -41,6 +41,7 @@
         idle_limits: Vec::new(),
         rate_limits: Vec::new(),
         departures: Vec::new(),
+        brittle: Vec::new(),
         suspects: Vec::new(),
         unix: Millis(1_600_000_000_000),
         claim: None,
