An entry that has lost its links shortens no idle times

Change: a lost connection counts only if this entry has had a link to an endpoint since, by the connection that the check for a crash opens, or else by a check of the links. The check for a crash takes such a connection as proof too.

Measured: the contract case failed before (2 connections opened at the other entry, 1 expected) and passes; the cases of idle times and of crashes pass as before.

--- a/crates/core/src/relay/isolation.rs
+++ b/crates/core/src/relay/isolation.rs
@@ -38,6 +38,7 @@
 pub struct Isolation {
     since: Option<Millis>,
     last_check: Option<Millis>,
+    last_connected: Option<Millis>,
 }
 
 impl Isolation {
@@ -57,6 +58,11 @@
         self.is_isolated() || last.is_none_or(|last| now - last >= CHECK_INTERVAL)
     }
 
+    /// Whether a connection was opened at this time or later.
+    pub fn has_connected_since(&self, time: Millis) -> bool {
+        self.last_connected.is_some_and(|last| last >= time)
+    }
+
     /// Records the result of a check. Returns whether the entry is isolated from now on.
     pub fn record_check(&mut self, reaches_any: bool, now: Millis) -> bool {
         self.last_check = Some(now);
@@ -70,6 +76,7 @@
     /// Records a new connection to an endpoint. Returns how long the entry was isolated, if this
     /// ends it.
     pub fn record_connected(&mut self, now: Millis) -> Option<Millis> {
+        self.last_connected = Some(now);
         let since = self.since.take()?;
         Some(now - since)
     }
--- a/crates/core/src/relay/rest.rs
+++ b/crates/core/src/relay/rest.rs
@@ -67,7 +67,7 @@
     /// assert_eq!(limits.max_idle("links", Millis(60_000)), None);
     /// ```
     pub fn record_loss(&mut self, service: &str, idle: Millis, took: Millis, now: Millis) {
-        if idle < MIN_IDLE || took > MAX_RESET_DELAY {
+        if !is_sign_of_limit(idle, took) {
             return;
         }
         let max_idle = Millis(idle.0 / PART);
@@ -105,6 +105,20 @@
     }
 }
 
+/// Whether a connection that broke `took` after a request was sent on it, and after it had been
+/// idle for `idle`, was probably dropped for being idle.
+///
+/// ```
+/// use woodgap_core::clock::Millis;
+/// use woodgap_core::relay::rest;
+///
+/// assert!(rest::is_sign_of_limit(Millis(900), Millis(2)));
+/// assert!(!rest::is_sign_of_limit(Millis(900), Millis(200)));
+/// ```
+pub fn is_sign_of_limit(idle: Millis, took: Millis) -> bool {
+    idle >= MIN_IDLE && took <= MAX_RESET_DELAY
+}
+
 /// Records a limit; the shorter one counts while the earlier one is recent.
 fn record(all: &mut HashMap<u32, Observation>, service: u32, max_idle: Millis, now: Millis) {
     let before = all
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -5,6 +5,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared, select_ok};
+use woodgap_core::clock::Millis;
 use woodgap_core::relay::health::HealthSignal;
 use woodgap_core::relay::isolation;
 
@@ -29,9 +30,11 @@
     }
 }
 
-/// Whether any endpoint can be connected to, by the check that is running or a new one.
-pub async fn check(state: &Rc<State>) -> bool {
-    start(state).await
+/// Whether this entry has had a link to an endpoint at this time or later, by a check if no
+/// connection was opened since.
+pub async fn has_link_since(state: &Rc<State>, time: Millis) -> bool {
+    let has_connected = state.isolation.borrow().has_connected_since(time);
+    has_connected || start(state).await
 }
 
 fn start(state: &Rc<State>) -> Check {
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -7,6 +7,8 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::engine::Choice;
 use woodgap_core::relay::health::HealthSignal;
+use woodgap_core::relay::rest;
+use woodgap_core::relay::roster::Endpoint;
 use woodgap_core::verdict::Verdict;
 
 use crate::dialect::{Decline, Reply};
@@ -14,7 +16,7 @@
 use crate::request::placement::{MAX_DISCARDED_BYTES, Placement};
 use crate::request::responder::Responder;
 use crate::request::{
-    AccessRecord, AdmittedRequest, EndpointResponse, Problem, forward, notice, response,
+    AccessRecord, AdmittedRequest, EndpointResponse, Problem, crash, forward, notice, response,
 };
 use crate::state::State;
 use crate::upstream::pool;
@@ -133,7 +135,7 @@
     let sent = state.now();
     let exchanged = connection.exchange(&head, &request.body).await;
     if matches!(exchanged, Err(Error::Cut(_))) {
-        record_lost_connection(state, request, idle, sent);
+        check_lost_connection(state, &choice.endpoint, idle, state.now() - sent);
     }
     let mut response = exchanged?;
     let mut stray = 0;
@@ -190,14 +192,30 @@
     Ok((connection, response, max_idle))
 }
 
-/// Records that the connection closed without a response, which may shorten the maximum idle
-/// time for the service.
-fn record_lost_connection(state: &State, request: &AdmittedRequest, idle: Millis, sent: Millis) {
+/// Checks why a connection closed without a response: if this entry still has links to endpoints,
+/// the endpoint may have dropped it for being idle, which shortens the maximum idle time for the
+/// service.
+fn check_lost_connection(state: &Rc<State>, endpoint: &Endpoint, idle: Millis, took: Millis) {
+    if !rest::is_sign_of_limit(idle, took) {
+        return;
+    }
+    let state = Rc::clone(state);
+    let endpoint = endpoint.clone();
+    let lost = state.now();
+    actix_rt::spawn(async move {
+        // The check for a crash connects to the endpoint, which may be enough.
+        crash::wait_for_check(&state, &endpoint.life).await;
+        if links::has_link_since(&state, lost).await {
+            record_lost_connection(&state, &endpoint.service, idle, took);
+        }
+    });
+}
+
+fn record_lost_connection(state: &State, service: &str, idle: Millis, took: Millis) {
     let now = state.now();
-    let service = request.service.name.as_str();
     let mut rests = state.rests.borrow_mut();
     let before = rests.max_idle(service, now);
-    rests.record_loss(service, idle, now - sent, now);
+    rests.record_loss(service, idle, took, now);
     let max_idle = rests.max_idle(service, now);
     if max_idle != before {
         log::info!(
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -140,17 +140,19 @@
 }
 
 async fn probe_endpoint(state: Rc<State>, life: name::Life, address: SocketAddr) {
+    let started = state.now();
     let opened = connect_with_retry(address).await;
     let now = state.now();
     match opened {
         Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            if has_links(&state).await {
+            if has_links(&state, started).await {
                 record_crash(&state, &life);
             }
         }
         // The endpoint may be unreachable, which says nothing about a crash.
         Err(_) => {}
         Ok(connection) => {
+            links::record_connected(&state);
             let mut pool = state.pool.borrow_mut();
             pool.put(&life, connection, upkeep::REST, now);
         }
@@ -160,11 +162,11 @@
     }
 }
 
-/// Whether this entry still has links to endpoints: else refused connections say nothing about a
+/// Whether this entry has had links to endpoints since this time: else refused connections say nothing about a
 /// crash. With few endpoints, one request may have crashed them all.
-async fn has_links(state: &Rc<State>) -> bool {
+async fn has_links(state: &Rc<State>, time: Millis) -> bool {
     let endpoints = state.roster.borrow().listed().count();
-    endpoints < MIN_ENDPOINTS || links::check(state).await
+    endpoints < MIN_ENDPOINTS || links::has_link_since(state, time).await
 }
 
 /// Connects to an endpoint and retries once on a timeout, as TCP retransmits a lost packet only
--- a/crates/relay/tests/contract/link.rs
+++ b/crates/relay/tests/contract/link.rs
@@ -17,6 +17,8 @@
     Pass,
     /// Resets open connections and refuses new ones.
     Reset,
+    /// Refuses new connections, and resets open ones once something is sent on them.
+    ResetLater,
     /// Passes nothing on, and says nothing to new connections.
     Silent,
     /// Open connections live on, new ones are refused.
@@ -70,7 +72,7 @@
                 drop(closed);
                 state.listener = Some(listen(self.address));
             }
-            Mode::Reset | Mode::OldOnly => state.listener = None,
+            Mode::Reset | Mode::ResetLater | Mode::OldOnly => state.listener = None,
             Mode::Silent => {
                 let listener = state.listener.as_ref().expect("the link passed before");
                 // A queue of one connection, which is then full: what else comes is dropped.
@@ -134,6 +136,16 @@
                 sockopt::set_socket_linger(&entry, linger).unwrap();
                 return;
             }
+            Mode::ResetLater => match entry.peek(&mut [0]) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    std::thread::sleep(LOOK);
+                }
+                _ => {
+                    let linger = Some(Duration::ZERO);
+                    sockopt::set_socket_linger(&entry, linger).unwrap();
+                    return;
+                }
+            },
             Mode::Silent => std::thread::sleep(LOOK),
             Mode::Pass | Mode::OldOnly => {
                 let to_endpoint = pass(&mut entry, &mut endpoint);
--- a/crates/relay/tests/contract/lost_links.rs
+++ b/crates/relay/tests/contract/lost_links.rs
@@ -1,5 +1,7 @@
 //! Entries that have lost their links to all endpoints, while callers reach them.
 
+use std::time::Duration;
+
 use rstest::rstest;
 
 use crate::caller::{Caller, get, request};
@@ -141,7 +143,7 @@
         });
         let callers: Vec<_> = callers.collect();
         // All are on their way before the first one ends.
-        std::thread::sleep(std::time::Duration::from_millis(200));
+        std::thread::sleep(Duration::from_millis(200));
         for endpoint in &endpoints {
             (0..12).for_each(|_| endpoint.go());
         }
@@ -162,7 +164,7 @@
                 caller
             })
             .collect();
-        std::thread::sleep(std::time::Duration::from_millis(400));
+        std::thread::sleep(Duration::from_millis(400));
         for endpoint in &endpoints {
             (0..24).for_each(|_| endpoint.go());
         }
@@ -246,3 +248,28 @@
     assert_eq!(fleet.metric(0, "crashes"), 0);
     assert_eq!(fleet.metric(0, "quarantined"), 0);
 }
+
+/// Else all entries open a connection for nearly each request, as if endpoints dropped idle ones.
+#[test]
+fn an_entry_that_has_lost_its_links_shortens_no_idle_times() {
+    let endpoint = Endpoint::always(vec![whole("yes")]);
+    let fleet = Fleet::start(2, &[&endpoint]);
+    for site in &fleet.sites {
+        assert_eq!(get(site.requests, "/read/", "first", "").status, 200);
+    }
+    // Long enough to seem to be the cause, and for the other entry to hear of it.
+    let rest = Duration::from_millis(600);
+    std::thread::sleep(rest);
+    fleet.set(0, Mode::ResetLater);
+    until(|| {
+        get(fleet.sites[0].requests, "/read/", "r", "");
+        fleet.metric(0, "isolated") == 1
+    });
+    for round in 0..3 {
+        get(fleet.sites[1].requests, "/read/", "before", "");
+        let before = fleet.metric(1, "connects");
+        std::thread::sleep(rest);
+        get(fleet.sites[1].requests, "/read/", "after", "");
+        assert_eq!(fleet.metric(1, "connects"), before, "round {round}");
+    }
+}
