Links that say nothing are noticed by what waits on open connections

Callers would see: requests on connections that rested hang for 2.5 s and end with 502, one endpoint after the other, though new connections would show at once that none can be reached.

Cause: whether an endpoint is out of reach was found out only where a new connection was needed.

Change: an endpoint whose answer is overdue by 300 ms more is connected to, once a second at most; if that fails it is suspended and the links are checked.

Measured: the new contract case waited a minute in vain before and passes. Two cases of a short silence, of one endpoint and of all, passed before and do: what was sent is answered and arrives once, nothing counts as a crash.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -109,6 +109,14 @@
         due.map(|(life, _)| life.clone()).collect()
     }
 
+    /// The endpoints that have been silent for long enough to suspect that they are out of reach;
+    /// each is named once a second.
+    pub fn suspects(&mut self, now: Millis) -> Vec<name::Life> {
+        let all = self.endpoints.iter_mut();
+        let silent = all.filter_map(|(life, load)| load.suspect(now).then_some(life));
+        silent.cloned().collect()
+    }
+
     /// Makes the next connection attempts to all suspended endpoints due.
     pub fn end_backoffs(&mut self, now: Millis) {
         for load in self.endpoints.values_mut() {
--- a/crates/core/src/relay/engine/load.rs
+++ b/crates/core/src/relay/engine/load.rs
@@ -41,6 +41,11 @@
 /// endpoint that is briefly busy with something else.
 const OVERDUE_FACTOR: f64 = 2.0;
 const OVERDUE_SLACK: f64 = 200.0;
+/// An endpoint whose answer is overdue by this much is suspected to be out of reach, in ms: a sound
+/// one may pause for some hundred.
+const SILENCE: f64 = 300.0;
+/// The time between two suspicions.
+const SUSPICION_INTERVAL: Millis = Millis(1_000);
 /// The share of a shared prefix that is expected in the cache of its owner.
 const EXPECTED_CACHED_SHARE: f64 = 0.9;
 /// The range of the factor by which an endpoint is slower than expected.
@@ -58,6 +63,8 @@
     prefix_cache: PrefixCache,
     /// The last report, the number of own requests there at that time, and the time.
     report: Option<(Report, usize, Millis)>,
+    /// When it was last suspected to be out of reach.
+    suspected_at: Option<Millis>,
 }
 
 /// One request that is in flight at the endpoint.
@@ -119,6 +126,7 @@
             in_flight: HashMap::new(),
             prefix_cache: PrefixCache::new(memory_tokens),
             report: None,
+            suspected_at: None,
         }
     }
 
@@ -160,6 +168,19 @@
         overdue.fold(0.0, f64::max)
     }
 
+    /// Whether the endpoint has been silent for long enough to suspect that it is out of reach, and
+    /// was not suspected just before.
+    pub fn suspect(&mut self, now: Millis) -> bool {
+        let is_recent = self
+            .suspected_at
+            .is_some_and(|at| now - at < SUSPICION_INTERVAL);
+        if is_recent || self.health.is_suspended() || self.overdue(now) < SILENCE {
+            return false;
+        }
+        self.suspected_at = Some(now);
+        true
+    }
+
     /// Requests of other entries there by the last report, decreasing with its age.
     pub fn reported_others(&self, now: Millis) -> f64 {
         let Some((report, own, at)) = self.report else {
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -42,7 +42,9 @@
     state.warmed.borrow_mut().expire(now);
     state.rate_limits.borrow_mut().expire(now);
     state.brittle.borrow_mut().expire(now);
-    let due = state.loads.borrow().due_for_reconnect(now);
+    let mut due = state.loads.borrow().due_for_reconnect(now);
+    // Requests on open connections would else wait in vain, and more follow them.
+    due.extend(state.loads.borrow_mut().suspects(now));
     for endpoint in due {
         try_again(state, endpoint);
     }
@@ -91,8 +93,8 @@
     }
 }
 
-/// Connects to a suspended endpoint, to see whether it is back: no request has
-/// to wait for that.
+/// Connects to an endpoint, to see whether it is back, or out of reach: no request has to wait for
+/// that.
 fn try_again(state: &Rc<State>, endpoint: name::Life) {
     let known = state.roster.borrow().get(&endpoint).cloned();
     let Some(known) = known else {
--- a/crates/relay/tests/contract/lost_links.rs
+++ b/crates/relay/tests/contract/lost_links.rs
@@ -174,6 +174,65 @@
     }
 }
 
+/// Requests that went out on connections that rested find no connection to open.
+#[test]
+fn links_that_say_nothing_are_noticed_by_what_waits_on_old_connections() {
+    let endpoints = answering();
+    let fleet = Fleet::of_two(&endpoints);
+    fleet.set(0, Mode::Silent);
+    let mut caller = Caller::connect(fleet.sites[0].requests);
+    caller.send(&request("GET", "/write/", "w", ""), b"");
+    until(|| fleet.metric(0, "isolated") == 1);
+    assert_eq!(
+        get(fleet.sites[0].requests, "/write/", "after", "").status,
+        200
+    );
+    assert_eq!(arrivals(&endpoints, "after"), 1);
+    drop(caller);
+}
+
+/// A sound endpoint may say nothing for a second, and all of them at the same moment.
+#[rstest]
+#[case::of_one_endpoint(1)]
+#[case::of_all_endpoints(3)]
+fn a_short_silence_loses_nothing(#[case] silent: usize) {
+    let work = || vec![Step::Wait, whole("yes")];
+    let endpoints = [0, 1, 2].map(|_| Endpoint::always(work()));
+    let fleet = Fleet::start(2, &endpoints.each_ref());
+    let mut callers: Vec<_> = (0..9)
+        .map(|at| {
+            let mut caller = Caller::connect(fleet.sites[0].requests);
+            caller.send(&request("GET", "/write/", &format!("w{at}"), ""), b"");
+            caller
+        })
+        .collect();
+    until(|| endpoints.iter().map(|it| it.seen().len()).sum::<usize>() == 9);
+    let links = &fleet.links[0][..silent];
+    for link in links {
+        link.set(Mode::Silent);
+    }
+    for endpoint in &endpoints {
+        (0..12).for_each(|_| endpoint.go());
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(
+        get(fleet.sites[0].requests, "/write/", "during", "").status,
+        200
+    );
+    for link in links {
+        link.set(Mode::Pass);
+    }
+    for caller in &mut callers {
+        assert_eq!(caller.answer().map(|answer| answer.status), Some(200));
+    }
+    for at in 0..9 {
+        assert_eq!(arrivals(&endpoints, &format!("w{at}")), 1);
+    }
+    assert_eq!(arrivals(&endpoints, "during"), 1);
+    assert_eq!(fleet.metric(0, "crashes"), 0);
+    until(|| fleet.metric(0, "isolated") == 0);
+}
+
 /// A stream whose end is lost on the way must not look complete.
 #[test]
 fn a_stream_through_another_entry_arrives_piece_by_piece_and_its_cut_is_seen() {
