Soak: brittle endpoints; entries that can't be connected to are not handed requests

Cause: no endpoint of the soak was brittle, so that nothing but a contract test played it. By reading: an entry whose machine is lost was asked again by each request, 300 ms each, until it counted as gone.

An entry that could not be connected to is not asked for 0.5 s, which does not count as a sign that a service has failed.

The soak does not cut one entry off from endpoints: its proxies can't tell entries apart.

--- a/crates/core/src/relay/handover.rs
+++ b/crates/core/src/relay/handover.rs
@@ -22,7 +22,8 @@
 /// By how many requests an entry of another data centre may be ahead of one in the own one: bytes
 /// between data centres are billed.
 const REMOTE_PENALTY: usize = 4;
-/// How long an entry is not asked for a service again after it turned a request for it away.
+/// How long an entry is not asked for a service again after it turned a request for it away, or
+/// for any after it could not be connected to.
 const REFUSAL_BACKOFF: Millis = Millis(500);
 /// How many entries that can't reach a service in a row show that the service has failed, and not
 /// the links of this entry.
@@ -48,6 +49,8 @@
     handed: HashMap<name::Entry, usize>,
     /// When an entry last turned a request for a service away.
     refusals: HashMap<(name::Entry, String), Millis>,
+    /// When an entry could last not be connected to.
+    unreachable: HashMap<name::Entry, Millis>,
     /// Requests of other entries, and their bytes.
     accepted: usize,
     accepted_bytes: usize,
@@ -100,6 +103,10 @@
     }
 
     fn is_backed_off(&self, entry: &name::Entry, service: &str, now: Millis) -> bool {
+        let lost = self.unreachable.get(entry);
+        if lost.is_some_and(|at| now - *at < REFUSAL_BACKOFF) {
+            return true;
+        }
         let mut refusals = self.refusals.iter();
         refusals.any(|((refusing, refused), at)| {
             refusing == entry && refused == service && now - *at < REFUSAL_BACKOFF
@@ -128,6 +135,12 @@
         self.refusals.insert(key, now);
     }
 
+    /// Records that an entry could not be connected to.
+    pub fn record_unreachable(&mut self, entry: &name::Entry, now: Millis) {
+        self.unreachable.retain(|_, at| now - *at < REFUSAL_BACKOFF);
+        self.unreachable.insert(entry.clone(), now);
+    }
+
     /// Takes a request of this many bytes from another entry, if there is room for it.
     pub fn accept(&mut self, bytes: usize) -> bool {
         let fits = self.accepted_bytes.saturating_add(bytes) <= MAX_ACCEPTED_BYTES;
--- a/crates/core/tests/relay/handover.rs
+++ b/crates/core/tests/relay/handover.rs
@@ -99,6 +99,19 @@
     assert_eq!(choose(&handovers, &live, &[]), None);
 }
 
+/// Else each request waits for a connection to an entry whose machine is lost.
+#[test]
+fn an_entry_that_could_not_be_connected_to_is_not_asked_again_at_once() {
+    let live = [member("a-2", "dub-a", true), member("b-1", "dub-b", true)];
+    let mut handovers = Handovers::new(100);
+    handovers.record_unreachable(&live[0].name, NOW);
+    assert_eq!(choose(&handovers, &live, &[]).as_deref(), Some("b-1"));
+    let earlier = Millis(NOW.0 - 500);
+    let mut handovers = Handovers::new(100);
+    handovers.record_unreachable(&live[0].name, earlier);
+    assert_eq!(choose(&handovers, &live, &[]).as_deref(), Some("a-2"));
+}
+
 #[test]
 fn what_is_taken_is_bounded_in_bytes() {
     let mut handovers = Handovers::new(100);
--- a/crates/relay/src/request/handover.rs
+++ b/crates/relay/src/request/handover.rs
@@ -235,16 +235,28 @@
         "failed"
     };
     state.metrics.handovers.with_label_values(&[outcome]).inc();
-    if let Err(AttemptError::TurnedAway(problem)) = &answered
-        && problem.is_of_entry()
-    {
-        let now = state.now();
-        let mut handovers = state.exchange.handovers.borrow_mut();
-        handovers.record_refusal(&member.name, &request.service.name, now);
-    }
+    record_failure(state, request, member, answered.as_ref().err());
     answered
 }
 
+/// Records why another entry is not to be asked again for a while.
+fn record_failure(
+    state: &State,
+    request: &AdmittedRequest,
+    member: &Member,
+    failure: Option<&AttemptError>,
+) {
+    let now = state.now();
+    let mut handovers = state.exchange.handovers.borrow_mut();
+    match failure {
+        Some(AttemptError::TurnedAway(problem)) if problem.is_of_entry() => {
+            handovers.record_refusal(&member.name, &request.service.name, now);
+        }
+        Some(AttemptError::NotSent(_)) => handovers.record_unreachable(&member.name, now),
+        _ => {}
+    }
+}
+
 /// The request's head, as its caller sent it but for what concerns this entry alone.
 fn request_head(state: &State, request: &AdmittedRequest, attempts: u32) -> BytesMut {
     let patience = state.dialect.patience_header();
--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -27,6 +27,10 @@
 pub const FATAL: &str = "x-soak-fatal";
 /// The back-off that an overloaded endpoint asks for.
 pub const BACK_OFF: Duration = Duration::from_secs(2);
+/// How many requests a brittle endpoint runs at once; each of them is listed so.
+pub const SLOTS: u32 = 8;
+/// How many requests a brittle endpoint says that it can turn away in a second.
+pub const BORNE: usize = 6;
 /// Of so many requests one meets a [`Mishap`].
 const ONE_BAD: u32 = 6;
 
@@ -76,6 +80,25 @@
     is_leaving: Rc<Cell<bool>>,
     /// Whether it turns every request away, and asks for a back-off.
     is_overloaded: Rc<Cell<bool>>,
+    /// Whether it runs no more than its slots, and says that it fails if it turns many away.
+    is_brittle: Rc<Cell<bool>>,
+    running: Rc<Cell<u32>>,
+}
+
+/// A request that runs, until dropped.
+struct Running(Rc<Cell<u32>>);
+
+impl Running {
+    fn begin(running: &Rc<Cell<u32>>) -> Self {
+        running.set(running.get() + 1);
+        Self(Rc::clone(running))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// What an answer names besides its status and body.
@@ -108,6 +131,8 @@
             limit: Rc::default(),
             is_leaving: Rc::default(),
             is_overloaded: Rc::default(),
+            is_brittle: Rc::default(),
+            running: Rc::default(),
         };
         actix_rt::spawn(endpoint.clone().accept(listener));
         endpoint
@@ -133,12 +158,19 @@
         self.is_overloaded.set(is_overloaded);
     }
 
+    /// Has it be brittle, or run any number of requests at once.
+    pub fn set_brittle(&self, is_brittle: bool) {
+        self.is_brittle.set(is_brittle);
+    }
+
     /// The headers in which its answers say what it asks for.
     fn headers(&self) -> String {
         let limit = self.limit.get();
         let limit = limit.map(|limit| format!("X-Woodgap-Rate-Limit: {limit}\r\n"));
         let leaving = self.is_leaving.get().then_some("X-Woodgap-Leaving: 1\r\n");
-        limit.unwrap_or_default() + leaving.unwrap_or_default()
+        let brittle = self.is_brittle.get();
+        let brittle = brittle.then(|| format!("X-Woodgap-Brittle: {BORNE}\r\n"));
+        limit.unwrap_or_default() + leaving.unwrap_or_default() + &brittle.unwrap_or_default()
     }
 
     /// Ends its life: it listens no more, and all its connections are reset.
@@ -205,6 +237,8 @@
         if header(head, "x-woodgap-endpoint") != self.name {
             return send(stream, &refusal(421, &id, "")).await;
         }
+        let free_slots = SLOTS.saturating_sub(self.running.get());
+        let free_slots = self.is_brittle.get().then_some(free_slots);
         self.record.arrived(Arrival {
             request: id.clone(),
             endpoint: (self.name.clone(), life),
@@ -212,6 +246,7 @@
             limit: self.limit.get(),
             is_leaving: self.is_leaving.get(),
             is_turned_away: self.is_overloaded.get(),
+            free_slots,
         });
         let names = Names {
             id: &id,
@@ -222,10 +257,11 @@
             let headers = format!("{}Retry-After: {}\r\n", names.headers, BACK_OFF.as_secs());
             return send(stream, &refusal(503, &id, &headers)).await;
         }
-        if mishap == Some(Mishap::Declined) {
+        if mishap == Some(Mishap::Declined) || free_slots == Some(0) {
             return send(stream, &refusal(503, &id, &names.headers)).await;
         }
         let way = stream.peer_addr().ok()?;
+        let _running = Running::begin(&self.running);
         let run = self.record.runs(&id, &self.name, life, way);
         if !header(head, FATAL).is_empty() {
             self.record.has_run(&id, run, Outcome::Badly);
--- a/crates/relay/tests/soak/fault.rs
+++ b/crates/relay/tests/soak/fault.rs
@@ -65,6 +65,12 @@
 const OVERLOAD_START: std::ops::RangeInclusive<u64> = 2_000..=7_000;
 const OVERLOAD_LASTS: u64 = 1_500;
 
+/// When all endpoints become brittle, in runs in which they do, and for how long, in ms. It
+/// outlasts the other faults for the same reason as a limit.
+const BRITTLE_RUNS: f64 = 0.5;
+const BRITTLE_START: std::ops::RangeInclusive<u64> = 1_000..=4_000;
+const BRITTLE_LASTS: u64 = 9_500;
+
 /// The grace of a stop, in ms.
 const GRACE_MS: u64 = GRACE.as_secs() * 1_000;
 
@@ -99,6 +105,8 @@
     Limit(usize, u32),
     /// An endpoint turns every request away for a while, and asks for a back-off.
     Overload(usize),
+    /// All endpoints say for a while that they fail if they turn many requests away.
+    Brittle,
 }
 
 /// How an endpoint starts again.
@@ -270,6 +278,13 @@
     (0..count).map(one).collect()
 }
 
+/// Draws whether all endpoints become brittle for a while.
+pub fn draw_brittle(random: &mut ChaCha8Rng) -> Option<Event> {
+    let at = random.random_range(BRITTLE_START);
+    let event = Event::new(at, BRITTLE_LASTS, Fault::Brittle);
+    random.random_bool(BRITTLE_RUNS).then_some(event)
+}
+
 fn stops(random: &mut ChaCha8Rng, entries: usize) -> Vec<Event> {
     let slot = random.random_range(0..entries);
     let other = (slot + random.random_range(1..entries)) % entries;
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -100,6 +100,9 @@
     pub is_leaving: bool,
     /// Whether it is turned away, with a back-off.
     pub is_turned_away: bool,
+    /// The slots that are free by then, where the endpoint says that it is brittle; without any it
+    /// turns the request away.
+    pub free_slots: Option<u32>,
 }
 
 /// What breaks a promise.
@@ -138,6 +141,8 @@
     Fatal(usize, usize),
     /// An endpoint that named a rate limit got so many requests, and so many were allowed.
     Limited(String, usize, usize),
+    /// A brittle endpoint had to turn so many requests away in a second.
+    Brittle(String, usize),
     /// A request was withheld that ends no endpoint.
     Withheld(String),
     /// A duty was done under a lower number than one before it.
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -1,6 +1,7 @@
 //! One run: the platform, endpoints and entries of a seed, their callers and faults.
 
 mod back_offs;
+mod brittle;
 mod checks;
 mod departures;
 mod limits;
@@ -62,6 +63,7 @@
     rows: ChaCha8Rng,
     herds: ChaCha8Rng,
     limits: ChaCha8Rng,
+    brittle: ChaCha8Rng,
     scene: Rc<Scene>,
     callers: Vec<JoinHandle<()>>,
     /// Has endpoints start again that requests have ended.
@@ -100,11 +102,12 @@
     /// Starts everything, with so many entries, and waits until it serves.
     pub async fn start(seed: u64, entries: usize) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let [more, restarts, rows, herds, mut fatal, limits] = [1, 2, 3, 4, 5, 6].map(|stream| {
+        let streams = [1, 2, 3, 4, 5, 6, 7].map(|stream| {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
             random.set_stream(stream);
             random
         });
+        let [more, restarts, rows, herds, mut fatal, limits, brittle] = streams;
         let record = Record::default();
         let platform = Stand::platform();
         let platform_path = Proxy::start(platform.address, Record::default()).await;
@@ -162,6 +165,7 @@
             rows,
             herds,
             limits,
+            brittle,
             scene,
         }
     }
@@ -187,8 +191,9 @@
         // These draw nothing as they are played.
         let limits = fault::draw_limits(&mut self.limits, ENDPOINTS);
         let overloads = fault::draw_overloads(&mut self.limits, ENDPOINTS);
-        let both = limits.into_iter().chain(overloads);
-        seeded.extend(both.map(|event| (event, 0)));
+        let brittle = fault::draw_brittle(&mut self.brittle);
+        let all = limits.into_iter().chain(overloads).chain(brittle);
+        seeded.extend(all.map(|event| (event, 0)));
         let playing = seeded.into_iter().map(|(event, seed)| {
             let scene = Rc::clone(&self.scene);
             actix_rt::spawn(async move { scene.play(event, seed).await })
@@ -218,6 +223,7 @@
         problems.extend(limits::problems(&self.scene));
         problems.extend(departures::problems(&self.scene));
         problems.extend(back_offs::problems(&self.scene));
+        problems.extend(brittle::problems(&self.scene));
         let calls = self.scene.until_reported().await;
         problems.extend(duties::problems(&calls));
         let left_out = duties::left_out(&calls);
@@ -308,6 +314,11 @@
                 lasts().await;
                 endpoint.name_limit(None);
             }
+            Fault::Brittle => {
+                self.set_brittle(true);
+                lasts().await;
+                self.set_brittle(false);
+            }
             Fault::Overload(at) => {
                 let Member { endpoint, .. } = self.endpoints.borrow()[at].clone();
                 endpoint.overload(true);
@@ -317,6 +328,12 @@
         }
     }
 
+    fn set_brittle(&self, is_brittle: bool) {
+        for member in self.endpoints.borrow().iter() {
+            member.endpoint.set_brittle(is_brittle);
+        }
+    }
+
     fn note_platform_fault(&self, begun: Instant) {
         let fault = (begun, Instant::now());
         self.platform_faults.borrow_mut().push(fault);
--- a/crates/relay/tests/soak/world/members.rs
+++ b/crates/relay/tests/soak/world/members.rs
@@ -52,7 +52,7 @@
             service: "all".to_owned(),
             address: proxy.address,
             data_centre: name::DataCentre::from("dub-a"),
-            slots: 8,
+            slots: endpoint::SLOTS,
             leaving: false,
             reclaimable: false,
             cold_for: Millis::ZERO,
