Brittle endpoints: entries that have just started or are stopping count in the division

A trace showed refusals of all entries at the moments of restarts, with no fault on the way to the endpoint.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -461,6 +461,11 @@
         Ring::new(&self.own, others)
     }
 
+    /// As [`Self::ring`], with those that are stopping: they still have requests at endpoints.
+    pub fn ring_with_stopping(&self) -> Ring {
+        Ring::new(&self.own, self.known().map(|it| &it.name))
+    }
+
     /// How long an update takes to reach all entries: in each round, every entry that has it is
     /// contacted by [`FANOUT`] others, which have it from then on.
     pub fn propagation_time(&self) -> Millis {
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -380,11 +380,14 @@
     if usable.is_empty() || !state.brittle.borrow().contains(service, now) {
         return Ok(usable);
     }
-    let ring = state.fleet.borrow().ring();
+    let ring = state.fleet.borrow().ring_with_stopping();
+    // An entry that has just started may not know all others yet.
+    let is_settled = duty::has_converged(state.life());
+    let max_part = if is_settled { usize::MAX } else { 1 };
     let pool = state.pool.borrow();
     let parts = usable.into_iter().map(|endpoint| {
         let part = brittle::own_slots(endpoint.slots, &ring, &endpoint.life);
-        (endpoint, part)
+        (endpoint, part.min(max_part))
     });
     let parts: Vec<_> = parts.filter(|(_, part)| *part > 0).collect();
     if parts.is_empty() {
