A brittle endpoint that has refused an entry gets nothing from it for a second

Callers would see: a brittle endpoint that falls over, as one entry that does not know of the others' parts takes slots of theirs, and these are refused again and again, each time a caller comes back.

Cause: the division keeps entries from refusals as long as all know it.

Change: after a refusal an entry sends nothing to that endpoint for a second while the service is brittle, so that it causes at most its part of the slots in refusals, once a second. A comment on keep-alive beside TCP_USER_TIMEOUT.

--- a/crates/core/src/relay/brittle.rs
+++ b/crates/core/src/relay/brittle.rs
@@ -4,8 +4,9 @@
 //! entries together. An entry learns that an endpoint is full only by a refusal, and entries that
 //! send at the same moment get many of them. While a service is brittle, the slots of each of its
 //! endpoints are therefore divided between the entries, and no entry has more requests there than
-//! its part: then none is refused, whatever the others do. If there are more entries than slots,
-//! those nearest to the endpoint on a hash ring have one each.
+//! its part: then none is refused. If there are more entries than slots, those nearest to the
+//! endpoint on a hash ring have one each. A refusal shows that some entry does not know that yet,
+//! and keeps the refused one away for a second, so that an entry causes no series of them.
 //!
 //! The endpoints of a service are brittle together. Entries tell one another, as one that has just
 //! started or was idle has heard no answer.
@@ -25,6 +26,9 @@
 /// include the time in transit.
 const REORDER_MARGIN: Millis = Millis(50);
 
+/// How long an entry sends nothing to a brittle endpoint that has refused a request.
+const REFUSAL_PAUSE: Millis = Millis(1_000);
+
 /// What an entry tells others about a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
@@ -49,6 +53,8 @@
 pub struct BrittleServices {
     /// When an answer last said so, by [`load_report::name_key`].
     named_at: HashMap<u32, Millis>,
+    /// When an endpoint last refused a request of this entry.
+    refused_at: HashMap<name::Life, Millis>,
 }
 
 impl BrittleServices {
@@ -99,8 +105,32 @@
         has_news
     }
 
-    /// Forgets services that are no longer brittle.
+    /// Records that an endpoint refused a request of this entry.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::name;
+    /// use woodgap_core::relay::brittle::BrittleServices;
+    ///
+    /// let endpoint = name::Life::from(name::Endpoint::from("i-1"));
+    /// let mut brittle = BrittleServices::default();
+    /// brittle.record_refusal(&endpoint, Millis(0));
+    /// assert!(brittle.has_refused(&endpoint, Millis(999)));
+    /// assert!(!brittle.has_refused(&endpoint, Millis(1_000)));
+    /// ```
+    pub fn record_refusal(&mut self, endpoint: &name::Life, now: Millis) {
+        self.refused_at.insert(endpoint.clone(), now);
+    }
+
+    /// Whether an endpoint has refused a request of this entry just now.
+    pub fn has_refused(&self, endpoint: &name::Life, now: Millis) -> bool {
+        let refused_at = self.refused_at.get(endpoint);
+        refused_at.is_some_and(|at| now - *at < REFUSAL_PAUSE)
+    }
+
+    /// Forgets services that are no longer brittle, and earlier refusals.
     pub fn expire(&mut self, now: Millis) {
+        self.refused_at.retain(|_, at| now - *at < REFUSAL_PAUSE);
         self.named_at.retain(|_, at| now - *at < LIFETIME);
     }
 }
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -81,6 +81,9 @@
     /// Records that the endpoint refused the request.
     pub fn record_refusal(&self) {
         self.state.loads.borrow_mut().record_refusal(&self.ticket);
+        let now = self.state.now();
+        let mut brittle = self.state.brittle.borrow_mut();
+        brittle.record_refusal(self.ticket.endpoint(), now);
     }
 
     /// Records the first byte of a response that is no refusal.
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -369,7 +369,7 @@
 }
 
 /// Filters out the endpoints of a brittle service at which this entry's part of the slots is in
-/// use.
+/// use, and those that have just refused a request.
 fn exclude_brittle<'e>(
     state: &State,
     request: &AdmittedRequest,
@@ -377,7 +377,8 @@
     now: Millis,
 ) -> Result<Vec<&'e Endpoint>, Problem> {
     let service = request.service.name.as_str();
-    if usable.is_empty() || !state.brittle.borrow().contains(service, now) {
+    let known = state.brittle.borrow();
+    if usable.is_empty() || !known.contains(service, now) {
         return Ok(usable);
     }
     let ring = state.fleet.borrow().ring_with_stopping();
@@ -394,9 +395,10 @@
         let message = format!("the brittle endpoints of `{service}` are left to other entries");
         return Err(Problem::not_run(Code::NoEndpoint, message).retry_after(BRITTLE_RETRY_AFTER));
     }
-    let free = parts
-        .into_iter()
-        .filter(|(endpoint, part)| pool.busy(&endpoint.life) < *part);
+    let free = parts.into_iter().filter(|(endpoint, part)| {
+        let life = &endpoint.life;
+        pool.busy(life) < *part && !known.has_refused(life, now)
+    });
     let remaining: Vec<_> = free.map(|(endpoint, _)| endpoint).collect();
     if !remaining.is_empty() {
         return Ok(remaining);
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -22,7 +22,8 @@
 /// aborted. It allows for several retransmissions.
 const USER_TIMEOUT: Millis = Millis(2_500);
 /// TCP keepalive: the idle time before the first probe, the interval between probes, and the
-/// number of unanswered probes after which the connection is dropped.
+/// number of unanswered probes after which the connection is dropped. Linux ignores the number
+/// where `TCP_USER_TIMEOUT` is set, and drops it at the first probe after that time.
 const KEEPALIVE: (Duration, Duration, u32) = (Duration::from_secs(1), Duration::from_secs(1), 2);
 /// The buffer space reserved for a read, in bytes; it fits an event or a short response.
 const READ_BYTES: usize = 4 * 1024;
