Relay: lines tell software versions and streams that are taken up

No line of the log has an endpoint's version, nor whether a request takes a stream up, nor which one, so that the three hypotheses can't be told apart.

The lines `request ended` and `an endpoint is listed` tell them. Nothing is decided by them yet.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -56,6 +56,7 @@
         leaving: false,
         reclaimable: false,
         cold_for: Millis::ZERO,
+        version: String::new(),
     }
 }
 
--- a/crates/core/src/relay/engine/current.rs
+++ b/crates/core/src/relay/engine/current.rs
@@ -28,6 +28,7 @@
     ///     leaving: false,
     ///     reclaimable: false,
     ///     cold_for: Millis::ZERO,
+    ///     version: String::new(),
     /// };
     /// let (slow, usual) = (endpoint("e1"), endpoint("e2"));
     /// let mut balancer = LoadBalancer::new(name::DataCentre::from("dub-a"), 1);
--- a/crates/core/src/relay/roster/endpoint.rs
+++ b/crates/core/src/relay/roster/endpoint.rs
@@ -17,6 +17,9 @@
     pub service: String,
     /// Address for requests.
     pub address: SocketAddr,
+    /// The version of its software; empty if its row names none. What endpoints of different
+    /// versions write does not fit together.
+    pub version: String,
     /// The data centre in which it runs.
     pub data_centre: name::DataCentre,
     /// How many requests it processes concurrently.
@@ -52,6 +55,8 @@
     slots: u32,
     leaving: bool,
     #[serde(default)]
+    version: String,
+    #[serde(default)]
     reclaimable: bool,
     #[serde(default)]
     cold_for: Millis,
@@ -68,6 +73,7 @@
             },
             service: row.service,
             address: row.address,
+            version: row.version,
             data_centre: row.data_centre,
             slots: row.slots,
             leaving: row.leaving,
@@ -83,6 +89,7 @@
             name: endpoint.life.id,
             service: endpoint.service,
             address: endpoint.address,
+            version: endpoint.version,
             data_centre: endpoint.data_centre,
             slots: endpoint.slots,
             leaving: endpoint.leaving,
--- a/crates/core/tests/relay/departure.rs
+++ b/crates/core/tests/relay/departure.rs
@@ -23,6 +23,7 @@
         leaving: false,
         reclaimable: false,
         cold_for: Millis::ZERO,
+        version: String::new(),
     }
 }
 
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -24,6 +24,7 @@
         leaving: false,
         reclaimable: false,
         cold_for: Millis::ZERO,
+        version: String::new(),
     }
 }
 
--- a/crates/fake/tests/placement/site.rs
+++ b/crates/fake/tests/placement/site.rs
@@ -131,6 +131,7 @@
             leaving: false,
             reclaimable: false,
             cold_for: Millis::ZERO,
+            version: String::new(),
         };
         let loads = |at: usize| LoadBalancer::new(data_centre(at), at as u64);
         Self {
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -28,8 +28,20 @@
     pub key: Option<String>,
     /// What it asks of a model engine.
     pub work: Option<Work>,
+    /// The stream that it takes up.
+    pub resumption: Option<Resumption>,
 }
 
+/// A stream that a caller takes up after it has lost the connection.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// The caller's attempt that brought the first event, if it says so.
+    pub first_attempt: Option<String>,
+}
+
+/// The last event that a caller has received of a stream that it takes up.
+const LAST_EVENT: &str = "last-event-id";
+
 /// The head of a request can't be understood.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("header `{header}`: {reason}")]
@@ -199,6 +211,46 @@
     id.map(str::to_owned).ok_or(missing)
 }
 
+/// The stream that a request takes up; `resumes` is the header that names the attempt that brought
+/// its first event. Without it, the standard header alone says that a stream is taken up.
+///
+/// # Errors
+///
+/// [`Malformed`] if several attempts are named.
+///
+/// ```
+/// use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+/// use woodgap_relay::dialect::{Resumption, resumption};
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(resumption(&headers, "resumes"), Ok(None));
+/// headers.append(HeaderName::from_static("last-event-id"), HeaderValue::from_static("7"));
+/// assert_eq!(resumption(&headers, "resumes"), Ok(Some(Resumption::default())));
+/// headers.append(HeaderName::from_static("resumes"), HeaderValue::from_static("r1"));
+/// let first_attempt = Some("r1".to_owned());
+/// assert_eq!(resumption(&headers, "resumes"), Ok(Some(Resumption { first_attempt })));
+/// headers.append(HeaderName::from_static("resumes"), HeaderValue::from_static("r2"));
+/// assert!(resumption(&headers, "resumes").is_err());
+/// ```
+pub fn resumption(
+    headers: &HeaderMap,
+    resumes: &'static str,
+) -> Result<Option<Resumption>, Malformed> {
+    let named = field(headers, resumes, |id| Some(id.to_owned()));
+    let first_attempt = match named {
+        Field::Missing if !headers.contains_key(LAST_EVENT) => return Ok(None),
+        Field::Missing => None,
+        Field::Valid(id) => Some(id).filter(|id| !id.is_empty()),
+        Field::Invalid => {
+            return Err(Malformed {
+                header: resumes,
+                reason: "not the identity of one attempt",
+            });
+        }
+    };
+    Ok(Some(Resumption { first_attempt }))
+}
+
 /// The span in this header, if it is there.
 ///
 /// # Errors
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -28,6 +28,7 @@
 ///     rate_limit: "rate-limit",
 ///     leaving: "leaving",
 ///     brittle: "brittle",
+///     resumes: "resumes",
 /// };
 /// assert!(names.passes("accept"));
 /// assert!(!names.passes("left-ms"));
@@ -72,6 +73,8 @@
     /// From an endpoint: how many requests of all entries it can turn away in a second; it fails
     /// if there are more.
     pub brittle: &'static str,
+    /// From a caller that takes a stream up: its attempt that brought the first event.
+    pub resumes: &'static str,
 }
 
 impl Names {
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -32,6 +32,7 @@
     rate_limit: "x-woodgap-rate-limit",
     leaving: "x-woodgap-leaving",
     brittle: "x-woodgap-brittle",
+    resumes: "x-woodgap-resumes",
 };
 
 /// The product's own dialect: headers that begin with `X-Woodgap-`, and the
@@ -58,6 +59,7 @@
             patience: dialect::span(headers, PATIENCE)?,
             key: dialect::key(headers),
             work: work.transpose()?,
+            resumption: dialect::resumption(headers, NAMES.resumes)?,
         })
     }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -326,7 +326,7 @@
         Change::Listed(endpoint) => log::info!(
             endpoint = endpoint.life.id.as_str(), service = endpoint.service,
             started_unix_ms = endpoint.life.started_unix.map(|started| started.0),
-            address = endpoint.address.to_string(), leaving = endpoint.leaving,
+            address = endpoint.address.to_string(), version = endpoint.version, leaving = endpoint.leaving,
             revision = revision, source = source;
             "an endpoint is listed"
         ),
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -11,7 +11,7 @@
 use woodgap_core::relay::plan::Route;
 use woodgap_core::verdict::Verdict;
 
-use crate::dialect::{Field, Reply};
+use crate::dialect::{Field, Reply, Resumption};
 use crate::request::Problem;
 use crate::request::handover::Accepted;
 use crate::request::problem::Code;
@@ -43,6 +43,10 @@
     /// How long the entry had been stopping when the request arrived.
     stopping_for: Option<Millis>,
     id: String,
+    /// Whether it takes a stream up.
+    is_resumption: bool,
+    /// The attempt that brought that stream's first event; empty if its caller does not say.
+    resumes: String,
     /// Empty until the request is admitted.
     fingerprint: String,
     route: String,
@@ -88,6 +92,8 @@
             stopping_for,
             state: Rc::clone(state),
             id: String::new(),
+            is_resumption: false,
+            resumes: String::new(),
             fingerprint: String::new(),
             route: String::new(),
             plan: (0, Millis::ZERO),
@@ -122,6 +128,12 @@
         id.clone_into(&mut self.id);
     }
 
+    /// Sets the stream that the request takes up.
+    pub fn set_resumption(&mut self, resumption: &Resumption) {
+        self.is_resumption = true;
+        self.resumes = resumption.first_attempt.clone().unwrap_or_default();
+    }
+
     /// Sets the fingerprint, which identifies repetitions of a request.
     pub fn set_fingerprint(&mut self, fingerprint: Fingerprint) {
         self.fingerprint = fingerprint.to_string();
@@ -329,6 +341,8 @@
             first_byte_ms = self.first_byte.map_or(0, |it| it.0),
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
+            is_resumption = self.is_resumption, resumes = self.resumes,
+            version = choice.map_or("", |it| it.endpoint.version.as_str()),
             endpoint = self.endpoint, handed_to = self.handed_to,
             is_handed_over = self.is_of_entry(),
             reused = self.reused, rate_limit = text(self.rate_limit),
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -82,6 +82,9 @@
         |error: crate::dialect::Malformed| Problem::not_run(Code::BadRequest, error.to_string());
     let call = state.dialect.call(request.headers()).map_err(malformed)?;
     record.set_id(&call.id);
+    if let Some(resumption) = &call.resumption {
+        record.set_resumption(resumption);
+    }
     let max_wait = call.patience.unwrap_or(Millis(u64::MAX / 2));
     reject_if_stopping(state, &request, arrived + max_wait)?;
     if origin == Origin::Entry {
--- a/crates/relay/src/source/row.rs
+++ b/crates/relay/src/source/row.rs
@@ -92,7 +92,7 @@
 
     fn check(&self, key: &str) -> Result<(), RowError> {
         check_name(key)?;
-        for text in [&self.service, self.data_centre.as_str()] {
+        for text in [&self.service, self.data_centre.as_str(), &self.version] {
             check_length(text)?;
         }
         if self.life.id.as_str() != key {
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -64,6 +64,7 @@
             leaving: false,
             reclaimable: false,
             cold_for: Millis::ZERO,
+            version: String::new(),
         };
         let work = Work {
             prompt_tokens: 3_000_000,
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -384,6 +384,7 @@
         leaving: false,
         reclaimable: false,
         cold_for: Millis::ZERO,
+        version: String::new(),
     }
 }
 
--- a/crates/relay/tests/soak/rows.rs
+++ b/crates/relay/tests/soak/rows.rs
@@ -59,6 +59,7 @@
             leaving: false,
             reclaimable: false,
             cold_for: Millis::ZERO,
+            version: String::new(),
         };
         let mut random = ChaCha8Rng::seed_from_u64(1);
         for _ in 0..300 {
--- a/crates/relay/tests/soak/world/members.rs
+++ b/crates/relay/tests/soak/world/members.rs
@@ -56,6 +56,7 @@
             leaving: false,
             reclaimable: false,
             cold_for: Millis::ZERO,
+            version: String::new(),
         };
         self.list(&row).await;
         Member {
