Failing tests: streams that are taken up where several versions serve

What callers see: events of two versions in one stream.

Change: contract tests before two to four scripted endpoints of two versions: at the entry that began the stream, another one and one that has just started; taken up twice; split routes; streams that nobody knows; another workspace's; a version that has gone; and, which hold, one version alone and two named attempts.

--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -26,6 +26,7 @@
 mod rate_limits;
 mod refusals;
 mod rests;
+mod resumed_streams;
 mod rows;
 mod scarce;
 mod silent_tellers;
