Streams that are taken up go on only at the version that began them

Cause: an entry placed a stream that is taken up as it places a new one. The version stood in each endpoint's row and was not read; which version began a stream was known to nobody. The same held for the service where a route is split.

Change: entries remember the build (service and version) of each stream and, while a service has several versions, tell it to five others by rendezvous hashing; one that does not know a stream asks these. Where nobody knows, a stream goes on only if there has been one version for as long as it may live, else 503 unknown_version; 503 version_gone where no endpoint of its build is left. No stream begins at a version that is known for less than a second while another one serves.

Why this works: the build filters endpoints before all else, and an entry that can't know refuses; a simulated fleet of 6 and 60 entries under kills and late rows never takes a wrong build.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -24,11 +24,13 @@
 pub mod isolation;
 pub mod lateness;
 pub mod load_report;
+
 pub mod plan;
 pub mod prefix;
 pub mod profile;
 pub mod rate_limit;
 pub mod rest;
+pub mod resumption;
 mod retention;
 pub mod roster;
 mod rotation;
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -186,6 +186,14 @@
         revision > self.revision
     }
 
+    /// All endpoints that may still run, in whatever state.
+    pub fn known(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().flat_map(|record| {
+            let unconfirmed = record.unconfirmed.as_ref().map(|(row, _)| row);
+            std::iter::once(&record.endpoint).chain(unconfirmed)
+        })
+    }
+
     /// The endpoints as listed, without those that are unlisted.
     pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
         let listed = self.endpoints.values().filter(|record| record.is_listed());
--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::clock::Millis;
 use crate::relay::plan::{Error, Kind, Limits, Plan, Route, Service, Share, Workspace};
 
 /// The number of priority levels that model engines distinguish.
@@ -113,6 +114,13 @@
         !route.public && !self.plan.workspaces.is_empty()
     }
 
+    /// The longest duration of an attempt at a stream.
+    pub fn longest_stream(&self) -> Millis {
+        let streams = self.plan.routes.iter().filter(|it| it.kind == Kind::Stream);
+        let timeouts = streams.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/core/src/relay/warming.rs
+++ b/crates/core/src/relay/warming.rs
@@ -85,11 +85,33 @@
     /// assert_eq!(seen_by_first.owner(7), seen_by_second.owner(7));
     /// ```
     pub fn owner(&self, key: u64) -> &name::Entry {
-        let scores = self.entries.iter().map(|(distance, entry)| {
+        let owner = self.scores(key).max();
+        owner.map_or(&self.entries[0].1, |(_, entry)| entry)
+    }
+
+    /// The first `count` owners of a key, if each one that is gone is succeeded by the next.
+    ///
+    /// ```
+    /// use woodgap_core::name;
+    /// use woodgap_core::relay::warming::Ring;
+    ///
+    /// let (first, second) = (name::Entry::from("e-1"), name::Entry::from("e-2"));
+    /// let ring = Ring::new(&first, [&second].into_iter());
+    /// assert_eq!(ring.owners(7, 5).len(), 2);
+    /// assert_eq!(ring.owners(7, 1), [ring.owner(7)]);
+    /// ```
+    pub fn owners(&self, key: u64, count: usize) -> Vec<&name::Entry> {
+        let mut scores: Vec<_> = self.scores(key).collect();
+        scores.sort_unstable_by(|left, right| right.cmp(left));
+        let first = scores.into_iter().take(count);
+        first.map(|(_, entry)| entry).collect()
+    }
+
+    fn scores(&self, key: u64) -> impl Iterator<Item = (u64, &name::Entry)> {
+        self.entries.iter().map(move |(distance, entry)| {
             let position = self.own.wrapping_sub(*distance);
             (prefix::mix(position, key), entry)
-        });
-        scores.max().map_or(&self.entries[0].1, |(_, entry)| entry)
+        })
     }
 
     /// The range of the entry if `senders` entries may send to each endpoint.
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -24,6 +24,7 @@
 mod queue;
 mod rate_limit;
 mod rest;
+mod resumption;
 mod returns;
 mod roster;
 mod scheduling;
--- /dev/null
+++ b/crates/core/tests/relay/resumption.rs
@@ -0,0 +1,396 @@
+//! Streams that are taken up in a fleet whose entries are killed, parted, and learn of new versions
+//! at different moments.
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use woodgap_core::clock::Millis;
+use woodgap_core::name::Entry;
+use woodgap_core::relay::resumption::inquiry::Notice;
+use woodgap_core::relay::resumption::{
+    Build, Inquiry, KEEPERS, Registry, Service, Standing, Stream, TAKE_UP_WINDOW,
+};
+use woodgap_core::relay::warming::Ring;
+
+const SERVICE: &str = "links";
+/// How long an attempt at a stream may last.
+const LONGEST: Millis = Millis(12_000);
+const STEP: u64 = 50;
+
+fn build(version: &str) -> Build {
+    Build::of(SERVICE, version)
+}
+
+fn services() -> [Service; 1] {
+    [Service::of(SERVICE)]
+}
+
+/// An entry that may be killed, and its view of the endpoints.
+struct Member {
+    name: Entry,
+    registry: Registry,
+    /// Which versions it sees, as of some moments ago.
+    seen: Vec<&'static str>,
+    /// Which side of the network it is on.
+    side: usize,
+}
+
+/// A stream that may be taken up.
+struct Begun {
+    stream: Stream,
+    at: Millis,
+    build: Build,
+}
+
+/// Entries that gossip about streams without a network.
+struct Fleet {
+    members: Vec<Member>,
+    now: Millis,
+    begun: Vec<Begun>,
+    next: u64,
+    random: ChaCha8Rng,
+}
+
+impl Fleet {
+    fn new(entries: usize, seed: u64) -> Self {
+        let now = Millis(3_600_000);
+        let member = |at| Member {
+            name: Entry::from(format!("e-{at}")),
+            registry: registry(now),
+            seen: Vec::new(),
+            side: 0,
+        };
+        Self {
+            members: (0..entries).map(member).collect(),
+            now,
+            begun: Vec::new(),
+            next: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn keepers(&self, entry: usize, stream: Stream) -> Vec<usize> {
+        let names = self.members.iter().map(|it| &it.name);
+        let others = names.filter(|name| **name != self.members[entry].name);
+        let ring = Ring::new(&self.members[entry].name, others);
+        let owners = ring.owners(stream.key(), KEEPERS);
+        let all = 0..self.members.len();
+        let side = self.members[entry].side;
+        all.filter(|at| *at != entry && self.members[*at].side == side)
+            .filter(|at| owners.contains(&&self.members[*at].name))
+            .collect()
+    }
+
+    /// Passes time; entries see what they are shown.
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / STEP {
+            self.now = self.now + Millis(STEP);
+            let now = self.now;
+            for member in &mut self.members {
+                for version in &member.seen {
+                    member.registry.observe(SERVICE, version, now);
+                }
+                member.registry.expire(now);
+            }
+            for entry in 0..self.members.len() {
+                let notices = self.members[entry].registry.take_notices(now);
+                self.deliver(entry, &notices);
+            }
+        }
+    }
+
+    fn deliver(&mut self, entry: usize, notices: &[Notice]) {
+        for notice in notices {
+            for keeper in self.keepers(entry, notice.stream) {
+                self.members[keeper].registry.keep(notice, self.now);
+            }
+        }
+    }
+
+    fn show(&mut self, entry: usize, versions: &[&'static str]) {
+        self.members[entry].seen = versions.to_vec();
+        for version in versions {
+            let member = &mut self.members[entry];
+            member.registry.observe(SERVICE, version, self.now);
+        }
+    }
+
+    fn show_all(&mut self, versions: &[&'static str]) {
+        for entry in 0..self.members.len() {
+            self.show(entry, versions);
+        }
+    }
+
+    fn begin(&mut self, entry: usize) {
+        let Some(version) = self.choose(entry) else {
+            return;
+        };
+        self.next += 1;
+        let stream = Stream::of("murphy", &self.next.to_string());
+        let (now, build) = (self.now, build(version));
+        let registry = &mut self.members[entry].registry;
+        registry.record(stream, build, now + LONGEST);
+        let notices = registry.take_notices(now);
+        self.deliver(entry, &notices);
+        self.begun.push(Begun {
+            stream,
+            at: now,
+            build,
+        });
+    }
+
+    /// A version at which a new stream may begin.
+    fn choose(&mut self, entry: usize) -> Option<&'static str> {
+        let member = &self.members[entry];
+        let held = member.registry.held(SERVICE, self.now);
+        let all = member.seen.iter().copied();
+        let settled: Vec<_> = all.filter(|it| !held.contains(it)).collect();
+        let usable = if settled.is_empty() {
+            &member.seen
+        } else {
+            &settled
+        };
+        usable.choose(&mut self.random).copied()
+    }
+
+    /// Where a stream goes on that an entry takes up.
+    fn take_up(&self, entry: usize, stream: Stream, age: Millis) -> Option<Build> {
+        let registry = &self.members[entry].registry;
+        let own = registry.standing(Some(stream), &services(), self.now);
+        if registry.is_certain(own, age, self.now) {
+            return Inquiry::new(own, 0).conclude(true);
+        }
+        let keepers = self.keepers(entry, stream);
+        let mut inquiry = Inquiry::new(own, keepers.len());
+        for keeper in keepers {
+            let registry = &self.members[keeper].registry;
+            inquiry.record(registry.standing(Some(stream), &services(), self.now));
+        }
+        inquiry.conclude(age <= Millis(2_500))
+    }
+
+    fn kill(&mut self, entry: usize) {
+        self.members[entry].registry = registry(self.now);
+        let others = self.members.iter().map(|it| it.registry.past(self.now));
+        let past: Vec<_> = others.flatten().collect();
+        for past in past {
+            self.members[entry].registry.learn(&past, self.now);
+        }
+        let seen = self.members[entry].seen.clone();
+        self.show(entry, &seen);
+    }
+}
+
+fn registry(now: Millis) -> Registry {
+    let mut registry = Registry::new(now);
+    registry.set_longest_stream(LONGEST);
+    registry
+}
+
+/// Two of the entries are killed each second, while versions come and go and entries see that up
+/// to half a second late. A stream never goes on at another version, and nine tenths of those that
+/// were begun in the last seconds go on: their last copies may be lost with the entries.
+#[rstest]
+fn a_stream_never_goes_on_at_another_version(
+    #[values(6, 60)] entries: usize,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    const RELEASES: [&[&str]; 5] = [
+        &["v1"],
+        &["v1", "v2"],
+        &["v2"],
+        &["v1", "v2", "v3"],
+        &["v3"],
+    ];
+    let mut fleet = Fleet::new(entries, seed);
+    fleet.show_all(&["v1"]);
+    fleet.pass(60_000);
+    let (mut wrong, mut right, mut refused) = (0, 0, 0);
+    for second in 0..60 {
+        let versions = RELEASES[second / 4 % RELEASES.len()];
+        // Who sees a change first differs, and begins streams at once.
+        for tenth in 0..10 {
+            for entry in 0..entries {
+                if entry % 5 <= tenth {
+                    fleet.show(entry, versions);
+                }
+            }
+            for _ in 0..6 {
+                let entry = fleet.random.random_range(0..entries);
+                fleet.begin(entry);
+            }
+            fleet.pass(100);
+        }
+        for _ in 0..2 {
+            let entry = fleet.random.random_range(0..entries);
+            fleet.kill(entry);
+        }
+        let now = fleet.now;
+        fleet.begun.retain(|it| now - it.at < Millis(3_000));
+        for begun in &fleet.begun {
+            let entry = usize::try_from(begun.stream.key() % entries as u64).unwrap();
+            match fleet.take_up(entry, begun.stream, Millis(300)) {
+                None => refused += 1,
+                Some(build) if build == begun.build => right += 1,
+                Some(_) => wrong += 1,
+            }
+        }
+    }
+    assert_eq!(wrong, 0, "of {right} right, {refused} refused");
+    assert!(right > 9 * refused, "{right} right, {refused} refused");
+}
+
+/// All know one version, and none knows the stream.
+#[test]
+fn a_stream_goes_on_without_a_question_where_one_version_has_served_for_long() {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.show_all(&["v1"]);
+    fleet.pass(LONGEST.0 + TAKE_UP_WINDOW.0 + STEP);
+    for (at, member) in fleet.members.iter_mut().enumerate() {
+        member.side = at;
+    }
+    let unknown = Stream::of("murphy", "unknown");
+    assert_eq!(fleet.take_up(0, unknown, Millis(300)), Some(build("v1")));
+}
+
+/// An entry that can ask nobody goes on only by a view that is current.
+#[rstest]
+#[case::parted_from_the_others(300, Some("v1"))]
+#[case::parted_from_the_platform_too(5_000, None)]
+fn a_parted_entry_believes_a_current_view_alone(#[case] age: u64, #[case] version: Option<&str>) {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.show_all(&["v1"]);
+    fleet.pass(60_000);
+    fleet.members[0].side = 1;
+    let unknown = Stream::of("murphy", "unknown");
+    let went_on = fleet.take_up(0, unknown, Millis(age));
+    assert_eq!(went_on, version.map(build));
+}
+
+/// Streams that began while there was one version are told when a second one comes.
+#[test]
+fn a_stream_that_began_before_the_second_version_came_is_known_after_a_kill() {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.show_all(&["v1"]);
+    fleet.pass(60_000);
+    fleet.begin(0);
+    fleet.pass(1_000);
+    fleet.show_all(&["v1", "v2"]);
+    fleet.pass(STEP);
+    fleet.kill(0);
+    let stream = fleet.begun[0].stream;
+    for entry in 0..6 {
+        assert_eq!(fleet.take_up(entry, stream, Millis(300)), Some(build("v1")));
+    }
+}
+
+/// What all have forgotten is not guessed while the versions that may have begun it are remembered.
+#[test]
+fn a_stream_is_refused_after_all_entries_have_started_again() {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.show_all(&["v1", "v2"]);
+    fleet.pass(60_000);
+    fleet.begin(0);
+    for entry in 0..6 {
+        fleet.kill(entry);
+    }
+    let stream = fleet.begun[0].stream;
+    assert_eq!(fleet.take_up(0, stream, Millis(300)), None);
+}
+
+/// A version that has gone may still have begun a stream that is taken up now.
+#[test]
+fn a_version_is_remembered_for_as_long_as_its_streams_may_be_taken_up() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.show_all(&["v1", "v2"]);
+    fleet.pass(60_000);
+    fleet.show_all(&["v2"]);
+    let unknown = Stream::of("murphy", "unknown");
+    fleet.pass(LONGEST.0 + TAKE_UP_WINDOW.0 - STEP);
+    assert_eq!(fleet.take_up(0, unknown, Millis(300)), None);
+    fleet.pass(2 * STEP);
+    assert_eq!(fleet.take_up(0, unknown, Millis(300)), Some(build("v2")));
+}
+
+/// The answers of keepers who know different things.
+#[rstest]
+#[case::one_knows(Standing::Several, &[Standing::Several, Standing::Known(build("v2"))], Some("v2"))]
+#[case::nobody_knows(Standing::Several, &[Standing::Several], None)]
+#[case::others_know_one_version(Standing::Several, &[Standing::Single(build("v1"))], None)]
+#[case::all_know_one_version(Standing::Single(build("v1")), &[Standing::Single(build("v1"))], Some("v1"))]
+#[case::another_one_here(Standing::Single(build("v1")), &[Standing::Single(build("v2"))], None)]
+#[case::others_know_several(Standing::Single(build("v1")), &[Standing::Several], None)]
+#[case::nothing_is_known(Standing::Nothing, &[Standing::Single(build("v1"))], None)]
+#[case::nobody_answers(Standing::Single(build("v1")), &[], None)]
+#[case::others_know_nothing(Standing::Single(build("v1")), &[Standing::Nothing], None)]
+fn answers_are_weighed(
+    #[case] own: Standing,
+    #[case] answers: &[Standing],
+    #[case] version: Option<&str>,
+) {
+    let mut inquiry = Inquiry::new(own, answers.len());
+    for answer in answers {
+        inquiry.record(*answer);
+    }
+    assert!(inquiry.is_complete());
+    assert_eq!(inquiry.conclude(false), version.map(build));
+}
+
+/// Those that can be taken up for the longest time are remembered.
+#[test]
+fn what_is_remembered_is_bounded() {
+    let mut registry = registry(Millis::ZERO);
+    for at in 0..70_000_u64 {
+        let stream = Stream::of("murphy", &at.to_string());
+        registry.record(stream, build("v1"), Millis(at));
+    }
+    assert_eq!(registry.len(), 65_536);
+    let known = |at: u64| {
+        let stream = Stream::of("murphy", &at.to_string());
+        registry.standing(Some(stream), &services(), Millis::ZERO)
+    };
+    assert_eq!(known(0), Standing::Nothing);
+    assert_eq!(known(69_999), Standing::Known(build("v1")));
+    registry.expire(Millis(70_000) + TAKE_UP_WINDOW);
+    assert!(registry.is_empty());
+}
+
+/// A keeper that hears of many streams of one entry keeps none for longer than a version.
+#[test]
+fn a_keeper_keeps_no_stream_for_ever() {
+    let mut registry = registry(Millis::ZERO);
+    let stream = Stream::of("murphy", "r1");
+    let notice = Notice {
+        stream,
+        build: build("v1"),
+        keep_for: Millis(u64::MAX),
+    };
+    registry.keep(&notice, Millis::ZERO);
+    registry.expire(LONGEST + TAKE_UP_WINDOW);
+    assert!(registry.is_empty());
+}
+
+/// While older versions serve.
+#[test]
+fn no_streams_begin_at_a_version_before_all_know_of_it() {
+    let mut registry = registry(Millis::ZERO);
+    registry.observe(SERVICE, "v1", Millis(0));
+    registry.observe(SERVICE, "v2", Millis(2_000));
+    registry.observe(SERVICE, "v2", Millis(2_900));
+    assert_eq!(registry.held(SERVICE, Millis(2_999)), ["v2"]);
+    assert!(registry.held(SERVICE, Millis(3_000)).is_empty());
+    assert!(registry.held("others", Millis(3_000)).is_empty());
+}
+
+/// The bytes of a notice and the streams of an entry bound what control costs.
+#[test]
+fn a_notice_is_short() {
+    let notice = Notice {
+        stream: Stream::of("murphy", "r1"),
+        build: build("v1"),
+        keep_for: LONGEST + TAKE_UP_WINDOW,
+    };
+    let bytes = postcard::to_stdvec(&notice).unwrap();
+    assert!(bytes.len() <= 23, "{}", bytes.len());
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -16,6 +16,7 @@
 use crate::source::row::{Content, Row, UnusableRows};
 use crate::source::{Endpoints, Error, Evacuations, OperatorUpdate, Plans, Update};
 use crate::state::State;
+use crate::streams;
 use crate::upkeep;
 
 /// By how much less, at most, a question about the plan is held: entries that ask
@@ -289,6 +290,7 @@
 ) {
     let now = state.now();
     let changes = state.roster.borrow_mut().replace(all, revision, as_of, now);
+    streams::observe(state);
     upkeep::drop_gone(state, now);
     let changes: Vec<_> = changes.into_iter().map(|it| (revision, it)).collect();
     tell_all(state, &changes, source);
@@ -298,6 +300,7 @@
 pub fn take_changes(state: &State, changes: Vec<(u64, Change)>, as_of: Millis, source: &str) {
     let now = state.now();
     let newer = state.roster.borrow_mut().apply(changes, as_of, now);
+    streams::observe(state);
     upkeep::drop_gone(state, now);
     tell_all(state, &newer, source);
 }
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -23,6 +23,7 @@
 use crate::scheduling::round::LOADS_PER_REPORT;
 use crate::scheduling::{claim, round};
 use crate::state::State;
+use crate::streams;
 
 /// Answers that take longer than this are ignored.
 const ANSWER_TIMEOUT: Millis = Millis(2_000);
@@ -331,6 +332,10 @@
             claim::receive(&self.state, &message, sender);
             return;
         }
+        if let Some(message) = message::decode_resumption(bytes) {
+            streams::receive(&self.state, message, sender);
+            return;
+        }
         let Some(message) = message::decode(bytes) else {
             log::debug!(from = sender.to_string(); "dropped a datagram that is malformed or of another wire version");
             return;
@@ -384,6 +389,7 @@
                 .is_newcomer(message.known_entries, now);
             if is_newcomer {
                 self.describe_others(&mut answer, &message.from);
+                streams::tell_past(&self.state, message.from.peer);
             }
             self.send(&answer, sender);
             self.query_back(&message);
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -9,8 +9,10 @@
 use woodgap_core::relay::departure;
 use woodgap_core::relay::fleet::Member;
 use woodgap_core::relay::load_report::LoadReport;
+
 use woodgap_core::relay::rate_limit;
 use woodgap_core::relay::rest;
+use woodgap_core::relay::resumption;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::scheduling::returns;
 use woodgap_core::relay::usage;
@@ -23,6 +25,8 @@
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The first byte of a datagram on the planned retry of a refused caller.
 const RETURN_FORM: u8 = FORM | 0x40;
+/// The first byte of a datagram on streams that are taken up.
+const RESUMPTION_FORM: u8 = FORM | 0x20;
 /// The largest datagram, in bytes: small enough to cross every link without fragmentation.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The maximum number of endpoints whose load one message reports.
@@ -255,6 +259,26 @@
     postcard::from_bytes(message).ok()
 }
 
+/// Encodes a message on streams that are taken up.
+///
+/// # Errors
+///
+/// If a field can't be serialised.
+pub fn encode_resumption(message: &resumption::Message) -> Result<Vec<u8>, postcard::Error> {
+    let mut bytes = vec![RESUMPTION_FORM];
+    bytes.extend(postcard::to_stdvec(message)?);
+    Ok(bytes)
+}
+
+/// Decodes a message on streams that are taken up; `None` if it is of another kind or malformed.
+pub fn decode_resumption(bytes: &[u8]) -> Option<resumption::Message> {
+    let (version, message) = bytes.split_first()?;
+    if *version != RESUMPTION_FORM {
+        return None;
+    }
+    postcard::from_bytes(message).ok()
+}
+
 /// Decodes a message; `None` if it has another wire version or is malformed.
 pub fn decode(bytes: &[u8]) -> Option<Message> {
     let (version, message) = bytes.split_first()?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod start;
 pub mod state;
 pub mod stop;
+pub mod streams;
 pub mod upkeep;
 pub mod upstream;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -27,6 +27,8 @@
     pub attempts: IntCounterVec,
     /// Requests handed to other entries, and taken from them, by outcome.
     pub handovers: IntCounterVec,
+    /// Streams that callers take up, by how the version that began them is known.
+    pub resumptions: IntCounterVec,
     /// Connections opened to endpoints.
     pub connects: IntCounter,
     /// Calls to the platform, by outcome.
@@ -108,6 +110,7 @@
                 "Requests handed to other entries, and taken from them",
                 "outcome",
             )?,
+            resumptions: counters("resumptions", "Streams that callers take up", "version")?,
             connects: IntCounter::new("connects", "Connections opened to endpoints")?,
             platform_calls: counters("platform_calls", "Calls to the platform", "outcome")?,
             unusable_rows: counters("unusable_rows", "Rows that have become unusable", "what")?,
@@ -195,6 +198,7 @@
         registry.register(Box::new(self.whole.clone()))?;
         registry.register(Box::new(self.attempts.clone()))?;
         registry.register(Box::new(self.handovers.clone()))?;
+        registry.register(Box::new(self.resumptions.clone()))?;
         registry.register(Box::new(self.connects.clone()))?;
         registry.register(Box::new(self.platform_calls.clone()))?;
         registry.register(Box::new(self.unusable_rows.clone()))?;
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -47,6 +47,8 @@
     is_resumption: bool,
     /// The attempt that brought that stream's first event; empty if its caller does not say.
     resumes: String,
+    /// How it is known which version began it.
+    version_source: &'static str,
     /// Empty until the request is admitted.
     fingerprint: String,
     route: String,
@@ -94,6 +96,7 @@
             id: String::new(),
             is_resumption: false,
             resumes: String::new(),
+            version_source: "",
             fingerprint: String::new(),
             route: String::new(),
             plan: (0, Millis::ZERO),
@@ -134,6 +137,11 @@
         self.resumes = resumption.first_attempt.clone().unwrap_or_default();
     }
 
+    /// Sets how it is known which version began the stream that is taken up.
+    pub fn set_version_source(&mut self, source: &'static str) {
+        self.version_source = source;
+    }
+
     /// Sets the fingerprint, which identifies repetitions of a request.
     pub fn set_fingerprint(&mut self, fingerprint: Fingerprint) {
         self.fingerprint = fingerprint.to_string();
@@ -342,6 +350,7 @@
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
             service = self.service, workspace = self.workspace, sends = self.sends,
             is_resumption = self.is_resumption, resumes = self.resumes,
+            version_source = self.version_source,
             version = choice.map_or("", |it| it.endpoint.version.as_str()),
             endpoint = self.endpoint, handed_to = self.handed_to,
             is_handed_over = self.is_of_entry(),
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -12,12 +12,14 @@
 use woodgap_core::fingerprint::{self, Fingerprint};
 use woodgap_core::relay::Table;
 use woodgap_core::relay::plan::{Kind, Route, Service, Workspace};
+use woodgap_core::relay::resumption::Build;
 
 use crate::dialect::Call;
 use crate::request::handover::{self, Accepted};
 use crate::request::problem::{Code, OTHER_RELAY_RETRY_AFTER};
 use crate::request::{AccessRecord, Problem};
 use crate::state::State;
+use crate::streams;
 
 /// Maximum age of a plan's confirmation at which requests with an unknown route or key are
 /// rejected: a newer plan may contain them. Longer than the interval between two confirmations.
@@ -56,6 +58,8 @@
     pub service: Arc<Service>,
     /// The caller's workspace; `None` on a public route, or if the plan has no workspaces.
     pub workspace: Option<Arc<Workspace>>,
+    /// If it takes a stream up: what began it. It must not go on anywhere else.
+    pub build: Option<Build>,
     /// The priority among the requests to its service; 0 is the most urgent.
     pub priority: u8,
     /// The priority for a model engine; `None` for plain services.
@@ -102,7 +106,10 @@
         state.force.borrow().age(state.now()),
     );
     let workspace = identify_workspace(state, &table, &route, call.key.as_deref())?;
-    let service = pick_service(&table, &route)?;
+    let owner = workspace.as_deref().map_or("", |it| it.name.as_str());
+
+    let build = streams::locate(state, &call, &route, owner, record).await?;
+    let service = pick_service(state, &table, &route, build)?;
     let priority = table.priority(&service.name, workspace.as_deref(), &route);
     let urgency = (route.kind == Kind::Stream).then(|| table.urgency(workspace.as_deref(), &route));
     record.set_service(
@@ -147,6 +154,7 @@
         route,
         service,
         workspace,
+        build,
         priority,
         urgency,
         fingerprint,
@@ -260,8 +268,16 @@
     Err(not_ready("the configuration may be outdated"))
 }
 
-fn pick_service(table: &Table, route: &Route) -> Result<Arc<Service>, Problem> {
-    let service = table.pick_service(route, rand::random());
+fn pick_service(
+    state: &State,
+    table: &Table,
+    route: &Route,
+    build: Option<Build>,
+) -> Result<Arc<Service>, Problem> {
+    let service = match build {
+        Some(build) => Some(streams::service(state, route, build)?),
+        None => table.pick_service(route, rand::random()),
+    };
     let service = service.and_then(|name| table.service(name));
     // Validated plans have an existing service for each route.
     let no_service = || Problem::not_run(Code::NoEndpoint, "the route has no service");
--- a/crates/relay/src/request/problem.rs
+++ b/crates/relay/src/request/problem.rs
@@ -44,6 +44,10 @@
     Timeout,
     /// The request is quarantined, as it crashes the endpoints that run it.
     Withheld,
+    /// Which version began the stream is not known, and there are several.
+    UnknownVersion,
+    /// No endpoint of the version that began the stream serves.
+    VersionGone,
 }
 
 impl Code {
@@ -62,10 +66,12 @@
             Self::EndpointFailed => "endpoint_failed",
             Self::Timeout => "timeout",
             Self::Withheld => "withheld",
+            Self::UnknownVersion => "unknown_version",
+            Self::VersionGone => "version_gone",
         }
     }
 
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 14] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::RequestTimeout,
@@ -78,6 +84,8 @@
         Self::EndpointFailed,
         Self::Timeout,
         Self::Withheld,
+        Self::UnknownVersion,
+        Self::VersionGone,
     ];
 
     const fn status(self) -> StatusCode {
@@ -91,7 +99,9 @@
             | Self::Stopping
             | Self::NoEndpoint
             | Self::Overloaded
-            | Self::Withheld => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Withheld
+            | Self::UnknownVersion
+            | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointFailed => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Whether at least a part of an event has come.
+    pub fn has_event(&self) -> bool {
+        let (head, first) = match self {
+            Self::Whole { head, body } => (head, body),
+            Self::Stream { head, first, .. } => (head, first),
+        };
+        head.status.is_success() && !first.is_empty()
+    }
+
     /// The status from the endpoint.
     pub fn status(&self) -> StatusCode {
         match self {
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -32,6 +32,7 @@
 use crate::request::{AccessRecord, EndpointResponse, Problem};
 use crate::scheduling::{admission, announcement};
 use crate::state::State;
+use crate::streams;
 
 /// Maximum number of attempts that fail before any byte is sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -134,7 +135,7 @@
 
 /// Where the next attempt goes.
 enum Target {
-    Endpoint(Choice),
+    Endpoint(Box<Choice>),
     Peer(Member),
 }
 
@@ -158,7 +159,12 @@
         let failure = match answered {
             // Another entry has made all attempts that are allowed.
             Ok(response) if matches!(target, Target::Peer(_)) => return Ok(response),
-            Ok(response) if !attempts.may_retry(state, request, &response) => return Ok(response),
+            Ok(response) if !attempts.may_retry(state, request, &response) => {
+                if let Target::Endpoint(choice) = &target {
+                    streams::record(state, request, &choice.endpoint, &response);
+                }
+                return Ok(response);
+            }
             Ok(response) => {
                 attempts.sent += 1;
                 attempts.failed_response = Some(response);
@@ -190,7 +196,7 @@
         return Ok(Target::Peer(peer));
     }
     match choose(state, request, attempts) {
-        Ok(choice) => Ok(Target::Endpoint(choice)),
+        Ok(choice) => Ok(Target::Endpoint(Box::new(choice))),
         Err(problem) if problem.code == Code::NoEndpoint => {
             let peer = attempts.choose_peer(state, request);
             peer.map(Target::Peer).ok_or(problem)
@@ -221,6 +227,7 @@
     let roster = state.roster.borrow();
     let evacuation = state.evacuation.borrow();
     let usable = roster.usable(&request.service.name, &evacuation, now);
+    let usable = streams::of_version(state, request, usable, now)?;
     let usable = exclude_unwilling(state, request, attempts, usable, now)?;
     let entries = state.fleet.borrow().size();
     let mut loads = state.loads.borrow_mut();
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -161,6 +161,7 @@
     let socket = UdpSocket::from_std(sockets.messages).map_err(Error::Process)?;
     let socket = Rc::new(socket);
     state.scheduling.set_socket(Rc::clone(&socket));
+    state.streams.set_socket(Rc::clone(&socket));
     let listener = TcpListener::from_std(sockets.fetch).map_err(Error::Process)?;
     actix_rt::spawn(fetch::serve(Rc::clone(state), listener));
     supervise("exchange", state, move |state| {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -37,6 +37,7 @@
 use crate::scheduling::Scheduling;
 use crate::source::Source;
 use crate::stop;
+use crate::streams::Streams;
 use crate::upstream::Pool;
 
 /// How much sooner than the bound on removed keys a plan is distrusted: changes
@@ -88,6 +89,8 @@
     pub warmed: RefCell<warming::SendHistory>,
     /// Their load.
     pub loads: RefCell<LoadBalancer>,
+    /// Which versions of them began which streams.
+    pub streams: Streams,
     /// Which requests they get, where there is too little room for all.
     pub scheduling: Scheduling,
     /// The back-offs that they ask this entry for.
@@ -187,6 +190,7 @@
                 settings.data_centre.clone(),
                 rand::random(),
             )),
+            streams: Streams::new(ORIGIN),
             scheduling: Scheduling::new(settings.scheduling.as_ref()),
             back_offs: RefCell::default(),
             rate_limits: RefCell::new(RateLimits::new(rand::random())),
--- /dev/null
+++ b/crates/relay/src/streams.rs
@@ -0,0 +1,377 @@
+//! Sends streams that callers take up to the software version that began them.
+//!
+//! [`woodgap_core::relay::resumption`] decides; this module carries the messages between entries, and
+//! looks at rows and responses.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use woodgap_core::clock::Millis;
+use woodgap_core::relay::plan::{Kind, Route};
+use woodgap_core::relay::resumption::inquiry::{MAX_NOTICES, Notice};
+use woodgap_core::relay::resumption::{
+    Build, Inquiry, KEEPERS, Message, Registry, Service, Standing, Stream,
+};
+use woodgap_core::relay::roster::Endpoint;
+
+use crate::dialect::Call;
+use crate::gossip::message;
+use crate::request::problem::Code;
+use crate::request::{AccessRecord, AdmittedRequest, EndpointResponse, Problem};
+use crate::state::State;
+
+/// How long the answers of the keepers are waited for: several round trips between regions.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long notices are gathered, so that streams that begin together are told in one message.
+const GATHER: Duration = Duration::from_millis(10);
+/// The oldest confirmation of the plan at which the endpoints count as current although no other
+/// entry answers.
+const MAX_VIEW_AGE: Millis = Millis(2_500);
+/// The most versions that one message tells of: names are short, and a message that becomes too
+/// large for a datagram is fragmented.
+const MAX_PAST: usize = 16;
+/// `Retry-After` for a stream that can't go on now: another entry may know more, or endpoints of
+/// its version may come back.
+const RETRY_AFTER: Millis = Millis(300);
+
+/// The builds of streams, and the questions to other entries about them.
+#[derive(Debug)]
+pub struct Streams {
+    registry: RefCell<Registry>,
+    /// The questions that are being asked, by their number.
+    inquiries: RefCell<HashMap<u64, Asking>>,
+    next_number: Cell<u64>,
+    /// Whether notices are being gathered.
+    is_gathering: Cell<bool>,
+    /// The socket for messages to other entries, once it is open.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+}
+
+/// A question that is being asked.
+#[derive(Debug)]
+struct Asking {
+    inquiry: Inquiry,
+    /// Told once no further answer matters.
+    complete: Option<oneshot::Sender<()>>,
+}
+
+/// A stream that a request takes up.
+#[derive(Debug)]
+struct Resumed {
+    /// `None` if the caller does not name it.
+    stream: Option<Stream>,
+    /// The services that may have begun it.
+    services: Vec<Service>,
+}
+
+impl Resumed {
+    /// What a request to a route takes up, if it does; `workspace` is empty on public routes.
+    fn new(call: &Call, route: &Route, workspace: &str) -> Option<Self> {
+        let resumption = call.resumption.as_ref()?;
+        let attempt = resumption.first_attempt.as_deref();
+        let shares = route.shares.iter().filter(|share| share.weight > 0);
+        let resumed = Self {
+            stream: attempt.map(|attempt| Stream::of(workspace, attempt)),
+            services: shares.map(|share| Service::of(&share.service)).collect(),
+        };
+        Some(resumed).filter(|_| route.kind == Kind::Stream)
+    }
+}
+
+impl Streams {
+    /// The state of a relay that starts at `now`.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            registry: RefCell::new(Registry::new(now)),
+            inquiries: RefCell::default(),
+            next_number: Cell::new(rand::random()),
+            is_gathering: Cell::new(false),
+            socket: RefCell::default(),
+        }
+    }
+
+    /// Sets the socket for messages to other entries.
+    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
+        *self.socket.borrow_mut() = Some(socket);
+    }
+
+    fn send(&self, message: &Message, to: SocketAddr) {
+        let socket = self.socket.borrow();
+        let Some(socket) = socket.as_ref() else {
+            return;
+        };
+        // A message that can't be sent counts as lost.
+        if let Ok(bytes) = message::encode_resumption(message) {
+            let _ = socket.try_send_to(&bytes, to);
+        }
+    }
+}
+
+/// Finds out where a stream that is taken up began; `None` if the request takes none up.
+///
+/// # Errors
+///
+/// The error for the caller if that can't be known; the request has not run.
+pub async fn locate(
+    state: &State,
+    call: &Call,
+    route: &Route,
+    workspace: &str,
+    record: &mut AccessRecord,
+) -> Result<Option<Build>, Problem> {
+    let Some(resumed) = Resumed::new(call, route, workspace) else {
+        return Ok(None);
+    };
+    let now = state.now();
+    let standing = {
+        let registry = state.streams.registry.borrow();
+        registry.standing(resumed.stream, &resumed.services, now)
+    };
+    let age = state.force.borrow().age(now);
+    let is_certain = {
+        let registry = state.streams.registry.borrow();
+        registry.is_certain(standing, age, now)
+    };
+    let (build, source) = match standing {
+        Standing::Known(build) => (Some(build), "own"),
+        Standing::Single(build) if is_certain => (Some(build), "single"),
+        _ => (ask(state, &resumed, standing).await, "asked"),
+    };
+    let outcome = if build.is_some() { source } else { "unknown" };
+    let resumptions = &state.metrics.resumptions;
+    resumptions.with_label_values(&[outcome]).inc();
+    record.set_version_source(outcome);
+    let unknown = || {
+        let message = "which software version began the stream is not known";
+        Problem::not_run(Code::UnknownVersion, message).retry_after(RETRY_AFTER)
+    };
+    build.map(Some).ok_or_else(unknown)
+}
+
+/// Asks the keepers of a stream about its build.
+async fn ask(state: &State, resumed: &Resumed, own: Standing) -> Option<Build> {
+    let key = resumed.stream.map_or_else(rand::random, Stream::key);
+    let keepers = keepers(state, key);
+    let is_alone = state.fleet.borrow().known().next().is_none();
+    let streams = &state.streams;
+    let number = streams.next_number.get().wrapping_add(1);
+    streams.next_number.set(number);
+    let (complete, completed) = oneshot::channel();
+    let asking = Asking {
+        inquiry: Inquiry::new(own, keepers.len()),
+        complete: Some(complete),
+    };
+    streams.inquiries.borrow_mut().insert(number, asking);
+    let question = Message::Question {
+        number,
+        stream: resumed.stream,
+        services: resumed.services.clone(),
+    };
+    for keeper in &keepers {
+        streams.send(&question, *keeper);
+    }
+    if !keepers.is_empty() {
+        // What was answered by then counts.
+        let _ = tokio::time::timeout(ANSWER_TIMEOUT, completed).await;
+    }
+    let asking = streams.inquiries.borrow_mut().remove(&number)?;
+    let is_current = state.force.borrow().age(state.now()) <= MAX_VIEW_AGE;
+    asking.inquiry.conclude(is_current || is_alone)
+}
+
+/// The addresses of the other entries that keep the build of a stream.
+fn keepers(state: &State, key: u64) -> Vec<SocketAddr> {
+    let fleet = state.fleet.borrow();
+    let ring = fleet.ring_with_stopping();
+    let owners = ring.owners(key, KEEPERS);
+    let others = fleet.known().filter(|it| owners.contains(&&it.name));
+    others.map(|it| it.peer).collect()
+}
+
+/// The service of a route that began a stream.
+///
+/// # Errors
+///
+/// The error for the caller if none of them serves at its version; the request has not run.
+pub fn service<'r>(state: &State, route: &'r Route, build: Build) -> Result<&'r str, Problem> {
+    let roster = state.roster.borrow();
+    let shares = route.shares.iter().filter(|share| share.weight > 0);
+    let mut names = shares.map(|share| share.service.as_str());
+    let has_version = |name: &&str| {
+        let mut endpoints = roster.known();
+        endpoints.any(|it| it.service == **name && build_of(it) == build)
+    };
+    names.find(has_version).ok_or_else(version_gone)
+}
+
+fn build_of(endpoint: &Endpoint) -> Build {
+    Build::of(&endpoint.service, &endpoint.version)
+}
+
+fn version_gone() -> Problem {
+    let message = "no endpoint of the software version that began the stream serves";
+    Problem::not_run(Code::VersionGone, message).retry_after(RETRY_AFTER)
+}
+
+/// Filters out the endpoints of versions that the request must not go to: any but its own if it
+/// takes a stream up and, while others serve, those that are too new to begin streams.
+///
+/// # Errors
+///
+/// The error for the caller if no endpoint of its version remains.
+pub fn of_version<'e>(
+    state: &State,
+    request: &AdmittedRequest,
+    usable: Vec<&'e Endpoint>,
+    now: Millis,
+) -> Result<Vec<&'e Endpoint>, Problem> {
+    if request.route.kind != Kind::Stream || usable.is_empty() {
+        return Ok(usable);
+    }
+    if let Some(build) = request.build {
+        let of_origin = usable.into_iter().filter(|it| build_of(it) == build);
+        let of_origin: Vec<_> = of_origin.collect();
+        return if of_origin.is_empty() {
+            Err(version_gone())
+        } else {
+            Ok(of_origin)
+        };
+    }
+    let registry = state.streams.registry.borrow();
+    let held = registry.held(&request.service.name, now);
+    let is_held = |endpoint: &&Endpoint| held.contains(&endpoint.version.as_str());
+    if held.is_empty() || usable.iter().all(is_held) {
+        return Ok(usable);
+    }
+    Ok(usable.into_iter().filter(|it| !is_held(it)).collect())
+}
+
+/// Records where a stream began, or goes on, once an event of it has come.
+pub fn record(
+    state: &Rc<State>,
+    request: &AdmittedRequest,
+    endpoint: &Endpoint,
+    response: &EndpointResponse,
+) {
+    if request.route.kind != Kind::Stream || !response.has_event() {
+        return;
+    }
+    let workspace = request.workspace.as_deref();
+    let workspace = workspace.map_or("", |it| it.name.as_str());
+    let resumption = request.call.resumption.as_ref();
+    let first = resumption.and_then(|it| it.first_attempt.as_deref());
+    let build = build_of(endpoint);
+    {
+        let mut registry = state.streams.registry.borrow_mut();
+        for attempt in [Some(request.call.id.as_str()), first]
+            .into_iter()
+            .flatten()
+        {
+            registry.record(Stream::of(workspace, attempt), build, request.deadline);
+        }
+    }
+    tell_soon(state);
+}
+
+/// Takes in which versions have endpoints now.
+pub fn observe(state: &State) {
+    let now = state.now();
+    let mut registry = state.streams.registry.borrow_mut();
+    if let Some(table) = state.force.borrow().table() {
+        registry.set_longest_stream(table.longest_stream());
+    }
+    for endpoint in state.roster.borrow().known() {
+        registry.observe(&endpoint.service, &endpoint.version, now);
+    }
+    if state.force.borrow().age(now) > MAX_VIEW_AGE {
+        registry.record_gap(now);
+    }
+    registry.expire(now);
+    drop(registry);
+    tell(state);
+}
+
+/// Tells the keepers of new streams, together with those that begin within a moment.
+fn tell_soon(state: &Rc<State>) {
+    if state.streams.is_gathering.replace(true) {
+        return;
+    }
+    let state = Rc::clone(state);
+    actix_rt::spawn(async move {
+        tokio::time::sleep(GATHER).await;
+        state.streams.is_gathering.set(false);
+        tell(&state);
+    });
+}
+
+fn tell(state: &State) {
+    let streams = &state.streams;
+    let notices = streams.registry.borrow_mut().take_notices(state.now());
+    let mut by_keeper: BTreeMap<SocketAddr, Vec<Notice>> = BTreeMap::new();
+    for notice in notices {
+        for keeper in keepers(state, notice.stream.key()) {
+            by_keeper.entry(keeper).or_default().push(notice);
+        }
+    }
+    for (keeper, notices) in by_keeper {
+        for part in notices.chunks(MAX_NOTICES) {
+            streams.send(&Message::Notices(part.to_vec()), keeper);
+        }
+    }
+}
+
+/// Tells an entry that has just started, or was parted from others, which versions there were: the
+/// last endpoint of one may have gone before.
+pub fn tell_past(state: &State, to: SocketAddr) {
+    let past = state.streams.registry.borrow().past(state.now());
+    for part in past.chunks(MAX_PAST) {
+        state.streams.send(&Message::Past(part.to_vec()), to);
+    }
+}
+
+/// Takes in what another entry tells, answers what it asks.
+pub fn receive(state: &State, message: Message, sender: SocketAddr) {
+    let streams = &state.streams;
+    let now = state.now();
+    match message {
+        Message::Notices(notices) => {
+            let mut registry = streams.registry.borrow_mut();
+            for notice in &notices {
+                registry.keep(notice, now);
+            }
+        }
+        Message::Past(all) => {
+            let mut registry = streams.registry.borrow_mut();
+            for past in &all {
+                registry.learn(past, now);
+            }
+        }
+        Message::Question {
+            number,
+            stream,
+            services,
+        } => {
+            let registry = streams.registry.borrow();
+            let standing = registry.standing(stream, &services, now);
+            streams.send(&Message::Answer { number, standing }, sender);
+        }
+        Message::Answer { number, standing } => {
+            let mut inquiries = streams.inquiries.borrow_mut();
+            let Some(asking) = inquiries.get_mut(&number) else {
+                return;
+            };
+            asking.inquiry.record(standing);
+            if asking.inquiry.is_complete()
+                && let Some(complete) = asking.complete.take()
+            {
+                // The caller may have gone in this moment.
+                let _ = complete.send(());
+            }
+        }
+    }
+}
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -11,6 +11,7 @@
 use crate::logs;
 use crate::request::crash;
 use crate::state::State;
+use crate::streams;
 use crate::upstream::Connection;
 
 /// The time between two rounds.
@@ -37,6 +38,7 @@
 
 fn round(state: &Rc<State>, now: Millis) {
     drop_gone(state, now);
+    streams::observe(state);
     state.pool.borrow_mut().sweep(now);
     state.exchange.sweep(now);
     state.warmed.borrow_mut().expire(now);
