Versions of services outlast a start of all entries

By reading: an entry that starts when all others are gone sees one version where the last endpoint of another has just left, and takes a stream of that one up there.

Cause: which versions there have been was known to running entries alone.

Change: while a service has several versions, one entry keeps them in a row of the platform's store; the few entries that read what is withheld at a start read it, and tell the others. Until an entry is so informed, or an informed one answers, it goes on with no stream that nobody knows.

--- a/crates/core/src/relay/resumption.rs
+++ b/crates/core/src/relay/resumption.rs
@@ -17,6 +17,7 @@
 
 pub use inquiry::{Inquiry, Message, Standing};
 pub use registry::Registry;
+pub use versions::ServiceVersions;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/core/src/relay/resumption/inquiry.rs
+++ b/crates/core/src/relay/resumption/inquiry.rs
@@ -15,12 +15,25 @@
     Known(Build),
     /// The stream is not known; there has been no other version that could have begun it.
     Single(Build),
+    /// The same, but whether there have been other versions is not known.
+    Unsure(Build),
     /// The stream is not known, and there have been several such versions.
     Several,
     /// No version of its services is known.
     Nothing,
 }
 
+impl Standing {
+    /// The standing of an entry that does not know which versions there were before its start.
+    #[must_use]
+    pub fn of_uninformed(self) -> Self {
+        match self {
+            Self::Single(build) => Self::Unsure(build),
+            standing => standing,
+        }
+    }
+}
+
 /// The build of a stream, told to a keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
@@ -96,7 +109,8 @@
     /// The only build of those who know one version, unless they contradict one another.
     single: Option<Build>,
     is_mixed: bool,
-    has_answers: bool,
+    /// Whether another entry knows that there has been one version.
+    has_witness: bool,
 }
 
 impl Inquiry {
@@ -108,7 +122,7 @@
             known: None,
             single: None,
             is_mixed: false,
-            has_answers: false,
+            has_witness: false,
         };
         inquiry.weigh(own);
         inquiry
@@ -117,14 +131,14 @@
     /// Records an answer.
     pub fn record(&mut self, standing: Standing) {
         self.unanswered = self.unanswered.saturating_sub(1);
-        self.has_answers |= standing != Standing::Nothing;
+        self.has_witness |= matches!(standing, Standing::Single(_));
         self.weigh(standing);
     }
 
     fn weigh(&mut self, standing: Standing) {
         match standing {
             Standing::Known(build) => self.known = Some(build),
-            Standing::Single(build) => {
+            Standing::Single(build) | Standing::Unsure(build) => {
                 self.is_mixed |= self.single.is_some_and(|single| single != build);
                 self.single = Some(build);
             }
@@ -144,8 +158,11 @@
         if self.known.is_some() {
             return self.known;
         }
-        let has_witness = is_confirmed || self.has_answers;
-        let is_single = matches!(self.own, Standing::Single(_)) && !self.is_mixed;
-        self.single.filter(|_| is_single && has_witness)
+        let is_sure = match self.own {
+            Standing::Single(_) => is_confirmed || self.has_witness,
+            Standing::Unsure(_) => self.has_witness,
+            _ => false,
+        };
+        self.single.filter(|_| is_sure && !self.is_mixed)
     }
 }
--- a/crates/core/src/relay/resumption/registry.rs
+++ b/crates/core/src/relay/resumption/registry.rs
@@ -3,7 +3,7 @@
 use crate::clock::Millis;
 use crate::relay::resumption::inquiry::{Notice, Past, Standing};
 use crate::relay::resumption::records::Records;
-use crate::relay::resumption::versions::Versions;
+use crate::relay::resumption::versions::{ServiceVersions, Versions};
 use crate::relay::resumption::{Build, Service, Stream, TAKE_UP_WINDOW};
 
 /// The longest age of an entry's view at which it may say unasked that there is one version: less
@@ -71,6 +71,18 @@
         self.versions.learn(past, now);
     }
 
+    /// Takes in what the platform has stored: all of these versions may have begun streams.
+    pub fn restore(&mut self, stored: &ServiceVersions, now: Millis) {
+        for version in &stored.versions {
+            self.versions.observe(&stored.service, version, now);
+        }
+    }
+
+    /// What the platform must store, for entries that start when all others are gone.
+    pub fn to_store(&self) -> Vec<ServiceVersions> {
+        self.versions.to_store()
+    }
+
     /// What an entry that has just started must learn: the versions of services that have several.
     pub fn past(&self, now: Millis) -> Vec<Past> {
         self.versions.past(now)
@@ -126,7 +138,7 @@
             Standing::Single(_) => {
                 age <= MAX_UNASKED_AGE && now - self.complete_since >= self.retention
             }
-            Standing::Several | Standing::Nothing => false,
+            Standing::Unsure(_) | Standing::Several | Standing::Nothing => false,
         }
     }
 
--- a/crates/core/src/relay/resumption/versions.rs
+++ b/crates/core/src/relay/resumption/versions.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::relay::resumption::inquiry::Past;
 use crate::relay::resumption::{Build, Service};
@@ -10,6 +12,22 @@
 /// then the other entries know of it as well.
 const NEW_VERSION_HOLD: Millis = Millis(1_000);
 
+/// The versions that may have begun streams of a service, as the platform stores them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceVersions {
+    /// The service.
+    pub service: String,
+    /// Its versions, in ascending order.
+    pub versions: Vec<String>,
+}
+
+impl ServiceVersions {
+    /// The position of a service among the entries, one of which stores its versions.
+    pub fn key(service: &str) -> u64 {
+        Service::of(service).0
+    }
+}
+
 /// When endpoints of a version were known.
 #[derive(Clone, Copy, Debug)]
 struct Period {
@@ -67,6 +85,16 @@
         all.collect()
     }
 
+    /// The versions of services that have several, as the platform stores them.
+    pub(super) fn to_store(&self) -> Vec<ServiceVersions> {
+        let mixed = self.services.iter().filter(|(_, known)| known.len() > 1);
+        let all = mixed.map(|(service, versions)| ServiceVersions {
+            service: service.clone(),
+            versions: versions.keys().cloned().collect(),
+        });
+        all.collect()
+    }
+
     /// Drops the versions that were last known longer ago than `retention`.
     pub(super) fn expire(&mut self, retention: Millis, now: Millis) {
         for versions in self.services.values_mut() {
--- a/crates/core/tests/relay/resumption.rs
+++ b/crates/core/tests/relay/resumption.rs
@@ -322,6 +322,9 @@
 #[case::another_one_here(Standing::Single(build("v1")), &[Standing::Single(build("v2"))], None)]
 #[case::others_know_several(Standing::Single(build("v1")), &[Standing::Several], None)]
 #[case::nothing_is_known(Standing::Nothing, &[Standing::Single(build("v1"))], None)]
+#[case::nobody_is_informed(Standing::Unsure(build("v1")), &[Standing::Unsure(build("v1"))], None)]
+#[case::one_is_informed(Standing::Unsure(build("v1")), &[Standing::Single(build("v1"))], Some("v1"))]
+#[case::an_uninformed_one_knows_another(Standing::Single(build("v1")), &[Standing::Unsure(build("v2")), Standing::Single(build("v1"))], None)]
 #[case::nobody_answers(Standing::Single(build("v1")), &[], None)]
 #[case::others_know_nothing(Standing::Single(build("v1")), &[Standing::Nothing], None)]
 fn answers_are_weighed(
@@ -356,6 +359,29 @@
     assert!(registry.is_empty());
 }
 
+/// What the platform stores holds for entries that start when all others are gone.
+#[test]
+fn stored_versions_are_remembered() {
+    let mut before = registry(Millis::ZERO);
+    before.observe(SERVICE, "v1", Millis(0));
+    assert!(before.to_store().is_empty());
+    before.observe(SERVICE, "v2", Millis(0));
+    let stored = before.to_store();
+    let mut after = registry(Millis(100));
+    after.restore(&stored[0], Millis(100));
+    after.observe(SERVICE, "v2", Millis(200));
+    let standing = after.standing(None, &services(), Millis(200));
+    assert_eq!(standing, Standing::Several);
+    let end = Millis(100) + LONGEST + TAKE_UP_WINDOW;
+    after.observe(SERVICE, "v2", end);
+    after.expire(end);
+    assert_eq!(
+        after.standing(None, &services(), end),
+        Standing::Single(build("v2"))
+    );
+    assert!(after.to_store().is_empty());
+}
+
 /// A keeper that hears of many streams of one entry keeps none for longer than a version.
 #[test]
 fn a_keeper_keeps_no_stream_for_ever() {
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -376,7 +376,7 @@
         notice::merge_departures(&self.state, &message.departures, now);
         self.state.told_of_crashes(&message.suspects);
         if message.knowledge.withheld {
-            self.state.has_read_withheld.set(true);
+            self.state.has_read_kept.set(true);
         }
         if message.is_answer {
             self.confirm_versions(&message, now);
@@ -454,6 +454,6 @@
         endpoints: roster.revision(),
         endpoints_age: roster.age(now),
         evacuation: state.evacuation.borrow().revision(),
-        withheld: state.has_read_withheld.get(),
+        withheld: state.has_read_kept.get(),
     }
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! What the platform keeps of requests that are withheld.
+//! What the platform keeps of requests that are withheld. What it stores of versions is read with
+//! it.
 //!
 //! Entries tell one another what they know. The platform is for those that start when all others
 //! are gone: else a request that crashes endpoints would crash as many again.
@@ -15,6 +16,7 @@
 use crate::source::{Error, row};
 use crate::start::ANNOUNCED;
 use crate::state::State;
+use crate::streams;
 
 /// Between two tries at a platform that does not answer.
 const RETRY: Millis = Millis(1_000);
@@ -24,10 +26,11 @@
 /// Reads once what is kept, and has the platform keep what this entry finds out.
 pub async fn run(state: Rc<State>) {
     let mut faults = UnusableRows::new("withheld requests");
-    while !state.has_read_withheld.get() {
+    let mut version_faults = UnusableRows::new("versions");
+    while !state.has_read_kept.get() {
         let mut pause = FIRST_LOOK;
         if is_reader(&state)
-            && let Err(error) = read(&state, &mut faults).await
+            && let Err(error) = read(&state, &mut faults, &mut version_faults).await
         {
             log::info!(error = error.to_string(); "withheld requests are not known yet");
             pause = RETRY;
@@ -51,7 +54,12 @@
 }
 
 /// Takes in what is kept, and drops what is long over. A few entries do so, which tell the others.
-async fn read(state: &State, faults: &mut UnusableRows) -> Result<(), Error> {
+async fn read(
+    state: &State,
+    faults: &mut UnusableRows,
+    version_faults: &mut UnusableRows,
+) -> Result<(), Error> {
+    streams::restore(state, version_faults).await?;
     let rows: Vec<row::Row<StoredHistory>> = state.source.list_withheld().await?;
     faults.replace(&rows, &state.metrics);
     let now = state.clock.unix();
@@ -59,7 +67,7 @@
     let (over, kept): (Vec<_>, Vec<_>) = kept.partition(|kept| kept.is_expired(now));
     let told: Vec<CrashHistory> = kept.iter().map(|kept| kept.history_at(now)).collect();
     state.told_of_crashes(&told);
-    state.has_read_withheld.set(true);
+    state.has_read_kept.set(true);
     for kept in over {
         state.rewrite(kept.told.request);
     }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -17,6 +17,7 @@
 use woodgap_core::quarantine::StoredHistory;
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::evacuation::{self, Evacuation};
+use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_core::relay::roster::Endpoint;
 
 use crate::source::row::Row;
@@ -115,6 +116,15 @@
 
     /// Reads the records of withheld requests that all entries have stored.
     fn list_withheld(&self) -> Answer<'_, Vec<Row<StoredHistory>>>;
+
+    /// Stores the versions that may have begun streams of a service that has several.
+    fn save_versions<'a>(&'a self, versions: &'a ServiceVersions) -> Answer<'a, ()>;
+
+    /// Deletes the stored versions of a service.
+    fn delete_versions<'a>(&'a self, service: &'a str) -> Answer<'a, ()>;
+
+    /// Reads the stored versions of all services.
+    fn list_versions(&self) -> Answer<'_, Vec<Row<ServiceVersions>>>;
 }
 
 /// The future of a source's answer.
--- a/crates/relay/src/source/row.rs
+++ b/crates/relay/src/source/row.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 use woodgap_core::quarantine::StoredHistory;
 use woodgap_core::relay::Plan;
+use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_core::relay::roster::Endpoint;
 
 use crate::metrics::Metrics;
@@ -92,9 +93,10 @@
 
     fn check(&self, key: &str) -> Result<(), RowError> {
         check_name(key)?;
-        for text in [&self.service, self.data_centre.as_str(), &self.version] {
+        for text in [&self.service, self.data_centre.as_str()] {
             check_length(text)?;
         }
+        check_version(&self.version)?;
         if self.life.id.as_str() != key {
             return Err(RowError::KeyMismatch(self.life.id.to_string()));
         }
@@ -128,6 +130,17 @@
     }
 }
 
+impl Check for ServiceVersions {
+    const MAX_BYTES: usize = MAX_BYTES;
+
+    fn check(&self, key: &str) -> Result<(), RowError> {
+        if self.service != key {
+            return Err(RowError::KeyMismatch(self.service.clone()));
+        }
+        self.versions.iter().try_for_each(|it| check_version(it))
+    }
+}
+
 impl Check for Plan {
     // Only the source limits its size. The plan is validated when it comes into force.
     const MAX_BYTES: usize = usize::MAX;
@@ -153,6 +166,15 @@
     Ok(())
 }
 
+/// Checks a version, which may be sent as a header; it may be empty.
+fn check_version(text: &str) -> Result<(), RowError> {
+    check_length(text)?;
+    if text.trim() != text || text.chars().any(char::is_control) {
+        return Err(RowError::Name(text.to_owned()));
+    }
+    Ok(())
+}
+
 fn check_address(address: SocketAddr) -> Result<(), RowError> {
     let ip = address.ip().to_canonical();
     let is_broadcast = ip == std::net::Ipv4Addr::BROADCAST;
--- a/crates/relay/src/source/table.rs
+++ b/crates/relay/src/source/table.rs
@@ -2,7 +2,8 @@
 //!
 //! The table `relay` holds the plan in its row `plan` and the evacuated data centres in its row
 //! `evacuation`. The table `relay-endpoints` has a row for each endpoint, `relay-entries` for
-//! each entry, and `relay-withheld` for each withheld request.
+//! each entry, `relay-withheld` for each withheld request, and `relay-versions` for each service
+//! that has several software versions.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use woodgap_core::name;
 use woodgap_core::quarantine::StoredHistory;
 use woodgap_core::relay::Evacuation;
+use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_platform::Error as PlatformError;
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
@@ -32,6 +34,7 @@
 const ENDPOINTS: &str = "relay-endpoints";
 const ENTRIES: &str = "relay-entries";
 const WITHHELD: &str = "relay-withheld";
+const VERSIONS: &str = "relay-versions";
 
 /// The source that reads from the product's table service.
 pub struct TableSource {
@@ -218,4 +221,23 @@
     fn list_withheld(&self) -> Answer<'_, Vec<source::Row<StoredHistory>>> {
         self.scan_table(WITHHELD).boxed_local()
     }
+
+    fn save_versions<'a>(&'a self, versions: &'a ServiceVersions) -> Answer<'a, ()> {
+        async move {
+            let value = serde_json::to_value(versions);
+            let value = value.map_err(|error| Error::Malformed(error.to_string()))?;
+            let place = Place::new(VERSIONS, &versions.service);
+            self.write(place, Some(value)).await
+        }
+        .boxed_local()
+    }
+
+    fn delete_versions<'a>(&'a self, service: &'a str) -> Answer<'a, ()> {
+        self.write(Place::new(VERSIONS, service), None)
+            .boxed_local()
+    }
+
+    fn list_versions(&self) -> Answer<'_, Vec<source::Row<ServiceVersions>>> {
+        self.scan_table(VERSIONS).boxed_local()
+    }
 }
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -22,7 +22,7 @@
 use crate::source::Source;
 use crate::source::row::UnusableRows;
 use crate::state::{Announcement, State};
-use crate::{duties, follow, logs, quarantine, scheduling, stop, upkeep};
+use crate::{duties, follow, logs, quarantine, scheduling, stop, streams, upkeep};
 
 /// The pause before a task that ended is started again.
 const RESTART: Millis = Millis(100);
@@ -128,6 +128,7 @@
     supervise("quarantine", &state, quarantine::run);
     supervise("duties", &state, duties::run);
     supervise("scheduling", &state, scheduling::run);
+    supervise("streams", &state, streams::run);
     let settings = &state.settings;
     log::info!(
         entry = settings.name.as_str(), data_centre = settings.data_centre.as_str(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -141,8 +141,8 @@
     pub unkept: RefCell<BTreeSet<Fingerprint>>,
     /// There are some.
     pub to_keep: Notify,
-    /// Whether this entry has read what the platform keeps, or heard of it from one that has.
-    pub has_read_withheld: Cell<bool>,
+    /// Whether this entry has read what the platform keeps of withheld requests and of versions, or heard of it from one that has.
+    pub has_read_kept: Cell<bool>,
     /// Endpoints that broke off, of which it is being found out whether they have crashed.
     pub crash_checks: RefCell<CrashChecks>,
     /// What the clocks of the other entries read.
@@ -220,7 +220,7 @@
             quarantine: RefCell::default(),
             unkept: RefCell::default(),
             to_keep: Notify::new(),
-            has_read_withheld: Cell::new(false),
+            has_read_kept: Cell::new(false),
             crash_checks: RefCell::default(),
             readings: RefCell::default(),
             meter: RefCell::default(),
@@ -353,7 +353,7 @@
     /// Whether it knows which requests were withheld before its start, or has waited for that
     /// long enough.
     pub fn knows_withheld(&self) -> bool {
-        self.has_read_withheld.get() || self.life() >= WITHHELD_PATIENCE
+        self.has_read_kept.get() || self.life() >= WITHHELD_PATIENCE
     }
 
     /// Whether the relay should get requests: it is not stopping, and knows the
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -3,6 +3,10 @@
 //! [`woodgap_core::relay::resumption`] decides; this module carries the messages between entries, and
 //! looks at rows and responses.
 
+mod history;
+
+pub use history::{restore, run};
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -15,7 +19,7 @@
 use woodgap_core::relay::plan::{Kind, Route};
 use woodgap_core::relay::resumption::inquiry::{MAX_NOTICES, Notice};
 use woodgap_core::relay::resumption::{
-    Build, Inquiry, KEEPERS, Message, Registry, Service, Standing, Stream,
+    Build, Inquiry, KEEPERS, Message, Registry, Service, ServiceVersions, Standing, Stream,
 };
 use woodgap_core::relay::roster::Endpoint;
 
@@ -48,6 +52,8 @@
     next_number: Cell<u64>,
     /// Whether notices are being gathered.
     is_gathering: Cell<bool>,
+    /// What the platform stores, as far as this entry has written or read it.
+    stored: RefCell<BTreeMap<String, ServiceVersions>>,
     /// The socket for messages to other entries, once it is open.
     socket: RefCell<Option<Rc<UdpSocket>>>,
 }
@@ -91,6 +97,7 @@
             inquiries: RefCell::default(),
             next_number: Cell::new(rand::random()),
             is_gathering: Cell::new(false),
+            stored: RefCell::default(),
             socket: RefCell::default(),
         }
     }
@@ -128,10 +135,7 @@
         return Ok(None);
     };
     let now = state.now();
-    let standing = {
-        let registry = state.streams.registry.borrow();
-        registry.standing(resumed.stream, &resumed.services, now)
-    };
+    let standing = standing(state, resumed.stream, &resumed.services);
     let age = state.force.borrow().age(now);
     let is_certain = {
         let registry = state.streams.registry.borrow();
@@ -153,6 +157,17 @@
     build.map(Some).ok_or_else(unknown)
 }
 
+/// What this entry knows about a stream that one of these services has begun.
+fn standing(state: &State, stream: Option<Stream>, services: &[Service]) -> Standing {
+    let registry = state.streams.registry.borrow();
+    let standing = registry.standing(stream, services, state.now());
+    if state.has_read_kept.get() {
+        standing
+    } else {
+        standing.of_uninformed()
+    }
+}
+
 /// Asks the keepers of a stream about its build.
 async fn ask(state: &State, resumed: &Resumed, own: Standing) -> Option<Build> {
     let key = resumed.stream.map_or_else(rand::random, Stream::key);
@@ -356,8 +371,7 @@
             stream,
             services,
         } => {
-            let registry = streams.registry.borrow();
-            let standing = registry.standing(stream, &services, now);
+            let standing = standing(state, stream, &services);
             streams.send(&Message::Answer { number, standing }, sender);
         }
         Message::Answer { number, standing } => {
--- a/crates/relay/tests/contract/resumed_streams.rs
+++ b/crates/relay/tests/contract/resumed_streams.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up where endpoints of several software versions serve one service.
 
 use std::cell::RefCell;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -274,6 +275,36 @@
     }
 }
 
+/// The last endpoint of a version may go just before all entries start again.
+#[test]
+fn a_version_that_has_gone_is_remembered_after_all_entries_have_started_again() {
+    let fleet = Fleet::start(2, &["v1", "v2"]);
+    let stored = Arc::clone(&fleet.sites[0].source.0.lock().unwrap().versions);
+    fleet.sites[1].source.0.lock().unwrap().versions = Arc::clone(&stored);
+    until(|| stored.lock().unwrap().contains_key("links"));
+    let started_again = |stored: Arc<Mutex<_>>| {
+        let source = fleet.source();
+        {
+            let mut told = source.0.lock().unwrap();
+            told.endpoints.remove(1);
+            told.versions = stored;
+        }
+        let site = Site::with("dub-a-0", source);
+        site.until_ready();
+        site
+    };
+    let site = started_again(stored);
+    let headers = resuming("before");
+    assert_refused(&get(site.requests, ROUTE, "again", &headers));
+    assert_eq!(fleet.version_of("again"), None);
+    // The same where there was one version all the while.
+    let site = started_again(Arc::default());
+    let mut caller = Caller::connect(site.requests);
+    caller.send(&request("GET", ROUTE, "single", &headers), b"");
+    assert_eq!(caller.head().unwrap().status, 200);
+    assert_eq!(fleet.version_of("single"), Some("v1"));
+}
+
 #[test]
 fn a_request_that_names_two_attempts_is_refused() {
     let fleet = Fleet::start(1, &["v1"]);
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -19,6 +19,7 @@
 use woodgap_core::relay::plan::{
     DEFAULT_WEIGHT, Engine, Kind, Limits, Plan, Route, Service, Share, Workspace,
 };
+use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::duties;
@@ -57,6 +58,8 @@
     pub unanswered: Option<Unanswered>,
     /// What entries keep of requests that are withheld; several sites may share it.
     pub kept: Arc<Mutex<BTreeMap<Fingerprint, StoredHistory>>>,
+    /// What entries store of the versions of services, by service; several sites may share it.
+    pub versions: Arc<Mutex<BTreeMap<String, ServiceVersions>>>,
 }
 
 /// A source that tells what the test says.
@@ -165,6 +168,35 @@
         .boxed_local()
     }
 
+    fn save_versions<'a>(&'a self, versions: &'a ServiceVersions) -> Answer<'a, ()> {
+        async move {
+            let shared = self.told()?.versions;
+            let mut shared = shared.lock().unwrap();
+            shared.insert(versions.service.clone(), versions.clone());
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn delete_versions<'a>(&'a self, service: &'a str) -> Answer<'a, ()> {
+        async move {
+            self.told()?.versions.lock().unwrap().remove(service);
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn list_versions(&self) -> Answer<'_, Vec<Row<ServiceVersions>>> {
+        async move {
+            let shared = self.told()?.versions;
+            let shared = shared.lock().unwrap();
+            let rows = shared.iter();
+            let rows = rows.map(|(key, it)| Row::new(key, 1, Ok(it.clone())));
+            Ok(rows.collect())
+        }
+        .boxed_local()
+    }
+
     fn entries(&self) -> Answer<'_, Addresses> {
         // Known also while the rest is not: the list was read before.
         let entries = self.0.lock().unwrap().entries.clone();
