Endpoints are told the software version that is meant

In the product's own form an endpoint may start again under its name and address at another version; until its row says so, its streams would be taken for ones of the version before.

Change: X-Woodgap-Version names the version that the endpoint's row names; an endpoint of another one answers 421, as with X-Woodgap-Endpoint. On the users' platform each start has an id of its own, so nothing is sent there.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -59,6 +59,9 @@
     pub left: Millis,
     /// The endpoint that is meant: any other at the address must decline.
     pub endpoint: &'a name::Endpoint,
+    /// The software version that is meant, if the endpoint's row names one: an endpoint of any
+    /// other must decline.
+    pub version: Option<&'a str>,
     /// The caller's workspace.
     pub workspace: Option<&'a str>,
     /// How urgent the request is to a model engine, from 0, the most urgent, to 9.
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -18,6 +18,7 @@
 /// let names = Names {
 ///     left: "left-ms",
 ///     endpoint: "endpoint",
+///     version: Some("version"),
 ///     workspace: "workspace",
 ///     urgency: "urgency",
 ///     source: "source",
@@ -37,13 +38,14 @@
 /// let stamp = Stamp {
 ///     left: Millis(800),
 ///     endpoint: &name::Endpoint::from("e1"),
+///     version: Some("v1"),
 ///     workspace: None,
 ///     urgency: Some(3),
 ///     source: None,
 /// };
 /// let mut added = Vec::new();
 /// names.stamp(&stamp, &mut |name, value| added.push(format!("{name}: {value}")));
-/// assert_eq!(added, ["left-ms: 800", "endpoint: e1", "urgency: 3"]);
+/// assert_eq!(added, ["left-ms: 800", "endpoint: e1", "version: v1", "urgency: 3"]);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Names {
@@ -51,6 +53,9 @@
     pub left: &'static str,
     /// To an endpoint: the one that is meant.
     pub endpoint: &'static str,
+    /// To an endpoint: the software version that is meant; `None` if an endpoint takes another
+    /// name when its version changes.
+    pub version: Option<&'static str>,
     /// To an endpoint: the caller's workspace.
     pub workspace: &'static str,
     /// To an endpoint: how urgent the request is, from 0 to 9.
@@ -89,13 +94,17 @@
             self.urgency,
             self.source,
         ];
-        !own.contains(&header) && !self.others.contains(&header)
+        let is_own = own.contains(&header) || self.version == Some(header);
+        !is_own && !self.others.contains(&header)
     }
 
     /// The headers that the relay adds for an endpoint.
     pub fn stamp(&self, stamp: &Stamp<'_>, add: &mut dyn FnMut(&'static str, String)) {
         add(self.left, stamp.left.0.to_string());
         add(self.endpoint, stamp.endpoint.to_string());
+        if let (Some(name), Some(version)) = (self.version, stamp.version) {
+            add(name, version.to_owned());
+        }
         if let Some(workspace) = stamp.workspace {
             add(self.workspace, workspace.to_owned());
         }
--- a/crates/relay/src/dialect/own.rs
+++ b/crates/relay/src/dialect/own.rs
@@ -22,6 +22,7 @@
 pub const NAMES: Names = Names {
     left: "x-woodgap-left-ms",
     endpoint: "x-woodgap-endpoint",
+    version: Some("x-woodgap-version"),
     workspace: "x-woodgap-workspace",
     urgency: "x-woodgap-urgency",
     source: "x-woodgap-prompt-source",
--- a/crates/relay/src/request/forward.rs
+++ b/crates/relay/src/request/forward.rs
@@ -66,6 +66,7 @@
     let stamp = Stamp {
         left: request.deadline - state.now(),
         endpoint: &choice.endpoint.life.id,
+        version: Some(choice.endpoint.version.as_str()).filter(|it| !it.is_empty()),
         workspace: request.workspace.as_deref().map(|it| it.name.as_str()),
         urgency: request.urgency,
         source: choice.prompt_source.as_ref().map(|it| it.address),
--- a/crates/relay/tests/contract/endpoint.rs
+++ b/crates/relay/tests/contract/endpoint.rs
@@ -50,7 +50,7 @@
 }
 
 /// What the endpoint does with the requests that arrive.
-type Script = Box<dyn Fn(usize) -> Vec<Step> + Send + Sync>;
+type Script = Box<dyn Fn(usize, &Seen) -> Vec<Step> + Send + Sync>;
 
 #[derive(Default)]
 struct Shared {
@@ -73,12 +73,12 @@
 
     /// Does the same with every request.
     pub fn always(steps: Vec<Step>) -> Self {
-        Self::start(Box::new(move |_| steps.clone()), true)
+        Self::start(Box::new(move |_, _| steps.clone()), true)
     }
 
     /// Does this with the first request, and that with all others.
     pub fn first(first: Vec<Step>, others: Vec<Step>) -> Self {
-        let script = move |number| {
+        let script = move |number, _: &Seen| {
             if number == 0 {
                 first.clone()
             } else {
@@ -90,12 +90,17 @@
 
     /// Does with each request, counted from 0, what the script says.
     pub fn numbered(script: impl Fn(usize) -> Vec<Step> + Send + Sync + 'static) -> Self {
-        Self::start(Box::new(script), true)
+        Self::start(Box::new(move |number, _| script(number)), true)
+    }
+
+    /// Does with each request what the script says of it.
+    pub fn looking(script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        Self::start(Box::new(move |_, seen| script(seen)), true)
     }
 
     /// Answers without having read the body.
     pub fn early(steps: Vec<Step>) -> Self {
-        Self::start(Box::new(move |_| steps.clone()), false)
+        Self::start(Box::new(move |_, _| steps.clone()), false)
     }
 
     fn start(script: Script, reads_body: bool) -> Self {
@@ -142,10 +147,10 @@
         let id = seen.header("x-woodgap-request");
         let number = {
             let mut all = shared.seen.lock().unwrap();
-            all.push(seen);
+            all.push(seen.clone());
             all.len() - 1
         };
-        for step in script(number) {
+        for step in script(number, &seen) {
             match step {
                 Step::Send(text) => {
                     let text = text.replace("{id}", &id);
--- a/crates/relay/tests/contract/resumed_streams.rs
+++ b/crates/relay/tests/contract/resumed_streams.rs
@@ -275,6 +275,46 @@
     }
 }
 
+/// An endpoint has started again under its name, at another version, and its row is late.
+#[test]
+fn a_stream_does_not_begin_at_a_version_that_the_row_does_not_name() {
+    let begin = vec![head("200 OK", EVENTS), chunk("id: 1\n\n"), Step::Hold];
+    let of_version = |version: &'static str| {
+        let begin = begin.clone();
+        Endpoint::looking(move |seen| {
+            if seen.header("x-woodgap-version") == version {
+                begin.clone()
+            } else {
+                vec![head("421 Misdirected Request", "Content-Length: 0\r\n")]
+            }
+        })
+    };
+    let mut fleet = Fleet::start(0, &[]);
+    fleet.endpoints = vec![("v1", of_version("v1")), ("v1", of_version("v2"))];
+    fleet.add_entry();
+    let begin_one = |id: &str| {
+        let mut caller = Caller::connect(fleet.sites[0].requests);
+        caller.send(&request("GET", ROUTE, id, ""), b"");
+        assert_eq!(caller.head().unwrap().status, 200);
+        fleet.open.borrow_mut().push(caller);
+    };
+    let runs = |at: usize, version: &str| {
+        let seen = fleet.endpoints[at].1.seen();
+        let is_meant = |it: &&Seen| it.header("x-woodgap-version") == version;
+        seen.iter().filter(is_meant).count()
+    };
+    (0..STREAMS).for_each(|at| begin_one(&format!("late-{at}")));
+    assert_eq!((runs(0, "v1"), runs(1, "v2")), (STREAMS, 0));
+    {
+        let mut told = fleet.sites[0].source.0.lock().unwrap();
+        "v2".clone_into(&mut told.endpoints[1].version);
+    }
+    std::thread::sleep(2 * LISTED);
+    (0..STREAMS).for_each(|at| begin_one(&format!("listed-{at}")));
+    assert!(runs(1, "v2") > 0);
+    assert_eq!(runs(0, "v1") + runs(1, "v2"), 2 * STREAMS);
+}
+
 /// The last endpoint of a version may go just before all entries start again.
 #[test]
 fn a_version_that_has_gone_is_remembered_after_all_entries_have_started_again() {
