Streams are told to keepers that are new or have started again

Cause: a stream counted as told once its notice was sent, also where no other entry was known yet; and a keeper that started again was not told anew, so that copies only became fewer.

Change: each second an entry looks whether others have come, gone or started again, and tells what it knows to the keepers that are new by that.

--- a/crates/core/src/relay/resumption.rs
+++ b/crates/core/src/relay/resumption.rs
@@ -11,11 +11,13 @@
 //! if there has been no other version that could have begun it.
 
 pub mod inquiry;
+mod keepers;
 mod records;
 mod registry;
 mod versions;
 
 pub use inquiry::{Inquiry, Message, Standing};
+pub use keepers::Keepers;
 pub use registry::Registry;
 pub use versions::ServiceVersions;
 
--- a/crates/core/src/relay/resumption/records.rs
+++ b/crates/core/src/relay/resumption/records.rs
@@ -15,6 +15,16 @@
     until: Millis,
 }
 
+impl Record {
+    fn notice(&self, stream: Stream, now: Millis) -> Notice {
+        Notice {
+            stream,
+            build: self.build,
+            keep_for: self.until - now,
+        }
+    }
+}
+
 /// Streams with their builds, each until it can't be taken up any more.
 #[derive(Debug, Default)]
 pub(super) struct Records {
@@ -65,6 +75,14 @@
         }
     }
 
+    /// All streams whose builds others must know.
+    pub(super) fn notices(&self, must_know: impl Fn(Build) -> bool, now: Millis) -> Vec<Notice> {
+        let streams = self.streams.iter();
+        let wanted = streams.filter(|(_, record)| record.until > now && must_know(record.build));
+        let notices = wanted.map(|(stream, record)| record.notice(*stream, now));
+        notices.collect()
+    }
+
     /// Takes the own streams that no other entry was told of, if their build is one of those that
     /// others must know.
     pub(super) fn take_untold(
@@ -81,11 +99,7 @@
             if !must_know(record.build) {
                 return true;
             }
-            notices.push(Notice {
-                stream: *stream,
-                build: record.build,
-                keep_for: record.until - now,
-            });
+            notices.push(record.notice(*stream, now));
             false
         });
         notices
--- a/crates/core/src/relay/resumption/registry.rs
+++ b/crates/core/src/relay/resumption/registry.rs
@@ -116,6 +116,15 @@
         self.records.take_untold(must_know, now)
     }
 
+    /// All streams whose service has several versions, for keepers that have just become so.
+    pub fn notices(&self, now: Millis) -> Vec<Notice> {
+        let mixed = self.versions.mixed();
+        if mixed.is_empty() {
+            return Vec::new();
+        }
+        self.records.notices(|build| mixed.contains(&build), now)
+    }
+
     /// What is known about a stream that one of these services has begun.
     pub fn standing(&self, stream: Option<Stream>, services: &[Service], now: Millis) -> Standing {
         let known = stream.and_then(|stream| self.records.get(stream, now));
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -16,10 +16,11 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use woodgap_core::clock::Millis;
+use woodgap_core::name;
 use woodgap_core::relay::plan::{Kind, Route};
 use woodgap_core::relay::resumption::inquiry::{MAX_NOTICES, Notice};
 use woodgap_core::relay::resumption::{
-    Build, Inquiry, KEEPERS, Message, Registry, Service, ServiceVersions, Standing, Stream,
+    Build, Inquiry, Keepers, Message, Registry, Service, ServiceVersions, Standing, Stream,
 };
 use woodgap_core::relay::roster::Endpoint;
 
@@ -39,6 +40,9 @@
 /// The most versions that one message tells of: names are short, and a message that becomes too
 /// large for a datagram is fragmented.
 const MAX_PAST: usize = 16;
+/// The time between two looks for new keepers: one takes some milliseconds where hundreds of
+/// entries keep thousands of streams.
+const KEEPERS_INTERVAL: Millis = Millis(1_000);
 /// `Retry-After` for a stream that can't go on now: another entry may know more, or endpoints of
 /// its version may come back.
 const RETRY_AFTER: Millis = Millis(300);
@@ -52,6 +56,8 @@
     next_number: Cell<u64>,
     /// Whether notices are being gathered.
     is_gathering: Cell<bool>,
+    /// The entries when streams were last told to new keepers, and when that was.
+    keepers: RefCell<Option<(Keepers, Millis)>>,
     /// What the platform stores, as far as this entry has written or read it.
     stored: RefCell<BTreeMap<String, ServiceVersions>>,
     /// The socket for messages to other entries, once it is open.
@@ -97,6 +103,7 @@
             inquiries: RefCell::default(),
             next_number: Cell::new(rand::random()),
             is_gathering: Cell::new(false),
+            keepers: RefCell::default(),
             stored: RefCell::default(),
             socket: RefCell::default(),
         }
@@ -170,8 +177,7 @@
 
 /// Asks the keepers of a stream about its build.
 async fn ask(state: &State, resumed: &Resumed, own: Standing) -> Option<Build> {
-    let key = resumed.stream.map_or_else(rand::random, Stream::key);
-    let keepers = keepers(state, key);
+    let keepers = keepers(state, resumed.stream);
     let is_alone = state.fleet.borrow().known().next().is_none();
     let streams = &state.streams;
     let number = streams.next_number.get().wrapping_add(1);
@@ -199,13 +205,14 @@
     asking.inquiry.conclude(is_current || is_alone)
 }
 
-/// The addresses of the other entries that keep the build of a stream.
-fn keepers(state: &State, key: u64) -> Vec<SocketAddr> {
-    let fleet = state.fleet.borrow();
-    let ring = fleet.ring_with_stopping();
-    let owners = ring.owners(key, KEEPERS);
-    let others = fleet.known().filter(|it| owners.contains(&&it.name));
-    others.map(|it| it.peer).collect()
+/// The addresses of the other entries that keep a stream; of any few if its caller does not name
+/// it.
+fn keepers(state: &State, stream: Option<Stream>) -> Vec<SocketAddr> {
+    let any = || Stream::of("", &rand::random::<u64>().to_string());
+    let keepers = Keepers::new(&state.fleet.borrow());
+    let names = keepers.of(stream.unwrap_or_else(any));
+    let addresses = names.into_iter().filter_map(|name| address(state, name));
+    addresses.collect()
 }
 
 /// The service of a route that began a stream.
@@ -309,6 +316,7 @@
     registry.expire(now);
     drop(registry);
     tell(state);
+    tell_new_keepers(state, now);
 }
 
 /// Tells the keepers of new streams, together with those that begin within a moment.
@@ -325,21 +333,62 @@
 }
 
 fn tell(state: &State) {
-    let streams = &state.streams;
-    let notices = streams.registry.borrow_mut().take_notices(state.now());
-    let mut by_keeper: BTreeMap<SocketAddr, Vec<Notice>> = BTreeMap::new();
+    let notices = state
+        .streams
+        .registry
+        .borrow_mut()
+        .take_notices(state.now());
+    if !notices.is_empty() {
+        let keepers = Keepers::new(&state.fleet.borrow());
+        send_notices(state, &notices, |stream| keepers.of(stream));
+    }
+}
+
+/// Tells entries of the streams that they keep since others have come or gone, or have started
+/// again.
+fn tell_new_keepers(state: &State, now: Millis) {
+    let keepers = Keepers::new(&state.fleet.borrow());
+    let mut known = state.streams.keepers.borrow_mut();
+    if let Some((earlier, since)) = known.as_ref() {
+        if now - *since < KEEPERS_INTERVAL || keepers.is_same(earlier) {
+            return;
+        }
+        let notices = state.streams.registry.borrow().notices(now);
+        send_notices(state, &notices, |stream| keepers.new_since(earlier, stream));
+    }
+    *known = Some((keepers, now));
+}
+
+/// Sends each notice to the entries that are chosen for its stream.
+fn send_notices<'k>(
+    state: &State,
+    notices: &[Notice],
+    choose: impl Fn(Stream) -> Vec<&'k name::Entry>,
+) {
+    let mut by_keeper: BTreeMap<&name::Entry, Vec<Notice>> = BTreeMap::new();
     for notice in notices {
-        for keeper in keepers(state, notice.stream.key()) {
-            by_keeper.entry(keeper).or_default().push(notice);
+        for keeper in choose(notice.stream) {
+            by_keeper.entry(keeper).or_default().push(*notice);
         }
     }
     for (keeper, notices) in by_keeper {
+        let Some(address) = address(state, keeper) else {
+            continue;
+        };
         for part in notices.chunks(MAX_NOTICES) {
-            streams.send(&Message::Notices(part.to_vec()), keeper);
+            state
+                .streams
+                .send(&Message::Notices(part.to_vec()), address);
         }
     }
 }
 
+fn address(state: &State, entry: &name::Entry) -> Option<SocketAddr> {
+    let fleet = state.fleet.borrow();
+    let member = fleet.known().find(|it| it.name == *entry);
+    member.map(|it| it.peer)
+}
+
 /// Tells an entry that has just started, or was parted from others, which versions there were: the
 /// last endpoint of one may have gone before.
 pub fn tell_past(state: &State, to: SocketAddr) {
