Soak: two software versions, and callers that take streams up

Cause: nothing but contract tests played endpoints of several versions.

Change: a third soak test. Endpoints change their version with each start, under their name, with rows that come late; six callers lose streams and take them up at any entry. Broken: events of two versions in one stream; and, of 12 or more that are taken up at entries that nothing has befallen for three seconds, a share that goes on under half of the share of new streams that begin.

--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -16,6 +16,7 @@
 
 use crate::proxy::reset;
 use crate::record::{Arrival, Outcome, Record};
+use crate::streams;
 
 /// The longest time that it works on a request, in ms.
 const LONGEST_WORK: u64 = 150;
@@ -82,6 +83,8 @@
     is_overloaded: Rc<Cell<bool>>,
     /// Whether it runs no more than its slots, and says that it fails if it turns many away.
     is_brittle: Rc<Cell<bool>>,
+    /// The versions that its lives have in turn; none if its rows name none.
+    versions: &'static [&'static str],
     running: Rc<Cell<u32>>,
 }
 
@@ -106,6 +109,7 @@
     /// The request that it answers.
     id: &'a str,
     endpoint: &'a str,
+    version: &'a str,
     /// Further headers, each with its end of line.
     headers: String,
 }
@@ -117,6 +121,7 @@
         seed: u64,
         record: Record,
         ended: UnboundedSender<String>,
+        versions: &'static [&'static str],
     ) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("loopback has a free port");
@@ -132,6 +137,7 @@
             is_leaving: Rc::default(),
             is_overloaded: Rc::default(),
             is_brittle: Rc::default(),
+            versions,
             running: Rc::default(),
         };
         actix_rt::spawn(endpoint.clone().accept(listener));
@@ -143,6 +149,13 @@
         *self.life.borrow()
     }
 
+    /// The software version of one of its lives; empty if its rows name none.
+    pub fn version(&self, life: u64) -> &'static str {
+        let count = self.versions.len().max(1) as u64;
+        let at = usize::try_from(life % count).expect("versions are few");
+        self.versions.get(at).copied().unwrap_or_default()
+    }
+
     /// Has its answers name a rate limit, or none.
     pub fn name_limit(&self, per_second: Option<f64>) {
         self.limit.set(per_second);
@@ -234,7 +247,10 @@
             let work = random.random_range(1..=LONGEST_WORK);
             (mishap.filter(|_| is_bad), work)
         };
-        if header(head, "x-woodgap-endpoint") != self.name {
+        let version = self.version(life);
+        let is_meant = header(head, "x-woodgap-endpoint") == self.name
+            && header(head, "x-woodgap-version") == version;
+        if !is_meant {
             return send(stream, &refusal(421, &id, "")).await;
         }
         let free_slots = SLOTS.saturating_sub(self.running.get());
@@ -251,6 +267,7 @@
         let names = Names {
             id: &id,
             endpoint: &self.name,
+            version,
             headers: self.headers(),
         };
         if self.is_overloaded.get() {
@@ -302,6 +319,11 @@
     format!("id: {number}\ndata: {id}-{number}\n\n")
 }
 
+/// The events of a stream that may be taken up; `first` is its first attempt.
+pub fn versioned_event(first: &str, number: usize, version: &str) -> String {
+    format!("id: {number}\ndata: {first}-{number} {version}\n\n")
+}
+
 /// What becomes of the connection after a run that went to its end.
 #[derive(Clone, Copy)]
 enum After {
@@ -321,6 +343,7 @@
         id,
         endpoint,
         headers,
+        ..
     } = names;
     match mishap {
         Some(Mishap::Failed) => {
@@ -335,7 +358,7 @@
         _ => {}
     }
     if let Ok(count) = header(head, EVENTS).parse() {
-        return events(stream, names, count, mishap).await;
+        return events(stream, head, names, count, mishap).await;
     }
     let body = body(id, endpoint);
     let head = format!(
@@ -358,21 +381,35 @@
 
 async fn events(
     stream: &mut TcpStream,
+    request: &str,
     names: &Names<'_>,
     count: usize,
     mishap: Option<Mishap>,
 ) -> Option<After> {
-    let Names { id, headers, .. } = names;
+    let Names {
+        id,
+        headers,
+        version,
+        ..
+    } = names;
+    let last: Option<usize> = header(request, "last-event-id").parse().ok();
+    let first = Some(header(request, "x-woodgap-resumes")).filter(|it| !it.is_empty());
+    let first = first.as_deref().unwrap_or(id);
+    let is_versioned = request.starts_with(&format!("GET {} ", streams::PATH));
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n{headers}\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     send(stream, &head).await?;
-    for number in 0..count {
+    for number in last.map_or(0, |last| last + 1)..count {
         if mishap == Some(Mishap::Cut) && number == count / 2 {
             return Some(After::Close);
         }
-        let event = event(id, number);
+        let event = if is_versioned {
+            versioned_event(first, number, version)
+        } else {
+            event(id, number)
+        };
         send(stream, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
         pause(stream, GAP).await?;
     }
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -24,6 +24,7 @@
 mod record;
 mod rows;
 mod stops;
+mod streams;
 mod world;
 
 use std::ops::RangeInclusive;
@@ -50,12 +51,17 @@
     hold(Endpoints::MayBeBrittle).await;
 }
 
+#[actix_rt::test]
+async fn promises_hold_under_faults_where_two_versions_serve() {
+    hold(Endpoints::OfTwoVersions).await;
+}
+
 /// Runs all seeds.
 async fn hold(endpoints: Endpoints) {
     let mut failed = Vec::new();
     let entries = entries();
     for seed in seeds() {
-        let mut world = World::start(seed, entries).await;
+        let mut world = World::start(seed, entries, endpoints).await;
         world.play(endpoints).await;
         let problems = world.end().await;
         println!("seed {seed}: {}", world.summary());
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -143,6 +143,10 @@
     Limited(String, usize, usize),
     /// A brittle endpoint had to turn so many requests away in a second.
     Brittle(String, usize),
+    /// A stream, by its first attempt, held events of these versions.
+    Versions(String, String),
+    /// So few streams went on, of so many that were taken up.
+    Forgotten(usize, usize),
     /// A request was withheld that ends no endpoint.
     Withheld(String),
     /// A duty was done under a lower number than one before it.
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -31,6 +31,7 @@
 use crate::process::GRACE;
 use crate::proxy::Proxy;
 use crate::record::{Problem, Record};
+use crate::streams::{self, Tries};
 use members::Member;
 
 const ENDPOINTS: usize = 4;
@@ -58,6 +59,19 @@
 pub enum Endpoints {
     Sound,
     MayBeBrittle,
+    /// They change their version with each start.
+    OfTwoVersions,
+}
+
+impl Endpoints {
+    /// The versions of the lives of an endpoint, in turn.
+    fn versions(self, number: usize) -> &'static [&'static str] {
+        match self {
+            Self::OfTwoVersions if number.is_multiple_of(2) => &["v1", "v2"],
+            Self::OfTwoVersions => &["v2", "v1"],
+            Self::Sound | Self::MayBeBrittle => &[],
+        }
+    }
 }
 
 /// One run.
@@ -94,6 +108,9 @@
     listing: tokio::sync::Mutex<()>,
     next_litter: Cell<usize>,
     next_endpoint: Cell<usize>,
+    endpoints_kind: Endpoints,
+    /// Tries at streams that may be taken up.
+    tries: Tries,
     plan: RefCell<Plan>,
     /// One change of the plan after the other: else an older one may be accepted last.
     writing: tokio::sync::Mutex<()>,
@@ -107,7 +124,7 @@
 
 impl World {
     /// Starts everything, with so many entries, and waits until it serves.
-    pub async fn start(seed: u64, entries: usize) -> Self {
+    pub async fn start(seed: u64, entries: usize, endpoints: Endpoints) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let streams = [1, 2, 3, 4, 5, 6, 7].map(|stream| {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -132,6 +149,8 @@
             listing: tokio::sync::Mutex::new(()),
             next_litter: Cell::new(0),
             next_endpoint: Cell::new(0),
+            endpoints_kind: endpoints,
+            tries: Tries::default(),
             plan: RefCell::new(plan::first()),
             writing: tokio::sync::Mutex::new(()),
             revoked: Rc::default(),
@@ -162,8 +181,19 @@
             let caller = Caller::new(name, random.random(), record.clone(), entries);
             actix_rt::spawn(caller.run())
         });
+        let callers: Vec<_> = callers.chain(sending).collect();
+        let has_versions = endpoints == Endpoints::OfTwoVersions;
+        let resuming = (0..streams::CALLERS)
+            .filter(|_| has_versions)
+            .map(|number| {
+                let name = format!("s{seed}-r{number}");
+                let (record, entries, tries) =
+                    (record.clone(), scene.entries.clone(), scene.tries.clone());
+                let seed = seed ^ u64::try_from(number).expect("callers are few") << 32;
+                actix_rt::spawn(streams::run(name, seed, record, entries, tries))
+            });
         Self {
-            callers: callers.chain(sending).collect(),
+            callers: callers.into_iter().chain(resuming).collect(),
             reviving,
             has_fatal,
             random,
@@ -232,6 +262,7 @@
         problems.extend(departures::problems(&self.scene));
         problems.extend(back_offs::problems(&self.scene));
         problems.extend(brittle::problems(&self.scene));
+        problems.extend(self.scene.tries.problems(&self.scene.entries));
         let calls = self.scene.until_reported().await;
         problems.extend(duties::problems(&calls));
         let left_out = duties::left_out(&calls);
@@ -245,7 +276,8 @@
     /// A line on the run.
     pub fn summary(&self) -> String {
         let lives = self.scene.entries.lives();
-        format!("{}, {lives} processes", self.scene.record.summary())
+        let (record, tries) = (self.scene.record.summary(), self.scene.tries.summary());
+        format!("{record}, {tries}, {lives} processes")
     }
 }
 
--- a/crates/relay/tests/soak/world/members.rs
+++ b/crates/relay/tests/soak/world/members.rs
@@ -42,7 +42,10 @@
         self.next_endpoint.set(number + 1);
         let name = format!("e-{number}");
         let (record, ended) = (self.record.clone(), self.ended.clone());
-        let endpoint = endpoint::Endpoint::start(name.clone(), seed, record, ended).await;
+        let endpoint = {
+            let versions = self.endpoints_kind.versions(number);
+            endpoint::Endpoint::start(name.clone(), seed, record, ended, versions).await
+        };
         let proxy = Proxy::start(endpoint.address, self.record.clone()).await;
         let row = roster::Endpoint {
             life: name::Life {
@@ -56,7 +59,7 @@
             leaving: false,
             reclaimable: false,
             cold_for: Millis::ZERO,
-            version: String::new(),
+            version: endpoint.version(0).to_owned(),
         };
         self.list(&row).await;
         Member {
@@ -137,6 +140,7 @@
         let mut row = member.row.clone();
         let life = member.endpoint.life() + lives;
         row.life.started_unix = Some(Millis(FIRST_START + life));
+        member.endpoint.version(life).clone_into(&mut row.version);
         self.write_listed(&row).await;
     }
 
--- a/crates/relay/tests/soak/world/plan.rs
+++ b/crates/relay/tests/soak/world/plan.rs
@@ -7,6 +7,7 @@
 
 use crate::caller::{KEYS, LONG_PATIENCE, ROUTE_TIMEOUT};
 use crate::record::Kind;
+use crate::streams;
 
 /// A route of reads.
 pub fn read_route(prefix: &str) -> Route {
@@ -57,6 +58,10 @@
             route(Kind::Write.path(), plan::Kind::NonIdempotent),
             route(Kind::Stream.path(), plan::Kind::Stream),
             long,
+            Route {
+                resumable: true,
+                ..route(streams::PATH, plan::Kind::Stream)
+            },
         ],
         services: vec![Service {
             name: "all".to_owned(),
