Questions about streams are forgotten with their callers; one look a second

Cause: a caller that leaves while its entry asks the keepers drops the question's task, and the question stayed in the table for ever. All endpoints were looked at for their versions each 250 ms: 0.5% of a core at 5,600 by calculation.

Change: a question is removed when its task is dropped; one look a second besides those at changes.

--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -43,8 +43,8 @@
 /// How many streams are looked at before other work has its turn, when keepers are new: among
 /// hundreds of entries this takes some milliseconds.
 const STREAMS_PER_TURN: usize = 512;
-/// The time between two looks for new keepers.
-const KEEPERS_INTERVAL: Millis = Millis(1_000);
+/// The time between two looks at all endpoints and entries, besides those at changes.
+const LOOK_INTERVAL: Millis = Millis(1_000);
 /// `Retry-After` for a stream that can't go on now: another entry may know more, or endpoints of
 /// its version may come back.
 const RETRY_AFTER: Millis = Millis(300);
@@ -58,8 +58,10 @@
     next_number: Cell<u64>,
     /// Whether notices are being gathered.
     is_gathering: Cell<bool>,
-    /// The entries when streams were last told to new keepers, and when that was.
-    keepers: RefCell<Option<(Keepers, Millis)>>,
+    /// When versions and entries were last looked at.
+    looked: Cell<Millis>,
+    /// The entries by then.
+    keepers: RefCell<Option<Keepers>>,
     /// What the platform stores, as far as this entry has written or read it.
     stored: RefCell<BTreeMap<String, ServiceVersions>>,
     /// The socket for messages to other entries, once it is open.
@@ -105,6 +107,7 @@
             inquiries: RefCell::default(),
             next_number: Cell::new(rand::random()),
             is_gathering: Cell::new(false),
+            looked: Cell::default(),
             keepers: RefCell::default(),
             stored: RefCell::default(),
             socket: RefCell::default(),
@@ -166,6 +169,24 @@
     build.map(Some).ok_or_else(unknown)
 }
 
+/// A question that is forgotten once dropped: its caller may leave while it is being asked.
+struct Pending<'s> {
+    streams: &'s Streams,
+    number: u64,
+}
+
+impl Pending<'_> {
+    fn end(&self) -> Option<Asking> {
+        self.streams.inquiries.borrow_mut().remove(&self.number)
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 /// What this entry knows about a stream that one of these services has begun.
 fn standing(state: &State, stream: Option<Stream>, services: &[Service]) -> Standing {
     let registry = state.streams.registry.borrow();
@@ -190,6 +211,7 @@
         complete: Some(complete),
     };
     streams.inquiries.borrow_mut().insert(number, asking);
+    let pending = Pending { streams, number };
     let question = Message::Question {
         number,
         stream: resumed.stream,
@@ -202,8 +224,8 @@
         // What was answered by then counts.
         let _ = tokio::time::timeout(ANSWER_TIMEOUT, completed).await;
     }
-    let asking = streams.inquiries.borrow_mut().remove(&number)?;
     let is_current = state.force.borrow().age(state.now()) <= MAX_VIEW_AGE;
+    let asking = pending.end()?;
     asking.inquiry.conclude(is_current || is_alone)
 }
 
@@ -302,6 +324,16 @@
     tell_soon(state);
 }
 
+/// Regular work: looks at versions and entries, if it is time.
+pub fn look(state: &Rc<State>, now: Millis) {
+    if now - state.streams.looked.get() < LOOK_INTERVAL {
+        return;
+    }
+    state.streams.looked.set(now);
+    observe(state);
+    tell_new_keepers(state, now);
+}
+
 /// Takes in which versions have endpoints now.
 pub fn observe(state: &State) {
     let now = state.now();
@@ -347,17 +379,10 @@
 
 /// Tells entries of the streams that they keep since others have come or gone, or have started
 /// again.
-pub fn tell_new_keepers(state: &Rc<State>, now: Millis) {
+fn tell_new_keepers(state: &Rc<State>, now: Millis) {
     let keepers = Keepers::new(&state.fleet.borrow());
-    let mut known = state.streams.keepers.borrow_mut();
-    let is_settled = |(earlier, since): &(Keepers, Millis)| {
-        now - *since < KEEPERS_INTERVAL || keepers.is_same(earlier)
-    };
-    if known.as_ref().is_some_and(is_settled) {
-        return;
-    }
-    let earlier = known.replace((keepers.clone(), now));
-    let Some((earlier, _)) = earlier else {
+    let earlier = state.streams.keepers.borrow_mut().replace(keepers.clone());
+    let Some(earlier) = earlier.filter(|earlier| !keepers.is_same(earlier)) else {
         return;
     };
     let state = Rc::clone(state);
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -38,8 +38,7 @@
 
 fn round(state: &Rc<State>, now: Millis) {
     drop_gone(state, now);
-    streams::observe(state);
-    streams::tell_new_keepers(state, now);
+    streams::look(state, now);
     state.pool.borrow_mut().sweep(now);
     state.exchange.sweep(now);
     state.warmed.borrow_mut().expire(now);
