Relay: lines tell the parts of prompts and how answers are framed

Change: fields parts (IDs of the shared parts, 16 at most) in 'request ended' and 'attempt failed', framing (length, chunks, close) in 'request ended'.

--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -18,10 +18,14 @@
 use crate::scheduling::Admission;
 use crate::scheduling::announcement::Announcement;
 use crate::state::State;
+use crate::upstream::Head;
 
 /// Reason for aborting a request that was still running at the end of a planned stop.
 const ENTRY_ENDED: &str = "this entry ended";
 
+/// The maximum number of parts of a prompt that a line names.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// The latency targets of the route, and the work that the request asks of an engine.
 #[derive(Default)]
 struct Objectives {
@@ -29,6 +33,8 @@
     gap: Millis,
     prompt_tokens: u32,
     output_tokens: u32,
+    /// The IDs of the prompt's parts but the last one, in hexadecimal, parted by commas.
+    parts: String,
     /// For a stream of a model engine: whether its work is mostly decoding.
     is_decode_heavy: Option<bool>,
 }
@@ -69,6 +75,8 @@
     rate_limit: Field<f64>,
     /// Whether that endpoint said that it is leaving.
     leaving: Field<bool>,
+    /// How the response says where it ends.
+    framing: &'static str,
     /// The back-off that the endpoint of the last answer asked for.
     back_off: Field<Millis>,
     first_byte: Option<Millis>,
@@ -111,6 +119,7 @@
             reused: false,
             rate_limit: Field::Missing,
             leaving: Field::Missing,
+            framing: "",
             back_off: Field::Missing,
             first_byte: None,
             last_piece: None,
@@ -159,6 +168,9 @@
     pub fn set_work(&mut self, work: &Work) {
         self.objectives.prompt_tokens = work.prompt_tokens;
         self.objectives.output_tokens = work.expected_output();
+        let parts = work.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let parts: Vec<_> = parts.map(|part| format!("{:x}", part.id)).collect();
+        self.objectives.parts = parts.join(",");
         self.objectives.is_decode_heavy = Some(division::is_decode_heavy(work));
     }
 
@@ -229,7 +241,7 @@
             .with_label_values(&["failed"])
             .inc();
         log::info!(
-            request = self.id, fingerprint = self.fingerprint,
+            request = self.id, fingerprint = self.fingerprint, parts = self.objectives.parts,
             endpoint = self.endpoint, handed_to = self.handed_to, sends = self.sends,
             reused = self.reused, rate_limit = text(self.rate_limit),
             back_off_ms = text(self.back_off.map(|it| it.0)),
@@ -258,6 +270,11 @@
             .observe(elapsed.0 as f64);
     }
 
+    /// Records how the response says where it ends.
+    pub fn record_framing(&mut self, head: &Head) {
+        self.framing = head.framing_name();
+    }
+
     /// Records a chunk of a stream.
     pub fn record_piece(&mut self) {
         let now = self.state.now();
@@ -340,11 +357,12 @@
             gap,
             prompt_tokens,
             output_tokens,
+            ref parts,
             ..
         } = self.objectives;
         log::info!(
-            request = self.id, fingerprint = self.fingerprint,
-            outcome = outcome, status = status, verdict = verdict_word,
+            request = self.id, fingerprint = self.fingerprint, parts = parts,
+            framing = self.framing, outcome = outcome, status = status, verdict = verdict_word,
             reason = reason, took_ms = elapsed.0,
             first_byte_ms = self.first_byte.map_or(0, |it| it.0),
             route = self.route, plan = self.plan.0, plan_age_ms = self.plan.1.0,
--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -154,6 +154,8 @@
         deadline: Millis,
     ) -> Response<BoxBody> {
         record.record_first_byte();
+        let (Self::Whole { head, .. } | Self::Stream { head, .. }) = &self;
+        record.record_framing(head);
         let status = self.status();
         let (head, body) = match self {
             Self::Whole { head, body } => {
--- a/crates/relay/src/upstream/head.rs
+++ b/crates/relay/src/upstream/head.rs
@@ -99,6 +99,17 @@
         }
     }
 
+    /// How the head says where the body ends, as logged.
+    pub fn framing_name(&self) -> &'static str {
+        if self.headers.contains_key("transfer-encoding") {
+            "chunks"
+        } else if self.headers.contains_key("content-length") {
+            "length"
+        } else {
+            "close"
+        }
+    }
+
     fn length(&self) -> Result<Framing, Error> {
         let mut lengths = self.headers.get_all("content-length");
         let first = lengths.next();
