Failing tests: a part of prompts that ends engines, streams that end inside an event

Change: tests only. Three entries before twelve engines that end on one part of prompts, first, second or anywhere, in each way in which such an answer can break off; sound requests that share caller and first part beside it; few engines; engines that are back at once; streams that end inside an event by length, chunks and close. Bounds are those of the rule: 3 arrivals later than 3 s after the fifth end, half of the sound requests served from 6 s after it.

--- a/crates/relay/tests/contract/crashing.rs
+++ b/crates/relay/tests/contract/crashing.rs
@@ -1,5 +1,5 @@
-//! An endpoint that a certain body ends: its connections break, nothing listens for a while, and
-//! it comes back at its address with a later start.
+//! An endpoint that a certain body, or a certain part of prompts, ends: its connections break,
+//! nothing listens for a while, and it comes back at its address with a later start.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -9,13 +9,15 @@
 use std::time::{Duration, Instant};
 
 use woodgap_core::clock::Millis;
-use woodgap_core::relay::roster;
+use woodgap_core::relay::{Work, roster};
 
 use crate::endpoint::header;
 use crate::site;
 
 /// Ends each endpoint that begins to run it.
 pub const FATAL: &[u8] = b"a body that ends its endpoint";
+/// The part of prompts that ends each endpoint that begins to answer, unless it is the last one.
+pub const FATAL_PART: u64 = 0xfa7a;
 
 /// How an endpoint is gone after an end.
 #[derive(Clone, Copy, Debug)]
@@ -28,9 +30,45 @@
 
 /// How an endpoint is gone usually.
 pub const DOWN: Down = Down::Refuses(Duration::from_millis(800));
+/// How answers say where they end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framed {
+    Length,
+    Chunks,
+    /// They end with their connection.
+    Close,
+}
+
+/// What comes of the answer on which an endpoint ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    Nothing,
+    /// A part of an event; where it has a length or chunks these say that it is whole.
+    PartOfEvent,
+    /// A whole event, and the end of the connection.
+    Event,
+}
+
+/// How an endpoint answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Manner {
+    pub framed: Framed,
+    pub rest: Rest,
+}
+
+/// How an endpoint answers usually.
+pub const PLAIN: Manner = Manner {
+    framed: Framed::Length,
+    rest: Rest::Nothing,
+};
+/// The events of a whole stream.
+pub const EVENTS: &str = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
 /// Between two looks for new connections.
 const LOOK: Duration = Duration::from_millis(2);
 
+/// How long an endpoint takes from the beginning of an answer to its end by a part of the prompt.
+const TIME_TO_END: Duration = Duration::from_millis(30);
+
 /// When fatal requests reached the endpoints that share this.
 pub type Arrivals = Arc<Mutex<Vec<Instant>>>;
 
@@ -45,12 +83,18 @@
     connections: Mutex<Vec<TcpStream>>,
     has_ended: Mutex<bool>,
     down: Down,
+    manner: Manner,
     arrivals: Arrivals,
 }
 
 impl Crashing {
     /// One that notes fatal requests in `arrivals`, and is gone so after each.
     pub fn start(arrivals: &Arrivals, down: Down) -> Self {
+        Self::with(arrivals, down, PLAIN)
+    }
+
+    /// The same, for one that answers so.
+    pub fn with(arrivals: &Arrivals, down: Down, manner: Manner) -> Self {
         let listener = TcpListener::bind((own_ip(), 0)).unwrap();
         let address = listener.local_addr().unwrap();
         let life = Arc::new(Life {
@@ -58,6 +102,7 @@
             connections: Mutex::default(),
             has_ended: Mutex::default(),
             down,
+            manner,
             arrivals: Arc::clone(arrivals),
         });
         let living = Arc::clone(&life);
@@ -142,23 +187,72 @@
 }
 
 fn answer(life: &Life, mut stream: TcpStream) {
-    while let Some((id, body)) = read(&mut stream) {
+    while let Some((head, body)) = read(&mut stream) {
+        let id = header(&head, "x-woodgap-request");
         if body == FATAL {
             life.arrivals.lock().unwrap().push(Instant::now());
             life.end();
             return;
         }
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n\
-             Content-Length: 3\r\n\r\nyes"
-        );
+        let parts = parts(&head);
+        let is_fatal = parts
+            .split_last()
+            .is_some_and(|(_, shared)| shared.contains(&FATAL_PART));
+        if is_fatal {
+            life.arrivals.lock().unwrap().push(Instant::now());
+            sleep(TIME_TO_END);
+            // What is under way is lost with the endpoint.
+            let _ = stream.write_all(last_answer(&id, life.manner).as_bytes());
+            life.end();
+            return;
+        }
+        let answer = match life.manner.framed {
+            _ if parts.is_empty() => framed(&id, "", "yes", Framed::Length),
+            framing => framed(&id, STREAM, EVENTS, framing),
+        };
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
         }
+        if life.manner.framed == Framed::Close && !parts.is_empty() {
+            return;
+        }
+    }
+}
+
+const STREAM: &str = "Content-Type: text/event-stream\r\n";
+
+/// A whole answer.
+fn framed(id: &str, headers: &str, body: &str, framing: Framed) -> String {
+    let head =
+        format!("HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n{headers}");
+    let length = body.len();
+    match framing {
+        Framed::Length => format!("{head}Content-Length: {length}\r\n\r\n{body}"),
+        Framed::Chunks => {
+            format!("{head}Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n")
+        }
+        Framed::Close => format!("{head}\r\n{body}"),
     }
 }
 
-/// The identity and the body of the next request.
+/// What an endpoint sends of the answer on which it ends.
+fn last_answer(id: &str, manner: Manner) -> String {
+    let length = match manner.rest {
+        Rest::Nothing => return String::new(),
+        Rest::PartOfEvent => EVENTS.len() / 2 + 3,
+        Rest::Event => EVENTS.len() / 2,
+    };
+    framed(id, STREAM, &EVENTS[..length], manner.framed)
+}
+
+/// The IDs of the parts of a request's prompt.
+fn parts(head: &str) -> Vec<u64> {
+    let work: Option<Work> = serde_json::from_str(&header(head, "x-woodgap-work")).ok();
+    let parts = work.map(|work| work.parts).unwrap_or_default();
+    parts.into_iter().map(|part| part.id).collect()
+}
+
+/// The head and the body of the next request.
 fn read(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
@@ -170,5 +264,5 @@
     let length = header(&head, "content-length").parse().unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).ok()?;
-    Some((header(&head, "x-woodgap-request"), body))
+    Some((head, body))
 }
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod crashes;
 mod crashing;
+mod crashing_parts;
 mod desk;
 mod duties;
 mod endpoint;
