--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,210 +1,286 @@
-//! Quarantine of requests that crash the endpoints that run them.
+//! Quarantine of what crashes the endpoints that run it.
 //!
 //! A caller may resend the same request repeatedly, each time with a new identity and through
-//! another entry. If the request crashes every endpoint that runs it, it takes down a fleet of
-//! endpoints one by one, together with all other requests that run there. Entries therefore
-//! record by [`Fingerprint`] which requests were running on an endpoint when it crashed,
-//! exchange these records, and withhold the requests identified as the cause.
+//! another entry, or many callers may send different requests that hold the same part of a prompt.
+//! If an endpoint crashes on it, it takes down a fleet of endpoints one by one, together with all
+//! other requests that run there. Entries therefore record by [`Cause`] which requests, and which
+//! parts of prompts, were running on an endpoint when it crashed, exchange these records, and
+//! withhold the requests that hold an identified cause.
 //!
-//! A crash interrupts many requests, of which at most one is the cause, and endpoints also
-//! crash for other reasons. A request is withheld only if
+//! A crash interrupts many requests, of which at most one is due to the cause, each of them holds
+//! several parts that sound requests hold too, and endpoints also crash for other reasons. A
+//! cause is withheld only if
 //!
-//! - it was resent after each of [`CRASH_THRESHOLD`] crashes and was running when the next
+//! - it was sent again after each of [`CRASH_THRESHOLD`] crashes and was running when the next
 //!   endpoint crashed. Endpoints that crash at the same moment count as one crash, however many
-//!   of them had the request. All crashes must have occurred at the same position of its
-//!   response: a long stream may be interrupted by many crashes, but at arbitrary positions;
-//! - no run of it has completed since, at any entry whose records were received. A request that
+//!   of them ran it. All crashes must have occurred at the same position of the response: a long
+//!   stream may be interrupted by many crashes, but at arbitrary positions;
+//! - a part of prompts was running at [`PART_CRASH_THRESHOLD`] crashes in all. Each of many parts
+//!   may stand beside some crashes by chance;
+//! - no run with it has completed since, at any entry whose records were received. A request that
 //!   completed recently needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes, as it may merely be
 //!   popular;
-//! - at least one of those crashes interrupted no other request with as many crashes. Until
-//!   then the cause and the requests that ran beside it cannot be told apart, and each needs
-//!   [`UNCERTAIN_CRASH_THRESHOLD`] crashes. If two requests still have the same number of
-//!   crashes then, the one with fewer interrupted runs is the cause: the other is sent so often
-//!   that some run of it is interrupted by every crash.
+//! - at least one of those crashes interrupted no other cause with as many crashes. Until then
+//!   they cannot be told apart. A request needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes then. If two
+//!   causes still have the same number of crashes, the one that has not completed lately is the
+//!   cause, or else the one with fewer interrupted runs: the other is sent so often that some run
+//!   of it is interrupted by every crash.
 //!
-//! A withheld request may be tried again after [`HOLD_DURATION`] or
-//! [`UNCERTAIN_HOLD_DURATION`]. The duration doubles with each further crash. After
-//! [`MAX_TRIALS`] such crashes the request is not tried again until its record is removed.
+//! Causes that can't be told apart are withheld together: a request that holds all of them holds
+//! the true one, whichever it is. Those that hold some of them go on, and their ends tell.
+//!
+//! What is withheld may be tried again after [`HOLD_DURATION`] or [`UNCERTAIN_HOLD_DURATION`], by
+//! one entry after the other and with one request at a time. The duration doubles with each
+//! further crash. After [`MAX_TRIALS`] such crashes the cause is not tried again until its record
+//! is removed.
 
+mod assessment;
+mod cause;
 mod message;
 mod record;
+mod success;
 
+pub use cause::Cause;
 pub use message::{CrashHistory, StoredHistory};
 pub use record::Crash;
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 use crate::clock::Millis;
-use crate::fingerprint::Fingerprint;
+use crate::quarantine::assessment::confidence;
 use crate::quarantine::record::{Confidence, HoldState, Record};
+use crate::quarantine::success::Successes;
+use crate::relay::prefix::mix;
 
 /// Number of sequential crashes after which a request is withheld; the limit that operators
 /// accept.
 pub const CRASH_THRESHOLD: usize = 3;
-/// Number of sequential crashes after which a request is withheld if another request, or
-/// chance, may be the cause. Three sequential crashes by chance do occur where endpoints flap;
-/// two more cost two endpoints.
+/// Number of sequential crashes after which a request is withheld if another cause, or chance,
+/// may explain them. Three sequential crashes by chance do occur where endpoints flap; two more
+/// cost two endpoints.
 pub const UNCERTAIN_CRASH_THRESHOLD: usize = 5;
+/// Number of crashes, in sequence or not, after which a part of prompts is withheld; the limit
+/// that operators accept.
+pub const PART_CRASH_THRESHOLD: usize = 5;
 /// Crashes after more pieces of the response than this count only towards
 /// [`UNCERTAIN_CRASH_THRESHOLD`]. A request that crashes endpoints as it starts to run does so
 /// within its first pieces. Crashes at regular intervals can interrupt a stream that is resent
 /// after each one at the same position.
 const MAX_EARLY_PIECES: u32 = 8;
-/// How long a request is withheld after the crash that triggered the hold. Repairing an
-/// endpoint or replacing its program takes minutes.
+/// How long a cause is withheld after the crash that triggered the hold. Repairing an endpoint or
+/// replacing its program takes minutes.
 pub const HOLD_DURATION: Millis = Millis::from_secs(600);
-/// How long a request is withheld if another request, or chance, may be the cause.
+/// How long a cause is withheld if another cause, or chance, may explain its crashes.
 pub const UNCERTAIN_HOLD_DURATION: Millis = Millis::from_secs(60);
-/// How many further endpoints a request may crash after it was first withheld.
+/// Within this time after the end of a hold each entry begins to try the cause again, at a moment
+/// of its own. It is long against the time that an endpoint takes to crash and news to spread.
+pub const TRIAL_SPREAD: Millis = Millis::from_secs(20);
+/// After this time without a crash or a completed run an entry tries another request.
+const TRIAL_TIMEOUT: Millis = Millis::from_secs(5);
+/// How many further endpoints a cause may crash after it was first withheld.
 pub const MAX_TRIALS: u32 = 3;
 /// Records without a crash for this long are removed. This exceeds the other hold durations.
 pub const RETENTION: Millis = Millis::from_secs(2 * 3_600);
 /// The maximum number of crash records, at 0.3 kB each. A crash at the planned size interrupts
 /// 47 requests.
 const MAX_RECORDS: usize = 1_024;
-/// The maximum number of requests whose last successful completion is remembered, at 0.1 kB
-/// each. This covers one minute at an entry of the planned size.
-const MAX_SUCCESSES: usize = 2_048;
 /// How long a changed record is sent to other entries. This spans several gossip rounds, within
 /// which the record has reached all entries.
 const SEND_WINDOW: Millis = Millis(3_000);
 
-/// The hold on a withheld request.
+/// The hold on a cause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hold {
-    /// Number of sequential endpoint crashes with the request.
+    /// What is withheld.
+    pub cause: Cause,
+    /// Number of endpoint crashes with it, in sequence.
     pub crashes: usize,
     /// Time of the last crash.
     pub since: Millis,
-    /// When the request may be tried again.
+    /// When this entry may try it again.
     pub until: Millis,
 }
 
 /// The effects of a crash, of a completed run or of received crash histories.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Change {
-    /// Requests that are newly withheld.
-    pub withheld: Vec<Fingerprint>,
-    /// Requests that are no longer withheld.
-    pub released: Vec<Fingerprint>,
-    /// Whether other entries should be informed immediately, as a request has crashed several
-    /// endpoints in sequence.
+    /// Causes that are newly withheld.
+    pub withheld: Vec<Cause>,
+    /// Causes that are no longer withheld.
+    pub released: Vec<Cause>,
+    /// Whether other entries should be informed immediately, as several endpoints have crashed in
+    /// sequence.
     pub is_urgent: bool,
 }
 
-/// Crash records of requests, and the resulting holds.
+/// Crash records of causes, and the resulting holds.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    records: HashMap<Fingerprint, Record>,
-    /// When each request last completed successfully; at most `MAX_SUCCESSES` of them.
-    successes: HashMap<Fingerprint, Millis>,
-    /// The keys of `successes`, in order of insertion.
-    order: VecDeque<Fingerprint>,
+    records: HashMap<Cause, Record>,
+    successes: Successes,
+    /// Gives the moments at which this entry tries causes again; without it, it does so as soon as
+    /// their holds end.
+    seed: Option<u64>,
 }
 
 impl Quarantine {
-    /// Records that an endpoint crashed while it was running the request.
+    /// Creates a quarantine without records. Each entry has another seed, so that they do not try
+    /// a cause again at the same moment.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed: Some(seed),
+            ..Self::default()
+        }
+    }
+
+    /// Records that an endpoint crashed while it was running a request with these causes.
     ///
     /// ```
     /// use woodgap_core::clock::Millis;
-    /// use woodgap_core::fingerprint::{Fingerprint, Request};
-    /// use woodgap_core::quarantine::{Crash, Quarantine};
+    /// use woodgap_core::quarantine::{Cause, Crash, Quarantine};
     ///
-    /// let request = Request { caller: "", method: "GET", host: "", target: "/", body: b"" };
-    /// let request = Fingerprint::of(&request);
+    /// let part = Cause::Part(7);
     /// let mut quarantine = Quarantine::default();
-    /// for endpoint in 1..=3 {
+    /// for endpoint in 1..=5 {
     ///     let sent = Millis::from_secs(u64::from(endpoint));
-    ///     assert_eq!(quarantine.hold(request, sent), None);
+    ///     assert_eq!(quarantine.hold(&[part], sent), None);
     ///     let crash = Crash { endpoint, sent, at: sent + Millis(300), pieces: 0 };
-    ///     quarantine.record_crash(request, crash, crash.at);
+    ///     quarantine.record_crash(&[part], crash, crash.at);
     /// }
-    /// assert!(quarantine.hold(request, Millis(4_000)).is_some());
+    /// assert!(quarantine.hold(&[part], Millis(6_000)).is_some());
+    /// assert!(quarantine.hold(&[Cause::Part(8)], Millis(6_000)).is_none());
     /// ```
-    pub fn record_crash(&mut self, request: Fingerprint, crash: Crash, now: Millis) -> Change {
-        let last_success = self.successes.get(&request);
-        if last_success.is_some_and(|at| *at >= crash.at) {
-            return Change::default();
+    pub fn record_crash(&mut self, causes: &[Cause], crash: Crash, now: Millis) -> Change {
+        let mut is_urgent = false;
+        for cause in causes {
+            let last_success = self.successes.last(*cause);
+            if last_success.is_some_and(|at| at >= crash.at) {
+                continue;
+            }
+            let record = self.records.entry(*cause).or_default();
+            record.is_popular |= last_success.is_some();
+            is_urgent |= record.record_run(crash, now);
         }
-        let record = self.records.entry(request).or_default();
-        record.is_popular |= last_success.is_some();
-        let is_urgent = record.record_run(crash, now);
         self.update_holds(is_urgent, now)
     }
 
-    /// Records that a run of the request completed and its endpoint is still up, so the request did
-    /// not cause the earlier crashes.
-    pub fn record_success(&mut self, request: Fingerprint, now: Millis) -> Change {
-        if self.successes.insert(request, now).is_none() {
-            self.order.push_back(request);
-        }
-        while self.order.len() > MAX_SUCCESSES {
-            if let Some(oldest) = self.order.pop_front() {
-                self.successes.remove(&oldest);
+    /// Records that a run of a request with these causes completed at this time and its endpoint
+    /// went on, so that none of them caused the earlier crashes.
+    pub fn record_success(&mut self, causes: &[Cause], at: Millis, now: Millis) -> Change {
+        let mut has_cleared = false;
+        for cause in causes {
+            self.successes.record(*cause, at);
+            if let Some(record) = self.records.get_mut(cause) {
+                has_cleared |= record.clear_until(at, now);
             }
         }
-        let Some(record) = self.records.get_mut(&request) else {
-            return Change::default();
-        };
-        record.clear_until(now, now);
-        self.update_holds(false, now)
+        if has_cleared {
+            return self.update_holds(false, now);
+        }
+        Change::default()
     }
 
-    /// Returns the hold on a request if it is currently withheld.
-    pub fn hold(&self, request: Fingerprint, now: Millis) -> Option<Hold> {
-        let hold = self.records.get(&request)?.hold()?;
-        (now < hold.until).then_some(hold)
+    /// Returns the hold on a request with these causes, if it is currently withheld.
+    pub fn hold(&self, causes: &[Cause], now: Millis) -> Option<Hold> {
+        let holds = causes.iter().filter_map(|cause| {
+            let record = self.records.get(cause)?;
+            let confidence = match record.held {
+                Some(held) => held.confidence,
+                // Whatever else the request holds is no alternative: it comes with it.
+                None => confidence(&self.records, *cause, record, causes)?,
+            };
+            self.hold_on(*cause, record, confidence)
+        });
+        let holds = holds.filter(|hold| now < hold.until);
+        holds.max_by_key(|hold| hold.until)
     }
 
-    /// Returns the crash history of a request if it is currently withheld.
-    pub fn withheld_history(&self, request: Fingerprint, now: Millis) -> Option<CrashHistory> {
-        self.hold(request, now)?;
-        Some(self.records.get(&request)?.history(request, now))
+    fn hold_on(&self, cause: Cause, record: &Record, confidence: Confidence) -> Option<Hold> {
+        let until = record.held_until(cause, confidence)?;
+        let crashes = record.crashes();
+        Some(Hold {
+            cause,
+            crashes,
+            since: record.all().last()?.at,
+            until: until + self.trial_delay(cause, crashes),
+        })
     }
 
-    /// Iterates over all requests that are currently withheld.
-    pub fn withheld(&self, now: Millis) -> impl Iterator<Item = (Fingerprint, Hold)> {
-        let all = self.records.keys();
-        all.filter_map(move |request| Some((*request, self.hold(*request, now)?)))
+    /// Returns how long after the end of a hold this entry begins to try the cause again.
+    fn trial_delay(&self, cause: Cause, crashes: usize) -> Millis {
+        let delay = |seed| Millis(mix(seed ^ cause.key(), crashes as u64) % TRIAL_SPREAD.0);
+        self.seed.map(delay).unwrap_or_default()
+    }
+
+    /// Records that a request with these causes is sent. If one of them was withheld, this is a
+    /// trial, and no other request with it is sent until it has ended.
+    pub fn record_send(&mut self, causes: &[Cause], now: Millis) {
+        for cause in causes {
+            let record = self.records.get_mut(cause);
+            if let Some(record) = record.filter(|record| record.held.is_some()) {
+                record.begin_trial(now);
+            }
+        }
+    }
+
+    /// Returns the crash history of a cause that has crashed enough endpoints to be withheld.
+    pub fn history_to_store(&self, cause: Cause, now: Millis) -> Option<CrashHistory> {
+        let record = self.records.get(&cause)?;
+        let count = record.count_excluding(|_| false);
+        let is_suspect = record.held.is_some() || count.suffices(cause, Confidence::Uncertain);
+        is_suspect.then(|| record.history(cause, now))
+    }
+
+    /// Iterates over all causes that are currently withheld.
+    pub fn withheld(&self, now: Millis) -> impl Iterator<Item = Hold> {
+        let held = self.records.iter().filter_map(|(cause, record)| {
+            let confidence = record.held?.confidence;
+            self.hold_on(*cause, record, confidence)
+        });
+        held.filter(move |hold| now < hold.until)
     }
 
     /// Removes expired records, and those with the lowest rank if there are too many.
     pub fn expire(&mut self, now: Millis) {
         self.records
             .retain(|_, record| now - record.last() < RETENTION);
-        while self.records.len() > MAX_RECORDS {
-            let evicted = self
-                .records
-                .iter()
-                .min_by_key(|(_, record)| record.eviction_rank());
-            let Some(evicted) = evicted.map(|(request, _)| *request) else {
-                return;
-            };
-            self.records.remove(&evicted);
+        let excess = self.records.len().saturating_sub(MAX_RECORDS);
+        if excess == 0 {
+            return;
+        }
+        let ranked = self.records.iter();
+        let mut ranked: Vec<_> = ranked
+            .map(|(cause, record)| (record.eviction_rank(), *cause))
+            .collect();
+        ranked.sort_unstable();
+        for (_, cause) in &ranked[..excess] {
+            self.records.remove(cause);
         }
     }
 
     /// Returns at most `limit` crash histories to send to other entries. Recently changed records
-    /// come first, then the other withheld requests. Within each group those with the most crashes
-    /// come first, and among equals those sent least recently.
+    /// come first, then the other withheld causes. Within each group those with the most crashes
+    /// come first, then those that have not completed lately, and among equals those sent least
+    /// recently.
     pub fn histories_to_send(&mut self, limit: usize, now: Millis) -> Vec<CrashHistory> {
         let should_send =
             |record: &Record| record.held.is_some() || now - record.changed() < SEND_WINDOW;
         let records = self.records.iter_mut();
         let mut records: Vec<_> = records.filter(|(_, it)| should_send(it)).collect();
-        records.sort_by_cached_key(|(request, record)| {
+        records.sort_by_cached_key(|(cause, record)| {
             let is_old = now - record.changed() >= SEND_WINDOW;
             (
                 is_old,
                 Reverse(record.crashes()),
+                record.is_popular,
                 record.last_sent(),
-                **request,
+                **cause,
             )
         });
         let selected = records.into_iter().take(limit);
         selected
-            .map(|(request, record)| record.send_history(*request, now))
+            .map(|(cause, record)| record.send_history(*cause, now))
             .collect()
     }
 
@@ -215,16 +291,16 @@
         }
         let mut is_urgent = false;
         for history in histories {
-            let record = self.records.entry(history.request).or_default();
+            let record = self.records.entry(history.cause).or_default();
             is_urgent |= record.merge(history, now);
-            if let Some(last_success) = self.successes.get(&history.request) {
-                record.clear_until(*last_success, now);
+            if let Some(last_success) = self.successes.last(history.cause) {
+                record.clear_until(last_success, now);
             }
         }
         self.update_holds(is_urgent, now)
     }
 
-    /// Recomputes which requests are withheld.
+    /// Recomputes which causes are withheld.
     fn update_holds(&mut self, is_urgent: bool, now: Millis) -> Change {
         self.expire(now);
         let mut change = Change {
@@ -235,10 +311,10 @@
         let suspects = suspects
             .filter(|(_, record)| record.crashes() >= CRASH_THRESHOLD || record.held.is_some());
         let assessed: Vec<_> = suspects
-            .map(|(request, record)| (*request, self.confidence(*request, record)))
+            .map(|(cause, record)| (*cause, confidence(&self.records, *cause, record, &[])))
             .collect();
-        for (request, confidence) in assessed {
-            let Some(record) = self.records.get_mut(&request) else {
+        for (cause, confidence) in assessed {
+            let Some(record) = self.records.get_mut(&cause) else {
                 continue;
             };
             match (record.held, confidence) {
@@ -247,43 +323,15 @@
                         since: now,
                         confidence,
                     });
-                    change.withheld.push(request);
+                    change.withheld.push(cause);
                 }
                 (Some(_), None) => {
                     record.held = None;
-                    change.released.push(request);
+                    change.released.push(cause);
                 }
                 _ => {}
             }
         }
         change
     }
-
-    /// Returns whether the request is considered the cause of its crashes, and with which
-    /// confidence. The module documentation states the rules.
-    fn confidence(&self, request: Fingerprint, record: &Record) -> Option<Confidence> {
-        let (crash_count, runs) = (record.crashes(), record.runs());
-        let others = || self.records.iter().filter(|(it, _)| **it != request);
-        let others_cut_off_by = |crash: &Crash| {
-            let crash = *crash;
-            others().filter_map(move |(_, other)| other.includes(&crash).then_some(other))
-        };
-        // Crashes that another request explains better are not attributed to this one.
-        let explains =
-            |other: &Record| other.crashes() > crash_count || other.is_withheld_earlier(record);
-        let is_explained = |crash: &Crash| others_cut_off_by(crash).any(explains);
-        let unexplained = record
-            .crashes_excluding(|crash| is_explained(crash) || crash.pieces > MAX_EARLY_PIECES);
-        let has_distinguishing_crash = record
-            .all()
-            .any(|crash| others_cut_off_by(crash).all(|other| other.crashes() < crash_count));
-        if unexplained >= CRASH_THRESHOLD && has_distinguishing_crash && !record.is_popular {
-            return Some(Confidence::Certain);
-        }
-        let is_rarer = |other: &Record| other.crashes() == crash_count && other.runs() < runs;
-        let unexplained = record.crashes_excluding(|crash| {
-            is_explained(crash) || others_cut_off_by(crash).any(is_rarer)
-        });
-        (unexplained >= UNCERTAIN_CRASH_THRESHOLD).then_some(Confidence::Uncertain)
-    }
 }
--- a/crates/core/src/quarantine/message.rs
+++ b/crates/core/src/quarantine/message.rs
@@ -1,29 +1,27 @@
-//! The crash history of a request as entries exchange it. Times are sent as ages, as each entry
-//! has its own clock.
+//! The crash history of a cause as entries exchange it. Times are sent as ages, as each entry has
+//! its own clock.
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::fingerprint::Fingerprint;
-use crate::quarantine::Crash;
-use crate::quarantine::RETENTION;
 use crate::quarantine::record::{CountedCrash, MAX_CRASHES};
+use crate::quarantine::{Cause, Crash, RETENTION};
 
-/// What an entry knows about the crashes of one request.
+/// What an entry knows about the crashes of one cause.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashHistory {
-    /// The request.
-    pub request: Fingerprint,
+    /// The cause.
+    pub cause: Cause,
     /// How many times a completed run has reset the crash count. Crashes counted before the last
     /// reset are void.
     pub acquittals: u32,
-    /// Whether any run of the request is known to have completed.
+    /// Whether any run with the cause is known to have completed.
     pub is_popular: bool,
     /// The crashes since the last reset.
     pub crashes: Vec<ReportedCrash>,
 }
 
-/// The crash history of a withheld request as stored by the platform, for entries that start
+/// The crash history of a withheld cause as stored by the platform, for entries that start
 /// when no other entry is running.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredHistory {
@@ -40,22 +38,22 @@
     /// ```
     /// use woodgap_core::clock::Millis;
     /// use woodgap_core::fingerprint::{Fingerprint, Request};
-    /// use woodgap_core::quarantine::{Crash, StoredHistory, Quarantine};
+    /// use woodgap_core::quarantine::{Cause, Crash, StoredHistory, Quarantine};
     ///
     /// let request = Request { caller: "", method: "GET", host: "", target: "/", body: b"" };
-    /// let request = Fingerprint::of(&request);
+    /// let cause = Cause::Request(Fingerprint::of(&request));
     /// let mut quarantine = Quarantine::default();
     /// for endpoint in 1..=3 {
     ///     let at = Millis::from_secs(u64::from(endpoint));
     ///     let crash = Crash { endpoint, sent: at, at, pieces: 0 };
-    ///     quarantine.record_crash(request, crash, at);
+    ///     quarantine.record_crash(&[cause], crash, at);
     /// }
     /// let now = Millis::from_secs(5);
-    /// let told = quarantine.withheld_history(request, now).unwrap();
+    /// let told = quarantine.history_to_store(cause, now).unwrap();
     /// let kept = StoredHistory { told, written_unix: Millis::from_secs(1_000) };
     /// let mut later = Quarantine::default();
     /// later.merge_histories(&[kept.history_at(Millis::from_secs(1_060))], Millis::from_secs(100));
-    /// assert!(later.hold(request, Millis::from_secs(100)).is_some());
+    /// assert!(later.hold(&[cause], Millis::from_secs(100)).is_some());
     /// ```
     pub fn history_at(&self, now_unix: Millis) -> CrashHistory {
         let since = now_unix - self.written_unix;
@@ -93,12 +91,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportedCrash {
     endpoint: u32,
-    /// How long the request had been running on the endpoint.
+    /// How long the first request with the cause had been running on the endpoint.
     lasted: Millis,
     age: Millis,
     /// Number of pieces of the response received before the crash.
     pieces: u32,
-    /// Number of runs of the request that the crash interrupted.
+    /// Number of runs with the cause that the crash interrupted.
     runs: u32,
 }
 
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -1,14 +1,13 @@
-//! The crash record of one request.
+//! The crash record of one cause.
 
 use crate::clock::Millis;
-use crate::fingerprint::Fingerprint;
 use crate::quarantine::message::{CrashHistory, ReportedCrash};
 use crate::quarantine::{
-    CRASH_THRESHOLD, HOLD_DURATION, Hold, MAX_TRIALS, RETENTION, UNCERTAIN_CRASH_THRESHOLD,
-    UNCERTAIN_HOLD_DURATION,
+    CRASH_THRESHOLD, Cause, HOLD_DURATION, MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION,
+    TRIAL_TIMEOUT, UNCERTAIN_CRASH_THRESHOLD, UNCERTAIN_HOLD_DURATION,
 };
 
-/// Maximum number of crashes stored per request: enough to withhold it for as long as its
+/// Maximum number of crashes stored per cause: enough to withhold it for as long as its
 /// record is kept, plus a margin.
 pub const MAX_CRASHES: usize = 8;
 /// How much later than its actual time a crash reported by another entry may appear, due to the
@@ -21,7 +20,7 @@
 /// does not crash twice within this time.
 const DUPLICATE_WINDOW: Millis = Millis(2_000);
 
-/// A crash of an endpoint that was running the request.
+/// A crash of an endpoint that was running a request with the cause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// Identifies the endpoint and its incarnation: a hash that is the same at all entries.
@@ -34,7 +33,7 @@
     pub pieces: u32,
 }
 
-/// A crash, and the number of runs of the request that it interrupted.
+/// A crash, and the number of runs with the cause that it interrupted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CountedCrash {
     /// The crash.
@@ -57,25 +56,52 @@
     }
 }
 
-/// How confident the quarantine is that a withheld request caused its crashes.
+/// How confident the quarantine is that its crashes are due to a cause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Confidence {
-    /// The request is considered the cause of its crashes.
+    /// The cause explains the crashes best.
     Certain,
-    /// Another request, or chance, may be the cause.
+    /// Another cause, or chance, may explain them.
     Uncertain,
 }
 
-/// The state of a withheld request.
+/// The number of crashes that a cause may explain, all at the same position of the response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Count {
+    /// Those in sequence: each request was sent after the crash before.
+    pub sequential: usize,
+    /// All of them.
+    pub total: usize,
+}
+
+impl Count {
+    /// Returns whether a cause with so many crashes is withheld.
+    ///
+    /// Different requests hold a part, so that several of them may be on their way at each crash:
+    /// not all of its crashes are in sequence.
+    pub fn suffices(self, cause: Cause, confidence: Confidence) -> bool {
+        let sequential = match (cause, confidence) {
+            (Cause::Request(_), Confidence::Uncertain) => UNCERTAIN_CRASH_THRESHOLD,
+            _ => CRASH_THRESHOLD,
+        };
+        let total = match cause {
+            Cause::Request(_) => sequential,
+            Cause::Part(_) => PART_CRASH_THRESHOLD,
+        };
+        self.sequential >= sequential && self.total >= total
+    }
+}
+
+/// The state of a withheld cause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HoldState {
     /// When the hold began.
     pub since: Millis,
-    /// The confidence that the request is the cause.
+    /// The confidence that it is the cause.
     pub confidence: Confidence,
 }
 
-/// The crash record of one request.
+/// The crash record of one cause.
 #[derive(Debug, Default)]
 pub struct Record {
     /// The crashes since the last completed run, earliest first.
@@ -84,8 +110,10 @@
     acquittals: u32,
     /// Whether any run is known to have completed.
     pub is_popular: bool,
-    /// The hold state if the request is withheld.
+    /// The hold state if the cause is withheld.
     pub held: Option<HoldState>,
+    /// When this entry last sent a request with the cause although it had been withheld.
+    trial: Option<Millis>,
     /// When the record last changed.
     changed: Millis,
     /// When the record was last sent to other entries.
@@ -93,7 +121,7 @@
 }
 
 impl Record {
-    /// Records a run interrupted by a crash. Returns the same as [`Self::add`].
+    /// Records a run that a crash interrupted. Returns the same as [`Self::add`].
     pub fn record_run(&mut self, crash: Crash, now: Millis) -> bool {
         if let Some(known) = self.find(&crash) {
             known.runs += 1;
@@ -143,16 +171,18 @@
         self.crashes.remove(excess.unwrap_or(0));
     }
 
-    /// Removes the crashes up to `moment`, when a run of the request completed: the request did not
-    /// cause them.
-    pub fn clear_until(&mut self, moment: Millis, now: Millis) {
+    /// Removes the crashes up to `moment`, when a run with the cause completed: they had another
+    /// cause. Returns whether there were any.
+    pub fn clear_until(&mut self, moment: Millis, now: Millis) -> bool {
         self.is_popular = true;
         let before = self.crashes.len();
         self.crashes.retain(|counted| counted.crash.at > moment);
-        if self.crashes.len() < before {
+        let has_cleared = self.crashes.len() < before;
+        if has_cleared {
             self.acquittals += 1;
             self.changed = now;
         }
+        has_cleared
     }
 
     /// Merges a crash history from another entry. Returns the same as [`Self::add`].
@@ -175,16 +205,16 @@
     }
 
     /// Returns the crash history, and marks it as sent.
-    pub fn send_history(&mut self, request: Fingerprint, now: Millis) -> CrashHistory {
+    pub fn send_history(&mut self, cause: Cause, now: Millis) -> CrashHistory {
         self.last_sent = now;
-        self.history(request, now)
+        self.history(cause, now)
     }
 
     /// Returns the crash history.
-    pub fn history(&self, request: Fingerprint, now: Millis) -> CrashHistory {
+    pub fn history(&self, cause: Cause, now: Millis) -> CrashHistory {
         let crashes = self.crashes.iter();
         CrashHistory {
-            request,
+            cause,
             acquittals: self.acquittals,
             is_popular: self.is_popular,
             crashes: crashes
@@ -193,10 +223,10 @@
         }
     }
 
-    /// Returns the number of sequential crashes at the same position of the response, where the
-    /// request was sent to each endpoint after the one before had crashed.
+    /// Returns the number of sequential crashes at the same position of the response, where each
+    /// request was sent after the crash before.
     pub fn crashes(&self) -> usize {
-        self.crashes_excluding(|_| false)
+        self.count_excluding(|_| false).sequential
     }
 
     /// Returns the number of runs that were interrupted.
@@ -205,13 +235,17 @@
         runs.fold(0, u32::saturating_add)
     }
 
-    /// Returns the number of sequential crashes, leaving out those for which `explained` holds.
-    pub fn crashes_excluding(&self, explained: impl Fn(&Crash) -> bool) -> usize {
+    /// Counts the crashes, leaving out those for which `explained` holds.
+    pub fn count_excluding(&self, explained: impl Fn(&Crash) -> bool) -> Count {
         let counted = || self.all().filter(|crash| !explained(crash));
-        let lengths = counted().map(|reference| {
-            count_sequential(counted().filter(|crash| crash.is_at_same_position(reference)))
+        let counts = counted().map(|reference| {
+            let same = || counted().filter(|crash| crash.is_at_same_position(reference));
+            Count {
+                sequential: count_sequential(same()),
+                total: same().count(),
+            }
         });
-        lengths.max().unwrap_or(0)
+        counts.max().unwrap_or_default()
     }
 
     /// Iterates over all crashes, earliest first.
@@ -219,14 +253,14 @@
         self.crashes.iter().map(|counted| &counted.crash)
     }
 
-    /// Returns whether the request was withheld before another one was.
+    /// Returns whether the cause was withheld before another one was.
     pub fn is_withheld_earlier(&self, other: &Self) -> bool {
         let held = self.held.map(|held| held.since);
         let other = other.held.map(|held| held.since);
         held.is_some_and(|held| other.is_none_or(|other| held < other))
     }
 
-    /// Returns whether the crash interrupted this request.
+    /// Returns whether the crash interrupted a run with this cause.
     pub fn includes(&self, crash: &Crash) -> bool {
         self.all().any(|own| own.is_duplicate_of(crash))
     }
@@ -248,29 +282,38 @@
     }
 
     /// Returns the rank of the record for eviction. Records with the lowest rank are removed first.
-    pub fn eviction_rank(&self) -> (bool, usize, Millis) {
-        (self.held.is_some(), self.crashes(), self.last())
+    pub fn eviction_rank(&self) -> (bool, usize, bool, Millis) {
+        let is_held = self.held.is_some();
+        (is_held, self.crashes(), !self.is_popular, self.last())
     }
 
-    /// Returns the hold if the request is withheld. It may have expired.
-    pub fn hold(&self) -> Option<Hold> {
-        let (needed, span) = match self.held?.confidence {
+    /// Records that a request with the cause is sent although it was withheld before.
+    pub fn begin_trial(&mut self, now: Millis) {
+        self.trial = Some(now);
+    }
+
+    /// Returns until when a cause of this confidence is withheld, counted from its last crash, or
+    /// from the request with which this entry tries whether it is withheld rightly.
+    pub fn held_until(&self, cause: Cause, confidence: Confidence) -> Option<Millis> {
+        let last = self.all().last()?.at;
+        let (needed, span) = match confidence {
             Confidence::Certain => (CRASH_THRESHOLD, HOLD_DURATION),
             Confidence::Uncertain => (UNCERTAIN_CRASH_THRESHOLD, UNCERTAIN_HOLD_DURATION),
         };
-        let crashes = self.crashes();
-        let since = self.all().last()?.at;
-        let trials = u32::try_from(crashes.saturating_sub(needed)).unwrap_or(u32::MAX);
+        let count = self.count_excluding(|_| false);
+        let further = match cause {
+            Cause::Request(_) => count.sequential.saturating_sub(needed),
+            Cause::Part(_) => count.total.saturating_sub(PART_CRASH_THRESHOLD),
+        };
+        let trials = u32::try_from(further).unwrap_or(u32::MAX);
         let span = if trials < MAX_TRIALS {
             Millis(span.0 << trials)
         } else {
             RETENTION
         };
-        Some(Hold {
-            crashes,
-            since,
-            until: since + span,
-        })
+        let trial = self.trial.filter(|trial| *trial > last);
+        let trial_end = trial.map(|trial| trial + TRIAL_TIMEOUT);
+        Some((last + span).max(trial_end.unwrap_or_default()))
     }
 }
 
--- a/crates/core/tests/quarantine/cases.rs
+++ b/crates/core/tests/quarantine/cases.rs
@@ -2,19 +2,21 @@
 
 use rstest::rstest;
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::quarantine::{
-    CRASH_THRESHOLD, Crash, HOLD_DURATION, MAX_TRIALS, Quarantine, UNCERTAIN_CRASH_THRESHOLD,
+    CRASH_THRESHOLD, Cause, Crash, HOLD_DURATION, MAX_TRIALS, Quarantine, UNCERTAIN_CRASH_THRESHOLD,
 };
 
 use super::{crash, request};
 
+/// How long what explains its crashes alone is withheld.
+pub const HELD: Millis = HOLD_DURATION;
+
 /// Returns a quarantine that has recorded these crashes of one request, and the request.
-fn after(crashes: &[Crash]) -> (Quarantine, Fingerprint) {
+fn after(crashes: &[Crash]) -> (Quarantine, Cause) {
     let mut quarantine = Quarantine::default();
     let one = request("one");
     for crash in crashes {
-        quarantine.record_crash(one, *crash, crash.at);
+        quarantine.record_crash(&[one], *crash, crash.at);
     }
     (quarantine, one)
 }
@@ -56,7 +58,7 @@
 )]
 fn sequential_crashes_withhold_a_request(#[case] crashes: &[Crash], #[case] is_held: bool) {
     let (quarantine, one) = after(crashes);
-    assert_eq!(quarantine.hold(one, Millis(9_000)).is_some(), is_held);
+    assert_eq!(quarantine.hold(&[one], Millis(9_000)).is_some(), is_held);
     assert_eq!(
         quarantine.withheld(Millis(9_000)).count(),
         usize::from(is_held)
@@ -77,15 +79,15 @@
         })
         .collect();
     let (quarantine, one) = after(&crashes);
-    assert!(quarantine.hold(one, Millis(9_000)).is_some());
+    assert!(quarantine.hold(&[one], Millis(9_000)).is_some());
 }
 
 #[test]
 fn a_completed_run_resets_the_count() {
     let (mut quarantine, one) = after(&sequential_crashes(2));
-    quarantine.record_success(one, Millis(2_500));
-    quarantine.record_crash(one, crash(3, 3_000), Millis(3_000));
-    assert_eq!(quarantine.hold(one, Millis(3_000)), None);
+    quarantine.record_success(&[one], Millis(2_500), Millis(2_500));
+    quarantine.record_crash(&[one], crash(3, 3_000), Millis(3_000));
+    assert_eq!(quarantine.hold(&[one], Millis(3_000)), None);
 }
 
 #[rstest]
@@ -98,13 +100,13 @@
     let one = request("one");
     let mut quarantine = Quarantine::default();
     if is_popular {
-        quarantine.record_success(one, Millis(500));
+        quarantine.record_success(&[one], Millis(500), Millis(500));
     }
     for crash in sequential_crashes(needed) {
-        assert_eq!(quarantine.hold(one, crash.sent), None);
-        quarantine.record_crash(one, crash, crash.at);
+        assert_eq!(quarantine.hold(&[one], crash.sent), None);
+        quarantine.record_crash(&[one], crash, crash.at);
     }
-    assert!(quarantine.hold(one, Millis(9_000)).is_some());
+    assert!(quarantine.hold(&[one], Millis(9_000)).is_some());
 }
 
 /// Two requests run on the same endpoints until a further crash shows which of them is the
@@ -114,14 +116,14 @@
     let (one, other) = (request("one"), request("other"));
     let mut quarantine = Quarantine::default();
     for crash in sequential_crashes(CRASH_THRESHOLD) {
-        quarantine.record_crash(one, crash, crash.at);
-        quarantine.record_crash(other, crash, crash.at);
+        quarantine.record_crash(&[one], crash, crash.at);
+        quarantine.record_crash(&[other], crash, crash.at);
     }
     let last = crash(9, 5_000);
     assert_eq!(quarantine.withheld(last.at).count(), 0);
-    quarantine.record_crash(one, last, last.at);
-    assert!(quarantine.hold(one, last.at).is_some());
-    assert_eq!(quarantine.hold(other, last.at), None);
+    quarantine.record_crash(&[one], last, last.at);
+    assert!(quarantine.hold(&[one], last.at).is_some());
+    assert_eq!(quarantine.hold(&[other], last.at), None);
 }
 
 /// Two requests that each crash endpoints always run together. One is withheld first, and the
@@ -132,13 +134,13 @@
     let mut quarantine = Quarantine::default();
     for crash in sequential_crashes(UNCERTAIN_CRASH_THRESHOLD + CRASH_THRESHOLD) {
         for request in requests {
-            if quarantine.hold(request, crash.sent).is_none() {
-                quarantine.record_crash(request, crash, crash.at);
+            if quarantine.hold(&[request], crash.sent).is_none() {
+                quarantine.record_crash(&[request], crash, crash.at);
             }
         }
     }
     for request in requests {
-        assert!(quarantine.hold(request, Millis(9_000)).is_some());
+        assert!(quarantine.hold(&[request], Millis(9_000)).is_some());
     }
 }
 
@@ -158,7 +160,7 @@
             at: now,
             ..seen
         };
-        let change = entry.record_crash(one, crash, now);
+        let change = entry.record_crash(&[one], crash, now);
         assert_eq!(change.is_urgent, at > 0);
         withheld = change.withheld;
         histories = (entry.histories_to_send(9, now), seen.at);
@@ -174,13 +176,13 @@
     let old = first.histories_to_send(9, Millis(2_100));
     let mut second = Quarantine::default();
     second.merge_histories(&old, Millis(2_100));
-    second.record_success(one, Millis(2_200));
+    second.record_success(&[one], Millis(2_200), Millis(2_200));
     second.merge_histories(&old, Millis(2_300));
     assert_eq!(second.histories_to_send(9, Millis(2_300))[0].crashes, []);
     // In the other direction, the entry with the crashes learns of the completed run.
     first.merge_histories(&second.histories_to_send(9, Millis(2_400)), Millis(2_400));
-    first.record_crash(one, crash(3, 3_000), Millis(3_000));
-    assert_eq!(first.hold(one, Millis(3_000)), None);
+    first.record_crash(&[one], crash(3, 3_000), Millis(3_000));
+    assert_eq!(first.hold(&[one], Millis(3_000)), None);
 }
 
 /// Guards against ignoring a completed run that was recorded before its entry knew of the
@@ -189,7 +191,7 @@
 fn a_completed_run_clears_crashes_received_later() {
     let (mut first, one) = after(&sequential_crashes(2));
     let mut second = Quarantine::default();
-    second.record_success(one, Millis(2_050));
+    second.record_success(&[one], Millis(2_050), Millis(2_050));
     second.merge_histories(&first.histories_to_send(9, Millis(2_100)), Millis(2_100));
     assert_eq!(second.histories_to_send(9, Millis(2_100))[0].crashes, []);
 }
@@ -200,13 +202,13 @@
 fn a_completed_run_clears_only_earlier_crashes() {
     let (mut first, one) = after(&sequential_crashes(CRASH_THRESHOLD));
     let mut second = Quarantine::default();
-    second.record_success(one, Millis(2_050));
+    second.record_success(&[one], Millis(2_050), Millis(2_050));
     second.merge_histories(&first.histories_to_send(9, Millis(3_100)), Millis(3_100));
-    assert_eq!(second.hold(one, Millis(3_100)), None);
+    assert_eq!(second.hold(&[one], Millis(3_100)), None);
     let histories = second.histories_to_send(9, Millis(3_100));
     assert_eq!(histories[0].crashes.len(), 1);
     first.merge_histories(&histories, Millis(3_200));
-    assert_eq!(first.hold(one, Millis(3_200)), None);
+    assert_eq!(first.hold(&[one], Millis(3_200)), None);
 }
 
 #[test]
@@ -214,20 +216,20 @@
     let (mut quarantine, one) = after(&sequential_crashes(CRASH_THRESHOLD));
     let mut span = HOLD_DURATION;
     for endpoint in 10..10 + MAX_TRIALS {
-        let hold = quarantine.hold(one, Millis(9_000)).unwrap();
+        let hold = quarantine.hold(&[one], Millis(9_000)).unwrap();
         assert_eq!(hold.until - hold.since, span);
-        assert_eq!(quarantine.hold(one, hold.until), None);
+        assert_eq!(quarantine.hold(&[one], hold.until), None);
         let trial = Crash {
             endpoint,
             sent: hold.until,
             at: hold.until + Millis(100),
             pieces: 0,
         };
-        quarantine.record_crash(one, trial, trial.at);
-        assert!(quarantine.hold(one, trial.at).is_some());
+        quarantine.record_crash(&[one], trial, trial.at);
+        assert!(quarantine.hold(&[one], trial.at).is_some());
         span = Millis(span.0 * 2);
     }
-    let hold = quarantine.hold(one, Millis(9_000)).unwrap();
+    let hold = quarantine.hold(&[one], Millis(9_000)).unwrap();
     quarantine.expire(hold.until);
     assert_eq!(quarantine.histories_to_send(9, hold.until), []);
 }
@@ -235,9 +237,9 @@
 #[test]
 fn a_completed_trial_releases_the_request() {
     let (mut quarantine, one) = after(&sequential_crashes(CRASH_THRESHOLD));
-    let change = quarantine.record_success(one, Millis(700_000));
+    let change = quarantine.record_success(&[one], Millis(700_000), Millis(700_000));
     assert_eq!(change.released, [one]);
-    assert_eq!(quarantine.hold(one, Millis(9_000)), None);
+    assert_eq!(quarantine.hold(&[one], Millis(9_000)), None);
 }
 
 /// Many different requests with one crash each use a bounded amount of memory and evict no
@@ -248,13 +250,13 @@
     for number in 0..5_000 {
         let at = Millis(4_000 + number);
         let other = request(&number.to_string());
-        quarantine.record_crash(other, crash(50, at.0), at);
-        quarantine.record_success(request(&format!("well {number}")), at);
+        quarantine.record_crash(&[other], crash(50, at.0), at);
+        quarantine.record_success(&[request(&format!("well {number}"))], at, at);
     }
-    assert!(quarantine.hold(one, Millis(10_000)).is_some());
+    assert!(quarantine.hold(&[one], Millis(10_000)).is_some());
     let histories = quarantine.histories_to_send(usize::MAX, Millis(9_000));
     assert_eq!(histories.len(), 1_024);
-    assert!(histories.iter().any(|history| history.request == one));
+    assert!(histories.iter().any(|history| history.cause == one));
 }
 
 /// The history with the most crashes is sent in each round, and all others are sent in turn.
@@ -263,13 +265,13 @@
     let (mut quarantine, one) = after(&sequential_crashes(2));
     let others: Vec<_> = (0..6).map(|it| request(&it.to_string())).collect();
     for other in &others {
-        quarantine.record_crash(*other, crash(2, 2_000), Millis(2_000));
+        quarantine.record_crash(&[*other], crash(2, 2_000), Millis(2_000));
     }
     let mut sent = Vec::new();
     for round in 0..3 {
         let histories = quarantine.histories_to_send(3, Millis(2_100 + round));
-        assert_eq!(histories[0].request, one);
-        sent.extend(histories.into_iter().skip(1).map(|it| it.request));
+        assert_eq!(histories[0].cause, one);
+        sent.extend(histories.into_iter().skip(1).map(|it| it.cause));
     }
     sent.sort();
     let mut others = others;
--- a/crates/core/tests/quarantine/fleet.rs
+++ b/crates/core/tests/quarantine/fleet.rs
@@ -9,8 +9,7 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
-use woodgap_core::quarantine::{Crash, CrashHistory, Quarantine};
+use woodgap_core::quarantine::{Cause, Crash, CrashHistory, Quarantine};
 
 use super::request;
 
@@ -51,7 +50,7 @@
 
 #[derive(Clone, Copy)]
 struct Run {
-    request: Fingerprint,
+    request: Cause,
     entry: usize,
     sent: u64,
     ends: u64,
@@ -70,8 +69,8 @@
     now: u64,
     entries: Vec<Quarantine>,
     endpoints: Vec<Endpoint>,
-    fatal: Fingerprint,
-    popular: Fingerprint,
+    fatal: Cause,
+    popular: Cause,
     /// When the fatal request reached endpoints, and when it crashed them.
     arrivals: Vec<u64>,
     crashes: Vec<u64>,
@@ -81,7 +80,7 @@
     attempted: usize,
     urgent: Vec<usize>,
     /// Interrupted requests that callers resend at the next step.
-    resend_queue: Vec<Fingerprint>,
+    resend_queue: Vec<Cause>,
 }
 
 impl Simulation {
@@ -141,12 +140,12 @@
         period.is_some_and(|period| (self.now / STEP_MS).is_multiple_of(period / STEP_MS))
     }
 
-    fn send(&mut self, request: Fingerprint) {
+    fn send(&mut self, request: Cause) {
         let entry = self.random.random_range(0..self.entries.len());
         let now = Millis(self.now);
         let is_fatal = request == self.fatal;
         self.attempted += usize::from(!is_fatal);
-        if self.entries[entry].hold(request, now).is_some() {
+        if self.entries[entry].hold(&[request], now).is_some() {
             self.wrongly_withheld += usize::from(!is_fatal);
             return;
         }
@@ -186,7 +185,7 @@
             let ended: Vec<_> = runs.extract_if(.., |run| run.ends <= now).collect();
             for run in ended {
                 self.served += 1;
-                self.entries[run.entry].record_success(run.request, Millis(now));
+                self.entries[run.entry].record_success(&[run.request], Millis(now), Millis(now));
             }
         }
     }
@@ -217,7 +216,7 @@
                     u32::try_from((now.0 - run.sent) / PIECE_INTERVAL_MS).unwrap()
                 },
             };
-            let change = self.entries[run.entry].record_crash(run.request, crash, now);
+            let change = self.entries[run.entry].record_crash(&[run.request], crash, now);
             if change.is_urgent {
                 self.urgent.push(run.entry);
             }
--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -1,21 +1,23 @@
-//! Tests of which requests are withheld because they crash the endpoints that run them.
+//! Tests of which requests and parts of prompts are withheld because they crash the endpoints that
+//! run them.
 
 mod cases;
 mod fleet;
+mod parts;
 
 use woodgap_core::clock::Millis;
 use woodgap_core::fingerprint::{Fingerprint, Request};
-use woodgap_core::quarantine::Crash;
+use woodgap_core::quarantine::{Cause, Crash};
 
-/// Returns the fingerprint of a request with this body.
-fn request(body: &str) -> Fingerprint {
-    Fingerprint::of(&Request {
+/// Returns a request with this body as a cause.
+fn request(body: &str) -> Cause {
+    Cause::Request(Fingerprint::of(&Request {
         caller: "murphy",
         method: "POST",
         host: "album.example",
         target: "/captions/",
         body: body.as_bytes(),
-    })
+    }))
 }
 
 /// A crash of an endpoint at this time, to which the request had been sent 100 ms earlier.
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -20,7 +20,7 @@
 
 /// The first byte of each message: the version of the wire format. Messages of another
 /// version are dropped, so that they are never misread.
-pub const FORM: u8 = 14;
+pub const FORM: u8 = 15;
 /// The first byte of a datagram that carries only usage counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The first byte of a datagram on the planned retry of a refused caller.
@@ -31,8 +31,8 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The maximum number of endpoints whose load one message reports.
 pub const MAX_LOADS: usize = 48;
-/// The maximum number of requests that one message reports as suspected of crashing endpoints.
-/// One takes 25 bytes with one crash and 37 bytes with three.
+/// The maximum number of requests and parts of prompts that one message reports as suspected of
+/// crashing endpoints. A request takes 26 bytes with one crash and 38 bytes with three.
 pub const MAX_SUSPECTS: usize = 12;
 /// The maximum number of endpoints whose rate limits one message reports. Each takes the place of
 /// an endpoint whose load is reported, which is larger.
@@ -73,7 +73,7 @@
     pub brittle: Vec<brittle::Notice>,
     /// Endpoints that say that they are leaving.
     pub departures: Vec<departure::Notice>,
-    /// Requests that were running on endpoints when these crashed.
+    /// What was running on endpoints when these crashed.
     pub suspects: Vec<quarantine::CrashHistory>,
     /// The sender's time of day, in ms since the Unix epoch.
     pub unix: Millis,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! What the platform keeps of requests that are withheld. What it stores of versions is read with
+//! What the platform keeps of what is withheld. What it stores of versions is read with
 //! it.
 //!
 //! Entries tell one another what they know. The platform is for those that start when all others
@@ -8,8 +8,7 @@
 use std::time::Duration;
 
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
-use woodgap_core::quarantine::{CrashHistory, StoredHistory};
+use woodgap_core::quarantine::{Cause, CrashHistory, StoredHistory};
 
 use crate::follow::usable;
 use crate::source::row::UnusableRows;
@@ -69,33 +68,33 @@
     state.told_of_crashes(&told);
     state.has_read_kept.set(true);
     for kept in over {
-        state.rewrite(kept.told.request);
+        state.rewrite(kept.told.cause);
     }
     Ok(())
 }
 
 async fn write(state: &State) -> Result<(), Error> {
-    while let Some(request) = next(state) {
-        if let Err(error) = write_one(state, request).await {
-            state.unkept.borrow_mut().insert(request);
+    while let Some(cause) = next(state) {
+        if let Err(error) = write_one(state, cause).await {
+            state.unkept.borrow_mut().insert(cause);
             return Err(error);
         }
     }
     Ok(())
 }
 
-/// Takes the next request off the list; it may come on it again while it is written.
-fn next(state: &State) -> Option<Fingerprint> {
+/// Takes the next cause off the list; it may come on it again while it is written.
+fn next(state: &State) -> Option<Cause> {
     state.unkept.borrow_mut().pop_first()
 }
 
-async fn write_one(state: &State, request: Fingerprint) -> Result<(), Error> {
+async fn write_one(state: &State, cause: Cause) -> Result<(), Error> {
     let told = state
         .quarantine
         .borrow()
-        .withheld_history(request, state.now());
+        .history_to_store(cause, state.now());
     let Some(told) = told else {
-        return state.source.delete_withheld(request).await;
+        return state.source.delete_withheld(cause).await;
     };
     let written_unix = state.clock.unix();
     state
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -10,6 +10,7 @@
 use futures_util::StreamExt;
 use woodgap_core::clock::Millis;
 use woodgap_core::fingerprint::{self, Fingerprint};
+use woodgap_core::quarantine::Cause;
 use woodgap_core::relay::Table;
 use woodgap_core::relay::plan::{Kind, Route, Service, Workspace};
 use woodgap_core::relay::resumption::Build;
@@ -66,6 +67,8 @@
     pub urgency: Option<u8>,
     /// Identifies repetitions of the same request by the same caller.
     pub fingerprint: Fingerprint,
+    /// What in it may crash endpoints.
+    pub causes: Rc<[Cause]>,
     /// When the response must be complete.
     pub deadline: Millis,
 }
@@ -134,6 +137,7 @@
         body: &body,
     });
     record.set_fingerprint(fingerprint);
+    let causes = Cause::all(fingerprint, call.work.as_ref());
     let mut headers = request.headers().clone();
     let attempts = match origin {
         Origin::Caller => route.attempts,
@@ -158,6 +162,7 @@
         priority,
         urgency,
         fingerprint,
+        causes: causes.into(),
         deadline,
     })
 }
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -14,9 +14,8 @@
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
-use woodgap_core::quarantine::Crash;
+use woodgap_core::quarantine::{Cause, Crash};
 use woodgap_core::relay::load_report;
 
 use crate::links;
@@ -34,10 +33,10 @@
 const MIN_ENDPOINTS: usize = 3;
 
 /// A request whose connection was lost.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Suspect {
-    /// The fingerprint of the request.
-    pub request: Fingerprint,
+    /// What in it may have crashed the endpoint.
+    pub causes: Rc<[Cause]>,
     /// When it was sent.
     pub sent: Millis,
     /// When the connection was lost.
@@ -200,6 +199,6 @@
             at: suspect.disconnected,
             pieces: suspect.pieces,
         };
-        state.crashed(suspect.request, crash);
+        state.crashed(&suspect.causes, crash);
     }
 }
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -6,8 +6,8 @@
 
 use actix_http::StatusCode;
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
+use woodgap_core::quarantine::Cause;
 use woodgap_core::relay::engine::{Choice, Ticket};
 use woodgap_core::relay::health::HealthSignal;
 
@@ -25,7 +25,7 @@
     state: Rc<State>,
     ticket: Ticket,
     address: SocketAddr,
-    fingerprint: Fingerprint,
+    causes: Rc<[Cause]>,
     started: Millis,
     /// Number of body chunks received.
     pieces: Cell<u32>,
@@ -58,11 +58,15 @@
             .back_offs
             .borrow_mut()
             .record_send(ticket.endpoint(), now);
+        state
+            .quarantine
+            .borrow_mut()
+            .record_send(&request.causes, now);
         Self {
             state: Rc::clone(state),
             ticket,
             address: choice.endpoint.address,
-            fingerprint: request.fingerprint,
+            causes: Rc::clone(&request.causes),
             started: now,
             pieces: Cell::new(0),
             is_plain: profile.work.is_none(),
@@ -137,7 +141,7 @@
             self.record_start();
         }
         let suspect = Suspect {
-            request: self.fingerprint,
+            causes: Rc::clone(&self.causes),
             sent: self.started,
             disconnected: self.state.now(),
             pieces: self.pieces.get(),
@@ -149,7 +153,8 @@
     /// may not have started the request.
     pub fn record_survival(&self, status: StatusCode) {
         if !status.is_server_error() {
-            self.state.survived(self.fingerprint);
+            let now = self.state.now();
+            self.state.survived(&self.causes, now);
         }
     }
 
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -8,6 +8,7 @@
 use actix_http::body::BoxBody;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
+use woodgap_core::quarantine::Cause;
 use woodgap_core::relay::RequestProfile;
 use woodgap_core::relay::admission::{
     Decision as Admission, LatencyRequirement, MAX_RETRY_AFTER, MIN_RETRY_AFTER, decide,
@@ -415,12 +416,16 @@
     Err(Problem::not_run(Code::Overloaded, message).retry_after(BRITTLE_RETRY_AFTER))
 }
 
-/// Rejects a quarantined request, which crashes the endpoints that run it.
+/// Rejects a quarantined request, which crashes the endpoints that run it or holds a part that does.
 fn check_quarantine(state: &State, request: &AdmittedRequest, now: Millis) -> Result<(), Problem> {
-    let hold = state.quarantine.borrow().hold(request.fingerprint, now);
+    let hold = state.quarantine.borrow().hold(&request.causes, now);
     let Some(hold) = hold else { return Ok(()) };
     state.metrics.withheld.inc();
-    let message = format!("{} endpoints crashed with this request", hold.crashes);
+    let what = match hold.cause {
+        Cause::Request(_) => "this request".to_owned(),
+        Cause::Part(id) => format!("part {id:x} of its prompt"),
+    };
+    let message = format!("{} endpoints crashed with {what}", hold.crashes);
     Err(Problem::not_run(Code::Withheld, message).retry_after(hold.until - now))
 }
 
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -12,9 +12,8 @@
 use futures_util::future::LocalBoxFuture;
 use thiserror::Error;
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
-use woodgap_core::quarantine::StoredHistory;
+use woodgap_core::quarantine::{Cause, StoredHistory};
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::evacuation::{self, Evacuation};
 use woodgap_core::relay::resumption::ServiceVersions;
@@ -112,7 +111,7 @@
     fn save_withheld<'a>(&'a self, kept: &'a StoredHistory) -> Answer<'a, ()>;
 
     /// Deletes the record of a withheld request.
-    fn delete_withheld(&self, request: Fingerprint) -> Answer<'_, ()>;
+    fn delete_withheld(&self, cause: Cause) -> Answer<'_, ()>;
 
     /// Reads the records of withheld requests that all entries have stored.
     fn list_withheld(&self) -> Answer<'_, Vec<Row<StoredHistory>>>;
--- a/crates/relay/src/source/row.rs
+++ b/crates/relay/src/source/row.rs
@@ -120,8 +120,8 @@
     const MAX_BYTES: usize = MAX_BYTES;
 
     fn check(&self, key: &str) -> Result<(), RowError> {
-        if self.told.request.to_string() != key {
-            return Err(RowError::KeyMismatch(self.told.request.to_string()));
+        if self.told.cause.to_string() != key {
+            return Err(RowError::KeyMismatch(self.told.cause.to_string()));
         }
         if !self.is_sound() {
             return Err(RowError::Format("invalid crash records".to_owned()));
--- a/crates/relay/src/source/table.rs
+++ b/crates/relay/src/source/table.rs
@@ -2,7 +2,7 @@
 //!
 //! The table `relay` holds the plan in its row `plan` and the evacuated data centres in its row
 //! `evacuation`. The table `relay-endpoints` has a row for each endpoint, `relay-entries` for
-//! each entry, `relay-withheld` for each withheld request, and `relay-versions` for each service
+//! each entry, `relay-withheld` for each withheld request or part of prompts, and `relay-versions` for each service
 //! that has several software versions.
 
 use std::collections::BTreeSet;
@@ -14,9 +14,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
-use woodgap_core::quarantine::StoredHistory;
+use woodgap_core::quarantine::{Cause, StoredHistory};
 use woodgap_core::relay::Evacuation;
 use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_platform::Error as PlatformError;
@@ -207,14 +206,14 @@
         async move {
             let value = serde_json::to_value(kept);
             let value = value.map_err(|error| Error::Malformed(error.to_string()))?;
-            let place = Place::new(WITHHELD, &kept.told.request.to_string());
+            let place = Place::new(WITHHELD, &kept.told.cause.to_string());
             self.write(place, Some(value)).await
         }
         .boxed_local()
     }
 
-    fn delete_withheld(&self, request: Fingerprint) -> Answer<'_, ()> {
-        let place = Place::new(WITHHELD, &request.to_string());
+    fn delete_withheld(&self, cause: Cause) -> Answer<'_, ()> {
+        let place = Place::new(WITHHELD, &cause.to_string());
         self.write(place, None).boxed_local()
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -6,9 +6,8 @@
 
 use tokio::sync::{Notify, watch};
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
-use woodgap_core::quarantine::{Change, Crash, CrashHistory, Quarantine};
+use woodgap_core::quarantine::{Cause, Change, Crash, CrashHistory, Quarantine};
 use woodgap_core::relay::back_off::BackOffs;
 use woodgap_core::relay::brittle::BrittleServices;
 use woodgap_core::relay::budget::{RetryBudget, RetryLimit};
@@ -135,10 +134,10 @@
     pub fetches: RefCell<Fetches>,
     /// Endpoints that are being connected to, to see whether they are back.
     pub connecting: RefCell<HashSet<name::Life>>,
-    /// Requests that crash the endpoints that run them.
+    /// Requests, and parts of prompts, that crash the endpoints that run them.
     pub quarantine: RefCell<Quarantine>,
-    /// Requests of which the platform is to keep, or to forget, what is known.
-    pub unkept: RefCell<BTreeSet<Fingerprint>>,
+    /// Those of which the platform is to keep, or to forget, what is known.
+    pub unkept: RefCell<BTreeSet<Cause>>,
     /// There are some.
     pub to_keep: Notify,
     /// Whether this entry has read what the platform keeps of withheld requests and of versions, or heard of it from one that has.
@@ -217,7 +216,7 @@
             announcement: Cell::new(Announcement::Unsaid),
             fetches: RefCell::default(),
             connecting: RefCell::default(),
-            quarantine: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::new(rand::random())),
             unkept: RefCell::default(),
             to_keep: Notify::new(),
             has_read_kept: Cell::new(false),
@@ -449,37 +448,40 @@
         }
     }
 
-    /// Takes in that an endpoint crashed while it had the request.
-    pub fn crashed(&self, request: Fingerprint, crash: Crash) {
+    /// Takes in that an endpoint crashed while it had a request with these causes.
+    pub fn crashed(&self, causes: &[Cause], crash: Crash) {
         let now = self.now();
-        let change = self
-            .quarantine
-            .borrow_mut()
-            .record_crash(request, crash, now);
-        self.quarantine_changed(&change);
+        let mut quarantine = self.quarantine.borrow_mut();
+        let change = quarantine.record_crash(causes, crash, now);
         // Who sees a crash writes it down: not all entries, as they hear of it.
-        if self.quarantine.borrow().hold(request, now).is_some() {
-            self.rewrite(request);
+        let to_store = causes
+            .iter()
+            .filter(|cause| quarantine.history_to_store(**cause, now).is_some());
+        let to_store: Vec<_> = to_store.copied().collect();
+        drop(quarantine);
+        self.quarantine_changed(&change);
+        for cause in to_store {
+            self.rewrite(cause);
         }
     }
 
-    /// Takes in that a request has ended, and its endpoint goes on.
-    pub fn survived(&self, request: Fingerprint) {
+    /// Takes in that a request with these causes has ended, and its endpoint went on.
+    pub fn survived(&self, causes: &[Cause], at: Millis) {
         let now = self.now();
-        let change = self.quarantine.borrow_mut().record_success(request, now);
+        let change = self.quarantine.borrow_mut().record_success(causes, at, now);
         self.quarantine_changed(&change);
-        if change.released.contains(&request) {
-            self.rewrite(request);
+        for cause in &change.released {
+            self.rewrite(*cause);
         }
     }
 
-    /// Has the platform told anew what is known of a request, or that nothing is.
-    pub fn rewrite(&self, request: Fingerprint) {
-        self.unkept.borrow_mut().insert(request);
+    /// Has the platform told anew what is known of a cause, or that nothing is.
+    pub fn rewrite(&self, cause: Cause) {
+        self.unkept.borrow_mut().insert(cause);
         self.to_keep.notify_one();
     }
 
-    /// Takes in what another entry tells of requests that crash endpoints.
+    /// Takes in what another entry tells of what crashes endpoints.
     pub fn told_of_crashes(&self, told: &[CrashHistory]) {
         let now = self.now();
         let change = self.quarantine.borrow_mut().merge_histories(told, now);
@@ -488,16 +490,30 @@
 
     fn quarantine_changed(&self, change: &Change) {
         let now = self.now();
-        for request in &change.withheld {
-            let hold = self.quarantine.borrow().hold(*request, now);
-            log::warn!(
-                fingerprint = request.to_string(), crashes = hold.map_or(0, |it| it.crashes),
-                for_ms = hold.map_or(0, |it| (it.until - now).0);
-                "a request is withheld, as it crashes the endpoints that run it"
-            );
+        for cause in &change.withheld {
+            let hold = self.quarantine.borrow().hold(&[*cause], now);
+            let crashes = hold.map_or(0, |it| it.crashes);
+            let remaining = hold.map_or(0, |it| (it.until - now).0);
+            match cause {
+                Cause::Request(fingerprint) => log::warn!(
+                    fingerprint = fingerprint.to_string(), crashes = crashes, for_ms = remaining;
+                    "a request is withheld, as it crashes the endpoints that run it"
+                ),
+                Cause::Part(id) => log::warn!(
+                    part = format!("{id:x}"), crashes = crashes, for_ms = remaining;
+                    "requests with a part of prompts are withheld, as it crashes the endpoints that run it"
+                ),
+            }
         }
-        for request in &change.released {
-            log::info!(fingerprint = request.to_string(); "a request is no longer withheld");
+        for cause in &change.released {
+            match cause {
+                Cause::Request(fingerprint) => {
+                    log::info!(fingerprint = fingerprint.to_string(); "a request is no longer withheld");
+                }
+                Cause::Part(id) => {
+                    log::info!(part = format!("{id:x}"); "requests with a part of prompts are no longer withheld");
+                }
+            }
         }
         if change.is_urgent {
             self.news.notify_one();
--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -13,8 +13,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use woodgap_core::fingerprint::Fingerprint;
-use woodgap_core::quarantine::StoredHistory;
+use woodgap_core::quarantine::{Cause, StoredHistory};
 
 use crate::caller::post;
 use crate::crashing::{Arrivals, Crashing, DOWN, Down, FATAL};
@@ -37,7 +36,7 @@
     arrivals: Arrivals,
     sites: Vec<Site>,
     /// What the platform keeps.
-    kept: Arc<Mutex<BTreeMap<Fingerprint, StoredHistory>>>,
+    kept: Arc<Mutex<BTreeMap<Cause, StoredHistory>>>,
 }
 
 impl Fleet {
--- a/crates/relay/tests/contract/messages.rs
+++ b/crates/relay/tests/contract/messages.rs
@@ -4,7 +4,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::fingerprint::{self, Fingerprint};
 use woodgap_core::name;
-use woodgap_core::quarantine::{Crash, Quarantine};
+use woodgap_core::quarantine::{Cause, Crash, Quarantine};
 use woodgap_core::relay::RequestProfile;
 use woodgap_core::relay::brittle;
 use woodgap_core::relay::claim::Claim;
@@ -257,7 +257,7 @@
                 at,
                 pieces: u32::MAX,
             };
-            quarantine.record_crash(Fingerprint::of(&request), crash, at);
+            quarantine.record_crash(&[Cause::Request(Fingerprint::of(&request))], crash, at);
         }
     }
     let suspects = quarantine.histories_to_send(MAX_SUSPECTS, Millis(4_000));
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -12,9 +12,8 @@
 use futures_util::FutureExt;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use woodgap_core::clock::Millis;
-use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::name;
-use woodgap_core::quarantine::StoredHistory;
+use woodgap_core::quarantine::{Cause, StoredHistory};
 use woodgap_core::relay::Evacuation;
 use woodgap_core::relay::plan::{
     DEFAULT_WEIGHT, Engine, Kind, Limits, Plan, Route, Service, Share, Workspace,
@@ -57,7 +56,7 @@
     /// What is done and never answered.
     pub unanswered: Option<Unanswered>,
     /// What entries keep of requests that are withheld; several sites may share it.
-    pub kept: Arc<Mutex<BTreeMap<Fingerprint, StoredHistory>>>,
+    pub kept: Arc<Mutex<BTreeMap<Cause, StoredHistory>>>,
     /// What entries store of the versions of services, by service; several sites may share it.
     pub versions: Arc<Mutex<BTreeMap<String, ServiceVersions>>>,
 }
@@ -143,15 +142,15 @@
         async move {
             let shared = self.told()?.kept;
             let mut shared = shared.lock().unwrap();
-            shared.insert(kept.told.request, kept.clone());
+            shared.insert(kept.told.cause, kept.clone());
             Ok(())
         }
         .boxed_local()
     }
 
-    fn delete_withheld(&self, request: Fingerprint) -> Answer<'_, ()> {
+    fn delete_withheld(&self, cause: Cause) -> Answer<'_, ()> {
         async move {
-            self.told()?.kept.lock().unwrap().remove(&request);
+            self.told()?.kept.lock().unwrap().remove(&cause);
             Ok(())
         }
         .boxed_local()
