Relay: a stream that ends inside an event was broken off, however it is framed

Cause: only streams that end with their connections were looked at, by their last two bytes; CRLF line ends looked like the middle of an event there. Streams with a short length were read whole before the first event was passed on, and not looked at either. The class: the transport's word that all has come is taken for the content's.

Change: request::event_stream follows lines (LF, CR, CRLF, comments); a stream that ends inside an event is cut off for the caller, is a failure of the endpoint and has it checked for a crash. Events of short streams are passed on as they come. A stream without an event clears nothing.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -4,6 +4,7 @@
 pub mod admit;
 pub mod attempt;
 pub mod crash;
+pub mod event_stream;
 pub mod forward;
 pub mod handover;
 pub mod notice;
--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -12,6 +12,7 @@
 
 use crate::request::AccessRecord;
 use crate::request::attempt::AttemptError;
+use crate::request::event_stream::Position;
 use crate::request::forward::{connection_options, is_end_to_end};
 use crate::request::responder::Responder;
 use crate::state::State;
@@ -53,10 +54,8 @@
     responder: Responder,
     /// How long the connection may stay idle in the pool afterwards.
     pause: Millis,
-    /// The last two bytes received.
-    tail: [u8; 2],
-    /// Whether the body is a stream of events.
-    is_event_stream: bool,
+    /// The position in a stream of events; `None` for another body.
+    position: Option<Position>,
 }
 
 impl EndpointResponse {
@@ -84,22 +83,22 @@
         responder.record_signal(signal(head.status));
         let Some(framing) = framing else {
             let framing = head.framing(method);
-            if framing.is_ok_and(|framing| !framing.is_close_delimited()) {
+            let is_framed = framing.is_ok_and(|framing| !framing.is_close_delimited());
+            // A stream without an event does not show that its endpoint has begun the request.
+            if is_framed && !is_event_stream(&head) {
                 responder.record_survival(head.status);
             }
             responder.return_connection(connection, pause);
             return Ok(Self::Whole { head, body: first });
         };
-        let is_event_stream = is_event_stream(&head);
         let mut remainder = BodyRemainder {
             connection,
             framing,
             responder,
             pause,
-            tail: *b"\n\n",
-            is_event_stream,
+            position: is_event_stream(&head).then(Position::default),
         };
-        remainder.record_tail(&first);
+        remainder.follow(&first);
         Ok(Self::Stream {
             head,
             first,
@@ -118,8 +117,8 @@
         let is_short = framing
             .content_length()
             .is_some_and(|length| length <= MAX_BUFFERED_BYTES);
-        let ends_with_connection = framing.is_close_delimited() && !is_event_stream(head);
-        if is_short || ends_with_connection {
+        // Events are passed on as they come.
+        if (is_short || framing.is_close_delimited()) && !is_event_stream(head) {
             let max_bytes = usize::try_from(MAX_BUFFERED_BYTES).unwrap_or(usize::MAX);
             let body = connection.read_body(framing, max_bytes).await?;
             return Ok((None, body));
@@ -200,6 +199,11 @@
     }
 }
 
+/// The error for a response that ended before it was complete.
+fn cut_off() -> Error {
+    Error::Cut(std::io::ErrorKind::UnexpectedEof.into())
+}
+
 /// Whether the body is a stream of events.
 pub fn is_event_stream(head: &Head) -> bool {
     let content_type = head.header_str("content-type");
@@ -207,10 +211,10 @@
 }
 
 impl BodyRemainder {
-    /// Remembers the last two bytes received.
-    fn record_tail(&mut self, bytes: &[u8]) {
-        for byte in bytes.iter().rev().take(2).rev() {
-            self.tail = [self.tail[1], *byte];
+    /// Follows the events in the bytes received.
+    fn follow(&mut self, bytes: &[u8]) {
+        if let Some(position) = &mut self.position {
+            position.follow(bytes);
         }
     }
 
@@ -218,13 +222,13 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Error> {
         let chunk = self.connection.next_data(&mut self.framing).await?;
         if let Some(bytes) = &chunk {
-            self.record_tail(bytes);
+            self.follow(bytes);
             return Ok(chunk);
         }
-        // A connection that closes in the middle of an event was cut off.
-        let ends_well = !self.framing.is_close_delimited() || self.tail == *b"\n\n";
-        if self.is_event_stream && !ends_well {
-            return Err(Error::Cut(std::io::ErrorKind::UnexpectedEof.into()));
+        // A stream that ends inside an event was broken off, also if its framing says otherwise.
+        let is_inside_event = |position: Position| !position.is_between_events();
+        if self.position.is_some_and(is_inside_event) {
+            return Err(cut_off());
         }
         Ok(None)
     }
