Relay: answers that end with their connections are checked for a crash

Cause: the end of such an answer was neither a sign of a crash, so that nothing was put down to its request, nor of a good run, so that an endpoint that answers only in this way cleared nobody. The class: one sign stands for two events.

Change: the end of such an answer has the endpoint checked as a lost connection has. If it has crashed (the connection is refused, or its row tells a later start), the answer is cut off for the caller, who waits for 50 ms at most, and counts. If no sign comes for five seconds, the run has ended well, at the time of its end. The connection that the check opens is kept for the next request; the answer has ended the one before. The stand-in kept such connections open, so that sound requests waited (case 6).

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -5,11 +5,16 @@
 //! reaches other endpoints, the endpoint has crashed, and each request that it had in flight may be
 //! the cause. The same holds if the address accepts connections, but the endpoint is then listed
 //! with a later start.
+//!
+//! A response that ends with its connection looks the same if its endpoint has crashed. Its end is
+//! checked in the same way, and shows that the endpoint survived the request only if no sign of a
+//! crash follows.
 
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
@@ -20,8 +25,7 @@
 
 use crate::links;
 use crate::state::State;
-use crate::upkeep;
-use crate::upstream::{Connection, Error};
+use crate::upstream::{Connection, Error, pool};
 
 /// All connections to a crashing endpoint are lost within this time.
 const CRASH_WINDOW: Millis = Millis(1_000);
@@ -29,20 +33,27 @@
 /// row is written within a second or two of the start, and read soon after.
 const RESTART_WINDOW: Millis = Millis(5_000);
 
+/// All connections to a crashing endpoint end within this time, as seen by one entry. A response
+/// that ended with its connection earlier than that was complete.
+const END_WINDOW: Millis = Millis(250);
+/// The longest wait for the check of a response that ended with its connection: it is due.
+const MAX_END_WAIT: Millis = Millis(50);
 /// If fewer endpoints are listed, the loss of all does not suggest that links were lost.
 const MIN_ENDPOINTS: usize = 3;
 
-/// A request whose connection was lost.
+/// A request whose connection was lost, or ended with the response.
 #[derive(Clone, Debug)]
 pub struct Suspect {
     /// What in it may have crashed the endpoint.
     pub causes: Rc<[Cause]>,
     /// When it was sent.
     pub sent: Millis,
-    /// When the connection was lost.
+    /// When the connection was lost, or ended.
     pub disconnected: Millis,
     /// Number of body chunks received.
     pub pieces: u32,
+    /// Whether the response looks complete: it ended with its connection.
+    pub has_ended: bool,
 }
 
 /// The endpoints that recently dropped a connection.
@@ -76,10 +87,29 @@
     fn mark_crashed(&mut self, now: Millis) -> Vec<Suspect> {
         self.crashed_at = Some(now);
         let mut suspects = std::mem::take(&mut self.suspects);
-        let last = suspects.last().map_or(now, |suspect| suspect.disconnected);
-        suspects.retain(|suspect| last - suspect.disconnected < CRASH_WINDOW);
+        let lost = suspects.iter().rfind(|suspect| !suspect.has_ended);
+        let (crash, window) = match lost {
+            Some(lost) => (lost.disconnected, END_WINDOW),
+            None => (now, CRASH_WINDOW),
+        };
+        suspects.retain(|suspect| {
+            let window = if suspect.has_ended {
+                window
+            } else {
+                CRASH_WINDOW
+            };
+            crash - suspect.disconnected < window
+        });
         suspects
     }
+
+    /// Removes the suspects whose endpoint has shown no sign of a crash for long enough, and
+    /// returns those that look complete.
+    fn take_survivors(&mut self, now: Millis) -> Vec<Suspect> {
+        let is_over = |suspect: &mut Suspect| now - suspect.disconnected >= RESTART_WINDOW;
+        let over = self.suspects.extract_if(.., is_over);
+        over.filter(|suspect| suspect.has_ended).collect()
+    }
 }
 
 /// Records a lost connection and starts a probe of the endpoint. An endpoint that was leaving has
@@ -93,9 +123,9 @@
     if state.roster.borrow().is_leaving(life) {
         return;
     }
+    expire(state);
     let now = state.now();
     let mut checks = state.crash_checks.borrow_mut();
-    checks.by_life.retain(|_, check| check.is_recent(now));
     let check = checks.by_life.entry(life.clone()).or_default();
     if check.has_crashed(now) {
         drop(checks);
@@ -123,13 +153,45 @@
     }
 }
 
+/// Checks a response that has ended with its connection. Returns whether its endpoint was not found
+/// to have crashed with it.
+pub async fn is_complete(
+    state: &Rc<State>,
+    life: &name::Life,
+    address: SocketAddr,
+    suspect: Suspect,
+) -> bool {
+    check_for_crash(state, life, address, suspect);
+    let limit = Duration::from_millis(MAX_END_WAIT.0);
+    // The check goes on if it takes longer.
+    let _ = tokio::time::timeout(limit, wait_for_check(state, life)).await;
+    let checks = state.crash_checks.borrow();
+    let check = checks.by_life.get(life);
+    !check.is_some_and(|check| check.has_crashed(state.now()))
+}
+
+/// Removes what is over, and records the responses that have ended with their connections and whose
+/// endpoints have not crashed since.
+pub fn expire(state: &State) {
+    let now = state.now();
+    let survivors: Vec<_> = {
+        let mut checks = state.crash_checks.borrow_mut();
+        let survivors = checks.by_life.values_mut();
+        let survivors = survivors.flat_map(|check| check.take_survivors(now));
+        let survivors = survivors.collect();
+        checks.by_life.retain(|_, check| check.is_recent(now));
+        survivors
+    };
+    for suspect in survivors {
+        state.survived(&suspect.causes, suspect.disconnected);
+    }
+}
+
 /// Records that the endpoint is listed with a later start: its last lost connections were a crash.
 pub fn record_restart(state: &State, life: &name::Life) {
+    expire(state);
     let has_suspects = {
-        let mut checks = state.crash_checks.borrow_mut();
-        checks
-            .by_life
-            .retain(|_, check| check.is_recent(state.now()));
+        let checks = state.crash_checks.borrow();
         let check = checks.by_life.get(life);
         check.is_some_and(|check| !check.suspects.is_empty())
     };
@@ -153,7 +215,7 @@
         Ok(connection) => {
             links::record_connected(&state);
             let mut pool = state.pool.borrow_mut();
-            pool.put(&life, connection, upkeep::REST, now);
+            pool.put(&life, connection, pool::DEFAULT_KEEP_ALIVE, now);
         }
     }
     if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(&life) {
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -140,13 +140,25 @@
         if elapsed >= self.expected_wait {
             self.record_start();
         }
-        let suspect = Suspect {
+        let suspect = self.suspect(false);
+        crash::check_for_crash(&self.state, self.endpoint(), self.address, suspect);
+    }
+
+    /// Checks a response that has ended with its connection. Returns whether it is taken for
+    /// complete.
+    pub async fn is_complete(&self) -> bool {
+        let suspect = self.suspect(true);
+        crash::is_complete(&self.state, self.endpoint(), self.address, suspect).await
+    }
+
+    fn suspect(&self, has_ended: bool) -> Suspect {
+        Suspect {
             causes: Rc::clone(&self.causes),
             sent: self.started,
             disconnected: self.state.now(),
             pieces: self.pieces.get(),
-        };
-        crash::check_for_crash(&self.state, self.endpoint(), self.address, suspect);
+            has_ended,
+        }
     }
 
     /// Records that the endpoint survived the request. Server errors don't count, as the endpoint
--- a/crates/relay/src/request/responder.rs
+++ b/crates/relay/src/request/responder.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Checks a response that has ended with its connection. Returns whether it is taken for
+    /// complete. Another entry marks the ends of all responses.
+    pub async fn is_complete(&self) -> bool {
+        match self {
+            Self::Endpoint(placement) => placement.is_complete().await,
+            Self::Entry(_) => true,
+        }
+    }
+
     /// Records that reading the response failed.
     pub fn record_failure(&self, error: &Error) {
         if let Some(placement) = self.placement() {
--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -79,13 +79,18 @@
                 return Err(error.into());
             }
         };
+        let ends_with_connection = head
+            .framing(method)
+            .is_ok_and(|framing| framing.is_close_delimited());
+        if framing.is_none() && ends_with_connection && !responder.is_complete().await {
+            responder.record_signal(HealthSignal::Failure);
+            return Err(cut_off().into());
+        }
         responder.record_start();
         responder.record_signal(signal(head.status));
         let Some(framing) = framing else {
-            let framing = head.framing(method);
-            let is_framed = framing.is_ok_and(|framing| !framing.is_close_delimited());
             // A stream without an event does not show that its endpoint has begun the request.
-            if is_framed && !is_event_stream(&head) {
+            if !ends_with_connection && !is_event_stream(&head) {
                 responder.record_survival(head.status);
             }
             responder.return_connection(connection, pause);
@@ -230,6 +235,9 @@
         if self.position.is_some_and(is_inside_event) {
             return Err(cut_off());
         }
+        if self.framing.is_close_delimited() && !self.responder.is_complete().await {
+            return Err(cut_off());
+        }
         Ok(None)
     }
 }
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -39,6 +39,7 @@
 fn round(state: &Rc<State>, now: Millis) {
     drop_gone(state, now);
     streams::look(state, now);
+    crash::expire(state);
     state.pool.borrow_mut().sweep(now);
     state.exchange.sweep(now);
     state.warmed.borrow_mut().expire(now);
--- a/crates/relay/tests/contract/crashing.rs
+++ b/crates/relay/tests/contract/crashing.rs
@@ -214,6 +214,8 @@
             return;
         }
         if life.manner.framed == Framed::Close && !parts.is_empty() {
+            // Its life still holds the connection. The caller may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
             return;
         }
     }
