Soak: a part of prompts that ends endpoints, streams that end with their connections or falsely whole

Change: in half of the runs with a fatal caller it is a part of the prompts of streams, no two alike, that ends endpoints; short streams of all callers share another part with it; a fifth of the streams ends with its connection, and half of the others that break off do so inside an event with a last chunk. The bound of a part counts from its fifth end, that of a request from its third as before. Draws are new streams of the generator, those of other faults stay.

--- a/crates/relay/tests/soak/caller.rs
+++ b/crates/relay/tests/soak/caller.rs
@@ -8,6 +8,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use woodgap_core::fingerprint::{self, Fingerprint};
+use woodgap_core::relay::Work;
+use woodgap_core::relay::work::Part;
 use woodgap_relay::upstream::{Connection, Head, connection};
 
 use crate::endpoint;
@@ -48,6 +51,10 @@
 const FATAL_PAUSE: std::ops::Range<u64> = 100..600;
 /// The body of what ends endpoints.
 const FATAL_BODY: &[u8] = b"the same each time";
+/// Says what a request asks of an engine.
+pub const WORK: &str = "x-woodgap-work";
+/// A part that the prompts of all short streams hold, those that end endpoints among them.
+const SHARED_PART: u64 = 0x5a;
 /// The longest pause between two requests of a caller, in ms.
 const LONGEST_PAUSE: u64 = 30;
 /// The largest body that is read, in bytes.
@@ -85,8 +92,17 @@
     /// How many events a stream is to have.
     events: usize,
     patience: Duration,
-    /// Whether it ends the endpoint that runs it.
-    is_fatal: bool,
+    /// Whether it ends the endpoint that runs it, and by what.
+    fatal: Option<Fatal>,
+}
+
+/// What ends endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fatal {
+    /// One request, sent again and again.
+    Request,
+    /// A part of the prompts of streams, no two alike.
+    Part,
 }
 
 impl Order {
@@ -96,7 +112,7 @@
             key,
             events: EVENTS,
             patience: PATIENCE,
-            is_fatal: false,
+            fatal: None,
         }
     }
 
@@ -111,7 +127,7 @@
             key,
             events,
             patience: if is_hasty { hasty } else { LONG_PATIENCE },
-            is_fatal: false,
+            fatal: None,
         }
     }
 
@@ -293,16 +309,18 @@
     desk.send(connection, life, &id, order).await;
 }
 
-/// Sends one request that ends the endpoints which run it, again and again, each time under a
-/// new identity and at any entry that takes callers.
-pub async fn send_fatal(name: String, seed: u64, record: Record, entries: Entries) {
+/// Sends what ends the endpoints which run it, again and again, each time under a new identity and
+/// at any entry that takes callers.
+pub async fn send_fatal(name: String, seed: u64, fatal: Fatal, record: Record, entries: Entries) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let kind = *Kind::ALL.choose(&mut random).expect("there are kinds");
+    let kind = match fatal {
+        Fatal::Request => kind,
+        Fatal::Part => Kind::Stream,
+    };
     let order = Order {
-        is_fatal: true,
-        ..Order::short(
-            *Kind::ALL.choose(&mut random).expect("there are kinds"),
-            KEYS[0],
-        )
+        fatal: Some(fatal),
+        ..Order::short(kind, KEYS[0])
     };
     let pause = Duration::from_millis(random.random_range(FATAL_PAUSE));
     let desk = Desk { record, entries };
@@ -350,7 +368,7 @@
     if status == 503 && !is_plain_refusal(&answer, &got) {
         record.broken(Problem::Unsaid(id.to_owned()));
     }
-    if status != 200 && !order.is_fatal && is_withheld(&got) {
+    if status != 200 && order.fatal.is_none() && is_withheld(&got) {
         record.broken(Problem::Withheld(id.to_owned()));
     }
     connection.release_buffer();
@@ -371,7 +389,7 @@
 }
 
 fn body(order: Order, id: &str) -> &[u8] {
-    if order.is_fatal {
+    if order.fatal == Some(Fatal::Request) {
         FATAL_BODY
     } else {
         id.as_bytes()
@@ -394,12 +412,43 @@
     if matches!(order.kind, Kind::Stream | Kind::Long) {
         headers.push((endpoint::EVENTS, events.as_bytes()));
     }
-    if order.is_fatal {
+    if order.fatal == Some(Fatal::Request) {
         headers.push((endpoint::FATAL, b"1"));
     }
+    let work = work(order, id);
+    if order.kind == Kind::Stream {
+        headers.push((WORK, work.as_bytes()));
+    }
     connection::request_head(&Method::POST, order.kind.path(), headers)
 }
 
+/// The prompt of a stream, as it tells: a part that others share, perhaps one that ends endpoints,
+/// and its own.
+fn work(order: Order, id: &str) -> String {
+    let own = Fingerprint::of(&fingerprint::Request {
+        caller: "",
+        method: "",
+        host: "",
+        target: "",
+        body: id.as_bytes(),
+    });
+    let mut parts = vec![SHARED_PART, own.key()];
+    if order.fatal == Some(Fatal::Part) {
+        parts.insert(
+            usize::from(own.key().is_multiple_of(2)),
+            endpoint::FATAL_PART,
+        );
+    }
+    let parts = parts.into_iter().map(|id| Part { id, tokens: 100 });
+    let work = Work {
+        prompt_tokens: 200,
+        output_limit: 12,
+        output_hint: None,
+        parts: parts.collect(),
+    };
+    serde_json::to_string(&work).expect("work is JSON")
+}
+
 /// The body as far as it came, and whether that is all of it.
 async fn read(connection: &mut Connection, answer: &Head) -> (Vec<u8>, bool) {
     let Ok(mut framing) = answer.framing(&Method::POST) else {
--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -12,8 +12,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
+use woodgap_core::relay::Work;
 use woodgap_harness::until;
 
+use crate::caller::WORK;
 use crate::proxy::reset;
 use crate::record::{Arrival, Outcome, Record};
 use crate::streams;
@@ -26,6 +28,12 @@
 pub const EVENTS: &str = "x-soak-events";
 /// Says that the request ends the endpoint that begins to run it.
 pub const FATAL: &str = "x-soak-fatal";
+/// A part of prompts that ends each endpoint that begins to answer, unless it is the last one.
+pub const FATAL_PART: u64 = 0xfa7a;
+/// The part of the streams that end with their connections, and of those that break off inside an
+/// event, of those whose framing says that they are whole.
+const CLOSED: f64 = 0.2;
+const FALSELY_WHOLE: f64 = 0.5;
 /// The back-off that an overloaded endpoint asks for.
 pub const BACK_OFF: Duration = Duration::from_secs(2);
 /// How many requests a brittle endpoint runs at once; each of them is listed so.
@@ -70,6 +78,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     random: Rc<RefCell<ChaCha8Rng>>,
+    /// For what was added later, so that the draws of the other one stay as they are.
+    more: Rc<RefCell<ChaCha8Rng>>,
     record: Record,
     /// Which of its lives this is, from 0.
     life: Rc<watch::Sender<u64>>,
@@ -126,10 +136,13 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("loopback has a free port");
         let (life, _) = watch::channel(0);
+        let mut more = ChaCha8Rng::seed_from_u64(seed);
+        more.set_stream(1);
         let endpoint = Self {
             name,
             address: listener.local_addr().expect("it is bound"),
             random: Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed))),
+            more: Rc::new(RefCell::new(more)),
             record,
             life: Rc::new(life),
             ended,
@@ -199,6 +212,17 @@
         actix_rt::spawn(self.clone().accept(listener.await));
     }
 
+    fn draw_framing(&self) -> Framing {
+        let mut more = self.more.borrow_mut();
+        if more.random_bool(CLOSED) {
+            Framing::Close
+        } else if more.random_bool(FALSELY_WHOLE) {
+            Framing::FalselyWhole
+        } else {
+            Framing::Chunks
+        }
+    }
+
     async fn accept(self, listener: TcpListener) {
         let own = self.life();
         let mut life = self.life.subscribe();
@@ -280,9 +304,16 @@
         let way = stream.peer_addr().ok()?;
         let _running = Running::begin(&self.running);
         let run = self.record.runs(&id, &self.name, life, way);
-        if !header(head, FATAL).is_empty() {
+        let framing = self.draw_framing();
+        let has_fatal_part = has_fatal_part(head);
+        if !header(head, FATAL).is_empty() || has_fatal_part {
             self.record.has_run(&id, run, Outcome::Badly);
             self.record.fatal(&id);
+            if has_fatal_part {
+                let answer = broken_off(&names, framing);
+                // What is under way is lost with the endpoint.
+                let _ = send(stream, &answer).await;
+            }
             self.stop();
             // Nobody waits for it once the run is over.
             let _ = self.ended.send(self.name.clone());
@@ -296,7 +327,7 @@
         };
         let running = async {
             pause(stream, Duration::from_millis(work)).await?;
-            carry_out(stream, head, &names, mishap).await
+            carry_out(stream, head, &names, framing, mishap).await
         };
         let step = running.await;
         let outcome = step.map_or(Outcome::Left, |_| own);
@@ -309,6 +340,67 @@
     }
 }
 
+/// How a stream says where it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Chunks,
+    /// It ends with its connection.
+    Close,
+    /// As chunks, and one that breaks off inside an event has a last chunk.
+    FalselyWhole,
+}
+
+impl Framing {
+    fn headers(self) -> &'static str {
+        match self {
+            Self::Chunks | Self::FalselyWhole => "Transfer-Encoding: chunked\r\n",
+            Self::Close => "",
+        }
+    }
+
+    fn frame(self, event: &str) -> String {
+        match self {
+            Self::Chunks | Self::FalselyWhole => format!("{:x}\r\n{event}\r\n", event.len()),
+            Self::Close => event.to_owned(),
+        }
+    }
+}
+
+/// Whether the prompt holds the part that ends endpoints, other than as its last one.
+fn has_fatal_part(head: &str) -> bool {
+    let work: Option<Work> = serde_json::from_str(&header(head, WORK)).ok();
+    let work = work.unwrap_or_default();
+    let mut parts = work.shared_parts().iter();
+    parts.any(|part| part.id == FATAL_PART)
+}
+
+fn head_of_events(names: &Names<'_>, framing: Framing) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {}\r\nX-Woodgap-Seal: s\r\n{}\
+         Content-Type: text/event-stream\r\n{}\r\n",
+        names.id,
+        names.headers,
+        framing.headers()
+    )
+}
+
+/// A stream that breaks off inside its first event.
+fn broken_off(names: &Names<'_>, framing: Framing) -> String {
+    let half = framing.frame(half_of(&event(names.id, 0)));
+    let end = if framing == Framing::FalselyWhole {
+        LAST_CHUNK
+    } else {
+        ""
+    };
+    head_of_events(names, framing) + &half + end
+}
+
+fn half_of(event: &str) -> &str {
+    &event[..event.len() / 2]
+}
+
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
 /// What an answer to a request must hold, whichever endpoint gave it.
 pub fn body(id: &str, endpoint: &str) -> String {
     format!("{id} by {endpoint} {}", "x".repeat(id.len() * 37 % 900))
@@ -337,6 +429,7 @@
     stream: &mut TcpStream,
     head: &str,
     names: &Names<'_>,
+    framing: Framing,
     mishap: Option<Mishap>,
 ) -> Option<After> {
     let Names {
@@ -358,7 +451,7 @@
         _ => {}
     }
     if let Ok(count) = header(head, EVENTS).parse() {
-        return events(stream, head, names, count, mishap).await;
+        return events(stream, head, names, framing, count, mishap).await;
     }
     let body = body(id, endpoint);
     let head = format!(
@@ -383,37 +476,39 @@
     stream: &mut TcpStream,
     request: &str,
     names: &Names<'_>,
+    framing: Framing,
     count: usize,
     mishap: Option<Mishap>,
 ) -> Option<After> {
-    let Names {
-        id,
-        headers,
-        version,
-        ..
-    } = names;
+    let Names { id, version, .. } = names;
     let last: Option<usize> = header(request, "last-event-id").parse().ok();
     let first = Some(header(request, "x-woodgap-resumes")).filter(|it| !it.is_empty());
     let first = first.as_deref().unwrap_or(id);
     let is_versioned = request.starts_with(&format!("GET {} ", streams::PATH));
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nX-Woodgap-Request: {id}\r\nX-Woodgap-Seal: s\r\n{headers}\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    send(stream, &head).await?;
+    send(stream, &head_of_events(names, framing)).await?;
     for number in last.map_or(0, |last| last + 1)..count {
-        if mishap == Some(Mishap::Cut) && number == count / 2 {
-            return Some(After::Close);
-        }
         let event = if is_versioned {
             versioned_event(first, number, version)
         } else {
             event(id, number)
         };
-        send(stream, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
+        if mishap == Some(Mishap::Cut) && number == count / 2 {
+            // One that ends with its connection would look whole between two events.
+            if framing != Framing::Chunks {
+                send(stream, &framing.frame(half_of(&event))).await?;
+            }
+            if framing == Framing::FalselyWhole {
+                send(stream, LAST_CHUNK).await?;
+            }
+            return Some(After::Close);
+        }
+        send(stream, &framing.frame(&event)).await?;
         pause(stream, GAP).await?;
     }
-    send(stream, "0\r\n\r\n").await?;
+    if framing == Framing::Close {
+        return Some(After::Close);
+    }
+    send(stream, LAST_CHUNK).await?;
     Some(After::Keep)
 }
 
--- a/crates/relay/tests/soak/world.rs
+++ b/crates/relay/tests/soak/world.rs
@@ -24,7 +24,7 @@
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Table, Transaction};
 
-use crate::caller::{self, Caller, KEYS};
+use crate::caller::{self, Caller, Fatal, KEYS};
 use crate::duties;
 use crate::entries::Entries;
 use crate::fault::{self, Event, Fault};
@@ -41,8 +41,10 @@
 /// nothing has befallen them for three seconds.
 const FATAL_QUIET: Duration = Duration::from_secs(5);
 /// The part of the runs in which one caller sends what ends endpoints: it takes down many, so
-/// that less of the other faults meets a request.
+/// that less of the other faults meets a request; and the part of these in which it is a part of
+/// prompts.
 const FATAL_RUNS: f64 = 0.5;
+const FATAL_PARTS: f64 = 0.5;
 /// By when entries that start together have met: they announce themselves after three seconds.
 const MEETING: Duration = Duration::from_secs(5);
 /// How long callers go on after the last fault has ended.
@@ -111,6 +113,8 @@
     next_litter: Cell<usize>,
     next_endpoint: Cell<usize>,
     endpoints_kind: Endpoints,
+    /// What ends endpoints, if anything does.
+    fatal: Fatal,
     /// Tries at streams that may be taken up.
     tries: Tries,
     plan: RefCell<Plan>,
@@ -134,6 +138,13 @@
             random
         });
         let [more, restarts, rows, herds, mut fatal, limits, brittle] = streams;
+        let mut causes = ChaCha8Rng::seed_from_u64(seed);
+        causes.set_stream(8);
+        let cause = if causes.random_bool(FATAL_PARTS) {
+            Fatal::Part
+        } else {
+            Fatal::Request
+        };
         let record = Record::default();
         let platform = Stand::platform();
         let platform_path = Proxy::start(platform.address, Record::default()).await;
@@ -152,6 +163,7 @@
             next_litter: Cell::new(0),
             next_endpoint: Cell::new(0),
             endpoints_kind: endpoints,
+            fatal: cause,
             tries: Tries::default(),
             plan: RefCell::new(plan::first()),
             writing: tokio::sync::Mutex::new(()),
@@ -178,7 +190,7 @@
         let reviving = Rc::clone(&scene).revive(has_ended, fatal.random());
         let reviving = actix_rt::spawn(reviving);
         let (name, entries_open) = (format!("s{seed}-fatal"), scene.entries.clone());
-        let sending = caller::send_fatal(name, fatal.random(), record.clone(), entries_open);
+        let sending = caller::send_fatal(name, fatal.random(), cause, record.clone(), entries_open);
         let has_fatal = fatal.random_bool(FATAL_RUNS);
         let sending = has_fatal.then(|| actix_rt::spawn(sending));
         let callers = (0..CALLERS.max(entries)).map(|number| {
--- a/crates/relay/tests/soak/world/checks.rs
+++ b/crates/relay/tests/soak/world/checks.rs
@@ -8,7 +8,7 @@
 
 use super::Scene;
 use super::members::Member;
-use crate::caller;
+use crate::caller::{self, Fatal};
 use crate::process::{LEAVE, REVOKE};
 use crate::record::{Kind, Problem, Run, Sent};
 use crate::stops::Case;
@@ -17,9 +17,11 @@
 const ROUND: usize = 8;
 /// How long after a fault of the way to an endpoint requests may still be held up.
 const HELD_UP: Duration = Duration::from_secs(1);
-/// So long after what ends endpoints has ended the third, it may reach so many more, through
-/// entries that nothing has befallen for that long.
+/// So long after what ends endpoints has ended the third, or the fifth if it is a part of prompts,
+/// it may reach so many more, through entries that nothing has befallen for that long.
 const FATAL_BOUND: Duration = Duration::from_secs(3);
+const FATAL_REQUEST_ENDS: usize = 3;
+const FATAL_PART_ENDS: usize = 5;
 const MOST_FATAL: usize = 3;
 
 impl Scene {
@@ -110,13 +112,17 @@
     /// Whether what ends endpoints reached too many of them.
     pub(super) fn fatal_problems(&self) -> Option<Problem> {
         let fatal = self.record.all_fatal();
-        let (_, third) = fatal.get(2)?;
+        let ends = match self.fatal {
+            Fatal::Request => FATAL_REQUEST_ENDS,
+            Fatal::Part => FATAL_PART_ENDS,
+        };
+        let (_, last) = fatal.get(ends - 1)?;
         let sent: BTreeMap<_, _> = self.record.all_sent().into_iter().collect();
         let is_late = |id: &String, at: Instant| {
             let in_touch = at.checked_sub(FATAL_BOUND).unwrap_or(at);
             let life = sent.get(id).map(|it| it.life);
             let is_sound = life.is_some_and(|it| self.entries.was_sound(it, in_touch, at));
-            at > *third + FATAL_BOUND && is_sound && !self.was_platform_faulty_in(in_touch, at)
+            at > *last + FATAL_BOUND && is_sound && !self.was_platform_faulty_in(in_touch, at)
         };
         let late = fatal.iter().filter(|(id, at)| is_late(id, *at)).count();
         (late > MOST_FATAL).then_some(Problem::Fatal(late, fatal.len()))
