Soak: the proxy passes resets on

Cause: what one side of a connection resets the proxy ended in order for the other side. A reset in transit is a reset; nothing between an entry and an endpoint turns it into an orderly end.

Change: the proxy resets one side as the other one was reset. No check is changed.

--- a/crates/relay/tests/soak/proxy.rs
+++ b/crates/relay/tests/soak/proxy.rs
@@ -126,42 +126,54 @@
     let (from_target, to_target) = target.split();
     let requests = pump(mode.clone(), Way::ToTarget, from_caller, to_target);
     let answers = pump(mode.clone(), Way::FromTarget, from_target, to_caller);
-    let is_reset = tokio::select! {
-        () = requests => false,
-        () = answers => false,
-        _ = mode.wait_for(|mode| *mode == Mode::Reset) => true,
-    };
-    if is_reset {
-        // Noted before the target can see it.
-        if let Ok(way) = target.local_addr() {
-            record.reset(way);
+    let end = tokio::select! {
+        end = requests => end,
+        end = answers => end,
+        _ = mode.wait_for(|mode| *mode == Mode::Reset) => {
+            // Noted before the target can see it.
+            if let Ok(way) = target.local_addr() {
+                record.reset(way);
+            }
+            End::Reset
         }
+    };
+    if end == End::Reset {
         reset(&caller);
         reset(&target);
     }
 }
 
+/// How a connection ends: what one side sees, the other one is to see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Closed,
+    Reset,
+}
+
 /// Passes bytes on until either side ends; the connection then ends as a whole.
 async fn pump(
     mut mode: watch::Receiver<Mode>,
     way: Way,
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
-) {
+) -> End {
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let Ok(count) = from.read(&mut buffer).await else {
-            return;
+            return End::Reset;
         };
         let held = mode.wait_for(|mode| !mode.holds(way)).await;
         let Ok(now) = held.map(|mode| *mode) else {
-            return;
+            return End::Closed;
         };
         if let Mode::Delay(span) = now {
             tokio::time::sleep(span).await;
         }
-        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
-            return;
+        if count == 0 {
+            return End::Closed;
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return End::Reset;
         }
     }
 }
