Quarantine: simulated fleets with a part of prompts that crashes endpoints

Cause: the cases of parts have one entry each; what it takes until all entries know, and whether sound requests that share a part are ever held back, they don't show.

Change: tests only. The simulated fleet sends prompts with a shared part and, seldom, one of forty rare parts; a part instead of a request crashes endpoints in two new properties and a table of figures.

--- a/crates/core/tests/quarantine/fleet.rs
+++ b/crates/core/tests/quarantine/fleet.rs
@@ -1,5 +1,6 @@
 //! A simulated fleet: entries that exchange crash histories in rounds, endpoints that crash and
-//! restart, a caller whose request crashes them, and callers whose requests do not.
+//! restart, callers whose request, or a part of whose prompts, crashes them, and callers whose
+//! requests do not.
 
 use std::collections::BTreeSet;
 
@@ -9,7 +10,9 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use woodgap_core::clock::Millis;
-use woodgap_core::quarantine::{Cause, Crash, CrashHistory, Quarantine};
+use woodgap_core::quarantine::{
+    CRASH_THRESHOLD, Cause, Crash, CrashHistory, PART_CRASH_THRESHOLD, Quarantine,
+};
 
 use super::request;
 
@@ -23,9 +26,15 @@
 /// The time between two pieces of a response.
 const PIECE_INTERVAL_MS: u64 = 30;
 /// Later than this after its third crash, a request may reach at most `MAX_LATE_ARRIVALS` more
-/// endpoints.
+/// endpoints; for a part of prompts, this counts from its fifth crash.
 const DETECTION_BOUND_MS: u64 = 3_000;
 const MAX_LATE_ARRIVALS: usize = 3;
+/// A part of prompts that crashes endpoints, and one that all prompts hold.
+const FATAL_PART: Cause = Cause::Part(0xfa7a);
+const SHARED_PART: Cause = Cause::Part(0x5a);
+/// The number of parts that few prompts hold, and the ID of the first one.
+const RARE_PARTS: u64 = 40;
+const FIRST_RARE_PART: u64 = 1_000;
 
 /// The parameters of a simulation; all times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -36,7 +45,9 @@
     downtime: u64,
     /// The interval between sends of the request that crashes endpoints; `None` if it is not sent.
     resend_interval: Option<u64>,
-    /// How long that request runs on an endpoint before the endpoint crashes.
+    /// Whether it is not one request that crashes endpoints, but a part of prompts, no two alike.
+    has_parts: bool,
+    /// How long such a request runs on an endpoint before the endpoint crashes.
     time_to_crash: u64,
     /// The interval between crashes that no request causes; `None` if there are none.
     crash_interval: Option<u64>,
@@ -48,9 +59,10 @@
     resends: bool,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Run {
-    request: Cause,
+    causes: Vec<Cause>,
+    is_fatal: bool,
     entry: usize,
     sent: u64,
     ends: u64,
@@ -69,8 +81,6 @@
     now: u64,
     entries: Vec<Quarantine>,
     endpoints: Vec<Endpoint>,
-    fatal: Cause,
-    popular: Cause,
     /// When the fatal request reached endpoints, and when it crashed them.
     arrivals: Vec<u64>,
     crashes: Vec<u64>,
@@ -80,7 +90,7 @@
     attempted: usize,
     urgent: Vec<usize>,
     /// Interrupted requests that callers resend at the next step.
-    resend_queue: Vec<Cause>,
+    resend_queue: Vec<Vec<Cause>>,
 }
 
 impl Simulation {
@@ -95,8 +105,6 @@
             endpoints: (0..scenario.endpoints)
                 .map(|_| Endpoint::default())
                 .collect(),
-            fatal: request("fatal"),
-            popular: request("popular"),
             arrivals: Vec::new(),
             crashes: Vec::new(),
             wrongly_withheld: 0,
@@ -118,14 +126,23 @@
 
     fn step(&mut self) {
         if self.is_due(self.scenario.resend_interval) {
-            self.send(self.fatal);
+            let name = if self.scenario.has_parts {
+                format!("fatal {}", self.now)
+            } else {
+                "fatal".to_owned()
+            };
+            let causes = self.with_parts(&name, FATAL_PART);
+            self.send(causes, true);
         }
         // One popular request, and one that is sent twice, as by a caller that retries.
-        self.send(self.popular);
         let number = self.now / STEP_MS / 2;
-        self.send(request(&format!("seldom {number}")));
-        for request in std::mem::take(&mut self.resend_queue) {
-            self.send(request);
+        let rare = Cause::Part(FIRST_RARE_PART + number % RARE_PARTS);
+        let popular = self.with_parts("popular", SHARED_PART);
+        self.send(popular, false);
+        let seldom = self.with_parts(&format!("seldom {number}"), rare);
+        self.send(seldom, false);
+        for causes in std::mem::take(&mut self.resend_queue) {
+            self.send(causes, false);
         }
         self.end_runs();
         if self.is_due(self.scenario.crash_interval) {
@@ -136,16 +153,25 @@
         self.gossip();
     }
 
+    /// Returns the causes in a request: also the shared part and this one if prompts have parts.
+    fn with_parts(&self, name: &str, part: Cause) -> Vec<Cause> {
+        let mut causes = vec![request(name)];
+        if self.scenario.has_parts {
+            causes.push(SHARED_PART);
+            causes.push(part);
+        }
+        causes
+    }
+
     fn is_due(&self, period: Option<u64>) -> bool {
         period.is_some_and(|period| (self.now / STEP_MS).is_multiple_of(period / STEP_MS))
     }
 
-    fn send(&mut self, request: Cause) {
+    fn send(&mut self, causes: Vec<Cause>, is_fatal: bool) {
         let entry = self.random.random_range(0..self.entries.len());
         let now = Millis(self.now);
-        let is_fatal = request == self.fatal;
         self.attempted += usize::from(!is_fatal);
-        if self.entries[entry].hold(&[request], now).is_some() {
+        if self.entries[entry].hold(&causes, now).is_some() {
             self.wrongly_withheld += usize::from(!is_fatal);
             return;
         }
@@ -162,8 +188,10 @@
         } else {
             self.scenario.run
         };
+        self.entries[entry].record_send(&causes, Millis(now));
         endpoint.runs.push(Run {
-            request,
+            causes,
+            is_fatal,
             entry,
             sent: self.now,
             ends: self.now + run,
@@ -174,10 +202,7 @@
         for at in 0..self.endpoints.len() {
             let now = self.now;
             let runs = &mut self.endpoints[at].runs;
-            if runs
-                .iter()
-                .any(|run| run.request == self.fatal && run.ends <= now)
-            {
+            if runs.iter().any(|run| run.is_fatal && run.ends <= now) {
                 self.crashes.push(now);
                 self.crash(at);
                 continue;
@@ -185,7 +210,7 @@
             let ended: Vec<_> = runs.extract_if(.., |run| run.ends <= now).collect();
             for run in ended {
                 self.served += 1;
-                self.entries[run.entry].record_success(&[run.request], Millis(now), Millis(now));
+                self.entries[run.entry].record_success(&run.causes, Millis(now), Millis(now));
             }
         }
     }
@@ -210,18 +235,18 @@
                 endpoint: incarnation,
                 sent: Millis(run.sent),
                 at: now,
-                pieces: if run.request == self.fatal {
+                pieces: if run.is_fatal {
                     0
                 } else {
                     u32::try_from((now.0 - run.sent) / PIECE_INTERVAL_MS).unwrap()
                 },
             };
-            let change = self.entries[run.entry].record_crash(&[run.request], crash, now);
+            let change = self.entries[run.entry].record_crash(&run.causes, crash, now);
             if change.is_urgent {
                 self.urgent.push(run.entry);
             }
-            if self.scenario.resends && run.request != self.fatal {
-                self.resend_queue.push(run.request);
+            if self.scenario.resends && !run.is_fatal {
+                self.resend_queue.push(run.causes);
             }
         }
     }
@@ -256,12 +281,17 @@
     }
 
     fn late_arrivals(&self) -> usize {
-        let Some(third) = self.crashes.get(2) else {
+        let needed = if self.scenario.has_parts {
+            PART_CRASH_THRESHOLD
+        } else {
+            CRASH_THRESHOLD
+        };
+        let Some(last) = self.crashes.get(needed - 1) else {
             return 0;
         };
         self.arrivals
             .iter()
-            .filter(|at| **at > third + DETECTION_BOUND_MS)
+            .filter(|at| **at > last + DETECTION_BOUND_MS)
             .count()
     }
 }
@@ -278,6 +308,7 @@
         endpoints,
         downtime: 800,
         resend_interval: None,
+        has_parts: false,
         time_to_crash: 0,
         crash_interval: Some(period),
         simultaneous,
@@ -292,6 +323,7 @@
         endpoints,
         downtime: 3_000,
         resend_interval: Some(resend_interval),
+        has_parts: false,
         time_to_crash,
         crash_interval: None,
         simultaneous: 0,
@@ -367,6 +399,33 @@
         prop_assert_eq!(sim.wrongly_withheld, 0);
     }
 
+    #[test]
+    fn a_part_that_crashes_endpoints_reaches_few_more(scenario in scenarios(), seed: u64) {
+        let sim = Simulation::run(Scenario { has_parts: true, ..scenario }, seed);
+        prop_assert!(
+            sim.late_arrivals() <= MAX_LATE_ARRIVALS,
+            "{} late of {}",
+            sim.late_arrivals(),
+            sim.arrivals.len()
+        );
+        prop_assert_eq!(sim.wrongly_withheld, 0);
+    }
+
+    #[test]
+    fn crashes_by_themselves_are_put_down_to_no_part(
+        scenario in scenarios(), period in 7_u64..20, seed: u64
+    ) {
+        let scenario = Scenario {
+            resend_interval: None,
+            has_parts: true,
+            downtime: 800,
+            crash_interval: Some(period * 50 * scenario.simultaneous as u64),
+            ..scenario
+        };
+        let sim = Simulation::run(scenario, seed);
+        prop_assert_eq!(sim.wrongly_withheld, 0);
+    }
+
     #[test]
     fn crashes_by_themselves_are_put_down_to_no_request(
         scenario in scenarios(), period in 7_u64..20, seed: u64
@@ -398,6 +457,32 @@
     }
 }
 
+/// How many endpoints a part of prompts takes down, and which share of the sound requests, which all
+/// share a part with it, is served.
+#[test]
+fn figures_of_parts() {
+    let mut lines = Vec::new();
+    for (entries, endpoints) in [(2, 3), (6, 9), (90, 120), (295, 400)] {
+        for resend_interval in [100, 400, 1_000] {
+            let scenario = Scenario {
+                has_parts: true,
+                ..fatal(entries, endpoints, resend_interval, 300)
+            };
+            lines.push(line(
+                &format!("{entries}:{endpoints} each {resend_interval} ms"),
+                &Simulation::run(scenario, 1),
+            ));
+        }
+        let scenario = Scenario {
+            has_parts: true,
+            ..spontaneous_crashes(entries, endpoints, 350, 1)
+        };
+        let sim = Simulation::run(scenario, 1);
+        lines.push(line(&format!("{entries}:{endpoints} by itself"), &sim));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// How many endpoints one request takes down, and which share of the other requests is served.
 #[test]
 fn figures() {
