Relay: a stream that ends after a restart was listed is one of the later life

Cause, by the entry's lines: the row of an endpoint that had started again under its name came late; the entry took the later life for the earlier one, recorded its crash when the row came, and for a second took the end of each stream there for the same crash. The class: when something was learnt is taken for when it was.

Change: only a refused connection, found after the end, cuts off a response that ends with its connection; a restart that was listed before that end says nothing of it. The line 'an endpoint has crashed' tells the sign, refused or restarted.

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -68,8 +68,27 @@
     probe: Option<Shared<LocalBoxFuture<'static, ()>>>,
     /// The requests that await the result, in the order in which their connections were lost.
     suspects: Vec<Suspect>,
-    /// When the endpoint was found to have crashed.
-    crashed_at: Option<Millis>,
+    /// When the endpoint was found to have crashed, and how.
+    crash: Option<(Millis, Sign)>,
+}
+
+/// The sign by which a crash was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sign {
+    /// The address refuses connections.
+    Refused,
+    /// The endpoint is listed with a later start: this may have been long ago.
+    Restarted,
+}
+
+impl Sign {
+    /// The sign as logged.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Restarted => "restarted",
+        }
+    }
 }
 
 impl CrashCheck {
@@ -80,12 +99,17 @@
     }
 
     fn has_crashed(&self, now: Millis) -> bool {
-        self.crashed_at.is_some_and(|at| now - at < CRASH_WINDOW)
+        self.recent_sign(now).is_some()
+    }
+
+    fn recent_sign(&self, now: Millis) -> Option<Sign> {
+        let recent = self.crash.filter(|(at, _)| now - *at < CRASH_WINDOW);
+        recent.map(|(_, sign)| sign)
     }
 
     /// Marks the endpoint as crashed and returns the requests that it had in flight.
-    fn mark_crashed(&mut self, now: Millis) -> Vec<Suspect> {
-        self.crashed_at = Some(now);
+    fn mark_crashed(&mut self, sign: Sign, now: Millis) -> Vec<Suspect> {
+        self.crash = Some((now, sign));
         let mut suspects = std::mem::take(&mut self.suspects);
         let lost = suspects.iter().rfind(|suspect| !suspect.has_ended);
         let (crash, window) = match lost {
@@ -127,7 +151,13 @@
     let now = state.now();
     let mut checks = state.crash_checks.borrow_mut();
     let check = checks.by_life.entry(life.clone()).or_default();
-    if check.has_crashed(now) {
+    // A response that ends after a restart was listed is one of the later life.
+    let is_due_to_crash = match check.recent_sign(now) {
+        Some(Sign::Refused) => true,
+        Some(Sign::Restarted) => !suspect.has_ended,
+        None => false,
+    };
+    if is_due_to_crash {
         drop(checks);
         count_crash(state, life, &[suspect]);
         return;
@@ -167,7 +197,8 @@
     let _ = tokio::time::timeout(limit, wait_for_check(state, life)).await;
     let checks = state.crash_checks.borrow();
     let check = checks.by_life.get(life);
-    !check.is_some_and(|check| check.has_crashed(state.now()))
+    let sign = check.and_then(|check| check.recent_sign(state.now()));
+    sign != Some(Sign::Refused)
 }
 
 /// Removes what is over, and records the responses that have ended with their connections and whose
@@ -196,7 +227,7 @@
         check.is_some_and(|check| !check.suspects.is_empty())
     };
     if has_suspects {
-        record_crash(state, life);
+        record_crash(state, life, Sign::Restarted);
     }
 }
 
@@ -207,7 +238,7 @@
     match opened {
         Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
             if has_links(&state, started).await {
-                record_crash(&state, &life);
+                record_crash(&state, &life, Sign::Refused);
             }
         }
         // The endpoint may be unreachable, which says nothing about a crash.
@@ -241,13 +272,16 @@
     }
 }
 
-fn record_crash(state: &State, life: &name::Life) {
+fn record_crash(state: &State, life: &name::Life, sign: Sign) {
     let suspects = {
         let mut checks = state.crash_checks.borrow_mut();
         let check = checks.by_life.entry(life.clone()).or_default();
-        check.mark_crashed(state.now())
+        check.mark_crashed(sign, state.now())
     };
-    log::info!(endpoint = life.id.as_str(), requests = suspects.len(); "an endpoint has crashed");
+    log::info!(
+        endpoint = life.id.as_str(), requests = suspects.len(), sign = sign.as_str();
+        "an endpoint has crashed"
+    );
     state.metrics.crashes.inc();
     count_crash(state, life, &suspects);
 }
--- a/crates/relay/tests/contract/lives.rs
+++ b/crates/relay/tests/contract/lives.rs
@@ -175,3 +175,34 @@
         assert_eq!(old.seen().len(), before[0]);
     }
 }
+
+/// The news that an endpoint has started again may come late: a stream that ends with its connection
+/// after that is one of the later life, and whole.
+#[test]
+fn a_stream_of_a_later_life_that_ends_with_its_connection_is_whole() {
+    let unframed = "X-Woodgap-Seal: s\r\nContent-Type: text/event-stream\r\n";
+    let endpoint = Endpoint::looking(move |seen| {
+        if seen.header("x-woodgap-request").starts_with("cut") {
+            return vec![Step::Close];
+        }
+        vec![
+            head("200 OK", unframed),
+            Step::Send("id: 1\n\n".to_owned()),
+            Step::Wait,
+            Step::Close,
+        ]
+    });
+    let site = Site::start(&[endpoint.address]);
+    assert_eq!(post(site.requests, "/write/", "cut", b"x").status, 502);
+    let mut caller = Caller::connect(site.requests);
+    caller.send(&request("GET", "/stream/", "r1", ""), b"");
+    assert_eq!(caller.head().unwrap().status, 200);
+    assert_eq!(caller.chunk(), Ok(Some(b"id: 1\n\n".to_vec())));
+    tell(&site, 200);
+    until(|| {
+        let metrics = get(site.metrics, "/metrics", "x", "").text();
+        metrics.lines().any(|line| line == "crashes 1")
+    });
+    endpoint.go();
+    assert_eq!(caller.chunk(), Ok(None));
+}
