--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -101,6 +101,9 @@
             if matches!(failure, AttemptError::Declined(Decline::Misdirected)) {
                 let mut roster = state.roster.borrow_mut();
                 roster.mark_address_reused(&choice.endpoint, state.now());
+                drop(roster);
+                // Another one answers at its address: if its connections were just lost, it crashed.
+                crash::record_restart(state, &choice.endpoint.life);
             }
             placement.record_signal(signal(&failure));
             if matches!(failure, AttemptError::Disconnected(_)) {
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -4,7 +4,7 @@
 //! intermediary resets it. If the address refuses connections right afterwards, while this entry
 //! reaches other endpoints, the endpoint has crashed, and each request that it had in flight may be
 //! the cause. The same holds if the address accepts connections, but the endpoint is then listed
-//! with a later start.
+//! with a later start, or another one declines requests there that are meant for it.
 //!
 //! A response that ends with its connection looks the same if its endpoint has crashed. Its end is
 //! checked in the same way, and shows that the endpoint survived the request only if no sign of a
@@ -77,7 +77,8 @@
 enum Sign {
     /// The address refuses connections.
     Refused,
-    /// The endpoint is listed with a later start: this may have been long ago.
+    /// The endpoint is listed with a later start, or another one answers at its address: this may
+    /// have been so for long.
     Restarted,
 }
 
@@ -218,7 +219,8 @@
     }
 }
 
-/// Records that the endpoint is listed with a later start: its last lost connections were a crash.
+/// Records that the endpoint is listed with a later start, or that another one answers at its
+/// address: its last lost connections were a crash.
 pub fn record_restart(state: &State, life: &name::Life) {
     expire(state);
     let has_suspects = {
--- a/crates/relay/tests/contract/lives.rs
+++ b/crates/relay/tests/contract/lives.rs
@@ -206,3 +206,21 @@
     endpoint.go();
     assert_eq!(caller.chunk(), Ok(None));
 }
+
+/// An endpoint that has crashed and is back at once, at its address and under another name, refuses no
+/// connection and is never listed with a later start.
+#[test]
+fn an_endpoint_that_is_back_under_another_name_has_crashed() {
+    let misdirected = "X-Woodgap-Verdict: not_run\r\nContent-Length: 0\r\n";
+    let endpoint = Endpoint::looking(move |seen| {
+        if seen.header("x-woodgap-request") == "cut" {
+            return vec![Step::Close];
+        }
+        vec![head("421 X", misdirected)]
+    });
+    let site = Site::start(&[endpoint.address]);
+    assert_eq!(post(site.requests, "/write/", "cut", b"x").status, 502);
+    assert_ne!(post(site.requests, "/write/", "next", b"x").status, 200);
+    let metrics = get(site.metrics, "/metrics", "x", "").text();
+    assert!(metrics.lines().any(|line| line == "crashes 1"));
+}
