Quarantine: a part that has completed lately gives way to a suspect that has not

Cause, by the entries' lines: within 1.5 s six endpoints ended, no stream ended well in between, and one of these ends had another cause, so that the shared part had one crash more than the true cause, which was released for it. The number of crashes alone decided between causes; that one of them is known to have completed lately only decided ties. The class: a base rate that is left out.

Change: crashes of a part that has completed lately are explained by any cause beside them that has not and has three in sequence; such a part never explains the crashes of others that have not completed. The rivals of a suspect are looked for once, not at each crash and comparison.

--- a/crates/core/src/quarantine/assessment.rs
+++ b/crates/core/src/quarantine/assessment.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use crate::quarantine::record::{Confidence, Crash, Record};
-use crate::quarantine::{Cause, MAX_EARLY_PIECES};
+use crate::quarantine::{CRASH_THRESHOLD, Cause, MAX_EARLY_PIECES};
 
 /// Returns whether the crashes of a cause are due to it, and with which confidence. `companions`
 /// are not considered as alternatives.
@@ -14,80 +14,117 @@
     record: &Record,
     companions: &[Cause],
 ) -> Option<Confidence> {
-    let crash_count = record.count_excluding(|_| false);
-    if !crash_count.suffices(cause, Confidence::Certain) {
+    let count = record.count_excluding(|_| false);
+    if !count.suffices(cause, Confidence::Certain) {
         return None;
     }
-    let alternatives = Alternatives {
-        records,
+    let suspect = Suspect {
         cause,
         record,
-        crashes: crash_count.sequential,
-        companions,
+        crashes: count.sequential,
     };
+    let rivals = suspect.rivals(records, companions);
+    let explained = suspect.explained_crashes(&rivals);
     let unexplained = record
-        .count_excluding(|crash| alternatives.explain(crash) || crash.pieces > MAX_EARLY_PIECES);
+        .count_excluding(|crash| explained.contains(crash) || crash.pieces > MAX_EARLY_PIECES);
     let is_certain = unexplained.suffices(cause, Confidence::Certain)
-        && alternatives.leave_one_out(record)
+        && suspect.stands_alone_once(&rivals)
         && !record.is_popular;
     if is_certain {
         return Some(Confidence::Certain);
     }
+    let tied = suspect.tied_crashes(&rivals);
     let unexplained =
-        record.count_excluding(|crash| alternatives.explain(crash) || alternatives.tie(crash));
+        record.count_excluding(|crash| explained.contains(crash) || tied.contains(crash));
     unexplained
         .suffices(cause, Confidence::Uncertain)
         .then_some(Confidence::Uncertain)
 }
 
-/// What else may explain the crashes of a cause.
-struct Alternatives<'a> {
-    records: &'a HashMap<Cause, Record>,
+/// A cause with enough crashes.
+struct Suspect<'a> {
     cause: Cause,
     record: &'a Record,
     /// Its crashes in sequence.
     crashes: usize,
-    companions: &'a [Cause],
 }
 
-impl Alternatives<'_> {
-    /// Iterates over the other causes that were running at a crash.
-    fn beside(&self, crash: &Crash) -> impl Iterator<Item = (Cause, &Record)> {
-        let others = self
-            .records
+/// Another cause that was running at some of the crashes.
+struct Rival<'a> {
+    cause: Cause,
+    record: &'a Record,
+    /// Its crashes in sequence.
+    crashes: usize,
+}
+
+impl<'a> Suspect<'a> {
+    fn rivals(&self, records: &'a HashMap<Cause, Record>, companions: &[Cause]) -> Vec<Rival<'a>> {
+        let others = records
             .iter()
-            .filter(|(other, _)| **other != self.cause && !self.companions.contains(other));
-        let crash = *crash;
-        let beside = others.filter(move |(_, record)| record.includes(&crash));
-        beside.map(|(other, record)| (*other, record))
+            .filter(|(other, _)| **other != self.cause && !companions.contains(other));
+        let beside = others.filter(|(_, other)| self.record.all().any(|it| other.includes(it)));
+        beside
+            .map(|(cause, record)| Rival {
+                cause: *cause,
+                record,
+                crashes: record.crashes(),
+            })
+            .collect()
+    }
+
+    /// Returns the crashes at which some rival meets a condition.
+    fn crashes_where(&self, rivals: &[Rival], condition: impl Fn(&Rival) -> bool) -> Vec<Crash> {
+        let rivals: Vec<_> = rivals.iter().filter(|rival| condition(rival)).collect();
+        let crashes = self.record.all().copied();
+        crashes
+            .filter(|crash| rivals.iter().any(|rival| rival.record.includes(crash)))
+            .collect()
     }
 
-    /// Returns whether another cause explains the crash better.
-    fn explain(&self, crash: &Crash) -> bool {
-        self.beside(crash).any(|(_, other)| {
-            let crashes = other.crashes();
-            crashes > self.crashes
-                || (crashes == self.crashes && self.record.is_popular && !other.is_popular)
-                || other.is_withheld_earlier(self.record)
+    /// Returns the crashes that another cause explains better.
+    fn explained_crashes(&self, rivals: &[Rival]) -> Vec<Crash> {
+        self.crashes_where(rivals, |rival| {
+            rival.record.is_withheld_earlier(self.record) || self.is_outranked_by(rival)
         })
     }
 
-    /// Returns whether another cause explains the crash as well, and is no less likely. Of two
+    fn is_outranked_by(&self, rival: &Rival) -> bool {
+        // A part of many sound requests stands beside most crashes, whatever causes them.
+        if self.cause.is_part() && self.is_less_likely_than(rival) {
+            return rival.crashes >= CRASH_THRESHOLD;
+        }
+        if rival.cause.is_part() && self.is_more_likely_than(rival) {
+            return false;
+        }
+        let is_as_frequent = rival.crashes == self.crashes;
+        rival.crashes > self.crashes || (is_as_frequent && self.is_less_likely_than(rival))
+    }
+
+    /// What has completed lately is less likely to be the cause.
+    fn is_less_likely_than(&self, rival: &Rival) -> bool {
+        self.record.is_popular && !rival.record.is_popular
+    }
+
+    fn is_more_likely_than(&self, rival: &Rival) -> bool {
+        !self.record.is_popular && rival.record.is_popular
+    }
+
+    /// Returns the crashes that another cause explains as well, if it is no less likely. Of two
     /// parts that are alike neither is withheld on its own.
-    fn tie(&self, crash: &Crash) -> bool {
+    fn tied_crashes(&self, rivals: &[Rival]) -> Vec<Crash> {
         let runs = self.record.runs();
-        self.beside(crash).any(|(other_cause, other)| {
-            let are_alike = self.cause.is_part() && other_cause.is_part() && other.runs() == runs;
-            let is_less_likely = other.is_popular && !self.record.is_popular;
-            other.crashes() == self.crashes && !is_less_likely && (other.runs() < runs || are_alike)
+        self.crashes_where(rivals, |rival| {
+            let are_parts = self.cause.is_part() && rival.cause.is_part();
+            let are_alike = are_parts && rival.record.runs() == runs;
+            rival.crashes == self.crashes
+                && !self.is_more_likely_than(rival)
+                && (rival.record.runs() < runs || are_alike)
         })
     }
 
     /// Returns whether one of the crashes interrupted no other cause with as many crashes.
-    fn leave_one_out(&self, record: &Record) -> bool {
-        record.all().any(|crash| {
-            self.beside(crash)
-                .all(|(_, other)| other.crashes() < self.crashes)
-        })
+    fn stands_alone_once(&self, rivals: &[Rival]) -> bool {
+        let shared = self.crashes_where(rivals, |rival| rival.crashes >= self.crashes);
+        self.record.all().any(|crash| !shared.contains(crash))
     }
 }
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -183,3 +183,24 @@
     let change = second.merge_histories(&first.histories_to_send(9, later), later);
     assert_eq!(change.released, [FATAL]);
 }
+
+/// A part that all prompts hold stands beside each crash of a repeated request, and beside one more
+/// of another cause; few runs end well meanwhile.
+#[test]
+fn a_popular_part_does_not_explain_the_crashes_of_a_request() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&[SHARED], Millis(500), Millis(500));
+    let fatal = with_parts(0, &[SHARED]);
+    for endpoint in 1..=6 {
+        let crash = crash(endpoint, u64::from(endpoint) * 1_000);
+        let is_of_another_cause = endpoint == 3;
+        let causes = if is_of_another_cause {
+            with_parts(1, &[SHARED])
+        } else {
+            fatal.clone()
+        };
+        quarantine.record_crash(&causes, crash, crash.at);
+        assert!(!is_withheld(&quarantine, &[SHARED]));
+    }
+    assert!(quarantine.hold(&fatal, Millis(9_000)).is_some());
+}
