Quarantine: a part that many sound requests hold is withheld late and briefly

Cause, by the entry's lines: all four endpoints ended within 1.5 s, four of them twice, and no stream ended well in between, so that the shared part stood beside five crashes in sequence and was the only cause known beside all of them. Nothing tells it from one that is to blame, but that it had completed seconds before, and that streams had gone on past their first pieces, which counted for nothing until they ended.

Change: a response that outlasts its first eight pieces clears its parts (not its request, which may crash endpoints later). A part that has completed lately needs seven crashes, five in sequence, and is tried again after 5 s, doubled up to 60 s, by one entry after the other within 2 s. Trials are counted by the crashes of what was sent after the hold began, not by crashes above a threshold: several may be under way when it begins.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -17,9 +17,9 @@
 //!   stream may be interrupted by many crashes, but at arbitrary positions;
 //! - a part of prompts was running at [`PART_CRASH_THRESHOLD`] crashes in all. Each of many parts
 //!   may stand beside some crashes by chance;
-//! - no run with it has completed since, at any entry whose records were received. A request that
-//!   completed recently needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes, as it may merely be
-//!   popular;
+//! - no run with it has completed since, at any entry whose records were received. For a part it
+//!   is enough that a response has outlasted its first pieces. A request that completed recently
+//!   needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes, as it may merely be popular;
 //! - at least one of those crashes interrupted no other cause with as many crashes. Until then
 //!   they cannot be told apart. A request needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes then. If two
 //!   causes still have the same number of crashes, the one that has not completed lately is the
@@ -32,7 +32,8 @@
 //! What is withheld may be tried again after [`HOLD_DURATION`] or [`UNCERTAIN_HOLD_DURATION`], by
 //! one entry after the other and with one request at a time. The duration doubles with each
 //! further crash. After [`MAX_TRIALS`] such crashes the cause is not tried again until its record
-//! is removed.
+//! is removed. A part of prompts that has completed lately needs [`DOUBTFUL_CRASH_THRESHOLD`]
+//! crashes, and is tried again after [`DOUBTFUL_HOLD_DURATION`].
 
 mod assessment;
 mod cause;
@@ -63,19 +64,27 @@
 /// Number of crashes, in sequence or not, after which a part of prompts is withheld; the limit
 /// that operators accept.
 pub const PART_CRASH_THRESHOLD: usize = 5;
+/// Number of crashes after which a part of prompts is withheld that has completed lately. Many sound
+/// requests hold it, and where all endpoints crash within a second or two none of these ends well.
+pub const DOUBTFUL_CRASH_THRESHOLD: usize = 7;
 /// Crashes after more pieces of the response than this count only towards
 /// [`UNCERTAIN_CRASH_THRESHOLD`]. A request that crashes endpoints as it starts to run does so
 /// within its first pieces. Crashes at regular intervals can interrupt a stream that is resent
 /// after each one at the same position.
-const MAX_EARLY_PIECES: u32 = 8;
+pub const MAX_EARLY_PIECES: u32 = 8;
 /// How long a cause is withheld after the crash that triggered the hold. Repairing an endpoint or
 /// replacing its program takes minutes.
 pub const HOLD_DURATION: Millis = Millis::from_secs(600);
 /// How long a cause is withheld if another cause, or chance, may explain its crashes.
 pub const UNCERTAIN_HOLD_DURATION: Millis = Millis::from_secs(60);
+/// How long a part of prompts is withheld that has completed lately. The duration doubles with each
+/// further crash, up to [`UNCERTAIN_HOLD_DURATION`].
+pub const DOUBTFUL_HOLD_DURATION: Millis = Millis::from_secs(5);
 /// Within this time after the end of a hold each entry begins to try the cause again, at a moment
 /// of its own. It is long against the time that an endpoint takes to crash and news to spread.
 pub const TRIAL_SPREAD: Millis = Millis::from_secs(20);
+/// The same for a part of prompts that has completed lately.
+const DOUBTFUL_TRIAL_SPREAD: Millis = Millis::from_secs(2);
 /// After this time without a crash or a completed run an entry tries another request.
 const TRIAL_TIMEOUT: Millis = Millis::from_secs(5);
 /// How many further endpoints a cause may crash after it was first withheld.
@@ -181,6 +190,15 @@
         Change::default()
     }
 
+    /// Records that a response to a request with these causes has outlasted its first pieces. A part
+    /// of prompts crashes endpoints as they begin to respond, so none of them caused the earlier
+    /// crashes.
+    pub fn record_progress(&mut self, causes: &[Cause], now: Millis) -> Change {
+        let parts = causes.iter().copied().filter(|cause| cause.is_part());
+        let parts: Vec<_> = parts.collect();
+        self.record_success(&parts, now, now)
+    }
+
     /// Returns the hold on a request with these causes, if it is currently withheld.
     pub fn hold(&self, causes: &[Cause], now: Millis) -> Option<Hold> {
         let holds = causes.iter().filter_map(|cause| {
@@ -197,19 +215,23 @@
     }
 
     fn hold_on(&self, cause: Cause, record: &Record, confidence: Confidence) -> Option<Hold> {
-        let until = record.held_until(cause, confidence)?;
+        let until = record.held_until(confidence)?;
         let crashes = record.crashes();
         Some(Hold {
             cause,
             crashes,
             since: record.all().last()?.at,
-            until: until + self.trial_delay(cause, crashes),
+            until: until + self.trial_delay(cause, crashes, confidence),
         })
     }
 
     /// Returns how long after the end of a hold this entry begins to try the cause again.
-    fn trial_delay(&self, cause: Cause, crashes: usize) -> Millis {
-        let delay = |seed| Millis(mix(seed ^ cause.key(), crashes as u64) % TRIAL_SPREAD.0);
+    fn trial_delay(&self, cause: Cause, crashes: usize, confidence: Confidence) -> Millis {
+        let spread = match confidence {
+            Confidence::Doubtful => DOUBTFUL_TRIAL_SPREAD,
+            Confidence::Certain | Confidence::Uncertain => TRIAL_SPREAD,
+        };
+        let delay = |seed| Millis(mix(seed ^ cause.key(), crashes as u64) % spread.0);
         self.seed.map(delay).unwrap_or_default()
     }
 
--- a/crates/core/src/quarantine/assessment.rs
+++ b/crates/core/src/quarantine/assessment.rs
@@ -36,9 +36,14 @@
     let tied = suspect.tied_crashes(&rivals);
     let unexplained =
         record.count_excluding(|crash| explained.contains(crash) || tied.contains(crash));
+    let confidence = if cause.is_part() && record.is_popular {
+        Confidence::Doubtful
+    } else {
+        Confidence::Uncertain
+    };
     unexplained
-        .suffices(cause, Confidence::Uncertain)
-        .then_some(Confidence::Uncertain)
+        .suffices(cause, confidence)
+        .then_some(confidence)
 }
 
 /// A cause with enough crashes.
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -3,8 +3,9 @@
 use crate::clock::Millis;
 use crate::quarantine::message::{CrashHistory, ReportedCrash};
 use crate::quarantine::{
-    CRASH_THRESHOLD, Cause, HOLD_DURATION, MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION,
-    TRIAL_TIMEOUT, UNCERTAIN_CRASH_THRESHOLD, UNCERTAIN_HOLD_DURATION,
+    CRASH_THRESHOLD, Cause, DOUBTFUL_CRASH_THRESHOLD, DOUBTFUL_HOLD_DURATION, HOLD_DURATION,
+    MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION, TRIAL_TIMEOUT, UNCERTAIN_CRASH_THRESHOLD,
+    UNCERTAIN_HOLD_DURATION,
 };
 
 /// Maximum number of crashes stored per cause: enough to withhold it for as long as its
@@ -63,6 +64,8 @@
     Certain,
     /// Another cause, or chance, may explain them.
     Uncertain,
+    /// It is a part of prompts that has completed lately, so that many sound requests hold it.
+    Doubtful,
 }
 
 /// The number of crashes that a cause may explain, all at the same position of the response.
@@ -80,13 +83,13 @@
     /// Different requests hold a part, so that several of them may be on their way at each crash:
     /// not all of its crashes are in sequence.
     pub fn suffices(self, cause: Cause, confidence: Confidence) -> bool {
-        let sequential = match (cause, confidence) {
-            (Cause::Request(_), Confidence::Uncertain) => UNCERTAIN_CRASH_THRESHOLD,
-            _ => CRASH_THRESHOLD,
-        };
-        let total = match cause {
-            Cause::Request(_) => sequential,
-            Cause::Part(_) => PART_CRASH_THRESHOLD,
+        let (sequential, total) = match (cause, confidence) {
+            (_, Confidence::Doubtful) => (UNCERTAIN_CRASH_THRESHOLD, DOUBTFUL_CRASH_THRESHOLD),
+            (Cause::Request(_), Confidence::Uncertain) => {
+                (UNCERTAIN_CRASH_THRESHOLD, UNCERTAIN_CRASH_THRESHOLD)
+            }
+            (Cause::Request(_), Confidence::Certain) => (CRASH_THRESHOLD, CRASH_THRESHOLD),
+            (Cause::Part(_), _) => (CRASH_THRESHOLD, PART_CRASH_THRESHOLD),
         };
         self.sequential >= sequential && self.total >= total
     }
@@ -294,27 +297,30 @@
 
     /// Returns until when a cause of this confidence is withheld, counted from its last crash, or
     /// from the request with which this entry tries whether it is withheld rightly.
-    pub fn held_until(&self, cause: Cause, confidence: Confidence) -> Option<Millis> {
+    pub fn held_until(&self, confidence: Confidence) -> Option<Millis> {
         let last = self.all().last()?.at;
-        let (needed, span) = match confidence {
-            Confidence::Certain => (CRASH_THRESHOLD, HOLD_DURATION),
-            Confidence::Uncertain => (UNCERTAIN_CRASH_THRESHOLD, UNCERTAIN_HOLD_DURATION),
-        };
-        let count = self.count_excluding(|_| false);
-        let further = match cause {
-            Cause::Request(_) => count.sequential.saturating_sub(needed),
-            Cause::Part(_) => count.total.saturating_sub(PART_CRASH_THRESHOLD),
-        };
-        let trials = u32::try_from(further).unwrap_or(u32::MAX);
-        let span = if trials < MAX_TRIALS {
-            Millis(span.0 << trials)
-        } else {
-            RETENTION
+        let trials = self.crashed_trials();
+        let span = match confidence {
+            Confidence::Doubtful => {
+                let doubled = Millis(DOUBTFUL_HOLD_DURATION.0 << trials);
+                doubled.min(UNCERTAIN_HOLD_DURATION)
+            }
+            _ if trials >= MAX_TRIALS => RETENTION,
+            Confidence::Certain => Millis(HOLD_DURATION.0 << trials),
+            Confidence::Uncertain => Millis(UNCERTAIN_HOLD_DURATION.0 << trials),
         };
         let trial = self.trial.filter(|trial| *trial > last);
         let trial_end = trial.map(|trial| trial + TRIAL_TIMEOUT);
         Some((last + span).max(trial_end.unwrap_or_default()))
     }
+
+    /// Returns how many endpoints crashed with requests that were sent after the cause was
+    /// withheld.
+    fn crashed_trials(&self) -> u32 {
+        let Some(held) = self.held else { return 0 };
+        let trials = self.all().filter(|crash| crash.sent > held.since);
+        u32::try_from(trials.count()).unwrap_or(u32::MAX)
+    }
 }
 
 /// Returns the length of the longest sequence of crashes in which each request was sent after
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::quarantine::{
-    Cause, Crash, PART_CRASH_THRESHOLD, Quarantine, TRIAL_SPREAD, UNCERTAIN_HOLD_DURATION,
+    Cause, Crash, DOUBTFUL_CRASH_THRESHOLD, DOUBTFUL_HOLD_DURATION, PART_CRASH_THRESHOLD,
+    Quarantine, TRIAL_SPREAD, UNCERTAIN_HOLD_DURATION,
 };
 
 use super::{crash, request};
@@ -204,3 +205,60 @@
     }
     assert!(quarantine.hold(&fatal, Millis(9_000)).is_some());
 }
+
+/// Long streams are cut off before they end wherever endpoints crash often; that they go on after their
+/// first pieces is enough for their parts.
+#[test]
+fn a_stream_that_goes_on_clears_its_parts() {
+    let mut quarantine = Quarantine::default();
+    crash_with(&mut quarantine, &[SHARED], 0..PART_CRASH_THRESHOLD);
+    assert!(is_withheld(&quarantine, &[SHARED]));
+    let change = quarantine.record_progress(&with_parts(50, &[SHARED]), Millis(6_000));
+    assert_eq!(change.released, [SHARED]);
+    // It says nothing of the request, which may crash endpoints later in its response.
+    let repeated = with_parts(0, &[]);
+    for endpoint in 1..=3 {
+        let crash = crash(endpoint, u64::from(endpoint) * 1_000);
+        quarantine.record_crash(&repeated, crash, crash.at);
+    }
+    quarantine.record_progress(&repeated, Millis(7_000));
+    assert!(quarantine.hold(&repeated, Millis(9_000)).is_some());
+}
+
+/// All endpoints end within a second and a half, and nothing ends well in between: the part that all
+/// prompts hold stands beside each crash.
+#[test]
+fn a_popular_part_is_served_where_all_endpoints_crash_at_nearly_the_same_time() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&[SHARED], Millis(500), Millis(500));
+    for endpoint in 1..=6 {
+        let crash = crash(endpoint, 1_000 + u64::from(endpoint) * 250);
+        let number = usize::try_from(endpoint).unwrap();
+        quarantine.record_crash(&with_parts(number, &[SHARED]), crash, crash.at);
+        assert!(!is_withheld(&quarantine, &[SHARED]));
+    }
+}
+
+/// A part that ran well before and crashes endpoints now, as after a change of these, is withheld a
+/// little later, and tried again soon.
+#[test]
+fn a_popular_part_that_begins_to_crash_endpoints_is_withheld_for_a_short_time() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&[FATAL], Millis(500), Millis(500));
+    crash_with(&mut quarantine, &[FATAL], 0..DOUBTFUL_CRASH_THRESHOLD);
+    let causes = with_parts(99, &[FATAL]);
+    let hold = quarantine.hold(&causes, Millis(7_000)).unwrap();
+    assert_eq!(hold.until - hold.since, DOUBTFUL_HOLD_DURATION);
+    let trial = Crash {
+        endpoint: 50,
+        sent: hold.until,
+        at: hold.until + Millis(100),
+        pieces: 0,
+    };
+    quarantine.record_crash(&causes, trial, trial.at);
+    let hold = quarantine.hold(&causes, trial.at).unwrap();
+    assert_eq!(
+        hold.until - hold.since,
+        DOUBTFUL_HOLD_DURATION + DOUBTFUL_HOLD_DURATION
+    );
+}
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -7,7 +7,7 @@
 use actix_http::StatusCode;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
-use woodgap_core::quarantine::Cause;
+use woodgap_core::quarantine::{Cause, MAX_EARLY_PIECES};
 use woodgap_core::relay::engine::{Choice, Ticket};
 use woodgap_core::relay::health::HealthSignal;
 
@@ -108,6 +108,9 @@
     /// Records a chunk of the response.
     pub fn event(&self) {
         self.pieces.set(self.pieces.get().saturating_add(1));
+        if self.pieces.get() == MAX_EARLY_PIECES + 1 {
+            self.state.progressed(&self.causes);
+        }
         if self.event_tokens > 0 {
             let now = self.state.now();
             let mut loads = self.state.loads.borrow_mut();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -468,8 +468,21 @@
     /// Takes in that a request with these causes has ended, and its endpoint went on.
     pub fn survived(&self, causes: &[Cause], at: Millis) {
         let now = self.now();
-        let change = self.quarantine.borrow_mut().record_success(causes, at, now);
-        self.quarantine_changed(&change);
+        let mut quarantine = self.quarantine.borrow_mut();
+        let change = quarantine.record_success(causes, at, now);
+        drop(quarantine);
+        self.acquitted(&change);
+    }
+
+    /// Takes in that a response to a request with these causes goes on after its first pieces.
+    pub fn progressed(&self, causes: &[Cause]) {
+        let now = self.now();
+        let change = self.quarantine.borrow_mut().record_progress(causes, now);
+        self.acquitted(&change);
+    }
+
+    fn acquitted(&self, change: &Change) {
+        self.quarantine_changed(change);
         for cause in &change.released {
             self.rewrite(*cause);
         }
