--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -246,12 +246,10 @@
         }
     }
 
-    /// Returns the crash history of a cause that has crashed enough endpoints to be withheld.
+    /// Returns the crash history of a cause if it is withheld, or was until it may be tried again.
     pub fn history_to_store(&self, cause: Cause, now: Millis) -> Option<CrashHistory> {
         let record = self.records.get(&cause)?;
-        let count = record.count_excluding(|_| false);
-        let is_suspect = record.held.is_some() || count.suffices(cause, Confidence::Uncertain);
-        is_suspect.then(|| record.history(cause, now))
+        record.held.map(|_| record.history(cause, now))
     }
 
     /// Iterates over all causes that are currently withheld.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -57,6 +57,8 @@
     pub withheld: IntCounter,
     /// Different requests that are withheld.
     pub quarantined: IntGauge,
+    /// Parts of prompts that are withheld.
+    pub quarantined_parts: IntGauge,
     /// Endpoints that are limited by the rate limit that they name or have named.
     pub limited_endpoints: IntGauge,
     /// Endpoints that have asked this entry for a back-off, and have taken no request since.
@@ -137,6 +139,10 @@
                 "Requests that were not sent: they crash endpoints",
             )?,
             quarantined: IntGauge::new("quarantined", "Different requests that are withheld")?,
+            quarantined_parts: IntGauge::new(
+                "quarantined_parts",
+                "Parts of prompts with which all requests are withheld",
+            )?,
             limited_endpoints: IntGauge::new(
                 "limited_endpoints",
                 "Endpoints that name a rate limit, or did so lately",
@@ -213,6 +219,7 @@
         registry.register(Box::new(self.crashes.clone()))?;
         registry.register(Box::new(self.withheld.clone()))?;
         registry.register(Box::new(self.quarantined.clone()))?;
+        registry.register(Box::new(self.quarantined_parts.clone()))?;
         registry.register(Box::new(self.limited_endpoints.clone()))?;
         registry.register(Box::new(self.back_offs.clone()))?;
         registry.register(Box::new(self.backed_off.clone()))?;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -66,6 +66,13 @@
     Taken,
 }
 
+/// Who has seen what changes the quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Witness {
+    Own,
+    Other,
+}
+
 /// What the tasks of one relay share.
 pub struct State {
     /// The settings.
@@ -453,16 +460,16 @@
         let now = self.now();
         let mut quarantine = self.quarantine.borrow_mut();
         let change = quarantine.record_crash(causes, crash, now);
-        // Who sees a crash writes it down: not all entries, as they hear of it.
-        let to_store = causes
-            .iter()
-            .filter(|cause| quarantine.history_to_store(**cause, now).is_some());
-        let to_store: Vec<_> = to_store.copied().collect();
+        let withheld = causes.iter().copied();
+        let withheld: Vec<_> = withheld
+            .filter(|cause| quarantine.history_to_store(*cause, now).is_some())
+            .collect();
         drop(quarantine);
-        self.quarantine_changed(&change);
-        for cause in to_store {
+        // Who sees a crash writes it down: not all entries, as they hear of it.
+        for cause in withheld {
             self.rewrite(cause);
         }
+        self.quarantine_changed(&change, Witness::Own);
     }
 
     /// Takes in that a request with these causes has ended, and its endpoint went on.
@@ -471,21 +478,14 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let change = quarantine.record_success(causes, at, now);
         drop(quarantine);
-        self.acquitted(&change);
+        self.quarantine_changed(&change, Witness::Own);
     }
 
     /// Takes in that a response to a request with these causes goes on after its first pieces.
     pub fn progressed(&self, causes: &[Cause]) {
         let now = self.now();
         let change = self.quarantine.borrow_mut().record_progress(causes, now);
-        self.acquitted(&change);
-    }
-
-    fn acquitted(&self, change: &Change) {
-        self.quarantine_changed(change);
-        for cause in &change.released {
-            self.rewrite(*cause);
-        }
+        self.quarantine_changed(&change, Witness::Own);
     }
 
     /// Has the platform told anew what is known of a cause, or that nothing is.
@@ -498,11 +498,19 @@
     pub fn told_of_crashes(&self, told: &[CrashHistory]) {
         let now = self.now();
         let change = self.quarantine.borrow_mut().merge_histories(told, now);
-        self.quarantine_changed(&change);
+        self.quarantine_changed(&change, Witness::Other);
     }
 
-    fn quarantine_changed(&self, change: &Change) {
+    fn quarantine_changed(&self, change: &Change, witness: Witness) {
         let now = self.now();
+        let has_changed = !change.withheld.is_empty() || !change.released.is_empty();
+        // What no entry has seen by itself, as it follows from what several have, is written by one.
+        let writes = || witness == Witness::Own || self.standing().rank == 0;
+        if has_changed && writes() {
+            for cause in change.withheld.iter().chain(&change.released) {
+                self.rewrite(*cause);
+            }
+        }
         for cause in &change.withheld {
             let hold = self.quarantine.borrow().hold(&[*cause], now);
             let crashes = hold.map_or(0, |it| it.crashes);
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -150,8 +150,12 @@
     let entries = state.fleet.borrow().live(now).count();
     metrics.entries.set(gauge(entries as u64));
     metrics.running.set(gauge(state.running.get() as u64));
-    let quarantined = state.quarantine.borrow().withheld(now).count();
-    metrics.quarantined.set(gauge(quarantined as u64));
+    let withheld: Vec<_> = state.quarantine.borrow().withheld(now).collect();
+    let parts = withheld.iter().filter(|hold| hold.cause.is_part()).count();
+    metrics.quarantined_parts.set(gauge(parts as u64));
+    metrics
+        .quarantined
+        .set(gauge((withheld.len() - parts) as u64));
     let limited = state.rate_limits.borrow().count(now);
     metrics.limited_endpoints.set(gauge(limited as u64));
     let brittle = state.brittle.borrow().count(now);
