Quarantine: parts that are withheld together outlast a start of all entries

Cause, found by a new case that failed: the commit before writes only what is withheld alone. Where two parts come together in all crashes and no run that ends well tells them apart, neither is; after a start of all entries ten requests reached engines too late (10 of 15 arrivals, 3 allowed).

Change: suspects that are withheld together are written as well, unless they have completed lately, and are taken out as soon as a run clears one of them. Read back, they withhold together only.

Result: the case passes (10 too late before); 51 core tests pass.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -118,6 +118,8 @@
     pub withheld: Vec<Cause>,
     /// Causes that are no longer withheld.
     pub released: Vec<Cause>,
+    /// Causes that were not withheld alone, and are no longer withheld with others either.
+    pub cleared: Vec<Cause>,
     /// Whether other entries should be informed immediately, as several endpoints have crashed in
     /// sequence.
     pub is_urgent: bool,
@@ -177,17 +179,26 @@
     /// Records that a run of a request with these causes completed at this time and its endpoint
     /// went on, so that none of them caused the earlier crashes.
     pub fn record_success(&mut self, causes: &[Cause], at: Millis, now: Millis) -> Change {
-        let mut has_cleared = false;
+        let mut has_changed = false;
+        let mut cleared = Vec::new();
         for cause in causes {
             self.successes.record(*cause, at);
             if let Some(record) = self.records.get_mut(cause) {
-                has_cleared |= record.clear_until(at, now);
+                let was_suspect = record.held.is_none() && record.is_suspect(*cause);
+                let has_cleared = record.clear_until(at, now);
+                if was_suspect && has_cleared {
+                    cleared.push(*cause);
+                }
+                has_changed |= has_cleared;
             }
         }
-        if has_cleared {
-            return self.update_holds(false, now);
+        if !has_changed {
+            return Change::default();
+        }
+        Change {
+            cleared,
+            ..self.update_holds(false, now)
         }
-        Change::default()
     }
 
     /// Records that a response to a request with these causes has outlasted its first pieces. A part
@@ -246,10 +257,12 @@
         }
     }
 
-    /// Returns the crash history of a cause if it is withheld, or was until it may be tried again.
+    /// Returns the crash history of a cause if it is withheld, alone or with others from which it
+    /// can't be told apart, or was until it may be tried again.
     pub fn history_to_store(&self, cause: Cause, now: Millis) -> Option<CrashHistory> {
         let record = self.records.get(&cause)?;
-        record.held.map(|_| record.history(cause, now))
+        let is_suspect = record.held.is_some() || record.is_suspect(cause);
+        is_suspect.then(|| record.history(cause, now))
     }
 
     /// Iterates over all causes that are currently withheld.
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -232,6 +232,13 @@
         self.count_excluding(|_| false).sequential
     }
 
+    /// Returns whether the cause has crashed enough endpoints to be withheld with others from which
+    /// it can't be told apart.
+    pub fn is_suspect(&self, cause: Cause) -> bool {
+        let count = self.count_excluding(|_| false);
+        !self.is_popular && count.suffices(cause, Confidence::Uncertain)
+    }
+
     /// Returns the number of runs that were interrupted.
     pub fn runs(&self) -> u32 {
         let runs = self.crashes.iter().map(|counted| counted.runs);
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -262,3 +262,21 @@
         DOUBTFUL_HOLD_DURATION + DOUBTFUL_HOLD_DURATION
     );
 }
+
+/// What is stored of parts that can't be told apart withholds them together only, also at entries that
+/// start later; and a part that is cleared is stored no longer.
+#[test]
+fn parts_that_are_withheld_together_are_stored_until_one_is_cleared() {
+    let mut quarantine = Quarantine::default();
+    crash_with(&mut quarantine, &[SHARED, FATAL], 0..PART_CRASH_THRESHOLD);
+    let now = Millis(6_000);
+    let stored = [SHARED, FATAL].map(|part| quarantine.history_to_store(part, now).unwrap());
+    let mut later = Quarantine::default();
+    later.merge_histories(&stored, now);
+    assert!(is_withheld(&later, &[SHARED, FATAL]));
+    assert!(!is_withheld(&later, &[SHARED]));
+    let change = quarantine.record_success(&with_parts(50, &[SHARED]), now, now);
+    assert_eq!(change.cleared, [SHARED]);
+    assert_eq!(quarantine.history_to_store(SHARED, now), None);
+    assert!(quarantine.history_to_store(FATAL, now).is_some());
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -503,11 +503,12 @@
 
     fn quarantine_changed(&self, change: &Change, witness: Witness) {
         let now = self.now();
-        let has_changed = !change.withheld.is_empty() || !change.released.is_empty();
+        let changed = [&change.withheld, &change.released, &change.cleared];
+        let has_changed = changed.iter().any(|causes| !causes.is_empty());
         // What no entry has seen by itself, as it follows from what several have, is written by one.
         let writes = || witness == Witness::Own || self.standing().rank == 0;
         if has_changed && writes() {
-            for cause in change.withheld.iter().chain(&change.released) {
+            for cause in changed.into_iter().flatten() {
                 self.rewrite(*cause);
             }
         }
--- a/crates/relay/tests/contract/crashing_parts.rs
+++ b/crates/relay/tests/contract/crashing_parts.rs
@@ -3,12 +3,15 @@
 //! their other parts with sound ones: 36 engines ended, 28 of them by requests that were sent more
 //! than 3 s after the fifth end. Each request was judged by its body alone.
 
+use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use woodgap_core::quarantine::{Cause, StoredHistory};
 
 use crate::caller::{Answer, Caller, request};
 use crate::crashing::{
@@ -56,30 +59,42 @@
     engines: Vec<Crashing>,
     arrivals: Arrivals,
     sites: Vec<Site>,
+    /// What the platform keeps.
+    kept: Arc<Mutex<BTreeMap<Cause, StoredHistory>>>,
 }
 
 impl Fleet {
     fn start(entries: usize, engines: usize, down: Down, manner: Manner) -> Self {
         let arrivals = Arrivals::default();
         let engines = (0..engines).map(|_| Crashing::with(&arrivals, down, manner));
-        let engines: Vec<_> = engines.collect();
-        let mut sites: Vec<Site> = Vec::new();
+        let mut fleet = Self {
+            engines: engines.collect(),
+            arrivals,
+            sites: Vec::new(),
+            kept: Arc::default(),
+        };
+        fleet.start_entries(entries);
+        fleet
+    }
+
+    /// Starts so many entries in place of all that there are: these are as good as killed, as nobody
+    /// asks them any more, and no other entry knows of them.
+    fn start_entries(&mut self, entries: usize) {
+        self.sites.clear();
         for at in 0..entries {
             let source = source(&[]);
-            source.0.lock().unwrap().entries = sites.iter().map(|site| site.peer).collect();
+            {
+                let mut told = source.0.lock().unwrap();
+                told.entries = self.sites.iter().map(|site| site.peer).collect();
+                told.kept = Arc::clone(&self.kept);
+            }
             let site = Site::with(&format!("dub-a-{at}"), source);
             site.until_ready();
-            sites.push(site);
+            self.sites.push(site);
         }
-        until_met(&sites);
-        let fleet = Self {
-            engines,
-            arrivals,
-            sites,
-        };
-        fleet.list();
+        until_met(&self.sites);
+        self.list();
         sleep(PAUSE);
-        fleet
     }
 
     /// Lists the engines as they are now.
@@ -96,7 +111,11 @@
 
     /// Sends fatal requests at entries in turn, no two alike, and lists engines as they are.
     fn send_fatal(&self, place: Place) {
-        for number in 0..SENDS {
+        self.send_some(place, 0..SENDS);
+    }
+
+    fn send_some(&self, place: Place, numbers: Range<usize>) {
+        for number in numbers {
             let site = &self.sites[number % self.sites.len()];
             let parts = place.parts(number);
             ask(site, &format!("f{number}"), &parts);
@@ -269,3 +288,17 @@
     let is_whole = answer.is_some_and(|it| it.status == 200 && it.is_whole);
     assert!(!is_whole);
 }
+
+/// All entries are killed and started anew, twice, while requests with the part go on coming.
+#[test]
+fn what_is_withheld_outlasts_all_entries() {
+    let mut fleet = Fleet::start(3, 12, DOWN, PLAIN);
+    for round in 0..3 {
+        fleet.send_some(Place::Anywhere, round * 20..(round + 1) * 20);
+        fleet.start_entries(3);
+    }
+    fleet.check();
+    // A sound request is served as ever.
+    let answer = ask(&fleet.sites[0], "s", &[SHARED_PART, 1]);
+    assert_eq!(answer.unwrap().status, 200);
+}
