Relay: errors and empty streams clear nothing, however they are framed

Cause, found by reading the change: a 4xx counted as a run that ended well, though the endpoint may not have begun it, and so did any answer that ended with its connection, an error or a stream without an event among them. What ends endpoints would be cleared by them.

Change: only a success with a body, or a stream with an event, clears its causes. The connection that a check opens rests for a second again, as other unused ones do, not four.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -139,10 +139,7 @@
                 "Requests that were not sent: they crash endpoints",
             )?,
             quarantined: IntGauge::new("quarantined", "Different requests that are withheld")?,
-            quarantined_parts: IntGauge::new(
-                "quarantined_parts",
-                "Parts of prompts with which all requests are withheld",
-            )?,
+            quarantined_parts: IntGauge::new("quarantined_parts", "Parts of prompts withheld")?,
             limited_endpoints: IntGauge::new(
                 "limited_endpoints",
                 "Endpoints that name a rate limit, or did so lately",
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -25,7 +25,8 @@
 
 use crate::links;
 use crate::state::State;
-use crate::upstream::{Connection, Error, pool};
+use crate::upkeep;
+use crate::upstream::{Connection, Error};
 
 /// All connections to a crashing endpoint are lost within this time.
 const CRASH_WINDOW: Millis = Millis(1_000);
@@ -52,8 +53,23 @@
     pub disconnected: Millis,
     /// Number of body chunks received.
     pub pieces: u32,
-    /// Whether the response looks complete: it ended with its connection.
-    pub has_ended: bool,
+    /// How the response ended, if it ended with its connection and looks complete.
+    pub end: Option<End>,
+}
+
+/// The end of a response that ended with its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Unless its endpoint has crashed, the run has ended well.
+    Success,
+    /// An error, or a stream without an event: the endpoint may not have begun the request.
+    Nothing,
+}
+
+impl Suspect {
+    fn has_ended(&self) -> bool {
+        self.end.is_some()
+    }
 }
 
 /// The endpoints that recently dropped a connection.
@@ -112,13 +128,13 @@
     fn mark_crashed(&mut self, sign: Sign, now: Millis) -> Vec<Suspect> {
         self.crash = Some((now, sign));
         let mut suspects = std::mem::take(&mut self.suspects);
-        let lost = suspects.iter().rfind(|suspect| !suspect.has_ended);
+        let lost = suspects.iter().rfind(|suspect| !suspect.has_ended());
         let (crash, window) = match lost {
             Some(lost) => (lost.disconnected, END_WINDOW),
             None => (now, CRASH_WINDOW),
         };
         suspects.retain(|suspect| {
-            let window = if suspect.has_ended {
+            let window = if suspect.has_ended() {
                 window
             } else {
                 CRASH_WINDOW
@@ -129,11 +145,12 @@
     }
 
     /// Removes the suspects whose endpoint has shown no sign of a crash for long enough, and
-    /// returns those that look complete.
+    /// returns those whose runs have ended well.
     fn take_survivors(&mut self, now: Millis) -> Vec<Suspect> {
         let is_over = |suspect: &mut Suspect| now - suspect.disconnected >= RESTART_WINDOW;
         let over = self.suspects.extract_if(.., is_over);
-        over.filter(|suspect| suspect.has_ended).collect()
+        over.filter(|suspect| suspect.end == Some(End::Success))
+            .collect()
     }
 }
 
@@ -155,7 +172,7 @@
     // A response that ends after a restart was listed is one of the later life.
     let is_due_to_crash = match check.recent_sign(now) {
         Some(Sign::Refused) => true,
-        Some(Sign::Restarted) => !suspect.has_ended,
+        Some(Sign::Restarted) => !suspect.has_ended(),
         None => false,
     };
     if is_due_to_crash {
@@ -248,7 +265,7 @@
         Ok(connection) => {
             links::record_connected(&state);
             let mut pool = state.pool.borrow_mut();
-            pool.put(&life, connection, pool::DEFAULT_KEEP_ALIVE, now);
+            pool.put(&life, connection, upkeep::REST, now);
         }
     }
     if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(&life) {
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -12,7 +12,7 @@
 use woodgap_core::relay::health::HealthSignal;
 
 use crate::request::AdmittedRequest;
-use crate::request::crash::{self, Suspect};
+use crate::request::crash::{self, End, Suspect};
 use crate::state::State;
 use crate::upstream::{Connection, Error, Head};
 
@@ -143,31 +143,31 @@
         if elapsed >= self.expected_wait {
             self.record_start();
         }
-        let suspect = self.suspect(false);
+        let suspect = self.suspect(None);
         crash::check_for_crash(&self.state, self.endpoint(), self.address, suspect);
     }
 
     /// Checks a response that has ended with its connection. Returns whether it is taken for
     /// complete.
-    pub async fn is_complete(&self) -> bool {
-        let suspect = self.suspect(true);
+    pub async fn is_complete(&self, end: End) -> bool {
+        let suspect = self.suspect(Some(end));
         crash::is_complete(&self.state, self.endpoint(), self.address, suspect).await
     }
 
-    fn suspect(&self, has_ended: bool) -> Suspect {
+    fn suspect(&self, end: Option<End>) -> Suspect {
         Suspect {
             causes: Rc::clone(&self.causes),
             sent: self.started,
             disconnected: self.state.now(),
             pieces: self.pieces.get(),
-            has_ended,
+            end,
         }
     }
 
-    /// Records that the endpoint survived the request. Server errors don't count, as the endpoint
-    /// may not have started the request.
+    /// Records that the endpoint survived the request. Errors don't count, as the endpoint may not
+    /// have started the request.
     pub fn record_survival(&self, status: StatusCode) {
-        if !status.is_server_error() {
+        if status.is_success() {
             let now = self.state.now();
             self.state.survived(&self.causes, now);
         }
--- a/crates/relay/src/request/responder.rs
+++ b/crates/relay/src/request/responder.rs
@@ -4,6 +4,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::health::HealthSignal;
 
+use crate::request::crash::End;
 use crate::request::handover::Handover;
 use crate::request::placement::Placement;
 use crate::upstream::{Connection, Error};
@@ -48,9 +49,9 @@
 
     /// Checks a response that has ended with its connection. Returns whether it is taken for
     /// complete. Another entry marks the ends of all responses.
-    pub async fn is_complete(&self) -> bool {
+    pub async fn is_complete(&self, end: End) -> bool {
         match self {
-            Self::Endpoint(placement) => placement.is_complete().await,
+            Self::Endpoint(placement) => placement.is_complete(end).await,
             Self::Entry(_) => true,
         }
     }
--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -12,6 +12,7 @@
 
 use crate::request::AccessRecord;
 use crate::request::attempt::AttemptError;
+use crate::request::crash::End;
 use crate::request::event_stream::Position;
 use crate::request::forward::{connection_options, is_end_to_end};
 use crate::request::responder::Responder;
@@ -56,6 +57,7 @@
     pause: Millis,
     /// The position in a stream of events; `None` for another body.
     position: Option<Position>,
+    status: StatusCode,
 }
 
 impl EndpointResponse {
@@ -82,15 +84,20 @@
         let ends_with_connection = head
             .framing(method)
             .is_ok_and(|framing| framing.is_close_delimited());
-        if framing.is_none() && ends_with_connection && !responder.is_complete().await {
+        // A stream without an event does not show that its endpoint has begun the request.
+        let end = if head.status.is_success() && !is_event_stream(&head) {
+            End::Success
+        } else {
+            End::Nothing
+        };
+        if framing.is_none() && ends_with_connection && !responder.is_complete(end).await {
             responder.record_signal(HealthSignal::Failure);
             return Err(cut_off().into());
         }
         responder.record_start();
         responder.record_signal(signal(head.status));
         let Some(framing) = framing else {
-            // A stream without an event does not show that its endpoint has begun the request.
-            if !ends_with_connection && !is_event_stream(&head) {
+            if !ends_with_connection && end == End::Success {
                 responder.record_survival(head.status);
             }
             responder.return_connection(connection, pause);
@@ -102,6 +109,7 @@
             responder,
             pause,
             position: is_event_stream(&head).then(Position::default),
+            status: head.status,
         };
         remainder.follow(&first);
         Ok(Self::Stream {
@@ -235,7 +243,12 @@
         if self.position.is_some_and(is_inside_event) {
             return Err(cut_off());
         }
-        if self.framing.is_close_delimited() && !self.responder.is_complete().await {
+        let end = if self.status.is_success() {
+            End::Success
+        } else {
+            End::Nothing
+        };
+        if self.framing.is_close_delimited() && !self.responder.is_complete(end).await {
             return Err(cut_off());
         }
         Ok(None)
--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -9,7 +9,7 @@
 use crate::upstream::{Connection, Head};
 
 /// How long a connection may stay idle if the endpoint sends no `Keep-Alive` timeout.
-pub const DEFAULT_KEEP_ALIVE: Millis = Millis(4_000);
+const DEFAULT_KEEP_ALIVE: Millis = Millis(4_000);
 /// The share of the endpoint's keep-alive timeout for which a connection is kept, in
 /// percent. The margin avoids sending a request while the endpoint closes the connection.
 const KEEP_ALIVE_PERCENT: u64 = 75;
--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -16,7 +16,7 @@
 use woodgap_core::quarantine::{Cause, StoredHistory};
 
 use crate::caller::post;
-use crate::crashing::{Arrivals, Crashing, DOWN, Down, FATAL};
+use crate::crashing::{Arrivals, Crashing, DOWN, Down, FATAL, Manner, PLAIN};
 use crate::site::{Fixed, Site, source, until_met};
 
 /// How many endpoints and entries there are.
@@ -41,8 +41,12 @@
 
 impl Fleet {
     fn start(down: Down) -> Self {
+        Self::with(down, PLAIN)
+    }
+
+    fn with(down: Down, manner: Manner) -> Self {
         let arrivals = Arrivals::default();
-        let endpoints = (0..ENDPOINTS).map(|_| Crashing::start(&arrivals, down));
+        let endpoints = (0..ENDPOINTS).map(|_| Crashing::with(&arrivals, down, manner));
         let endpoints = endpoints.collect();
         let mut fleet = Self {
             endpoints,
@@ -205,3 +209,13 @@
         sleep(PAUSE);
     }
 }
+
+/// An error says nothing of what the request does to endpoints that run it: they may not have begun it.
+#[test]
+fn errors_between_ends_clear_nothing() {
+    let manner = Manner {
+        has_errors: true,
+        ..PLAIN
+    };
+    reaches_few_more(&Fleet::with(DOWN, manner), "/write/");
+}
--- a/crates/relay/tests/contract/crashing.rs
+++ b/crates/relay/tests/contract/crashing.rs
@@ -54,12 +54,15 @@
 pub struct Manner {
     pub framed: Framed,
     pub rest: Rest,
+    /// Whether every second fatal body gets an error, and ends nothing.
+    pub has_errors: bool,
 }
 
 /// How an endpoint answers usually.
 pub const PLAIN: Manner = Manner {
     framed: Framed::Length,
     rest: Rest::Nothing,
+    has_errors: false,
 };
 /// The events of a whole stream.
 pub const EVENTS: &str = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
@@ -88,12 +91,7 @@
 }
 
 impl Crashing {
-    /// One that notes fatal requests in `arrivals`, and is gone so after each.
-    pub fn start(arrivals: &Arrivals, down: Down) -> Self {
-        Self::with(arrivals, down, PLAIN)
-    }
-
-    /// The same, for one that answers so.
+    /// One that notes fatal requests in `arrivals`, is gone so after each, and answers so.
     pub fn with(arrivals: &Arrivals, down: Down, manner: Manner) -> Self {
         let listener = TcpListener::bind((own_ip(), 0)).unwrap();
         let address = listener.local_addr().unwrap();
@@ -189,6 +187,14 @@
 fn answer(life: &Life, mut stream: TcpStream) {
     while let Some((head, body)) = read(&mut stream) {
         let id = header(&head, "x-woodgap-request");
+        let is_odd = id.ends_with(['1', '3', '5', '7', '9']);
+        if body == FATAL && life.manner.has_errors && is_odd {
+            let answer = framed(&id, "", "no", Framed::Length).replace("200 OK", "404 X");
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
         if body == FATAL {
             life.arrivals.lock().unwrap().push(Instant::now());
             life.end();
--- a/crates/relay/tests/contract/crashing_parts.rs
+++ b/crates/relay/tests/contract/crashing_parts.rs
@@ -218,7 +218,11 @@
 }
 
 const fn manner(framed: Framed, rest: Rest) -> Manner {
-    Manner { framed, rest }
+    Manner {
+        framed,
+        rest,
+        ..PLAIN
+    }
 }
 
 #[rstest]
