Contract tests: crashing engines end with their test

Cause: the engines of crashing.rs looked for connections each 2 ms, and their entries for engines, until the process of all contract tests ended.

No bound or check is changed.

--- a/crates/relay/tests/contract/crashes.rs
+++ b/crates/relay/tests/contract/crashes.rs
@@ -125,6 +125,15 @@
     }
 }
 
+/// Its entries go on beside other tests: they are to look for no endpoint of this one.
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for site in &self.sites {
+            site.source.0.lock().unwrap().endpoints.clear();
+        }
+    }
+}
+
 #[rstest]
 #[case::read("/read/")]
 #[case::write("/write/")]
--- a/crates/relay/tests/contract/crashing.rs
+++ b/crates/relay/tests/contract/crashing.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -85,6 +85,8 @@
     started: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
     has_ended: Mutex<bool>,
+    /// Whether the test is over: its threads would else go on beside other tests.
+    is_over: AtomicBool,
     down: Down,
     manner: Manner,
     arrivals: Arrivals,
@@ -99,6 +101,7 @@
             started: AtomicU64::new(1),
             connections: Mutex::default(),
             has_ended: Mutex::default(),
+            is_over: AtomicBool::new(false),
             down,
             manner,
             arrivals: Arc::clone(arrivals),
@@ -130,6 +133,13 @@
     Ipv4Addr::new(127, high.max(1), low, number)
 }
 
+impl Drop for Crashing {
+    fn drop(&mut self) {
+        self.life.is_over.store(true, Ordering::Relaxed);
+        self.end();
+    }
+}
+
 impl Life {
     fn end(&self) {
         *self.has_ended.lock().unwrap() = true;
@@ -139,6 +149,9 @@
 fn live(life: &Arc<Life>, address: SocketAddr, mut listener: TcpListener) {
     loop {
         serve(life, &listener);
+        if life.is_over.load(Ordering::Relaxed) {
+            return;
+        }
         let is_fronted = matches!(life.down, Down::Fronted(_));
         let front = is_fronted.then_some(listener);
         for connection in life.connections.lock().unwrap().drain(..) {
