--- a/crates/relay/tests/contract/crashing_parts.rs
+++ b/crates/relay/tests/crashes/parts.rs
@@ -1,7 +1,4 @@
-//! A part of prompts ended each engine that began to write an answer on it, whatever else the
-//! request held. Requests with it came at all entries, no two alike, and shared their caller and
-//! their other parts with sound ones: 36 engines ended, 28 of them by requests that were sent more
-//! than 3 s after the fifth end. Each request was judged by its body alone.
+//! A part of prompts that ends each engine that begins to answer it.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
