Relay: connections to endpoints from an address that the settings name

Cause: on an instance with several addresses the system chooses the one from which entries connect to endpoints, and nobody who looks at a connection, an operator or a stand-in of the soak, can tell which entry it is from.

Change: `connect_from`, an IP address of the instance; left out, all is as before. One that is none of the instance's is told at the start, as a port that is taken: else each connection would fail as if all links were lost.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -81,7 +81,7 @@
     for wave in waves.filter(|wave| !wave.is_empty()) {
         let probes = wave.iter().map(|endpoint| {
             let life = &endpoint.life;
-            let opened = Connection::open(endpoint.address);
+            let opened = Connection::open_from(state.settings.connect_from, endpoint.address);
             opened
                 .map(move |opened| opened.map(|it| (life, it)))
                 .boxed_local()
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -243,7 +243,7 @@
         return Ok(pooled);
     }
     state.metrics.connects.inc();
-    let opened = Connection::open(endpoint.address).await;
+    let opened = Connection::open_from(state.settings.connect_from, endpoint.address).await;
     if opened.is_ok() {
         links::record_connected(state);
     } else {
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -252,7 +252,7 @@
 
 async fn probe_endpoint(state: Rc<State>, life: name::Life, address: SocketAddr) {
     let started = state.now();
-    let opened = connect_with_retry(address).await;
+    let opened = connect_with_retry(&state, address).await;
     let now = state.now();
     match opened {
         Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -282,10 +282,11 @@
 
 /// Connects to an endpoint and retries once on a timeout, as TCP retransmits a lost packet only
 /// after a second.
-async fn connect_with_retry(address: SocketAddr) -> Result<Connection, Error> {
-    match Connection::open(address).await {
+async fn connect_with_retry(state: &State, address: SocketAddr) -> Result<Connection, Error> {
+    let source = state.settings.connect_from;
+    match Connection::open_from(source, address).await {
         Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::TimedOut => {
-            Connection::open(address).await
+            Connection::open_from(source, address).await
         }
         opened => opened,
     }
--- a/crates/relay/src/start/sockets.rs
+++ b/crates/relay/src/start/sockets.rs
@@ -2,7 +2,7 @@
 //! told at once.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
 
 use woodgap_settings::relay::Relay as Settings;
 
@@ -43,6 +43,9 @@
         let metrics = settings.metrics_listen.as_mut();
         let metrics = metrics.map(|address| listen("metrics_listen", address));
         let (fetch, messages) = both("peer_listen", &mut settings.peer_listen)?;
+        if let Some(source) = settings.connect_from {
+            check_source("connect_from", source)?;
+        }
         Ok(Self {
             requests,
             directory,
@@ -62,6 +65,14 @@
     Ok(listener)
 }
 
+/// Checks that connections can be opened from an address: that it is one of this instance.
+fn check_source(option: &'static str, source: IpAddr) -> Result<(), Error> {
+    let bound = TcpListener::bind(SocketAddr::new(source, 0));
+    bound
+        .map(drop)
+        .map_err(|source| Error::Socket { option, source })
+}
+
 /// One port for both TCP and UDP.
 fn both(option: &'static str, address: &mut SocketAddr) -> Result<(TcpListener, UdpSocket), Error> {
     let is_chosen = address.port() == 0;
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -109,7 +109,7 @@
     }
     let state = Rc::clone(state);
     actix_rt::spawn(async move {
-        let opened = Connection::open(known.address).await;
+        let opened = Connection::open_from(state.settings.connect_from, known.address).await;
         let now = state.now();
         let sign = if opened.is_ok() {
             links::record_connected(&state);
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -1,15 +1,15 @@
 //! An HTTP/1.1 connection that carries one request at a time, without pipelining.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use actix_http::Method;
 use bytes::{Bytes, BytesMut};
 use rustix::net::sockopt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpSocket, TcpStream};
 use woodgap_core::clock::Millis;
 
 use crate::upstream::body::Decoded;
@@ -46,8 +46,17 @@
     ///
     /// [`Error::Unsent`], whatever the cause.
     pub async fn open(address: SocketAddr) -> Result<Self, Error> {
+        Self::open_from(None, address).await
+    }
+
+    /// As [`Self::open`], from this local address.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unsent`], also if the local address is none of this instance.
+    pub async fn open_from(source: Option<IpAddr>, address: SocketAddr) -> Result<Self, Error> {
         let limit = Duration::from_millis(CONNECT_TIMEOUT.0);
-        let connecting = tokio::time::timeout(limit, TcpStream::connect(address));
+        let connecting = tokio::time::timeout(limit, connect(source, address));
         let timed_out = |_| Error::Unsent(io::ErrorKind::TimedOut.into());
         let stream = connecting
             .await
@@ -175,6 +184,19 @@
     }
 }
 
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if source.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (idle, interval, count) = KEEPALIVE;
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -29,5 +29,6 @@
 mod scarce;
 mod silent_tellers;
 mod site;
+mod source_address;
 mod stops;
 mod streams;
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -221,7 +221,7 @@
 /// the settings below less the margin that the relay keeps.
 pub const TRUST: u64 = 500;
 
-const SETTINGS: &str = r#"{
+pub const SETTINGS: &str = r#"{
     "name": "dub-a-1", "data_centre": "dub-a",
     "listen": "127.0.0.1:0", "directory_listen": "127.0.0.1:0",
     "ready_listen": "127.0.0.1:0", "metrics_listen": "127.0.0.1:0",
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -1,6 +1,6 @@
 //! The settings of one `woodgap-relay`.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
 use woodgap_core::clock::Millis;
@@ -46,6 +46,8 @@
     pub metrics_listen: Option<SocketAddr>,
     /// UDP and TCP for the other entries; the port is the same on all instances.
     pub peer_listen: SocketAddr,
+    /// The local address of connections to endpoints; the system chooses one where none is named.
+    pub connect_from: Option<IpAddr>,
     /// Other entries, by any address of theirs: only the IP counts.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole system starts for the first time: nobody waits for it yet, and
@@ -242,6 +244,7 @@
     let ready_listen = section.required("ready_listen", &rule::listen());
     let metrics_listen = section.optional("metrics_listen", &rule::listen());
     let peer_listen = section.required("peer_listen", &rule::listen());
+    let connect_from = section.optional("connect_from", &rule::ip());
     let seeds = section.list("seeds", &rule::address());
     let first_start = section.or("first_start", &rule::boolean(), false);
     let platform = section.within("platform", Platform::read).flatten();
@@ -270,6 +273,7 @@
         ready_listen: ready_listen?,
         metrics_listen,
         peer_listen: peer_listen?,
+        connect_from,
         seeds: seeds.unwrap_or_default(),
         first_start,
         platform: platform?,
--- a/crates/settings/src/rule.rs
+++ b/crates/settings/src/rule.rs
@@ -1,7 +1,7 @@
 //! What a single value must be, and how it is read.
 
 use std::fmt::Display;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
 
 use jiff::civil::{Time, Weekday};
@@ -196,6 +196,19 @@
     .fix("Give the IP number; names are not looked up.")
 }
 
+/// An IP address of this instance.
+pub fn ip() -> Rule<IpAddr> {
+    Rule::new(
+        "an IP address of this instance, such as 10.1.0.5",
+        |value| {
+            let ip: IpAddr = parsed(text_of(value)?)?;
+            let is_one = !ip.is_unspecified() && !ip.is_multicast();
+            is_one.then_some(ip)
+        },
+    )
+    .fix("Give the IP number, without a port; names are not looked up.")
+}
+
 /// The base URL of a service.
 pub fn url() -> Rule<String> {
     let expected = "a URL such as http://10.1.0.2:8080, without query or credentials";
