Soak: back-offs are judged by the entry that sent, not by the one that was asked

Change: each process connects to endpoints from an address of loopback of its own, the proxies connect on from the same one, and an arrival names the process that sent it. Bounds and windows are as they were; the check is stricter for whoever sends what others hand over, which no process was judged for before.

--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -16,6 +16,7 @@
 use woodgap_harness::until;
 
 use crate::caller::WORK;
+use crate::process::life_of;
 use crate::proxy::reset;
 use crate::record::{Arrival, Outcome, Record};
 use crate::streams;
@@ -279,8 +280,10 @@
         }
         let free_slots = SLOTS.saturating_sub(self.running.get());
         let free_slots = self.is_brittle.get().then_some(free_slots);
+        let way = stream.peer_addr().ok()?;
         self.record.arrived(Arrival {
             request: id.clone(),
+            sender: life_of(way.ip()).expect("processes have addresses of their own"),
             endpoint: (self.name.clone(), life),
             at: Instant::now(),
             limit: self.limit.get(),
@@ -301,7 +304,6 @@
         if mishap == Some(Mishap::Declined) || free_slots == Some(0) {
             return send(stream, &refusal(503, &id, &names.headers)).await;
         }
-        let way = stream.peer_addr().ok()?;
         let _running = Running::begin(&self.running);
         let run = self.record.runs(&id, &self.name, life, way);
         let framing = self.draw_framing();
--- a/crates/relay/tests/soak/entries.rs
+++ b/crates/relay/tests/soak/entries.rs
@@ -100,8 +100,8 @@
 
     /// Starts the process of a slot, which the one before has left.
     pub fn start(&self, slot: usize, platform: SocketAddr) {
-        let process = Process::start(&format!("entry-{slot}"), platform);
         let mut lives = self.0.lives.borrow_mut();
+        let process = Process::start(&format!("entry-{slot}"), lives.len(), platform);
         lives.push(Life {
             started: Instant::now(),
             hurt: None,
--- a/crates/relay/tests/soak/process.rs
+++ b/crates/relay/tests/soak/process.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
@@ -22,6 +22,24 @@
 /// Names a folder in which the relays' logs are kept.
 const LOGS: &str = "WOODGAP_SOAK_LOGS";
 
+/// The first of the addresses of loopback from which processes connect to endpoints, one for each.
+const FIRST_SOURCE: u32 = u32::from_be_bytes([127, 1, 0, 0]);
+
+/// The address from which a process connects to endpoints, by its life.
+fn source(life: usize) -> Ipv4Addr {
+    let life = u32::try_from(life).expect("processes are few");
+    Ipv4Addr::from(FIRST_SOURCE + life)
+}
+
+/// The life of the process that connects from an address, if it is one's.
+pub fn life_of(source: IpAddr) -> Option<usize> {
+    let IpAddr::V4(source) = source else {
+        return None;
+    };
+    let life = u32::from(source).checked_sub(FIRST_SOURCE)?;
+    usize::try_from(life).ok()
+}
+
 /// A relay's process.
 pub struct Process {
     child: Child,
@@ -30,12 +48,12 @@
 }
 
 impl Process {
-    /// Starts a relay and waits until it listens.
-    pub fn start(name: &str, platform: SocketAddr) -> Self {
+    /// Starts a relay in this life of all, and waits until it listens.
+    pub fn start(name: &str, life: usize, platform: SocketAddr) -> Self {
         let any = "127.0.0.1:0";
         let settings = json!({
             "name": name, "data_centre": "dub-a", "listen": any, "directory_listen": any,
-            "ready_listen": any, "peer_listen": any,
+            "ready_listen": any, "peer_listen": any, "connect_from": source(life).to_string(),
             "platform": {"url": format!("http://{platform}"), "poll_ms": 100, "timeout_ms": 500},
             "duties": {
                 "url": format!("http://{platform}"), "tasks": ["metering"], "window_s": 1, "apart_ms": 300
--- a/crates/relay/tests/soak/proxy.rs
+++ b/crates/relay/tests/soak/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy whose connections misbehave as they are told.
 
 use std::cell::Cell;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use rustix::net::sockopt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 use crate::record::Record;
@@ -114,7 +115,7 @@
         reset(&caller);
         return;
     }
-    let Ok(mut target) = TcpStream::connect(target).await else {
+    let Ok(mut target) = connect(&caller, target).await else {
         reset(&caller);
         return;
     };
@@ -143,6 +144,13 @@
     }
 }
 
+/// Connects from the address that the caller has, so that the target knows it by that.
+async fn connect(caller: &TcpStream, target: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(caller.peer_addr()?.ip(), 0))?;
+    socket.connect(target).await
+}
+
 /// How a connection ends: what one side sees, the other one is to see.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -91,6 +91,9 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub request: String,
+    /// The process that sent it, counted over all starts: where it was handed over, not the one
+    /// that took it.
+    pub sender: usize,
     /// The endpoint, and which of its lives it is in.
     pub endpoint: (String, u64),
     pub at: Instant,
--- a/crates/relay/tests/soak/world/back_offs.rs
+++ b/crates/relay/tests/soak/world/back_offs.rs
@@ -15,14 +15,11 @@
 /// The processes from which an endpoint that had turned them away got too much, one problem for
 /// each and each life of the endpoint.
 pub(super) fn problems(scene: &Scene) -> Vec<Problem> {
-    let sent: BTreeMap<_, _> = scene.record.all_sent().into_iter().collect();
     let mut by_pair: BTreeMap<_, Vec<(Instant, bool)>> = BTreeMap::new();
     for arrival in scene.record.all_arrivals() {
-        if let Some(sent) = sent.get(&arrival.request) {
-            let pair = (arrival.endpoint, sent.life);
-            let arrived = (arrival.at, arrival.is_turned_away);
-            by_pair.entry(pair).or_default().push(arrived);
-        }
+        let pair = (arrival.endpoint, arrival.sender);
+        let arrived = (arrival.at, arrival.is_turned_away);
+        by_pair.entry(pair).or_default().push(arrived);
     }
     let excesses = by_pair.iter().filter_map(|(((endpoint, _), life), all)| {
         let turned_away = all.iter().filter(|(_, is_turned_away)| *is_turned_away);
