Quarantine: crashes are stored from the second one on

Cause: the platform kept only what is withheld. The class: what is to outlast a process is written when it is decided, not when it is learnt.

Change: who sees a crash writes each cause that has two crashes in sequence, unless it has completed lately; 64 at most that are not withheld, those with the most crashes first. Who sees a run end well takes the row out, or the first entry where that was told.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -94,6 +94,11 @@
 /// The maximum number of crash records, at 0.3 kB each. A crash at the planned size interrupts
 /// 47 requests.
 const MAX_RECORDS: usize = 1_024;
+/// Number of sequential crashes from which on the record of a cause is stored that has not completed
+/// lately. One that is lost with all entries costs one endpoint more.
+const STORED_CRASHES: usize = 2;
+/// The maximum number of causes that an entry stores which are not withheld.
+const MAX_STORED_MARKS: usize = 64;
 /// How long a changed record is sent to other entries. This spans several gossip rounds, within
 /// which the record has reached all entries.
 const SEND_WINDOW: Millis = Millis(3_000);
@@ -118,7 +123,7 @@
     pub withheld: Vec<Cause>,
     /// Causes that are no longer withheld.
     pub released: Vec<Cause>,
-    /// Causes that were not withheld alone, and are no longer withheld with others either.
+    /// Causes that were not withheld, and whose crashes need no longer be stored.
     pub cleared: Vec<Cause>,
     /// Whether other entries should be informed immediately, as several endpoints have crashed in
     /// sequence.
@@ -184,9 +189,9 @@
         for cause in causes {
             self.successes.record(*cause, at);
             if let Some(record) = self.records.get_mut(cause) {
-                let was_suspect = record.held.is_none() && record.is_suspect(*cause);
+                let was_stored = record.held.is_none() && record.is_stored();
                 let has_cleared = record.clear_until(at, now);
-                if was_suspect && has_cleared {
+                if was_stored && has_cleared {
                     cleared.push(*cause);
                 }
                 has_changed |= has_cleared;
@@ -257,12 +262,25 @@
         }
     }
 
-    /// Returns the crash history of a cause if it is withheld, alone or with others from which it
-    /// can't be told apart, or was until it may be tried again.
+    /// Returns the crash history of a cause if entries that start when all others are gone should
+    /// count on from it: it is withheld, alone or with others from which it can't be told apart, or
+    /// may soon be.
     pub fn history_to_store(&self, cause: Cause, now: Millis) -> Option<CrashHistory> {
         let record = self.records.get(&cause)?;
-        let is_suspect = record.held.is_some() || record.is_suspect(cause);
-        is_suspect.then(|| record.history(cause, now))
+        let is_stored = record.held.is_some()
+            || record.is_suspect(cause)
+            || record.is_stored() && self.is_among_stored_marks(record);
+        is_stored.then(|| record.history(cause, now))
+    }
+
+    /// Returns whether the record is among those of highest rank that are not withheld. Where many
+    /// endpoints crash, many requests stand beside two crashes.
+    fn is_among_stored_marks(&self, record: &Record) -> bool {
+        let rank = record.eviction_rank();
+        let others = self.records.values().filter(|other| {
+            other.held.is_none() && other.is_stored() && other.eviction_rank() > rank
+        });
+        others.count() < MAX_STORED_MARKS
     }
 
     /// Iterates over all causes that are currently withheld.
@@ -323,14 +341,22 @@
             return Change::default();
         }
         let mut is_urgent = false;
+        let mut cleared = Vec::new();
         for history in histories {
             let record = self.records.entry(history.cause).or_default();
+            let was_stored = record.held.is_none() && record.is_stored();
             is_urgent |= record.merge(history, now);
             if let Some(last_success) = self.successes.last(history.cause) {
                 record.clear_until(last_success, now);
             }
+            if was_stored && !record.is_stored() {
+                cleared.push(history.cause);
+            }
+        }
+        Change {
+            cleared,
+            ..self.update_holds(is_urgent, now)
         }
-        self.update_holds(is_urgent, now)
     }
 
     /// Recomputes which causes are withheld.
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -4,8 +4,8 @@
 use crate::quarantine::message::{CrashHistory, ReportedCrash};
 use crate::quarantine::{
     CRASH_THRESHOLD, Cause, DOUBTFUL_CRASH_THRESHOLD, DOUBTFUL_HOLD_DURATION, HOLD_DURATION,
-    MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION, TRIAL_TIMEOUT, UNCERTAIN_CRASH_THRESHOLD,
-    UNCERTAIN_HOLD_DURATION,
+    MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION, STORED_CRASHES, TRIAL_TIMEOUT,
+    UNCERTAIN_CRASH_THRESHOLD, UNCERTAIN_HOLD_DURATION,
 };
 
 /// Maximum number of crashes stored per cause: enough to withhold it for as long as its
@@ -239,6 +239,12 @@
         !self.is_popular && count.suffices(cause, Confidence::Uncertain)
     }
 
+    /// Returns whether the cause has crashed enough endpoints for its record to be stored, though it
+    /// is not withheld.
+    pub fn is_stored(&self) -> bool {
+        !self.is_popular && self.crashes() >= STORED_CRASHES
+    }
+
     /// Returns the number of runs that were interrupted.
     pub fn runs(&self) -> u32 {
         let runs = self.crashes.iter().map(|counted| counted.runs);
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -280,3 +280,31 @@
     assert_eq!(quarantine.history_to_store(SHARED, now), None);
     assert!(quarantine.history_to_store(FATAL, now).is_some());
 }
+
+/// Else an entry that starts when all others are gone counts from nothing.
+#[test]
+fn crashes_are_stored_from_the_second_one_on() {
+    let mut quarantine = Quarantine::default();
+    crash_with(&mut quarantine, &[FATAL], 0..1);
+    let now = Millis(3_000);
+    assert_eq!(quarantine.history_to_store(FATAL, now), None);
+    crash_with(&mut quarantine, &[FATAL], 1..2);
+    let stored = quarantine.history_to_store(FATAL, now).unwrap();
+    let mut later = Quarantine::default();
+    later.merge_histories(&[stored], now);
+    crash_with(&mut later, &[FATAL], 2..PART_CRASH_THRESHOLD);
+    assert!(is_withheld(&later, &[FATAL]));
+    // Until a run ends well.
+    let change = quarantine.record_success(&[FATAL], now, now);
+    assert_eq!(change.cleared, [FATAL]);
+    assert_eq!(quarantine.history_to_store(FATAL, now), None);
+}
+
+/// Many sound requests hold it: it stands beside each crash, and would be written at each.
+#[test]
+fn crashes_of_a_part_that_has_completed_lately_are_not_stored() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&[SHARED], Millis(500), Millis(500));
+    crash_with(&mut quarantine, &[SHARED], 0..3);
+    assert_eq!(quarantine.history_to_store(SHARED, Millis(4_000)), None);
+}
--- a/crates/relay/src/source/table.rs
+++ b/crates/relay/src/source/table.rs
@@ -2,8 +2,8 @@
 //!
 //! The table `relay` holds the plan in its row `plan` and the evacuated data centres in its row
 //! `evacuation`. The table `relay-endpoints` has a row for each endpoint, `relay-entries` for
-//! each entry, `relay-withheld` for each withheld request or part of prompts, and `relay-versions` for each service
-//! that has several software versions.
+//! each entry, `relay-withheld` for each request or part of prompts with which several endpoints
+//! crashed, and `relay-versions` for each service that has several software versions.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/crates/relay/tests/crashes/parts.rs
+++ b/crates/relay/tests/crashes/parts.rs
@@ -312,3 +312,19 @@
     let answer = ask(&fleet.sites[0], "s", &[SHARED_PART, 1]);
     assert_eq!(answer.unwrap().status, 200);
 }
+
+/// All entries are killed and started anew, again and again, before the part has ended enough
+/// engines to be withheld.
+#[test]
+fn ends_are_counted_on_where_all_entries_are_replaced() {
+    const ROUNDS: usize = 5;
+    let mut fleet = Fleet::start(3, 12, DOWN, PLAIN);
+    for round in 0..ROUNDS {
+        for (at, site) in fleet.sites.iter().enumerate() {
+            ask(site, &format!("s{round}-{at}"), &[SHARED_PART, 1]);
+        }
+        fleet.send_some(Place::Second, round * (ENDS - 1)..(round + 1) * (ENDS - 1));
+        fleet.start_entries(3);
+    }
+    fleet.check();
+}
--- a/crates/relay/tests/soak/process.rs
+++ b/crates/relay/tests/soak/process.rs
@@ -74,8 +74,8 @@
         let stdout = child.stdout.take().expect("it is piped");
         let mut lines = BufReader::new(stdout).lines();
         let started = lines.find_map(|line| {
-            let line: Value = serde_json::from_str(&line.ok()?).ok()?;
-            (line["message"] == "started").then(|| line["kvs"].clone())
+            let told: Value = serde_json::from_str(&line.ok()?).ok()?;
+            (told["message"] == "started").then(|| told["kvs"].clone())
         });
         let started = started.expect("it says that it has started");
         keep_log(lines.map_while(Result::ok), name, child.id());
