Quarantine: an entry that has just started does not take an unknown part for certain

That nothing is known to have completed was taken for known not to complete. The class: no evidence taken for evidence.

Change: a record says whether runs with the cause complete: popular, rare, or unknown. It is unknown where an entry counts a crash of a part before any part has completed there; it is rare or popular as soon as one that knows tells so. Requests are as before.

A test changes: a_part_is_tried_again... has seeds, and so an entry that has just started; it now records first that another part completed. Its checks are as they were.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -33,7 +33,8 @@
 //! one entry after the other and with one request at a time. The duration doubles with each
 //! further crash. After [`MAX_TRIALS`] such crashes the cause is not tried again until its record
 //! is removed. A part of prompts that has completed lately needs [`DOUBTFUL_CRASH_THRESHOLD`]
-//! crashes, and is tried again after [`DOUBTFUL_HOLD_DURATION`].
+//! crashes, and is tried again after [`DOUBTFUL_HOLD_DURATION`]; so does one of which no entry
+//! knows that it has not, as all have just started.
 
 mod assessment;
 mod cause;
@@ -42,7 +43,7 @@
 mod success;
 
 pub use cause::Cause;
-pub use message::{CrashHistory, StoredHistory};
+pub use message::{CrashHistory, Popularity, StoredHistory};
 pub use record::Crash;
 
 use std::cmp::Reverse;
@@ -135,17 +136,21 @@
 pub struct Quarantine {
     records: HashMap<Cause, Record>,
     successes: Successes,
+    /// Whether this entry has just started and seen no part of prompts complete: it does not know
+    /// which ones many sound requests hold.
+    is_new: bool,
     /// Gives the moments at which this entry tries causes again; without it, it does so as soon as
     /// their holds end.
     seed: Option<u64>,
 }
 
 impl Quarantine {
-    /// Creates a quarantine without records. Each entry has another seed, so that they do not try
+    /// Creates the quarantine of an entry that has just started. Each entry has another seed, so that they do not try
     /// a cause again at the same moment.
     pub fn new(seed: u64) -> Self {
         Self {
             seed: Some(seed),
+            is_new: true,
             ..Self::default()
         }
     }
@@ -174,19 +179,31 @@
             if last_success.is_some_and(|at| at >= crash.at) {
                 continue;
             }
+            let popularity = self.popularity(*cause, last_success);
             let record = self.records.entry(*cause).or_default();
-            record.is_popular |= last_success.is_some();
+            record.popularity = record.popularity.max(popularity);
             is_urgent |= record.record_run(crash, now);
         }
         self.update_holds(is_urgent, now)
     }
 
+    fn popularity(&self, cause: Cause, last_success: Option<Millis>) -> Popularity {
+        if last_success.is_some() {
+            Popularity::Popular
+        } else if self.is_new && cause.is_part() {
+            Popularity::Unknown
+        } else {
+            Popularity::Rare
+        }
+    }
+
     /// Records that a run of a request with these causes completed at this time and its endpoint
     /// went on, so that none of them caused the earlier crashes.
     pub fn record_success(&mut self, causes: &[Cause], at: Millis, now: Millis) -> Change {
         let mut has_changed = false;
         let mut cleared = Vec::new();
         for cause in causes {
+            self.is_new &= !cause.is_part();
             self.successes.record(*cause, at);
             if let Some(record) = self.records.get_mut(cause) {
                 let was_stored = record.held.is_none() && record.is_stored();
@@ -324,7 +341,7 @@
             (
                 is_old,
                 Reverse(record.crashes()),
-                record.is_popular,
+                record.is_popular(),
                 record.last_sent(),
                 **cause,
             )
--- a/crates/core/src/quarantine/assessment.rs
+++ b/crates/core/src/quarantine/assessment.rs
@@ -27,16 +27,18 @@
     let explained = suspect.explained_crashes(&rivals);
     let unexplained = record
         .count_excluding(|crash| explained.contains(crash) || crash.pieces > MAX_EARLY_PIECES);
+    let is_doubtful = cause.is_part() && record.may_be_popular();
     let is_certain = unexplained.suffices(cause, Confidence::Certain)
         && suspect.stands_alone_once(&rivals)
-        && !record.is_popular;
+        && !record.is_popular()
+        && !is_doubtful;
     if is_certain {
         return Some(Confidence::Certain);
     }
     let tied = suspect.tied_crashes(&rivals);
     let unexplained =
         record.count_excluding(|crash| explained.contains(crash) || tied.contains(crash));
-    let confidence = if cause.is_part() && record.is_popular {
+    let confidence = if is_doubtful {
         Confidence::Doubtful
     } else {
         Confidence::Uncertain
@@ -107,11 +109,11 @@
 
     /// What has completed lately is less likely to be the cause.
     fn is_less_likely_than(&self, rival: &Rival) -> bool {
-        self.record.is_popular && !rival.record.is_popular
+        self.record.is_popular() && !rival.record.is_popular()
     }
 
     fn is_more_likely_than(&self, rival: &Rival) -> bool {
-        !self.record.is_popular && rival.record.is_popular
+        !self.record.is_popular() && rival.record.is_popular()
     }
 
     /// Returns the crashes that another cause explains as well, if it is no less likely. Of two
--- a/crates/core/src/quarantine/message.rs
+++ b/crates/core/src/quarantine/message.rs
@@ -16,11 +16,23 @@
     /// reset are void.
     pub acquittals: u32,
     /// Whether any run with the cause is known to have completed.
-    pub is_popular: bool,
+    pub popularity: Popularity,
     /// The crashes since the last reset.
     pub crashes: Vec<ReportedCrash>,
 }
 
+/// What is known of whether runs with a cause complete, from the least to the most that is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Popularity {
+    /// Nothing: whoever saw it crash endpoints had just started.
+    #[default]
+    Unknown,
+    /// None has lately, at an entry that has seen others complete.
+    Rare,
+    /// Some have.
+    Popular,
+}
+
 /// The crash history of a withheld cause as stored by the platform, for entries that start
 /// when no other entry is running.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -1,7 +1,7 @@
 //! The crash record of one cause.
 
 use crate::clock::Millis;
-use crate::quarantine::message::{CrashHistory, ReportedCrash};
+use crate::quarantine::message::{CrashHistory, Popularity, ReportedCrash};
 use crate::quarantine::{
     CRASH_THRESHOLD, Cause, DOUBTFUL_CRASH_THRESHOLD, DOUBTFUL_HOLD_DURATION, HOLD_DURATION,
     MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION, STORED_CRASHES, TRIAL_TIMEOUT,
@@ -64,7 +64,7 @@
     Certain,
     /// Another cause, or chance, may explain them.
     Uncertain,
-    /// It is a part of prompts that has completed lately, so that many sound requests hold it.
+    /// It is a part of prompts that many sound requests hold, or may hold.
     Doubtful,
 }
 
@@ -112,7 +112,7 @@
     /// How many times a completed run has reset the crash count.
     acquittals: u32,
     /// Whether any run is known to have completed.
-    pub is_popular: bool,
+    pub popularity: Popularity,
     /// The hold state if the cause is withheld.
     pub held: Option<HoldState>,
     /// When this entry last sent a request with the cause although it had been withheld.
@@ -177,7 +177,7 @@
     /// Removes the crashes up to `moment`, when a run with the cause completed: they had another
     /// cause. Returns whether there were any.
     pub fn clear_until(&mut self, moment: Millis, now: Millis) -> bool {
-        self.is_popular = true;
+        self.popularity = Popularity::Popular;
         let before = self.crashes.len();
         self.crashes.retain(|counted| counted.crash.at > moment);
         let has_cleared = self.crashes.len() < before;
@@ -190,7 +190,7 @@
 
     /// Merges a crash history from another entry. Returns the same as [`Self::add`].
     pub fn merge(&mut self, history: &CrashHistory, now: Millis) -> bool {
-        self.is_popular |= history.is_popular;
+        self.popularity = self.popularity.max(history.popularity);
         if history.acquittals < self.acquittals {
             return false;
         }
@@ -219,7 +219,7 @@
         CrashHistory {
             cause,
             acquittals: self.acquittals,
-            is_popular: self.is_popular,
+            popularity: self.popularity,
             crashes: crashes
                 .map(|counted| ReportedCrash::of(counted, now))
                 .collect(),
@@ -236,13 +236,13 @@
     /// it can't be told apart.
     pub fn is_suspect(&self, cause: Cause) -> bool {
         let count = self.count_excluding(|_| false);
-        !self.is_popular && count.suffices(cause, Confidence::Uncertain)
+        !self.is_popular() && count.suffices(cause, Confidence::Uncertain)
     }
 
     /// Returns whether the cause has crashed enough endpoints for its record to be stored, though it
     /// is not withheld.
     pub fn is_stored(&self) -> bool {
-        !self.is_popular && self.crashes() >= STORED_CRASHES
+        !self.is_popular() && self.crashes() >= STORED_CRASHES
     }
 
     /// Returns the number of runs that were interrupted.
@@ -276,6 +276,16 @@
         held.is_some_and(|held| other.is_none_or(|other| held < other))
     }
 
+    /// Returns whether any run with the cause is known to have completed.
+    pub fn is_popular(&self) -> bool {
+        self.popularity == Popularity::Popular
+    }
+
+    /// Returns whether many sound requests may hold the cause, a part of prompts.
+    pub fn may_be_popular(&self) -> bool {
+        self.popularity != Popularity::Rare
+    }
+
     /// Returns whether the crash interrupted a run with this cause.
     pub fn includes(&self, crash: &Crash) -> bool {
         self.all().any(|own| own.is_duplicate_of(crash))
@@ -300,7 +310,7 @@
     /// Returns the rank of the record for eviction. Records with the lowest rank are removed first.
     pub fn eviction_rank(&self) -> (bool, usize, bool, Millis) {
         let is_held = self.held.is_some();
-        (is_held, self.crashes(), !self.is_popular, self.last())
+        (is_held, self.crashes(), !self.is_popular(), self.last())
     }
 
     /// Records that a request with the cause is sent although it was withheld before.
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -153,6 +153,8 @@
     let mut moments = Vec::new();
     for seed in 0..6 {
         let mut quarantine = Quarantine::new(seed);
+        // It has run for a while.
+        quarantine.record_success(&[SHARED], Millis(500), Millis(500));
         crash_with(&mut quarantine, &[FATAL], 0..PART_CRASH_THRESHOLD);
         let causes = with_parts(0, &[FATAL]);
         let hold = quarantine.hold(&causes, Millis(6_000)).unwrap();
@@ -308,3 +310,37 @@
     crash_with(&mut quarantine, &[SHARED], 0..3);
     assert_eq!(quarantine.history_to_store(SHARED, Millis(4_000)), None);
 }
+/// All entries have just been replaced, and endpoints crash faster than any stream outlasts its first
+/// pieces: none of them knows that all prompts hold this part.
+#[test]
+fn an_entry_that_has_just_started_does_not_blame_a_part_of_all_prompts() {
+    let mut quarantine = Quarantine::new(1);
+    let last = DOUBTFUL_CRASH_THRESHOLD - 1;
+    crash_with(&mut quarantine, &[SHARED], 0..last);
+    assert!(!is_withheld(&quarantine, &[SHARED]));
+    // Nor for long if it has to.
+    crash_with(&mut quarantine, &[SHARED], last..last + 1);
+    let hold = quarantine.hold(&with_parts(99, &[SHARED]), Millis(7_000));
+    let hold = hold.unwrap();
+    assert!(hold.until - hold.since < UNCERTAIN_HOLD_DURATION);
+}
+
+#[test]
+fn an_entry_that_has_just_started_blames_a_part_once_another_one_has_completed() {
+    let mut quarantine = Quarantine::new(1);
+    quarantine.record_progress(&with_parts(0, &[SHARED]), Millis(500));
+    crash_with(&mut quarantine, &[SHARED, FATAL], 0..PART_CRASH_THRESHOLD);
+    assert!(is_withheld(&quarantine, &[SHARED, FATAL]));
+    assert!(!is_withheld(&quarantine, &[SHARED]));
+}
+
+/// The others know which parts complete.
+#[test]
+fn an_entry_that_has_just_started_withholds_what_the_others_do() {
+    let mut other = Quarantine::default();
+    crash_with(&mut other, &[FATAL], 0..PART_CRASH_THRESHOLD);
+    let now = Millis(6_000);
+    let mut quarantine = Quarantine::new(1);
+    quarantine.merge_histories(&other.histories_to_send(9, now), now);
+    assert!(is_withheld(&quarantine, &[FATAL]));
+}
