Quarantine: a request that has completed lately gives way to a cause that has not

That a popular cause gives way held for parts of prompts only.

Change: the rule holds for every cause. That a cause needs five crashes where it never stands alone is as before.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -21,10 +21,12 @@
 //!   is enough that a response has outlasted its first pieces. A request that completed recently
 //!   needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes, as it may merely be popular;
 //! - at least one of those crashes interrupted no other cause with as many crashes. Until then
-//!   they cannot be told apart. A request needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes then. If two
-//!   causes still have the same number of crashes, the one that has not completed lately is the
-//!   cause, or else the one with fewer interrupted runs: the other is sent so often that some run
-//!   of it is interrupted by every crash.
+//!   they cannot be told apart, and a request needs [`UNCERTAIN_CRASH_THRESHOLD`] crashes. If two
+//!   causes still have the same number of crashes, the one with fewer interrupted runs is the
+//!   cause: the other is sent so often that some run of it is interrupted by every crash.
+//!
+//! The crashes of what has completed lately are explained by any cause beside it that has not and has
+//! [`CRASH_THRESHOLD`] in sequence, and it explains no crashes of such a cause.
 //!
 //! Causes that can't be told apart are withheld together: a request that holds all of them holds
 //! the true one, whichever it is. Those that hold some of them go on, and their ends tell.
--- a/crates/core/src/quarantine/assessment.rs
+++ b/crates/core/src/quarantine/assessment.rs
@@ -96,15 +96,11 @@
     }
 
     fn is_outranked_by(&self, rival: &Rival) -> bool {
-        // A part of many sound requests stands beside most crashes, whatever causes them.
-        if self.cause.is_part() && self.is_less_likely_than(rival) {
+        // What many sound requests hold, or are, stands beside most crashes, whatever causes them.
+        if self.is_less_likely_than(rival) {
             return rival.crashes >= CRASH_THRESHOLD;
         }
-        if rival.cause.is_part() && self.is_more_likely_than(rival) {
-            return false;
-        }
-        let is_as_frequent = rival.crashes == self.crashes;
-        rival.crashes > self.crashes || (is_as_frequent && self.is_less_likely_than(rival))
+        !self.is_more_likely_than(rival) && rival.crashes > self.crashes
     }
 
     /// What has completed lately is less likely to be the cause.
--- a/crates/core/tests/quarantine/cases.rs
+++ b/crates/core/tests/quarantine/cases.rs
@@ -109,6 +109,24 @@
     assert!(quarantine.hold(&[one], Millis(9_000)).is_some());
 }
 
+/// Many callers send the same request, and another one crashes the endpoints that run it: the first
+/// one stands beside more crashes.
+#[test]
+fn a_request_that_has_completed_lately_does_not_hide_the_cause() {
+    let (cause, popular) = (request("cause"), request("popular"));
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&[popular], Millis(500), Millis(500));
+    let crashes = sequential_crashes(UNCERTAIN_CRASH_THRESHOLD + 2);
+    for (at, crash) in crashes.into_iter().enumerate() {
+        quarantine.record_crash(&[popular], crash, crash.at);
+        if at < UNCERTAIN_CRASH_THRESHOLD {
+            quarantine.record_crash(&[cause], crash, crash.at);
+        }
+        assert_eq!(quarantine.hold(&[popular], crash.at), None);
+    }
+    assert!(quarantine.hold(&[cause], Millis(9_000)).is_some());
+}
+
 /// Two requests run on the same endpoints until a further crash shows which of them is the
 /// cause.
 #[test]
