Quarantine: a stream that goes on clears the crashes at its beginning

At entry-1 one of the streams had ended, with its connection, so that it counts as a good run five seconds later only, and of all others none had: they were cut off, or their callers left. That several had gone on past the place at which crashes were counted said nothing.

Cause: a request crashes endpoints at the same place of its response each time, which the mechanism uses to count crashes and did not use to clear them.

Change: a response that outlasts its first eight pieces clears the crashes of its request in the first four, also those that others tell of later. Later ones are as before.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -133,6 +133,13 @@
     pub is_urgent: bool,
 }
 
+/// A cause that crashes no longer count against.
+struct Clearance {
+    cause: Cause,
+    /// Whether they had to be stored, though it was not withheld.
+    was_stored: bool,
+}
+
 /// Crash records of causes, and the resulting holds.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -178,10 +185,12 @@
         let mut is_urgent = false;
         for cause in causes {
             let last_success = self.successes.last(*cause);
-            if last_success.is_some_and(|at| at >= crash.at) {
+            let last_progress = self.successes.last_progress(*cause);
+            let is_past = |last: Option<Millis>| last.is_some_and(|at| at >= crash.at);
+            if is_past(last_success) || is_past(last_progress) && crash.is_at_beginning() {
                 continue;
             }
-            let popularity = self.popularity(*cause, last_success);
+            let popularity = self.popularity(*cause, last_success.or(last_progress));
             let record = self.records.entry(*cause).or_default();
             record.popularity = record.popularity.max(popularity);
             is_urgent |= record.record_run(crash, now);
@@ -202,36 +211,56 @@
     /// Records that a run of a request with these causes completed at this time and its endpoint
     /// went on, so that none of them caused the earlier crashes.
     pub fn record_success(&mut self, causes: &[Cause], at: Millis, now: Millis) -> Change {
-        let mut has_changed = false;
-        let mut cleared = Vec::new();
+        let mut clearances = Vec::new();
         for cause in causes {
-            self.is_new &= !cause.is_part();
-            self.successes.record(*cause, at);
-            if let Some(record) = self.records.get_mut(cause) {
-                let was_stored = record.held.is_none() && record.is_stored();
-                let has_cleared = record.clear_until(at, now);
-                if was_stored && has_cleared {
-                    cleared.push(*cause);
-                }
-                has_changed |= has_cleared;
-            }
-        }
-        if !has_changed {
-            return Change::default();
-        }
-        Change {
-            cleared,
-            ..self.update_holds(false, now)
+            clearances.extend(self.clear_until(*cause, at, now));
         }
+        self.update_cleared(&clearances, now)
     }
 
     /// Records that a response to a request with these causes has outlasted its first pieces. A part
     /// of prompts crashes endpoints as they begin to respond, so none of them caused the earlier
-    /// crashes.
+    /// crashes. The request caused none of those at the beginning of the response.
     pub fn record_progress(&mut self, causes: &[Cause], now: Millis) -> Change {
-        let parts = causes.iter().copied().filter(|cause| cause.is_part());
-        let parts: Vec<_> = parts.collect();
-        self.record_success(&parts, now, now)
+        let mut clearances = Vec::new();
+        for cause in causes {
+            let clearance = if cause.is_part() {
+                self.clear_until(*cause, now, now)
+            } else {
+                self.successes.record_progress(*cause, now);
+                self.clear(*cause, |record| record.clear_early_until(now, now))
+            };
+            clearances.extend(clearance);
+        }
+        self.update_cleared(&clearances, now)
+    }
+
+    fn clear_until(&mut self, cause: Cause, at: Millis, now: Millis) -> Option<Clearance> {
+        self.is_new &= !cause.is_part();
+        self.successes.record(cause, at);
+        self.clear(cause, |record| record.clear_until(at, now))
+    }
+
+    /// Clears crashes of a cause by a function that returns whether there were any.
+    fn clear(
+        &mut self,
+        cause: Cause,
+        clear: impl FnOnce(&mut Record) -> bool,
+    ) -> Option<Clearance> {
+        let record = self.records.get_mut(&cause)?;
+        let was_stored = record.held.is_none() && record.is_stored();
+        clear(record).then_some(Clearance { cause, was_stored })
+    }
+
+    fn update_cleared(&mut self, clearances: &[Clearance], now: Millis) -> Change {
+        if clearances.is_empty() {
+            return Change::default();
+        }
+        let stored = clearances.iter().filter(|it| it.was_stored);
+        Change {
+            cleared: stored.map(|it| it.cause).collect(),
+            ..self.update_holds(false, now)
+        }
     }
 
     /// Returns the hold on a request with these causes, if it is currently withheld.
@@ -368,6 +397,9 @@
             if let Some(last_success) = self.successes.last(history.cause) {
                 record.clear_until(last_success, now);
             }
+            if let Some(last_progress) = self.successes.last_progress(history.cause) {
+                record.clear_early_until(last_progress, now);
+            }
             if was_stored && !record.is_stored() {
                 cleared.push(history.cause);
             }
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -4,7 +4,7 @@
 use crate::quarantine::message::{CrashHistory, Popularity, ReportedCrash};
 use crate::quarantine::{
     CRASH_THRESHOLD, Cause, DOUBTFUL_CRASH_THRESHOLD, DOUBTFUL_HOLD_DURATION, HOLD_DURATION,
-    MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION, STORED_CRASHES, TRIAL_TIMEOUT,
+    MAX_EARLY_PIECES, MAX_TRIALS, PART_CRASH_THRESHOLD, RETENTION, STORED_CRASHES, TRIAL_TIMEOUT,
     UNCERTAIN_CRASH_THRESHOLD, UNCERTAIN_HOLD_DURATION,
 };
 
@@ -51,6 +51,11 @@
         self.pieces.abs_diff(other.pieces) <= PIECES_TOLERANCE
     }
 
+    /// Returns whether a response that outlasts its first pieces has passed this position.
+    pub fn is_at_beginning(&self) -> bool {
+        self.pieces + PIECES_TOLERANCE <= MAX_EARLY_PIECES
+    }
+
     fn is_duplicate_of(&self, other: &Self) -> bool {
         let difference = (self.at - other.at).max(other.at - self.at);
         self.endpoint == other.endpoint && difference < DUPLICATE_WINDOW
@@ -177,9 +182,21 @@
     /// Removes the crashes up to `moment`, when a run with the cause completed: they had another
     /// cause. Returns whether there were any.
     pub fn clear_until(&mut self, moment: Millis, now: Millis) -> bool {
+        self.clear(|crash| crash.at <= moment, now)
+    }
+
+    /// Removes the crashes up to `moment` at the beginning of the response, when a response had
+    /// outlasted its first pieces: a request crashes endpoints at the same position each time. Returns
+    /// whether there were any.
+    pub fn clear_early_until(&mut self, moment: Millis, now: Millis) -> bool {
+        let is_void = |crash: &Crash| crash.at <= moment && crash.is_at_beginning();
+        self.clear(is_void, now)
+    }
+
+    fn clear(&mut self, is_void: impl Fn(&Crash) -> bool, now: Millis) -> bool {
         self.popularity = Popularity::Popular;
         let before = self.crashes.len();
-        self.crashes.retain(|counted| counted.crash.at > moment);
+        self.crashes.retain(|counted| !is_void(&counted.crash));
         let has_cleared = self.crashes.len() < before;
         if has_cleared {
             self.acquittals += 1;
--- a/crates/core/src/quarantine/success.rs
+++ b/crates/core/src/quarantine/success.rs
@@ -9,10 +9,12 @@
 /// This covers one minute of requests at an entry of the planned size.
 const MAX_SUCCESSES: usize = 2_048;
 
-/// The last completed runs of requests and of parts of prompts.
+/// The last runs of requests and of parts of prompts without a crash.
 #[derive(Debug, Default)]
 pub struct Successes {
     requests: Memory,
+    /// When responses to requests last outlasted their first pieces.
+    progress: Memory,
     /// Apart from requests: most of these come only once.
     parts: Memory,
 }
@@ -35,6 +37,16 @@
         }
     }
 
+    /// Records a response to a request that has outlasted its first pieces.
+    pub fn record_progress(&mut self, request: Cause, at: Millis) {
+        self.progress.record(request, at);
+    }
+
+    /// Returns when a response to a request last outlasted its first pieces, if it is remembered.
+    pub fn last_progress(&self, request: Cause) -> Option<Millis> {
+        self.progress.last(request)
+    }
+
     /// Returns when a run last completed, if it is remembered.
     pub fn last(&self, cause: Cause) -> Option<Millis> {
         let memory = if cause.is_part() {
@@ -42,11 +54,15 @@
         } else {
             &self.requests
         };
-        memory.last.get(&cause).copied()
+        memory.last(cause)
     }
 }
 
 impl Memory {
+    fn last(&self, cause: Cause) -> Option<Millis> {
+        self.last.get(&cause).copied()
+    }
+
     fn record(&mut self, cause: Cause, at: Millis) {
         let last = self.last.entry(cause).or_insert_with(|| {
             self.order.push_back(cause);
--- a/crates/core/tests/quarantine/cases.rs
+++ b/crates/core/tests/quarantine/cases.rs
@@ -127,6 +127,36 @@
     assert!(quarantine.hold(&[cause], Millis(9_000)).is_some());
 }
 
+/// Streams of many callers are the same request. Few of them end well where endpoints crash often, but
+/// some go on past the place at which others were cut off.
+#[test]
+fn a_stream_that_goes_on_clears_the_crashes_at_its_beginning() {
+    let (mut quarantine, one) = after(&sequential_crashes(CRASH_THRESHOLD));
+    assert!(quarantine.hold(&[one], Millis(9_000)).is_some());
+    let change = quarantine.record_progress(&[one], Millis(4_000));
+    assert_eq!(change.released, [one]);
+    // Also those of which others tell later.
+    let (mut other, _) = after(&sequential_crashes(CRASH_THRESHOLD));
+    quarantine.merge_histories(&other.histories_to_send(9, Millis(4_100)), Millis(4_100));
+    assert_eq!(quarantine.hold(&[one], Millis(9_000)), None);
+}
+
+/// It may crash endpoints later in its response.
+#[test]
+fn a_stream_that_goes_on_clears_no_later_crashes() {
+    let (mut quarantine, one) = after(&at_positions([40, 42, 39, 40, 41]));
+    assert!(quarantine.hold(&[one], Millis(9_000)).is_some());
+    quarantine.record_progress(&[one], Millis(7_000));
+    assert!(quarantine.hold(&[one], Millis(9_000)).is_some());
+    let mut other = Quarantine::default();
+    other.record_progress(&[one], Millis(7_000));
+    other.merge_histories(
+        &quarantine.histories_to_send(9, Millis(7_100)),
+        Millis(7_100),
+    );
+    assert!(other.hold(&[one], Millis(9_000)).is_some());
+}
+
 /// Two requests run on the same endpoints until a further crash shows which of them is the
 /// cause.
 #[test]
