Contract tests: a link that refuses keeps its address

Change: links listen at loopback addresses of their process's own, as crashing endpoints do; one function for both.

--- a/crates/relay/tests/contract/link.rs
+++ b/crates/relay/tests/contract/link.rs
@@ -1,12 +1,14 @@
 //! The link between one entry and one endpoint, which a test can cut.
 
 use std::io::{self, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use rustix::net::sockopt;
 
+use crate::loopback::own_ip;
+
 /// How often a connection looks at how it is to behave.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -47,7 +49,7 @@
 
 impl Link {
     pub fn to(target: SocketAddr) -> Self {
-        let listener = listen((Ipv4Addr::LOCALHOST, 0).into());
+        let listener = listen((own_ip(), 0).into());
         let address = listener.local_addr().unwrap();
         let state = Mutex::new(State {
             mode: Mode::Pass,
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -16,6 +16,7 @@
 mod link;
 mod lives;
 mod load_header;
+mod loopback;
 mod lost_links;
 mod messages;
 mod others;
--- a/crates/relay/tests/crashes/crashing.rs
+++ b/crates/relay/tests/crashes/crashing.rs
@@ -2,8 +2,8 @@
 //! nothing listens for a while, and it comes back at its address with a later start.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -12,6 +12,7 @@
 use woodgap_core::relay::{Work, roster};
 
 use crate::endpoint::header;
+use crate::loopback::own_ip;
 use crate::site;
 
 /// Ends each endpoint that begins to run it.
@@ -124,15 +125,6 @@
     }
 }
 
-/// An address of the loopback that nothing else uses: while nothing listens there, its port may
-/// not go to another test.
-fn own_ip() -> Ipv4Addr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    Ipv4Addr::new(127, high.max(1), low, number)
-}
-
 impl Drop for Crashing {
     fn drop(&mut self) {
         self.life.is_over.store(true, Ordering::Relaxed);
--- a/crates/relay/tests/crashes/main.rs
+++ b/crates/relay/tests/crashes/main.rs
@@ -14,6 +14,8 @@
 #[allow(dead_code)]
 #[path = "../contract/endpoint.rs"]
 mod endpoint;
+#[path = "../contract/loopback.rs"]
+mod loopback;
 mod parts;
 mod requests;
 #[allow(dead_code)]
