Soak: streams are to go on while two endpoints of their version serve

What operators ask for is that streams go on while two endpoints of their version serve; the check left that out. Besides, streams that were withheld were not looked for: all of a route are one request, as its callers send no body.

Change: endpoints tell when they serve, listed in the life in which they listen; a stream that is taken up counts where two of its version do.

--- a/crates/relay/tests/soak/endpoint.rs
+++ b/crates/relay/tests/soak/endpoint.rs
@@ -177,6 +177,7 @@
 
     /// Has its answers say that it is leaving.
     pub fn say_leaving(&self) {
+        self.record.serves_no_more(&self.name);
         self.is_leaving.set(true);
     }
 
@@ -202,6 +203,7 @@
 
     /// Ends its life: it listens no more, and all its connections are reset.
     pub fn stop(&self) {
+        self.record.serves_no_more(&self.name);
         self.life.send_modify(|life| *life += 1);
     }
 
--- a/crates/relay/tests/soak/record.rs
+++ b/crates/relay/tests/soak/record.rs
@@ -108,6 +108,24 @@
     pub free_slots: Option<u32>,
 }
 
+/// A life of an endpoint, for as long as it listens and is listed.
+#[derive(Clone, Debug)]
+struct Serving {
+    endpoint: String,
+    version: String,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+/// A request of many callers that was withheld, though it ends no endpoint.
+#[derive(Clone, Debug)]
+pub struct Withheld {
+    pub request: String,
+    /// The process that was asked, counted over all starts.
+    pub life: usize,
+    pub at: Instant,
+}
+
 /// What breaks a promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Problem {
@@ -179,6 +197,8 @@
     resets: Vec<(SocketAddr, Instant)>,
     /// Requests that have ended an endpoint.
     fatal: Vec<(String, Instant)>,
+    serving: Vec<Serving>,
+    withheld: Vec<Withheld>,
     problems: Vec<Problem>,
 }
 
@@ -250,6 +270,48 @@
         self.0.borrow().fatal.clone()
     }
 
+    /// Notes that an endpoint is listed in the life in which it listens.
+    pub fn serves(&self, endpoint: &str, version: &str) {
+        self.serves_no_more(endpoint);
+        self.0.borrow_mut().serving.push(Serving {
+            endpoint: endpoint.to_owned(),
+            version: version.to_owned(),
+            from: Instant::now(),
+            until: None,
+        });
+    }
+
+    /// Notes that an endpoint has ended, or is leaving.
+    pub fn serves_no_more(&self, endpoint: &str) {
+        let mut all = self.0.borrow_mut();
+        let of_it = all.serving.iter_mut().filter(|it| it.endpoint == endpoint);
+        for serving in of_it {
+            serving.until.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// How many endpoints of a version served at a moment.
+    pub fn count_serving(&self, version: &str, at: Instant) -> usize {
+        let all = self.0.borrow();
+        let of_it = all.serving.iter().filter(|it| it.version == version);
+        let then = of_it.filter(|it| it.from <= at && it.until.is_none_or(|until| at < until));
+        then.count()
+    }
+
+    /// Notes that a request of many callers was withheld.
+    pub fn withheld(&self, id: &str, life: usize) {
+        self.0.borrow_mut().withheld.push(Withheld {
+            request: id.to_owned(),
+            life,
+            at: Instant::now(),
+        });
+    }
+
+    /// All such requests.
+    pub fn all_withheld(&self) -> Vec<Withheld> {
+        self.0.borrow().withheld.clone()
+    }
+
     /// Whether a proxy reset the connection of a run before a moment.
     pub fn was_reset(&self, run: &Run, until: Instant) -> bool {
         let all = self.0.borrow();
--- a/crates/relay/tests/soak/world/members.rs
+++ b/crates/relay/tests/soak/world/members.rs
@@ -62,6 +62,7 @@
             version: endpoint.version(0).to_owned(),
         };
         self.list(&row).await;
+        self.record.serves(row.life.id.as_str(), &row.version);
         Member {
             row,
             proxy,
@@ -114,6 +115,7 @@
             tokio::time::sleep(BRIEFLY).await;
             member.endpoint.stop();
         }
+        let life = member.endpoint.life();
         match restart.listed {
             Listed::Early(_) | Listed::Before => {
                 tokio::join!(self.list_again(&member), resume());
@@ -124,6 +126,11 @@
                 self.list_again(&member).await;
             }
         }
+        // A request may have ended it again meanwhile.
+        if member.endpoint.life() == life && !self.is_replaced(&member) {
+            let version = member.endpoint.version(life);
+            self.record.serves(member.row.life.id.as_str(), version);
+        }
     }
 
     /// Lists an endpoint in its life of now, unless another one has come in its place.
