Quarantine: crashes that several entries have seen are stored by one of them

Change: a cause that needs to be stored since another entry told of its crashes is written by the first entry.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -128,6 +128,8 @@
     pub released: Vec<Cause>,
     /// Causes that were not withheld, and whose crashes need no longer be stored.
     pub cleared: Vec<Cause>,
+    /// Causes whose crashes need to be stored by what other entries have told.
+    pub marked: Vec<Cause>,
     /// Whether other entries should be informed immediately, as several endpoints have crashed in
     /// sequence.
     pub is_urgent: bool,
@@ -389,7 +391,7 @@
             return Change::default();
         }
         let mut is_urgent = false;
-        let mut cleared = Vec::new();
+        let (mut cleared, mut marked) = (Vec::new(), Vec::new());
         for history in histories {
             let record = self.records.entry(history.cause).or_default();
             let was_stored = record.held.is_none() && record.is_stored();
@@ -400,12 +402,15 @@
             if let Some(last_progress) = self.successes.last_progress(history.cause) {
                 record.clear_early_until(last_progress, now);
             }
-            if was_stored && !record.is_stored() {
-                cleared.push(history.cause);
+            match (was_stored, record.is_stored()) {
+                (true, false) => cleared.push(history.cause),
+                (false, true) => marked.push(history.cause),
+                _ => {}
             }
         }
         Change {
             cleared,
+            marked,
             ..self.update_holds(is_urgent, now)
         }
     }
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -294,6 +294,21 @@
     assert_eq!(quarantine.history_to_store(FATAL, now), None);
 }
 
+/// Each entry has seen one crash, and neither writes it.
+#[test]
+fn crashes_that_several_entries_have_seen_are_stored_once_these_tell() {
+    let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+    crash_with(&mut first, &[FATAL], 0..1);
+    crash_with(&mut second, &[FATAL], 1..2);
+    let now = Millis(2_100);
+    assert_eq!(second.history_to_store(FATAL, now), None);
+    let change = second.merge_histories(&first.histories_to_send(9, now), now);
+    assert_eq!(change.marked, [FATAL]);
+    assert!(second.history_to_store(FATAL, now).is_some());
+    let change = second.merge_histories(&first.histories_to_send(9, now), now);
+    assert_eq!(change.marked, []);
+}
+
 /// Many sound requests hold it: it stands beside each crash, and would be written at each.
 #[test]
 fn crashes_of_a_part_that_has_completed_lately_are_not_stored() {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -503,7 +503,12 @@
 
     fn quarantine_changed(&self, change: &Change, witness: Witness) {
         let now = self.now();
-        let changed = [&change.withheld, &change.released, &change.cleared];
+        let changed = [
+            &change.withheld,
+            &change.released,
+            &change.cleared,
+            &change.marked,
+        ];
         let has_changed = changed.iter().any(|causes| !causes.is_empty());
         // What no entry has seen by itself, as it follows from what several have, is written by one.
         let writes = || witness == Witness::Own || self.standing().rank == 0;
