Quarantine: parts that are withheld together are tried again by one request

Cause, found by reading: a trial was bounded for what is withheld alone; once a hold on parts that can't be told apart is over, all requests with them that an entry has go out at once, and each may end an endpoint.

Change: a request that would have been withheld for all its parts together is a trial for each of them, as for one. Sound requests with some of the parts are no trial.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -269,17 +269,27 @@
     pub fn hold(&self, causes: &[Cause], now: Millis) -> Option<Hold> {
         let holds = causes.iter().filter_map(|cause| {
             let record = self.records.get(cause)?;
-            let confidence = match record.held {
-                Some(held) => held.confidence,
-                // Whatever else the request holds is no alternative: it comes with it.
-                None => confidence(&self.records, *cause, record, causes)?,
-            };
+            let confidence = self.confidence_in_request(*cause, record, causes)?;
             self.hold_on(*cause, record, confidence)
         });
         let holds = holds.filter(|hold| now < hold.until);
         holds.max_by_key(|hold| hold.until)
     }
 
+    /// Returns the confidence that a cause crashes the endpoints that run a request with all these.
+    fn confidence_in_request(
+        &self,
+        cause: Cause,
+        record: &Record,
+        causes: &[Cause],
+    ) -> Option<Confidence> {
+        match record.held {
+            Some(held) => Some(held.confidence),
+            // Whatever else the request holds is no alternative: it comes with it.
+            None => confidence(&self.records, cause, record, causes),
+        }
+    }
+
     fn hold_on(&self, cause: Cause, record: &Record, confidence: Confidence) -> Option<Hold> {
         let until = record.held_until(confidence)?;
         let crashes = record.crashes();
@@ -301,12 +311,16 @@
         self.seed.map(delay).unwrap_or_default()
     }
 
-    /// Records that a request with these causes is sent. If one of them was withheld, this is a
-    /// trial, and no other request with it is sent until it has ended.
+    /// Records that a request with these causes is sent. If one of them was withheld, or all of them
+    /// together, this is a trial, and no other such request is sent until it has ended.
     pub fn record_send(&mut self, causes: &[Cause], now: Millis) {
-        for cause in causes {
-            let record = self.records.get_mut(cause);
-            if let Some(record) = record.filter(|record| record.held.is_some()) {
+        let is_tried = |cause: &Cause| {
+            let record = self.records.get(cause);
+            record.is_some_and(|it| self.confidence_in_request(*cause, it, causes).is_some())
+        };
+        let tried: Vec<_> = causes.iter().copied().filter(is_tried).collect();
+        for cause in tried {
+            if let Some(record) = self.records.get_mut(&cause) {
                 record.begin_trial(now);
             }
         }
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -88,6 +88,23 @@
     assert!(!is_withheld(&quarantine, &[SHARED]));
 }
 
+/// After the hold one request with all of them is sent, and no other until it has ended.
+#[test]
+fn parts_that_are_withheld_together_are_tried_again_by_one_request() {
+    let mut quarantine = Quarantine::default();
+    crash_with(&mut quarantine, &[SHARED, FATAL], 0..PART_CRASH_THRESHOLD);
+    let causes = with_parts(50, &[SHARED, FATAL]);
+    let hold = quarantine.hold(&causes, Millis(6_000)).unwrap();
+    assert_eq!(quarantine.hold(&causes, hold.until), None);
+    quarantine.record_send(&causes, hold.until);
+    let another = with_parts(51, &[SHARED, FATAL]);
+    let next = quarantine.hold(&another, hold.until + Millis(1)).unwrap();
+    assert!(next.until > hold.until);
+    // Those that hold some of them go on.
+    let sound = with_parts(52, &[SHARED]);
+    assert_eq!(quarantine.hold(&sound, hold.until + Millis(1)), None);
+}
+
 /// One request more shows that the other part is the cause.
 #[test]
 fn a_further_crash_tells_parts_apart() {
