--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -97,8 +97,8 @@
 /// The maximum number of crash records, at 0.3 kB each. A crash at the planned size interrupts
 /// 47 requests.
 const MAX_RECORDS: usize = 1_024;
-/// Number of sequential crashes from which on the record of a cause is stored that has not completed
-/// lately. One that is lost with all entries costs one endpoint more.
+/// Number of sequential crashes from which on the record of a cause is stored, unless it has
+/// completed lately. Crashes that are lost with all entries cost as many endpoints again.
 const STORED_CRASHES: usize = 2;
 /// The maximum number of causes that an entry stores which are not withheld.
 const MAX_STORED_MARKS: usize = 64;
@@ -128,7 +128,7 @@
     pub released: Vec<Cause>,
     /// Causes that were not withheld, and whose crashes need no longer be stored.
     pub cleared: Vec<Cause>,
-    /// Causes whose crashes need to be stored by what other entries have told.
+    /// Causes whose crashes need to be stored since other entries told of some.
     pub marked: Vec<Cause>,
     /// Whether other entries should be informed immediately, as several endpoints have crashed in
     /// sequence.
@@ -156,8 +156,8 @@
 }
 
 impl Quarantine {
-    /// Creates the quarantine of an entry that has just started. Each entry has another seed, so that they do not try
-    /// a cause again at the same moment.
+    /// Creates the quarantine of an entry that has just started. Each entry has another seed, so
+    /// that they do not try a cause again at the same moment.
     pub fn new(seed: u64) -> Self {
         Self {
             seed: Some(seed),
@@ -200,6 +200,7 @@
         self.update_holds(is_urgent, now)
     }
 
+    /// Returns what this entry knows of whether runs with a cause complete, by its last such run.
     fn popularity(&self, cause: Cause, last_success: Option<Millis>) -> Popularity {
         if last_success.is_some() {
             Popularity::Popular
