Quarantine: what is withheld already is not stored anew whenever it is told

What is withheld is told in each message, so the first entry would have written its row to the platform again and again for as long as a hold lasts.

Change: both sides ask the same of the record; one that is withheld is never cleared here, as its release is told apart.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -409,7 +409,7 @@
         let (mut cleared, mut marked) = (Vec::new(), Vec::new());
         for history in histories {
             let record = self.records.entry(history.cause).or_default();
-            let was_stored = record.held.is_none() && record.is_stored();
+            let (was_held, was_stored) = (record.held.is_some(), record.is_stored());
             is_urgent |= record.merge(history, now);
             if let Some(last_success) = self.successes.last(history.cause) {
                 record.clear_until(last_success, now);
@@ -418,7 +418,7 @@
                 record.clear_early_until(last_progress, now);
             }
             match (was_stored, record.is_stored()) {
-                (true, false) => cleared.push(history.cause),
+                (true, false) if !was_held => cleared.push(history.cause),
                 (false, true) => marked.push(history.cause),
                 _ => {}
             }
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use woodgap_core::clock::Millis;
 use woodgap_core::quarantine::{
-    Cause, Crash, DOUBTFUL_CRASH_THRESHOLD, DOUBTFUL_HOLD_DURATION, PART_CRASH_THRESHOLD,
+    Cause, Change, Crash, DOUBTFUL_CRASH_THRESHOLD, DOUBTFUL_HOLD_DURATION, PART_CRASH_THRESHOLD,
     Quarantine, TRIAL_SPREAD, UNCERTAIN_HOLD_DURATION,
 };
 
@@ -326,6 +326,17 @@
     assert_eq!(change.marked, []);
 }
 
+/// What is withheld is told in each message, and would be written at each.
+#[test]
+fn what_is_withheld_already_is_not_stored_anew_whenever_it_is_told() {
+    let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+    crash_with(&mut first, &[FATAL], 0..PART_CRASH_THRESHOLD);
+    let now = Millis(6_000);
+    let told = first.histories_to_send(9, now);
+    assert_eq!(second.merge_histories(&told, now).withheld, [FATAL]);
+    assert_eq!(second.merge_histories(&told, now), Change::default());
+}
+
 /// Many sound requests hold it: it stands beside each crash, and would be written at each.
 #[test]
 fn crashes_of_a_part_that_has_completed_lately_are_not_stored() {
