Tests of scarce capacity: a program of their own, one case at a time

All four cases of scarce capacity got 0.10 to 0.35 of the capacity there. They run three processes each in real time, ran at the same time, and beside the other contract tests; the run took 1,056 s, where others took 723 and 946. That the processor was short is suspected, not shown on that machine.

Change: tests/realtime holds them, as tests/crashes holds its cases, and they run one after another (serial_test).

--- a/crates/relay/tests/contract/scarce.rs
+++ b/crates/relay/tests/realtime/scarce.rs
@@ -11,6 +11,7 @@
 
 use fleet::Fleet;
 use load::{Load, Source};
+use serial_test::serial;
 use tally::Tally;
 
 /// How long callers send requests, from the time on at which the entries know each other.
@@ -48,6 +49,7 @@
 /// Guards against one workspace that takes what others need: small ones got 0.33 to 0.51 of their
 /// requests answered, and the heavy one 0.43.
 #[test]
+#[serial]
 fn small_workspaces_are_served_in_time_beside_a_heavy_one() {
     let tally = play(&heavy_and_small(), 1, None);
     println!("{tally}");
@@ -59,6 +61,7 @@
 
 /// Guards against shares that are lost with the entry that keeps them.
 #[test]
+#[serial]
 fn small_workspaces_are_served_in_time_while_an_entry_is_killed() {
     let tally = play(&heavy_and_small(), 2, Some(KILLED));
     println!("{tally}");
@@ -71,6 +74,7 @@
 /// Guards against a priority without effect: 0.43 of the requests of priority 0 were answered, and
 /// 0.41 of those of priority 2.
 #[test]
+#[serial]
 fn urgent_requests_are_served_in_time() {
     let sources = [Source::new("all", 0, 50.0), Source::new("all", 2, 200.0)];
     let tally = play(&sources, 3, None);
@@ -83,6 +87,7 @@
 
 /// Guards against callers that are told to come back when there is no room for them.
 #[test]
+#[serial]
 fn callers_that_come_back_as_told_are_served() {
     let tally = play(&[Source::new("all", 0, 160.0)], 4, None);
     println!("{tally}");
