Crash checks: what was in flight when an outage began is what may have caused it

Cause: until the row of a crashed endpoint tells of its new start, whatever accepts connections in front of it drops each.

Change: an outage begins with a loss before which the endpoint has responded. What was in flight when it began is suspect, beside what was lost last (an outage may begin with a lost link and end with a crash); each cause counts once for one crash.

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -4,13 +4,15 @@
 //! intermediary resets it. If the address refuses connections right afterwards, while this entry
 //! reaches other endpoints, the endpoint has crashed, and each request that it had in flight may be
 //! the cause. The same holds if the address accepts connections, but the endpoint is then listed
-//! with a later start, or another one declines requests there that are meant for it.
+//! with a later start, or another one declines requests there that are meant for it. Until then,
+//! more connections may be lost: whatever accepts them in front of the endpoint drops each. The
+//! endpoint crashed when its outage began, with the requests that were in flight then.
 //!
 //! A response that ends with its connection looks the same if its endpoint has crashed. Its end is
 //! checked in the same way, and shows that the endpoint survived the request only if no sign of a
 //! crash follows.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -70,6 +72,15 @@
     fn has_ended(&self) -> bool {
         self.end.is_some()
     }
+
+    /// How far from a crash its connection may have been lost in it.
+    fn window(&self) -> Millis {
+        if self.has_ended() {
+            END_WINDOW
+        } else {
+            CRASH_WINDOW
+        }
+    }
 }
 
 /// The endpoints that recently dropped a connection.
@@ -84,10 +95,29 @@
     probe: Option<Shared<LocalBoxFuture<'static, ()>>>,
     /// The requests that await the result, in the order in which their connections were lost.
     suspects: Vec<Suspect>,
+    /// The last series of lost connections.
+    outage: Option<Outage>,
     /// When the endpoint was found to have crashed, and how.
     crash: Option<(Millis, Sign)>,
 }
 
+/// A series of lost connections, between which the endpoint did not respond to anything.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// When the first connection was lost.
+    began: Millis,
+    /// Whether the endpoint has responded since.
+    is_over: bool,
+}
+
+impl Outage {
+    /// Whether this request was in flight when the endpoint was lost.
+    fn began_with(&self, suspect: &Suspect) -> bool {
+        let difference = (suspect.disconnected - self.began).max(self.began - suspect.disconnected);
+        suspect.sent <= self.began && difference < suspect.window()
+    }
+}
+
 /// The sign by which a crash was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sign {
@@ -124,22 +154,34 @@
         recent.map(|(_, sign)| sign)
     }
 
-    /// Marks the endpoint as crashed and returns the requests that it had in flight.
+    /// Adds a request whose connection was lost, or ended with the response.
+    fn add_suspect(&mut self, suspect: Suspect) {
+        let began = suspect.disconnected;
+        let is_new = self.outage.is_none_or(|outage| outage.is_over);
+        if !suspect.has_ended() && is_new {
+            self.outage = Some(Outage {
+                began,
+                is_over: false,
+            });
+        }
+        self.suspects.push(suspect);
+    }
+
+    /// Marks the endpoint as crashed and returns the requests that it had in flight. An outage may
+    /// begin with a lost link and end with a crash, so those that were lost last are among them.
     fn mark_crashed(&mut self, sign: Sign, now: Millis) -> Vec<Suspect> {
         self.crash = Some((now, sign));
         let mut suspects = std::mem::take(&mut self.suspects);
+        let outage = self.outage.take();
         let lost = suspects.iter().rfind(|suspect| !suspect.has_ended());
-        let (crash, window) = match lost {
-            Some(lost) => (lost.disconnected, END_WINDOW),
-            None => (now, CRASH_WINDOW),
-        };
+        let last = lost.map(|suspect| suspect.disconnected);
         suspects.retain(|suspect| {
-            let window = if suspect.has_ended() {
-                window
-            } else {
-                CRASH_WINDOW
+            let (last, window) = match last {
+                Some(last) => (last, suspect.window()),
+                None => (now, CRASH_WINDOW),
             };
-            crash - suspect.disconnected < window
+            let is_first = outage.is_some_and(|outage| outage.began_with(suspect));
+            is_first || last - suspect.disconnected < window
         });
         suspects
     }
@@ -180,7 +222,7 @@
         count_crash(state, life, &[suspect]);
         return;
     }
-    check.suspects.push(suspect);
+    check.add_suspect(suspect);
     if check.probe.is_none() {
         let probe = probe_endpoint(Rc::clone(state), life.clone(), address);
         let probe = probe.boxed_local().shared();
@@ -219,6 +261,16 @@
     sign != Some(Sign::Refused)
 }
 
+/// Records that the endpoint has responded: connections that are lost from now on are not lost to
+/// an earlier crash.
+pub fn record_response(state: &State, life: &name::Life) {
+    let mut checks = state.crash_checks.borrow_mut();
+    let check = checks.by_life.get_mut(life);
+    if let Some(outage) = check.and_then(|check| check.outage.as_mut()) {
+        outage.is_over = true;
+    }
+}
+
 /// Removes what is over, and records the responses that have ended with their connections and whose
 /// endpoints have not crashed since.
 pub fn expire(state: &State) {
@@ -306,15 +358,24 @@
     count_crash(state, life, &suspects);
 }
 
-/// Counts the crash against these requests.
+/// Counts the crash against these requests, in the order in which their connections were lost: once
+/// against each cause, however many requests with it were sent there until the crash was found.
 fn count_crash(state: &State, life: &name::Life, suspects: &[Suspect]) {
+    let began = suspects.first().map_or(Millis::ZERO, |it| it.disconnected);
+    let mut counted = HashSet::<Cause>::new();
     for suspect in suspects {
+        let is_later = suspect.disconnected - began >= CRASH_WINDOW;
+        let causes = suspect.causes.iter().copied();
+        let causes: Vec<_> = causes
+            .filter(|cause| !(is_later && counted.contains(cause)))
+            .collect();
+        counted.extend(&causes);
         let crash = Crash {
             endpoint: load_report::life_key(life),
             sent: suspect.sent,
             at: suspect.disconnected,
             pieces: suspect.pieces,
         };
-        state.crashed(&suspect.causes, crash);
+        state.crashed(&causes, crash);
     }
 }
--- a/crates/relay/src/request/placement.rs
+++ b/crates/relay/src/request/placement.rs
@@ -95,6 +95,8 @@
         let now = self.state.now();
         let mut loads = self.state.loads.borrow_mut();
         loads.record_first_byte(&self.ticket, self.is_plain, now);
+        drop(loads);
+        crash::record_response(&self.state, self.endpoint());
     }
 
     /// Records that the endpoint has started the request, for the usage report.
@@ -108,6 +110,7 @@
     /// Records a chunk of the response.
     pub fn event(&self) {
         self.pieces.set(self.pieces.get().saturating_add(1));
+        crash::record_response(&self.state, self.endpoint());
         if self.pieces.get() == MAX_EARLY_PIECES + 1 {
             self.state.progressed(&self.causes);
         }
--- a/crates/relay/tests/crashes/requests.rs
+++ b/crates/relay/tests/crashes/requests.rs
@@ -7,6 +7,7 @@
 //! were cut off were of one workspace, no two with the same identity.
 
 use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -17,7 +18,7 @@
 
 use crate::caller::post;
 use crate::crashing::{Arrivals, Crashing, DOWN, Down, FATAL, Manner, PLAIN};
-use crate::site::{Fixed, Site, source, until_met};
+use crate::site::{Fixed, Site, source, until, until_met};
 
 /// How many endpoints and entries there are.
 const ENDPOINTS: usize = 12;
@@ -41,12 +42,12 @@
 
 impl Fleet {
     fn start(down: Down) -> Self {
-        Self::with(down, PLAIN)
+        Self::with(ENDPOINTS, down, PLAIN)
     }
 
-    fn with(down: Down, manner: Manner) -> Self {
+    fn with(endpoints: usize, down: Down, manner: Manner) -> Self {
         let arrivals = Arrivals::default();
-        let endpoints = (0..ENDPOINTS).map(|_| Crashing::with(&arrivals, down, manner));
+        let endpoints = (0..endpoints).map(|_| Crashing::with(&arrivals, down, manner));
         let endpoints = endpoints.collect();
         let mut fleet = Self {
             endpoints,
@@ -153,11 +154,38 @@
 /// cut off by that, later than those that the endpoint had when it crashed.
 #[test]
 fn endpoints_behind_something_that_takes_connections_are_no_exception() {
-    let down = Down::Fronted(Duration::from_millis(1_800));
-    let fleet = Fleet::start(down);
+    let fleet = Fleet::start(Down::Fronted(Duration::from_millis(1_800)));
+    beside_others(&fleet.sites, || fleet.send_all("/write/"));
+    fleet.check();
+}
+
+/// An endpoint that is gone for long loses requests until its row tells of its new start: what it
+/// had when it crashed lies further back than what was lost last.
+#[test]
+fn what_began_a_long_outage_is_its_cause() {
+    let down = Duration::from_millis(2_500);
+    let fleet = Fleet::with(1, Down::Fronted(down), PLAIN);
+    let entry = &fleet.sites[0];
+    let ask = |number| post(entry.requests, "/write/", &format!("c{number}"), FATAL);
+    beside_others(&fleet.sites[..1], || {
+        for number in 0..3 {
+            ask(number);
+            sleep(down + PAUSE);
+            fleet.list_anew();
+            // The entry reads the row meanwhile.
+            sleep(PAUSE);
+            until(|| post(entry.requests, "/read/", "is-back", b"is it back?").status == 200);
+        }
+        let answer = ask(3);
+        assert!(answer.text().contains("withheld"), "{}", answer.text());
+    });
+}
+
+/// Does this while others send requests to each of these entries.
+fn beside_others(sites: &[Site], act: impl FnOnce()) {
     let is_over = AtomicBool::new(false);
     std::thread::scope(|scope| {
-        for site in &fleet.sites {
+        for site in sites {
             scope.spawn(|| {
                 for number in 0.. {
                     if is_over.load(Ordering::Relaxed) {
@@ -174,10 +202,11 @@
                 }
             });
         }
-        fleet.send_all("/write/");
+        // Else the others would go on after a failure.
+        let acted = catch_unwind(AssertUnwindSafe(act));
         is_over.store(true, Ordering::Relaxed);
+        acted.unwrap_or_else(|failure| resume_unwind(failure));
     });
-    fleet.check();
 }
 
 fn reaches_few_more(fleet: &Fleet, target: &str) {
@@ -226,5 +255,5 @@
         has_errors: true,
         ..PLAIN
     };
-    reaches_few_more(&Fleet::with(DOWN, manner), "/write/");
+    reaches_few_more(&Fleet::with(ENDPOINTS, DOWN, manner), "/write/");
 }
