Crash checks: what was in flight when an outage began awaits its end

Cause: requests whose connections were lost were forgotten after five seconds, without a look at whether the endpoint was back. One that takes longer to start, behind something that accepts connections meanwhile, left no mark at all, or marks on what was lost last.

Change: what was in flight when the outage began is kept until five seconds after the endpoint's next response, a minute at most.

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -35,6 +35,9 @@
 /// How long after a lost connection a later start of the endpoint means that it had crashed: the
 /// row is written within a second or two of the start, and read soon after.
 const RESTART_WINDOW: Millis = Millis(5_000);
+/// How long an outage may last after which a later start of the endpoint means that it had crashed:
+/// starting one can take long.
+const OUTAGE_LIMIT: Millis = Millis(60_000);
 
 /// All connections to a crashing endpoint end within this time, as seen by one entry. A response
 /// that ended with its connection earlier than that was complete.
@@ -106,8 +109,8 @@
 struct Outage {
     /// When the first connection was lost.
     began: Millis,
-    /// Whether the endpoint has responded since.
-    is_over: bool,
+    /// When the endpoint first responded again.
+    ended: Option<Millis>,
 }
 
 impl Outage {
@@ -140,8 +143,8 @@
 
 impl CrashCheck {
     fn is_recent(&self, now: Millis) -> bool {
-        let last = self.suspects.last().map(|suspect| suspect.disconnected);
-        let waits = last.is_some_and(|last| now - last < RESTART_WINDOW);
+        let mut suspects = self.suspects.iter();
+        let waits = suspects.any(|suspect| self.awaits_sign(suspect, now));
         self.probe.is_some() || waits || self.has_crashed(now)
     }
 
@@ -157,12 +160,9 @@
     /// Adds a request whose connection was lost, or ended with the response.
     fn add_suspect(&mut self, suspect: Suspect) {
         let began = suspect.disconnected;
-        let is_new = self.outage.is_none_or(|outage| outage.is_over);
+        let is_new = self.outage.is_none_or(|outage| outage.ended.is_some());
         if !suspect.has_ended() && is_new {
-            self.outage = Some(Outage {
-                began,
-                is_over: false,
-            });
+            self.outage = Some(Outage { began, ended: None });
         }
         self.suspects.push(suspect);
     }
@@ -173,25 +173,41 @@
         self.crash = Some((now, sign));
         let mut suspects = std::mem::take(&mut self.suspects);
         let outage = self.outage.take();
-        let lost = suspects.iter().rfind(|suspect| !suspect.has_ended());
-        let last = lost.map(|suspect| suspect.disconnected);
+        let mut losses = suspects.iter().filter(|suspect| !suspect.has_ended());
+        let last_loss = losses.next_back().map(|suspect| suspect.disconnected);
         suspects.retain(|suspect| {
-            let (last, window) = match last {
-                Some(last) => (last, suspect.window()),
+            let (crash, window) = match last_loss {
+                Some(last_loss) => (last_loss, suspect.window()),
                 None => (now, CRASH_WINDOW),
             };
             let is_first = outage.is_some_and(|outage| outage.began_with(suspect));
-            is_first || last - suspect.disconnected < window
+            is_first || crash - suspect.disconnected < window
         });
         suspects
     }
 
+    /// Whether a sign of a crash would concern this request. What was in flight when an outage began
+    /// awaits its end, as the endpoint may be starting again until then.
+    fn awaits_sign(&self, suspect: &Suspect, now: Millis) -> bool {
+        let lost = suspect.disconnected;
+        let outage = self.outage.filter(|outage| outage.began_with(suspect));
+        let since = match outage {
+            Some(outage) if !suspect.has_ended() => lost.max(outage.ended.unwrap_or(now)),
+            _ => lost,
+        };
+        now - since < RESTART_WINDOW && now - lost < OUTAGE_LIMIT
+    }
+
     /// Removes the suspects whose endpoint has shown no sign of a crash for long enough, and
     /// returns those whose runs have ended well.
     fn take_survivors(&mut self, now: Millis) -> Vec<Suspect> {
-        let is_over = |suspect: &mut Suspect| now - suspect.disconnected >= RESTART_WINDOW;
-        let over = self.suspects.extract_if(.., is_over);
-        over.filter(|suspect| suspect.end == Some(End::Success))
+        let suspects = std::mem::take(&mut self.suspects).into_iter();
+        let (waiting, over): (Vec<_>, Vec<_>) =
+            suspects.partition(|suspect| self.awaits_sign(suspect, now));
+        self.suspects = waiting;
+        let survivors = over.into_iter();
+        survivors
+            .filter(|suspect| suspect.end == Some(End::Success))
             .collect()
     }
 }
@@ -267,7 +283,7 @@
     let mut checks = state.crash_checks.borrow_mut();
     let check = checks.by_life.get_mut(life);
     if let Some(outage) = check.and_then(|check| check.outage.as_mut()) {
-        outage.is_over = true;
+        outage.ended.get_or_insert_with(|| state.now());
     }
 }
 
--- a/crates/relay/tests/crashes/requests.rs
+++ b/crates/relay/tests/crashes/requests.rs
@@ -161,9 +161,10 @@
 
 /// An endpoint that is gone for long loses requests until its row tells of its new start: what it
 /// had when it crashed lies further back than what was lost last.
-#[test]
-fn what_began_a_long_outage_is_its_cause() {
-    let down = Duration::from_millis(2_500);
+#[rstest]
+#[case::of_some_seconds(Duration::from_millis(2_500))]
+#[case::longer_than_a_row_takes(Duration::from_secs(7))]
+fn what_began_a_long_outage_is_its_cause(#[case] down: Duration) {
     let fleet = Fleet::with(1, Down::Fronted(down), PLAIN);
     let entry = &fleet.sites[0];
     let ask = |number| post(entry.requests, "/write/", &format!("c{number}"), FATAL);
