Quarantine: entries that have just started are told of earlier crashes

Cause: a mark is sent to the others for three seconds after it changes, later only while its cause is withheld.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -380,14 +380,30 @@
     /// come first, then those that have not completed lately, and among equals those sent least
     /// recently.
     pub fn histories_to_send(&mut self, limit: usize, now: Millis) -> Vec<CrashHistory> {
-        let should_send =
-            |record: &Record| record.held.is_some() || now - record.changed() < SEND_WINDOW;
+        let is_sent = |record: &Record| record.held.is_some() || is_recent(record, now);
+        self.select_histories(limit, now, is_sent)
+    }
+
+    /// Returns at most `limit` further crash histories to send to an entry that has just started:
+    /// those that it missed, as they are no longer sent to the others.
+    pub fn histories_for_newcomer(&mut self, limit: usize, now: Millis) -> Vec<CrashHistory> {
+        let is_missed = |record: &Record| {
+            record.crashes() > 0 && record.held.is_none() && !is_recent(record, now)
+        };
+        self.select_histories(limit, now, is_missed)
+    }
+
+    fn select_histories(
+        &mut self,
+        limit: usize,
+        now: Millis,
+        is_selected: impl Fn(&Record) -> bool,
+    ) -> Vec<CrashHistory> {
         let records = self.records.iter_mut();
-        let mut records: Vec<_> = records.filter(|(_, it)| should_send(it)).collect();
+        let mut records: Vec<_> = records.filter(|(_, it)| is_selected(it)).collect();
         records.sort_by_cached_key(|(cause, record)| {
-            let is_old = now - record.changed() >= SEND_WINDOW;
             (
-                is_old,
+                !is_recent(record, now),
                 Reverse(record.crashes()),
                 record.is_popular(),
                 record.last_sent(),
@@ -465,3 +481,8 @@
         change
     }
 }
+
+/// Whether a record has changed so recently that it is sent to all other entries.
+fn is_recent(record: &Record, now: Millis) -> bool {
+    now - record.changed() < SEND_WINDOW
+}
--- a/crates/core/tests/quarantine/cases.rs
+++ b/crates/core/tests/quarantine/cases.rs
@@ -233,6 +233,22 @@
     assert_eq!(first.hold(&[one], Millis(3_000)), None);
 }
 
+/// Guards against forgetting crashes that were seen by entries that are replaced one after the
+/// other: those that start in between have missed when they were told.
+#[test]
+fn an_entry_that_has_just_started_hears_of_earlier_crashes() {
+    let (mut first, one) = after(&sequential_crashes(2));
+    let now = Millis(9_000);
+    assert_eq!(first.histories_to_send(9, now), []);
+    let mut second = Quarantine::new(1);
+    second.merge_histories(&first.histories_for_newcomer(9, now), now);
+    second.record_crash(&[one], crash(3, 9_500), Millis(9_500));
+    assert!(second.hold(&[one], Millis(9_600)).is_some());
+    // What is sent to all is not repeated.
+    first.record_crash(&[one], crash(3, 9_500), Millis(9_500));
+    assert_eq!(first.histories_for_newcomer(9, Millis(9_600)), []);
+}
+
 /// Guards against ignoring a completed run that was recorded before its entry knew of the
 /// crashes.
 #[test]
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -270,6 +270,16 @@
         }
     }
 
+    /// Adds to the answer to an entry that has just started what it missed of earlier crashes.
+    fn add_missed_crashes(&self, answer: &mut Message) {
+        let limit = MAX_SUSPECTS - answer.suspects.len();
+        let mut quarantine = self.state.quarantine.borrow_mut();
+        let missed = quarantine.histories_for_newcomer(limit, self.state.now());
+        if let Err(error) = message::add_suspects(answer, missed) {
+            log::debug!(error = error.to_string(); "earlier crashes could not be encoded");
+        }
+    }
+
     fn send(&self, message: &Message, address: SocketAddr) {
         match message::encode(message) {
             Ok(bytes) => self.send_bytes(&bytes, address),
@@ -388,6 +398,8 @@
                 .borrow()
                 .is_newcomer(message.known_entries, now);
             if is_newcomer {
+                // Before the others, who would fill the message.
+                self.add_missed_crashes(&mut answer);
                 self.describe_others(&mut answer, &message.from);
                 streams::tell_past(&self.state, message.from.peer);
             }
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -177,7 +177,7 @@
     Ok(())
 }
 
-/// Sets a message's suspect requests to the first ones, as many as fit into a datagram.
+/// Adds suspect requests to a message, the first ones, as many as fit into a datagram.
 ///
 /// # Errors
 ///
@@ -188,7 +188,7 @@
 ) -> Result<(), postcard::Error> {
     let count = count_fitting(message, &suspects)?;
     suspects.truncate(count);
-    message.suspects = suspects;
+    message.suspects.extend(suspects);
     Ok(())
 }
 
--- a/crates/relay/tests/crashes/main.rs
+++ b/crates/relay/tests/crashes/main.rs
@@ -17,6 +17,8 @@
 #[path = "../contract/loopback.rs"]
 mod loopback;
 mod parts;
+#[path = "../contract/peer.rs"]
+mod peer;
 mod requests;
 #[allow(dead_code)]
 #[path = "../contract/site.rs"]
--- a/crates/relay/tests/crashes/requests.rs
+++ b/crates/relay/tests/crashes/requests.rs
@@ -7,6 +7,7 @@
 //! were cut off were of one workspace, no two with the same identity.
 
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, UdpSocket};
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -15,9 +16,11 @@
 
 use rstest::rstest;
 use woodgap_core::quarantine::{Cause, StoredHistory};
+use woodgap_relay::gossip::message::{self, MAX_DATAGRAM_BYTES};
 
 use crate::caller::post;
 use crate::crashing::{Arrivals, Crashing, DOWN, Down, FATAL, Manner, PLAIN};
+use crate::peer;
 use crate::site::{Fixed, Site, source, until, until_met};
 
 /// How many endpoints and entries there are.
@@ -229,6 +232,32 @@
     fleet.check();
 }
 
+/// An entry that starts long after a crash is told of it by those that were there: they may be
+/// replaced next.
+#[test]
+fn an_entry_that_starts_hears_of_earlier_crashes() {
+    let fleet = Fleet::start(DOWN);
+    for number in 0..2 {
+        fleet.send(number, "/write/");
+    }
+    sleep(BOUND + PAUSE);
+    let newcomer = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    newcomer.set_read_timeout(Some(BOUND)).unwrap();
+    let own = newcomer.local_addr().unwrap();
+    let question = message::encode(&peer::question("dub-a-9", own, peer::IGNORANT)).unwrap();
+    newcomer.send_to(&question, fleet.sites[0].peer).unwrap();
+    let mut bytes = [0; MAX_DATAGRAM_BYTES];
+    let answer = loop {
+        let length = newcomer.recv(&mut bytes).unwrap();
+        let heard = message::decode(&bytes[..length]).unwrap();
+        if heard.is_answer {
+            break heard;
+        }
+    };
+    let told = answer.suspects.iter().map(|it| it.crashes.len());
+    assert_eq!(told.collect::<Vec<_>>(), [2]);
+}
+
 /// Nobody is to blame where endpoints end by themselves: a request that stands beside many of
 /// these ends, at one endpoint after the other, is served on.
 #[test]
