Crash checks: what found its endpoint gone already has not crashed it

Cause: requests that are lost while an endpoint is down, behind something that accepts connections, were marked with the moment at which they were sent.

Change: such a request counts as sent when the outage began.

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -160,15 +160,19 @@
     /// Adds a request whose connection was lost, or ended with the response.
     fn add_suspect(&mut self, suspect: Suspect) {
         let began = suspect.disconnected;
+        let last = self.suspects.last().map(|last| last.disconnected);
+        let is_quiet = last.is_none_or(|last| began - last >= RESTART_WINDOW);
         let is_new = self.outage.is_none_or(|outage| outage.ended.is_some());
-        if !suspect.has_ended() && is_new {
+        if !suspect.has_ended() && (is_quiet || is_new) {
             self.outage = Some(Outage { began, ended: None });
         }
         self.suspects.push(suspect);
     }
 
     /// Marks the endpoint as crashed and returns the requests that it had in flight. An outage may
-    /// begin with a lost link and end with a crash, so those that were lost last are among them.
+    /// begin with a lost link and end with a crash, so those that were lost last are among them. Most
+    /// likely these found the endpoint down already, so that they count as sent when the outage began:
+    /// the attempts of one request at several such endpoints are no sequence of crashes.
     fn mark_crashed(&mut self, sign: Sign, now: Millis) -> Vec<Suspect> {
         self.crash = Some((now, sign));
         let mut suspects = std::mem::take(&mut self.suspects);
@@ -183,6 +187,11 @@
             let is_first = outage.is_some_and(|outage| outage.began_with(suspect));
             is_first || crash - suspect.disconnected < window
         });
+        if let Some(outage) = outage {
+            for suspect in &mut suspects {
+                suspect.sent = suspect.sent.min(outage.began);
+            }
+        }
         suspects
     }
 
--- a/crates/relay/tests/crashes/requests.rs
+++ b/crates/relay/tests/crashes/requests.rs
@@ -185,6 +185,30 @@
     });
 }
 
+/// A request that is sent again and again while endpoints are gone has crashed none of them.
+#[test]
+fn what_finds_endpoints_gone_has_not_crashed_them() {
+    let down = Duration::from_millis(1_500);
+    let fleet = Fleet::with(3, Down::Fronted(down), PLAIN);
+    let entry = &fleet.sites[0];
+    let ask = |id: &str| post(entry.requests, "/read/", id, b"asked once more");
+    beside_others(&fleet.sites[..1], || {
+        fleet.endpoints.iter().for_each(Crashing::end);
+        sleep(PAUSE);
+        let lost = (0..20).filter(|number| {
+            sleep(PAUSE / 5);
+            ask(&format!("lost-{number}")).status == 502
+        });
+        assert!(lost.count() >= 3);
+        sleep(down);
+        fleet.list_anew();
+        sleep(PAUSE);
+        until(|| post(entry.requests, "/read/", "is-back", b"is it back?").status == 200);
+        let answer = ask("served");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    });
+}
+
 /// Does this while others send requests to each of these entries.
 fn beside_others(sites: &[Site], act: impl FnOnce()) {
     let is_over = AtomicBool::new(false);
