Crash checks: an outage matters only where a crash is found late

Cause, by reading: with refused connections a crash is found with the first loss, but an older loss of a link with nothing answered since began an outage, so that its requests were marked as well and the others counted as sent then.

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -176,7 +176,8 @@
     fn mark_crashed(&mut self, sign: Sign, now: Millis) -> Vec<Suspect> {
         self.crash = Some((now, sign));
         let mut suspects = std::mem::take(&mut self.suspects);
-        let outage = self.outage.take();
+        // Where connections are refused, the crash is found with the first loss.
+        let outage = self.outage.take().filter(|_| sign == Sign::Restarted);
         let mut losses = suspects.iter().filter(|suspect| !suspect.has_ended());
         let last_loss = losses.next_back().map(|suspect| suspect.disconnected);
         suspects.retain(|suspect| {
