--- a/review/stand/cut.rs
+++ b/review/stand/cut.rs
@@ -169,15 +169,20 @@
     if has_trouble {
         let id = busiest.id.clone();
         record(&format!(
-            "runner {id}, at work on {} requests, sets draining",
+            "runner {id}, at work on {} requests, leaves",
             work(&id)
         ));
-        *draining.lock().unwrap() = Some(id.clone());
-        busiest.leave();
+        // For comparison: `HOW=quiet` ends it without its having set draining, `HOW=crash` by SIGKILL.
+        match std::env::var("HOW").as_deref() {
+            Ok("quiet") => busiest.leave(false),
+            Ok("crash") => busiest.crash(),
+            _ => {
+                *draining.lock().unwrap() = Some(id.clone());
+                busiest.leave(true);
+            }
+        }
         busiest.wait();
-        record(&format!(
-            "runner {id} has ended, {LEAVE_MS} ms after it set draining"
-        ));
+        record(&format!("runner {id} has ended, {LEAVE_MS} ms later"));
         store.write(&Write1 {
             table: "servers",
             key: &id,
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -2,7 +2,7 @@
 //!
 //! Its answers have neither a length nor chunks and end with their connections. It prints a line
 //! when it begins and ends a request. Told to leave by a line on its standard input, it says so in
-//! all its answers from then on, serves on for a while, and ends.
+//! all its answers from then on, serves on for a while, and ends. Told `end`, it says nothing.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -27,7 +27,7 @@
     });
     let mut line = String::new();
     let _ = std::io::stdin().read_line(&mut line);
-    IS_LEAVING.store(true, Ordering::Relaxed);
+    IS_LEAVING.store(line.trim() != "end", Ordering::Relaxed);
     sleep(LEAVE_MS);
     println!("{id} ends");
     std::process::exit(0);
@@ -123,13 +123,18 @@
         }
     }
 
-    /// Tells it to leave.
-    pub fn leave(&mut self) {
+    /// Tells it to leave, or to end without a word.
+    pub fn leave(&mut self, is_said: bool) {
         if let Some(input) = self.child.stdin.as_mut() {
-            let _ = input.write_all(b"leave\n");
+            let _ = input.write_all(if is_said { b"leave\n" } else { b"end\n" });
         }
     }
 
+    /// SIGKILL.
+    pub fn crash(&mut self) {
+        let _ = self.child.kill();
+    }
+
     pub fn wait(&mut self) {
         let _ = self.child.wait();
     }
