Review: a machine whose connections to runners hang serves nothing and hands nothing over

One of three machines is partitioned from all runners for 10 s: connections open and hang, or are closed (HOW=reset).

--- a/review/stand/base.rs
+++ b/review/stand/base.rs
@@ -470,6 +470,7 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    pub directory: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -480,6 +481,7 @@
     store: SocketAddr,
     duties: Option<SocketAddr>,
     template: String,
+    connects_from_own_ip: bool,
 }
 
 const PORTS: [u16; 4] = [8227, 8220, 8224, 7340];
@@ -499,6 +501,7 @@
             name: name.to_owned(),
             front: address(PORTS[0]),
             ready: address(PORTS[1]),
+            directory: address(PORTS[2]),
             settings: folder.join(format!("{name}.jsonc")),
             log: folder.join(format!("{name}.log")),
             child: None,
@@ -510,9 +513,15 @@
             duties: bounds.duties,
             template: std::fs::read_to_string("deploy/settings.jsonc")
                 .expect("run from the repository's root"),
+            connects_from_own_ip: false,
         }
     }
 
+    /// On loopback all processes would connect from one address, where machines have their own.
+    pub fn connect_from_own_ip(&mut self) {
+        self.connects_from_own_ip = true;
+    }
+
     /// Starts the program as the deploy file says.
     pub fn start(&mut self) {
         let ip = &self.ip;
@@ -549,7 +558,12 @@
         if self.starts == 0 {
             flags.push("Bootstrap");
         }
-        std::fs::write(&self.settings, fill(&self.template, &plain, &lists, &flags)).unwrap();
+        let mut settings = fill(&self.template, &plain, &lists, &flags);
+        if self.connects_from_own_ip {
+            settings =
+                settings.replacen('{', &format!("{{\n  \"connect_from\": \"{}\",", self.ip), 1);
+        }
+        std::fs::write(&self.settings, settings).unwrap();
         let log = File::options()
             .create(true)
             .append(true)
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -2,6 +2,7 @@
 
 mod base;
 mod cut;
+mod parted;
 mod runner;
 mod stale;
 mod store;
@@ -18,6 +19,7 @@
         "runner" => runner::run(word(2), word(3)),
         "stale" => stale::run(folder, record, has_trouble),
         "cut" => cut::run(folder, record, has_trouble),
+        "parted" => parted::run(folder, record, has_trouble),
         "usage" => usage::run(folder, record, has_trouble),
         _ => 2,
     };
