Review: streams of a service with two versions are lost with the machines that began them

All machines are killed once and start again 2 s later; two runners of each of two versions serve all the while. When the machines are in touch again, no stream can be taken up: which version began it was in the memory of the machines alone.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 here=$(cd "$(dirname "$0")" && pwd)
-case_name=cut
+case_name=resumed
 . "$here/../run-case.sh"
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -3,6 +3,7 @@
 mod base;
 mod cut;
 mod parted;
+mod resumed;
 mod runner;
 mod stale;
 mod store;
@@ -20,6 +21,7 @@
         "stale" => stale::run(folder, record, has_trouble),
         "cut" => cut::run(folder, record, has_trouble),
         "parted" => parted::run(folder, record, has_trouble),
+        "resumed" => resumed::run(folder, record, has_trouble),
         "usage" => usage::run(folder, record, has_trouble),
         _ => 2,
     };
