The store's era is read, and told of in the log

Change: era::Eras of crates/platform holds the latest era that a store has named in its answers, and logs once when it rises; core::era joins era and version in one number that orders and never repeats. The adapter reads Store-Era. The leases' state machine and the product's own client of the table service know stamps; with a store that names no era a stamp is its version, so nothing is served differently yet.

--- a/crates/core/src/lease/expired.rs
+++ b/crates/core/src/lease/expired.rs
@@ -1,6 +1,7 @@
 //! State of a lease that has expired, but that no other holder is known to have taken.
 
 use crate::clock::Millis;
+use crate::era;
 use crate::lease::tenure::Finding;
 use crate::lease::{
     Fence, Free, Held, Lease, OwnedReadOutcome, Renewal, Snapshot, Tenure, Write, WriteOutcome,
@@ -65,7 +66,8 @@
     pub fn on_read(mut self, seen: &Snapshot) -> OwnedReadOutcome<Expired> {
         // The lease has expired, so nothing is lost by observing rows that were restored from
         // an older copy as another holder's.
-        if seen.version() < self.state.tenure.version {
+        let known = self.state.tenure.version;
+        if seen.version() < known || era::is_restored(known, seen.version()) {
             return OwnedReadOutcome::Lost(self.with(Free::default()));
         }
         match self.state.tenure.on_read(&self.own, seen) {
--- a/crates/core/src/lease/free.rs
+++ b/crates/core/src/lease/free.rs
@@ -1,6 +1,7 @@
 //! State of a lease that is not owned: it is observed, and taken once nobody can hold it.
 
 use crate::clock::Millis;
+use crate::era;
 use crate::lease::row::TakeNumbers;
 use crate::lease::{
     Expired, Fence, Held, Holder, Lease, Mark, Record, Snapshot, Tenure, Term, Write, WriteOutcome,
@@ -93,6 +94,7 @@
     fn watch(&mut self, now: Millis, seen: &Snapshot, max_gap: Millis) {
         let version = seen.version();
         let previous = self.state.watch.as_ref();
+        let is_restored = previous.is_some_and(|watch| era::is_restored(watch.version, version));
         let newer_seen = previous.filter(|watch| version < watch.version);
         if newer_seen.is_some_and(|watch| now - watch.last_seen <= watch.max_gap) {
             return;
@@ -103,9 +105,9 @@
         let wait = match (&seen.record, seen.holder()) {
             (Some(record), Some(_)) => Term::new(record.value.duration).wait(),
             // An older version that persists is not a stale read: the table was restored from
-            // an older copy. Another holder may own the lease by a take that was lost in the
-            // restore.
-            _ if newer_seen.is_some() => self.term.wait(),
+            // an older copy, as one that names another era was. Another holder may own the lease
+            // by a take that was lost in the restore.
+            _ if newer_seen.is_some() || is_restored => self.term.wait(),
             _ => Millis::ZERO,
         };
         self.state.watch = Some(Watch {
--- a/crates/core/src/lease/tenure.rs
+++ b/crates/core/src/lease/tenure.rs
@@ -1,6 +1,7 @@
 //! State shared by held and expired leases: which write is in force.
 
 use crate::clock::Millis;
+use crate::era;
 use crate::lease::{Fence, Holder, Record, Snapshot, Term, Write, WriteOutcome};
 
 /// A lease that this incarnation owns as far as it knows.
@@ -89,11 +90,18 @@
             // A stale read; a later one may show more.
             return Finding::Owned(None);
         }
-        let ours = seen.take_of(own).is_some_and(|(take, _)| take == self.take);
-        if !ours {
+        let own = seen.take_of(own).filter(|(take, _)| *take == self.take);
+        let Some((_, fence)) = own else {
             return Finding::Lost;
-        }
+        };
         self.must_read = false;
+        if era::is_restored(self.version, version) {
+            // The copy holds this take, but may lack the renewals since.
+            self.fence = fence;
+            self.version = version;
+            self.unresolved_since = None;
+            return Finding::Owned(None);
+        }
         if version == self.version {
             // Writes with an unknown outcome have not taken effect, but still may.
             return Finding::Owned(None);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod deferred;
 pub mod endpoint;
+pub mod era;
 pub mod fingerprint;
 pub mod instance;
 pub mod lease;
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,5 +1,6 @@
 //! The platform's services over HTTP.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use awc::error::{ConnectError, PayloadError, SendRequestError};
@@ -9,8 +10,10 @@
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use woodgap_core::era::Era;
 
 use crate::Error;
+use crate::era::{self, Eras};
 use crate::instance::{self, Instance, List};
 use crate::object::{self, Condition, Object, Store};
 use crate::table::{self, Outcome, Place, Read, Row, Scan, Table, Transaction};
@@ -23,6 +26,7 @@
 pub struct Platform {
     client: Client,
     base: String,
+    eras: Rc<Eras>,
 }
 
 impl Platform {
@@ -32,6 +36,7 @@
         Self {
             client,
             base: base.trim_end_matches('/').to_owned(),
+            eras: Rc::default(),
         }
     }
 
@@ -39,7 +44,7 @@
         &self,
         path: &str,
         question: &Q,
-    ) -> Result<A, Error> {
+    ) -> Result<(A, Era), Error> {
         let url = format!("{}{path}", self.base);
         let response = self
             .client
@@ -47,8 +52,21 @@
             .send_json(question)
             .await
             .map_err(|error| sent(&error))?;
+        let named = named_era(&response);
         let body = body(response, &[]).await?;
-        decode(&body)
+        let era = self.eras.note(named).ok_or_else(outdated)?;
+        Ok((decode(&body)?, era))
+    }
+
+    /// Carries out a transaction whose checks hold stamps.
+    async fn change(&self, transaction: &Transaction) -> Result<Outcome, Error> {
+        let asked_in = self.eras.latest();
+        let unstamped = match self.eras.unstamped(transaction) {
+            Ok(unstamped) => unstamped,
+            Err(failed) => return Ok(Outcome::Conflict { failed }),
+        };
+        let (outcome, era) = self.call(table::TRANSACT_PATH, &unstamped).await?;
+        Eras::stamped(transaction, outcome, asked_in, era)
     }
 }
 
@@ -57,7 +75,7 @@
         &'a self,
         transaction: &'a Transaction,
     ) -> LocalBoxFuture<'a, Result<Outcome, Error>> {
-        Box::pin(self.call(table::TRANSACT_PATH, transaction))
+        Box::pin(self.change(transaction))
     }
 
     fn read<'a>(
@@ -68,12 +86,19 @@
             let question = Read {
                 places: places.to_vec(),
             };
-            self.call(table::READ_PATH, &question).await
+            let (mut rows, era): (Vec<Option<Row>>, _) =
+                self.call(table::READ_PATH, &question).await?;
+            stamp(rows.iter_mut().flatten(), era);
+            Ok(rows)
         })
     }
 
     fn scan<'a>(&'a self, scan: &'a Scan) -> LocalBoxFuture<'a, Result<Vec<Row>, Error>> {
-        Box::pin(self.call(table::SCAN_PATH, scan))
+        Box::pin(async move {
+            let (mut rows, era): (Vec<Row>, _) = self.call(table::SCAN_PATH, scan).await?;
+            stamp(rows.iter_mut(), era);
+            Ok(rows)
+        })
     }
 }
 
@@ -156,6 +181,22 @@
     }
 }
 
+fn stamp<'r>(rows: impl Iterator<Item = &'r mut Row>, era: Era) {
+    for row in rows {
+        row.version = era.stamp(row.version);
+    }
+}
+
+fn named_era<S>(response: &ClientResponse<S>) -> Option<u64> {
+    let header = response.headers().get(era::HEADER)?;
+    header.to_str().ok()?.parse().ok()
+}
+
+/// The answer was made before the store came back from an older copy.
+fn outdated() -> Error {
+    Error::Unknown("the answer is of an earlier era of the store".to_owned())
+}
+
 fn quoted(tag: &str) -> String {
     format!("\"{tag}\"")
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod connect;
 pub mod duty;
 pub mod endpoint;
+pub mod era;
 pub mod error;
 pub mod http;
 pub mod instance;
--- a/crates/relay/src/upstream/call.rs
+++ b/crates/relay/src/upstream/call.rs
@@ -5,6 +5,7 @@
 
 use actix_http::Method;
 use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use thiserror::Error as ThisError;
 use woodgap_core::clock::Millis;
@@ -32,6 +33,8 @@
 pub struct Response {
     /// The status code.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -120,6 +123,7 @@
         }
         Ok(Response {
             status: head.status,
+            headers: head.headers,
             body,
         })
     }
