A removed key is refused after the store came back from an older copy

Ruled out: a plan that others told, or a wrong date of the answer: the first answers of both entries in the new era were such.

Change: the adapter hands out stamps (era and version, core::era) in place of versions, of rows, positions and conditions, so that all that orders or remembers by them does so by era first: list of endpoints, evacuations, what entries tell one another, fences and rows of the lease. A position of another era is not read on from; pages of two eras are no list; a condition of an earlier era fails without a call, and one that held in another era counts as unknown. "Nothing new" confirms only the plan that the store was seen to hold in this era (SourcePlan). In a new era an entry forgets how it dated answers, announces itself again, and what is withheld and the versions of services are stored again by one entry. A row of an older copy makes no leaving endpoint ready again. A lease that a new era shows free is waited for a whole term, as its holder may act; a holder whose take the copy has goes on under the new fence.

--- a/crates/core/src/lease/tests.rs
+++ b/crates/core/src/lease/tests.rs
@@ -9,6 +9,7 @@
 use super::row::{Mark, Record, Snapshot, Versioned, Write, WriteOutcome};
 use super::{Fence, Holder, Term};
 use crate::clock::Millis;
+use crate::era::Era;
 use crate::name::Incarnation;
 
 const TERM: Term = Term::new(Millis(1_000));
@@ -361,6 +362,66 @@
     );
 }
 
+/// The rows come back in a later era as they were after this many states: the versions are given
+/// out again, and each is read with the stamp of the new era.
+fn restore_in_era(rows: &mut Rows, states: usize, era: Era) {
+    rows.states.truncate(states);
+    let mut seen = rows.now();
+    if let Some(record) = &mut seen.record {
+        record.version = era.stamp(record.version);
+    }
+    if let Some(mark) = &mut seen.mark {
+        mark.version = era.stamp(mark.version);
+    }
+    let mark = seen.mark.as_ref().map_or(0, |mark| mark.version);
+    rows.version = seen.version().max(mark);
+    rows.states.push(seen);
+}
+
+/// A copy from before the last take shows a lease that nobody holds. Whoever has seen the rows of
+/// the era before took it at once, beside the holder whose take the copy lacks.
+#[test]
+fn a_lease_that_a_restored_store_shows_free_is_not_taken_beside_its_holder() {
+    let (mut first, mut second, mut rows) = (machine(1), machine(2), Rows::default());
+    settle(&mut second, &mut rows, Millis(0), HOLD);
+    settle(&mut second, &mut rows, Millis(10), Want::Release);
+    let released = rows.states.len();
+    for now in (20..=1_000).step_by(10) {
+        settle(&mut first, &mut rows, Millis(now), HOLD);
+        settle(&mut second, &mut rows, Millis(now), HOLD);
+    }
+    assert!(holds(&first, 1_000));
+    restore_in_era(&mut rows, released, Era::new(2));
+    let mut held = 0;
+    // The first holder does not reach the store, and acts for as long as it may.
+    for now in (1_010..4_000).step_by(10) {
+        settle(&mut second, &mut rows, Millis(now), HOLD);
+        held = usize::from(holds(&first, now)) + usize::from(holds(&second, now));
+        assert!(held <= 1, "{held} at {now}");
+    }
+    assert_eq!(held, 1, "the restored lease is never taken");
+}
+
+/// The copy has the take of the holder, but its versions are of another era: with the fence of
+/// the era before, each write of the holder would be refused for ever.
+#[test]
+fn a_holder_whose_take_a_restored_store_kept_goes_on_under_the_fence_of_the_new_era() {
+    let (mut machine, mut rows) = (machine(1), Rows::default());
+    for now in (0..=1_000).step_by(10) {
+        settle(&mut machine, &mut rows, Millis(now), HOLD);
+    }
+    let before = machine.view().fence();
+    restore_in_era(&mut rows, 1, Era::new(2));
+    machine.suspect(Millis(1_000));
+    settle(&mut machine, &mut rows, Millis(1_010), HOLD);
+    assert!(holds(&machine, 1_010));
+    let fence = machine.view().fence();
+    assert_eq!(fence.map(|it| Era::of(it.0)), Some(Era::new(2)));
+    assert!(fence > before);
+    run(&mut machine, &mut rows, 1_020, 6_000, HOLD);
+    assert!(holds(&machine, 6_000));
+}
+
 /// A step of the randomised test: what one of the machines does next.
 #[derive(Clone, Copy, Debug)]
 struct Move {
--- a/crates/core/src/relay/active_plan.rs
+++ b/crates/core/src/relay/active_plan.rs
@@ -15,6 +15,37 @@
     as_of: Millis,
 }
 
+/// The newest plan that the source is known to hold.
+///
+/// A source that has come back from an older copy may lack the plan in force. Until it holds that
+/// plan again, or a later one, its word that nothing is new confirms nothing: it may have lost a
+/// later one as well.
+///
+/// ```
+/// use woodgap_core::relay::active_plan::SourcePlan;
+///
+/// let mut source = SourcePlan::default();
+/// assert_eq!(source.newest(), None);
+/// source.read(11);
+/// assert_eq!(source.newest(), Some(11));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SourcePlan {
+    newest: Option<u64>,
+}
+
+impl SourcePlan {
+    /// Records that this version was read as the newest.
+    pub fn read(&mut self, version: u64) {
+        self.newest = Some(version);
+    }
+
+    /// The version of the newest plan; `None` before any was read.
+    pub fn newest(&self) -> Option<u64> {
+        self.newest
+    }
+}
+
 /// What became of a plan that was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
--- a/crates/core/src/relay/evacuation.rs
+++ b/crates/core/src/relay/evacuation.rs
@@ -2,7 +2,8 @@
 //! is withdrawn.
 //!
 //! An entry knows the set of evacuated data centres and the platform's revision of it. Of two sets,
-//! the one with the higher revision is the later one, from whichever source it comes.
+//! the one with the higher revision is the later one, from whichever source it comes. Revisions are
+//! [stamps](crate::era).
 
 use std::collections::BTreeSet;
 
--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -11,6 +11,10 @@
 //! endpoint's clock was set back. A row without a start is accepted at once, since an endpoint may
 //! have been rolled back to a version that does not report its start. It counts as a separate life,
 //! and does not make an earlier start acceptable again.
+//!
+//! Revisions are [stamps](crate::era). The first list of a later era comes from an older copy, to
+//! which the endpoints write again: an endpoint that is known to be leaving does not become ready
+//! by it.
 
 mod endpoint;
 
@@ -21,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::era;
 use crate::name;
 use crate::relay::Evacuation;
 use crate::relay::departure::{self, Departures};
@@ -213,13 +218,17 @@
         if revision < self.revision {
             return Vec::new();
         }
+        let is_restored = era::is_restored(self.revision, revision);
         let in_list: HashSet<_> = list.iter().map(|it| &it.life.id).collect();
         let listed = self.endpoints.values().filter(|record| record.is_listed());
         let missing = listed
             .map(|record| &record.endpoint.life.id)
             .filter(|id| !in_list.contains(id));
         let mut changes: Vec<_> = missing.cloned().map(Change::Missing).collect();
-        let new_rows = list.into_iter().filter(|endpoint| self.is_new(endpoint));
+        let new_rows = list
+            .into_iter()
+            .filter(|endpoint| self.is_new(endpoint))
+            .filter(|endpoint| !is_restored || !self.has_announced_leaving(&endpoint.life));
         changes.extend(new_rows.map(Change::Listed));
         // The individual changes between the two lists are not known.
         self.recent_changes.clear();
@@ -237,6 +246,13 @@
         record.is_none_or(|it| it.listed() != endpoint || !it.is_listed())
     }
 
+    /// Whether this life of the endpoint is listed as leaving.
+    fn has_announced_leaving(&self, life: &name::Life) -> bool {
+        let record = self.endpoints.get(&life.id);
+        let record = record.filter(|record| record.endpoint.life == *life);
+        record.is_some_and(|record| record.availability == Availability::Leaving)
+    }
+
     /// Whether a later life of the endpoint has been listed.
     fn is_superseded(&self, endpoint: &Endpoint) -> bool {
         let record = self.endpoints.get(&endpoint.life.id);
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use woodgap_core::clock::Millis;
+use woodgap_core::era::Era;
 use woodgap_core::name;
 use woodgap_core::relay::roster::{Change, Endpoint};
 use woodgap_core::relay::{Evacuation, Roster};
@@ -70,6 +71,51 @@
     assert!(usable(&roster, 6).is_empty());
 }
 
+/// Versions that were given out again were dropped as older ones, and what they listed stayed
+/// unknown.
+#[test]
+fn changes_at_versions_that_a_restored_store_gives_out_again_are_applied() {
+    let mut roster = Roster::new(FALLBACK_PERIOD);
+    let era = Era::new(1);
+    roster.replace(
+        vec![endpoint("a")],
+        era.stamp(10),
+        Millis::ZERO,
+        Millis::ZERO,
+    );
+    let era = Era::new(2);
+    let listed = vec![(era.stamp(4), Change::Listed(endpoint("b")))];
+    let applied = roster.apply(listed, Millis(5), Millis(5));
+    assert_eq!(applied.len(), 1);
+    assert_eq!(usable(&roster, 5), ["a", "b"]);
+    // What comes late from the era before changes nothing.
+    let late = vec![(
+        Era::new(1).stamp(12),
+        Change::Missing(name::Endpoint::from("b")),
+    )];
+    assert!(roster.apply(late, Millis(6), Millis(6)).is_empty());
+}
+
+/// The copy may be from before the endpoint said that it leaves, and it ends all the same.
+#[test]
+fn a_leaving_endpoint_does_not_become_ready_by_the_list_of_a_restored_store() {
+    let (old, new) = (Era::new(1), Era::new(2));
+    let mut roster = Roster::new(FALLBACK_PERIOD);
+    roster.replace(
+        vec![leaving("a")],
+        old.stamp(10),
+        Millis::ZERO,
+        Millis::ZERO,
+    );
+    roster.replace(vec![endpoint("a")], new.stamp(7), Millis(5), Millis(5));
+    assert!(usable(&roster, 5).is_empty());
+    assert_eq!(roster.revision(), new.stamp(7));
+    // What it writes in the new era holds, and so do lists of that era.
+    let listed = vec![(new.stamp(9), Change::Listed(endpoint("a")))];
+    roster.apply(listed, Millis(6), Millis(6));
+    assert_eq!(usable(&roster, 6), ["a"]);
+}
+
 #[test]
 fn a_leaving_endpoint_that_is_unlisted_is_removed() {
     let mut roster = roster(vec![leaving("a")]);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -6,8 +6,9 @@
 
 use rand::Rng;
 use woodgap_core::clock::Millis;
+use woodgap_core::era::{self, Era};
 use woodgap_core::name;
-use woodgap_core::relay::active_plan::Offer;
+use woodgap_core::relay::active_plan::{Offer, SourcePlan};
 use woodgap_core::relay::dating::PlatformClock;
 use woodgap_core::relay::duty::{self, CHECK_INTERVAL, PollDecision, Subject};
 use woodgap_core::relay::roster::{Change, Endpoint};
@@ -36,6 +37,7 @@
     let mut cursor = None;
     let mut link = Link::new("configuration");
     let mut dating = PlatformClock::default();
+    let mut at_source = SourcePlan::default();
     let mut told = None;
     loop {
         let held = until_due(&state, Subject::Plan).await;
@@ -51,7 +53,11 @@
                     state.stand_in();
                     state.ask_endpoints.notify_one();
                 }
+                if cursor.is_some_and(|before| is_set_back(before, news.cursor)) {
+                    at_source = SourcePlan::default();
+                }
                 cursor = Some(news.cursor);
+                state.note_era(news.cursor);
                 let as_of = dating.date(asked, news.produced_at, state.now());
                 let OperatorUpdate { plans, evacuations } = news.content.unwrap_or_default();
                 // First, so that no plan is in force without them.
@@ -59,14 +65,24 @@
                     take_evacuations(&state, evacuations, "platform");
                 }
                 tell_plans(&plans, &mut told, &state);
-                take_newest(&state, plans, as_of);
+                take_newest(&state, plans, &mut at_source, as_of);
+            }
+            None if link.lost_history => {
+                cursor = None;
+                // The platform's clock may have been put back as well.
+                dating = PlatformClock::default();
+                at_source = SourcePlan::default();
             }
-            None if link.lost_history => cursor = None,
             None => state.is_platform_lost.set(true),
         }
     }
 }
 
+/// Whether a source may hold less than at an earlier position.
+fn is_set_back(before: u64, now: u64) -> bool {
+    now < before || era::is_restored(before, now)
+}
+
 /// Tells of plans that can't be used, once where they are read again.
 fn tell_plans(plans: &[Row<Plan>], told: &mut Option<u64>, state: &State) {
     let newest = plans.last().map(|row| row.version);
@@ -76,19 +92,23 @@
     }
 }
 
-/// Puts the newest sound one of these plans in force.
-fn take_newest(state: &State, plans: Plans, as_of: Millis) {
-    let mut newest_first = plans.into_iter().rev().filter_map(usable).peekable();
-    if newest_first.peek().is_none() {
-        // Also where the newest can't be read: the one before stays in force.
-        let version = state.force.borrow().version();
-        state.confirm_plan(version, as_of);
-    }
-    for plan in newest_first {
+/// Puts the newest sound one of these plans in force, or confirms the one that is.
+fn take_newest(state: &State, plans: Plans, at_source: &mut SourcePlan, as_of: Millis) {
+    let has_rows = !plans.is_empty();
+    for plan in plans.into_iter().rev().filter_map(usable) {
+        let version = plan.version;
         if take_plan(state, plan, as_of, "platform") {
+            at_source.read(version);
             return;
         }
     }
+    if has_rows {
+        // The newest can't be used: the one before stays in force.
+        at_source.read(state.force.borrow().version());
+    }
+    if let Some(version) = at_source.newest() {
+        state.confirm_plan(version, as_of);
+    }
 }
 
 /// Takes the data centres that are evacuated, or what has changed of them.
@@ -110,7 +130,8 @@
     let emptied = evacuation.data_centres().iter();
     let emptied: Vec<_> = emptied.map(name::DataCentre::as_str).collect();
     log::info!(
-        data_centres = emptied.join(" "), revision = evacuation.revision(), source = source;
+        data_centres = emptied.join(" "), era = Era::of(evacuation.revision()).number(),
+        revision = era::version(evacuation.revision()), source = source;
         "the evacuated data centres have changed"
     );
     state.news.notify_one();
@@ -141,7 +162,14 @@
                 content,
                 ..
             }) => {
+                if Era::of(at) < Era::of(state.roster.borrow().revision()) {
+                    // Others have heard of a later era already.
+                    cursor = None;
+                    tokio::time::sleep(Duration::from_millis(GATHER.0)).await;
+                    continue;
+                }
                 cursor = Some(at);
+                state.note_era(at);
                 match content {
                     Some(Endpoints::All(rows)) => {
                         faults.replace(&rows, &state.metrics);
@@ -289,6 +317,7 @@
     source: &str,
 ) {
     let now = state.now();
+    state.note_era(revision);
     let changes = state.roster.borrow_mut().replace(all, revision, as_of, now);
     streams::observe(state);
     upkeep::drop_gone(state, now);
@@ -317,7 +346,8 @@
     } else {
         let listed = state.roster.borrow().listed().count();
         log::info!(
-            changes = changes.len(), listed = listed, revision = *newest, source = source;
+            changes = changes.len(), listed = listed, era = Era::of(*newest).number(),
+            revision = era::version(*newest), source = source;
             "many endpoints are listed anew"
         );
     }
@@ -330,11 +360,12 @@
             endpoint = endpoint.life.id.as_str(), service = endpoint.service,
             started_unix_ms = endpoint.life.started_unix.map(|started| started.0),
             address = endpoint.address.to_string(), version = endpoint.version, leaving = endpoint.leaving,
-            revision = revision, source = source;
+            era = Era::of(revision).number(), revision = era::version(revision), source = source;
             "an endpoint is listed"
         ),
         Change::Missing(name) => log::info!(
-            endpoint = name.as_str(), revision = revision, source = source;
+            endpoint = name.as_str(),
+            era = Era::of(revision).number(), revision = era::version(revision), source = source;
             "an endpoint is no longer listed"
         ),
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -35,6 +35,8 @@
     pub platform_calls: IntCounterVec,
     /// Rows of the platform that have become unusable, by what they are to name.
     pub unusable_rows: IntCounterVec,
+    /// How often the platform's store was found to have come back from an older copy.
+    pub store_restores: IntCounter,
     /// Version of the plan in force.
     pub plan_version: IntGauge,
     /// Age of the plan's last confirmation, in ms.
@@ -116,6 +118,7 @@
             connects: IntCounter::new("connects", "Connections opened to endpoints")?,
             platform_calls: counters("platform_calls", "Calls to the platform", "outcome")?,
             unusable_rows: counters("unusable_rows", "Rows that have become unusable", "what")?,
+            store_restores: IntCounter::new("store_restores", "Restores of the store seen")?,
             plan_version: IntGauge::new("plan_version", "Version of the plan in force")?,
             plan_age: IntGauge::new("plan_age_ms", "Age of the plan's last confirmation")?,
             endpoints: IntGauge::new("endpoints", "Endpoints that are listed")?,
@@ -205,6 +208,7 @@
         registry.register(Box::new(self.connects.clone()))?;
         registry.register(Box::new(self.platform_calls.clone()))?;
         registry.register(Box::new(self.unusable_rows.clone()))?;
+        registry.register(Box::new(self.store_restores.clone()))?;
         registry.register(Box::new(self.plan_version.clone()))?;
         registry.register(Box::new(self.plan_age.clone()))?;
         registry.register(Box::new(self.endpoints.clone()))?;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::{Notify, watch};
 use woodgap_core::clock::Millis;
+use woodgap_core::era::Era;
 use woodgap_core::name;
 use woodgap_core::quarantine::{Cause, Change, Crash, CrashHistory, Quarantine};
 use woodgap_core::relay::back_off::BackOffs;
@@ -137,6 +138,8 @@
     pub ask_endpoints: Notify,
     /// Whether the platform was told of this entry.
     pub announcement: Cell<Announcement>,
+    /// The latest era of the platform's store that is known, once any is.
+    era: Cell<Option<Era>>,
     /// Questions to other entries for what is newer there.
     pub fetches: RefCell<Fetches>,
     /// Endpoints that are being connected to, to see whether they are back.
@@ -221,6 +224,7 @@
             is_platform_lost: Cell::new(false),
             ask_endpoints: Notify::new(),
             announcement: Cell::new(Announcement::Unsaid),
+            era: Cell::new(None),
             fetches: RefCell::default(),
             connecting: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(rand::random())),
@@ -302,6 +306,38 @@
         }
     }
 
+    /// Takes in the era of a stamp. In a new one, what this entry has had the platform keep may be
+    /// gone, and is written again.
+    pub fn note_era(&self, stamp: u64) {
+        let era = Era::of(stamp);
+        let known = self.era.get();
+        if stamp == 0 || known.is_some_and(|known| known >= era) {
+            return;
+        }
+        self.era.set(Some(era));
+        if let Some(known) = known {
+            self.store_again(known, era);
+        }
+    }
+
+    /// Has the platform told again of this entry and of what is withheld. The latter is known to
+    /// all entries, one of which writes it.
+    fn store_again(&self, known: Era, era: Era) {
+        log::warn!(before = known.number(), era = era.number(); "what the platform keeps is written again");
+        self.metrics.store_restores.inc();
+        if self.announcement.get() == Announcement::Taken {
+            self.announcement.set(Announcement::Unanswered);
+        }
+        self.streams.store_again();
+        if self.standing().rank == 0 {
+            let now = self.now();
+            let withheld: Vec<_> = self.quarantine.borrow().withheld(now).collect();
+            for hold in withheld {
+                self.rewrite(hold.cause);
+            }
+        }
+    }
+
     /// Whether the plan is confirmed recently enough to be trusted with keys; where
     /// operators don't ask for that, an old plan serves as well as a new one.
     pub fn trusts_keys(&self) -> bool {
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Forgets what the platform stores, so that it is stored again.
+    pub fn store_again(&self) {
+        self.stored.borrow_mut().clear();
+    }
+
     /// Sets the socket for messages to other entries.
     pub fn set_socket(&self, socket: Rc<UdpSocket>) {
         *self.socket.borrow_mut() = Some(socket);
