A window of usage is not reported again after a restore and a loss of all entries

What was seen: review/stand usage, a window that the platform had taken was reported again with no counts, {"ta": 63, "tb": 63} and then {}.

Cause: the register of the copy says that the window is not settled, and after a loss of all entries nobody knows better; nothing notes the era under which it was written.

Change: the register holds the era of the fence under which it is written. A holder that finds it of another era, and has heard of no claim, reports no window from before its own start, as any of these may have been reported.

--- a/crates/core/src/relay/usage.rs
+++ b/crates/core/src/relay/usage.rs
@@ -50,6 +50,11 @@
         Millis((self.0 + 1) * length.0)
     }
 
+    /// The window before this one; `None` for the first.
+    pub fn previous(self) -> Option<Self> {
+        self.0.checked_sub(1).map(Self)
+    }
+
     /// The window after this one.
     #[must_use]
     pub fn next(self) -> Self {
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use woodgap_core::clock::Millis;
+use woodgap_core::era::Era;
 use woodgap_core::lease::{Fence, Holder, Term, Want};
 use woodgap_core::relay::claim::{self, Candidate, Claim};
 use woodgap_core::relay::usage::{self, Window};
@@ -200,12 +201,13 @@
         let written = Some(known.register.number).filter(|number| *number > 0);
         let number = claim::next_number(written, heard, state.unix());
         let holder = state.settings.name.clone();
-        let settled = self.settled(&known);
+        let settled = self.settled(&known, fence);
         let next = Register {
             number,
             holder: Some(holder.clone()),
             settled,
             needed: known.register.needed.clone(),
+            era: Era::of(fence.0),
         };
         let written = known.write(&self.table, fence, next, None).await;
         written.map_err(|failed| self.failed(failed))?;
@@ -230,11 +232,23 @@
     }
 
     /// The last settled window, as the register tells, or the others have heard: the register may
-    /// have been put back to an older state.
-    fn settled(&self, known: &Known) -> Option<Window> {
-        let claim = self.state.claim.borrow();
+    /// have been put back to an older state. Where nobody has heard of any either, the windows
+    /// before this entry's start may all have been reported.
+    fn settled(&self, known: &Known, fence: Fence) -> Option<Window> {
+        let state = &self.state;
+        let claim = state.claim.borrow();
         let heard = claim.as_ref().and_then(|claim| claim.settled);
-        known.register.settled.max(heard)
+        let settled = known.register.settled.max(heard);
+        if heard.is_some() || !known.register.is_restored(fence) {
+            return settled;
+        }
+        let started = state.unix() - state.life();
+        let before = Window::at(started, self.settings.window).previous();
+        log::warn!(
+            written = settled.map_or(0, |window| window.0), settled = before.map_or(0, |window| window.0);
+            "the register of reports is an older one: no window before this entry's start is reported"
+        );
+        settled.max(before)
     }
 
     /// Notes what a change of the register that failed tells of the lease.
--- a/crates/relay/src/duties/register.rs
+++ b/crates/relay/src/duties/register.rs
@@ -13,6 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use woodgap_core::era::Era;
 use woodgap_core::lease::Fence;
 use woodgap_core::name;
 use woodgap_core::relay::usage::{Counts, Window};
@@ -47,6 +48,17 @@
     /// How many endpoints of each service are assured.
     #[serde(default)]
     pub needed: BTreeMap<String, u32>,
+    /// The era of the store in which it was written.
+    #[serde(default)]
+    pub era: Era,
+}
+
+impl Register {
+    /// Whether this is an older state of the register, to which the store came back: windows may
+    /// have been settled and reported since that it does not name.
+    pub fn is_restored(&self, fence: Fence) -> bool {
+        self.number > 0 && self.era != Era::of(fence.0)
+    }
 }
 
 /// The register as it was read, with the reports that are settled.
--- a/crates/relay/tests/contract/desk.rs
+++ b/crates/relay/tests/contract/desk.rs
@@ -6,6 +6,7 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use serde_json::Value;
+use woodgap_core::era::{self, Era};
 use woodgap_core::relay::usage::Window;
 use woodgap_platform::Error;
 use woodgap_platform::table::{Outcome, Place, Row, Scan, Table, Transaction};
@@ -31,6 +32,12 @@
     lost: usize,
 }
 
+/// The rows as they stood at a moment, with versions.
+pub struct Copy {
+    version: u64,
+    rows: BTreeMap<(String, String), (Value, u64)>,
+}
+
 /// The platform; all copies are the same one.
 #[derive(Clone, Default)]
 pub struct Platform(Arc<Mutex<State>>);
@@ -79,6 +86,30 @@
         }
     }
 
+    /// The rows as they stand now, to come back to.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        let rows = state.rows.iter();
+        let rows = rows.map(|(place, (value, stamp))| {
+            let version = era::version(*stamp);
+            (place.clone(), (value.clone(), version))
+        });
+        Copy {
+            version: era::version(state.version),
+            rows: rows.collect(),
+        }
+    }
+
+    /// Comes back from an older copy, in a later era.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state();
+        let era = Era::new(Era::of(state.version).number() + 1);
+        state.version = era.stamp(copy.version);
+        let rows = copy.rows.into_iter();
+        let stamped = rows.map(|(place, (value, version))| (place, (value, era.stamp(version))));
+        state.rows = stamped.collect();
+    }
+
     /// Takes no report of a window.
     pub fn refuse(&self, window: Window) {
         self.state().refused = Some(window);
--- a/crates/relay/tests/contract/duties.rs
+++ b/crates/relay/tests/contract/duties.rs
@@ -128,6 +128,33 @@
     fleet.check_windows();
 }
 
+/// A window that the platform had taken was reported again, with other counts: the register of the
+/// copy did not name it as settled, and no entry was left that knew.
+#[test]
+fn a_window_is_not_reported_again_after_a_restore_and_a_loss_of_all_entries() {
+    let server = Endpoint::always(vec![whole("yes")]);
+    let told = source(&[server.address]);
+    let mut fleet = Fleet::with(1, &told);
+    fleet.until_reported(1);
+    let copy = fleet.platform.copy();
+    fleet.ask(20);
+    until(|| fleet.reported("murphy") >= 20);
+    let before = fleet.windows();
+    // It is as good as gone: the platform does not answer it, and no other entry knows it.
+    fleet.platform.turn_away("dub-a-0", true);
+    fleet.platform.restore(copy);
+    let platform = fleet.platform.clone();
+    let name = "dub-a-1".to_owned();
+    let site = Site::with_duties(&name, told, platform.desk(&name));
+    site.until_ready();
+    fleet.sites = vec![(name, site)];
+    fleet.until_reported(platform.reports().len() + before.len() + 2);
+    // Whether any window differs from what was reported before is checked there.
+    let after = fleet.windows();
+    assert!(after.len() > before.len());
+    fleet.check_numbers();
+}
+
 /// Also one whose answer is cut off has run.
 #[test]
 fn a_request_whose_answer_was_cut_off_is_reported() {
