Streams of services with several versions go on after a loss of all entries

Cause: which version began a stream was kept in the memory of entries alone; the platform stored only that the service has several versions. So an entry that starts finds Several, no keeper that knows, and rightly refuses.

A batch that is over is deleted by a later write. An entry that starts reads its own batches once it learns of several versions, and tells their keepers; what entries have stored that are gone is read and deleted by the first entry. With the store away they wait, bounded; after a restore of the store they are stored again. Nothing is written while services have one version each. The build of a stream never changes, so a row that is late, old, lost or damaged hides streams and sends none to another version; what is known otherwise goes before it.

--- a/crates/core/src/relay/resumption.rs
+++ b/crates/core/src/relay/resumption.rs
@@ -8,12 +8,14 @@
 //! Each entry remembers the builds of its own streams and, while several versions serve, tells
 //! them to a few others, its keepers ([`Ring::owners`](crate::relay::warming::Ring::owners)). An
 //! entry that does not know a stream asks the keepers. Where nobody knows, the stream goes on only
-//! if there has been no other version that could have begun it.
+//! if there has been no other version that could have begun it. The platform [stores](stored) the
+//! streams as well, for entries that start when all others are gone.
 
 pub mod inquiry;
 mod keepers;
 mod records;
 mod registry;
+pub mod stored;
 mod versions;
 
 pub use inquiry::{Inquiry, Message, Standing};
--- a/crates/core/src/relay/resumption/records.rs
+++ b/crates/core/src/relay/resumption/records.rs
@@ -13,6 +13,8 @@
 struct Record {
     build: Build,
     until: Millis,
+    /// Whether this entry passes the stream on.
+    is_own: bool,
 }
 
 impl Record {
@@ -32,6 +34,8 @@
     by_end: BTreeSet<(Millis, Stream)>,
     /// Own streams that no other entry was told of yet.
     untold: HashSet<Stream>,
+    /// Own streams that are not stored at the platform yet.
+    unsaved: HashSet<Stream>,
 }
 
 impl Records {
@@ -44,15 +48,31 @@
     /// Remembers a stream of this entry.
     pub(super) fn insert_own(&mut self, stream: Stream, build: Build, until: Millis) {
         self.insert(stream, build, until);
-        self.untold.insert(stream);
+        if let Some(record) = self.streams.get_mut(&stream) {
+            record.is_own = true;
+            self.untold.insert(stream);
+            self.unsaved.insert(stream);
+        }
+    }
+
+    /// Remembers a stream that was stored, unless it is known better.
+    pub(super) fn insert_stored(&mut self, stream: Stream, build: Build, until: Millis) {
+        if !self.streams.contains_key(&stream) {
+            self.insert(stream, build, until);
+        }
     }
 
     /// Remembers a stream, for longer if it is known already. The most that are remembered are
     /// those that can be taken up for the longest time.
     pub(super) fn insert(&mut self, stream: Stream, build: Build, until: Millis) {
-        let mut record = Record { build, until };
+        let mut record = Record {
+            build,
+            until,
+            is_own: false,
+        };
         if let Some(known) = self.streams.get(&stream) {
             record.until = record.until.max(known.until);
+            record.is_own = known.is_own;
             self.by_end.remove(&(known.until, stream));
         }
         self.streams.insert(stream, record);
@@ -66,6 +86,7 @@
         if let Some((_, stream)) = self.by_end.pop_first() {
             self.streams.remove(&stream);
             self.untold.remove(&stream);
+            self.unsaved.remove(&stream);
         }
     }
 
@@ -105,6 +126,35 @@
         notices
     }
 
+    /// Takes at most `limit` of the own streams that are not stored, if their build is one of those
+    /// that must be.
+    pub(super) fn take_unsaved(
+        &mut self,
+        must_save: impl Fn(Build) -> bool,
+        limit: usize,
+        now: Millis,
+    ) -> Vec<Notice> {
+        let mut notices = Vec::new();
+        let streams = &self.streams;
+        self.unsaved.retain(|stream| {
+            let Some(record) = streams.get(stream).filter(|record| record.until > now) else {
+                return false;
+            };
+            if notices.len() >= limit || !must_save(record.build) {
+                return true;
+            }
+            notices.push(record.notice(*stream, now));
+            false
+        });
+        notices
+    }
+
+    /// Has all own streams stored again.
+    pub(super) fn mark_all_unsaved(&mut self) {
+        let own = self.streams.iter().filter(|(_, record)| record.is_own);
+        self.unsaved.extend(own.map(|(stream, _)| *stream));
+    }
+
     pub(super) fn len(&self) -> usize {
         self.streams.len()
     }
--- a/crates/core/src/relay/resumption/registry.rs
+++ b/crates/core/src/relay/resumption/registry.rs
@@ -125,6 +125,39 @@
         self.records.notices(|build| mixed.contains(&build), now)
     }
 
+    /// Whether a service has several versions, so that streams must be told to others and stored.
+    pub fn is_mixed(&self) -> bool {
+        !self.versions.mixed().is_empty()
+    }
+
+    /// For how long after it was written a stored stream can matter.
+    pub fn retention(&self) -> Millis {
+        self.retention
+    }
+
+    /// Takes at most `limit` streams of this entry that the platform must store: those whose
+    /// service has several versions.
+    pub fn take_unsaved(&mut self, limit: usize, now: Millis) -> Vec<Notice> {
+        let mixed = self.versions.mixed();
+        if mixed.is_empty() {
+            return Vec::new();
+        }
+        let must_save = |build: Build| mixed.contains(&build);
+        self.records.take_unsaved(must_save, limit, now)
+    }
+
+    /// Has all streams of this entry stored again.
+    pub fn mark_all_unsaved(&mut self) {
+        self.records.mark_all_unsaved();
+    }
+
+    /// Takes in a stream that the platform has stored; what is known better stays.
+    pub fn restore_stream(&mut self, notice: &Notice, now: Millis) {
+        let until = now + notice.keep_for.min(self.retention);
+        let Notice { stream, build, .. } = *notice;
+        self.records.insert_stored(stream, build, until);
+    }
+
     /// What is known about a stream that one of these services has begun.
     pub fn standing(&self, stream: Option<Stream>, services: &[Service], now: Millis) -> Standing {
         let known = stream.and_then(|stream| self.records.get(stream, now));
--- a/crates/core/tests/relay/resumption.rs
+++ b/crates/core/tests/relay/resumption.rs
@@ -9,6 +9,7 @@
 use woodgap_core::name::{DataCentre, Entry, Incarnation};
 use woodgap_core::relay::fleet;
 use woodgap_core::relay::resumption::inquiry::Notice;
+use woodgap_core::relay::resumption::stored::{Batch, MAX_BATCH};
 use woodgap_core::relay::resumption::{
     Build, Inquiry, KEEPERS, Keepers, Registry, Service, Standing, Stream, TAKE_UP_WINDOW,
 };
@@ -475,3 +476,134 @@
     let bytes = postcard::to_stdvec(&notice).unwrap();
     assert!(bytes.len() <= 23, "{}", bytes.len());
 }
+
+/// Streams that are stored, as a batch that is written now.
+fn batch(registry: &mut Registry, now: Millis, unix: Millis) -> Batch {
+    Batch {
+        written_unix: unix,
+        streams: registry.take_unsaved(MAX_BATCH, now),
+    }
+}
+
+fn mixed(now: Millis) -> Registry {
+    let mut registry = registry(now);
+    registry.observe(SERVICE, "v1", now);
+    registry.observe(SERVICE, "v2", now);
+    registry
+}
+
+/// A registry that knows only what was stored.
+fn restored(batch: &Batch, now: Millis, unix: Millis) -> Registry {
+    let mut registry = mixed(now);
+    for notice in batch.notices(unix) {
+        registry.restore_stream(&notice, now);
+    }
+    registry
+}
+
+#[test]
+fn only_streams_of_services_with_several_versions_are_stored_and_each_once() {
+    let now = Millis(3_600_000);
+    let mut registry = registry(now);
+    registry.observe(SERVICE, "v1", now);
+    let stream = Stream::of("murphy", "r1");
+    registry.record(stream, build("v1"), now + LONGEST);
+    assert!(registry.take_unsaved(MAX_BATCH, now).is_empty());
+    // Those that began before are stored when the second version comes.
+    registry.observe(SERVICE, "v2", now);
+    assert_eq!(registry.take_unsaved(MAX_BATCH, now).len(), 1);
+    assert!(registry.take_unsaved(MAX_BATCH, now).is_empty());
+    // A store that came back from an older copy may have lost them.
+    registry.mark_all_unsaved();
+    assert_eq!(registry.take_unsaved(MAX_BATCH, now).len(), 1);
+}
+
+#[test]
+fn streams_kept_for_others_are_not_stored_again() {
+    let now = Millis(3_600_000);
+    let mut registry = mixed(now);
+    let notice = Notice {
+        stream: Stream::of("murphy", "r1"),
+        build: build("v1"),
+        keep_for: LONGEST,
+    };
+    registry.keep(&notice, now);
+    registry.mark_all_unsaved();
+    assert!(registry.take_unsaved(MAX_BATCH, now).is_empty());
+}
+
+/// All entries are gone. Whatever of the batches is lost, late or old, a stream that is taken up
+/// goes on at the version that began it, or not at all.
+#[rstest]
+fn stored_streams_go_on_at_no_other_version(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (begun, unix) = (Millis(3_600_000), Millis(1_796_256_000_000));
+    let mut registry = mixed(begun);
+    let mut streams = Vec::new();
+    let mut batches = Vec::new();
+    for index in 0..200 {
+        let stream = Stream::of("murphy", &format!("r{index}"));
+        let version = ["v1", "v2"].choose(&mut random).unwrap();
+        registry.record(stream, build(version), begun + LONGEST);
+        streams.push((stream, build(version)));
+        if index % 20 == 0 {
+            batches.push(batch(&mut registry, begun, unix));
+        }
+    }
+    batches.retain(|_| random.random_bool(0.7));
+    let late = Millis(random.random_range(0..60_000));
+    let now = begun + late;
+    let mut after = mixed(now);
+    for batch in &batches {
+        for notice in batch.notices(unix + late) {
+            after.restore_stream(&notice, now);
+        }
+    }
+    let mut known = 0;
+    for (stream, build) in streams {
+        match after.standing(Some(stream), &services(), now) {
+            Standing::Known(stored) => {
+                assert_eq!(stored, build);
+                known += 1;
+            }
+            Standing::Several => {}
+            standing => panic!("{standing:?}"),
+        }
+    }
+    let may_be_taken_up = late < LONGEST + TAKE_UP_WINDOW;
+    assert_eq!(known > 0, may_be_taken_up && !batches.is_empty());
+}
+
+/// What an entry knows by itself, or was told, is younger than any row.
+#[test]
+fn a_stored_row_does_not_replace_what_is_known() {
+    let (now, unix) = (Millis(3_600_000), Millis(1_796_256_000_000));
+    let stream = Stream::of("murphy", "r1");
+    let mut earlier = mixed(now);
+    earlier.record(stream, build("v1"), now + LONGEST);
+    let batch = batch(&mut earlier, now, unix);
+    let mut registry = restored(&batch, now, unix);
+    let known = |registry: &Registry| registry.standing(Some(stream), &services(), now);
+    assert_eq!(known(&registry), Standing::Known(build("v1")));
+    registry.record(stream, build("v2"), now + LONGEST);
+    for notice in batch.notices(unix) {
+        registry.restore_stream(&notice, now);
+    }
+    assert_eq!(known(&registry), Standing::Known(build("v2")));
+}
+
+/// A batch that a row can't hold would never be stored, and its streams be lost with all entries.
+#[test]
+fn a_whole_batch_fits_into_a_row() {
+    let notice = Notice {
+        stream: Stream::of("murphy", "r1"),
+        build: build("v1"),
+        keep_for: LONGEST + TAKE_UP_WINDOW,
+    };
+    let batch = Batch {
+        written_unix: Millis(1_796_256_000_000),
+        streams: vec![notice; MAX_BATCH],
+    };
+    let bytes = serde_json::to_vec(&batch).unwrap().len();
+    assert!(bytes < 64 * 1024, "{bytes}");
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -29,6 +29,8 @@
     pub handovers: IntCounterVec,
     /// Streams that callers take up, by how the version that began them is known.
     pub resumptions: IntCounterVec,
+    /// Batches of streams written to the platform, by outcome.
+    pub stream_batches: IntCounterVec,
     /// Connections opened to endpoints.
     pub connects: IntCounter,
     /// Calls to the platform, by outcome.
@@ -115,6 +117,7 @@
                 "outcome",
             )?,
             resumptions: counters("resumptions", "Streams that callers take up", "version")?,
+            stream_batches: counters("stream_batches", "Streams stored, in batches", "outcome")?,
             connects: IntCounter::new("connects", "Connections opened to endpoints")?,
             platform_calls: counters("platform_calls", "Calls to the platform", "outcome")?,
             unusable_rows: counters("unusable_rows", "Rows that have become unusable", "what")?,
@@ -205,6 +208,7 @@
         registry.register(Box::new(self.attempts.clone()))?;
         registry.register(Box::new(self.handovers.clone()))?;
         registry.register(Box::new(self.resumptions.clone()))?;
+        registry.register(Box::new(self.stream_batches.clone()))?;
         registry.register(Box::new(self.connects.clone()))?;
         registry.register(Box::new(self.platform_calls.clone()))?;
         registry.register(Box::new(self.unusable_rows.clone()))?;
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -17,6 +17,7 @@
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::evacuation::{self, Evacuation};
 use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_core::relay::roster::Endpoint;
 
 use crate::source::row::Row;
@@ -124,6 +125,53 @@
 
     /// Reads the stored versions of all services.
     fn list_versions(&self) -> Answer<'_, Vec<Row<ServiceVersions>>>;
+
+    /// Changes the batches of streams that an entry has stored.
+    fn change_streams<'a>(
+        &'a self,
+        entry: &'a name::Entry,
+        change: &'a StreamsChange,
+    ) -> Answer<'a, ()>;
+
+    /// Reads the batches of streams that an entry has stored; their keys are their
+    /// [numbers](batch_number).
+    fn list_streams<'a>(&'a self, entry: &'a name::Entry) -> Answer<'a, Vec<Row<Batch>>>;
+
+    /// Reads which entries have stored streams.
+    fn list_streamers(&self) -> Answer<'_, Vec<name::Entry>>;
+}
+
+/// A change of the batches of streams that an entry has stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamsChange {
+    /// A new batch with its number.
+    pub batch: Option<(u64, Batch)>,
+    /// The numbers of batches to delete.
+    pub deleted: Vec<u64>,
+}
+
+impl StreamsChange {
+    /// Whether nothing is to be changed.
+    pub fn is_empty(&self) -> bool {
+        self.batch.is_none() && self.deleted.is_empty()
+    }
+}
+
+/// The key of a batch: keys rise with the numbers.
+///
+/// ```
+/// use woodgap_relay::source::{batch_key, batch_number};
+///
+/// assert!(batch_key(9) < batch_key(10));
+/// assert_eq!(batch_number(&batch_key(9)), Some(9));
+/// ```
+pub fn batch_key(number: u64) -> String {
+    format!("{number:020}")
+}
+
+/// The number of a batch by its key.
+pub fn batch_number(key: &str) -> Option<u64> {
+    key.parse().ok()
 }
 
 /// The future of a source's answer.
--- a/crates/relay/src/source/row.rs
+++ b/crates/relay/src/source/row.rs
@@ -10,9 +10,11 @@
 use woodgap_core::quarantine::StoredHistory;
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_core::relay::roster::Endpoint;
 
 use crate::metrics::Metrics;
+use crate::source::batch_number;
 
 /// The longest value of a row of an endpoint, an entry or a withheld request, in bytes: about a
 /// hundred times the usual length.
@@ -141,6 +143,22 @@
     }
 }
 
+impl Check for Batch {
+    const MAX_BYTES: usize = MAX_BYTES;
+
+    fn check(&self, key: &str) -> Result<(), RowError> {
+        if batch_number(key).is_none() {
+            return Err(RowError::Name(key.to_owned()));
+        }
+        if !self.is_sound() {
+            return Err(RowError::Format(
+                "more streams than a batch holds".to_owned(),
+            ));
+        }
+        Ok(())
+    }
+}
+
 impl Check for Plan {
     // Only the source limits its size. The plan is validated when it comes into force.
     const MAX_BYTES: usize = usize::MAX;
--- a/crates/relay/src/source/table.rs
+++ b/crates/relay/src/source/table.rs
@@ -3,7 +3,8 @@
 //! The table `relay` holds the plan in its row `plan` and the evacuated data centres in its row
 //! `evacuation`. The table `relay-endpoints` has a row for each endpoint, `relay-entries` for
 //! each entry, `relay-withheld` for each request or part of prompts with which several endpoints
-//! crashed, and `relay-versions` for each service that has several software versions.
+//! crashed, `relay-versions` for each service that has several software versions, and
+//! `relay-streams` for each batch of streams of these, under the entry's name and the batch's number.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -18,13 +19,15 @@
 use woodgap_core::quarantine::{Cause, StoredHistory};
 use woodgap_core::relay::Evacuation;
 use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_platform::Error as PlatformError;
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
 
 use crate::source::row::{self as source, Check, RowError};
 use crate::source::{
-    Addresses, Answer, Endpoints, Error, Evacuations, OperatorUpdate, Source, Update,
+    Addresses, Answer, Endpoints, Error, Evacuations, OperatorUpdate, Source, StreamsChange,
+    Update, batch_key,
 };
 
 const RELAY: &str = "relay";
@@ -34,6 +37,9 @@
 const ENTRIES: &str = "relay-entries";
 const WITHHELD: &str = "relay-withheld";
 const VERSIONS: &str = "relay-versions";
+const STREAMS: &str = "relay-streams";
+/// Comes after every batch of an entry among the keys.
+const AFTER_BATCHES: char = '~';
 
 /// The source that reads from the product's table service.
 pub struct TableSource {
@@ -98,17 +104,27 @@
     async fn scan_table<T: Check + DeserializeOwned>(
         &self,
         table: &str,
+    ) -> Result<Vec<source::Row<T>>, Error> {
+        self.scan_rows(table, "", decode_row).await
+    }
+
+    /// Reads the rows of a table whose keys begin so.
+    async fn scan_rows<T>(
+        &self,
+        table: &str,
+        prefix: &str,
+        decode: impl Fn(&Row) -> source::Row<T>,
     ) -> Result<Vec<source::Row<T>>, Error> {
         let mut scan = Scan {
             table: table.to_owned(),
-            prefix: String::new(),
+            prefix: prefix.to_owned(),
             after: String::new(),
             limit: Scan::MOST,
         };
         let mut rows = Vec::new();
         loop {
             let page = self.scan_page(&mut scan).await?;
-            rows.extend(page.iter().map(decode_row));
+            rows.extend(page.iter().map(&decode));
             match page.last() {
                 Some(last) if page.len() >= scan.limit => scan.after.clone_from(&last.key),
                 _ => return Ok(rows),
@@ -137,11 +153,65 @@
         written.map(|_| ()).map_err(unavailable)
     }
 
+    async fn change_batches(
+        &self,
+        entry: &name::Entry,
+        change: &StreamsChange,
+    ) -> Result<(), Error> {
+        let place = |number: u64| Place::new(STREAMS, &batch_place(entry, number));
+        let mut transaction = Transaction::default();
+        if let Some((number, batch)) = &change.batch {
+            let value = serde_json::to_value(batch);
+            let value = value.map_err(|error| Error::Malformed(error.to_string()))?;
+            transaction = transaction.put(place(*number), value);
+        }
+        for number in &change.deleted {
+            transaction = transaction.delete(place(*number));
+        }
+        let written = self.platform.transact(&transaction).await;
+        written.map(|_| ()).map_err(unavailable)
+    }
+
+    async fn read_batches(&self, entry: &name::Entry) -> Result<Vec<source::Row<Batch>>, Error> {
+        let prefix = format!("{entry}/");
+        let decode = |row: &Row| {
+            let bytes = serde_json::to_vec(&row.value);
+            let bytes = bytes.map_err(|error| RowError::Encoding(error.to_string()));
+            let key = row.key.strip_prefix(&prefix).unwrap_or(&row.key);
+            source::Row::decode(key, row.version, bytes, |value: Batch| value)
+        };
+        self.scan_rows(STREAMS, &prefix, decode).await
+    }
+
+    /// Reads one row of each entry.
+    async fn read_streamers(&self) -> Result<Vec<name::Entry>, Error> {
+        let mut scan = Scan {
+            table: STREAMS.to_owned(),
+            prefix: String::new(),
+            after: String::new(),
+            limit: 1,
+        };
+        let mut entries = Vec::new();
+        while let Some(row) = self.scan_page(&mut scan).await?.first() {
+            let Some((entry, _)) = row.key.rsplit_once('/') else {
+                scan.after.clone_from(&row.key);
+                continue;
+            };
+            entries.push(name::Entry::from(entry));
+            scan.after = format!("{entry}/{AFTER_BATCHES}");
+        }
+        Ok(entries)
+    }
+
     async fn read_entries(&self) -> Result<Addresses, Error> {
         self.scan_table(ENTRIES).await
     }
 }
 
+fn batch_place(entry: &name::Entry, number: u64) -> String {
+    format!("{entry}/{}", batch_key(number))
+}
+
 // `map_err` passes errors by value.
 #[allow(clippy::needless_pass_by_value)]
 fn unavailable(error: PlatformError) -> Error {
@@ -239,4 +309,20 @@
     fn list_versions(&self) -> Answer<'_, Vec<source::Row<ServiceVersions>>> {
         self.scan_table(VERSIONS).boxed_local()
     }
+
+    fn change_streams<'a>(
+        &'a self,
+        entry: &'a name::Entry,
+        change: &'a StreamsChange,
+    ) -> Answer<'a, ()> {
+        self.change_batches(entry, change).boxed_local()
+    }
+
+    fn list_streams<'a>(&'a self, entry: &'a name::Entry) -> Answer<'a, Vec<source::Row<Batch>>> {
+        self.read_batches(entry).boxed_local()
+    }
+
+    fn list_streamers(&self) -> Answer<'_, Vec<name::Entry>> {
+        self.read_streamers().boxed_local()
+    }
 }
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -129,6 +129,7 @@
     supervise("duties", &state, duties::run);
     supervise("scheduling", &state, scheduling::run);
     supervise("streams", &state, streams::run);
+    supervise("stored streams", &state, streams::storage::run);
     let settings = &state.settings;
     log::info!(
         entry = settings.name.as_str(), data_centre = settings.data_centre.as_str(),
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -4,6 +4,7 @@
 //! looks at rows and responses.
 
 mod history;
+pub mod storage;
 
 pub use history::{restore, run};
 
@@ -117,6 +118,7 @@
     /// Forgets what the platform stores, so that it is stored again.
     pub fn store_again(&self) {
         self.stored.borrow_mut().clear();
+        self.registry.borrow_mut().mark_all_unsaved();
     }
 
     /// Sets the socket for messages to other entries.
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -19,12 +19,14 @@
     DEFAULT_WEIGHT, Engine, Kind, Limits, Plan, Route, Service, Share, Workspace,
 };
 use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_core::relay::roster;
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::duties;
 use woodgap_relay::source::row::Row;
 use woodgap_relay::source::{
-    Addresses, Answer, Endpoints, Error, Evacuations, OperatorUpdate, Source, Update,
+    Addresses, Answer, Endpoints, Error, Evacuations, OperatorUpdate, Source, StreamsChange,
+    Update, batch_key,
 };
 use woodgap_relay::start::{self, Form};
 use woodgap_relay::stop;
@@ -59,6 +61,9 @@
     pub kept: Arc<Mutex<BTreeMap<Cause, StoredHistory>>>,
     /// What entries store of the versions of services, by service; several sites may share it.
     pub versions: Arc<Mutex<BTreeMap<String, ServiceVersions>>>,
+    /// The batches of streams that entries store, by entry and number; several sites may share
+    /// them.
+    pub streams: Arc<Mutex<BTreeMap<(name::Entry, u64), Batch>>>,
 }
 
 /// A source that tells what the test says.
@@ -196,6 +201,48 @@
         .boxed_local()
     }
 
+    fn change_streams<'a>(
+        &'a self,
+        entry: &'a name::Entry,
+        change: &'a StreamsChange,
+    ) -> Answer<'a, ()> {
+        async move {
+            let shared = self.told()?.streams;
+            let mut shared = shared.lock().unwrap();
+            if let Some((number, batch)) = &change.batch {
+                shared.insert((entry.clone(), *number), batch.clone());
+            }
+            for number in &change.deleted {
+                shared.remove(&(entry.clone(), *number));
+            }
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn list_streams<'a>(&'a self, entry: &'a name::Entry) -> Answer<'a, Vec<Row<Batch>>> {
+        async move {
+            let shared = self.told()?.streams;
+            let shared = shared.lock().unwrap();
+            let rows = shared.iter().filter(|((of, _), _)| of == entry);
+            let rows =
+                rows.map(|((_, number), it)| Row::new(&batch_key(*number), 1, Ok(it.clone())));
+            Ok(rows.collect())
+        }
+        .boxed_local()
+    }
+
+    fn list_streamers(&self) -> Answer<'_, Vec<name::Entry>> {
+        async move {
+            let shared = self.told()?.streams;
+            let shared = shared.lock().unwrap();
+            let mut entries: Vec<_> = shared.keys().map(|(entry, _)| entry.clone()).collect();
+            entries.dedup();
+            Ok(entries)
+        }
+        .boxed_local()
+    }
+
     fn entries(&self) -> Answer<'_, Addresses> {
         // Known also while the rest is not: the list was read before.
         let entries = self.0.lock().unwrap().entries.clone();
