Answers without end are ended at the deadline, and bounded in head and trailer

What was seen: with a runner that sends chunks, or a body of any length, without end and faster than its caller reads, the relay went on past the deadline of the request for as long as the caller read, and two processes of the new test ran at a whole core until they were ended.

Cause: RelayedStream::next_chunk limited the wait for the next bytes, and a wait that is over at once never reaches its limit, also where that is zero. Interim answers and trailers without end were bounded by time alone.

Change: a stream past its deadline is broken off before more is read. All heads before an answer count together towards 64 KB, trailers towards 16 KB; they are malformed beyond.

--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -20,7 +20,7 @@
 
 /// The first byte of each message: the version of the wire format. Messages of another
 /// version are dropped, so that they are never misread.
-pub const FORM: u8 = 16;
+pub const FORM: u8 = 17;
 /// The first byte of a datagram that carries only usage counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The first byte of a datagram on the planned retry of a refused caller.
--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -266,6 +266,18 @@
 }
 
 impl RelayedStream {
+    /// The next bytes, unless the deadline has passed. A time limit on the wait alone never ends a
+    /// body of which more has always arrived.
+    async fn next_in_time(&mut self) -> Result<Option<Bytes>, Error> {
+        let remaining = self.deadline - self.state.now();
+        if remaining == Millis::ZERO {
+            return Err(Error::TimedOut);
+        }
+        let limit = Duration::from_millis(remaining.0);
+        let chunk = tokio::time::timeout(limit, self.remainder.next_chunk()).await;
+        chunk.unwrap_or(Err(Error::TimedOut))
+    }
+
     /// The next bytes for the caller. After an error the stream ends, and the caller's connection
     /// is closed without the terminator of a complete response.
     async fn next_chunk(mut self) -> Option<(Result<Bytes, Error>, Option<Self>)> {
@@ -274,9 +286,7 @@
             self.remainder.responder.event();
             return Some((Ok(first), Some(self)));
         }
-        let remaining = Duration::from_millis((self.deadline - self.state.now()).0);
-        let chunk = tokio::time::timeout(remaining, self.remainder.next_chunk()).await;
-        match chunk.unwrap_or(Err(Error::TimedOut)) {
+        match self.next_in_time().await {
             Ok(Some(bytes)) => {
                 self.record.record_piece();
                 self.remainder.responder.event();
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -7,6 +7,8 @@
 /// The maximum length of a line in a chunked body, in bytes. A chunk's header line holds
 /// its size and optional extensions.
 const MAX_LINE_BYTES: usize = 1024;
+/// The maximum length of the trailer section, in bytes. Trailers are not passed on.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// How a body is delimited, and how much of it is still to be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,8 +30,8 @@
     Data(u64),
     /// Before the CRLF that ends a chunk.
     DataEnd,
-    /// In the trailer section after the last chunk.
-    Trailer,
+    /// In the trailer section after the last chunk, with the number of bytes received of it.
+    Trailer(usize),
     /// The body is complete.
     Done,
 }
@@ -93,7 +95,7 @@
                         return Ok(Decoded::NeedMore);
                     };
                     *self = match chunk_length(&line)? {
-                        0 => Self::Trailer,
+                        0 => Self::Trailer(0),
                         length => Self::Data(length),
                     };
                 }
@@ -106,12 +108,15 @@
                     }
                     *self = Self::Line;
                 }
-                Self::Trailer => {
+                Self::Trailer(received) => {
                     let Some(line) = line(buffer)? else {
                         return Ok(Decoded::NeedMore);
                     };
+                    *received += line.len();
                     if line.is_empty() {
                         *self = Self::Done;
+                    } else if *received > MAX_TRAILER_BYTES {
+                        return Err(Error::Malformed("the trailer section is too long"));
                     }
                 }
             }
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -13,6 +13,7 @@
 use woodgap_core::clock::Millis;
 
 use crate::upstream::body::Decoded;
+use crate::upstream::head::MAX_HEAD_BYTES;
 use crate::upstream::{Error, Framing, Head};
 
 /// How long opening a connection may take: many round trips between regions, but less than
@@ -230,15 +231,21 @@
 }
 
 async fn read_head(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> Result<Head, Error> {
+    let mut received = 0;
     loop {
         if let Some(head) = Head::take(buffer)? {
             return Ok(head);
         }
+        // Interim responses may come without end, each of them short.
+        if received > MAX_HEAD_BYTES {
+            return Err(Error::Malformed("the head is too large"));
+        }
         buffer.reserve(READ_BYTES);
         let count = reader.read_buf(buffer).await.map_err(Error::Cut)?;
         if count == 0 {
             return Err(Error::Cut(io::ErrorKind::UnexpectedEof.into()));
         }
+        received += count;
     }
 }
 
--- a/crates/relay/src/upstream/head.rs
+++ b/crates/relay/src/upstream/head.rs
@@ -9,7 +9,7 @@
 /// The maximum number of headers in a response.
 const MAX_HEADERS: usize = 64;
 /// The maximum size of a response head, in bytes; the same limit as for callers' requests.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// The status and headers of a response.
 #[derive(Debug)]
