--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -49,6 +49,9 @@
     counts: Counts,
     writes: Rate,
     reads: Rate,
+    /// How often the table service has come back from an older copy; its answers name it from the
+    /// first time on.
+    era: u64,
 }
 
 impl Platform {
@@ -62,6 +65,7 @@
             counts: Counts::default(),
             writes: Rate::new(options.rate_writes),
             reads: Rate::new(options.rate_reads),
+            era: 0,
         };
         Self {
             clock: Clock::start(),
@@ -104,6 +108,7 @@
     config
         .route("/fake/faults", web::post().to(faults::set))
         .route("/fake/faults", web::get().to(faults::show))
+        .route("/fake/restore", web::post().to(faults::restore))
         .route("/fake/counts", web::get().to(faults::counts))
         .route("/fake/duties", web::get().to(duties::show))
         .route("/fake/instances", web::post().to(instances::set));
--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -3,13 +3,14 @@
 use actix_web::HttpResponse;
 use actix_web::body::BoxBody;
 use actix_web::dev::{ServiceRequest, ServiceResponse};
+use actix_web::http::header::HeaderName;
 use actix_web::http::{Method, StatusCode};
 use actix_web::middleware::Next;
 use actix_web::web::{Data, Json};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 use woodgap_core::clock::Millis;
-use woodgap_platform::{instance, object, table};
+use woodgap_platform::{era, instance, object, table};
 
 use super::{Platform, State, sleep};
 use crate::faults::{merge, take};
@@ -160,7 +161,12 @@
         }
         Gate::Lose => return Ok(request.into_response(server::cut())),
     }
-    let response = next.call(request).await?;
+    let mut response = next.call(request).await?;
+    let era = platform.lock().era;
+    if era > 0 {
+        let name = HeaderName::from_static(era::HEADER);
+        response.headers_mut().insert(name, era.into());
+    }
     let delay = platform.lock().faults.delay_ms;
     sleep(delay).await;
     if write && take(&mut platform.lock().faults.lose_acks) {
@@ -182,6 +188,21 @@
     }
 }
 
+/// How old the copy is from which the table service comes back.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Restore {
+    age_ms: Millis,
+}
+
+/// `POST /fake/restore`.
+pub async fn restore(platform: Data<Platform>, body: Json<Restore>) -> HttpResponse {
+    let at = platform.now() - body.age_ms;
+    let mut state = platform.lock();
+    state.rows.restore(at);
+    state.era += 1;
+    HttpResponse::NoContent().finish()
+}
+
 /// `GET /fake/faults`: those still to come.
 pub async fn show(platform: Data<Platform>) -> Json<Faults> {
     Json(platform.lock().faults.clone())
--- a/crates/fake/src/platform/table.rs
+++ b/crates/fake/src/platform/table.rs
@@ -76,6 +76,16 @@
             .collect()
     }
 
+    /// Comes back from the copy of a time; its versions are given out again.
+    pub fn restore(&mut self, at: Millis) {
+        for states in self.rows.values_mut() {
+            states.retain(|state| state.since <= at);
+        }
+        self.rows.retain(|_, states| !states.is_empty());
+        let versions = self.rows.values().flatten().map(|state| state.version);
+        self.version = versions.max().unwrap_or(0);
+    }
+
     fn version_of(&self, place: &Place) -> u64 {
         let last = self.rows.get(place).and_then(|states| states.last());
         last.map_or(0, shown_version)
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -329,3 +329,35 @@
     fixture.fault(json!({"list_lag_ms": 0})).await;
     assert_eq!(fixture.platform.list().await, Ok(expected));
 }
+
+/// What was read before a restore is of rows that are gone: a change under such a condition could
+/// overwrite what another one has written at the same version.
+#[actix_rt::test]
+async fn conditions_from_before_a_restore_never_hold() {
+    let fixture = Fixture::start();
+    let platform = &fixture.platform;
+    fixture.write("a", json!(1)).await;
+    let lost = fixture.write("a", json!(2)).await;
+    sleep(Duration::from_millis(60)).await;
+    // The copy is from before the first write.
+    fixture
+        .post("/fake/restore", &json!({"age_ms": 30_000}))
+        .await;
+    assert_eq!(fixture.value("a").await, None);
+    fixture.write("b", json!(3)).await;
+    let again = fixture.write("a", json!(4)).await;
+    assert!(
+        again > lost,
+        "a version that was given out again counts as later"
+    );
+    let over = |version| {
+        Transaction::default()
+            .check(place("a"), version)
+            .put(place("a"), json!(5))
+    };
+    let outcome = platform.transact(&over(lost)).await;
+    assert_eq!(outcome, Ok(Outcome::Conflict { failed: vec![0] }));
+    assert_eq!(fixture.value("a").await, Some(json!(4)));
+    let outcome = platform.transact(&over(again)).await;
+    assert!(matches!(outcome, Ok(Outcome::Committed { .. })));
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -254,21 +254,22 @@
             }
             Err(error) => {
                 calls.with_label_values(&["failed"]).inc();
+                let was_lost = self.lost_history;
                 self.lost_history = error == Error::HistoryGone;
                 if self.failures == 0 {
                     log::warn!(what = self.what, error = error.to_string(); "the platform is lost");
                 }
                 self.failures += 1;
-                self.pause().await;
+                // Also right after an outage: the source answers.
+                if was_lost || !self.lost_history {
+                    self.pause().await;
+                }
                 None
             }
         }
     }
 
     async fn pause(&self) {
-        if self.lost_history && self.failures == 1 {
-            return;
-        }
         let pause = duty::backoff(self.failures, rand::random());
         tokio::time::sleep(Duration::from_millis(pause.0)).await;
     }
