--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,5 +1,7 @@
 //! What the tasks of one relay share. All of them run on one thread.
 
+mod era;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -306,38 +308,6 @@
         }
     }
 
-    /// Takes in the era of a stamp. In a new one, what this entry has had the platform keep may be
-    /// gone, and is written again.
-    pub fn note_era(&self, stamp: u64) {
-        let era = Era::of(stamp);
-        let known = self.era.get();
-        if stamp == 0 || known.is_some_and(|known| known >= era) {
-            return;
-        }
-        self.era.set(Some(era));
-        if let Some(known) = known {
-            self.store_again(known, era);
-        }
-    }
-
-    /// Has the platform told again of this entry and of what is withheld. The latter is known to
-    /// all entries, one of which writes it.
-    fn store_again(&self, known: Era, era: Era) {
-        log::warn!(before = known.number(), era = era.number(); "what the platform keeps is written again");
-        self.metrics.store_restores.inc();
-        if self.announcement.get() == Announcement::Taken {
-            self.announcement.set(Announcement::Unanswered);
-        }
-        self.streams.store_again();
-        if self.standing().rank == 0 {
-            let now = self.now();
-            let withheld: Vec<_> = self.quarantine.borrow().withheld(now).collect();
-            for hold in withheld {
-                self.rewrite(hold.cause);
-            }
-        }
-    }
-
     /// Whether the plan is confirmed recently enough to be trusted with keys; where
     /// operators don't ask for that, an old plan serves as well as a new one.
     pub fn trusts_keys(&self) -> bool {
