Nothing of a stream is given up before the first plan says how long streams last

LOST, found by reading: an entry that starts after a loss of all hears of streams, versions and its own stored batches before its first plan. Until then it took the longest stream for none: versions and streams that it was told of lived 30 s, stored batches older than that were deleted.

Until then no version counts as certain.

--- a/crates/core/src/relay/resumption/registry.rs
+++ b/crates/core/src/relay/resumption/registry.rs
@@ -9,6 +9,9 @@
 /// The longest age of an entry's view at which it may say unasked that there is one version: less
 /// than the time for which a new one is known before streams begin there.
 const MAX_UNASKED_AGE: Millis = Millis(800);
+/// How long what may matter is kept before the first plan says how long streams last: longer than
+/// any does.
+const UNKNOWN_RETENTION: Millis = Millis::from_secs(24 * 60 * 60);
 
 /// The builds of streams, and the versions that may have begun those that are not known.
 ///
@@ -33,8 +36,8 @@
 pub struct Registry {
     records: Records,
     versions: Versions,
-    /// How long a version is remembered.
-    retention: Millis,
+    /// How long a version is remembered; not known before the first plan.
+    retention: Option<Millis>,
     /// Since when all versions are known: the start of the entry, or the end of the last time in
     /// which it may have missed one.
     complete_since: Millis,
@@ -46,14 +49,14 @@
         Self {
             records: Records::default(),
             versions: Versions::default(),
-            retention: TAKE_UP_WINDOW,
+            retention: None,
             complete_since: now,
         }
     }
 
     /// Sets the longest duration of an attempt at a stream.
     pub fn set_longest_stream(&mut self, longest: Millis) {
-        self.retention = longest + TAKE_UP_WINDOW;
+        self.retention = Some(longest + TAKE_UP_WINDOW);
     }
 
     /// Records that a version of a service has endpoints.
@@ -90,7 +93,7 @@
 
     /// Drops what can't matter any more.
     pub fn expire(&mut self, now: Millis) {
-        self.versions.expire(self.retention, now);
+        self.versions.expire(self.retention(), now);
         self.records.expire(now);
     }
 
@@ -102,7 +105,7 @@
 
     /// Keeps a stream for another entry, at most for as long as a version is remembered.
     pub fn keep(&mut self, notice: &Notice, now: Millis) {
-        let until = now + notice.keep_for.min(self.retention);
+        let until = now + notice.keep_for.min(self.retention());
         self.records.insert(notice.stream, notice.build, until);
     }
 
@@ -132,7 +135,7 @@
 
     /// For how long after it was written a stored stream can matter.
     pub fn retention(&self) -> Millis {
-        self.retention
+        self.retention.unwrap_or(UNKNOWN_RETENTION)
     }
 
     /// Takes at most `limit` streams of this entry that the platform must store: those whose
@@ -153,7 +156,7 @@
 
     /// Takes in a stream that the platform has stored; what is known better stays.
     pub fn restore_stream(&mut self, notice: &Notice, now: Millis) {
-        let until = now + notice.keep_for.min(self.retention);
+        let until = now + notice.keep_for.min(self.retention());
         let Notice { stream, build, .. } = *notice;
         self.records.insert_stored(stream, build, until);
     }
@@ -178,7 +181,7 @@
         match standing {
             Standing::Known(_) => true,
             Standing::Single(_) => {
-                age <= MAX_UNASKED_AGE && now - self.complete_since >= self.retention
+                age <= MAX_UNASKED_AGE && now - self.complete_since >= self.retention()
             }
             Standing::Unsure(_) | Standing::Several | Standing::Nothing => false,
         }
--- a/crates/core/tests/relay/resumption.rs
+++ b/crates/core/tests/relay/resumption.rs
@@ -9,7 +9,7 @@
 use woodgap_core::name::{DataCentre, Entry, Incarnation};
 use woodgap_core::relay::fleet;
 use woodgap_core::relay::resumption::inquiry::Notice;
-use woodgap_core::relay::resumption::stored::{Batch, MAX_BATCH};
+use woodgap_core::relay::resumption::stored::{Batch, MAX_BATCH, is_outdated};
 use woodgap_core::relay::resumption::{
     Build, Inquiry, KEEPERS, Keepers, Registry, Service, Standing, Stream, TAKE_UP_WINDOW,
 };
@@ -453,6 +453,34 @@
     assert!(registry.is_empty());
 }
 
+/// LOST: an entry that has heard of streams and versions, but of no plan yet, gave them up after
+/// half a minute, and deleted what it had stored in its earlier life.
+#[test]
+fn nothing_is_given_up_before_the_longest_stream_is_known() {
+    let longest = Millis::from_secs(120);
+    let mut registry = Registry::new(Millis::ZERO);
+    let notice = |id: &str| Notice {
+        stream: Stream::of("murphy", id),
+        build: build("v1"),
+        keep_for: longest,
+    };
+    registry.observe(SERVICE, "v1", Millis::ZERO);
+    registry.observe(SERVICE, "v2", Millis::ZERO);
+    registry.keep(&notice("r1"), Millis::ZERO);
+    registry.restore_stream(&notice("r2"), Millis::ZERO);
+    let late = longest - Millis(1);
+    registry.expire(late);
+    assert!(registry.is_mixed());
+    for id in ["r1", "r2"] {
+        let standing = registry.standing(Some(Stream::of("murphy", id)), &services(), late);
+        assert_eq!(standing, Standing::Known(build("v1")), "{id}");
+    }
+    assert!(!is_outdated(0, registry.retention(), late));
+    // The plan comes, and bounds all that comes later.
+    registry.set_longest_stream(longest);
+    assert_eq!(registry.retention(), longest + TAKE_UP_WINDOW);
+}
+
 /// While older versions serve.
 #[test]
 fn no_streams_begin_at_a_version_before_all_know_of_it() {
