Crashes that may soon withhold a request are stored again after a restore

LOST, found by reading: in a new era of the platform's store one entry wrote again what is withheld, but not what it also has stored: requests and parts that have crashed enough endpoints to be counted on from, or that are withheld only with others. After a restore and a loss of all, entries counted these from nothing, and each costs endpoints anew.

Change: Quarantine::to_store names all causes of which a history is stored; all of them are written again, one call after another as before.

Measured: the new test failed before (the withheld request was stored again, the suspected one was not) and passes.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -338,6 +338,31 @@
         is_stored.then(|| record.history(cause, now))
     }
 
+    /// Iterates over all causes of which [`Self::history_to_store`] returns a history.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::fingerprint::{Fingerprint, Request};
+    /// use woodgap_core::quarantine::{Cause, Crash, Quarantine};
+    ///
+    /// let request = Request { caller: "", method: "GET", host: "", target: "/", body: b"" };
+    /// let cause = Cause::Request(Fingerprint::of(&request));
+    /// let mut quarantine = Quarantine::default();
+    /// for endpoint in 1..=2 {
+    ///     let at = Millis::from_secs(u64::from(endpoint));
+    ///     let crash = Crash { endpoint, sent: at, at, pieces: 0 };
+    ///     quarantine.record_crash(&[cause], crash, at);
+    /// }
+    /// // It is not withheld yet, but may soon be.
+    /// let now = Millis::from_secs(3);
+    /// assert!(quarantine.hold(&[cause], now).is_none());
+    /// assert_eq!(quarantine.to_store(now).collect::<Vec<_>>(), [cause]);
+    /// ```
+    pub fn to_store(&self, now: Millis) -> impl Iterator<Item = Cause> {
+        let causes = self.records.keys().copied();
+        causes.filter(move |cause| self.history_to_store(*cause, now).is_some())
+    }
+
     /// Returns whether the record is among those of highest rank that are not withheld. Where many
     /// endpoints crash, many requests stand beside two crashes.
     fn is_among_stored_marks(&self, record: &Record) -> bool {
--- a/crates/relay/src/state/era.rs
+++ b/crates/relay/src/state/era.rs
@@ -19,8 +19,8 @@
         }
     }
 
-    /// Has the platform told again of this entry and of what is withheld. The latter is known to
-    /// all entries, one of which writes it.
+    /// Has the platform told again of this entry and of what is withheld, or may soon be. The latter
+    /// is known to all entries, one of which writes it.
     fn store_again(&self, known: Era, era: Era) {
         log::warn!(before = known.number(), era = era.number(); "what the platform keeps is written again");
         self.metrics.store_restores.inc();
@@ -30,9 +30,9 @@
         self.streams.store_again();
         if self.standing().rank == 0 {
             let now = self.now();
-            let withheld: Vec<_> = self.quarantine.borrow().withheld(now).collect();
-            for hold in withheld {
-                self.rewrite(hold.cause);
+            let causes: Vec<_> = self.quarantine.borrow().to_store(now).collect();
+            for cause in causes {
+                self.rewrite(cause);
             }
         }
     }
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -24,6 +24,7 @@
 mod peer;
 mod rate_limits;
 mod refusals;
+mod restores;
 mod rests;
 mod resumed_streams;
 mod rows;
