An answer without a length is whole only where its endpoint still listens

Cause: such an answer ends with its connection, and its end was believed unless a crash was found. That question is not asked of a leaving endpoint, takes refused connections for lost links if all are refused, and ends with the first connection that is taken, though the listener of an ending process may close last.

Change: the end is taken for whole if a connection is taken at the endpoint's address and stays open for 5 ms, or if this isn't known within 50 ms. What counts as a crash, and against which request, is as before; what was cut off no longer counts as a run that ended well. unframed_ends counts the outcomes, a line names the endpoint.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -31,6 +31,8 @@
     pub resumptions: IntCounterVec,
     /// Batches of streams written to the platform, by outcome.
     pub stream_batches: IntCounterVec,
+    /// Responses that ended with their connections, by what the check of their ends found.
+    pub unframed_ends: IntCounterVec,
     /// Connections opened to endpoints.
     pub connects: IntCounter,
     /// Calls to the platform, by outcome.
@@ -117,6 +119,11 @@
                 "outcome",
             )?,
             resumptions: counters("resumptions", "Streams that callers take up", "version")?,
+            unframed_ends: counters(
+                "unframed_ends",
+                "Responses that ended with their connections",
+                "outcome",
+            )?,
             stream_batches: counters("stream_batches", "Streams stored, in batches", "outcome")?,
             connects: IntCounter::new("connects", "Connections opened to endpoints")?,
             platform_calls: counters("platform_calls", "Calls to the platform", "outcome")?,
@@ -209,6 +216,7 @@
         registry.register(Box::new(self.handovers.clone()))?;
         registry.register(Box::new(self.resumptions.clone()))?;
         registry.register(Box::new(self.stream_batches.clone()))?;
+        registry.register(Box::new(self.unframed_ends.clone()))?;
         registry.register(Box::new(self.connects.clone()))?;
         registry.register(Box::new(self.platform_calls.clone()))?;
         registry.register(Box::new(self.unusable_rows.clone()))?;
--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -10,7 +10,9 @@
 //!
 //! A response that ends with its connection looks the same if its endpoint has crashed. Its end is
 //! checked in the same way, and shows that the endpoint survived the request only if no sign of a
-//! crash follows.
+//! crash follows. It may also have been cut off without a crash, as the endpoint ended as planned, or
+//! as all endpoints ended together: it is taken for whole only where something still takes
+//! connections at its endpoint's address.
 
 use std::collections::{HashMap, HashSet};
 use std::io;
@@ -44,6 +46,9 @@
 const END_WINDOW: Millis = Millis(250);
 /// The longest wait for the check of a response that ended with its connection: it is due.
 const MAX_END_WAIT: Millis = Millis(50);
+/// How long a new connection is watched when a response has ended with its own: the connections of
+/// an endpoint that ends close one after the other, and its listener may be the last.
+const END_LOOK: Millis = Millis(5);
 /// If fewer endpoints are listed, the loss of all does not suggest that links were lost.
 const MIN_ENDPOINTS: usize = 3;
 
@@ -102,6 +107,10 @@
     outage: Option<Outage>,
     /// When the endpoint was found to have crashed, and how.
     crash: Option<(Millis, Sign)>,
+    /// How many responses that ended with their connections are being checked.
+    ends: usize,
+    /// When the endpoint was last seen to take no connections, for whatever cause.
+    closed: Option<Millis>,
 }
 
 /// A series of lost connections, between which the endpoint did not respond to anything.
@@ -145,7 +154,24 @@
     fn is_recent(&self, now: Millis) -> bool {
         let mut suspects = self.suspects.iter();
         let waits = suspects.any(|suspect| self.awaits_sign(suspect, now));
-        self.probe.is_some() || waits || self.has_crashed(now)
+        self.probe.is_some() || self.ends > 0 || waits || self.has_crashed(now)
+    }
+
+    /// Whether a response that ended at this time with its connection was cut off by the endpoint's
+    /// end: it crashed, or takes no connections since.
+    fn has_sign_since(&self, ended: Millis, now: Millis) -> bool {
+        let is_closed = self.closed.is_some_and(|at| at >= ended);
+        is_closed || self.recent_sign(now) == Some(Sign::Refused)
+    }
+
+    /// Starts a probe of the endpoint, unless one is running.
+    fn start_probe(&mut self, state: &Rc<State>, life: &name::Life, address: SocketAddr) {
+        if self.probe.is_none() {
+            let probe = probe_endpoint(Rc::clone(state), life.clone(), address);
+            let probe = probe.boxed_local().shared();
+            self.probe = Some(probe.clone());
+            actix_rt::spawn(probe);
+        }
     }
 
     fn has_crashed(&self, now: Millis) -> bool {
@@ -249,12 +275,7 @@
         return;
     }
     check.add_suspect(suspect);
-    if check.probe.is_none() {
-        let probe = probe_endpoint(Rc::clone(state), life.clone(), address);
-        let probe = probe.boxed_local().shared();
-        check.probe = Some(probe.clone());
-        actix_rt::spawn(probe);
-    }
+    check.start_probe(state, life, address);
 }
 
 /// Waits for the running probe of the endpoint, if any.
@@ -269,22 +290,54 @@
     }
 }
 
-/// Checks a response that has ended with its connection. Returns whether its endpoint was not found
-/// to have crashed with it.
+/// Checks a response that has ended with its connection. Returns whether it is taken for whole: its
+/// endpoint still takes connections, or could not be asked in time.
 pub async fn is_complete(
     state: &Rc<State>,
     life: &name::Life,
     address: SocketAddr,
     suspect: Suspect,
 ) -> bool {
+    let ended = suspect.disconnected;
+    change_ends(state, life, |ends| ends + 1);
     check_for_crash(state, life, address, suspect);
+    // Also where a crash is not looked for: the endpoint is leaving.
+    if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(life)
+        && !check.has_sign_since(ended, state.now())
+    {
+        check.start_probe(state, life, address);
+    }
     let limit = Duration::from_millis(MAX_END_WAIT.0);
     // The check goes on if it takes longer.
-    let _ = tokio::time::timeout(limit, wait_for_check(state, life)).await;
-    let checks = state.crash_checks.borrow();
-    let check = checks.by_life.get(life);
-    let sign = check.and_then(|check| check.recent_sign(state.now()));
-    sign != Some(Sign::Refused)
+    let checked = tokio::time::timeout(limit, wait_for_check(state, life)).await;
+    change_ends(state, life, |ends| ends.saturating_sub(1));
+    let is_cut = {
+        let checks = state.crash_checks.borrow();
+        let check = checks.by_life.get(life);
+        check.is_some_and(|check| check.has_sign_since(ended, state.now()))
+    };
+    let outcome = match checked {
+        _ if is_cut => "cut",
+        Ok(()) => "whole",
+        Err(_) => "unknown",
+    };
+    let ends = &state.metrics.unframed_ends;
+    ends.with_label_values(&[outcome]).inc();
+    if is_cut {
+        let is_leaving = state.roster.borrow().is_leaving(life);
+        log::info!(
+            endpoint = life.id.as_str(), leaving = is_leaving;
+            "a response that ended with its connection is not taken for whole, as its endpoint takes no connections"
+        );
+    }
+    !is_cut
+}
+
+/// Changes the number of responses of the endpoint whose ends are being checked.
+fn change_ends(state: &State, life: &name::Life, change: impl Fn(usize) -> usize) {
+    let mut checks = state.crash_checks.borrow_mut();
+    let check = checks.by_life.entry(life.clone()).or_default();
+    check.ends = change(check.ends);
 }
 
 /// Records that the endpoint has responded: connections that are lost from now on are not lost to
@@ -331,10 +384,11 @@
 async fn probe_endpoint(state: Rc<State>, life: name::Life, address: SocketAddr) {
     let started = state.now();
     let opened = connect_with_retry(&state, address).await;
-    let now = state.now();
+    let is_leaving = state.roster.borrow().is_leaving(&life);
     match opened {
         Err(Error::Unsent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            if has_links(&state, started).await {
+            record_closed(&state, &life);
+            if !is_leaving && has_links(&state, started).await {
                 record_crash(&state, &life, Sign::Refused);
             }
         }
@@ -342,8 +396,13 @@
         Err(_) => {}
         Ok(connection) => {
             links::record_connected(&state);
-            let mut pool = state.pool.borrow_mut();
-            pool.put(&life, connection, upkeep::REST, now);
+            if has_ends(&state, &life) && connection.closes_within(END_LOOK).await {
+                record_closed(&state, &life);
+            } else if !is_leaving {
+                let now = state.now();
+                let mut pool = state.pool.borrow_mut();
+                pool.put(&life, connection, upkeep::REST, now);
+            }
         }
     }
     if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(&life) {
@@ -351,6 +410,23 @@
     }
 }
 
+/// Whether responses that ended with their connections await the probe.
+fn has_ends(state: &State, life: &name::Life) -> bool {
+    let checks = state.crash_checks.borrow();
+    checks.by_life.get(life).is_some_and(|check| check.ends > 0)
+}
+
+fn record_closed(state: &State, life: &name::Life) {
+    let now = state.now();
+    if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(life) {
+        check.closed = Some(now);
+        // What was cut off has not ended well, whether its endpoint crashed or not.
+        let suspects = check.suspects.iter_mut();
+        let cut = suspects.filter(|it| it.has_ended() && now - it.disconnected < END_WINDOW);
+        cut.for_each(|suspect| suspect.end = Some(End::Nothing));
+    }
+}
+
 /// Whether this entry has had links to endpoints since this time: else refused connections say nothing about a
 /// crash. With few endpoints, one request may have crashed them all.
 async fn has_links(state: &Rc<State>, time: Millis) -> bool {
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -82,6 +82,13 @@
         unexpected.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the peer closes a new connection, or sends what nobody asked for, within this time.
+    pub async fn closes_within(&self, span: Millis) -> bool {
+        let limit = Duration::from_millis(span.0);
+        let readable = tokio::time::timeout(limit, self.stream.readable()).await;
+        readable.is_ok() && !self.is_reusable()
+    }
+
     /// The number of requests started on this connection.
     pub fn requests_sent(&self) -> u32 {
         self.request_count
--- a/crates/relay/tests/crashes/crashing.rs
+++ b/crates/relay/tests/crashes/crashing.rs
@@ -57,6 +57,8 @@
     pub rest: Rest,
     /// Whether every second fatal body gets an error, and ends nothing.
     pub has_errors: bool,
+    /// Whether it says in its answers that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// How an endpoint answers usually.
@@ -64,6 +66,7 @@
     framed: Framed::Length,
     rest: Rest::Nothing,
     has_errors: false,
+    is_leaving: false,
 };
 /// The events of a whole stream.
 pub const EVENTS: &str = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
@@ -86,6 +89,8 @@
     started: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
     has_ended: Mutex<bool>,
+    /// Whether it has begun an answer on which it ends.
+    is_ending: AtomicBool,
     /// Whether the test is over: its threads would else go on beside other tests.
     is_over: AtomicBool,
     down: Down,
@@ -102,6 +107,7 @@
             started: AtomicU64::new(1),
             connections: Mutex::default(),
             has_ended: Mutex::default(),
+            is_ending: AtomicBool::new(false),
             is_over: AtomicBool::new(false),
             down,
             manner,
@@ -119,6 +125,11 @@
         row
     }
 
+    /// Whether it has begun an answer on which it ends.
+    pub fn is_ending(&self) -> bool {
+        self.life.is_ending.load(Ordering::Relaxed)
+    }
+
     /// Ends it, as if by itself.
     pub fn end(&self) {
         self.life.end();
@@ -210,6 +221,7 @@
             .split_last()
             .is_some_and(|(_, shared)| shared.contains(&FATAL_PART));
         if is_fatal {
+            life.is_ending.store(true, Ordering::Relaxed);
             life.arrivals.lock().unwrap().push(Instant::now());
             sleep(TIME_TO_END);
             // What is under way is lost with the endpoint.
@@ -219,7 +231,7 @@
         }
         let answer = match life.manner.framed {
             _ if parts.is_empty() => framed(&id, "", "yes", Framed::Length),
-            framing => framed(&id, STREAM, EVENTS, framing),
+            framing => framed(&id, life.manner.headers(), EVENTS, framing),
         };
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
@@ -233,6 +245,18 @@
 }
 
 const STREAM: &str = "Content-Type: text/event-stream\r\n";
+const LEAVING_STREAM: &str = "Content-Type: text/event-stream\r\nX-Woodgap-Leaving: 1\r\n";
+
+impl Manner {
+    /// The headers of its streams.
+    const fn headers(&self) -> &'static str {
+        if self.is_leaving {
+            LEAVING_STREAM
+        } else {
+            STREAM
+        }
+    }
+}
 
 /// A whole answer.
 fn framed(id: &str, headers: &str, body: &str, framing: Framed) -> String {
@@ -255,7 +279,7 @@
         Rest::PartOfEvent => EVENTS.len() / 2 + 3,
         Rest::Event => EVENTS.len() / 2,
     };
-    framed(id, STREAM, &EVENTS[..length], manner.framed)
+    framed(id, manner.headers(), &EVENTS[..length], manner.framed)
 }
 
 /// The IDs of the parts of a request's prompt.
--- a/crates/relay/tests/crashes/parts.rs
+++ b/crates/relay/tests/crashes/parts.rs
@@ -291,14 +291,64 @@
 }
 
 /// A stream that ends with its connection, as its engine ends, may lack events.
+#[rstest]
+#[case::that_listens_no_more(DOWN)]
+#[case::before_which_something_listens(Down::Fronted(Duration::from_millis(800)))]
+fn a_stream_that_ends_with_its_engine_is_not_whole(#[case] down: Down) {
+    let fleet = Fleet::start(1, 1, down, manner(Framed::Close, Rest::Event));
+    let answer = ask(&fleet.sites[0], "f", &Place::Second.parts(1));
+    let is_whole = answer.is_some_and(|it| it.status == 200 && it.is_whole);
+    assert!(!is_whole);
+}
+
+/// Leaving is no excuse: MIXED. An engine that leaves as planned ended with requests in hand, and what it
+/// had written of streams without a length was passed on as complete.
 #[test]
-fn a_stream_that_ends_with_its_engine_is_not_whole() {
-    let fleet = Fleet::start(1, 1, DOWN, manner(Framed::Close, Rest::Event));
+fn a_stream_that_ends_with_a_leaving_engine_is_not_whole() {
+    let leaving = Manner {
+        is_leaving: true,
+        ..manner(Framed::Close, Rest::Event)
+    };
+    let fleet = Fleet::start(1, 1, DOWN, leaving);
     let answer = ask(&fleet.sites[0], "f", &Place::Second.parts(1));
     let is_whole = answer.is_some_and(|it| it.status == 200 && it.is_whole);
     assert!(!is_whole);
 }
 
+/// Its streams that have ended are whole, as it still takes connections.
+#[test]
+fn a_stream_of_a_leaving_engine_is_whole() {
+    let leaving = Manner {
+        is_leaving: true,
+        ..manner(Framed::Close, Rest::Event)
+    };
+    let fleet = Fleet::start(1, 1, DOWN, leaving);
+    let answer = ask(&fleet.sites[0], "s", &[SHARED_PART, 1]).unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.text(), EVENTS);
+}
+
+/// MIXED: all engines ended at once, which was taken for the loss of all links, and what one had written
+/// of a stream without a length was passed on as complete.
+#[test]
+fn a_stream_that_ends_with_all_engines_is_not_whole() {
+    let fleet = Fleet::start(1, 4, DOWN, manner(Framed::Close, Rest::Event));
+    let is_whole = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| {
+            let answer = ask(&fleet.sites[0], "f", &Place::Second.parts(1));
+            answer.is_some_and(|it| it.status == 200 && it.is_whole)
+        });
+        while fleet.arrivals.lock().unwrap().is_empty() {
+            sleep(Duration::from_millis(1));
+        }
+        // The others, right before it.
+        let others = fleet.engines.iter().filter(|it| !it.is_ending());
+        others.for_each(Crashing::end);
+        asking.join().unwrap()
+    });
+    assert!(!is_whole);
+}
+
 /// All entries are killed and started anew, twice, while requests with the part go on coming.
 #[test]
 fn what_is_withheld_outlasts_all_entries() {
