--- a/crates/relay/tests/crashes/crashing.rs
+++ b/crates/relay/tests/crashes/crashing.rs
@@ -249,7 +249,7 @@
 
 impl Manner {
     /// The headers of its streams.
-    const fn headers(&self) -> &'static str {
+    const fn headers(self) -> &'static str {
         if self.is_leaving {
             LEAVING_STREAM
         } else {
