A list of endpoints that was read before a change is known doesn't undo it

If another entry tells of changes while that list is on its way, it was taken at their revision, with rows from before them, and told to all: an endpoint that leaves was ready again until its row was written anew.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -241,6 +241,38 @@
         changes
     }
 
+    /// Adds to a list that was read as of `revision` the later changes that are known already, which
+    /// it would undo. Returns whether all of them are known.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::name;
+    /// use woodgap_core::relay::roster::{Change, Roster};
+    ///
+    /// let mut roster = Roster::new(Millis::ZERO);
+    /// roster.replace(Vec::new(), 7, Millis::ZERO, Millis::ZERO);
+    /// let gone = Change::Missing(name::Endpoint::from("i-1"));
+    /// roster.apply(vec![(9, gone)], Millis::ZERO, Millis::ZERO);
+    /// assert!(roster.add_later_changes(&mut Vec::new(), 8));
+    /// assert!(!roster.add_later_changes(&mut Vec::new(), 6));
+    /// ```
+    pub fn add_later_changes(&self, list: &mut Vec<Endpoint>, revision: u64) -> bool {
+        if revision >= self.revision {
+            return true;
+        }
+        let Some(changes) = self.since(revision) else {
+            return false;
+        };
+        let changes = changes.into_iter().map(|(_, change)| match change {
+            Change::Listed(endpoint) => (endpoint.life.id.clone(), Some(endpoint)),
+            Change::Missing(name) => (name, None),
+        });
+        let newest: BTreeMap<_, _> = changes.collect();
+        list.retain(|endpoint| !newest.contains_key(&endpoint.life.id));
+        list.extend(newest.into_values().flatten());
+        true
+    }
+
     fn is_new(&self, endpoint: &Endpoint) -> bool {
         let record = self.endpoints.get(&endpoint.life.id);
         record.is_none_or(|it| it.listed() != endpoint || !it.is_listed())
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -217,6 +217,28 @@
     assert_eq!(roster.revision(), 11);
 }
 
+/// DRAIN: a list that was read from the platform before an endpoint began to leave, and answered after
+/// another entry had told of it, made the endpoint ready again.
+#[test]
+fn a_list_that_is_older_than_a_known_change_does_not_undo_it() {
+    let mut roster = Roster::new(Millis(10));
+    let all = || vec![endpoint("a"), endpoint("b"), endpoint("c")];
+    roster.replace(all(), 5, Millis(0), Millis(0));
+    let changes = vec![
+        (7, Change::Listed(leaving("a"))),
+        (8, Change::Missing(name::Endpoint::from("b"))),
+        (9, Change::Listed(endpoint("d"))),
+    ];
+    roster.apply(changes, Millis(1), Millis(1));
+    let mut read = all();
+    assert!(roster.add_later_changes(&mut read, 6));
+    assert!(roster.replace(read, 9, Millis(2), Millis(2)).is_empty());
+    assert_eq!(usable(&roster, 2), ["c", "d"]);
+    assert_eq!(roster.revision(), 9);
+    // Changes that are not known any more can't be added.
+    assert!(!roster.add_later_changes(&mut all(), 4));
+}
+
 fn starts(roster: &Roster) -> Vec<Option<Millis>> {
     let usable = roster.usable("engines", &Evacuation::default(), Millis(5));
     usable.iter().map(|it| it.life.started_unix).collect()
