Long answers without a length are served

Cause: such answers are read whole before anything is passed on, so that a cut one can be tried again; what didn't fit into the buffer was an error.

Change: what doesn't fit is passed on as it comes, by the way that streams take: deadline, back-pressure, and the check of the end. Up to 64 KB nothing changes.

Measured: of five sizes those of 70,000, 300,000 and 9,000,000 bytes failed before and pass, one run each; reset ones of 70,000 and 300,000 are not told as whole.

--- a/crates/relay/src/request/response.rs
+++ b/crates/relay/src/request/response.rs
@@ -130,11 +130,11 @@
         let is_short = framing
             .content_length()
             .is_some_and(|length| length <= MAX_BUFFERED_BYTES);
-        // Events are passed on as they come.
+        // Events are passed on as they come, and so is what is longer than the buffer.
         if (is_short || framing.is_close_delimited()) && !is_event_stream(head) {
             let max_bytes = usize::try_from(MAX_BUFFERED_BYTES).unwrap_or(usize::MAX);
-            let body = connection.read_body(framing, max_bytes).await?;
-            return Ok((None, body));
+            let (body, is_whole) = connection.read_part(&mut framing, max_bytes).await?;
+            return Ok(((!is_whole).then_some(framing), body));
         }
         match connection.next_data(&mut framing).await? {
             Some(first) => Ok((Some(framing), first)),
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -176,14 +176,31 @@
         mut framing: Framing,
         max_bytes: usize,
     ) -> Result<Bytes, Error> {
-        let mut whole = BytesMut::new();
-        while let Some(piece) = self.next_data(&mut framing).await? {
-            whole.extend_from_slice(&piece);
-            if whole.len() > max_bytes {
-                return Err(Error::TooLarge);
+        match self.read_part(&mut framing, max_bytes).await? {
+            (body, true) => Ok(body),
+            (_, false) => Err(Error::TooLarge),
+        }
+    }
+
+    /// Reads the response body up to its end, or until more than `max_bytes` have come. Returns
+    /// whether it is complete; if not, [`Self::next_data`] reads on.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::next_data`].
+    pub async fn read_part(
+        &mut self,
+        framing: &mut Framing,
+        max_bytes: usize,
+    ) -> Result<(Bytes, bool), Error> {
+        let mut read = BytesMut::new();
+        while let Some(piece) = self.next_data(framing).await? {
+            read.extend_from_slice(&piece);
+            if read.len() > max_bytes {
+                return Ok((read.freeze(), false));
             }
         }
-        Ok(whole.freeze())
+        Ok((read.freeze(), true))
     }
 
     /// Frees the read buffer's memory while the connection is idle.
--- a/crates/relay/tests/contract/answers.rs
+++ b/crates/relay/tests/contract/answers.rs
@@ -62,6 +62,42 @@
     assert!(other.seen().is_empty());
 }
 
+/// Long answers with neither a length nor chunks were never served: all callers got 502, after two or
+/// three runs.
+#[rstest]
+#[case::short(9_000)]
+#[case::almost_the_buffer(60_000)]
+#[case::beyond_the_buffer(70_000)]
+#[case::long(300_000)]
+#[case::very_long(9_000_000)]
+fn an_answer_without_a_length_is_whole_whatever_its_size(#[case] bytes: usize) {
+    let body: String = ('a'..='z').cycle().take(bytes).collect();
+    let endpoint = Endpoint::always(vec![head("200 OK", SEALED), text(&body), Step::Close]);
+    let site = Site::start(&[endpoint.address]);
+    let (read, write) = (
+        get(site.requests, "/read/", "r1", ""),
+        post(site.requests, "/write/", "r2", b"x"),
+    );
+    for answer in [read, write] {
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+        assert!(answer.text() == body, "{} bytes", answer.body.len());
+    }
+    assert_eq!(endpoint.seen().len(), 2);
+}
+
+/// Beyond what is buffered it can't be taken back: the caller must see that it is a part.
+#[rstest]
+#[case::beyond_the_buffer(70_000)]
+#[case::long(300_000)]
+fn an_answer_without_a_length_that_is_reset_is_not_whole(#[case] bytes: usize) {
+    let body = "a".repeat(bytes);
+    let steps = vec![head("200 OK", SEALED), text(&body), Step::Reset];
+    let endpoint = Endpoint::always(steps);
+    let site = Site::start(&[endpoint.address]);
+    let answer = post(site.requests, "/write/", "r1", b"x");
+    assert!(answer.status != 200 || !answer.is_whole);
+}
+
 #[test]
 fn what_may_not_be_repeated_goes_to_one_endpoint_only() {
     let endpoints = [0, 1].map(|_| Endpoint::always(vec![Step::Reset]));
