Callers of HTTP/1.0 get no chunks

Found by a test of long answers without a length: a caller of HTTP/1.0 got "transfer-encoding: chunked" and the sizes of chunks among the bytes of the body, for streams as well.

Cause: the server library frames a body of unknown length by chunks for all versions unless it is told otherwise.

Change: for versions before HTTP/1.1 such a body ends with the connection, which is closed.

--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -3,9 +3,8 @@
 use std::cell::LazyCell;
 use std::rc::Rc;
 
-use actix_http::Request;
-use actix_http::Response;
 use actix_http::body::BoxBody;
+use actix_http::{ConnectionType, Request, Response, Version};
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
 use woodgap_core::quarantine::Cause;
@@ -72,6 +71,7 @@
 
 /// Serves one request.
 pub async fn serve(state: Rc<State>, request: Request, origin: Origin) -> Response<BoxBody> {
+    let version = request.head().version;
     let connected = request.conn_data::<ConnectedAt>();
     let connected = connected.map_or_else(|| state.now(), |it| it.0);
     let mut record = AccessRecord::open(&state, connected);
@@ -82,7 +82,16 @@
         () = state.closed() => None,
     };
     match result.unwrap_or_else(|| Err(record.shutdown_problem())) {
-        Ok((response, deadline)) => response.respond(&state, record, deadline),
+        Ok((response, deadline)) => {
+            let mut response = response.respond(&state, record, deadline);
+            // Earlier protocols have no chunks: the body ends with the connection.
+            if version < Version::HTTP_11 {
+                let head = response.head_mut();
+                head.no_chunking(true);
+                head.set_connection_type(ConnectionType::Close);
+            }
+            response
+        }
         Err(problem) => refuse(&state, record, origin, &problem),
     }
 }
--- a/crates/relay/tests/contract/answers.rs
+++ b/crates/relay/tests/contract/answers.rs
@@ -1,5 +1,8 @@
 //! What a caller gets of an endpoint's answer, however the endpoint behaves.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
 use rstest::rstest;
 use tokio::net::TcpSocket;
 
@@ -85,6 +88,24 @@
     assert_eq!(endpoint.seen().len(), 2);
 }
 
+/// It has no chunks, and gets the bytes up to the end of the connection.
+#[test]
+fn a_caller_of_an_earlier_protocol_gets_a_long_answer_without_a_length() {
+    let body = "a".repeat(300_000);
+    let endpoint = Endpoint::always(vec![head("200 OK", SEALED), text(&body), Step::Close]);
+    let site = Site::start(&[endpoint.address]);
+    let mut stream = TcpStream::connect(site.requests).unwrap();
+    let request = request("GET", "/read/", "r1", "").replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut got = Vec::new();
+    stream.read_to_end(&mut got).unwrap();
+    let got = String::from_utf8(got).unwrap();
+    let (head, received) = got.split_once("\r\n\r\n").unwrap();
+    assert!(head.starts_with("HTTP/1.0 200 "), "{head}");
+    assert!(!head.to_lowercase().contains("transfer-encoding"), "{head}");
+    assert!(received == body, "{} bytes", received.len());
+}
+
 /// Beyond what is buffered it can't be taken back: the caller must see that it is a part.
 #[rstest]
 #[case::beyond_the_buffer(70_000)]
