A list of endpoints is asked for once

A source that counts no removals stays behind for ever, so each change of its list came 0.3 s later, and with it the knowledge of crashes.

Change: nothing is asked again. Known later changes are added to the list; where they are not kept it is taken as it was before that commit.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -242,7 +242,8 @@
     }
 
     /// Adds to a list that was read as of `revision` the later changes that are known already, which
-    /// it would undo. Returns whether all of them are known.
+    /// it would undo. Returns whether all of them are known: a source that counts no removals stays
+    /// behind.
     ///
     /// ```
     /// use woodgap_core::clock::Millis;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -28,9 +28,6 @@
 /// The most changes of one whole list of which each has its line in the log: at a start
 /// all of hundreds are new, at each of hundreds of entries.
 const MOST_LINES: usize = 16;
-/// How many lists in sequence may be older than what is known before one is taken as it is: a
-/// source that counts no removals may stay behind.
-const MAX_OLD_LISTS: usize = 3;
 /// How long after changes of the endpoints the next ones are asked for: endpoints that
 /// fail or leave together are then told of in one answer.
 const GATHER: Millis = Millis(100);
@@ -145,8 +142,6 @@
     let mut cursor = None;
     let mut link = Link::new("endpoints");
     let mut faults = UnusableRows::new("endpoints");
-    // Lists in sequence that were older than what is known.
-    let mut old_lists = 0;
     loop {
         let wait = tokio::select! {
             wait = until_due(&state, Subject::Endpoints) => wait,
@@ -180,14 +175,7 @@
                         faults.replace(&rows, &state.metrics);
                         let mut all = rows.into_iter().filter_map(usable).collect();
                         // Others may have told of changes while the list was read.
-                        let is_complete = state.roster.borrow().add_later_changes(&mut all, at);
-                        if !is_complete && old_lists < MAX_OLD_LISTS {
-                            old_lists += 1;
-                            cursor = None;
-                            tokio::time::sleep(Duration::from_millis(GATHER.0)).await;
-                            continue;
-                        }
-                        old_lists = 0;
+                        state.roster.borrow().add_later_changes(&mut all, at);
                         let revision = at.max(state.roster.borrow().revision());
                         take_endpoints(&state, all, revision, asked, "platform");
                     }
