The check of a response's end is over when its caller leaves

Found by reading: a caller that left while the end of a response without a length was being checked left the count of such checks raised. Its endpoint was never forgotten by crash_checks, and each later probe of it waited 5 ms.

Change: the count falls when the check's future is dropped. Measured: no test shows it, as nothing outside counts these; the crashes' tests pass.

--- a/crates/relay/src/request/crash.rs
+++ b/crates/relay/src/request/crash.rs
@@ -299,7 +299,7 @@
     suspect: Suspect,
 ) -> bool {
     let ended = suspect.disconnected;
-    change_ends(state, life, |ends| ends + 1);
+    let checking = EndCheck::begin(state, life);
     check_for_crash(state, life, address, suspect);
     // Also where a crash is not looked for: the endpoint is leaving.
     if let Some(check) = state.crash_checks.borrow_mut().by_life.get_mut(life)
@@ -310,7 +310,7 @@
     let limit = Duration::from_millis(MAX_END_WAIT.0);
     // The check goes on if it takes longer.
     let checked = tokio::time::timeout(limit, wait_for_check(state, life)).await;
-    change_ends(state, life, |ends| ends.saturating_sub(1));
+    drop(checking);
     let is_cut = {
         let checks = state.crash_checks.borrow();
         let check = checks.by_life.get(life);
@@ -333,11 +333,30 @@
     !is_cut
 }
 
-/// Changes the number of responses of the endpoint whose ends are being checked.
-fn change_ends(state: &State, life: &name::Life, change: impl Fn(usize) -> usize) {
-    let mut checks = state.crash_checks.borrow_mut();
-    let check = checks.by_life.entry(life.clone()).or_default();
-    check.ends = change(check.ends);
+/// The check of a response's end, which is also over if its caller leaves.
+struct EndCheck {
+    state: Rc<State>,
+    life: name::Life,
+}
+
+impl EndCheck {
+    fn begin(state: &Rc<State>, life: &name::Life) -> Self {
+        let mut checks = state.crash_checks.borrow_mut();
+        checks.by_life.entry(life.clone()).or_default().ends += 1;
+        Self {
+            state: Rc::clone(state),
+            life: life.clone(),
+        }
+    }
+}
+
+impl Drop for EndCheck {
+    fn drop(&mut self) {
+        let mut checks = self.state.crash_checks.borrow_mut();
+        if let Some(check) = checks.by_life.get_mut(&self.life) {
+            check.ends -= 1;
+        }
+    }
 }
 
 /// Records that the endpoint has responded: connections that are lost from now on are not lost to
