Lines tell by which list an endpoint was chosen, and who told of a change

Cause: the record's lines can't tell an undone list, late news and late bytes apart: a request's line named neither its list nor when it was sent, a change's line not which entry told of it nor how old it was.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration and the endpoints at their source.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +33,33 @@
 /// fail or leave together are then told of in one answer.
 const GATHER: Millis = Millis(100);
 
+/// Who has told of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// The platform.
+    Platform,
+    /// Another entry, by the address at which it takes messages.
+    Entry(SocketAddr),
+}
+
+impl Teller {
+    /// The kind of teller, as logged.
+    pub fn source(self) -> &'static str {
+        match self {
+            Self::Platform => "platform",
+            Self::Entry(_) => "entry",
+        }
+    }
+
+    /// Which entry it is, as logged; empty for the platform.
+    fn from(self) -> String {
+        match self {
+            Self::Platform => String::new(),
+            Self::Entry(address) => address.to_string(),
+        }
+    }
+}
+
 /// Follows the plan for as long as the process runs.
 pub async fn plan(state: Rc<State>) {
     let mut cursor = None;
@@ -177,12 +205,12 @@
                         // Others may have told of changes while the list was read.
                         state.roster.borrow().add_later_changes(&mut all, at);
                         let revision = at.max(state.roster.borrow().revision());
-                        take_endpoints(&state, all, revision, asked, "platform");
+                        take_endpoints(&state, all, revision, asked, Teller::Platform);
                     }
                     Some(Endpoints::Changes(rows)) => {
                         faults.record(&rows, &state.metrics);
                         let changes = rows.into_iter().map(change).collect();
-                        take_changes(&state, changes, asked, "platform");
+                        take_changes(&state, changes, asked, Teller::Platform);
                         tokio::time::sleep(Duration::from_millis(GATHER.0)).await;
                     }
                     None => {}
@@ -317,7 +345,7 @@
     all: Vec<Endpoint>,
     revision: u64,
     as_of: Millis,
-    source: &str,
+    teller: Teller,
 ) {
     let now = state.now();
     state.note_era(revision);
@@ -325,50 +353,54 @@
     streams::observe(state);
     upkeep::drop_gone(state, now);
     let changes: Vec<_> = changes.into_iter().map(|it| (revision, it)).collect();
-    tell_all(state, &changes, source);
+    tell_all(state, &changes, as_of, teller);
 }
 
 /// Takes changes of the list, each with its revision.
-pub fn take_changes(state: &State, changes: Vec<(u64, Change)>, as_of: Millis, source: &str) {
+pub fn take_changes(state: &State, changes: Vec<(u64, Change)>, as_of: Millis, teller: Teller) {
     let now = state.now();
     let newer = state.roster.borrow_mut().apply(changes, as_of, now);
     streams::observe(state);
     upkeep::drop_gone(state, now);
-    tell_all(state, &newer, source);
+    tell_all(state, &newer, as_of, teller);
 }
 
 /// Tells of changes of the list, each with its revision: the log, and the other entries.
-fn tell_all(state: &State, changes: &[(u64, Change)], source: &str) {
+fn tell_all(state: &State, changes: &[(u64, Change)], as_of: Millis, teller: Teller) {
     let Some((newest, _)) = changes.last() else {
         return;
     };
+    let age = state.now() - as_of;
     if changes.len() <= MOST_LINES {
         for (revision, change) in changes {
-            tell(change, *revision, source);
+            tell(change, *revision, age, teller);
         }
     } else {
         let listed = state.roster.borrow().listed().count();
         log::info!(
             changes = changes.len(), listed = listed, era = Era::of(*newest).number(),
-            revision = era::version(*newest), source = source;
+            revision = era::version(*newest), source = teller.source(), from = teller.from(),
+            age_ms = age.0;
             "many endpoints are listed anew"
         );
     }
     state.news.notify_one();
 }
 
-fn tell(change: &Change, revision: u64, source: &str) {
+/// Tells of one change, by what was known so long ago.
+fn tell(change: &Change, revision: u64, age: Millis, teller: Teller) {
+    let (source, from) = (teller.source(), teller.from());
     match change {
         Change::Listed(endpoint) => log::info!(
             endpoint = endpoint.life.id.as_str(), service = endpoint.service,
             started_unix_ms = endpoint.life.started_unix.map(|started| started.0),
             address = endpoint.address.to_string(), version = endpoint.version, leaving = endpoint.leaving,
-            era = Era::of(revision).number(), revision = era::version(revision), source = source;
+            era = Era::of(revision).number(), revision = era::version(revision), source = source, from = from, age_ms = age.0;
             "an endpoint is listed"
         ),
         Change::Missing(name) => log::info!(
             endpoint = name.as_str(),
-            era = Era::of(revision).number(), revision = era::version(revision), source = source;
+            era = Era::of(revision).number(), revision = era::version(revision), source = source, from = from, age_ms = age.0;
             "an endpoint is no longer listed"
         ),
     }
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use woodgap_core::clock::Millis;
 
-use crate::follow;
+use crate::follow::{self, Teller};
 use crate::front::server::{Acceptor, Purpose};
 use crate::gossip::exchange::knowledge;
 use crate::gossip::message::{FORM, FetchRequest, FetchResponse, Listed};
@@ -166,11 +166,12 @@
         follow::take_plan(state, plan, sent_at - versions.plan_age, "entry");
     }
     let as_of = sent_at - versions.endpoints_age;
+    let teller = Teller::Entry(from);
     match fetched.endpoints {
         Some(Listed::All(all)) => {
-            follow::take_endpoints(state, all, versions.endpoints, as_of, "entry");
+            follow::take_endpoints(state, all, versions.endpoints, as_of, teller);
         }
-        Some(Listed::Changes(changes)) => follow::take_changes(state, changes, as_of, "entry"),
+        Some(Listed::Changes(changes)) => follow::take_changes(state, changes, as_of, teller),
         None => {}
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -47,6 +47,8 @@
     pub plan_age: IntGauge,
     /// Endpoints that are listed.
     pub endpoints: IntGauge,
+    /// Age of the list's last confirmation, in ms.
+    pub endpoints_age: IntGauge,
     /// Listed endpoints that can't be connected to.
     pub unreachable_endpoints: IntGauge,
     /// Whether this entry has lost its links to all endpoints: 1 or 0.
@@ -128,6 +130,7 @@
             plan_version: IntGauge::new("plan_version", "Version of the plan in force")?,
             plan_age: IntGauge::new("plan_age_ms", "Age of the plan's last confirmation")?,
             endpoints: IntGauge::new("endpoints", "Endpoints that are listed")?,
+            endpoints_age: IntGauge::new("endpoints_age_ms", "Age of the list's confirmation")?,
             unreachable_endpoints: IntGauge::new(
                 "unreachable_endpoints",
                 "Listed endpoints that can't be connected to",
@@ -217,6 +220,7 @@
         registry.register(Box::new(self.plan_version.clone()))?;
         registry.register(Box::new(self.plan_age.clone()))?;
         registry.register(Box::new(self.endpoints.clone()))?;
+        registry.register(Box::new(self.endpoints_age.clone()))?;
         registry.register(Box::new(self.unreachable_endpoints.clone()))?;
         registry.register(Box::new(self.isolated.clone()))?;
         registry.register(Box::new(self.isolations.clone()))?;
--- a/crates/relay/src/request/access_log.rs
+++ b/crates/relay/src/request/access_log.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use woodgap_core::clock::Millis;
+use woodgap_core::era::{self, Era};
 use woodgap_core::fingerprint::Fingerprint;
 use woodgap_core::relay::Work;
 use woodgap_core::relay::division;
@@ -69,6 +70,10 @@
     accepted: Option<Accepted>,
     /// The last chosen endpoint, with the estimates behind the choice.
     choice: Option<Choice>,
+    /// The list of endpoints by which it was chosen: its revision and its age then.
+    list: (u64, Millis),
+    /// When the request was last sent, from its arrival on; none if it was not.
+    sent: Option<Millis>,
     objectives: Objectives,
     reused: bool,
     /// The rate limit that the endpoint of the last answer named.
@@ -115,6 +120,8 @@
             handed_to: String::new(),
             accepted: None,
             choice: None,
+            list: (0, Millis::ZERO),
+            sent: None,
             objectives: Objectives::default(),
             reused: false,
             rate_limit: Field::Missing,
@@ -203,6 +210,8 @@
     pub fn set_choice(&mut self, choice: &Choice) {
         self.endpoint = choice.endpoint.life.id.to_string();
         self.choice = Some(choice.clone());
+        let roster = self.state.roster.borrow();
+        self.list = (roster.revision(), roster.age(self.state.now()));
     }
 
     /// Sets the admission of a request to a scheduled service.
@@ -223,6 +232,7 @@
     /// Records that the request is sent, and whether on a reused connection.
     pub fn record_send(&mut self, reused: bool) {
         self.sends += 1;
+        self.sent = Some(self.elapsed());
         self.reused = reused;
     }
 
@@ -246,6 +256,8 @@
             reused = self.reused, rate_limit = text(self.rate_limit),
             back_off_ms = text(self.back_off.map(|it| it.0)),
             endpoint_leaving = text(self.leaving),
+            list_era = Era::of(self.list.0).number(), list_revision = era::version(self.list.0),
+            list_age_ms = self.list.1.0, sent_ms = self.sent.map(|it| it.0),
             took_ms = self.elapsed().0, reason = reason;
             "attempt failed"
         );
@@ -375,6 +387,8 @@
             reused = self.reused, rate_limit = text(self.rate_limit),
             back_off_ms = text(self.back_off.map(|it| it.0)),
             endpoint_leaving = text(self.leaving),
+            list_era = Era::of(self.list.0).number(), list_revision = era::version(self.list.0),
+            list_age_ms = self.list.1.0, sent_ms = self.sent.map(|it| it.0),
             expected_wait_ms = figure(|it| it.expected_wait), cost_ms = figure(|it| it.cost),
             queue_ms = figure(|it| it.queue), running = figure(|it| it.running),
             unread_tokens = figure(|it| it.prefill_tokens), expected_run_ms = figure(|it| it.stream_time),
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -142,6 +142,7 @@
         let roster = state.roster.borrow();
         let loads = state.loads.borrow();
         metrics.endpoints.set(gauge(roster.listed().count() as u64));
+        metrics.endpoints_age.set(gauge(roster.age(now).0));
         let suspended = roster.listed().filter(|it| loads.is_suspended(&it.life));
         metrics
             .unreachable_endpoints
