A list that was read before known changes is not taken

Callers' requests went to endpoints that had said they were leaving. An entry that becomes a reader reads the whole list; a leaving that another entry told of meanwhile was undone by it. The list was then given the newest known number, and the one after it as it differed: all other entries fetched it and undid the leaving as well, and a change that the platform made at that number was dropped as known. Cause: an older fact under a newer number. Class: a revision says "all up to here is known"; whoever gives a number to what it did not read at that number breaks it for all. Change: a reading names its position, how the source's positions relate to its lists, and what was known when it began (Roster::take). Where each change has a position (the users' platform), a list at or below the known one brings nothing and is not taken. Where removals have none (the product's own table), a list during which others told of changes is read again at once. add_later_changes, which mended one order, is gone; its test asks for more orders, twice each. Ruled out: to keep later changes one by one beside whole lists, as a complete position already says that they are known.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -148,6 +148,39 @@
 const MIN_HISTORY: usize = 64;
 const HISTORY_DIVISOR: usize = 2;
 
+/// How the positions of a source relate to its lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Positions {
+    /// Each change has one, also the removal of a row: the list at a lower one is the earlier list,
+    /// and all changes up to a known position are known.
+    Complete,
+    /// Removals have none: only readings in sequence can be ordered.
+    Partial,
+}
+
+/// A whole list as it was read at the source.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// The endpoints.
+    pub list: Vec<Endpoint>,
+    /// The position as of which they were listed.
+    pub position: u64,
+    /// How such positions relate to lists.
+    pub positions: Positions,
+    /// The revision that was known when the reading began.
+    pub known: u64,
+}
+
+/// Why a list that was read is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stale {
+    /// All that it holds is known, and perhaps later changes.
+    Outdated,
+    /// Another entry has told of changes meanwhile, and it can't be told which are later: the list
+    /// is to be read again.
+    Unordered,
+}
+
 /// One difference between two lists.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -205,7 +238,8 @@
         listed.map(Record::listed)
     }
 
-    /// Replaces the whole list, unless `revision` is older than the known one.
+    /// Replaces the whole list, unless `revision` is older than the known one. A list of a source is
+    /// ordered by [`Self::take`] first.
     ///
     /// Returns the changes.
     pub fn replace(
@@ -241,37 +275,50 @@
         changes
     }
 
-    /// Adds to a list that was read as of `revision` the later changes that are known already, which
-    /// it would undo. Returns whether all of them are known: a source that counts no removals stays
-    /// behind.
+    /// Takes a whole list that was read at the source.
     ///
     /// ```
     /// use woodgap_core::clock::Millis;
     /// use woodgap_core::name;
-    /// use woodgap_core::relay::roster::{Change, Roster};
+    /// use woodgap_core::relay::roster::{Change, Positions, Reading, Roster, Stale};
     ///
     /// let mut roster = Roster::new(Millis::ZERO);
-    /// roster.replace(Vec::new(), 7, Millis::ZERO, Millis::ZERO);
+    /// let reading = |position, known| Reading {
+    ///     list: Vec::new(),
+    ///     position,
+    ///     positions: Positions::Complete,
+    ///     known,
+    /// };
+    /// assert_eq!(roster.take(reading(7, 0), Millis::ZERO, Millis::ZERO), Ok(Vec::new()));
     /// let gone = Change::Missing(name::Endpoint::from("i-1"));
     /// roster.apply(vec![(9, gone)], Millis::ZERO, Millis::ZERO);
-    /// assert!(roster.add_later_changes(&mut Vec::new(), 8));
-    /// assert!(!roster.add_later_changes(&mut Vec::new(), 6));
+    /// // Read before that change, and answered after it.
+    /// assert_eq!(roster.take(reading(8, 7), Millis::ZERO, Millis::ZERO), Err(Stale::Outdated));
     /// ```
-    pub fn add_later_changes(&self, list: &mut Vec<Endpoint>, revision: u64) -> bool {
-        if revision >= self.revision {
-            return true;
+    ///
+    /// # Errors
+    ///
+    /// Why it was not taken: it could undo changes that are known.
+    pub fn take(
+        &mut self,
+        reading: Reading,
+        as_of: Millis,
+        now: Millis,
+    ) -> Result<Vec<Change>, Stale> {
+        let position = reading.position;
+        let is_first = self.revision == 0;
+        match reading.positions {
+            Positions::Complete if position <= self.revision && !is_first => {
+                self.confirm(position, as_of);
+                Err(Stale::Outdated)
+            }
+            Positions::Complete => Ok(self.replace(reading.list, position, as_of, now)),
+            Positions::Partial if reading.known != self.revision => Err(Stale::Unordered),
+            Positions::Partial => {
+                let revision = position.max(self.revision);
+                Ok(self.replace(reading.list, revision, as_of, now))
+            }
         }
-        let Some(changes) = self.since(revision) else {
-            return false;
-        };
-        let changes = changes.into_iter().map(|(_, change)| match change {
-            Change::Listed(endpoint) => (endpoint.life.id.clone(), Some(endpoint)),
-            Change::Missing(name) => (name, None),
-        });
-        let newest: BTreeMap<_, _> = changes.collect();
-        list.retain(|endpoint| !newest.contains_key(&endpoint.life.id));
-        list.extend(newest.into_values().flatten());
-        true
     }
 
     fn is_new(&self, endpoint: &Endpoint) -> bool {
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -5,7 +5,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::era::Era;
 use woodgap_core::name;
-use woodgap_core::relay::roster::{Change, Endpoint};
+use woodgap_core::relay::roster::{Change, Endpoint, Positions, Reading, Stale};
 use woodgap_core::relay::{Evacuation, Roster};
 
 pub const FALLBACK_PERIOD: Millis = Millis(1_600);
@@ -239,10 +239,32 @@
     assert_eq!(roster.revision(), 11);
 }
 
+/// A list of a source whose positions are so, read when this revision was known.
+fn reading(list: Vec<Endpoint>, position: u64, positions: Positions, known: u64) -> Reading {
+    Reading {
+        list,
+        position,
+        positions,
+        known,
+    }
+}
+
+/// How an entry heard of changes that a list does not hold yet.
+#[derive(Clone, Copy, Debug)]
+enum Heard {
+    Changes,
+    WholeList,
+    /// A whole list, and a change after it.
+    Both,
+}
+
 /// DRAIN: a list that was read from the platform before an endpoint began to leave, and answered after
 /// another entry had told of it, made the endpoint ready again.
-#[test]
-fn a_list_that_is_older_than_a_known_change_does_not_undo_it() {
+#[rstest]
+fn a_list_that_is_older_than_a_known_change_does_not_undo_it(
+    #[values(Heard::Changes, Heard::WholeList, Heard::Both)] heard: Heard,
+    #[values(Positions::Complete, Positions::Partial)] positions: Positions,
+) {
     let mut roster = Roster::new(Millis(10));
     let all = || vec![endpoint("a"), endpoint("b"), endpoint("c")];
     roster.replace(all(), 5, Millis(0), Millis(0));
@@ -251,14 +273,59 @@
         (8, Change::Missing(name::Endpoint::from("b"))),
         (9, Change::Listed(endpoint("d"))),
     ];
-    roster.apply(changes, Millis(1), Millis(1));
-    let mut read = all();
-    assert!(roster.add_later_changes(&mut read, 6));
-    assert!(roster.replace(read, 9, Millis(2), Millis(2)).is_empty());
+    let whole = || vec![leaving("a"), endpoint("c")];
+    match heard {
+        Heard::Changes => {
+            roster.apply(changes, Millis(1), Millis(1));
+        }
+        Heard::WholeList => {
+            let list = [whole(), vec![endpoint("d")]].concat();
+            roster.replace(list, 9, Millis(1), Millis(1));
+        }
+        Heard::Both => {
+            roster.replace(whole(), 8, Millis(1), Millis(1));
+            roster.apply(changes, Millis(1), Millis(1));
+        }
+    }
+    // However often it is answered.
+    for _ in 0..2 {
+        for position in 4..=6 {
+            let read = reading(all(), position, positions, 5);
+            assert!(roster.take(read, Millis(2), Millis(2)).is_err());
+        }
+    }
     assert_eq!(usable(&roster, 2), ["c", "d"]);
     assert_eq!(roster.revision(), 9);
-    // Changes that are not known any more can't be added.
-    assert!(!roster.add_later_changes(&mut all(), 4));
+    assert_eq!(roster.age(Millis(2)), Millis(1));
+}
+
+/// A number that no change of the source has had was taken for known, and the change that got it was
+/// dropped.
+#[test]
+fn a_list_that_differs_at_its_position_hides_no_later_change() {
+    let mut roster = roster(vec![endpoint("a"), endpoint("b")]);
+    let list = vec![endpoint("a"), endpoint("b"), endpoint("c")];
+    let read = reading(list, 10, Positions::Complete, 10);
+    let taken = roster.take(read, Millis(5), Millis(5));
+    assert_eq!(taken, Err(Stale::Outdated));
+    assert_eq!(roster.age(Millis(5)), Millis::ZERO);
+    let next = vec![(11, Change::Listed(leaving("a")))];
+    assert_eq!(roster.apply(next, Millis(6), Millis(6)).len(), 1);
+    assert_eq!(usable(&roster, 6), ["b"]);
+}
+
+/// Such a source may list fewer endpoints at a lower position; what was read in sequence holds.
+#[test]
+fn lists_of_a_source_that_counts_no_removals_are_taken_in_the_order_of_readings() {
+    let mut roster = roster(vec![endpoint("a"), endpoint("b")]);
+    let read = reading(vec![endpoint("a")], 7, Positions::Partial, 10);
+    assert!(roster.take(read, Millis(5), Millis(5)).is_ok());
+    assert_eq!(usable(&roster, 5), ["a"]);
+    assert_eq!(roster.revision(), 11);
+    let read = reading(vec![endpoint("b")], 7, Positions::Partial, 10);
+    let taken = roster.take(read, Millis(6), Millis(6));
+    assert_eq!(taken, Err(Stale::Unordered));
+    assert_eq!(usable(&roster, 6), ["a"]);
 }
 
 fn starts(roster: &Roster) -> Vec<Option<Millis>> {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -12,7 +12,7 @@
 use woodgap_core::relay::active_plan::{Offer, SourcePlan};
 use woodgap_core::relay::dating::PlatformClock;
 use woodgap_core::relay::duty::{self, CHECK_INTERVAL, PollDecision, Subject};
-use woodgap_core::relay::roster::{Change, Endpoint};
+use woodgap_core::relay::roster::{Change, Endpoint, Positions, Reading, Stale};
 use woodgap_core::relay::{Plan, Table};
 
 use crate::source::row::{Content, Row, UnusableRows};
@@ -176,6 +176,7 @@
             () = state.ask_endpoints.notified() => Millis::ZERO,
         };
         let asked = state.now();
+        let known = state.roster.borrow().revision();
         let asking = state.source.endpoints(cursor, wait);
         let limit = Duration::from_millis((wait + ANSWER_TIMEOUT).0);
         let answer = tokio::select! {
@@ -201,11 +202,15 @@
                 match content {
                     Some(Endpoints::All(rows)) => {
                         faults.replace(&rows, &state.metrics);
-                        let mut all = rows.into_iter().filter_map(usable).collect();
-                        // Others may have told of changes while the list was read.
-                        state.roster.borrow().add_later_changes(&mut all, at);
-                        let revision = at.max(state.roster.borrow().revision());
-                        take_endpoints(&state, all, revision, asked, Teller::Platform);
+                        let reading = Reading {
+                            list: rows.into_iter().filter_map(usable).collect(),
+                            position: at,
+                            positions: state.source.positions(),
+                            known,
+                        };
+                        if take_reading(&state, reading, asked) == Err(Stale::Unordered) {
+                            cursor = None;
+                        }
                     }
                     Some(Endpoints::Changes(rows)) => {
                         faults.record(&rows, &state.metrics);
@@ -339,7 +344,27 @@
     true
 }
 
-/// Takes a whole list of endpoints.
+/// Takes a whole list of endpoints that was read at the platform.
+fn take_reading(state: &State, reading: Reading, as_of: Millis) -> Result<(), Stale> {
+    let now = state.now();
+    let position = reading.position;
+    let taken = state.roster.borrow_mut().take(reading, as_of, now);
+    let changes = taken.inspect_err(|_| {
+        // Others may have told of changes while the list was read.
+        let known = state.roster.borrow().revision();
+        state.metrics.stale_lists.inc();
+        log::info!(
+            era = Era::of(position).number(), revision = era::version(position),
+            known_era = Era::of(known).number(), known_revision = era::version(known);
+            "a list of endpoints was read too early to be taken"
+        );
+    })?;
+    let revision = state.roster.borrow().revision();
+    tell_list(state, changes, revision, as_of, Teller::Platform);
+    Ok(())
+}
+
+/// Takes a whole list of endpoints of another entry.
 pub fn take_endpoints(
     state: &State,
     all: Vec<Endpoint>,
@@ -348,10 +373,20 @@
     teller: Teller,
 ) {
     let now = state.now();
+    let known = state.roster.borrow().revision();
+    if state.source.positions() == Positions::Complete && revision <= known {
+        // Heard from elsewhere while it was fetched.
+        return;
+    }
     state.note_era(revision);
     let changes = state.roster.borrow_mut().replace(all, revision, as_of, now);
+    tell_list(state, changes, revision, as_of, teller);
+}
+
+/// Tells of the changes that a whole list has brought.
+fn tell_list(state: &State, changes: Vec<Change>, revision: u64, as_of: Millis, teller: Teller) {
     streams::observe(state);
-    upkeep::drop_gone(state, now);
+    upkeep::drop_gone(state, state.now());
     let changes: Vec<_> = changes.into_iter().map(|it| (revision, it)).collect();
     tell_all(state, &changes, as_of, teller);
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,8 @@
     pub endpoints: IntGauge,
     /// Age of the list's last confirmation, in ms.
     pub endpoints_age: IntGauge,
+    /// Lists that were read at the platform and not taken, as later changes were known.
+    pub stale_lists: IntCounter,
     /// Listed endpoints that can't be connected to.
     pub unreachable_endpoints: IntGauge,
     /// Whether this entry has lost its links to all endpoints: 1 or 0.
@@ -131,6 +133,7 @@
             plan_age: IntGauge::new("plan_age_ms", "Age of the plan's last confirmation")?,
             endpoints: IntGauge::new("endpoints", "Endpoints that are listed")?,
             endpoints_age: IntGauge::new("endpoints_age_ms", "Age of the list's confirmation")?,
+            stale_lists: IntCounter::new("stale_lists", "Lists read too early to be taken")?,
             unreachable_endpoints: IntGauge::new(
                 "unreachable_endpoints",
                 "Listed endpoints that can't be connected to",
@@ -221,6 +224,7 @@
         registry.register(Box::new(self.plan_age.clone()))?;
         registry.register(Box::new(self.endpoints.clone()))?;
         registry.register(Box::new(self.endpoints_age.clone()))?;
+        registry.register(Box::new(self.stale_lists.clone()))?;
         registry.register(Box::new(self.unreachable_endpoints.clone()))?;
         registry.register(Box::new(self.isolated.clone()))?;
         registry.register(Box::new(self.isolations.clone()))?;
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -18,7 +18,7 @@
 use woodgap_core::relay::evacuation::{self, Evacuation};
 use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_core::relay::resumption::stored::Batch;
-use woodgap_core::relay::roster::Endpoint;
+use woodgap_core::relay::roster::{Endpoint, Positions};
 
 use crate::source::row::Row;
 
@@ -99,6 +99,9 @@
     /// Reads the endpoints; `after` and `wait` work as in [`Source::plan`].
     fn endpoints(&self, after: Option<u64>, wait: Millis) -> Answer<'_, Update<Endpoints>>;
 
+    /// How the positions of [`Source::endpoints`] relate to its lists.
+    fn positions(&self) -> Positions;
+
     /// Publishes the address at which this entry receives gossip.
     fn announce<'a>(&'a self, entry: &'a name::Entry, address: SocketAddr) -> Answer<'a, ()>;
 
--- a/crates/relay/src/source/table.rs
+++ b/crates/relay/src/source/table.rs
@@ -20,6 +20,7 @@
 use woodgap_core::relay::Evacuation;
 use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_core::relay::resumption::stored::Batch;
+use woodgap_core::relay::roster::Positions;
 use woodgap_platform::Error as PlatformError;
 use woodgap_platform::http::Platform;
 use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
@@ -257,6 +258,11 @@
         self.read_endpoints(after, wait).boxed_local()
     }
 
+    /// The cursor is the newest version of a row that is there.
+    fn positions(&self) -> Positions {
+        Positions::Partial
+    }
+
     fn announce<'a>(&'a self, entry: &'a name::Entry, address: SocketAddr) -> Answer<'a, ()> {
         let value = Value::from(address.to_string());
         self.write(Place::new(ENTRIES, entry.as_str()), Some(value))
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -20,7 +20,7 @@
 };
 use woodgap_core::relay::resumption::ServiceVersions;
 use woodgap_core::relay::resumption::stored::Batch;
-use woodgap_core::relay::roster;
+use woodgap_core::relay::roster::{self, Positions};
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::duties;
 use woodgap_relay::source::row::Row;
@@ -126,6 +126,13 @@
         .boxed_local()
     }
 
+    fn positions(&self) -> Positions {
+        match self.0.lock().unwrap().revision {
+            Some(_) => Positions::Complete,
+            None => Positions::Partial,
+        }
+    }
+
     fn announce<'a>(&'a self, _: &'a name::Entry, _: SocketAddr) -> Answer<'a, ()> {
         let mut told = self.0.lock().unwrap();
         told.is_announced = true;
