A connection whose request is given up is reset

A request that an entry had given up arrived at its endpoint when the link between them lived again, seconds after its caller had its answer, and perhaps after the endpoint had said that it leaves. Cause: the connection was closed in order, so that the kernel went on sending what had not arrived (FIN). Class: what is over for its caller is not over on the way. Change: a connection that is dropped while a request on it has no whole answer is reset; the kernel then forgets what it has not sent. That covers time-outs, callers that go, stops, and calls to the platform and to other entries, which use the same connections. A reset does not take back what has arrived: a paused endpoint still gets it. Shown with a link that plays retransmission; that it was this in the record is not shown.

--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -37,9 +37,22 @@
     /// Whether the last request was sent completely, its response allows keep-alive, and the
     /// connection did not end while the body was read. Unread body bytes do not clear it.
     allows_reuse: bool,
+    /// Whether a request was sent, perhaps in part, whose response has not ended.
+    is_awaiting: bool,
     request_count: u32,
 }
 
+/// A connection whose request is given up is reset: the kernel would go on sending what has not
+/// arrived yet, long after the request's caller was told its end.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_awaiting {
+            // Fails only for a socket that is gone.
+            let _ = sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO));
+        }
+    }
+}
+
 impl Connection {
     /// Connects and sets the socket options.
     ///
@@ -68,6 +81,7 @@
             stream,
             buffer: BytesMut::new(),
             allows_reuse: true,
+            is_awaiting: false,
             request_count: 0,
         })
     }
@@ -105,6 +119,7 @@
     pub async fn exchange(&mut self, head: &[u8], body: &[u8]) -> Result<Head, Error> {
         self.request_count += 1;
         self.allows_reuse = false;
+        self.is_awaiting = true;
         let (mut reader, mut writer) = self.stream.split();
         let sending = send(&mut writer, head, body);
         let reading = read_head(&mut reader, &mut self.buffer);
@@ -116,6 +131,7 @@
         };
         let is_sent = matches!(sent, Some(Ok(())));
         if let Some(Err(error @ Error::Unsent(_))) = sent {
+            self.is_awaiting = false;
             return Err(error);
         }
         let received = match received {
@@ -150,7 +166,10 @@
         loop {
             match framing.take(&mut self.buffer)? {
                 Decoded::Bytes(bytes) => return Ok(Some(bytes)),
-                Decoded::End => return Ok(None),
+                Decoded::End => {
+                    self.is_awaiting = false;
+                    return Ok(None);
+                }
                 Decoded::NeedMore => {}
             }
             self.buffer.reserve(READ_BYTES);
@@ -160,6 +179,7 @@
             }
             self.allows_reuse = false;
             if framing.is_close_delimited() {
+                self.is_awaiting = false;
                 return Ok(None);
             }
             return Err(Error::Cut(io::ErrorKind::UnexpectedEof.into()));
