The reserve of a missing endpoint ends for all entries at the same time

An entry that heard late that an endpoint's row was gone used the endpoint as the last resort for as long again: requests reached it after the bound. Cause: the reserve was counted from when each entry learnt of it. Class: a span that is told without its beginning. Change: entries remember for a minute since when a row is missing, and tell it with the list, also what they were told themselves (wire form 18; some tens of bytes for each row that has gone in the last minute). Where nobody tells it, it counts from when the list was current in which the row is missing; lists of the platform are dated by its clock, as the plan is. In the roster, three entries that hear of it one from the other 0.8 s apart give the endpoint up in the same millisecond.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -2,7 +2,7 @@
 //!
 //! An endpoint that is leaving gets no more requests. One that is merely missing from the list may
 //! be leaving too, or its row may have expired while the platform was away. It remains a fallback
-//! for a while.
+//! for a while, counted from when its row was gone: entries tell one another for how long that is.
 //!
 //! A life is one run of an endpoint, identified by the endpoint's name and its start time. An
 //! endpoint may start again under its name; at most one life of each name is known. A row with a
@@ -20,7 +20,7 @@
 
 pub use endpoint::Endpoint;
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -128,6 +128,8 @@
     endpoints: BTreeMap<name::Endpoint, Record>,
     /// Lives that have said in their answers that they are leaving.
     departures: Departures,
+    /// Since when the rows of endpoints have been missing, as far as is known.
+    absent_since: HashMap<name::Endpoint, Millis>,
     /// Lives that have ended and were not yet returned by [`Roster::expire`].
     retired: Vec<name::Life>,
     /// The latest changes with their revisions, for entries that lack only these.
@@ -148,6 +150,18 @@
 const MIN_HISTORY: usize = 64;
 const HISTORY_DIVISOR: usize = 2;
 
+/// How long it is remembered since when a row is missing: longer than an entry takes to hear of it.
+const ABSENCE_LIFETIME: Millis = Millis(60_000);
+
+/// For how long a row has been missing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Absence {
+    /// The endpoint's name.
+    pub endpoint: name::Endpoint,
+    /// The time since it was known to be missing.
+    pub age: Millis,
+}
+
 /// How the positions of a source relate to its lists.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Positions {
@@ -190,6 +204,16 @@
     Missing(name::Endpoint),
 }
 
+impl Change {
+    /// The endpoint that is no longer listed, if one is.
+    pub fn missing(&self) -> Option<&name::Endpoint> {
+        match self {
+            Self::Listed(_) => None,
+            Self::Missing(name) => Some(name),
+        }
+    }
+}
+
 impl Roster {
     /// An empty roster. An unlisted endpoint remains a fallback for `fallback_period`.
     pub fn new(fallback_period: Millis) -> Self {
@@ -199,6 +223,7 @@
             fallback_period,
             endpoints: BTreeMap::new(),
             departures: Departures::default(),
+            absent_since: HashMap::new(),
             retired: Vec::new(),
             recent_changes: VecDeque::new(),
             history_start: 0,
@@ -266,7 +291,7 @@
         changes.extend(new_rows.map(Change::Listed));
         // The individual changes between the two lists are not known.
         self.recent_changes.clear();
-        changes.retain(|change| self.apply_change(change, now));
+        changes.retain(|change| self.apply_change(change, as_of, now));
         // A source whose revisions do not count removals may report a different list under the same
         // revision. A new revision lets other entries notice the difference.
         let is_new_list = !changes.is_empty() && revision == self.revision;
@@ -354,7 +379,7 @@
             .filter(|(revision, _)| *revision > current);
         let mut applied = Vec::new();
         for (revision, change) in newer {
-            let is_applied = self.apply_change(&change, now);
+            let is_applied = self.apply_change(&change, as_of, now);
             self.advance_to(revision, as_of);
             self.recent_changes.push_back((revision, change.clone()));
             if is_applied {
@@ -380,14 +405,15 @@
     }
 
     /// Applies a change, unless it is of a superseded life. Returns whether it was applied.
-    fn apply_change(&mut self, change: &Change, now: Millis) -> bool {
+    /// It was so at `as_of`.
+    fn apply_change(&mut self, change: &Change, as_of: Millis, now: Millis) -> bool {
         match change {
             Change::Listed(endpoint) if self.is_superseded(endpoint) => {
                 self.hold_unconfirmed(endpoint, now);
                 return false;
             }
             Change::Listed(endpoint) => self.insert(endpoint, now),
-            Change::Missing(name) => self.mark_unlisted(name, now),
+            Change::Missing(name) => self.mark_unlisted(name, as_of.min(now)),
         }
         true
     }
@@ -398,6 +424,7 @@
     }
 
     fn insert(&mut self, endpoint: &Endpoint, now: Millis) {
+        self.absent_since.remove(&endpoint.life.id);
         let mut record = Record::new(endpoint, now);
         if let Some(previous) = self.endpoints.remove(&endpoint.life.id) {
             if endpoint.life.started_unix.is_none() {
@@ -449,8 +476,11 @@
         }
     }
 
-    fn mark_unlisted(&mut self, name: &name::Endpoint, now: Millis) {
-        let until = now + self.fallback_period;
+    /// The row was missing at `since`.
+    fn mark_unlisted(&mut self, name: &name::Endpoint, since: Millis) {
+        let known = self.absent_since.entry(name.clone()).or_insert(since);
+        *known = since.min(*known);
+        let until = *known + self.fallback_period;
         let Some(record) = self.endpoints.get_mut(name) else {
             return;
         };
@@ -462,7 +492,40 @@
                 self.retired
                     .extend(removed.map(|record| record.endpoint.life));
             }
-            Availability::Unlisted(_) => {}
+            Availability::Unlisted(known) => {
+                record.availability = Availability::Unlisted(until.min(known));
+            }
+        }
+    }
+
+    /// For how long rows have been missing, as far as this entry knows.
+    pub fn absences(&self, now: Millis) -> impl Iterator<Item = Absence> {
+        self.absent_since.iter().map(move |(name, since)| Absence {
+            endpoint: name.clone(),
+            age: now - *since,
+        })
+    }
+
+    /// Takes over for how long rows had been missing at `at`, as another entry tells with the list in
+    /// which they are.
+    ///
+    /// ```
+    /// use woodgap_core::clock::Millis;
+    /// use woodgap_core::relay::roster::Roster;
+    ///
+    /// let [mut first, mut second] = [0, 1].map(|_| Roster::new(Millis(1_600)));
+    /// let gone = woodgap_core::relay::roster::Change::Missing("i-1".into());
+    /// first.apply(vec![(9, gone)], Millis(100), Millis(100));
+    /// let told: Vec<_> = first.absences(Millis(900)).collect();
+    /// second.merge_absences(&told, Millis(5_000));
+    /// assert_eq!(second.absences(Millis(5_100)).next().unwrap().age, Millis(900));
+    /// ```
+    pub fn merge_absences(&mut self, told: &[Absence], at: Millis) {
+        for absence in told.iter().filter(|it| it.age < ABSENCE_LIFETIME) {
+            let record = self.endpoints.get(&absence.endpoint);
+            if record.is_none_or(|record| !record.is_listed()) {
+                self.mark_unlisted(&absence.endpoint, at - absence.age);
+            }
         }
     }
 
@@ -493,6 +556,8 @@
     pub fn expire(&mut self, now: Millis) -> Vec<name::Life> {
         self.accept_unconfirmed(now);
         self.departures.expire(now);
+        self.absent_since
+            .retain(|_, since| now - *since < ABSENCE_LIFETIME);
         let mut ended = std::mem::take(&mut self.retired);
         self.endpoints.retain(|_, record| {
             let is_expired = record.is_expired(now);
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -5,7 +5,7 @@
 use woodgap_core::clock::Millis;
 use woodgap_core::era::Era;
 use woodgap_core::name;
-use woodgap_core::relay::roster::{Change, Endpoint, Positions, Reading, Stale};
+use woodgap_core::relay::roster::{Absence, Change, Endpoint, Positions, Reading, Stale};
 use woodgap_core::relay::{Evacuation, Roster};
 
 pub const FALLBACK_PERIOD: Millis = Millis(1_600);
@@ -169,6 +169,65 @@
     assert_eq!(roster.expire(Millis(1_600)), [life("a")]);
 }
 
+/// DRAIN: the time began anew at each entry that heard of it late.
+#[rstest]
+#[case::changes(false)]
+#[case::whole_list(true)]
+fn a_fallback_expires_for_all_entries_at_the_same_time(#[case] is_whole: bool) {
+    let mut first = roster(vec![endpoint("a")]);
+    first.apply(
+        vec![(11, Change::Missing(name::Endpoint::from("a")))],
+        Millis(100),
+        Millis(100),
+    );
+    // Each hears of it from the one before, 800 ms later; the last one never knew the endpoint as
+    // missing from a list of its own.
+    let mut teller = first;
+    for at in [900, 1_700] {
+        let mut hearer = roster(vec![endpoint("a")]);
+        if is_whole {
+            hearer.replace(vec![], 11, Millis(at), Millis(at));
+        } else {
+            let changes = teller.since(10).unwrap();
+            hearer.apply(changes, Millis(at), Millis(at));
+        }
+        let told: Vec<_> = teller.absences(Millis(at)).collect();
+        hearer.merge_absences(&told, Millis(at));
+        assert_eq!(usable(&hearer, 1_699), ["a"]);
+        assert!(usable(&hearer, 1_700).is_empty());
+        teller = hearer;
+    }
+}
+
+/// What another entry knew of an earlier absence does not concern an endpoint that is listed.
+#[test]
+fn an_absence_that_is_over_does_not_make_an_endpoint_unusable() {
+    let mut roster = roster(vec![endpoint("a")]);
+    let over = Absence {
+        endpoint: name::Endpoint::from("a"),
+        age: Millis(900),
+    };
+    roster.merge_absences(&[over], Millis(1_000));
+    assert_eq!(usable(&roster, 1_000), ["a"]);
+    // Nor does its own one.
+    roster.replace(vec![], 11, Millis(1_000), Millis(1_000));
+    roster.replace(vec![endpoint("a")], 12, Millis(1_500), Millis(1_500));
+    roster.replace(vec![], 13, Millis(2_500), Millis(2_500));
+    assert_eq!(usable(&roster, 4_000), ["a"]);
+    assert_eq!(roster.absences(Millis(4_000)).count(), 1);
+    roster.expire(Millis(70_000));
+    assert_eq!(roster.absences(Millis(70_000)).count(), 0);
+}
+
+/// A list that was current some time ago, as an entry tells that has not asked since.
+#[test]
+fn a_fallback_expires_counted_from_when_the_list_was_current() {
+    let mut roster = roster(vec![endpoint("a")]);
+    roster.replace(vec![], 11, Millis(1_000), Millis(1_500));
+    assert_eq!(usable(&roster, 2_599), ["a"]);
+    assert!(usable(&roster, 2_600).is_empty());
+}
+
 #[test]
 fn an_endpoint_that_is_listed_again_is_ready() {
     let mut roster = roster(vec![endpoint("a")]);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -12,7 +12,7 @@
 use woodgap_core::relay::active_plan::{Offer, SourcePlan};
 use woodgap_core::relay::dating::PlatformClock;
 use woodgap_core::relay::duty::{self, CHECK_INTERVAL, PollDecision, Subject};
-use woodgap_core::relay::roster::{Change, Endpoint, Positions, Reading, Stale};
+use woodgap_core::relay::roster::{Absence, Change, Endpoint, Positions, Reading, Stale};
 use woodgap_core::relay::{Plan, Table};
 
 use crate::source::row::{Content, Row, UnusableRows};
@@ -170,6 +170,7 @@
     let mut cursor = None;
     let mut link = Link::new("endpoints");
     let mut faults = UnusableRows::new("endpoints");
+    let mut dating = PlatformClock::default();
     loop {
         let wait = tokio::select! {
             wait = until_due(&state, Subject::Endpoints) => wait,
@@ -189,8 +190,9 @@
             Some(Update {
                 cursor: at,
                 content,
-                ..
+                produced_at,
             }) => {
+                let as_of = dating.date(asked, produced_at, state.now());
                 if Era::of(at) < Era::of(state.roster.borrow().revision()) {
                     // Others have heard of a later era already.
                     cursor = None;
@@ -208,20 +210,24 @@
                             positions: state.source.positions(),
                             known,
                         };
-                        if take_reading(&state, reading, asked) == Err(Stale::Unordered) {
+                        if take_reading(&state, reading, as_of) == Err(Stale::Unordered) {
                             cursor = None;
                         }
                     }
                     Some(Endpoints::Changes(rows)) => {
                         faults.record(&rows, &state.metrics);
                         let changes = rows.into_iter().map(change).collect();
-                        take_changes(&state, changes, asked, Teller::Platform);
+                        take_changes(&state, changes, as_of, Teller::Platform);
                         tokio::time::sleep(Duration::from_millis(GATHER.0)).await;
                     }
                     None => {}
                 }
             }
-            None if link.lost_history => cursor = None,
+            None if link.lost_history => {
+                cursor = None;
+                // The platform's clock may have been put back as well.
+                dating = PlatformClock::default();
+            }
             None => {}
         }
     }
@@ -400,6 +406,12 @@
     tell_all(state, &newer, as_of, teller);
 }
 
+/// Takes over for how long endpoints had been missing at `at`, as another entry tells.
+pub fn take_absences(state: &State, absences: &[Absence], at: Millis) {
+    state.roster.borrow_mut().merge_absences(absences, at);
+    upkeep::drop_gone(state, state.now());
+}
+
 /// Tells of changes of the list, each with its revision: the log, and the other entries.
 fn tell_all(state: &State, changes: &[(u64, Change)], as_of: Millis, teller: Teller) {
     let Some((newest, _)) = changes.last() else {
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -1,5 +1,6 @@
 //! Transfers the configuration, the endpoints and the evacuations between entries over TCP.
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use woodgap_core::clock::Millis;
+use woodgap_core::relay::roster::Absence;
 
 use crate::follow::{self, Teller};
 use crate::front::server::{Acceptor, Purpose};
@@ -174,6 +176,7 @@
         Some(Listed::Changes(changes)) => follow::take_changes(state, changes, as_of, teller),
         None => {}
     }
+    follow::take_absences(state, &fetched.absences, sent_at);
 }
 
 async fn request_newer(
@@ -244,12 +247,14 @@
     let has_newer = force.version() > request.plan;
     let plan = force.table().filter(|_| has_newer);
     let (endpoints, transfer) = newer_endpoints(state, request.endpoints);
+    let absences = absences(state, endpoints.as_ref());
     let evacuation = state.evacuation.borrow();
     let has_newer = evacuation.revision() > request.evacuation;
     let response = FetchResponse {
         knowledge,
         plan: plan.map(|table| table.plan().clone()),
         endpoints,
+        absences,
         evacuation: has_newer.then(|| evacuation.clone()),
     };
     (response, transfer)
@@ -271,6 +276,22 @@
     (transfer.is_some().then(all), transfer)
 }
 
+/// For how long the endpoints have been missing that a list, or its changes, leave out.
+fn absences(state: &State, listed: Option<&Listed>) -> Vec<Absence> {
+    let roster = state.roster.borrow();
+    let absences = roster.absences(state.now());
+    match listed {
+        Some(Listed::All(_)) => absences.collect(),
+        Some(Listed::Changes(changes)) => {
+            let missing: HashSet<_> = changes.iter().filter_map(|it| it.1.missing()).collect();
+            absences
+                .filter(|it| missing.contains(&it.endpoint))
+                .collect()
+        }
+        None => Vec::new(),
+    }
+}
+
 async fn write(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
     let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -13,14 +13,14 @@
 use woodgap_core::relay::rate_limit;
 use woodgap_core::relay::rest;
 use woodgap_core::relay::resumption;
-use woodgap_core::relay::roster::{Change, Endpoint};
+use woodgap_core::relay::roster::{Absence, Change, Endpoint};
 use woodgap_core::relay::scheduling::returns;
 use woodgap_core::relay::usage;
 use woodgap_core::relay::{Evacuation, Plan};
 
 /// The first byte of each message: the version of the wire format. Messages of another
 /// version are dropped, so that they are never misread.
-pub const FORM: u8 = 17;
+pub const FORM: u8 = 18;
 /// The first byte of a datagram that carries only usage counts.
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The first byte of a datagram on the planned retry of a refused caller.
@@ -139,6 +139,8 @@
     pub plan: Option<Plan>,
     /// The endpoints, if the list is newer.
     pub endpoints: Option<Listed>,
+    /// For how long endpoints have been missing that are not in it.
+    pub absences: Vec<Absence>,
     /// The set of evacuated data centres, if it is newer.
     pub evacuation: Option<Evacuation>,
 }
--- a/crates/relay/tests/contract/teller.rs
+++ b/crates/relay/tests/contract/teller.rs
@@ -148,6 +148,7 @@
         knowledge: KNOWLEDGE,
         plan: None,
         endpoints: Some(endpoints),
+        absences: Vec::new(),
         evacuation: None,
     }
 }
