A leaving endpoint stays so through all lists of a restored store

A store that came back from a copy listed endpoints as ready that had left, or were leaving; the first list of the new era was kept from making a leaving one ready, unless its row was gone by then, and the next reader's list was not. Cause: the exception held for one list, not for the copy that both are from. Change: the roster remembers lives that were leaving when their rows were gone or the store came back; after a restore only a change that lists them makes them ready again. Where no store came back a list tells what holds now, as before. A test's comment said that later lists of the era hold; nothing asked for that. Measured: the case whose row was gone, red before; the next reader's list added to both cases, red with the change to the roster taken out; all 47 of the roster pass.

--- a/crates/core/src/relay/roster.rs
+++ b/crates/core/src/relay/roster.rs
@@ -130,6 +130,12 @@
     departures: Departures,
     /// Since when the rows of endpoints have been missing, as far as is known.
     absent_since: HashMap<name::Endpoint, Millis>,
+    /// Lives that were listed as leaving before their rows were gone or the store came back from a
+    /// copy, and when that was. After that copy only a change that lists them makes them ready again,
+    /// no list.
+    left: HashMap<name::Life, Millis>,
+    /// When the first list of a later era came.
+    restored: Option<Millis>,
     /// Lives that have ended and were not yet returned by [`Roster::expire`].
     retired: Vec<name::Life>,
     /// The latest changes with their revisions, for entries that lack only these.
@@ -150,7 +156,8 @@
 const MIN_HISTORY: usize = 64;
 const HISTORY_DIVISOR: usize = 2;
 
-/// How long it is remembered since when a row is missing: longer than an entry takes to hear of it.
+/// How long it is remembered since when a row is missing: longer than an entry takes to hear of it, or
+/// a store to come back from a copy.
 const ABSENCE_LIFETIME: Millis = Millis(60_000);
 
 /// For how long a row has been missing.
@@ -224,6 +231,8 @@
             endpoints: BTreeMap::new(),
             departures: Departures::default(),
             absent_since: HashMap::new(),
+            left: HashMap::new(),
+            restored: None,
             retired: Vec::new(),
             recent_changes: VecDeque::new(),
             history_start: 0,
@@ -277,17 +286,19 @@
         if revision < self.revision {
             return Vec::new();
         }
-        let is_restored = era::is_restored(self.revision, revision);
         let in_list: HashSet<_> = list.iter().map(|it| &it.life.id).collect();
         let listed = self.endpoints.values().filter(|record| record.is_listed());
         let missing = listed
             .map(|record| &record.endpoint.life.id)
             .filter(|id| !in_list.contains(id));
         let mut changes: Vec<_> = missing.cloned().map(Change::Missing).collect();
+        if era::is_restored(self.revision, revision) {
+            self.keep_leaving(now);
+        }
         let new_rows = list
             .into_iter()
             .filter(|endpoint| self.is_new(endpoint))
-            .filter(|endpoint| !is_restored || !self.has_announced_leaving(&endpoint.life));
+            .filter(|endpoint| endpoint.leaving || !self.has_left(&endpoint.life));
         changes.extend(new_rows.map(Change::Listed));
         // The individual changes between the two lists are not known.
         self.recent_changes.clear();
@@ -351,11 +362,19 @@
         record.is_none_or(|it| it.listed() != endpoint || !it.is_listed())
     }
 
-    /// Whether this life of the endpoint is listed as leaving.
-    fn has_announced_leaving(&self, life: &name::Life) -> bool {
-        let record = self.endpoints.get(&life.id);
-        let record = record.filter(|record| record.endpoint.life == *life);
-        record.is_some_and(|record| record.availability == Availability::Leaving)
+    /// Remembers which endpoints are leaving: lists of a restored store may be from before.
+    fn keep_leaving(&mut self, now: Millis) {
+        self.restored = Some(now);
+        let records = self.endpoints.values();
+        let leaving = records.filter(|it| it.availability == Availability::Leaving);
+        let lives = leaving.map(|record| (record.endpoint.life.clone(), now));
+        self.left.extend(lives);
+    }
+
+    /// Whether this life was leaving when the store came back from a copy, or had left before.
+    fn has_left(&self, life: &name::Life) -> bool {
+        let left = self.left.get(life);
+        left.is_some_and(|since| self.restored.is_some_and(|restored| *since <= restored))
     }
 
     /// Whether a later life of the endpoint has been listed.
@@ -425,6 +444,7 @@
 
     fn insert(&mut self, endpoint: &Endpoint, now: Millis) {
         self.absent_since.remove(&endpoint.life.id);
+        self.left.remove(&endpoint.life);
         let mut record = Record::new(endpoint, now);
         if let Some(previous) = self.endpoints.remove(&endpoint.life.id) {
             if endpoint.life.started_unix.is_none() {
@@ -488,6 +508,9 @@
         match record.availability {
             Availability::Ready => record.availability = Availability::Unlisted(until),
             Availability::Leaving | Availability::AddressReused(_) => {
+                if record.endpoint.leaving {
+                    self.left.insert(record.endpoint.life.clone(), *known);
+                }
                 let removed = self.endpoints.remove(name);
                 self.retired
                     .extend(removed.map(|record| record.endpoint.life));
@@ -556,8 +579,9 @@
     pub fn expire(&mut self, now: Millis) -> Vec<name::Life> {
         self.accept_unconfirmed(now);
         self.departures.expire(now);
-        self.absent_since
-            .retain(|_, since| now - *since < ABSENCE_LIFETIME);
+        let is_recent = |since: Millis| now - since < ABSENCE_LIFETIME;
+        self.absent_since.retain(|_, since| is_recent(*since));
+        self.left.retain(|_, since| is_recent(*since));
         let mut ended = std::mem::take(&mut self.retired);
         self.endpoints.retain(|_, record| {
             let is_expired = record.is_expired(now);
--- a/crates/core/tests/relay/roster.rs
+++ b/crates/core/tests/relay/roster.rs
@@ -110,7 +110,10 @@
     roster.replace(vec![endpoint("a")], new.stamp(7), Millis(5), Millis(5));
     assert!(usable(&roster, 5).is_empty());
     assert_eq!(roster.revision(), new.stamp(7));
-    // What it writes in the new era holds, and so do lists of that era.
+    // Nor by the next reader's.
+    roster.replace(vec![endpoint("a")], new.stamp(8), Millis(5), Millis(5));
+    assert!(usable(&roster, 5).is_empty());
+    // What it writes in the new era holds.
     let listed = vec![(new.stamp(9), Change::Listed(endpoint("a")))];
     roster.apply(listed, Millis(6), Millis(6));
     assert_eq!(usable(&roster, 6), ["a"]);
@@ -132,12 +135,24 @@
     roster.expire(Millis(2));
     roster.replace(vec![endpoint("a")], new.stamp(7), Millis(5), Millis(5));
     assert!(usable(&roster, 5).is_empty());
+    // Nor by the next reader's.
+    roster.replace(vec![endpoint("a")], new.stamp(8), Millis(5), Millis(5));
+    assert!(usable(&roster, 5).is_empty());
     // What it writes in the new era holds.
     let listed = vec![(new.stamp(9), Change::Listed(endpoint("a")))];
     roster.apply(listed, Millis(6), Millis(6));
     assert_eq!(usable(&roster, 6), ["a"]);
 }
 
+/// Where no store came back from a copy, a list tells what holds now.
+#[test]
+fn an_endpoint_that_has_left_and_is_listed_anew_is_ready() {
+    let mut roster = roster(vec![leaving("a")]);
+    roster.replace(vec![], 11, Millis(5), Millis(5));
+    roster.replace(vec![endpoint("a")], 12, Millis(9), Millis(9));
+    assert_eq!(usable(&roster, 9), ["a"]);
+}
+
 #[test]
 fn a_leaving_endpoint_that_is_unlisted_is_removed() {
     let mut roster = roster(vec![leaving("a")]);
