--- a/crates/relay/tests/contract/silent_tellers.rs
+++ b/crates/relay/tests/contract/silent_tellers.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 use woodgap_core::relay::roster::{self, Change};
 use woodgap_relay::gossip::message::{FetchRequest, FetchResponse, Listed};
@@ -65,6 +66,48 @@
     });
 }
 
+/// In a fleet so many may be busy, or cut off, at once.
+const SILENT: usize = 6;
+/// How often an entry tells another one of what it knows.
+const ROUND: Duration = Duration::from_millis(300);
+/// No request reaches an endpoint that leaves later than this after any entry knows.
+const BOUND: Duration = Duration::from_secs(2);
+
+/// DRAIN: entries that tell of news and can't be asked for them took turns in being asked, so that
+/// the one that could was not for many seconds.
+#[test]
+fn news_come_in_time_from_one_entry_beside_many_silent_ones() {
+    let (site, _server, fetched) = scene();
+    let silent: Vec<_> = (0..SILENT)
+        .map(|at| Other::start(&format!("silent-{at}")))
+        .collect();
+    let live = Other::start("live");
+    // Connections that nobody answers.
+    let mut asked = Vec::new();
+    until(|| {
+        silent[0].tell(site.peer);
+        asked.extend(silent[0].asked());
+        !asked.is_empty()
+    });
+    let began = Instant::now();
+    let mut told = Duration::ZERO;
+    until(|| {
+        for other in &silent {
+            other.tell(site.peer);
+            asked.extend(other.asked());
+        }
+        if began.elapsed() >= told {
+            live.tell(site.peer);
+            told += ROUND;
+        }
+        live.hear(site.peer, true);
+        live.serve(&fetched);
+        live.heard.get() >= REVISION
+    });
+    let took = began.elapsed();
+    assert!(took < BOUND, "{took:?}");
+}
+
 /// A list that takes longer than an answer usually does is taken as long as it goes on coming:
 /// to give it up and begin anew would bring nothing, however often.
 #[test]
