The only entry that tells of news is asked again at once

The commit before passed an entry over for five seconds after a failed fetch while any others were reachable, also where these knew nothing: with one teller that was slow for a second the news stayed away for five more. Cause: reachable entries were taken for ones that could be asked. Change: an entry that failed is passed over only where another one that has not failed has told of news in the last second.

--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -42,9 +42,11 @@
 /// one fetch at a time it was 2.1 s.
 const STALL_TIMEOUT: Millis = Millis(300);
 
-/// How long an entry from which a fetch failed is asked only if nobody else can be: it may be frozen or
-/// cut off, and still tell of its news.
+/// How long an entry from which a fetch failed is passed over for others that tell of news as well: it may
+/// be frozen or cut off.
 const FAILURE_MEMORY: Millis = Millis(5_000);
+/// How long an entry that has told of news counts as one of these others: a few rounds of messages.
+const TELLER_MEMORY: Millis = Millis(1_000);
 
 /// The fetches from other entries that are running, and the whole lists being sent to others.
 #[derive(Debug, Default)]
@@ -53,23 +55,22 @@
     running: Vec<(SocketAddr, Millis)>,
     /// The entries from which one failed lately, and when.
     failed: HashMap<SocketAddr, Millis>,
+    /// The entries that have told of news lately, and when.
+    tellers: HashMap<SocketAddr, Millis>,
     /// The number of whole lists that this entry is sending.
     sending: usize,
 }
 
 impl Fetches {
-    /// Whether a fetch from an entry may start now; `reachable` is how many others there are. While
-    /// this entry lacks data that it needs to serve, it waits longer before asking another one, as
-    /// all entries that have just started fetch whole lists from the same few.
-    pub fn may_start(
-        &mut self,
-        from: SocketAddr,
-        has_all_data: bool,
-        reachable: usize,
-        now: Millis,
-    ) -> bool {
+    /// Whether a fetch from an entry that tells of news may start now. While this entry lacks data
+    /// that it needs to serve, it waits longer before asking another one, as all entries that have
+    /// just started fetch whole lists from the same few.
+    pub fn may_start(&mut self, from: SocketAddr, has_all_data: bool, now: Millis) -> bool {
+        self.tellers.insert(from, now);
+        self.tellers.retain(|_, at| now - *at < TELLER_MEMORY);
         self.failed.retain(|_, at| now - *at < FAILURE_MEMORY);
-        let has_others = self.failed.len() < reachable;
+        let mut tellers = self.tellers.keys();
+        let has_others = tellers.any(|teller| !self.failed.contains_key(teller));
         if has_others && self.failed.contains_key(&from) {
             return false;
         }
@@ -156,10 +157,8 @@
 
 /// Starts to fetch newer data from another entry, if a fetch may start now.
 pub fn start(state: &Rc<State>, from: SocketAddr) {
-    let now = state.now();
-    let reachable = state.fleet.borrow().reachable(now).count();
     let mut fetches = state.fetches.borrow_mut();
-    let may_start = fetches.may_start(from, state.knows_all(), reachable, now);
+    let may_start = fetches.may_start(from, state.knows_all(), state.now());
     drop(fetches);
     if may_start {
         let running = Running::begin(state, from);
--- a/crates/relay/tests/contract/silent_tellers.rs
+++ b/crates/relay/tests/contract/silent_tellers.rs
@@ -108,6 +108,40 @@
     assert!(took < BOUND, "{took:?}");
 }
 
+/// An entry that alone tells of news is asked again as soon as it has not answered, though others are
+/// there that know nothing.
+#[test]
+fn the_only_entry_that_tells_of_news_is_asked_again_at_once() {
+    let (site, _server, fetched) = scene();
+    let others: Vec<_> = (0..3)
+        .map(|at| Other::start(&format!("ignorant-{at}")))
+        .collect();
+    let live = Other::start("live");
+    let mut asked = None;
+    until(|| {
+        for other in &others {
+            other.greet(site.peer);
+        }
+        live.tell(site.peer);
+        asked = live.asked();
+        asked.is_some()
+    });
+    let mut stream = asked.unwrap();
+    until(|| is_closed(&mut stream));
+    let given_up = Instant::now();
+    until(|| {
+        for other in &others {
+            other.greet(site.peer);
+        }
+        live.tell(site.peer);
+        live.hear(site.peer, true);
+        live.serve(&fetched);
+        live.heard.get() >= REVISION
+    });
+    let took = given_up.elapsed();
+    assert!(took < BOUND, "{took:?}");
+}
+
 /// A list that takes longer than an answer usually does is taken as long as it goes on coming:
 /// to give it up and begin anew would bring nothing, however often.
 #[test]
--- a/crates/relay/tests/contract/teller.rs
+++ b/crates/relay/tests/contract/teller.rs
@@ -77,6 +77,12 @@
         self.send(&self.message(1, false), to);
     }
 
+    /// Tells the relay that it knows nothing.
+    pub fn greet(&self, to: SocketAddr) {
+        let address = self.socket.local_addr().unwrap();
+        self.send(&peer::question(&self.name, address, peer::IGNORANT), to);
+    }
+
     /// Takes in what the relay says, and answers its questions if it is to.
     pub fn hear(&self, relay: SocketAddr, answers: bool) {
         let mut bytes = [0; MAX_DATAGRAM_BYTES];
