Requests that waited for a frozen entry are not sent by its old list

An entry that wakes up sent what had waited for it by the list that it had before: to endpoints that had said they were leaving seconds ago. Cause: nothing told a standstill from time in which nothing was new. Class: what is known has no age at the one who uses it. Change: after more than a second without work an entry asks the others at once, and requests wait until an answer to a later question, or the platform's, 0.3 s at most (core::relay::standstill). Before it sends, an entry looks once more whether the endpoint has begun to leave while it was connected to.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -37,6 +37,7 @@
 pub mod scheduling;
 pub mod shutdown;
 pub mod sizing;
+pub mod standstill;
 pub mod table;
 pub mod true_time;
 pub mod usage;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -31,6 +31,7 @@
 mod shutdown;
 mod sizing;
 mod source;
+mod standstill;
 mod stop_notices;
 mod subset;
 mod table;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -222,6 +222,7 @@
                     }
                     None => {}
                 }
+                state.record_answer(asked);
             }
             None if link.lost_history => {
                 cursor = None;
--- a/crates/relay/src/gossip/exchange.rs
+++ b/crates/relay/src/gossip/exchange.rs
@@ -436,7 +436,11 @@
             .confirm_plan(versions.plan, sent_at - versions.plan_age);
         let endpoints_as_of = sent_at - versions.endpoints_age;
         let mut roster = self.state.roster.borrow_mut();
-        roster.confirm(versions.endpoints, endpoints_as_of);
+        let has_newer = roster.confirm(versions.endpoints, endpoints_as_of);
+        drop(roster);
+        if !has_newer {
+            self.state.record_answer(sent_at);
+        }
     }
 
     /// Starts a fetch if another entry has newer data than this one.
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -201,6 +201,7 @@
     }
     let as_of = sent_at - versions.endpoints_age;
     let teller = Teller::Entry(from);
+    let has_endpoints = fetched.endpoints.is_some();
     match fetched.endpoints {
         Some(Listed::All(all)) => {
             follow::take_endpoints(state, all, versions.endpoints, as_of, teller);
@@ -209,6 +210,9 @@
         None => {}
     }
     follow::take_absences(state, &fetched.absences, sent_at);
+    if has_endpoints {
+        state.record_answer(sent_at);
+    }
 }
 
 async fn request_newer(
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -25,6 +25,9 @@
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: u32 = 2;
 
+/// Why nothing is sent to an endpoint that was chosen.
+const LEFT: &str = "the endpoint has begun to leave since it was chosen";
+
 /// Why an attempt got no response.
 #[derive(Debug, Error)]
 pub enum AttemptError {
@@ -133,6 +136,10 @@
     record: &mut AccessRecord,
 ) -> Result<(Connection, Head, Millis), AttemptError> {
     let (mut connection, idle) = connect(state, choice, record).await?;
+    state.until_caught_up().await;
+    if has_left(state, &choice.endpoint) {
+        return Err(AttemptError::NotSent(LEFT.to_owned()));
+    }
     let head = forward::head(state, request, choice);
     record.record_send(connection.requests_sent() > 0);
     let sent = state.now();
@@ -195,6 +202,12 @@
     Ok((connection, response, max_idle))
 }
 
+/// Whether the endpoint was found to be leaving, or gone, since it was chosen.
+fn has_left(state: &State, endpoint: &Endpoint) -> bool {
+    let roster = state.roster.borrow();
+    roster.is_leaving(&endpoint.life) || roster.get(&endpoint.life).is_none()
+}
+
 /// Checks why a connection closed without a response: if this entry still has links to endpoints,
 /// the endpoint may have dropped it for being idle, which shortens the maximum idle time for the
 /// service.
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -156,6 +156,7 @@
 ) -> Result<EndpointResponse, Problem> {
     let mut attempts = Attempts::default();
     loop {
+        state.until_caught_up().await;
         let target = match next_target(state, request, &attempts) {
             Ok(target) => target,
             Err(problem) => {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one relay share. All of them run on one thread.
 
 mod era;
+mod standstill;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -22,6 +23,7 @@
 use woodgap_core::relay::rate_limit::RateLimits;
 use woodgap_core::relay::rest::IdleLimits;
 use woodgap_core::relay::shutdown::Shutdown;
+use woodgap_core::relay::standstill::Watch;
 use woodgap_core::relay::true_time::MedianClock;
 use woodgap_core::relay::usage::{Meter, UsageTotals, Window};
 use woodgap_core::relay::{ActivePlan, Evacuation, Roster, warming};
@@ -130,6 +132,10 @@
     pub unwritten: Cell<usize>,
     /// Connections of callers that are open.
     pub connections: Cell<usize>,
+    /// Whether it has caught up after its process stood still.
+    watch: RefCell<Watch>,
+    /// It has.
+    caught_up: Notify,
     /// Something was learnt that other entries should hear of at once.
     pub news: Notify,
     /// The platform answers again after it was lost.
@@ -221,6 +227,8 @@
             running: Cell::new(0),
             unwritten: Cell::new(0),
             connections: Cell::new(0),
+            watch: RefCell::new(Watch::new(ORIGIN)),
+            caught_up: Notify::new(),
             news: Notify::new(),
             platform_is_back: Notify::new(),
             is_platform_lost: Cell::new(false),
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -26,6 +26,7 @@
     let mut last = state.now();
     loop {
         tokio::time::sleep(Duration::from_millis(ROUND.0)).await;
+        state.look();
         let now = state.now();
         let late = now - last - ROUND;
         if late > STANDSTILL {
