The choice of an endpoint has a module of its own; tests share their scenes

Change: moved to request::selection as it was (what was tried is passed in place of all attempts); a scene in each of the two test files, the stand-in's held lists in a module of their own; no check differs.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -13,6 +13,7 @@
 pub mod responder;
 pub mod response;
 pub mod run;
+mod selection;
 
 pub use access_log::AccessRecord;
 pub use admit::AdmittedRequest;
--- a/crates/relay/tests/contract/undone_leavings.rs
+++ b/crates/relay/tests/contract/undone_leavings.rs
@@ -43,6 +43,18 @@
     }
 }
 
+/// Another entry tells of this; then the platform is read some times more.
+fn tell(site: &Site, listed: &Listed) {
+    let live = Other::start("live");
+    until(|| {
+        live.tell(site.peer);
+        live.hear(site.peer, true);
+        live.serve(&fetched(listed.clone()));
+        live.heard.get() >= REVISION
+    });
+    sleep(READINGS);
+}
+
 /// Sends requests, none of which may reach the leaving endpoint.
 fn assert_left_alone(site: &Site, leaving: &Endpoint) {
     let before = leaving.seen().len();
@@ -66,14 +78,7 @@
     } else {
         Listed::Changes(vec![(REVISION, Change::Listed(row))])
     };
-    let live = Other::start("live");
-    until(|| {
-        live.tell(site.peer);
-        live.hear(site.peer, true);
-        live.serve(&fetched(listed.clone()));
-        live.heard.get() >= REVISION
-    });
-    sleep(READINGS);
+    tell(&site, &listed);
     assert_left_alone(&site, &leaving);
 }
 
@@ -86,13 +91,6 @@
     sleep(READINGS);
     let change = Change::Listed(is_leaving(&leaving));
     let listed = Listed::Changes(vec![(REVISION, change)]);
-    let live = Other::start("live");
-    until(|| {
-        live.tell(site.peer);
-        live.hear(site.peer, true);
-        live.serve(&fetched(listed.clone()));
-        live.heard.get() >= REVISION
-    });
-    sleep(READINGS);
+    tell(&site, &listed);
     assert_left_alone(&site, &leaving);
 }
