--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -11,9 +11,11 @@
 //! # }
 //! ```
 
+pub mod crowd;
 pub mod documents;
 pub mod entry;
 pub mod fleet;
+pub mod gauge;
 pub mod stand;
 
 pub use entry::Entry;
