What is held for callers is bounded in sum

Callers saw nothing of it until the process ran out of memory: bodies of legal size that stop short of their end were each buffered to their limit and never given up; the HTTP library buffered 128 KB of a head, of empty lines and of pipelined requests, and chunks of one byte at 32 bytes each; fetches of the peer port allocated 8 MB on request; silent connections took every place until they timed out.

Cause: limits held one by one, and the library decided how far it reads. Ruled out: fewer connections alone (a few large bodies are enough), a time limit alone (bodies come fast and stop).

Change: every connection is registered, and read through a gate that passes on 4 KB at a time and only what the phase of the request allows: a head up to the plan's limit (used nowhere before), a body while it is read, 1 KB ahead of time. Bodies take room from one budget, a quarter of the machine's memory, before they are read; a quarter of that is kept for requests up to 64 KB. Who comes slower than 16 KB/s, or stops, gives way to others after 1.5 s, and in any case after 1 s and the header timeout. Unread sockets and answers that are not taken count too. Silent connections give way to new ones. A refusal (503 entry_full, 408, 413, 431) closes where a part of the body is left.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod era;
 pub mod fingerprint;
 pub mod instance;
+pub mod intake;
 pub mod lease;
 pub mod membership;
 pub mod message;
--- a/crates/relay/src/front/server.rs
+++ b/crates/relay/src/front/server.rs
@@ -11,16 +11,17 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{ConnectionType, HttpService, Request, Response};
+use actix_http::{ConnectionType, HttpMessage, HttpService, Request, Response};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::future::LocalBoxFuture;
 use tokio::net::TcpListener;
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::plan::Limits;
+use woodgap_intake::{Connection, Served, Serving};
 
 use crate::front::{Stream, directory};
-use crate::request::admit::Origin;
+use crate::request::admit::{self, Origin};
 use crate::request::run;
 use crate::state::State;
 
@@ -30,9 +31,10 @@
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
 /// How long connections of other entries may rest; longer than these keep them.
 const HANDOVER_KEEP_ALIVE: Duration = Duration::from_secs(10);
-/// The divisor that gives callers their share of the file descriptors; the rest is left for
-/// endpoints, other entries and the platform.
-const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// What other entries may add to the header of a request that they hand over, in bytes.
+const HANDOVER_HEADER_BYTES: usize = 1024;
 
 /// Which requests a server handles.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,25 +87,28 @@
 
     /// Accepts connections for as long as the process runs.
     pub async fn run(self) {
-        let state = &self.acceptor.state;
-        let max_connections = state.settings.descriptors / CALLER_DESCRIPTOR_DIVISOR;
         loop {
             match self.listener.accept().await {
-                Ok((stream, _)) if state.connections.get() < max_connections => {
-                    self.acceptor.take(stream).await;
-                }
-                Ok(_) => {
-                    log::warn!(connections = max_connections; "connection closed: too many open connections");
-                }
-                Err(error) => {
-                    log::warn!(error = error.to_string(); "failed to accept a connection");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                Ok((stream, _)) => {
+                    // One for which there is no place is closed with its request unread.
+                    if let Some(connection) = self.acceptor.register() {
+                        self.acceptor.take(stream, connection).await;
+                    }
                 }
+                Err(error) => recover(&self.acceptor.state, &error).await,
             }
         }
     }
 }
 
+/// Waits until connections may be accepted again: where the process has no descriptor left, those
+/// give way that say nothing.
+pub async fn recover(state: &State, error: &io::Error) {
+    log::warn!(error = error.to_string(); "failed to accept a connection");
+    state.intake.close_silent();
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
 impl Acceptor {
     /// Serves connections for this purpose.
     pub fn new(state: &Rc<State>, purpose: Purpose) -> Self {
@@ -114,17 +119,27 @@
         }
     }
 
-    /// Serves a connection that was just accepted.
-    pub async fn take(&self, stream: TcpStream) {
-        let Ok(stream) = Stream::new(stream, &self.state) else {
+    /// A place for a connection that was just accepted, if there is one.
+    pub fn register(&self) -> Option<Rc<Connection>> {
+        let header_bytes = self.limits().header_bytes;
+        let header_bytes = match self.purpose {
+            Purpose::Handovers => header_bytes + HANDOVER_HEADER_BYTES,
+            Purpose::Requests | Purpose::Directory | Purpose::Metrics => header_bytes,
+        };
+        self.state.intake.open(header_bytes)
+    }
+
+    /// Serves a connection that was just accepted, until it ends or has to give way.
+    pub async fn take(&self, stream: TcpStream, connection: Rc<Connection>) {
+        let Ok(stream) = Stream::new(stream, &connection, &self.state) else {
             return;
         };
         let handler = self.handler().await;
-        let state = Rc::clone(&self.state);
         actix_rt::spawn(async move {
-            state.connections.set(state.connections.get() + 1);
-            handler(stream).await;
-            state.connections.set(state.connections.get() - 1);
+            tokio::select! {
+                () = handler(stream) => {}
+                () = connection.ended() => {}
+            }
         });
     }
 
@@ -158,6 +173,7 @@
     let factory = HttpService::build()
         .on_connect_ext(|stream: &Stream, data| {
             data.insert(ConnectedAt(stream.connected_at()));
+            data.insert(Rc::clone(stream.connection()));
         })
         .keep_alive(keep_alive(purpose, limits))
         .client_request_timeout(Duration::from_millis(limits.header_timeout.0))
@@ -198,16 +214,25 @@
 
 async fn respond(state: Rc<State>, purpose: Purpose, request: Request) -> Response<BoxBody> {
     let is_stopping = state.stopping_since().is_some();
+    let serving = begin(&request);
     let mut response = match purpose {
-        Purpose::Requests => run::serve(Rc::clone(&state), request, Origin::Caller).await,
-        Purpose::Handovers => run::serve(Rc::clone(&state), request, Origin::Entry).await,
+        Purpose::Requests => run::serve(Rc::clone(&state), request, Origin::Caller, &serving).await,
+        Purpose::Handovers => run::serve(Rc::clone(&state), request, Origin::Entry, &serving).await,
         Purpose::Directory => directory::answer(&state, &request),
         Purpose::Metrics => directory::metrics(&state, &request),
     };
-    if is_stopping || state.stopping_since().is_some() {
+    // What is left of a body is no request.
+    if is_stopping || state.stopping_since().is_some() || serving.has_rest() {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
     }
-    response
+    response.map_body(|_, body| BoxBody::new(Served::new(body, serving)))
+}
+
+/// Tells the request's connection that its head is complete.
+fn begin(request: &Request) -> Serving {
+    let connection = request.conn_data::<Rc<Connection>>();
+    let connection = connection.expect("every connection is registered when it is accepted");
+    connection.begin(admit::has_body(request.headers()))
 }
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -8,13 +8,19 @@
 use actix_rt::net::TcpStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use woodgap_core::clock::Millis;
+use woodgap_intake::{Connection, Gate};
 
 use crate::state::State;
 
+/// The response to a head that is not read to its end, as it is above the limit.
+const HEADER_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    Content-Type: application/json\r\nContent-Length: 84\r\nConnection: close\r\n\r\n\
+    {\"error\":\"header_too_large\",\"verdict\":\"not_run\",\"message\":\"the header is too large\"}";
+
 /// A caller's connection. It is counted in `State::unwritten` while a write is pending, so that
 /// the process does not exit while it still holds response bytes.
 pub struct Stream {
-    inner: TcpStream,
+    inner: Gate<TcpStream>,
     state: Rc<State>,
     connected: Millis,
     is_write_pending: bool,
@@ -26,12 +32,16 @@
     /// # Errors
     ///
     /// If the connection has ended in the meantime.
-    pub fn new(inner: TcpStream, state: &Rc<State>) -> io::Result<Self> {
+    pub fn new(
+        inner: TcpStream,
+        connection: &Rc<Connection>,
+        state: &Rc<State>,
+    ) -> io::Result<Self> {
         // Events are small and must be sent without delay. `actix-http` sets this option for
         // HTTP/2 only.
         inner.set_nodelay(true)?;
         Ok(Self {
-            inner,
+            inner: Gate::new(inner, Rc::clone(connection), HEADER_TOO_LARGE)?,
             connected: state.now(),
             state: Rc::clone(state),
             is_write_pending: false,
@@ -43,6 +53,11 @@
         self.connected
     }
 
+    /// The connection, for its requests.
+    pub fn connection(&self) -> &Rc<Connection> {
+        self.inner.connection()
+    }
+
     fn set_write_pending(&mut self, is_write_pending: bool) {
         let unwritten = &self.state.unwritten;
         match (self.is_write_pending, is_write_pending) {
--- a/crates/relay/src/gossip/fetch.rs
+++ b/crates/relay/src/gossip/fetch.rs
@@ -12,9 +12,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use woodgap_core::clock::Millis;
 use woodgap_core::relay::roster::Absence;
+use woodgap_intake::Connection;
 
 use crate::follow::{self, Teller};
-use crate::front::server::{Acceptor, Purpose};
+use crate::front::server::{Acceptor, Purpose, recover};
 use crate::gossip::exchange::knowledge;
 use crate::gossip::message::{FORM, FetchRequest, FetchResponse, Listed};
 use crate::source::Evacuations;
@@ -29,6 +30,8 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 /// The largest message, in bytes: enough for thousands of routes.
 const MAX_MESSAGE_BYTES: u32 = 8 * 1024 * 1024;
+/// The largest request for news, in bytes: it holds three numbers.
+const MAX_REQUEST_BYTES: u32 = 1024;
 
 /// The maximum number of whole lists that an entry sends at the same time. Few transfers at a
 /// time reach the whole fleet the soonest, as entries that have the list pass it on. With only
@@ -221,8 +224,8 @@
     on_progress: impl Fn(),
 ) -> io::Result<FetchResponse> {
     let mut stream = with_idle_timeout(TcpStream::connect(from)).await?;
-    write(&mut stream, &request).await?;
-    read(&mut stream, on_progress).await
+    write(&mut stream, &encode(&request)?).await?;
+    read(&mut stream, MAX_MESSAGE_BYTES, on_progress).await
 }
 
 /// Answers other entries for as long as the process runs: fetches, and requests that they hand
@@ -234,18 +237,22 @@
             Ok((stream, _)) => {
                 let state = Rc::clone(&state);
                 let handovers = Rc::clone(&handovers);
+                let Some(connection) = handovers.register() else {
+                    continue;
+                };
                 actix_rt::spawn(async move {
-                    if is_http(&stream).await {
-                        handovers.take(stream).await;
+                    let is_http = tokio::select! {
+                        is_http = is_http(&stream) => is_http,
+                        () = connection.ended() => return,
+                    };
+                    if is_http {
+                        handovers.take(stream, connection).await;
                     } else {
-                        answer(state, stream).await;
+                        answer(state, stream, &connection).await;
                     }
                 });
             }
-            Err(error) => {
-                log::warn!(error = error.to_string(); "an entry's connection can't be taken");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
+            Err(error) => recover(&state, &error).await,
         }
     }
 }
@@ -258,11 +265,15 @@
     peeked.is_ok_and(|count| count > 0) && first[0].is_ascii_uppercase()
 }
 
-async fn answer(state: Rc<State>, mut stream: TcpStream) {
+async fn answer(state: Rc<State>, mut stream: TcpStream, connection: &Rc<Connection>) {
     let limit = Duration::from_millis(EXCHANGE_TIMEOUT.0);
+    let serving = connection.begin(false);
     let answering = async {
-        let request: FetchRequest = read(&mut stream, || {}).await?;
+        let request: FetchRequest = read(&mut stream, MAX_REQUEST_BYTES, || {}).await?;
         let (response, _transfer) = build_response(&state, request);
+        let response = encode(&response)?;
+        let full = |_| io::Error::other("there is no room for the response");
+        serving.hold(response.len()).map_err(full)?;
         write(&mut stream, &response).await
     };
     match tokio::time::timeout(limit, answering).await {
@@ -328,8 +339,12 @@
     }
 }
 
-async fn write(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
-    let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
+fn encode(message: &impl Serialize) -> io::Result<Vec<u8>> {
+    postcard::to_stdvec(message).map_err(io::Error::other)
+}
+
+/// Writes an encoded message.
+async fn write(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     with_idle_timeout(stream.write_u8(FORM)).await?;
     with_idle_timeout(stream.write_u32(length)).await?;
@@ -339,16 +354,17 @@
     Ok(())
 }
 
-/// Reads a message and calls `on_progress` after each chunk.
+/// Reads a message of at most so many bytes and calls `on_progress` after each chunk.
 async fn read<T: DeserializeOwned>(
     stream: &mut TcpStream,
+    max_bytes: u32,
     on_progress: impl Fn(),
 ) -> io::Result<T> {
     if with_idle_timeout(stream.read_u8()).await? != FORM {
         return Err(io::Error::other("the message has another wire version"));
     }
     let length = with_idle_timeout(stream.read_u32()).await?;
-    if length > MAX_MESSAGE_BYTES {
+    if length > max_bytes {
         return Err(io::Error::other("the message exceeds the maximum size"));
     }
     let mut bytes = vec![0; usize::try_from(length).map_err(io::Error::other)?];
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms, served as text for whoever asks.
 
+pub mod intake;
+
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -7,6 +9,8 @@
 
 use woodgap_core::relay::scheduling::room::Snapshot;
 
+pub use intake::Intake;
+
 /// Bounds of the histograms' buckets, in ms: from a plain service's answer to
 /// the longest that callers wait.
 const BUCKETS: &[f64] = &[
@@ -27,6 +31,8 @@
     pub attempts: IntCounterVec,
     /// Requests handed to other entries, and taken from them, by outcome.
     pub handovers: IntCounterVec,
+    /// What is held for callers, and what gave way.
+    pub intake: Intake,
     /// Streams that callers take up, by how the version that began them is known.
     pub resumptions: IntCounterVec,
     /// Batches of streams written to the platform, by outcome.
@@ -122,7 +128,8 @@
                 "Requests handed to other entries, and taken from them",
                 "outcome",
             )?,
-            resumptions: counters("resumptions", "Streams that callers take up", "version")?,
+            intake: Intake::new(&registry)?,
+            resumptions: counters("resumptions", "Streams taken up", "version")?,
             unframed_ends: counters("unframed_ends", "Responses without a length", "outcome")?,
             stream_batches: counters("stream_batches", "Streams stored, in batches", "outcome")?,
             connects: IntCounter::new("connects", "Connections opened to endpoints")?,
@@ -177,11 +184,7 @@
                 "Requests that were not sent: this entry's part of brittle endpoints was in use",
             )?,
             has_duties: IntGauge::new("has_duties", "Whether this entry has the duties")?,
-            windows: counters(
-                "windows",
-                "Windows of use by what became of them",
-                "outcome",
-            )?,
+            windows: counters("windows", "Windows of use by their ends", "outcome")?,
             orders: counters("orders", "Orders of endpoints by outcome", "outcome")?,
             scheduling_refusals: counters(
                 "scheduling_refusals",
--- a/crates/relay/src/request/admit.rs
+++ b/crates/relay/src/request/admit.rs
@@ -2,18 +2,18 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use actix_http::header::HeaderMap;
-use actix_http::{HttpMessage, Method, Payload, Request};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use actix_http::{HttpMessage, Method, Request};
+use bytes::Bytes;
 use woodgap_core::clock::Millis;
 use woodgap_core::fingerprint::{self, Fingerprint};
+use woodgap_core::intake::registry::SHORT_GRACE;
 use woodgap_core::quarantine::Cause;
 use woodgap_core::relay::Table;
 use woodgap_core::relay::plan::{Kind, Route, Service, Workspace};
 use woodgap_core::relay::resumption::Build;
+use woodgap_intake::{Bounds, Refusal, Serving};
 
 use crate::dialect::Call;
 use crate::request::handover::{self, Accepted};
@@ -25,6 +25,8 @@
 /// Maximum age of a plan's confirmation at which requests with an unknown route or key are
 /// rejected: a newer plan may contain them. Longer than the interval between two confirmations.
 const MAX_REJECTION_PLAN_AGE: Millis = Millis(3_000);
+/// Bytes of a header beside its name and value: colon, blank, end of line.
+const HEADER_MARKS: usize = 4;
 
 /// Who has sent a request to this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +84,7 @@
     state: &Rc<State>,
     mut request: Request,
     origin: Origin,
+    serving: &Serving,
     record: &mut AccessRecord,
 ) -> Result<AdmittedRequest, Problem> {
     let arrived = state.now();
@@ -97,8 +100,8 @@
     if origin == Origin::Entry {
         record.set_accepted(Accepted::take(state, request.headers())?);
     }
-    let max_bytes = body_limit(state)?;
-    let body = read_body(request.take_payload(), max_bytes, max_wait).await?;
+    check_header(state, &request, origin)?;
+    let body = read_body(state, &mut request, serving, max_wait).await?;
     let table = table(state)?;
     let path = request.path();
     let host = requested_host(&request);
@@ -193,36 +196,74 @@
     table.ok_or_else(|| not_ready("no configuration is known yet"))
 }
 
-fn body_limit(state: &State) -> Result<usize, Problem> {
-    table(state).map(|table| table.limits().body_bytes)
+/// Rejects a caller's request whose header is above the limit. Other entries add to theirs.
+fn check_header(state: &State, request: &Request, origin: Origin) -> Result<(), Problem> {
+    let max_bytes = table(state)?.limits().header_bytes;
+    if origin == Origin::Entry || header_bytes(request) <= max_bytes {
+        return Ok(());
+    }
+    let message = format!("the header is above {max_bytes} bytes");
+    Err(Problem::not_run(Code::HeaderTooLarge, message))
+}
+
+/// The bytes of the request line and the headers.
+fn header_bytes(request: &Request) -> usize {
+    let target = request.uri().path_and_query().map_or("", |it| it.as_str());
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_MARKS);
+    request.method().as_str().len() + target.len() + headers.sum::<usize>()
+}
+
+/// Whether a request with these headers has a body.
+pub fn has_body(headers: &HeaderMap) -> bool {
+    headers.contains_key("transfer-encoding") || announced_length(headers).is_some_and(|it| it > 0)
+}
+
+/// The length of the body, if it is announced.
+fn announced_length(headers: &HeaderMap) -> Option<usize> {
+    if headers.contains_key("transfer-encoding") {
+        return None;
+    }
+    let length = headers.get("content-length")?;
+    length.to_str().ok()?.parse().ok()
 }
 
-/// Buffers the complete body, so that the request can be retried.
+/// Reads the complete body, so that the request can be retried.
 async fn read_body(
-    mut payload: Payload,
-    max_bytes: usize,
+    state: &State,
+    request: &mut Request,
+    serving: &Serving,
     max_wait: Millis,
 ) -> Result<Bytes, Problem> {
-    let mut body = BytesMut::new();
-    let read_future = async {
-        while let Some(chunk) = payload.next().await {
-            let broken = |error: actix_http::error::PayloadError| {
-                Problem::not_run(Code::BadRequest, format!("the body can't be read: {error}"))
-            };
-            body.extend_from_slice(&chunk.map_err(broken)?);
-            if body.len() > max_bytes {
-                let message = format!("the body is above {max_bytes} bytes");
-                return Err(Problem::not_run(Code::BodyTooLarge, message));
-            }
-        }
-        Ok(())
+    if !has_body(request.headers()) {
+        return Ok(Bytes::new());
+    }
+    let table = table(state)?;
+    let limits = table.limits();
+    // A caller may wait for longer than its route allows, or say nothing of it.
+    let route = table.route(&requested_host(request), request.path());
+    let bounds = Bounds {
+        announced: announced_length(request.headers()),
+        max_bytes: limits.body_bytes.min(state.intake.largest_request()),
+        grace: limits.header_timeout,
+        timeout: route.map_or(max_wait, |route| max_wait.min(route.timeout)),
     };
-    let timeout = Duration::from_millis(max_wait.0);
-    let timed_out = |_| body_timeout();
-    tokio::time::timeout(timeout, read_future)
-        .await
-        .map_err(timed_out)??;
-    Ok(body.freeze())
+    let body = serving.read(request.take_payload(), &bounds).await;
+    body.map_err(|refusal| match refusal {
+        Refusal::TooLarge => {
+            let message = format!("the body is above {} bytes", bounds.max_bytes);
+            Problem::not_run(Code::BodyTooLarge, message)
+        }
+        Refusal::NoRoom => {
+            let message = "this entry has no room for the body now";
+            Problem::not_run(Code::EntryFull, message).retry_after(SHORT_GRACE)
+        }
+        Refusal::TooSlow => body_timeout(),
+        Refusal::Broken(error) => {
+            let message = format!("the body can't be read: {error}");
+            Problem::not_run(Code::BadRequest, message)
+        }
+    })
 }
 
 fn body_timeout() -> Problem {
--- a/crates/relay/src/request/problem.rs
+++ b/crates/relay/src/request/problem.rs
@@ -24,8 +24,12 @@
     BadRequest,
     /// The body exceeds the size limit.
     BodyTooLarge,
+    /// The header exceeds the size limit.
+    HeaderTooLarge,
     /// The body was not received in time.
     RequestTimeout,
+    /// This entry holds as much for its callers as it may.
+    EntryFull,
     /// No workspace has this key.
     UnknownKey,
     /// No route matches the request.
@@ -56,6 +60,8 @@
         match self {
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
+            Self::HeaderTooLarge => "header_too_large",
+            Self::EntryFull => "entry_full",
             Self::RequestTimeout => "request_timeout",
             Self::UnknownKey => "unknown_key",
             Self::UnknownRoute => "unknown_route",
@@ -71,9 +77,11 @@
         }
     }
 
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 16] = [
         Self::BadRequest,
         Self::BodyTooLarge,
+        Self::HeaderTooLarge,
+        Self::EntryFull,
         Self::RequestTimeout,
         Self::UnknownKey,
         Self::UnknownRoute,
@@ -92,11 +100,13 @@
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::NotReady
             | Self::Stopping
+            | Self::EntryFull
             | Self::NoEndpoint
             | Self::Overloaded
             | Self::Withheld
@@ -172,7 +182,7 @@
     pub fn is_of_entry(&self) -> bool {
         let concerns_entry = matches!(
             self.code,
-            Code::NoEndpoint | Code::NotReady | Code::Stopping
+            Code::NoEndpoint | Code::NotReady | Code::Stopping | Code::EntryFull
         );
         concerns_entry && self.verdict == Verdict::NotRun
     }
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -12,6 +12,7 @@
 use woodgap_core::relay::plan::Kind;
 use woodgap_core::relay::shutdown::EndTime;
 use woodgap_core::verdict::Verdict;
+use woodgap_intake::Serving;
 
 use crate::dialect::Decline;
 use crate::front::server::ConnectedAt;
@@ -36,7 +37,12 @@
 const ATTEMPT_TIMEOUT_TARGETS: u64 = 2;
 
 /// Serves one request.
-pub async fn serve(state: Rc<State>, request: Request, origin: Origin) -> Response<BoxBody> {
+pub async fn serve(
+    state: Rc<State>,
+    request: Request,
+    origin: Origin,
+    serving: &Serving,
+) -> Response<BoxBody> {
     let version = request.head().version;
     let connected = request.conn_data::<ConnectedAt>();
     let connected = connected.map_or_else(|| state.now(), |it| it.0);
@@ -44,9 +50,10 @@
     // Callers that still wait when the process is about to exit get an error response.
     let result = tokio::select! {
         biased;
-        result = process(&state, request, origin, &mut record) => Some(result),
+        result = process(&state, request, origin, serving, &mut record) => Some(result),
         () = state.closed() => None,
     };
+    serving.release();
     match result.unwrap_or_else(|| Err(record.shutdown_problem())) {
         Ok((response, deadline)) => {
             let mut response = response.respond(&state, record, deadline);
@@ -67,9 +74,10 @@
     state: &Rc<State>,
     request: Request,
     origin: Origin,
+    serving: &Serving,
     record: &mut AccessRecord,
 ) -> Result<(EndpointResponse, Millis), Problem> {
-    let admitted = admit::admit(state, request, origin, record).await?;
+    let admitted = admit::admit(state, request, origin, serving, record).await?;
     if origin == Origin::Caller {
         state.count_request(&admitted.service.name);
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use tokio::sync::{Notify, watch};
 use woodgap_core::clock::Millis;
@@ -27,11 +28,13 @@
 use woodgap_core::relay::true_time::MedianClock;
 use woodgap_core::relay::usage::{Meter, UsageTotals, Window};
 use woodgap_core::relay::{ActivePlan, Evacuation, Roster, warming};
+use woodgap_intake::Intake;
 use woodgap_platform::clock::Clock;
 use woodgap_settings::relay::Relay as Settings;
 
 use crate::dialect::Dialect;
 use crate::duties;
+use crate::front::Report;
 use crate::gossip;
 use crate::gossip::fetch::Fetches;
 use crate::links::LinkCheck;
@@ -60,6 +63,10 @@
 /// before it would look as young as the process.
 const ORIGIN: Millis = Millis(3_600_000);
 
+/// The divisor that gives callers their share of the file descriptors; the rest is left for
+/// endpoints, other entries and the platform.
+const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
+
 /// What the platform knows of this entry from itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Announcement {
@@ -130,8 +137,10 @@
     pub running: Cell<usize>,
     /// Connections of callers that don't take what is to be written to them.
     pub unwritten: Cell<usize>,
-    /// Connections of callers that are open.
-    pub connections: Cell<usize>,
+    /// Connections of callers and other entries, and what is held for them.
+    pub intake: Arc<Intake>,
+    /// What was told of those that gave way.
+    pub intake_report: Report,
     /// Whether it has caught up after its process stood still.
     watch: RefCell<Watch>,
     /// It has.
@@ -226,7 +235,11 @@
             metrics,
             running: Cell::new(0),
             unwritten: Cell::new(0),
-            connections: Cell::new(0),
+            intake: Arc::new(Intake::new(
+                settings.memory_bytes,
+                settings.descriptors / CALLER_DESCRIPTOR_DIVISOR,
+            )),
+            intake_report: Report::default(),
             watch: RefCell::new(Watch::new(ORIGIN)),
             caught_up: Notify::new(),
             news: Notify::new(),
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -43,6 +43,7 @@
     crash::expire(state);
     state.pool.borrow_mut().sweep(now);
     state.exchange.sweep(now);
+    state.intake.close_overdue();
     state.warmed.borrow_mut().expire(now);
     state.rate_limits.borrow_mut().expire(now);
     state.brittle.borrow_mut().expire(now);
@@ -164,6 +165,7 @@
     metrics.brittle_services.set(gauge(brittle as u64));
     let back_offs = state.back_offs.borrow().count(now);
     metrics.back_offs.set(gauge(back_offs as u64));
+    state.intake_report.update(state, now);
     let dropped = logs::take_dropped();
     if dropped > 0 {
         metrics.dropped_lines.inc_by(dropped);
--- a/crates/relay/tests/misbehaving/site.rs
+++ b/crates/relay/tests/misbehaving/site.rs
@@ -174,7 +174,7 @@
             "revoke_ms": 4_000, "leave_ms": 2_000, "grace_s": 5, "entries_lifetime_s": 1,
             "repeat_ratio": 0.2, "repeat_slack": 50, "repeat_window_s": 10
         },
-        "descriptors": descriptors
+        "memory_mb": MACHINE / 1_000_000, "descriptors": descriptors
     });
     let mut file = tempfile::NamedTempFile::new().expect("the folder is writable");
     write!(file, "{settings}").expect("the file is writable");
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -26,6 +26,12 @@
 const LEAST_WAITING_BYTES: usize = 4 * 1024;
 const MOST_WAITING_BYTES: usize = 1024 * 1024 * 1024;
 const USUAL_WAITING_BYTES: usize = 1024 * 1024;
+/// The least, most and usual memory of a machine, in MB.
+const LEAST_MEMORY_MB: usize = 32;
+const MOST_MEMORY_MB: usize = 1_048_576;
+const USUAL_MEMORY_MB: usize = 128;
+/// Bytes in a MB.
+const MB: usize = 1_000_000;
 /// The most descriptors of a process that can be asked for.
 const MOST_DESCRIPTORS: usize = 1_048_576;
 
@@ -61,6 +67,8 @@
     pub duties: Option<Duties>,
     /// How requests to services with too little capacity are scheduled; none where they are not.
     pub scheduling: Option<Scheduling>,
+    /// The memory that the process has, in bytes.
+    pub memory_bytes: usize,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
     /// The least severe lines that are logged.
@@ -259,6 +267,8 @@
     } else {
         None
     };
+    let memory = rule::whole(LEAST_MEMORY_MB, MOST_MEMORY_MB);
+    let memory = section.or("memory_mb", &memory, USUAL_MEMORY_MB);
     let descriptors = section.or("descriptors", &rule::whole(64, MOST_DESCRIPTORS), 1_024);
     let log_level = section.or(
         "log_level",
@@ -280,6 +290,7 @@
         bounds: bounds?,
         duties,
         scheduling,
+        memory_bytes: memory * MB,
         descriptors,
         log_level,
     })
