--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -10,12 +10,14 @@
 use crate::Intake;
 use crate::intake::{Event, Signal};
 
-/// What is passed on at once, in bytes. Decoded chunks may need several times their size, the bytes
-/// of a body of known length need no more.
-const TURN_BYTES: usize = 4 * 1024;
+/// What is passed on at once, in bytes. Decoded chunks may need several times their size, and short
+/// heads that follow one another even more; the bytes of a body of known length need no more.
+const HEAD_TURN_BYTES: usize = 1024;
+const CHUNKED_TURN_BYTES: usize = 4 * 1024;
 const ANNOUNCED_TURN_BYTES: usize = 16 * 1024;
-/// What may come ahead of time while a request is served, in bytes.
-const AHEAD_BYTES: usize = 1024;
+/// What may come ahead of time while a request is served, in bytes: enough to see that its caller
+/// has left.
+const AHEAD_BYTES: usize = 16;
 /// The bytes of a head that need no room of their own: they fit the HTTP server's first buffer.
 const FREE_HEAD_BYTES: usize = 4 * 1024;
 /// The room of a byte of a head: while it is incomplete, and again once it is parsed.
@@ -190,7 +192,7 @@
     pub(crate) fn turn_bytes(&self) -> usize {
         match self.flow.get() {
             Flow::Body { turn } => turn,
-            Flow::Head { .. } | Flow::Ahead { .. } | Flow::Over => TURN_BYTES,
+            Flow::Head { .. } | Flow::Ahead { .. } | Flow::Over => HEAD_TURN_BYTES,
         }
     }
 
@@ -199,7 +201,7 @@
         let turn = if is_announced {
             ANNOUNCED_TURN_BYTES
         } else {
-            TURN_BYTES
+            CHUNKED_TURN_BYTES
         };
         self.set_flow(Flow::Body { turn });
     }
--- a/crates/intake/src/gate.rs
+++ b/crates/intake/src/gate.rs
@@ -16,10 +16,11 @@
 use crate::connection::Allowance;
 use crate::intake::Event;
 
-/// The most that a socket is taken to hold in one direction, in bytes.
-const MAX_SOCKET_BYTES: usize = 128 * 1024;
-/// The send buffer of a caller's socket, in bytes: the system needs up to twice as much for it.
-const SEND_BUFFER_BYTES: usize = MAX_SOCKET_BYTES / 2;
+/// What a socket is taken to hold in one direction when it is full, in bytes.
+const SOCKET_BYTES: usize = 128 * 1024;
+/// The send buffer of a caller's socket, in bytes. The system takes twice as much, and fills it by
+/// up to 64 KB too far.
+const SEND_BUFFER_BYTES: usize = 32 * 1024;
 /// The most of a refused body that is read and dropped, so that its caller gets to read the
 /// refusal, in bytes.
 const MAX_DROPPED_BYTES: usize = 1024 * 1024;
@@ -100,8 +101,7 @@
         self.connection.wait(context.waker());
         if !self.is_held_back {
             self.is_held_back = true;
-            let bytes = sockopt::socket_recv_buffer_size(&self.inner);
-            self.connection.set_unread(socket_bytes(bytes));
+            self.connection.set_unread(SOCKET_BYTES);
         }
     }
 
@@ -118,12 +118,8 @@
             return;
         }
         self.untaken = bytes;
-        let held = if bytes > 0 {
-            bytes + socket_bytes(sockopt::socket_send_buffer_size(&self.inner))
-        } else {
-            0
-        };
-        self.connection.set_untaken(held);
+        let socket = if bytes > 0 { SOCKET_BYTES } else { 0 };
+        self.connection.set_untaken(bytes + socket);
     }
 
     /// Answers a head that is too large, if the caller takes that at once.
@@ -169,16 +165,11 @@
         if self.connection.is_over()
             && let Err(error) = sockopt::set_socket_linger(&self.inner, Some(Duration::ZERO))
         {
-            log::debug!(error = error.to_string(); "a connection is not reset");
+            log::debug!("a connection is not reset: {error}");
         }
     }
 }
 
-/// What a socket may hold, by the size of its buffer.
-fn socket_bytes(buffer: rustix::io::Result<usize>) -> usize {
-    buffer.map_or(MAX_SOCKET_BYTES, |bytes| bytes.min(MAX_SOCKET_BYTES))
-}
-
 impl<S: AsyncRead + AsyncWrite + AsFd + Unpin> AsyncRead for Gate<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
