Relay: a taken-up stream's version is told as kept or as the only one

`version_source` and the metric `resumptions` now say `kept` where a keeper knows the stream, and `only` where those asked know one version alone; nothing is decided by it.

--- a/crates/core/src/relay/resumption/inquiry.rs
+++ b/crates/core/src/relay/resumption/inquiry.rs
@@ -152,6 +152,11 @@
         self.known.is_some() || self.unanswered == 0
     }
 
+    /// Whether the version is known, rather than the only one that there is.
+    pub fn is_known(&self) -> bool {
+        self.known.is_some()
+    }
+
     /// Where the stream goes on; `None` if that can't be known. `is_confirmed` says whether this
     /// entry's own view of the endpoints is current.
     pub fn conclude(&self, is_confirmed: bool) -> Option<Build> {
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -163,7 +163,7 @@
     let (build, source) = match standing {
         Standing::Known(build) => (Some(build), "own"),
         Standing::Single(build) if is_certain => (Some(build), "single"),
-        _ => (ask(state, &resumed, standing).await, "asked"),
+        _ => ask(state, &resumed, standing).await,
     };
     let outcome = if build.is_some() { source } else { "unknown" };
     let resumptions = &state.metrics.resumptions;
@@ -205,8 +205,9 @@
     }
 }
 
-/// Asks the keepers of a stream about its build.
-async fn ask(state: &State, resumed: &Resumed, own: Standing) -> Option<Build> {
+/// Asks the keepers of a stream about its build. Gives it back with how it is known: by a keeper, or
+/// as no other version is.
+async fn ask(state: &State, resumed: &Resumed, own: Standing) -> (Option<Build>, &'static str) {
     let keepers = keepers(state, resumed.stream);
     let is_alone = state.fleet.borrow().known().next().is_none();
     let streams = &state.streams;
@@ -232,8 +233,11 @@
         let _ = tokio::time::timeout(ANSWER_TIMEOUT, completed).await;
     }
     let is_current = state.force.borrow().age(state.now()) <= MAX_VIEW_AGE;
-    let asking = pending.end()?;
-    asking.inquiry.conclude(is_current || is_alone)
+    let Some(Asking { inquiry, .. }) = pending.end() else {
+        return (None, "only");
+    };
+    let source = if inquiry.is_known() { "kept" } else { "only" };
+    (inquiry.conclude(is_current || is_alone), source)
 }
 
 /// The addresses of the other entries that keep a stream; of any few if its caller does not name
