--- a/crates/core/src/relay/resumption.rs
+++ b/crates/core/src/relay/resumption.rs
@@ -8,20 +8,22 @@
 //! Each entry remembers the builds of its own streams and, while several versions serve, tells
 //! them to a few others, its keepers ([`Ring::owners`](crate::relay::warming::Ring::owners)). An
 //! entry that does not know a stream asks the keepers. Where nobody knows, the stream goes on only
-//! if there has been no other version that could have begun it. The platform [stores](stored) the
-//! streams as well, for entries that start when all others are gone.
+//! if there has been no other version that could have begun it. For entries that start when all
+//! others are gone the platform stores which versions [may have begun](registration) streams, before
+//! any does, and the [streams](stored) themselves while several serve.
 
 pub mod inquiry;
 mod keepers;
 mod records;
+pub mod registration;
 mod registry;
 pub mod stored;
 mod versions;
 
 pub use inquiry::{Inquiry, Message, Standing};
 pub use keepers::Keepers;
+pub use registration::ServiceVersions;
 pub use registry::Registry;
-pub use versions::ServiceVersions;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/core/src/relay/resumption/inquiry.rs
+++ b/crates/core/src/relay/resumption/inquiry.rs
@@ -21,6 +21,8 @@
     Several,
     /// No version of its services is known.
     Nothing,
+    /// There had been no other version by the last look at the endpoints, which is some time ago.
+    Aged(Build),
 }
 
 impl Standing {
@@ -32,6 +34,15 @@
             standing => standing,
         }
     }
+
+    /// The standing of an entry that knew all versions until its view of the endpoints aged.
+    #[must_use]
+    pub fn of_aged(self) -> Self {
+        match self {
+            Self::Single(build) => Self::Aged(build),
+            standing => standing,
+        }
+    }
 }
 
 /// The build of a stream, told to a keeper.
@@ -45,7 +56,8 @@
     pub keep_for: Millis,
 }
 
-/// When endpoints of a version were known, told to an entry that has just started.
+/// When endpoints of a version were known, told to an entry that has just started, or when streams
+/// may begin there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Past {
     /// The service.
@@ -56,6 +68,8 @@
     pub first: Millis,
     /// How long ago the last of them was known.
     pub last: Millis,
+    /// Whether the platform has stored that it may begin streams.
+    pub is_registered: bool,
 }
 
 /// A message between entries.
@@ -63,7 +77,7 @@
 pub enum Message {
     /// Tells a keeper of streams.
     Notices(Vec<Notice>),
-    /// Tells an entry that has just started of services that have had several versions.
+    /// Tells of versions that may begin streams, or have done so.
     Past(Vec<Past>),
     /// Asks what a keeper knows about a stream.
     Question {
@@ -81,6 +95,8 @@
         /// What the keeper knows.
         standing: Standing,
     },
+    /// Asks which versions may begin streams.
+    PastRequest,
 }
 
 /// A question to the keepers of a stream, and their answers so far.
@@ -111,6 +127,8 @@
     is_mixed: bool,
     /// Whether another entry knows that there has been one version.
     has_witness: bool,
+    /// Whether each entry that was asked has answered that it knew of one version.
+    is_unanimous: bool,
 }
 
 impl Inquiry {
@@ -123,6 +141,7 @@
             single: None,
             is_mixed: false,
             has_witness: false,
+            is_unanimous: asked > 0,
         };
         inquiry.weigh(own);
         inquiry
@@ -132,13 +151,14 @@
     pub fn record(&mut self, standing: Standing) {
         self.unanswered = self.unanswered.saturating_sub(1);
         self.has_witness |= matches!(standing, Standing::Single(_));
+        self.is_unanimous &= matches!(standing, Standing::Single(_) | Standing::Aged(_));
         self.weigh(standing);
     }
 
     fn weigh(&mut self, standing: Standing) {
         match standing {
             Standing::Known(build) => self.known = Some(build),
-            Standing::Single(build) | Standing::Unsure(build) => {
+            Standing::Single(build) | Standing::Unsure(build) | Standing::Aged(build) => {
                 self.is_mixed |= self.single.is_some_and(|single| single != build);
                 self.single = Some(build);
             }
@@ -166,6 +186,8 @@
         let is_sure = match self.own {
             Standing::Single(_) => is_confirmed || self.has_witness,
             Standing::Unsure(_) => self.has_witness,
+            // Nobody whose view is younger knows of another one.
+            Standing::Aged(_) => self.has_witness || (self.is_unanimous && self.unanswered == 0),
             _ => false,
         };
         self.single.filter(|_| is_sure && !self.is_mixed)
--- a/crates/core/src/relay/resumption/registry.rs
+++ b/crates/core/src/relay/resumption/registry.rs
@@ -1,9 +1,13 @@
 //! What one entry knows about the builds of streams.
 
+use std::collections::BTreeSet;
+
 use crate::clock::Millis;
+use crate::era::Era;
 use crate::relay::resumption::inquiry::{Notice, Past, Standing};
 use crate::relay::resumption::records::Records;
-use crate::relay::resumption::versions::{ServiceVersions, Versions};
+use crate::relay::resumption::registration::{Completeness, Reading, ServiceVersions};
+use crate::relay::resumption::versions::Versions;
 use crate::relay::resumption::{Build, Service, Stream, TAKE_UP_WINDOW};
 
 /// The longest age of an entry's view at which it may say unasked that there is one version: less
@@ -41,6 +45,45 @@
     /// Since when all versions are known: the start of the entry, or the end of the last time in
     /// which it may have missed one.
     complete_since: Millis,
+    /// The last reading of what the platform stores.
+    reading: Option<LastReading>,
+    /// Whether all versions were known before the last gap in the view.
+    was_complete: bool,
+}
+
+/// When the platform was read.
+#[derive(Clone, Copy, Debug)]
+struct LastReading {
+    /// When it was asked: what was stored before is in the answer.
+    asked: Millis,
+    /// For how long by then all versions that began streams had been stored, if that is known.
+    complete_for: Option<Millis>,
+}
+
+impl LastReading {
+    /// For how long all versions that began streams have been stored.
+    fn complete_for_at(self, now: Millis) -> Option<Millis> {
+        self.complete_for.map(|then| then + (now - self.asked))
+    }
+}
+
+/// Which streams other entries and the platform must know.
+enum Shared {
+    All,
+    Of(BTreeSet<Build>),
+}
+
+impl Shared {
+    fn contains(&self, build: Build) -> bool {
+        match self {
+            Self::All => true,
+            Self::Of(builds) => builds.contains(&build),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        matches!(self, Self::Of(builds) if builds.is_empty())
+    }
 }
 
 impl Registry {
@@ -51,6 +94,8 @@
             versions: Versions::default(),
             retention: None,
             complete_since: now,
+            reading: None,
+            was_complete: false,
         }
     }
 
@@ -66,27 +111,136 @@
 
     /// Records that versions may have come and gone unseen until now.
     pub fn record_gap(&mut self, now: Millis) {
+        self.was_complete |= self.is_complete(now);
         self.complete_since = now;
     }
 
+    /// Records that the view of the endpoints is current.
+    pub fn end_gap(&mut self) {
+        self.was_complete = false;
+    }
+
+    /// Whether all versions were known before the gap that lasts until now.
+    pub fn was_complete(&self) -> bool {
+        self.was_complete
+    }
+
     /// Learns from another entry when a version had endpoints.
     pub fn learn(&mut self, past: &Past, now: Millis) {
         self.versions.learn(past, now);
     }
 
-    /// Takes in what the platform has stored: all of these versions may have begun streams.
-    pub fn restore(&mut self, stored: &ServiceVersions, now: Millis) {
-        for version in &stored.versions {
-            self.versions.observe(&stored.service, version, now);
+    /// Takes in all that the platform has stored, which was asked for at `asked`: these versions
+    /// may have begun streams.
+    pub fn take(&mut self, reading: &Reading, asked: Millis, now: Millis) {
+        for stored in &reading.versions {
+            for version in &stored.versions {
+                self.versions.register(&stored.service, version, now);
+            }
+        }
+        // A store that has lost rows makes nobody forget.
+        if reading.complete_for.is_some() || !self.is_complete(now) {
+            self.reading = Some(LastReading {
+                asked,
+                complete_for: reading.complete_for,
+            });
+        }
+    }
+
+    /// Since when all versions that began streams are registered, to be stored once all of them
+    /// are: since now, where this entry can't know of any before.
+    pub fn completeness(&self, era: Era, now: Millis, unix: Millis) -> Completeness {
+        let read = self.reading.and_then(|it| it.complete_for_at(now));
+        let complete_for = if self.is_complete(now) {
+            read.unwrap_or_default().max(self.retention())
+        } else {
+            Millis::ZERO
+        };
+        Completeness {
+            complete_since_unix: unix - complete_for,
+            era,
+        }
+    }
+
+    /// Whether the platform was read since the entry may last have missed a version.
+    pub fn has_read(&self) -> bool {
+        let reading = self.reading.as_ref();
+        reading.is_some_and(|it| it.asked >= self.complete_since)
+    }
+
+    /// Whether every version that may have begun a stream is known: by what was read and seen since,
+    /// or by a view without a gap for as long as a stream can be taken up.
+    pub fn is_complete(&self, now: Millis) -> bool {
+        let has_seen_all = now - self.complete_since >= self.retention();
+        has_seen_all || (self.has_read() && self.is_reading_complete(now))
+    }
+
+    /// The same, but for what came since the platform was read.
+    pub fn is_reading_complete(&self, now: Millis) -> bool {
+        let complete_for = self.reading.and_then(|it| it.complete_for_at(now));
+        complete_for.is_some_and(|it| it >= self.retention())
+    }
+
+    /// Records that the platform has stored a version, so that streams may begin there.
+    pub fn register(&mut self, service: &str, version: &str, now: Millis) {
+        self.versions.register(service, version, now);
+    }
+
+    /// Whether streams may begin at a version.
+    pub fn is_registered(&self, service: &str, version: &str) -> bool {
+        self.versions.is_registered(service, version)
+    }
+
+    /// Whether a version of a service is known at which no streams may begin.
+    pub fn has_unregistered(&self, service: &str) -> bool {
+        self.versions.has_unregistered(service)
+    }
+
+    /// Whether streams may begin at all known versions of a service, and all entries know them.
+    pub fn is_settled(&self, service: &str, now: Millis) -> bool {
+        self.versions.is_settled(service, now)
+    }
+
+    /// For how long a version has been known.
+    pub fn known_for(&self, service: &str, version: &str, now: Millis) -> Millis {
+        self.versions.known_for(service, version, now)
+    }
+
+    /// The versions that the platform must have stored, each by itself.
+    pub fn registered(&self) -> Vec<ServiceVersions> {
+        self.versions.registered()
+    }
+
+    /// Whether any of these versions is remembered.
+    pub fn knows_any(&self, stored: &ServiceVersions) -> bool {
+        let mut versions = stored.versions.iter();
+        versions.any(|version| self.versions.knows(&stored.service, version))
+    }
+
+    /// The only version that can have begun a stream which was lost before `lost`: the only one
+    /// that was stored when the platform was asked later than that.
+    pub fn only_stored(&self, services: &[Service], lost: Millis, now: Millis) -> Option<Build> {
+        let reading = self.reading.as_ref()?;
+        if reading.asked < lost || !self.is_reading_complete(now) {
+            return None;
         }
+        let builds = self.versions.registered_builds(services);
+        builds.first().copied().filter(|_| builds.len() == 1)
     }
 
-    /// What the platform must store, for entries that start when all others are gone.
-    pub fn to_store(&self) -> Vec<ServiceVersions> {
-        self.versions.to_store()
+    /// Whether the platform can tell which version began a stream of these services: it can't where
+    /// several are known to be stored.
+    pub fn may_be_told(&self, services: &[Service]) -> bool {
+        self.versions.registered_builds(services).len() <= 1
     }
 
-    /// What an entry that has just started must learn: the versions of services that have several.
+    /// What another entry must be told of a version.
+    pub fn past_of(&self, service: &str, version: &str, now: Millis) -> Option<Past> {
+        self.versions.past_of(service, version, now)
+    }
+
+    /// What an entry that has just started must learn: versions that may begin streams, and all of
+    /// services that have several.
     pub fn past(&self, now: Millis) -> Vec<Past> {
         self.versions.past(now)
     }
@@ -109,28 +263,38 @@
         self.records.insert(notice.stream, notice.build, until);
     }
 
-    /// The streams that the keepers must be told of: those whose service has several versions.
+    /// Which streams others must know: those whose service has several versions. All of them while
+    /// versions may have been missed, as there may be several then.
+    fn shared(&self, now: Millis) -> Shared {
+        if self.is_complete(now) {
+            Shared::Of(self.versions.mixed())
+        } else {
+            Shared::All
+        }
+    }
+
+    /// The streams that the keepers must be told of.
     pub fn take_notices(&mut self, now: Millis) -> Vec<Notice> {
-        let mixed = self.versions.mixed();
-        if mixed.is_empty() {
+        let shared = self.shared(now);
+        if shared.is_empty() {
             return Vec::new();
         }
-        let must_know = |build: Build| mixed.contains(&build);
+        let must_know = |build: Build| shared.contains(build);
         self.records.take_untold(must_know, now)
     }
 
-    /// All streams whose service has several versions, for keepers that have just become so.
+    /// All streams that others must know, for keepers that have just become so.
     pub fn notices(&self, now: Millis) -> Vec<Notice> {
-        let mixed = self.versions.mixed();
-        if mixed.is_empty() {
+        let shared = self.shared(now);
+        if shared.is_empty() {
             return Vec::new();
         }
-        self.records.notices(|build| mixed.contains(&build), now)
+        self.records.notices(|build| shared.contains(build), now)
     }
 
-    /// Whether a service has several versions, so that streams must be told to others and stored.
-    pub fn is_mixed(&self) -> bool {
-        !self.versions.mixed().is_empty()
+    /// Whether streams must be told to others and stored.
+    pub fn shares_streams(&self, now: Millis) -> bool {
+        !self.shared(now).is_empty()
     }
 
     /// For how long after it was written a stored stream can matter.
@@ -138,14 +302,13 @@
         self.retention.unwrap_or(UNKNOWN_RETENTION)
     }
 
-    /// Takes at most `limit` streams of this entry that the platform must store: those whose
-    /// service has several versions.
+    /// Takes at most `limit` streams of this entry that the platform must store.
     pub fn take_unsaved(&mut self, limit: usize, now: Millis) -> Vec<Notice> {
-        let mixed = self.versions.mixed();
-        if mixed.is_empty() {
+        let shared = self.shared(now);
+        if shared.is_empty() {
             return Vec::new();
         }
-        let must_save = |build: Build| mixed.contains(&build);
+        let must_save = |build: Build| shared.contains(build);
         self.records.take_unsaved(must_save, limit, now)
     }
 
@@ -183,13 +346,16 @@
             Standing::Single(_) => {
                 age <= MAX_UNASKED_AGE && now - self.complete_since >= self.retention()
             }
-            Standing::Unsure(_) | Standing::Several | Standing::Nothing => false,
+            Standing::Unsure(_) | Standing::Aged(_) | Standing::Several | Standing::Nothing => {
+                false
+            }
         }
     }
 
-    /// The versions of a service at which no streams begin yet, while other ones serve.
-    pub fn held(&self, service: &str, now: Millis) -> Vec<&str> {
-        self.versions.held(service, now)
+    /// Those of a service's usable versions at which streams may begin: registered ones and, while
+    /// others serve, none that other entries may not know yet.
+    pub fn open<'v>(&self, service: &str, usable: &[&'v str], now: Millis) -> Vec<&'v str> {
+        self.versions.open(service, usable, now)
     }
 
     /// The number of streams that are remembered.
--- a/crates/core/src/relay/resumption/versions.rs
+++ b/crates/core/src/relay/resumption/versions.rs
@@ -2,37 +2,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
-
 use crate::clock::Millis;
 use crate::relay::resumption::inquiry::Past;
+use crate::relay::resumption::registration::ServiceVersions;
 use crate::relay::resumption::{Build, Service};
 
 /// How long a version must have been known before streams begin there while older ones serve: by
 /// then the other entries know of it as well.
 const NEW_VERSION_HOLD: Millis = Millis(1_000);
 
-/// The versions that may have begun streams of a service, as the platform stores them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceVersions {
-    /// The service.
-    pub service: String,
-    /// Its versions, in ascending order.
-    pub versions: Vec<String>,
-}
-
-impl ServiceVersions {
-    /// The position of a service among the entries, one of which stores its versions.
-    pub fn key(service: &str) -> u64 {
-        Service::of(service).0
-    }
-}
-
 /// When endpoints of a version were known.
 #[derive(Clone, Copy, Debug)]
 struct Period {
     first: Millis,
     last: Millis,
+    /// Whether the platform has stored that it may begin streams.
+    is_registered: bool,
 }
 
 /// The versions of all services by name, each for as long as a stream that it began may be taken
@@ -45,18 +30,68 @@
 impl Versions {
     /// Records that a version of a service has endpoints.
     pub(super) fn observe(&mut self, service: &str, version: &str, now: Millis) {
-        // Most observations find the version known, so no name is copied for them.
-        let versions = self.services.get_mut(service);
-        if let Some(period) = versions.and_then(|versions| versions.get_mut(version)) {
-            period.last = period.last.max(now);
-            return;
+        let period = self.period(service, version, now);
+        period.last = period.last.max(now);
+    }
+
+    /// Records that the platform has stored a version. It may have begun streams until now.
+    pub(super) fn register(&mut self, service: &str, version: &str, now: Millis) {
+        let period = self.period(service, version, now);
+        period.last = period.last.max(now);
+        period.is_registered = true;
+    }
+
+    fn period(&mut self, service: &str, version: &str, now: Millis) -> &mut Period {
+        // Most calls find the version known, so no name is copied for them.
+        if !self.knows(service, version) {
+            let period = Period {
+                first: now,
+                last: now,
+                is_registered: false,
+            };
+            let versions = self.services.entry(service.to_owned()).or_default();
+            versions.insert(version.to_owned(), period);
         }
-        let versions = self.services.entry(service.to_owned()).or_default();
-        let period = Period {
-            first: now,
-            last: now,
+        let versions = self.services.get_mut(service);
+        let period = versions.and_then(|versions| versions.get_mut(version));
+        period.expect("it is known by now")
+    }
+
+    fn get(&self, service: &str, version: &str) -> Option<&Period> {
+        self.services.get(service)?.get(version)
+    }
+
+    /// Whether a version is remembered.
+    pub(super) fn knows(&self, service: &str, version: &str) -> bool {
+        self.get(service, version).is_some()
+    }
+
+    /// Whether the platform has stored a version.
+    pub(super) fn is_registered(&self, service: &str, version: &str) -> bool {
+        let period = self.get(service, version);
+        period.is_some_and(|period| period.is_registered)
+    }
+
+    /// Whether a version of a service is known that the platform has not stored.
+    pub(super) fn has_unregistered(&self, service: &str) -> bool {
+        let versions = self.services.get(service);
+        let mut versions = versions.into_iter().flat_map(BTreeMap::values);
+        versions.any(|period| !period.is_registered)
+    }
+
+    /// Whether streams may begin at all known versions of a service.
+    pub(super) fn is_settled(&self, service: &str, now: Millis) -> bool {
+        let Some(versions) = self.services.get(service) else {
+            return false;
         };
-        versions.insert(version.to_owned(), period);
+        let mut periods = versions.values();
+        periods.all(|period| period.is_registered && now - period.first >= NEW_VERSION_HOLD)
+    }
+
+    /// For how long a version has been known.
+    pub(super) fn known_for(&self, service: &str, version: &str, now: Millis) -> Millis {
+        let period = self.get(service, version);
+        period.map_or(Millis::ZERO, |period| now - period.first)
     }
 
     /// Learns from another entry when a version had endpoints.
@@ -64,33 +99,38 @@
         let learned = Period {
             first: now - past.first,
             last: now - past.last,
+            is_registered: past.is_registered,
         };
         let versions = self.services.entry(past.service.clone()).or_default();
         let period = versions.entry(past.version.clone()).or_insert(learned);
         period.first = period.first.min(learned.first);
         period.last = period.last.max(learned.last);
+        period.is_registered |= learned.is_registered;
     }
 
-    /// The versions of services that have several.
+    /// The versions that others must know of: those that may begin streams, and all of services that
+    /// have several.
     pub(super) fn past(&self, now: Millis) -> Vec<Past> {
-        let mixed = self.services.iter().filter(|(_, known)| known.len() > 1);
-        let all = mixed.flat_map(|(service, versions)| {
-            versions.iter().map(move |(version, period)| Past {
-                service: service.clone(),
-                version: version.clone(),
-                first: now - period.first,
-                last: now - period.last,
-            })
+        let all = self.services.iter().flat_map(|(service, versions)| {
+            let is_mixed = versions.len() > 1;
+            let told = versions.iter();
+            let told = told.filter(move |(_, period)| is_mixed || period.is_registered);
+            told.map(move |(version, period)| past(service, version, period, now))
         });
         all.collect()
     }
 
-    /// The versions of services that have several, as the platform stores them.
-    pub(super) fn to_store(&self) -> Vec<ServiceVersions> {
-        let mixed = self.services.iter().filter(|(_, known)| known.len() > 1);
-        let all = mixed.map(|(service, versions)| ServiceVersions {
-            service: service.clone(),
-            versions: versions.keys().cloned().collect(),
+    /// What others must know of one version; `None` if it is not remembered.
+    pub(super) fn past_of(&self, service: &str, version: &str, now: Millis) -> Option<Past> {
+        let period = self.get(service, version)?;
+        Some(past(service, version, period, now))
+    }
+
+    /// The versions that the platform has stored, each by itself.
+    pub(super) fn registered(&self) -> Vec<ServiceVersions> {
+        let all = self.services.iter().flat_map(|(service, versions)| {
+            let registered = versions.iter().filter(|(_, period)| period.is_registered);
+            registered.map(|(version, _)| ServiceVersions::one(service, version))
         });
         all.collect()
     }
@@ -103,36 +143,68 @@
         self.services.retain(|_, versions| !versions.is_empty());
     }
 
-    /// The builds that streams of these services can have.
+    /// The builds that streams of these services can have, as far as this entry has seen.
     pub(super) fn builds(&self, services: &[Service]) -> BTreeSet<Build> {
+        let asked = self.of(services);
+        let builds = asked.map(|(name, version, _)| Build::of(name, version));
+        builds.collect()
+    }
+
+    /// The builds of these services that the platform has stored.
+    pub(super) fn registered_builds(&self, services: &[Service]) -> BTreeSet<Build> {
+        let registered = self
+            .of(services)
+            .filter(|(_, _, period)| period.is_registered);
+        let builds = registered.map(|(name, version, _)| Build::of(name, version));
+        builds.collect()
+    }
+
+    fn of<'s>(
+        &'s self,
+        services: &'s [Service],
+    ) -> impl Iterator<Item = (&'s str, &'s str, &'s Period)> {
         let known = self.services.iter();
         let asked = known.filter(|(name, _)| services.contains(&Service::of(name)));
-        asked
-            .flat_map(|(name, versions)| builds(name, versions))
-            .collect()
+        asked.flat_map(|(name, versions)| {
+            let versions = versions.iter();
+            versions.map(move |(version, period)| (name.as_str(), version.as_str(), period))
+        })
     }
 
     /// The builds of services that have several versions.
     pub(super) fn mixed(&self) -> BTreeSet<Build> {
         let mixed = self.services.iter().filter(|(_, known)| known.len() > 1);
-        mixed
-            .flat_map(|(name, versions)| builds(name, versions))
-            .collect()
+        let builds = mixed.flat_map(|(name, versions)| {
+            let versions = versions.keys();
+            versions.map(move |version| Build::of(name, version))
+        });
+        builds.collect()
     }
 
-    /// The versions of a service at which no streams begin yet, while other ones serve.
-    pub(super) fn held(&self, service: &str, now: Millis) -> Vec<&str> {
-        let Some(versions) = self.services.get(service) else {
-            return Vec::new();
-        };
-        let new = versions.iter();
-        let new = new.filter(|(_, period)| now - period.first < NEW_VERSION_HOLD);
-        new.map(|(version, _)| version.as_str()).collect()
+    /// Those of a service's usable versions at which streams may begin.
+    pub(super) fn open<'v>(&self, service: &str, usable: &[&'v str], now: Millis) -> Vec<&'v str> {
+        let registered = usable.iter().copied();
+        let registered: Vec<_> = registered
+            .filter(|version| self.is_registered(service, version))
+            .collect();
+        let settled = registered.iter().copied();
+        let settled: Vec<_> = settled
+            .filter(|version| self.known_for(service, version, now) >= NEW_VERSION_HOLD)
+            .collect();
+        if settled.is_empty() {
+            registered
+        } else {
+            settled
+        }
     }
 }
 
-fn builds(service: &str, versions: &BTreeMap<String, Period>) -> impl Iterator<Item = Build> {
-    versions
-        .keys()
-        .map(move |version| Build::of(service, version))
+fn past(service: &str, version: &str, period: &Period, now: Millis) -> Past {
+    Past {
+        service: service.to_owned(),
+        version: version.to_owned(),
+        first: now - period.first,
+        last: now - period.last,
+        is_registered: period.is_registered,
+    }
 }
--- a/crates/core/tests/relay/resumption.rs
+++ b/crates/core/tests/relay/resumption.rs
@@ -1,6 +1,8 @@
 //! Streams that are taken up in a fleet whose entries are killed, parted, and learn of new versions
 //! at different moments.
 
+use std::collections::BTreeSet;
+
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -9,6 +11,7 @@
 use woodgap_core::name::{DataCentre, Entry, Incarnation};
 use woodgap_core::relay::fleet;
 use woodgap_core::relay::resumption::inquiry::Notice;
+use woodgap_core::relay::resumption::registration::{Circumstances, Reading, ServiceVersions};
 use woodgap_core::relay::resumption::stored::{Batch, MAX_BATCH, is_outdated};
 use woodgap_core::relay::resumption::{
     Build, Inquiry, KEEPERS, Keepers, Registry, Service, Standing, Stream, TAKE_UP_WINDOW,
@@ -50,6 +53,8 @@
     members: Vec<Member>,
     ring: Ring,
     now: Millis,
+    /// The versions that the platform has stored.
+    stored: BTreeSet<&'static str>,
     begun: Vec<Begun>,
     next: u64,
     random: ChaCha8Rng,
@@ -71,6 +76,7 @@
             members,
             ring,
             now,
+            stored: BTreeSet::new(),
             begun: Vec::new(),
             next: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -144,38 +150,45 @@
         });
     }
 
-    /// A version at which a new stream may begin.
+    /// A version at which a new stream may begin. The store takes each at once.
     fn choose(&mut self, entry: usize) -> Option<&'static str> {
-        let member = &self.members[entry];
-        let held = member.registry.held(SERVICE, self.now);
-        let all = member.seen.iter().copied();
-        let settled: Vec<_> = all.filter(|it| !held.contains(it)).collect();
-        let usable = if settled.is_empty() {
-            &member.seen
-        } else {
-            &settled
-        };
-        usable.choose(&mut self.random).copied()
+        let member = &mut self.members[entry];
+        for version in &member.seen {
+            member.registry.register(SERVICE, version, self.now);
+            self.stored.insert(version);
+        }
+        let open = member.registry.open(SERVICE, &member.seen, self.now);
+        open.choose(&mut self.random).copied()
     }
 
     /// Where a stream goes on that an entry takes up.
     fn take_up(&self, entry: usize, stream: Stream, age: Millis) -> Option<Build> {
+        let standing = |registry: &Registry| {
+            let standing = registry.standing(Some(stream), &services(), self.now);
+            if registry.is_complete(self.now) {
+                standing
+            } else {
+                standing.of_uninformed()
+            }
+        };
         let registry = &self.members[entry].registry;
-        let own = registry.standing(Some(stream), &services(), self.now);
+        let own = standing(registry);
         if registry.is_certain(own, age, self.now) {
             return Inquiry::new(own, 0).conclude(true);
         }
         let keepers = self.keepers(entry, stream);
         let mut inquiry = Inquiry::new(own, keepers.len());
         for keeper in keepers {
-            let registry = &self.members[keeper].registry;
-            inquiry.record(registry.standing(Some(stream), &services(), self.now));
+            inquiry.record(standing(&self.members[keeper].registry));
         }
         inquiry.conclude(age <= Millis(2_500))
     }
 
     fn kill(&mut self, entry: usize) {
-        self.members[entry].registry = registry(self.now);
+        self.members[entry].registry = uninformed(self.now);
+        let stored: Vec<_> = self.stored.iter().copied().collect();
+        let read = reading(&stored);
+        self.members[entry].registry.take(&read, self.now, self.now);
         let others = self.members.iter().map(|it| it.registry.past(self.now));
         let past: Vec<_> = others.flatten().collect();
         for past in past {
@@ -194,12 +207,31 @@
     }
 }
 
+/// The registry of an entry that has read that the platform stores no version, and never did.
 fn registry(now: Millis) -> Registry {
+    let mut registry = uninformed(now);
+    registry.take(&reading(&[]), now, now);
+    registry
+}
+
+/// The registry of an entry that has read nothing.
+fn uninformed(now: Millis) -> Registry {
     let mut registry = Registry::new(now);
     registry.set_longest_stream(LONGEST);
     registry
 }
 
+/// All that the platform stores, for as long as it is there.
+fn reading(versions: &[&str]) -> Reading {
+    let versions = versions.iter();
+    Reading {
+        versions: versions
+            .map(|version| ServiceVersions::one(SERVICE, version))
+            .collect(),
+        complete_for: Some(Millis::from_secs(3_600)),
+    }
+}
+
 /// Two of the entries are killed each second, while versions come and go and entries see that up
 /// to half a second late. A stream never goes on at another version, and nine tenths of those that
 /// were begun in the last seconds go on: their last copies may be lost with the entries.
@@ -348,7 +380,7 @@
     fleet.pass(60_000);
     fleet.begin(0);
     for member in &mut fleet.members {
-        member.registry = registry(fleet.now);
+        member.registry = uninformed(fleet.now);
     }
     fleet.show_all(&["v1", "v2"]);
     let stream = fleet.begun[0].stream;
@@ -382,6 +414,11 @@
 #[case::one_is_informed(Standing::Unsure(build("v1")), &[Standing::Single(build("v1"))], Some("v1"))]
 #[case::an_uninformed_one_knows_another(Standing::Single(build("v1")), &[Standing::Unsure(build("v2")), Standing::Single(build("v1"))], None)]
 #[case::nobody_answers(Standing::Single(build("v1")), &[], None)]
+#[case::all_views_are_aged(Standing::Aged(build("v1")), &[Standing::Aged(build("v1")), Standing::Single(build("v1"))], Some("v1"))]
+#[case::one_of_them_is_uninformed(Standing::Aged(build("v1")), &[Standing::Aged(build("v1")), Standing::Unsure(build("v1"))], None)]
+#[case::nobody_was_asked(Standing::Aged(build("v1")), &[], None)]
+#[case::an_aged_view_is_no_witness(Standing::Unsure(build("v1")), &[Standing::Aged(build("v1"))], None)]
+#[case::another_aged_view(Standing::Aged(build("v1")), &[Standing::Aged(build("v2"))], None)]
 #[case::others_know_nothing(Standing::Single(build("v1")), &[Standing::Nothing], None)]
 fn answers_are_weighed(
     #[case] own: Standing,
@@ -396,6 +433,17 @@
     assert_eq!(inquiry.conclude(false), version.map(build));
 }
 
+/// Who does not answer may know of a version that came while this view aged.
+#[test]
+fn an_aged_view_holds_only_where_all_answer() {
+    let aged = Standing::Aged(build("v1"));
+    let mut inquiry = Inquiry::new(aged, 2);
+    inquiry.record(aged);
+    assert_eq!(inquiry.conclude(false), None);
+    inquiry.record(aged);
+    assert_eq!(inquiry.conclude(false), Some(build("v1")));
+}
+
 /// Those that can be taken up for the longest time are remembered.
 #[test]
 fn what_is_remembered_is_bounded() {
@@ -419,12 +467,18 @@
 #[test]
 fn stored_versions_are_remembered() {
     let mut before = registry(Millis::ZERO);
+    // What is merely seen has begun nothing.
     before.observe(SERVICE, "v1", Millis(0));
-    assert!(before.to_store().is_empty());
-    before.observe(SERVICE, "v2", Millis(0));
-    let stored = before.to_store();
-    let mut after = registry(Millis(100));
-    after.restore(&stored[0], Millis(100));
+    assert!(before.registered().is_empty());
+    before.register(SERVICE, "v1", Millis(0));
+    before.register(SERVICE, "v2", Millis(0));
+    let stored = Reading {
+        versions: before.registered(),
+        complete_for: None,
+    };
+    assert_eq!(stored.versions.len(), 2);
+    let mut after = uninformed(Millis(100));
+    after.take(&stored, Millis(100), Millis(100));
     after.observe(SERVICE, "v2", Millis(200));
     let standing = after.standing(None, &services(), Millis(200));
     assert_eq!(standing, Standing::Several);
@@ -435,7 +489,7 @@
         after.standing(None, &services(), end),
         Standing::Single(build("v2"))
     );
-    assert!(after.to_store().is_empty());
+    assert_eq!(after.registered(), [ServiceVersions::one(SERVICE, "v2")]);
 }
 
 /// A keeper that hears of many streams of one entry keeps none for longer than a version.
@@ -470,7 +524,7 @@
     registry.restore_stream(&notice("r2"), Millis::ZERO);
     let late = longest - Millis(1);
     registry.expire(late);
-    assert!(registry.is_mixed());
+    assert!(registry.shares_streams(late));
     for id in ["r1", "r2"] {
         let standing = registry.standing(Some(Stream::of("murphy", id)), &services(), late);
         assert_eq!(standing, Standing::Known(build("v1")), "{id}");
@@ -485,12 +539,151 @@
 #[test]
 fn no_streams_begin_at_a_version_before_all_know_of_it() {
     let mut registry = registry(Millis::ZERO);
-    registry.observe(SERVICE, "v1", Millis(0));
-    registry.observe(SERVICE, "v2", Millis(2_000));
+    registry.register(SERVICE, "v1", Millis(0));
+    registry.register(SERVICE, "v2", Millis(2_000));
     registry.observe(SERVICE, "v2", Millis(2_900));
-    assert_eq!(registry.held(SERVICE, Millis(2_999)), ["v2"]);
-    assert!(registry.held(SERVICE, Millis(3_000)).is_empty());
-    assert!(registry.held("others", Millis(3_000)).is_empty());
+    let open = |at: u64| registry.open(SERVICE, &["v1", "v2"], Millis(at));
+    assert_eq!(open(2_999), ["v1"]);
+    assert_eq!(open(3_000), ["v1", "v2"]);
+    assert_eq!(registry.open(SERVICE, &["v2"], Millis(2_999)), ["v2"]);
+    assert!(!registry.is_settled(SERVICE, Millis(2_999)));
+    assert!(registry.is_settled(SERVICE, Millis(3_000)));
+    assert!(registry.open("others", &["v1"], Millis(3_000)).is_empty());
+}
+
+/// ORDER: streams began at a version of which nobody would have known after a loss of all entries.
+#[test]
+fn no_streams_begin_at_a_version_that_is_not_stored() {
+    let mut registry = registry(Millis::ZERO);
+    registry.observe(SERVICE, "v1", Millis(0));
+    registry.observe(SERVICE, "v2", Millis(0));
+    let late = Millis(60_000);
+    assert!(registry.open(SERVICE, &["v1", "v2"], late).is_empty());
+    registry.register(SERVICE, "v2", late);
+    assert_eq!(registry.open(SERVICE, &["v1", "v2"], late), ["v2"]);
+    assert!(registry.has_unregistered(SERVICE));
+}
+
+/// ORDER: an entry that starts sees one version, which need not be the one that began a stream.
+#[rstest]
+#[case::the_same(&["v1"], &["v1"], Some("v1"))]
+#[case::replaced(&["v1"], &["v2"], Some("v1"))]
+#[case::a_new_one_beside_it(&["v1"], &["v1", "v2"], Some("v1"))]
+#[case::two(&["v1", "v2"], &["v2"], None)]
+#[case::none_stored(&[], &["v2"], None)]
+fn what_was_stored_before_tells_what_began_a_stream(
+    #[case] stored: &[&str],
+    #[case] seen: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let (start, asked, now) = (Millis(1_000), Millis(1_200), Millis(1_300));
+    let mut registry = uninformed(start);
+    for version in seen {
+        registry.observe(SERVICE, version, start);
+    }
+    assert!(!registry.is_complete(now));
+    registry.take(&reading(stored), asked, now);
+    assert!(registry.is_complete(now));
+    let only =
+        |registry: &Registry, lost: u64| registry.only_stored(&services(), Millis(lost), now);
+    assert_eq!(only(&registry, 1_200), expected.map(build));
+    // Streams may have begun elsewhere after it was read.
+    assert_eq!(only(&registry, 1_201), None);
+    // Nothing says that these are all.
+    let mut partial = uninformed(start);
+    let complete_for = None;
+    partial.take(
+        &Reading {
+            complete_for,
+            ..reading(stored)
+        },
+        asked,
+        now,
+    );
+    assert!(!partial.is_complete(now));
+    assert_eq!(only(&partial, 1_200), None);
+    // Nor do they for as long as a stream may be taken up.
+    let complete_for = Some(LONGEST);
+    partial.take(
+        &Reading {
+            complete_for,
+            ..reading(stored)
+        },
+        asked,
+        now,
+    );
+    assert_eq!(only(&partial, 1_200), None);
+}
+
+/// A gap in the view ends what a reading says, and a reading that says less does not undo one.
+#[test]
+fn a_reading_holds_until_the_view_has_a_gap() {
+    let mut registry = registry(Millis::ZERO);
+    registry.register(SERVICE, "v1", Millis::ZERO);
+    assert!(registry.is_complete(Millis(100)));
+    let restored = Reading::default();
+    registry.take(&restored, Millis(200), Millis(210));
+    assert!(registry.is_complete(Millis(300)));
+    registry.record_gap(Millis(400));
+    assert!(!registry.has_read());
+    assert!(!registry.is_complete(Millis(500)));
+    registry.take(&restored, Millis(500), Millis(510));
+    assert!(!registry.is_complete(Millis(600)));
+    registry.take(&reading(&["v1"]), Millis(600), Millis(610));
+    assert!(registry.is_complete(Millis(700)));
+    // Without any, it is by itself after the time for which a stream may be taken up.
+    let mut alone = uninformed(Millis::ZERO);
+    let end = LONGEST + TAKE_UP_WINDOW;
+    assert!(!alone.is_complete(end - Millis(1)));
+    assert!(alone.is_complete(end));
+    alone.record_gap(end);
+    assert!(!alone.is_complete(end));
+}
+
+/// Where an entry can't know that there is one version, others must know each stream.
+#[test]
+fn streams_are_shared_while_versions_may_have_been_missed() {
+    let now = Millis(3_600_000);
+    let stream = Stream::of("murphy", "r1");
+    let mut registry = uninformed(now);
+    registry.register(SERVICE, "v1", now);
+    registry.record(stream, build("v1"), now + LONGEST);
+    assert!(registry.shares_streams(now));
+    assert_eq!(registry.take_notices(now).len(), 1);
+    assert_eq!(registry.take_unsaved(MAX_BATCH, now).len(), 1);
+    registry.take(&reading(&["v1"]), now, now);
+    assert!(!registry.shares_streams(now));
+}
+
+const USUAL: Circumstances = Circumstances {
+    is_owner: true,
+    wanted_for: None,
+    known_for: Millis(700),
+    registered_share: 0.5,
+    had_streams: false,
+    uptime: Millis(60_000),
+    entries: 6,
+    turn: 0.5,
+};
+
+/// A version is registered at once where no other serves, else once the streams of the others are
+/// stored; right after a start of all later, as callers come back.
+#[rstest]
+#[case::beside_another(USUAL, true)]
+#[case::too_new(Circumstances { known_for: Millis(699), ..USUAL }, false)]
+#[case::of_another_entry(Circumstances { is_owner: false, ..USUAL }, false)]
+#[case::whose_owner_does_nothing(Circumstances { is_owner: false, known_for: Millis(2_715), ..USUAL }, true)]
+#[case::alone(Circumstances { registered_share: 0.0, known_for: Millis(0), ..USUAL }, true)]
+#[case::alone_at_a_start(Circumstances { registered_share: 0.0, uptime: Millis(499), ..USUAL }, false)]
+#[case::alone_and_not_wanted(Circumstances { registered_share: 0.0, is_owner: false, ..USUAL }, false)]
+#[case::alone_and_wanted(Circumstances { registered_share: 0.0, is_owner: false, wanted_for: Some(Millis(165)), ..USUAL }, true)]
+#[case::wanted_for_a_moment(Circumstances { registered_share: 0.0, is_owner: false, wanted_for: Some(Millis(164)), ..USUAL }, false)]
+#[case::after_a_restart(Circumstances { had_streams: true, uptime: Millis(5_999), ..USUAL }, false)]
+#[case::long_after_a_restart(Circumstances { had_streams: true, uptime: Millis(6_000), ..USUAL }, true)]
+#[case::beside_few_after_a_restart(Circumstances { had_streams: true, uptime: Millis(900), registered_share: 0.4, ..USUAL }, true)]
+#[case::among_many_entries(Circumstances { entries: 400, known_for: Millis(1_199), ..USUAL }, false)]
+fn a_version_is_registered_in_time(#[case] circumstances: Circumstances, #[case] is_due: bool) {
+    assert_eq!(circumstances.is_due(), is_due);
 }
 
 /// The bytes of a notice and the streams of an entry bound what control costs.
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -25,8 +25,8 @@
 const COUNTS_FORM: u8 = FORM | 0x80;
 /// The first byte of a datagram on the planned retry of a refused caller.
 const RETURN_FORM: u8 = FORM | 0x40;
-/// The first byte of a datagram on streams that are taken up.
-const RESUMPTION_FORM: u8 = FORM | 0x20;
+/// The first byte of a datagram on streams that are taken up. Their form has changed since by itself.
+const RESUMPTION_FORM: u8 = (FORM + 1) | 0x20;
 /// The largest datagram, in bytes: small enough to cross every link without fragmentation.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The maximum number of endpoints whose load one message reports.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,5 +1,4 @@
-//! What the platform keeps of what is withheld. What it stores of versions is read with
-//! it.
+//! What the platform keeps of what is withheld.
 //!
 //! Entries tell one another what they know. The platform is for those that start when all others
 //! are gone: else a request that crashes endpoints would crash as many again.
@@ -15,7 +14,6 @@
 use crate::source::{Error, row};
 use crate::start::ANNOUNCED;
 use crate::state::State;
-use crate::streams;
 
 /// Between two tries at a platform that does not answer.
 const RETRY: Millis = Millis(1_000);
@@ -25,11 +23,10 @@
 /// Reads once what is kept, and has the platform keep what this entry finds out.
 pub async fn run(state: Rc<State>) {
     let mut faults = UnusableRows::new("withheld requests");
-    let mut version_faults = UnusableRows::new("versions");
     while !state.has_read_kept.get() {
         let mut pause = FIRST_LOOK;
         if is_reader(&state)
-            && let Err(error) = read(&state, &mut faults, &mut version_faults).await
+            && let Err(error) = read(&state, &mut faults).await
         {
             log::info!(error = error.to_string(); "withheld requests are not known yet");
             pause = RETRY;
@@ -53,12 +50,7 @@
 }
 
 /// Takes in what is kept, and drops what is long over. A few entries do so, which tell the others.
-async fn read(
-    state: &State,
-    faults: &mut UnusableRows,
-    version_faults: &mut UnusableRows,
-) -> Result<(), Error> {
-    streams::restore(state, version_faults).await?;
+async fn read(state: &State, faults: &mut UnusableRows) -> Result<(), Error> {
     let rows: Vec<row::Row<StoredHistory>> = state.source.list_withheld().await?;
     faults.replace(&rows, &state.metrics);
     let now = state.clock.unix();
--- a/crates/relay/src/request/run.rs
+++ b/crates/relay/src/request/run.rs
@@ -131,6 +131,7 @@
     let mut attempts = Attempts::default();
     loop {
         state.until_caught_up().await;
+        streams::until_registered(state, request).await;
         let target = match next_target(state, request, &attempts) {
             Ok(target) => target,
             Err(problem) => {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -16,7 +16,7 @@
 use woodgap_core::quarantine::{Cause, StoredHistory};
 use woodgap_core::relay::Plan;
 use woodgap_core::relay::evacuation::{self, Evacuation};
-use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::registration;
 use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_core::relay::roster::{Endpoint, Positions};
 
@@ -120,14 +120,14 @@
     /// Reads the records of withheld requests that all entries have stored.
     fn list_withheld(&self) -> Answer<'_, Vec<Row<StoredHistory>>>;
 
-    /// Stores the versions that may have begun streams of a service that has several.
-    fn save_versions<'a>(&'a self, versions: &'a ServiceVersions) -> Answer<'a, ()>;
+    /// Stores a row on versions that may begin streams, under its key.
+    fn save_versions<'a>(&'a self, row: &'a registration::Row) -> Answer<'a, ()>;
 
-    /// Deletes the stored versions of a service.
-    fn delete_versions<'a>(&'a self, service: &'a str) -> Answer<'a, ()>;
+    /// Deletes the row on versions with this key.
+    fn delete_versions<'a>(&'a self, key: &'a str) -> Answer<'a, ()>;
 
-    /// Reads the stored versions of all services.
-    fn list_versions(&self) -> Answer<'_, Vec<Row<ServiceVersions>>>;
+    /// Reads all rows on versions.
+    fn list_versions(&self) -> Answer<'_, Vec<Row<registration::Row>>>;
 
     /// Changes the batches of streams that an entry has stored.
     fn change_streams<'a>(
--- a/crates/relay/src/source/row.rs
+++ b/crates/relay/src/source/row.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 use woodgap_core::quarantine::StoredHistory;
 use woodgap_core::relay::Plan;
-use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::registration;
 use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_core::relay::roster::Endpoint;
 
@@ -132,17 +132,28 @@
     }
 }
 
-impl Check for ServiceVersions {
+impl Check for registration::Row {
     const MAX_BYTES: usize = MAX_BYTES;
 
     fn check(&self, key: &str) -> Result<(), RowError> {
-        if self.service != key {
-            return Err(RowError::KeyMismatch(self.service.clone()));
+        let registration::Row::Versions(it) = self else {
+            return check_key(key, &self.key());
+        };
+        // Earlier entries wrote all versions of a service under its name.
+        if it.service != key {
+            check_key(key, &it.key())?;
         }
-        self.versions.iter().try_for_each(|it| check_version(it))
+        it.versions.iter().try_for_each(|it| check_version(it))
     }
 }
 
+fn check_key(key: &str, expected: &str) -> Result<(), RowError> {
+    if key == expected {
+        return Ok(());
+    }
+    Err(RowError::KeyMismatch(expected.to_owned()))
+}
+
 impl Check for Batch {
     const MAX_BYTES: usize = MAX_BYTES;
 
--- a/crates/relay/src/source/table.rs
+++ b/crates/relay/src/source/table.rs
@@ -3,8 +3,8 @@
 //! The table `relay` holds the plan in its row `plan` and the evacuated data centres in its row
 //! `evacuation`. The table `relay-endpoints` has a row for each endpoint, `relay-entries` for
 //! each entry, `relay-withheld` for each request or part of prompts with which several endpoints
-//! crashed, `relay-versions` for each service that has several software versions, and
-//! `relay-streams` for each batch of streams of these, under the entry's name and the batch's number.
+//! crashed, `relay-versions` for each software version of a service that may have begun streams, and
+//! `relay-streams` for each batch of streams, under the entry's name and the batch's number.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
 use woodgap_core::name;
 use woodgap_core::quarantine::{Cause, StoredHistory};
 use woodgap_core::relay::Evacuation;
-use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::registration;
 use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_core::relay::roster::Positions;
 use woodgap_platform::Error as PlatformError;
@@ -297,22 +297,21 @@
         self.scan_table(WITHHELD).boxed_local()
     }
 
-    fn save_versions<'a>(&'a self, versions: &'a ServiceVersions) -> Answer<'a, ()> {
+    fn save_versions<'a>(&'a self, row: &'a registration::Row) -> Answer<'a, ()> {
         async move {
-            let value = serde_json::to_value(versions);
+            let value = serde_json::to_value(row);
             let value = value.map_err(|error| Error::Malformed(error.to_string()))?;
-            let place = Place::new(VERSIONS, &versions.service);
+            let place = Place::new(VERSIONS, &row.key());
             self.write(place, Some(value)).await
         }
         .boxed_local()
     }
 
-    fn delete_versions<'a>(&'a self, service: &'a str) -> Answer<'a, ()> {
-        self.write(Place::new(VERSIONS, service), None)
-            .boxed_local()
+    fn delete_versions<'a>(&'a self, key: &'a str) -> Answer<'a, ()> {
+        self.write(Place::new(VERSIONS, key), None).boxed_local()
     }
 
-    fn list_versions(&self) -> Answer<'_, Vec<source::Row<ServiceVersions>>> {
+    fn list_versions(&self) -> Answer<'_, Vec<source::Row<registration::Row>>> {
         self.scan_table(VERSIONS).boxed_local()
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -167,7 +167,8 @@
     pub unkept: RefCell<BTreeSet<Cause>>,
     /// There are some.
     pub to_keep: Notify,
-    /// Whether this entry has read what the platform keeps of withheld requests and of versions, or heard of it from one that has.
+    /// Whether this entry has read what the platform keeps of withheld requests, or heard of it from
+    /// one that has.
     pub has_read_kept: Cell<bool>,
     /// Endpoints that broke off, of which it is being found out whether they have crashed.
     pub crash_checks: RefCell<CrashChecks>,
@@ -396,6 +397,11 @@
         knows && self.trusts_keys() && self.stopping_since().is_none()
     }
 
+    /// The latest era of the platform's store that is known, once any is.
+    pub fn era(&self) -> Option<Era> {
+        self.era.get()
+    }
+
     /// For how long this process has run.
     pub fn life(&self) -> Millis {
         self.now() - self.started
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -6,10 +6,10 @@
 mod history;
 pub mod storage;
 
-pub use history::{restore, run};
+pub use history::{run, until_registered};
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 use woodgap_core::relay::plan::{Kind, Route};
 use woodgap_core::relay::resumption::inquiry::{MAX_NOTICES, Notice};
 use woodgap_core::relay::resumption::{
-    Build, Inquiry, Keepers, Message, Registry, Service, ServiceVersions, Standing, Stream,
+    Build, Inquiry, Keepers, Message, Registry, Service, Standing, Stream,
 };
 use woodgap_core::relay::roster::Endpoint;
 
@@ -63,8 +63,12 @@
     looked: Cell<Millis>,
     /// The entries by then.
     keepers: RefCell<Option<Keepers>>,
-    /// What the platform stores, as far as this entry has written or read it.
-    stored: RefCell<BTreeMap<String, ServiceVersions>>,
+    /// Whether another entry was ever known.
+    has_met: Cell<bool>,
+    /// What the platform stores of versions.
+    history: history::History,
+    /// The place of this entry among those that may do the same at once, from 0 to 1.
+    turn: f64,
     /// The socket for messages to other entries, once it is open.
     socket: RefCell<Option<Rc<UdpSocket>>>,
 }
@@ -110,14 +114,16 @@
             is_gathering: Cell::new(false),
             looked: Cell::default(),
             keepers: RefCell::default(),
-            stored: RefCell::default(),
+            has_met: Cell::new(false),
+            history: history::History::default(),
+            turn: rand::random(),
             socket: RefCell::default(),
         }
     }
 
     /// Forgets what the platform stores, so that it is stored again.
     pub fn store_again(&self) {
-        self.stored.borrow_mut().clear();
+        self.history.store_again();
         self.registry.borrow_mut().mark_all_unsaved();
     }
 
@@ -153,18 +159,22 @@
     let Some(resumed) = Resumed::new(call, route, workspace) else {
         return Ok(None);
     };
-    let now = state.now();
+    let asked = state.now();
     let standing = standing(state, resumed.stream, &resumed.services);
-    let age = state.force.borrow().age(now);
+    let age = state.force.borrow().age(asked);
     let is_certain = {
         let registry = state.streams.registry.borrow();
-        registry.is_certain(standing, age, now)
+        registry.is_certain(standing, age, asked)
     };
-    let (build, source) = match standing {
+    let (mut build, mut source) = match standing {
         Standing::Known(build) => (Some(build), "own"),
         Standing::Single(build) if is_certain => (Some(build), "single"),
         _ => ask(state, &resumed, standing).await,
     };
+    if build.is_none() {
+        build = history::only_stored(state, &resumed.services, asked).await;
+        source = "stored";
+    }
     let outcome = if build.is_some() { source } else { "unknown" };
     let resumptions = &state.metrics.resumptions;
     resumptions.with_label_values(&[outcome]).inc();
@@ -194,22 +204,34 @@
     }
 }
 
-/// What this entry knows about a stream that one of these services has begun.
+/// What this entry knows about a stream that one of these services has begun. That there has been
+/// one version it knows only by what is stored, or by a view without a gap.
 fn standing(state: &State, stream: Option<Stream>, services: &[Service]) -> Standing {
+    let now = state.now();
     let registry = state.streams.registry.borrow();
-    let standing = registry.standing(stream, services, state.now());
-    if state.has_read_kept.get() {
+    let standing = registry.standing(stream, services, now);
+    let is_current = state.force.borrow().age(now) <= MAX_VIEW_AGE;
+    let is_complete = registry.is_complete(now);
+    // Nobody else can have begun a stream since.
+    let is_only = is_only_entry(state) && registry.is_reading_complete(now);
+    if (is_current && is_complete) || is_only {
         standing
+    } else if !is_current && (is_complete || registry.was_complete()) {
+        standing.of_aged()
     } else {
         standing.of_uninformed()
     }
 }
 
+/// Whether there is no other entry, and never was one that is merely out of reach.
+fn is_only_entry(state: &State) -> bool {
+    state.settings.seeds.is_empty() && !state.streams.has_met.get()
+}
+
 /// Asks the keepers of a stream about its build. Gives it back with how it is known: by a keeper, or
 /// as no other version is.
 async fn ask(state: &State, resumed: &Resumed, own: Standing) -> (Option<Build>, &'static str) {
     let keepers = keepers(state, resumed.stream);
-    let is_alone = state.fleet.borrow().known().next().is_none();
     let streams = &state.streams;
     let number = streams.next_number.get().wrapping_add(1);
     streams.next_number.set(number);
@@ -237,7 +259,8 @@
         return (None, "only");
     };
     let source = if inquiry.is_known() { "kept" } else { "only" };
-    (inquiry.conclude(is_current || is_alone), source)
+    let is_confirmed = is_current || is_only_entry(state);
+    (inquiry.conclude(is_confirmed), source)
 }
 
 /// The addresses of the other entries that keep a stream; of any few if its caller does not name
@@ -276,7 +299,7 @@
 }
 
 /// Filters out the endpoints of versions that the request must not go to: any but its own if it
-/// takes a stream up and, while others serve, those that are too new to begin streams.
+/// takes a stream up, else those at which no streams begin yet.
 ///
 /// # Errors
 ///
@@ -300,12 +323,22 @@
         };
     }
     let registry = state.streams.registry.borrow();
-    let held = registry.held(&request.service.name, now);
-    let is_held = |endpoint: &&Endpoint| held.contains(&endpoint.version.as_str());
-    if held.is_empty() || usable.iter().all(is_held) {
+    if registry.is_settled(&request.service.name, now) {
         return Ok(usable);
     }
-    Ok(usable.into_iter().filter(|it| !is_held(it)).collect())
+    let versions: BTreeSet<_> = usable.iter().map(|it| it.version.as_str()).collect();
+    let versions: Vec<_> = versions.into_iter().collect();
+    let open = registry.open(&request.service.name, &versions, now);
+    if open.is_empty() {
+        return Err(not_registered(&request.service.name));
+    }
+    let is_open = |endpoint: &&Endpoint| open.contains(&endpoint.version.as_str());
+    Ok(usable.into_iter().filter(is_open).collect())
+}
+
+fn not_registered(service: &str) -> Problem {
+    let message = format!("that a version of `{service}` serves is not stored yet");
+    Problem::not_run(Code::NotReady, message).retry_after(RETRY_AFTER)
 }
 
 /// Records where a stream began, or goes on, once an event of it has come.
@@ -341,6 +374,9 @@
         return;
     }
     state.streams.looked.set(now);
+    if state.fleet.borrow().known().next().is_some() {
+        state.streams.has_met.set(true);
+    }
     observe(state);
     tell_new_keepers(state, now);
 }
@@ -357,9 +393,12 @@
     }
     if state.force.borrow().age(now) > MAX_VIEW_AGE {
         registry.record_gap(now);
+    } else {
+        registry.end_gap();
     }
     registry.expire(now);
     drop(registry);
+    state.streams.history.look_again();
     tell(state);
 }
 
@@ -460,8 +499,14 @@
             let mut registry = streams.registry.borrow_mut();
             for past in &all {
                 registry.learn(past, now);
+                if past.is_registered {
+                    streams.history.record_registered(past);
+                }
             }
+            drop(registry);
+            streams.history.tell_waiting();
         }
+        Message::PastRequest => tell_past(state, sender),
         Message::Question {
             number,
             stream,
--- a/crates/relay/src/streams/storage.rs
+++ b/crates/relay/src/streams/storage.rs
@@ -1,4 +1,4 @@
-//! Stores streams of services that have several versions at the platform, and reads them again.
+//! Stores streams whose version others must know at the platform, and reads them again.
 //!
 //! Keepers know them while any entry lives. The platform is for those that start when all others
 //! are gone: else none of the streams that were cut off could go on, as nobody would know its
@@ -34,7 +34,7 @@
         unanswered: None,
         has_restored: false,
         swept: None,
-        mixed: None,
+        shared: None,
         failures: 0,
         state,
     };
@@ -56,8 +56,8 @@
     has_restored: bool,
     /// When the batches of entries that are gone were last looked at.
     swept: Option<Millis>,
-    /// When a service last had several versions.
-    mixed: Option<Millis>,
+    /// When streams last had to be stored.
+    shared: Option<Millis>,
     /// How many steps have failed in sequence.
     failures: u32,
 }
@@ -65,19 +65,20 @@
 impl Storage {
     async fn step(&mut self) -> Result<(), Error> {
         let now = self.state.now();
-        let (is_mixed, retention) = {
+        let (shares, retention) = {
             let registry = self.state.streams.registry.borrow();
-            (registry.is_mixed(), registry.retention())
+            (registry.shares_streams(now), registry.retention())
         };
-        if is_mixed {
-            self.mixed = Some(now);
+        if shares {
+            self.shared = Some(now);
         }
-        if is_mixed && !self.has_restored {
+        if shares && !self.has_restored {
             self.restore().await?;
         }
         self.save(retention, now).await?;
-        let mixed = self.mixed;
-        let is_recent = mixed.is_some_and(|at| now - at <= retention + SWEEP_INTERVAL);
+        let is_recent = self
+            .shared
+            .is_some_and(|at| now - at <= retention + SWEEP_INTERVAL);
         if is_recent && self.is_sweep_due(now) {
             self.swept = Some(now);
             self.sweep(retention).await?;
--- a/crates/relay/tests/contract/resumed_streams.rs
+++ b/crates/relay/tests/contract/resumed_streams.rs
@@ -1,10 +1,12 @@
 //! Streams that callers take up where endpoints of several software versions serve one service.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use woodgap_core::relay::resumption::registration;
 
 use crate::caller::{Answer, Caller, get, request};
 use crate::endpoint::{EVENTS, Endpoint, Seen, Step, chunk, head};
@@ -16,9 +18,13 @@
 /// By when each entry has read a changed row: it looks each 20 ms.
 const LISTED: Duration = Duration::from_secs(1);
 
+/// What entries store of versions, by key.
+type Stored = Arc<Mutex<BTreeMap<String, registration::Row>>>;
+
 /// Endpoints of one service, each with its version, and entries before them.
 struct Fleet {
     sites: Vec<Site>,
+    stored: Stored,
     endpoints: Vec<(&'static str, Endpoint)>,
     /// Connections whose loss no entry has noticed yet, so that streams go to endpoints in turn.
     open: RefCell<Vec<Caller>>,
@@ -30,6 +36,7 @@
         let endpoint = |version: &&'static str| (*version, Endpoint::always(begin.clone()));
         let mut fleet = Self {
             sites: Vec::new(),
+            stored: Stored::default(),
             endpoints: versions.iter().map(endpoint).collect(),
             open: RefCell::default(),
         };
@@ -43,7 +50,12 @@
     fn add_entry(&mut self) {
         let source = self.source();
         source.0.lock().unwrap().entries = self.sites.iter().map(|site| site.peer).collect();
-        let site = Site::with(&format!("dub-a-{}", self.sites.len()), source);
+        let name = format!("dub-a-{}", self.sites.len());
+        let site = if self.sites.is_empty() {
+            Site::first(&name, source)
+        } else {
+            Site::with(&name, source)
+        };
         site.until_ready();
         self.sites.push(site);
         until_met(&self.sites);
@@ -54,6 +66,7 @@
         let source = source(&addresses);
         {
             let mut told = source.0.lock().unwrap();
+            told.versions = Arc::clone(&self.stored);
             for (row, (version, _)) in told.endpoints.iter_mut().zip(&self.endpoints) {
                 (*version).clone_into(&mut row.version);
             }
@@ -61,6 +74,11 @@
         source
     }
 
+    /// Waits until so many versions are stored, and that these are all.
+    fn until_stored(&self, versions: usize) {
+        until(|| self.stored.lock().unwrap().len() == versions + 1);
+    }
+
     /// Lists only the endpoints of this version at all entries.
     fn list_only(&self, version: &str) {
         for site in &self.sites {
@@ -319,26 +337,30 @@
 #[test]
 fn a_version_that_has_gone_is_remembered_after_all_entries_have_started_again() {
     let fleet = Fleet::start(2, &["v1", "v2"]);
-    let stored = Arc::clone(&fleet.sites[0].source.0.lock().unwrap().versions);
-    fleet.sites[1].source.0.lock().unwrap().versions = Arc::clone(&stored);
-    until(|| stored.lock().unwrap().contains_key("links"));
-    let started_again = |stored: Arc<Mutex<_>>| {
+    fleet.until_stored(2);
+    let started_again = |stored: &Stored| {
         let source = fleet.source();
         {
             let mut told = source.0.lock().unwrap();
             told.endpoints.remove(1);
-            told.versions = stored;
+            told.versions = Arc::clone(stored);
         }
         let site = Site::with("dub-a-0", source);
         site.until_ready();
         site
     };
-    let site = started_again(stored);
+    let site = started_again(&fleet.stored);
     let headers = resuming("before");
     assert_refused(&get(site.requests, ROUTE, "again", &headers));
     assert_eq!(fleet.version_of("again"), None);
+    // A store in which nothing is any more tells of no version.
+    let site = started_again(&Stored::default());
+    assert_refused(&get(site.requests, ROUTE, "forgotten", &headers));
+    assert_eq!(fleet.version_of("forgotten"), None);
     // The same where there was one version all the while.
-    let site = started_again(Arc::default());
+    let single = Fleet::start(1, &["v1"]);
+    single.until_stored(1);
+    let site = started_again(&single.stored);
     let mut caller = Caller::connect(site.requests);
     caller.send(&request("GET", ROUTE, "single", &headers), b"");
     assert_eq!(caller.head().unwrap().status, 200);
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -18,7 +18,7 @@
 use woodgap_core::relay::plan::{
     DEFAULT_WEIGHT, Engine, Kind, Limits, Plan, Route, Service, Share, Workspace,
 };
-use woodgap_core::relay::resumption::ServiceVersions;
+use woodgap_core::relay::resumption::registration;
 use woodgap_core::relay::resumption::stored::Batch;
 use woodgap_core::relay::roster::{self, Positions};
 use woodgap_relay::dialect::own::Own;
@@ -62,8 +62,8 @@
     pub unanswered: Option<Unanswered>,
     /// What entries keep of requests that are withheld; several sites may share it.
     pub kept: Arc<Mutex<BTreeMap<Cause, StoredHistory>>>,
-    /// What entries store of the versions of services, by service; several sites may share it.
-    pub versions: Arc<Mutex<BTreeMap<String, ServiceVersions>>>,
+    /// What entries store of the versions of services, by key; several sites may share it.
+    pub versions: Arc<Mutex<BTreeMap<String, registration::Row>>>,
     /// The batches of streams that entries store, by entry and number; several sites may share
     /// them.
     pub streams: Arc<Mutex<BTreeMap<(name::Entry, u64), Batch>>>,
@@ -180,25 +180,25 @@
         .boxed_local()
     }
 
-    fn save_versions<'a>(&'a self, versions: &'a ServiceVersions) -> Answer<'a, ()> {
+    fn save_versions<'a>(&'a self, row: &'a registration::Row) -> Answer<'a, ()> {
         async move {
             let shared = self.told()?.versions;
             let mut shared = shared.lock().unwrap();
-            shared.insert(versions.service.clone(), versions.clone());
+            shared.insert(row.key(), row.clone());
             Ok(())
         }
         .boxed_local()
     }
 
-    fn delete_versions<'a>(&'a self, service: &'a str) -> Answer<'a, ()> {
+    fn delete_versions<'a>(&'a self, key: &'a str) -> Answer<'a, ()> {
         async move {
-            self.told()?.versions.lock().unwrap().remove(service);
+            self.told()?.versions.lock().unwrap().remove(key);
             Ok(())
         }
         .boxed_local()
     }
 
-    fn list_versions(&self) -> Answer<'_, Vec<Row<ServiceVersions>>> {
+    fn list_versions(&self) -> Answer<'_, Vec<Row<registration::Row>>> {
         async move {
             let shared = self.told()?.versions;
             let shared = shared.lock().unwrap();
@@ -307,6 +307,13 @@
         Self::with_settings(&SETTINGS.replace("dub-a-1", name), source)
     }
 
+    /// The same, at the first start of the whole system.
+    pub fn first(name: &str, source: Fixed) -> Self {
+        let text = SETTINGS.replace("dub-a-1", name);
+        let first = text.replace("\"bounds\"", "\"first_start\": true, \"bounds\"");
+        Self::with_settings(&first, source)
+    }
+
     /// A relay of this name with this source, and other bounds on the trust in keys
     /// than a [`TRUST`] of half a second.
     pub fn with_trust(name: &str, trust: &str, source: Fixed) -> Self {
