--- a/crates/core/src/relay/resumption.rs
+++ b/crates/core/src/relay/resumption.rs
@@ -16,7 +16,7 @@
 mod keepers;
 mod records;
 pub mod registration;
-mod registry;
+pub mod registry;
 pub mod stored;
 mod versions;
 
--- a/crates/core/src/relay/resumption/inquiry.rs
+++ b/crates/core/src/relay/resumption/inquiry.rs
@@ -129,6 +129,8 @@
     has_witness: bool,
     /// Whether each entry that was asked has answered that it knew of one version.
     is_unanimous: bool,
+    /// How many have answered.
+    answers: usize,
 }
 
 impl Inquiry {
@@ -142,6 +144,7 @@
             is_mixed: false,
             has_witness: false,
             is_unanimous: asked > 0,
+            answers: 0,
         };
         inquiry.weigh(own);
         inquiry
@@ -150,6 +153,7 @@
     /// Records an answer.
     pub fn record(&mut self, standing: Standing) {
         self.unanswered = self.unanswered.saturating_sub(1);
+        self.answers += 1;
         self.has_witness |= matches!(standing, Standing::Single(_));
         self.is_unanimous &= matches!(standing, Standing::Single(_) | Standing::Aged(_));
         self.weigh(standing);
@@ -172,6 +176,11 @@
         self.known.is_some() || self.unanswered == 0
     }
 
+    /// Whether another entry has answered.
+    pub fn has_answers(&self) -> bool {
+        self.answers > 0
+    }
+
     /// Whether the version is known, rather than the only one that there is.
     pub fn is_known(&self) -> bool {
         self.known.is_some()
--- a/crates/core/src/relay/resumption/registration.rs
+++ b/crates/core/src/relay/resumption/registration.rs
@@ -77,6 +77,16 @@
     pub era: Era,
 }
 
+impl Completeness {
+    /// No stream began before the first registration.
+    pub fn ever(era: Era) -> Self {
+        Self {
+            complete_since_unix: Millis::ZERO,
+            era,
+        }
+    }
+}
+
 /// A row that is stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(untagged)]
--- a/crates/core/src/relay/resumption/registry.rs
+++ b/crates/core/src/relay/resumption/registry.rs
@@ -12,7 +12,7 @@
 
 /// The longest age of an entry's view at which it may say unasked that there is one version: less
 /// than the time for which a new one is known before streams begin there.
-const MAX_UNASKED_AGE: Millis = Millis(800);
+pub const MAX_UNASKED_AGE: Millis = Millis(800);
 /// How long what may matter is kept before the first plan says how long streams last: longer than
 /// any does.
 const UNKNOWN_RETENTION: Millis = Millis::from_secs(24 * 60 * 60);
@@ -42,6 +42,8 @@
     versions: Versions,
     /// How long a version is remembered; not known before the first plan.
     retention: Option<Millis>,
+    /// Since when less is needed.
+    lower_since: Option<Millis>,
     /// Since when all versions are known: the start of the entry, or the end of the last time in
     /// which it may have missed one.
     complete_since: Millis,
@@ -93,15 +95,27 @@
             records: Records::default(),
             versions: Versions::default(),
             retention: None,
+            lower_since: None,
             complete_since: now,
             reading: None,
             was_complete: false,
         }
     }
 
-    /// Sets the longest duration of an attempt at a stream.
-    pub fn set_longest_stream(&mut self, longest: Millis) {
-        self.retention = Some(longest + TAKE_UP_WINDOW);
+    /// Sets the longest duration of an attempt at a stream. Where it falls, what began before is
+    /// remembered for as long as it may last.
+    pub fn set_longest_stream(&mut self, longest: Millis, now: Millis) {
+        let needed = longest + TAKE_UP_WINDOW;
+        let Some(retention) = self.retention.filter(|it| *it > needed) else {
+            self.retention = Some(needed);
+            self.lower_since = None;
+            return;
+        };
+        let since = *self.lower_since.get_or_insert(now);
+        if now - since >= retention {
+            self.retention = Some(needed);
+            self.lower_since = None;
+        }
     }
 
     /// Records that a version of a service has endpoints.
@@ -125,17 +139,25 @@
         self.was_complete
     }
 
-    /// Learns from another entry when a version had endpoints.
-    pub fn learn(&mut self, past: &Past, now: Millis) {
-        self.versions.learn(past, now);
+    /// Learns from another entry when a version had endpoints. Gives back whether streams may begin
+    /// there since.
+    pub fn learn(&mut self, past: &Past, now: Millis) -> bool {
+        self.versions.learn(past, now)
     }
 
     /// Takes in all that the platform has stored, which was asked for at `asked`: these versions
     /// may have begun streams.
     pub fn take(&mut self, reading: &Reading, asked: Millis, now: Millis) {
+        // A version that was seen all the while is known for no longer than that.
+        let has_seen_all = self.has_read();
         for stored in &reading.versions {
             for version in &stored.versions {
-                self.versions.register(&stored.service, version, now);
+                let is_known = self.versions.knows(&stored.service, version);
+                if has_seen_all && is_known {
+                    self.versions.mark_registered(&stored.service, version, now);
+                } else {
+                    self.versions.register(&stored.service, version, now);
+                }
             }
         }
         // A store that has lost rows makes nobody forget.
@@ -228,6 +250,11 @@
         builds.first().copied().filter(|_| builds.len() == 1)
     }
 
+    /// Whether the platform has stored a build of these services.
+    pub fn is_build_registered(&self, build: Build, services: &[Service]) -> bool {
+        self.versions.is_build_registered(build, services)
+    }
+
     /// Whether the platform can tell which version began a stream of these services: it can't where
     /// several are known to be stored.
     pub fn may_be_told(&self, services: &[Service]) -> bool {
--- a/crates/core/src/relay/resumption/versions.rs
+++ b/crates/core/src/relay/resumption/versions.rs
@@ -10,6 +10,9 @@
 /// How long a version must have been known before streams begin there while older ones serve: by
 /// then the other entries know of it as well.
 const NEW_VERSION_HOLD: Millis = Millis(1_000);
+/// How long a version may have no endpoints and still counts as stored when it has some again: less
+/// than the time after which its row is deleted.
+const ABSENCE: Millis = Millis(5_000);
 
 /// When endpoints of a version were known.
 #[derive(Clone, Copy, Debug)]
@@ -18,6 +21,8 @@
     last: Millis,
     /// Whether the platform has stored that it may begin streams.
     is_registered: bool,
+    /// When endpoints of it were last seen, or it was last known to be stored.
+    confirmed: Millis,
 }
 
 /// The versions of all services by name, each for as long as a stream that it began may be taken
@@ -31,16 +36,31 @@
     /// Records that a version of a service has endpoints.
     pub(super) fn observe(&mut self, service: &str, version: &str, now: Millis) {
         let period = self.period(service, version, now);
+        if now - period.confirmed > ABSENCE {
+            // Its row may be gone by now.
+            period.is_registered = false;
+        }
         period.last = period.last.max(now);
+        period.confirmed = now;
     }
 
     /// Records that the platform has stored a version. It may have begun streams until now.
     pub(super) fn register(&mut self, service: &str, version: &str, now: Millis) {
         let period = self.period(service, version, now);
         period.last = period.last.max(now);
+        period.confirmed = now;
         period.is_registered = true;
     }
 
+    /// Records that the platform has stored a version that is remembered.
+    pub(super) fn mark_registered(&mut self, service: &str, version: &str, now: Millis) {
+        let versions = self.services.get_mut(service);
+        if let Some(period) = versions.and_then(|versions| versions.get_mut(version)) {
+            period.is_registered = true;
+            period.confirmed = now;
+        }
+    }
+
     fn period(&mut self, service: &str, version: &str, now: Millis) -> &mut Period {
         // Most calls find the version known, so no name is copied for them.
         if !self.knows(service, version) {
@@ -48,6 +68,7 @@
                 first: now,
                 last: now,
                 is_registered: false,
+                confirmed: now,
             };
             let versions = self.services.entry(service.to_owned()).or_default();
             versions.insert(version.to_owned(), period);
@@ -94,18 +115,24 @@
         period.map_or(Millis::ZERO, |period| now - period.first)
     }
 
-    /// Learns from another entry when a version had endpoints.
-    pub(super) fn learn(&mut self, past: &Past, now: Millis) {
+    /// Learns from another entry when a version had endpoints. Gives back whether streams may begin
+    /// there since.
+    pub(super) fn learn(&mut self, past: &Past, now: Millis) -> bool {
         let learned = Period {
             first: now - past.first,
             last: now - past.last,
-            is_registered: past.is_registered,
+            // Of one that had gone the row may be gone as well.
+            is_registered: past.is_registered && past.last <= ABSENCE,
+            confirmed: now - past.last,
         };
+        let was_registered = self.is_registered(&past.service, &past.version);
         let versions = self.services.entry(past.service.clone()).or_default();
         let period = versions.entry(past.version.clone()).or_insert(learned);
         period.first = period.first.min(learned.first);
         period.last = period.last.max(learned.last);
         period.is_registered |= learned.is_registered;
+        period.confirmed = period.confirmed.max(learned.confirmed);
+        learned.is_registered && !was_registered
     }
 
     /// The versions that others must know of: those that may begin streams, and all of services that
@@ -171,6 +198,11 @@
         })
     }
 
+    /// Whether the platform has stored a build.
+    pub(super) fn is_build_registered(&self, build: Build, services: &[Service]) -> bool {
+        self.registered_builds(services).contains(&build)
+    }
+
     /// The builds of services that have several versions.
     pub(super) fn mixed(&self) -> BTreeSet<Build> {
         let mixed = self.services.iter().filter(|(_, known)| known.len() > 1);
--- a/crates/core/tests/relay/resumption.rs
+++ b/crates/core/tests/relay/resumption.rs
@@ -184,11 +184,14 @@
         inquiry.conclude(age <= Millis(2_500))
     }
 
-    fn kill(&mut self, entry: usize) {
+    /// An entry starts again; it may not have read yet what is stored.
+    fn kill(&mut self, entry: usize, reads: bool) {
         self.members[entry].registry = uninformed(self.now);
-        let stored: Vec<_> = self.stored.iter().copied().collect();
-        let read = reading(&stored);
-        self.members[entry].registry.take(&read, self.now, self.now);
+        if reads {
+            let stored: Vec<_> = self.stored.iter().copied().collect();
+            let read = reading(&stored);
+            self.members[entry].registry.take(&read, self.now, self.now);
+        }
         let others = self.members.iter().map(|it| it.registry.past(self.now));
         let past: Vec<_> = others.flatten().collect();
         for past in past {
@@ -217,7 +220,7 @@
 /// The registry of an entry that has read nothing.
 fn uninformed(now: Millis) -> Registry {
     let mut registry = Registry::new(now);
-    registry.set_longest_stream(LONGEST);
+    registry.set_longest_stream(LONGEST, now);
     registry
 }
 
@@ -239,6 +242,7 @@
 fn a_stream_never_goes_on_at_another_version(
     #[values(6, 20)] entries: usize,
     #[values(1, 2, 3, 4, 5)] seed: u64,
+    #[values(true, false)] reads: bool,
 ) {
     const RELEASES: [&[&str]; 5] = [
         &["v1"],
@@ -268,7 +272,7 @@
         }
         for _ in 0..2 {
             let entry = fleet.random.random_range(0..entries);
-            fleet.kill(entry);
+            fleet.kill(entry, reads);
         }
         let now = fleet.now;
         fleet.begun.retain(|it| now - it.at < Millis(3_000));
@@ -322,7 +326,7 @@
     fleet.pass(1_000);
     fleet.show_all(&["v1", "v2"]);
     fleet.pass(STEP);
-    fleet.kill(0);
+    fleet.kill(0, true);
     let stream = fleet.begun[0].stream;
     for entry in 0..6 {
         assert_eq!(fleet.take_up(entry, stream, Millis(300)), Some(build("v1")));
@@ -483,6 +487,9 @@
     let standing = after.standing(None, &services(), Millis(200));
     assert_eq!(standing, Standing::Several);
     let end = Millis(100) + LONGEST + TAKE_UP_WINDOW;
+    for at in (1_000..=end.0).step_by(1_000) {
+        after.observe(SERVICE, "v2", Millis(at));
+    }
     after.observe(SERVICE, "v2", end);
     after.expire(end);
     assert_eq!(
@@ -531,7 +538,7 @@
     }
     assert!(!is_outdated(0, registry.retention(), late));
     // The plan comes, and bounds all that comes later.
-    registry.set_longest_stream(longest);
+    registry.set_longest_stream(longest, late);
     assert_eq!(registry.retention(), longest + TAKE_UP_WINDOW);
 }
 
@@ -640,6 +647,60 @@
     assert!(!alone.is_complete(end));
 }
 
+/// ORDER: an entry that remembered a version whose row had been deleted began streams there.
+#[test]
+fn a_version_that_comes_back_is_stored_again_before_streams_begin() {
+    let mut registry = registry(Millis::ZERO);
+    registry.register(SERVICE, "v1", Millis::ZERO);
+    registry.observe(SERVICE, "v1", Millis(5_000));
+    assert!(registry.is_registered(SERVICE, "v1"));
+    let mut elsewhere = uninformed(Millis::ZERO);
+    registry.observe(SERVICE, "v1", Millis(10_001));
+    assert!(!registry.is_registered(SERVICE, "v1"));
+    registry.register(SERVICE, "v1", Millis(10_001));
+    // Another entry says that it was registered, long after its endpoints have gone.
+    let past = registry.past_of(SERVICE, "v1", Millis(15_002)).unwrap();
+    assert!(!elsewhere.learn(&past, Millis(15_002)));
+    let past = registry.past_of(SERVICE, "v1", Millis(15_001)).unwrap();
+    assert!(elsewhere.learn(&past, Millis(15_001)));
+    assert!(!elsewhere.learn(&past, Millis(15_001)));
+}
+
+/// ORDER: streams with the timeout of the plan before were forgotten with the new one.
+#[test]
+fn a_shorter_timeout_counts_once_streams_of_the_longer_one_are_over() {
+    let mut registry = registry(Millis::ZERO);
+    let longer = LONGEST + TAKE_UP_WINDOW;
+    let shorter = Millis(1_000);
+    registry.set_longest_stream(shorter, Millis(100));
+    registry.set_longest_stream(shorter, Millis(99) + longer);
+    assert_eq!(registry.retention(), longer);
+    registry.set_longest_stream(shorter, Millis(100) + longer);
+    assert_eq!(registry.retention(), shorter + TAKE_UP_WINDOW);
+    registry.set_longest_stream(LONGEST, Millis(200) + longer);
+    assert_eq!(registry.retention(), longer);
+}
+
+/// LOST: streams were refused for as long as entries read a version that had gone.
+#[test]
+fn a_reading_does_not_prolong_a_version_that_has_gone() {
+    let mut registry = uninformed(Millis::ZERO);
+    registry.take(&reading(&["v1", "v2"]), Millis::ZERO, Millis::ZERO);
+    let late = Millis(LONGEST.0 + TAKE_UP_WINDOW.0 - 1);
+    registry.observe(SERVICE, "v2", late);
+    registry.take(&reading(&["v1", "v2"]), late, late);
+    registry.expire(late + Millis(1));
+    let standing = registry.standing(None, &services(), late);
+    assert_eq!(standing, Standing::Single(build("v2")));
+    // After a gap it may have served all the while.
+    registry.record_gap(late);
+    registry.take(&reading(&["v1", "v2"]), late, late);
+    assert_eq!(
+        registry.standing(None, &services(), late),
+        Standing::Several
+    );
+}
+
 /// Where an entry can't know that there is one version, others must know each stream.
 #[test]
 fn streams_are_shared_while_versions_may_have_been_missed() {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -123,8 +123,8 @@
     /// Stores a row on versions that may begin streams, under its key.
     fn save_versions<'a>(&'a self, row: &'a registration::Row) -> Answer<'a, ()>;
 
-    /// Deletes the row on versions with this key.
-    fn delete_versions<'a>(&'a self, key: &'a str) -> Answer<'a, ()>;
+    /// Deletes the row on versions with this key, if it was written at this version.
+    fn delete_versions<'a>(&'a self, key: &'a str, version: u64) -> Answer<'a, ()>;
 
     /// Reads all rows on versions.
     fn list_versions(&self) -> Answer<'_, Vec<Row<registration::Row>>>;
--- a/crates/relay/src/source/table.rs
+++ b/crates/relay/src/source/table.rs
@@ -23,7 +23,7 @@
 use woodgap_core::relay::roster::Positions;
 use woodgap_platform::Error as PlatformError;
 use woodgap_platform::http::Platform;
-use woodgap_platform::table::{Place, Row, Scan, Table, Transaction};
+use woodgap_platform::table::{Outcome, Place, Row, Scan, Table, Transaction};
 
 use crate::source::row::{self as source, Check, RowError};
 use crate::source::{
@@ -219,6 +219,10 @@
     Error::Unavailable(error.to_string())
 }
 
+fn changed() -> Error {
+    Error::Unavailable("the row has changed since it was read".to_owned())
+}
+
 /// The value of the row that lists the evacuated data centres.
 #[derive(Deserialize)]
 struct EvacuationRow {
@@ -307,8 +311,18 @@
         .boxed_local()
     }
 
-    fn delete_versions<'a>(&'a self, key: &'a str) -> Answer<'a, ()> {
-        self.write(Place::new(VERSIONS, key), None).boxed_local()
+    fn delete_versions<'a>(&'a self, key: &'a str, version: u64) -> Answer<'a, ()> {
+        async move {
+            let place = Place::new(VERSIONS, key);
+            let transaction = Transaction::default().check(place.clone(), version);
+            let transaction = transaction.delete(place);
+            let outcome = self.platform.transact(&transaction).await;
+            match outcome.map_err(unavailable)? {
+                Outcome::Committed { .. } => Ok(()),
+                Outcome::Conflict { .. } => Err(changed()),
+            }
+        }
+        .boxed_local()
     }
 
     fn list_versions(&self) -> Answer<'_, Vec<source::Row<registration::Row>>> {
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -18,8 +18,10 @@
 use tokio::sync::oneshot;
 use woodgap_core::clock::Millis;
 use woodgap_core::name;
+use woodgap_core::relay::duty;
 use woodgap_core::relay::plan::{Kind, Route};
 use woodgap_core::relay::resumption::inquiry::{MAX_NOTICES, Notice};
+use woodgap_core::relay::resumption::registry::MAX_UNASKED_AGE;
 use woodgap_core::relay::resumption::{
     Build, Inquiry, Keepers, Message, Registry, Service, Standing, Stream,
 };
@@ -38,6 +40,11 @@
 /// The oldest confirmation of the plan at which the endpoints count as current although no other
 /// entry answers.
 const MAX_VIEW_AGE: Millis = Millis(2_500);
+/// The oldest confirmation at which a view counts where all other entries agree: less than the time
+/// after which an entry that is not heard is forgotten.
+const MAX_AGED_VIEW: Millis = Millis(30_000);
+/// The most entries that are asked whether they agree.
+const MAX_ASKED: usize = 32;
 /// The most versions that one message tells of: names are short, and a message that becomes too
 /// large for a datagram is fragmented.
 const MAX_PAST: usize = 16;
@@ -171,6 +178,11 @@
         Standing::Single(build) if is_certain => (Some(build), "single"),
         _ => ask(state, &resumed, standing).await,
     };
+    if source != "own" && source != "kept" {
+        // What no stream may begin at has begun none.
+        let registry = state.streams.registry.borrow();
+        build = build.filter(|build| registry.is_build_registered(*build, &resumed.services));
+    }
     if build.is_none() {
         build = history::only_stored(state, &resumed.services, asked).await;
         source = "stored";
@@ -225,13 +237,19 @@
 
 /// Whether there is no other entry, and never was one that is merely out of reach.
 fn is_only_entry(state: &State) -> bool {
-    state.settings.seeds.is_empty() && !state.streams.has_met.get()
+    let has_converged = duty::has_converged(state.life());
+    let knows_none = state.settings.seeds.is_empty() && state.hints.borrow().is_empty();
+    has_converged && knows_none && !state.streams.has_met.get()
 }
 
 /// Asks the keepers of a stream about its build. Gives it back with how it is known: by a keeper, or
 /// as no other version is.
 async fn ask(state: &State, resumed: &Resumed, own: Standing) -> (Option<Build>, &'static str) {
-    let keepers = keepers(state, resumed.stream);
+    let keepers = if matches!(own, Standing::Aged(_)) {
+        all_others(state)
+    } else {
+        keepers(state, resumed.stream)
+    };
     let streams = &state.streams;
     let number = streams.next_number.get().wrapping_add(1);
     streams.next_number.set(number);
@@ -254,15 +272,31 @@
         // What was answered by then counts.
         let _ = tokio::time::timeout(ANSWER_TIMEOUT, completed).await;
     }
-    let is_current = state.force.borrow().age(state.now()) <= MAX_VIEW_AGE;
+    let age = state.force.borrow().age(state.now());
     let Some(Asking { inquiry, .. }) = pending.end() else {
         return (None, "only");
     };
     let source = if inquiry.is_known() { "kept" } else { "only" };
-    let is_confirmed = is_current || is_only_entry(state);
+    let max_age = if inquiry.has_answers() {
+        MAX_VIEW_AGE
+    } else {
+        MAX_UNASKED_AGE
+    };
+    let is_confirmed = age <= max_age || is_only_entry(state);
     (inquiry.conclude(is_confirmed), source)
 }
 
+/// The addresses of all other entries; none where they are many, or where one may have been
+/// forgotten since the view of the endpoints aged.
+fn all_others(state: &State) -> Vec<SocketAddr> {
+    let age = state.force.borrow().age(state.now());
+    let others: Vec<_> = state.fleet.borrow().known().map(|it| it.peer).collect();
+    if age > MAX_AGED_VIEW || others.len() > MAX_ASKED {
+        return Vec::new();
+    }
+    others
+}
+
 /// The addresses of the other entries that keep a stream; of any few if its caller does not name
 /// it.
 fn keepers(state: &State, stream: Option<Stream>) -> Vec<SocketAddr> {
@@ -386,7 +420,7 @@
     let now = state.now();
     let mut registry = state.streams.registry.borrow_mut();
     if let Some(table) = state.force.borrow().table() {
-        registry.set_longest_stream(table.longest_stream());
+        registry.set_longest_stream(table.longest_stream(), now);
     }
     for endpoint in state.roster.borrow().known() {
         registry.observe(&endpoint.service, &endpoint.version, now);
@@ -497,14 +531,17 @@
         }
         Message::Past(all) => {
             let mut registry = streams.registry.borrow_mut();
+            let mut is_news = false;
             for past in &all {
-                registry.learn(past, now);
-                if past.is_registered {
+                if registry.learn(past, now) {
                     streams.history.record_registered(past);
+                    is_news = true;
                 }
             }
             drop(registry);
-            streams.history.tell_waiting();
+            if is_news {
+                streams.history.tell_waiting();
+            }
         }
         Message::PastRequest => tell_past(state, sender),
         Message::Question {
--- a/crates/relay/src/streams/history.rs
+++ b/crates/relay/src/streams/history.rs
@@ -16,7 +16,7 @@
 use woodgap_core::relay::plan::Kind;
 use woodgap_core::relay::resumption::inquiry::Past;
 use woodgap_core::relay::resumption::registration::{
-    COMPLETENESS_KEY, Circumstances, Completeness, Reading, Row, ServiceVersions,
+    Circumstances, Completeness, Reading, Row, ServiceVersions,
 };
 use woodgap_core::relay::resumption::{Build, Message, Service};
 
@@ -29,8 +29,13 @@
 
 /// The time between two looks at what is to be done, if nothing calls for one before.
 const CHECK_INTERVAL: Millis = Millis(100);
-/// How long a request waits until a version may begin it, or for what is stored.
+/// How long a request waits until a version may begin it.
 const PATIENCE: Millis = Millis(1_000);
+/// How long one waits for what is stored: among many entries for the next reading, and that.
+const READING_PATIENCE: Millis = Millis(2_000);
+/// By how much the clocks of entries may differ: a row on completeness that another one wrote counts
+/// so much later.
+const CLOCK_MARGIN: Millis = Millis(60_000);
 /// The time between two looks of a request that waits.
 const WAIT_INTERVAL: Millis = Millis(20);
 /// The time between two questions to other entries while a request waits.
@@ -43,15 +48,29 @@
 /// known.
 const UNINFORMED_PATIENCE: Millis = Millis(3_000);
 
+/// A row that is stored.
+#[derive(Clone, Debug)]
+struct Stored {
+    row: Row,
+    /// The version of the store at which it was written, if it was read.
+    version: Option<u64>,
+}
+
 /// What this entry knows of the rows, and who waits for them.
 #[derive(Debug, Default)]
 pub(super) struct History {
-    /// The rows, as far as this entry has written or read them.
-    rows: RefCell<BTreeMap<String, Row>>,
+    /// The rows, as far as this entry has written or read them, by key.
+    rows: RefCell<BTreeMap<String, Stored>>,
+    /// Rows that others have written, as they say.
+    told: RefCell<BTreeMap<String, ServiceVersions>>,
+    /// The keys of rows that this entry has written.
+    own: RefCell<BTreeSet<String>>,
     /// Since when all versions are stored, if a row says so.
     completeness: Cell<Option<Completeness>>,
-    /// Rows that can't be read.
-    damaged: RefCell<Vec<String>>,
+    /// Since when this entry knows that row.
+    completeness_seen: Cell<Option<(Completeness, Millis)>>,
+    /// The keys and versions of rows that can't be read.
+    damaged: RefCell<Vec<(String, u64)>>,
     /// When the last reading began whose answer has come.
     read: Cell<Option<Millis>>,
     /// Whether streams may have begun before this entry's start.
@@ -62,8 +81,12 @@
     is_new_store: Cell<bool>,
     /// The services for which requests wait, and since when.
     wanted: RefCell<BTreeMap<String, Millis>>,
-    /// Since when a reading is asked for.
-    asked: Cell<Option<Millis>>,
+    /// Whether requests wait for a service, as of a moment.
+    waiting: RefCell<BTreeMap<String, (Millis, bool)>>,
+    /// When other entries were last asked.
+    questioned: Cell<Option<Millis>>,
+    /// Whether a reading is asked for.
+    is_asked: Cell<bool>,
     /// There may be something to do.
     due: Notify,
     /// Something has changed for requests that wait.
@@ -74,6 +97,7 @@
     /// Has all rows stored again: the store may have lost some.
     pub(super) fn store_again(&self) {
         self.rows.borrow_mut().clear();
+        self.told.borrow_mut().clear();
         self.completeness.set(None);
         self.read.set(None);
         self.is_new_store.set(false);
@@ -82,8 +106,14 @@
 
     /// Records that another entry has had a version stored.
     pub(super) fn record_registered(&self, past: &Past) {
-        let row = Row::Versions(ServiceVersions::one(&past.service, &past.version));
-        self.rows.borrow_mut().entry(row.key()).or_insert(row);
+        let one = ServiceVersions::one(&past.service, &past.version);
+        self.told.borrow_mut().insert(one.key(), one);
+    }
+
+    /// Has the rows read again.
+    fn ask_for_reading(&self) {
+        self.is_asked.set(true);
+        self.due.notify_one();
     }
 
     /// Has the task look at once.
@@ -93,6 +123,7 @@
 
     /// Has requests that wait look again.
     pub(super) fn tell_waiting(&self) {
+        self.waiting.borrow_mut().clear();
         self.changed.notify_waiters();
     }
 
@@ -113,38 +144,61 @@
     if request.route.kind != Kind::Stream || request.build.is_some() {
         return;
     }
-    let history = &state.streams.history;
     let service = request.service.name.as_str();
+    if !is_waiting(state, service) {
+        return;
+    }
+    let history = &state.streams.history;
     let begun = state.now();
     let end = request.deadline.min(begun + PATIENCE);
-    let mut next_question = begun;
+    history.look_again();
     while is_waiting(state, service) && state.now() < end {
         history.want(service, begun);
-        if state.now() >= next_question {
-            next_question = state.now() + QUESTION_INTERVAL;
-            ask_others(state);
-        }
-        history.look_again();
+        ask_others(state);
         history.until_changed().await;
     }
+    history.wanted.borrow_mut().remove(service);
 }
 
-/// Asks some entries which versions may begin streams: the platform may be out of reach.
+/// Asks some entries which versions may begin streams, if it is time: the platform may be out of
+/// reach.
 fn ask_others(state: &State) {
+    let now = state.now();
+    let questioned = &state.streams.history.questioned;
+    if questioned
+        .get()
+        .is_some_and(|at| now - at < QUESTION_INTERVAL)
+    {
+        return;
+    }
+    questioned.set(Some(now));
     for peer in keepers(state, None) {
         state.streams.send(&Message::PastRequest, peer);
     }
 }
 
-/// Whether a service has usable endpoints, and none at which streams may begin.
+/// Whether a service has usable endpoints, and none at which streams may begin. Many requests ask at
+/// once, and one look at the endpoints serves them.
 fn is_waiting(state: &State, service: &str) -> bool {
-    let registry = state.streams.registry.borrow();
-    if !registry.has_unregistered(service) {
+    let now = state.now();
+    if !state.streams.registry.borrow().has_unregistered(service) {
         return false;
     }
+    let mut looks = state.streams.history.waiting.borrow_mut();
+    let last = looks.get(service);
+    if let Some((_, is_waiting)) = last.filter(|(at, _)| now - *at < WAIT_INTERVAL) {
+        return *is_waiting;
+    }
+    let is_waiting = has_none_registered(state, service, now);
+    looks.insert(service.to_owned(), (now, is_waiting));
+    is_waiting
+}
+
+fn has_none_registered(state: &State, service: &str, now: Millis) -> bool {
     let roster = state.roster.borrow();
     let evacuation = state.evacuation.borrow();
-    let usable = roster.usable(service, &evacuation, state.now());
+    let registry = state.streams.registry.borrow();
+    let usable = roster.usable(service, &evacuation, now);
     let mut versions = usable.iter().map(|it| it.version.as_str());
     !usable.is_empty() && !versions.any(|version| registry.is_registered(service, version))
 }
@@ -168,13 +222,12 @@
                 return registry.only_stored(services, lost, now);
             }
         }
-        if now >= lost + PATIENCE || state.is_platform_lost.get() {
+        if now >= lost + READING_PATIENCE || state.is_platform_lost.get() {
             return None;
         }
-        if history.asked.get().is_none() {
-            history.asked.set(Some(now));
+        if !history.is_asked.get() {
+            history.ask_for_reading();
         }
-        history.look_again();
         history.until_changed().await;
     }
 }
@@ -184,21 +237,24 @@
     let mut faults = UnusableRows::new("versions");
     let mut failures = 0;
     loop {
-        let done = step(&state, &mut faults).await;
-        failures = match done {
-            Ok(()) => 0,
+        match step(&state, &mut faults).await {
+            Ok(()) => {
+                if failures > 0 {
+                    log::info!("versions are stored and read again");
+                }
+                failures = 0;
+                let pause = Duration::from_millis(CHECK_INTERVAL.0);
+                let due = state.streams.history.due.notified();
+                let _ = tokio::time::timeout(pause, due).await;
+            }
             Err(error) => {
-                log::info!(error = error.to_string(); "versions are not stored or read yet");
-                failures + 1
+                if failures == 0 {
+                    log::info!(error = error.to_string(); "versions are not stored or read yet");
+                }
+                failures += 1;
+                let pause = duty::backoff(failures, rand::random());
+                tokio::time::sleep(Duration::from_millis(pause.0)).await;
             }
-        };
-        let history = &state.streams.history;
-        if failures > 0 {
-            let pause = duty::backoff(failures, rand::random());
-            tokio::time::sleep(Duration::from_millis(pause.0)).await;
-        } else {
-            let pause = Duration::from_millis(CHECK_INTERVAL.0);
-            let _ = tokio::time::timeout(pause, history.due.notified()).await;
         }
     }
 }
@@ -231,7 +287,7 @@
     let is_current = state.force.borrow().age(now) <= MAX_VIEW_AGE;
     let is_missed = is_current && !has_read;
     let is_incomplete = history.completeness.get().is_none() && since >= REREAD_INTERVAL;
-    history.asked.get().is_some() || is_missed || is_incomplete
+    history.is_asked.get() || is_missed || is_incomplete
 }
 
 /// The shortest time between two readings of an entry.
@@ -242,7 +298,7 @@
 
 async fn read(state: &State, faults: &mut UnusableRows) -> Result<(), Error> {
     let history = &state.streams.history;
-    history.asked.set(None);
+    history.is_asked.set(false);
     let asked = state.now();
     let rows = state.source.list_versions().await?;
     faults.replace(&rows, &state.metrics);
@@ -250,20 +306,18 @@
     let damaged = rows
         .iter()
         .filter(|row| matches!(row.content, Content::Unusable(_)));
-    let damaged: Vec<_> = damaged.map(|row| row.key.clone()).collect();
+    let damaged: Vec<_> = damaged.map(|row| (row.key.clone(), row.version)).collect();
     let completeness = completeness(state, &rows, !damaged.is_empty());
-    let usable: Vec<_> = rows.into_iter().filter_map(usable).collect();
-    let versions: Vec<_> = usable.iter().filter_map(versions).cloned().collect();
-    let unix = state.clock.unix();
+    let usable: BTreeMap<_, _> = rows.into_iter().filter_map(stored).collect();
+    let versions = usable.values().filter_map(|stored| versions(&stored.row));
     let reading = Reading {
-        complete_for: completeness.map(|it| unix - it.complete_since_unix),
-        versions,
+        versions: versions.cloned().collect(),
+        complete_for: completeness.map(|it| complete_for(state, it, asked)),
     };
     if is_first {
         history.had_streams.set(!reading.versions.is_empty());
-        history
-            .is_new_store
-            .set(usable.is_empty() && damaged.is_empty());
+        let is_empty = usable.is_empty() && damaged.is_empty();
+        history.is_new_store.set(is_empty);
         log::info!(
             versions = reading.versions.len(), damaged = damaged.len(),
             complete_for_ms = reading.complete_for.map(|it| it.0);
@@ -271,13 +325,10 @@
         );
     }
     let now = state.now();
-    state
-        .streams
-        .registry
-        .borrow_mut()
-        .take(&reading, asked, now);
-    let kept = usable.into_iter().map(|row| (row.key(), row));
-    history.rows.replace(kept.collect());
+    let mut registry = state.streams.registry.borrow_mut();
+    registry.take(&reading, asked, now);
+    drop(registry);
+    history.rows.replace(usable);
     history.damaged.replace(damaged);
     history.completeness.set(completeness);
     history.read.set(Some(asked));
@@ -285,6 +336,24 @@
     Ok(())
 }
 
+fn stored(row: row::Row<Row>) -> Option<(String, Stored)> {
+    let version = Some(row.version);
+    let key = row.key.clone();
+    usable(row).map(|row| (key, Stored { row, version }))
+}
+
+/// For how long the rows have named all versions: by the clock of whoever wrote so, less what that
+/// may be wrong by, or for as long as this entry knows it.
+fn complete_for(state: &State, completeness: Completeness, now: Millis) -> Millis {
+    let history = &state.streams.history;
+    let seen = history.completeness_seen.get();
+    let seen = seen.filter(|(known, _)| *known == completeness);
+    let (_, since) = seen.unwrap_or((completeness, now));
+    history.completeness_seen.set(Some((completeness, since)));
+    let written = state.unix() - completeness.complete_since_unix;
+    (written - CLOCK_MARGIN).max(now - since)
+}
+
 fn versions(row: &Row) -> Option<&ServiceVersions> {
     match row {
         Row::Versions(versions) => Some(versions),
@@ -307,35 +376,50 @@
     })
 }
 
-/// Has the platform store versions, and tells the others that streams may begin there.
+/// Has the platform store versions, and tells the others that streams may begin there. One that is
+/// not taken holds none of the others up.
 async fn register(state: &State) -> Result<(), Error> {
     let mut due = due(state);
     due.extend(lost(state));
     if due.is_empty() {
         return Ok(());
     }
-    // Else an entry that starts would not know that these are all.
-    complete_first_start(state).await?;
+    if is_first_start(state) {
+        // Else an entry that starts would not know that these are all.
+        store_completeness(state).await?;
+    }
+    let mut done = Ok(());
     for versions in due {
-        let row = Row::Versions(versions);
-        save(state, &row).await?;
-        if let Row::Versions(versions) = &row {
-            announce(state, versions);
+        let row = Row::Versions(versions.clone());
+        match save(state, row).await {
+            Ok(()) => announce(state, &versions),
+            Err(error) => done = done.and(Err(error)),
         }
     }
-    Ok(())
+    done
 }
 
 /// The versions that this entry registers now.
 fn due(state: &State) -> Vec<ServiceVersions> {
-    let mut services = stream_services(state);
-    let registry = state.streams.registry.borrow();
-    services.retain(|service| registry.has_unregistered(service));
-    drop(registry);
+    let services = services_to_register(state);
     let due = services.iter().flat_map(|service| due_of(state, service));
     due.collect()
 }
 
+/// The services that routes of streams lead to, and at a version of which no streams may begin.
+fn services_to_register(state: &State) -> BTreeSet<String> {
+    let force = state.force.borrow();
+    let registry = state.streams.registry.borrow();
+    let routes = force
+        .table()
+        .into_iter()
+        .flat_map(|it| it.plan().routes.iter());
+    let routes = routes.filter(|route| route.kind == Kind::Stream);
+    let services = routes.flat_map(|route| route.shares.iter().map(|share| &share.service));
+    let new = services.filter(|service| registry.has_unregistered(service));
+    new.cloned().collect()
+}
+
 fn due_of(state: &State, service: &str) -> Vec<ServiceVersions> {
     let history = &state.streams.history;
     let now = state.now();
@@ -348,9 +432,6 @@
     let is_registered = |version: &str| registry.is_registered(service, version);
     let registered = usable.iter().filter(|it| is_registered(&it.version));
     let registered_share = registered.count() as f64 / usable.len().max(1) as f64;
-    if registered_share > 0.0 {
-        history.wanted.borrow_mut().remove(service);
-    }
     let entries = state.fleet.borrow().size();
     let is_owner = is_owner(state, ServiceVersions::position(service));
     let is_due = |version: &&str| {
@@ -372,34 +453,18 @@
         .collect()
 }
 
-/// Registered versions that the store has lost.
+/// Registered versions that the store has lost, or of which earlier entries wrote several into a row.
 fn lost(state: &State) -> Vec<ServiceVersions> {
     let registered = state.streams.registry.borrow().registered();
-    let rows = state.streams.history.rows.borrow();
-    let is_stored = |it: &ServiceVersions| {
-        let mut stored = rows.values().filter_map(versions);
-        stored.any(|row| {
-            row.service == it.service && it.versions.iter().all(|one| row.versions.contains(one))
-        })
-    };
-    let lost = registered.into_iter().filter(|it| !is_stored(it));
-    lost.filter(|it| is_owner(state, ServiceVersions::position(&it.service)))
-        .collect()
-}
-
-/// The services that routes of streams lead to.
-fn stream_services(state: &State) -> Vec<String> {
-    let force = state.force.borrow();
-    let Some(table) = force.table() else {
-        return Vec::new();
-    };
-    let routes = table.plan().routes.iter();
-    let routes = routes.filter(|route| route.kind == Kind::Stream);
-    let shares = routes.flat_map(|route| route.shares.iter());
-    let mut services: Vec<_> = shares.map(|share| share.service.clone()).collect();
-    services.sort_unstable();
-    services.dedup();
-    services
+    let history = &state.streams.history;
+    let (rows, own) = (history.rows.borrow(), history.own.borrow());
+    let lost = registered.into_iter().filter(|it| {
+        let key = it.key();
+        let is_responsible =
+            || own.contains(&key) || is_owner(state, ServiceVersions::position(&it.service));
+        !rows.contains_key(&key) && is_responsible()
+    });
+    lost.collect()
 }
 
 fn wanted_for(state: &State, service: &str, now: Millis) -> Option<Millis> {
@@ -412,10 +477,13 @@
     *ring.owner(position) == state.settings.name
 }
 
-async fn save(state: &State, row: &Row) -> Result<(), Error> {
-    state.source.save_versions(row).await?;
-    let mut rows = state.streams.history.rows.borrow_mut();
-    rows.insert(row.key(), row.clone());
+async fn save(state: &State, row: Row) -> Result<(), Error> {
+    state.source.save_versions(&row).await?;
+    let history = &state.streams.history;
+    let key = row.key();
+    history.own.borrow_mut().insert(key.clone());
+    let stored = Stored { row, version: None };
+    history.rows.borrow_mut().insert(key, stored);
     Ok(())
 }
 
@@ -441,41 +509,38 @@
     state.streams.history.tell_waiting();
 }
 
-/// Stores that no stream has begun before, at the first start of the whole system.
-async fn complete_first_start(state: &State) -> Result<(), Error> {
-    let history = &state.streams.history;
-    let is_known = history.completeness.get().is_some();
-    let Some(era) = state.era().filter(|_| !is_known) else {
-        return Ok(());
-    };
-    if !state.settings.first_start || !history.is_new_store.get() {
+/// Whether no stream has begun before, as the whole system starts for the first time.
+fn is_first_start(state: &State) -> bool {
+    state.settings.first_start && state.streams.history.is_new_store.get()
+}
+
+/// Stores since when all versions are registered, if it is this entry's turn.
+async fn complete(state: &State) -> Result<(), Error> {
+    let is_known = state.streams.history.completeness.get().is_some();
+    if is_known || !has_turn_to_complete(state) {
         return Ok(());
     }
-    let completeness = Completeness {
-        complete_since_unix: Millis::ZERO,
-        era,
-    };
-    save_completeness(state, completeness).await
+    store_completeness(state).await
 }
 
 /// Stores since when all versions are registered, where no row says so.
-async fn complete(state: &State) -> Result<(), Error> {
+async fn store_completeness(state: &State) -> Result<(), Error> {
     let history = &state.streams.history;
-    let Some(era) = state.era() else {
+    let is_known = history.completeness.get().is_some();
+    let Some(era) = state.era().filter(|_| !is_known) else {
         return Ok(());
     };
-    if history.completeness.get().is_some() || !has_turn_to_complete(state) {
-        return Ok(());
-    }
     delete_damaged(state).await?;
     // Others may not have stored theirs yet.
     let registered = state.streams.registry.borrow().registered();
     for versions in registered {
-        save(state, &Row::Versions(versions)).await?;
+        save(state, Row::Versions(versions)).await?;
     }
-    let completeness = {
+    let completeness = if is_first_start(state) {
+        Completeness::ever(era)
+    } else {
         let registry = state.streams.registry.borrow();
-        registry.completeness(era, state.now(), state.clock.unix())
+        registry.completeness(era, state.now(), state.unix())
     };
     save_completeness(state, completeness).await
 }
@@ -492,21 +557,21 @@
 }
 
 async fn save_completeness(state: &State, completeness: Completeness) -> Result<(), Error> {
-    save(state, &Row::Completeness(completeness)).await?;
+    save(state, Row::Completeness(completeness)).await?;
     let since = completeness.complete_since_unix;
     log::info!(since_unix_ms = since.0, era = completeness.era.number(); "all versions are stored");
     let history = &state.streams.history;
     history.completeness.set(Some(completeness));
     // It holds from the next reading on.
-    history.asked.set(Some(state.now()));
+    history.ask_for_reading();
     Ok(())
 }
 
 /// Deletes rows that can't be read: what they held counts as lost.
 async fn delete_damaged(state: &State) -> Result<(), Error> {
     let damaged = state.streams.history.damaged.take();
-    for key in damaged {
-        state.source.delete_versions(&key).await?;
+    for (key, version) in damaged {
+        delete(state, &key, version).await?;
         log::warn!(key = key; "a row on versions that can't be read is deleted");
     }
     Ok(())
@@ -517,25 +582,47 @@
     if state.force.borrow().age(state.now()) > MAX_VIEW_AGE {
         return Ok(());
     }
-    let outdated = outdated(state);
-    for key in outdated {
-        state.source.delete_versions(&key).await?;
-        log::info!(key = key; "a version is no longer stored");
-        state.streams.history.rows.borrow_mut().remove(&key);
+    let history = &state.streams.history;
+    for key in outdated(state) {
+        let version = history.rows.borrow().get(&key).map(|it| it.version);
+        history.told.borrow_mut().remove(&key);
+        match version {
+            Some(Some(version)) if outdated(state).contains(&key) => {
+                delete(state, &key, version).await?;
+                log::info!(key = key; "a version is no longer stored");
+                history.rows.borrow_mut().remove(&key);
+                history.own.borrow_mut().remove(&key);
+            }
+            // Nothing is deleted that may have been written since.
+            _ => history.ask_for_reading(),
+        }
     }
     Ok(())
 }
 
+/// Deletes a row as it was read. Where that fails the rows are read again, as it may be deleted.
+async fn delete(state: &State, key: &str, version: u64) -> Result<(), Error> {
+    let deleted = state.source.delete_versions(key, version).await;
+    deleted.inspect_err(|_| state.streams.history.ask_for_reading())
+}
+
 fn outdated(state: &State) -> Vec<String> {
     let registry = state.streams.registry.borrow();
-    let rows = state.streams.history.rows.borrow();
-    let outdated = rows.iter().filter(|(key, row)| {
-        let Row::Versions(versions) = row else {
-            return false;
-        };
-        *key != COMPLETENESS_KEY
-            && !registry.knows_any(versions)
-            && is_owner(state, ServiceVersions::position(&versions.service))
-    });
+    let history = &state.streams.history;
+    let (rows, told) = (history.rows.borrow(), history.told.borrow());
+    let is_needed = |key: &String, it: &ServiceVersions| {
+        let versions = it.versions.iter();
+        let mut remembered = versions
+            .map(|version| ServiceVersions::one(&it.service, version))
+            .filter(|one| registry.knows_any(one));
+        // A row of several versions is needed until each has its own.
+        remembered.any(|one| one.key() == *key || !rows.contains_key(&one.key()))
+    };
+    let stored = rows.iter();
+    let stored = stored.filter_map(|(key, it)| Some((key, versions(&it.row)?)));
+    let outdated = stored
+        .chain(told.iter())
+        .filter(|(key, it)| !is_needed(key, it))
+        .filter(|(_, it)| is_owner(state, ServiceVersions::position(&it.service)));
     outdated.map(|(key, _)| key.clone()).collect()
 }
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -190,7 +190,7 @@
         .boxed_local()
     }
 
-    fn delete_versions<'a>(&'a self, key: &'a str) -> Answer<'a, ()> {
+    fn delete_versions<'a>(&'a self, key: &'a str, _: u64) -> Answer<'a, ()> {
         async move {
             self.told()?.versions.lock().unwrap().remove(key);
             Ok(())
