Damaged rows on versions are deleted only once completeness is stored anew

Cause: an entry that found a row on versions that can't be decoded deleted it, and then stored that the rows are complete from now on. Where the store failed between the two steps, or another entry read in between, the earlier row on completeness stood beside rows of which none was damaged any more: entries took the version that was left for the only one there had been.

Change: completeness is stored first, and a damaged row that was written anew meanwhile is kept. A row that is written is read soon after, so that it can be deleted as it was read.

--- a/crates/relay/src/streams/history.rs
+++ b/crates/relay/src/streams/history.rs
@@ -396,6 +396,8 @@
             Err(error) => done = done.and(Err(error)),
         }
     }
+    // A row is deleted only as it was read.
+    state.streams.history.ask_for_reading();
     done
 }
 
@@ -530,7 +532,6 @@
     let Some(era) = state.era().filter(|_| !is_known) else {
         return Ok(());
     };
-    delete_damaged(state).await?;
     // Others may not have stored theirs yet.
     let registered = state.streams.registry.borrow().registered();
     for versions in registered {
@@ -542,7 +543,9 @@
         let registry = state.streams.registry.borrow();
         registry.completeness(era, state.now(), state.unix())
     };
-    save_completeness(state, completeness).await
+    save_completeness(state, completeness).await?;
+    // Not before: what was stored earlier would pass for complete without them.
+    delete_damaged(state).await
 }
 
 /// Whether this entry says since when all versions are registered: those that know it first.
@@ -567,9 +570,11 @@
     Ok(())
 }
 
-/// Deletes rows that can't be read: what they held counts as lost.
+/// Deletes rows that can't be read, if they were not written anew: what they held counts as lost.
 async fn delete_damaged(state: &State) -> Result<(), Error> {
-    let damaged = state.streams.history.damaged.take();
+    let history = &state.streams.history;
+    let mut damaged = history.damaged.take();
+    damaged.retain(|(key, _)| !history.rows.borrow().contains_key(key));
     for (key, version) in damaged {
         delete(state, &key, version).await?;
         log::warn!(key = key; "a row on versions that can't be read is deleted");
