Contract tests: streams begin only at versions that are registered

Cause: that no stream goes on at another version after a loss of all entries was tested with the adapter's programs alone, where neither a damaged row nor a store that refuses versions could be expressed.

Change: registered_versions has two entries before a store that outlives them. The source of the tests may hold rows on versions that can't be decoded, and may refuse versions while the rest works. Cases: the only version is replaced; a new one comes beside it while none runs; versions can't be stored; an entry has no store of its own; a version or the row on completeness is damaged or missing; the store fails while a damaged row is dealt with.

--- a/crates/relay/tests/contract/caller.rs
+++ b/crates/relay/tests/contract/caller.rs
@@ -112,16 +112,21 @@
 
     /// A whole answer, or as much of it as comes.
     pub fn answer(&mut self) -> Option<Answer> {
-        let mut answer = self.head()?;
+        let answer = self.head()?;
+        Some(self.rest(answer))
+    }
+
+    /// The rest of an answer whose head has come, or as much of it as comes.
+    pub fn rest(&mut self, mut answer: Answer) -> Answer {
         if answer.header("transfer-encoding") == "chunked" {
             loop {
                 match self.chunk() {
                     Ok(Some(bytes)) => answer.body.extend(bytes),
                     Ok(None) => {
                         answer.is_whole = true;
-                        return Some(answer);
+                        return answer;
                     }
-                    Err(()) => return Some(answer),
+                    Err(()) => return answer,
                 }
             }
         }
@@ -130,7 +135,7 @@
             answer.body = body;
             answer.is_whole = true;
         }
-        Some(answer)
+        answer
     }
 
     /// Closes the connection.
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -26,6 +26,7 @@
 mod peer;
 mod rate_limits;
 mod refusals;
+mod registered_versions;
 mod restores;
 mod rests;
 mod resumed_streams;
--- a/crates/relay/tests/contract/site.rs
+++ b/crates/relay/tests/contract/site.rs
@@ -1,6 +1,6 @@
 //! A relay in a thread of the test, with a source that the test holds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc;
@@ -23,7 +23,7 @@
 use woodgap_core::relay::roster::{self, Positions};
 use woodgap_relay::dialect::own::Own;
 use woodgap_relay::duties;
-use woodgap_relay::source::row::Row;
+use woodgap_relay::source::row::{Row, RowError};
 use woodgap_relay::source::{
     Addresses, Answer, Endpoints, Error, Evacuations, OperatorUpdate, Source, StreamsChange,
     Update, batch_key,
@@ -41,6 +41,15 @@
     Withdrawal,
 }
 
+/// What a store refuses of versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// To read and to write any.
+    All,
+    /// To store that they are complete.
+    Completeness,
+}
+
 /// What the source tells.
 #[derive(Clone, Default)]
 pub struct Told {
@@ -64,6 +73,12 @@
     pub kept: Arc<Mutex<BTreeMap<Cause, StoredHistory>>>,
     /// What entries store of the versions of services, by key; several sites may share it.
     pub versions: Arc<Mutex<BTreeMap<String, registration::Row>>>,
+    /// The keys of rows on versions that can't be decoded; several sites may share them.
+    pub damaged_versions: Arc<Mutex<BTreeSet<String>>>,
+    /// What the store refuses of versions, while the rest works.
+    pub refused_versions: Option<Refused>,
+    /// How often it has refused to store that versions are complete; several sites may share it.
+    pub refusals: Arc<Mutex<usize>>,
     /// The batches of streams that entries store, by entry and number; several sites may share
     /// them.
     pub streams: Arc<Mutex<BTreeMap<(name::Entry, u64), Batch>>>,
@@ -81,6 +96,16 @@
         }
         Ok(told)
     }
+
+    fn told_with_versions(&self) -> Result<Told, Error> {
+        let told = self.told()?;
+        if told.refused_versions == Some(Refused::All) {
+            return Err(Error::Unavailable(
+                "the test says so of versions".to_owned(),
+            ));
+        }
+        Ok(told)
+    }
 }
 
 async fn pause(after: Option<u64>, cursor: u64) {
@@ -182,8 +207,14 @@
 
     fn save_versions<'a>(&'a self, row: &'a registration::Row) -> Answer<'a, ()> {
         async move {
-            let shared = self.told()?.versions;
-            let mut shared = shared.lock().unwrap();
+            let told = self.told_with_versions()?;
+            let is_completeness = matches!(row, registration::Row::Completeness(_));
+            if is_completeness && told.refused_versions == Some(Refused::Completeness) {
+                *told.refusals.lock().unwrap() += 1;
+                return Err(Error::Unavailable("the test says so of it".to_owned()));
+            }
+            told.damaged_versions.lock().unwrap().remove(&row.key());
+            let mut shared = told.versions.lock().unwrap();
             shared.insert(row.key(), row.clone());
             Ok(())
         }
@@ -192,7 +223,9 @@
 
     fn delete_versions<'a>(&'a self, key: &'a str, _: u64) -> Answer<'a, ()> {
         async move {
-            self.told()?.versions.lock().unwrap().remove(key);
+            let told = self.told_with_versions()?;
+            told.damaged_versions.lock().unwrap().remove(key);
+            told.versions.lock().unwrap().remove(key);
             Ok(())
         }
         .boxed_local()
@@ -200,11 +233,14 @@
 
     fn list_versions(&self) -> Answer<'_, Vec<Row<registration::Row>>> {
         async move {
-            let shared = self.told()?.versions;
-            let shared = shared.lock().unwrap();
+            let told = self.told_with_versions()?;
+            let damaged = told.damaged_versions.lock().unwrap();
+            let fault = || RowError::Format("the test says so".to_owned());
+            let damaged = damaged.iter().map(|key| Row::new(key, 1, Err(fault())));
+            let shared = told.versions.lock().unwrap();
             let rows = shared.iter();
             let rows = rows.map(|(key, it)| Row::new(key, 1, Ok(it.clone())));
-            Ok(rows.collect())
+            Ok(rows.chain(damaged).collect())
         }
         .boxed_local()
     }
@@ -455,7 +491,7 @@
 
 /// Of several entries only two read the platform. The others hear of it each 0.3 s, so that a
 /// [`TRUST`] of half a second has no room for a message that is late: they trust for 3.5 s.
-const FLEET_TRUST: &str = r#""revoke_ms": 5000"#;
+pub const FLEET_TRUST: &str = r#""revoke_ms": 5000"#;
 
 /// So many entries that know one another, before these endpoints.
 pub fn fleet(entries: usize, endpoints: &[SocketAddr]) -> Vec<Site> {
