Requests that wait for stored versions have a module of their own

streams/history.rs reads and writes the rows on versions and had grown to 633 lines with what requests wait for; that part is streams/waiting.rs now. Code is only moved.

--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -5,8 +5,10 @@
 
 mod history;
 pub mod storage;
+mod waiting;
 
-pub use history::{run, until_registered};
+pub use history::run;
+pub use waiting::until_registered;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -184,7 +186,7 @@
         build = build.filter(|build| registry.is_build_registered(*build, &resumed.services));
     }
     if build.is_none() {
-        build = history::only_stored(state, &resumed.services, asked).await;
+        build = waiting::only_stored(state, &resumed.services, asked).await;
         source = "stored";
     }
     let outcome = if build.is_some() { source } else { "unknown" };
--- a/crates/relay/src/streams/history.rs
+++ b/crates/relay/src/streams/history.rs
@@ -14,32 +14,25 @@
 use woodgap_core::era::Era;
 use woodgap_core::relay::duty;
 use woodgap_core::relay::plan::Kind;
+use woodgap_core::relay::resumption::Message;
 use woodgap_core::relay::resumption::inquiry::Past;
 use woodgap_core::relay::resumption::registration::{
     Circumstances, Completeness, Reading, Row, ServiceVersions,
 };
-use woodgap_core::relay::resumption::{Build, Message, Service};
 
 use crate::follow::usable;
-use crate::request::AdmittedRequest;
 use crate::source::Error;
 use crate::source::row::{self, Content, UnusableRows};
 use crate::state::State;
-use crate::streams::{MAX_VIEW_AGE, keepers};
+use crate::streams::MAX_VIEW_AGE;
 
 /// The time between two looks at what is to be done, if nothing calls for one before.
 const CHECK_INTERVAL: Millis = Millis(100);
-/// How long a request waits until a version may begin it.
-const PATIENCE: Millis = Millis(1_000);
-/// How long one waits for what is stored: among many entries for the next reading, and that.
-const READING_PATIENCE: Millis = Millis(2_000);
 /// By how much the clocks of entries may differ: a row on completeness that another one wrote counts
 /// so much later.
 const CLOCK_MARGIN: Millis = Millis(60_000);
 /// The time between two looks of a request that waits.
-const WAIT_INTERVAL: Millis = Millis(20);
-/// The time between two questions to other entries while a request waits.
-const QUESTION_INTERVAL: Millis = Millis(200);
+pub(super) const WAIT_INTERVAL: Millis = Millis(20);
 /// The most readings a second of all entries together.
 const MAX_READINGS_PER_S: u64 = 400;
 /// The time between two readings while others are to write what is missing.
@@ -72,7 +65,7 @@
     /// The keys and versions of rows that can't be read.
     damaged: RefCell<Vec<(String, u64)>>,
     /// When the last reading began whose answer has come.
-    read: Cell<Option<Millis>>,
+    pub(super) read: Cell<Option<Millis>>,
     /// Whether streams may have begun before this entry's start.
     had_streams: Cell<bool>,
     /// Whether rows were read in this life.
@@ -80,13 +73,13 @@
     /// Whether nothing was stored when this entry started, and nothing was lost since.
     is_new_store: Cell<bool>,
     /// The services for which requests wait, and since when.
-    wanted: RefCell<BTreeMap<String, Millis>>,
+    pub(super) wanted: RefCell<BTreeMap<String, Millis>>,
     /// Whether requests wait for a service, as of a moment.
-    waiting: RefCell<BTreeMap<String, (Millis, bool)>>,
+    pub(super) waiting: RefCell<BTreeMap<String, (Millis, bool)>>,
     /// When other entries were last asked.
-    questioned: Cell<Option<Millis>>,
+    pub(super) questioned: Cell<Option<Millis>>,
     /// Whether a reading is asked for.
-    is_asked: Cell<bool>,
+    pub(super) is_asked: Cell<bool>,
     /// There may be something to do.
     due: Notify,
     /// Something has changed for requests that wait.
@@ -111,7 +104,7 @@
     }
 
     /// Has the rows read again.
-    fn ask_for_reading(&self) {
+    pub(super) fn ask_for_reading(&self) {
         self.is_asked.set(true);
         self.due.notify_one();
     }
@@ -128,110 +121,17 @@
     }
 
     /// Records that a request waits for a version of a service.
-    fn want(&self, service: &str, now: Millis) {
+    pub(super) fn want(&self, service: &str, now: Millis) {
         let mut wanted = self.wanted.borrow_mut();
         wanted.entry(service.to_owned()).or_insert(now);
     }
 
-    async fn until_changed(&self) {
+    pub(super) async fn until_changed(&self) {
         let pause = Duration::from_millis(WAIT_INTERVAL.0);
         let _ = tokio::time::timeout(pause, self.changed.notified()).await;
     }
 }
 
-/// Waits until a stream may begin at an endpoint of its service, for as long as that may take.
-pub async fn until_registered(state: &State, request: &AdmittedRequest) {
-    if request.route.kind != Kind::Stream || request.build.is_some() {
-        return;
-    }
-    let service = request.service.name.as_str();
-    if !is_waiting(state, service) {
-        return;
-    }
-    let history = &state.streams.history;
-    let begun = state.now();
-    let end = request.deadline.min(begun + PATIENCE);
-    history.look_again();
-    while is_waiting(state, service) && state.now() < end {
-        history.want(service, begun);
-        ask_others(state);
-        history.until_changed().await;
-    }
-    history.wanted.borrow_mut().remove(service);
-}
-
-/// Asks some entries which versions may begin streams, if it is time: the platform may be out of
-/// reach.
-fn ask_others(state: &State) {
-    let now = state.now();
-    let questioned = &state.streams.history.questioned;
-    if questioned
-        .get()
-        .is_some_and(|at| now - at < QUESTION_INTERVAL)
-    {
-        return;
-    }
-    questioned.set(Some(now));
-    for peer in keepers(state, None) {
-        state.streams.send(&Message::PastRequest, peer);
-    }
-}
-
-/// Whether a service has usable endpoints, and none at which streams may begin. Many requests ask at
-/// once, and one look at the endpoints serves them.
-fn is_waiting(state: &State, service: &str) -> bool {
-    let now = state.now();
-    if !state.streams.registry.borrow().has_unregistered(service) {
-        return false;
-    }
-    let mut looks = state.streams.history.waiting.borrow_mut();
-    let last = looks.get(service);
-    if let Some((_, is_waiting)) = last.filter(|(at, _)| now - *at < WAIT_INTERVAL) {
-        return *is_waiting;
-    }
-    let is_waiting = has_none_registered(state, service, now);
-    looks.insert(service.to_owned(), (now, is_waiting));
-    is_waiting
-}
-
-fn has_none_registered(state: &State, service: &str, now: Millis) -> bool {
-    let roster = state.roster.borrow();
-    let evacuation = state.evacuation.borrow();
-    let registry = state.streams.registry.borrow();
-    let usable = roster.usable(service, &evacuation, now);
-    let mut versions = usable.iter().map(|it| it.version.as_str());
-    !usable.is_empty() && !versions.any(|version| registry.is_registered(service, version))
-}
-
-/// The only version that can have begun a stream of these services that was lost before `lost`, by
-/// what the platform stores now.
-pub(super) async fn only_stored(
-    state: &State,
-    services: &[Service],
-    lost: Millis,
-) -> Option<Build> {
-    let history = &state.streams.history;
-    loop {
-        let now = state.now();
-        {
-            let registry = state.streams.registry.borrow();
-            if !registry.may_be_told(services) {
-                return None;
-            }
-            if history.read.get().is_some_and(|read| read >= lost) {
-                return registry.only_stored(services, lost, now);
-            }
-        }
-        if now >= lost + READING_PATIENCE || state.is_platform_lost.get() {
-            return None;
-        }
-        if !history.is_asked.get() {
-            history.ask_for_reading();
-        }
-        history.until_changed().await;
-    }
-}
-
 /// Reads and writes rows for as long as the process runs.
 pub async fn run(state: Rc<State>) {
     let mut faults = UnusableRows::new("versions");
