Keepers are asked for a stream while views have aged, also among many entries

Found in the last reading of the diff: while the platform is away for more than 2.5 s an entry asks all others whether they agree that there is one version. With more than 32 of them it asked nobody, so that a stream that its keepers knew was refused.

Change: where not all can be asked the keepers are, and the own, aged view counts for nothing.

With more than 32 entries it is not tested.

--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -247,17 +247,18 @@
 /// Asks the keepers of a stream about its build. Gives it back with how it is known: by a keeper, or
 /// as no other version is.
 async fn ask(state: &State, resumed: &Resumed, own: Standing) -> (Option<Build>, &'static str) {
-    let keepers = if matches!(own, Standing::Aged(_)) {
-        all_others(state)
-    } else {
-        keepers(state, resumed.stream)
+    let (asked, own) = match (own, all_others(state)) {
+        (Standing::Aged(_), Some(all)) => (all, own),
+        // A few that agree may all be on this side of a partition.
+        (Standing::Aged(build), None) => (keepers(state, resumed.stream), Standing::Unsure(build)),
+        _ => (keepers(state, resumed.stream), own),
     };
     let streams = &state.streams;
     let number = streams.next_number.get().wrapping_add(1);
     streams.next_number.set(number);
     let (complete, completed) = oneshot::channel();
     let asking = Asking {
-        inquiry: Inquiry::new(own, keepers.len()),
+        inquiry: Inquiry::new(own, asked.len()),
         complete: Some(complete),
     };
     streams.inquiries.borrow_mut().insert(number, asking);
@@ -267,10 +268,10 @@
         stream: resumed.stream,
         services: resumed.services.clone(),
     };
-    for keeper in &keepers {
-        streams.send(&question, *keeper);
+    for other in &asked {
+        streams.send(&question, *other);
     }
-    if !keepers.is_empty() {
+    if !asked.is_empty() {
         // What was answered by then counts.
         let _ = tokio::time::timeout(ANSWER_TIMEOUT, completed).await;
     }
@@ -288,15 +289,13 @@
     (inquiry.conclude(is_confirmed), source)
 }
 
-/// The addresses of all other entries; none where they are many, or where one may have been
+/// The addresses of all other entries; `None` where they are many, or where one may have been
 /// forgotten since the view of the endpoints aged.
-fn all_others(state: &State) -> Vec<SocketAddr> {
+fn all_others(state: &State) -> Option<Vec<SocketAddr>> {
     let age = state.force.borrow().age(state.now());
-    let others: Vec<_> = state.fleet.borrow().known().map(|it| it.peer).collect();
-    if age > MAX_AGED_VIEW || others.len() > MAX_ASKED {
-        return Vec::new();
-    }
-    others
+    let fleet = state.fleet.borrow();
+    let is_bounded = age <= MAX_AGED_VIEW && fleet.known().count() <= MAX_ASKED;
+    is_bounded.then(|| fleet.known().map(|it| it.peer).collect())
 }
 
 /// The addresses of the other entries that keep a stream; of any few if its caller does not name
