Relay: a length with a sign and several transfer codings are no answer

Callers saw: an endpoint in trouble sent `Content-Length: +0` where the length had been spoilt, or `Transfer-Encoding: chunked` beside another coding, and they got 200 with its seal as a complete answer; with the spoilt length its body was empty. A refusal with such a length was believed as well, so that they were told that the request had not run.

Cause: the length was read with the number parser of the standard library, which takes a leading plus; of several transfer codings only the first was looked at; and both were looked at only once status, seal and refusal had been believed. On HEAD they were never looked at.

Heads with a line that is no field, blanks and control bytes in names, and status 000 were refused already.

Change: what a head says of its body is checked where the head is read, before anything in it is believed; a length is digits alone; there is one transfer coding, `chunked`. So the platform's answers and those of other entries are read in the same way. Leading zeros and the same length twice remain allowed.

--- a/crates/relay/src/upstream/head.rs
+++ b/crates/relay/src/upstream/head.rs
@@ -1,4 +1,7 @@
 //! Parsing of response heads, and the framing of the body that follows.
+//!
+//! A head that is invalid in any part is no head: nothing in it is believed, also not that its
+//! request has not run.
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
@@ -34,13 +37,15 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Malformed`] if the head is invalid or too large.
+    /// [`Error::Malformed`] if the head is invalid or too large, or if its framing headers conflict,
+    /// are invalid or name an unsupported transfer coding.
     pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, Error> {
         loop {
             let Some((head, length)) = Self::parse(buffer)? else {
                 return Ok(None);
             };
             buffer.advance(length);
+            head.announced()?;
             if !head.status.is_informational() {
                 return Ok(Some(head));
             }
@@ -86,16 +91,24 @@
         if has_no_body {
             return Ok(Framing::Length(0));
         }
-        let coding = self.headers.get("transfer-encoding");
-        let length = self.headers.get("content-length");
-        match (coding, length) {
-            (Some(_), Some(_)) => Err(Error::Malformed("two framings")),
-            (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-                Ok(Framing::chunked())
+        Ok(self.announced()?.unwrap_or(Framing::UntilClose))
+    }
+
+    /// The framing that the headers announce; `None` if they announce none.
+    fn announced(&self) -> Result<Option<Framing>, Error> {
+        let mut codings = self.headers.get_all("transfer-encoding");
+        let coding = codings.next();
+        if codings.next().is_some() {
+            return Err(Error::Malformed("two transfer codings"));
+        }
+        match (coding, self.headers.contains_key("content-length")) {
+            (Some(_), true) => Err(Error::Malformed("two framings")),
+            (Some(coding), false) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+                Ok(Some(Framing::chunked()))
             }
-            (Some(_), None) => Err(Error::Malformed("an unknown transfer coding")),
-            (None, Some(_)) => self.length(),
-            (None, None) => Ok(Framing::UntilClose),
+            (Some(_), false) => Err(Error::Malformed("an unknown transfer coding")),
+            (None, true) => self.length().map(Some),
+            (None, false) => Ok(None),
         }
     }
 
@@ -116,9 +129,11 @@
         if lengths.any(|other| Some(other) != first) {
             return Err(Error::Malformed("two lengths"));
         }
-        let length = self
+        // A number may have a sign where it is parsed, but not here.
+        let digits = self
             .header_str("content-length")
-            .and_then(|text| text.parse().ok());
+            .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+        let length = digits.and_then(|digits| digits.parse().ok());
         length
             .map(Framing::Length)
             .ok_or(Error::Malformed("the length is no number"))
--- a/crates/relay/tests/contract/main.rs
+++ b/crates/relay/tests/contract/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod back_offs;
 mod brittle;
+mod broken_heads;
 mod caller;
 mod cold;
 mod desk;
