Relay: a body where none can be is no answer

Callers saw: an answer whose status had been spoilt into 204, with a length or chunks and a body after it, came as a complete answer without a body. After one that had been spoilt into 1xx the body was read as the next head, so that a body that looks like an answer became one.

Cause: 204 and 1xx were taken to have no body whatever the head said, and 101 as one interim answer among others, though nobody had asked for another protocol.

Change: a head of 1xx or 204 that announces a body (a length above 0, or chunks) is invalid, and so is 101. 304 and answers to HEAD may name the length of what they stand for.

--- a/crates/relay/src/upstream/head.rs
+++ b/crates/relay/src/upstream/head.rs
@@ -45,13 +45,27 @@
                 return Ok(None);
             };
             buffer.advance(length);
-            head.announced()?;
+            head.check()?;
             if !head.status.is_informational() {
                 return Ok(Some(head));
             }
         }
     }
 
+    /// Checks what the head says of the body and of the connection after it.
+    fn check(&self) -> Result<(), Error> {
+        if self.status == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(Error::Malformed("another protocol, which nobody asked for"));
+        }
+        let announced = self.announced()?;
+        let allows_body = !self.status.is_informational() && self.status != StatusCode::NO_CONTENT;
+        match announced {
+            Some(Framing::Length(0)) => Ok(()),
+            Some(_) if !allows_body => Err(Error::Malformed("a body where none can be")),
+            _ => Ok(()),
+        }
+    }
+
     fn parse(buffer: &[u8]) -> Result<Option<(Self, usize)>, Error> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut headers);
--- a/crates/relay/tests/contract/broken_heads.rs
+++ b/crates/relay/tests/contract/broken_heads.rs
@@ -88,6 +88,28 @@
     is_no_answer(answer("200 OK", lines, "abc"));
 }
 
+/// An answer of which a part was taken for its head, or the other way round.
+#[rstest]
+#[case::no_content_with_a_length("204 No Content", "Content-Length: 3", "abc")]
+#[case::no_content_in_chunks(
+    "204 No Content",
+    "Transfer-Encoding: chunked",
+    "3\r\nabc\r\n0\r\n\r\n"
+)]
+#[case::interim_with_a_length("100 Continue", "Content-Length: 3", "")]
+#[case::interim_in_chunks("103 Early Hints", "Transfer-Encoding: chunked", "")]
+#[case::another_protocol("101 Switching Protocols", "Upgrade: other", "")]
+fn a_body_where_none_can_be_is_no_answer(
+    #[case] status: &str,
+    #[case] lines: &str,
+    #[case] rest: &str,
+) {
+    let mut steps = answer(status, lines, rest);
+    // What follows an interim answer looks like a whole one.
+    steps.insert(2, whole("abc"));
+    is_no_answer(steps);
+}
+
 /// Of a spoilt answer nothing is believed, also not that the request has not run.
 #[test]
 fn a_spoilt_refusal_is_no_refusal() {
