Relay: a status of 600 and above is no answer

Callers saw: an endpoint in trouble answered 600 or 999, and they got it as an answer with the endpoint's seal.

Cause: the library's type for a status takes any number from 100 to 999. 000 to 099 were refused, as were other forms (`20`, `2000`, `+20`).

Evidence: two cases of `a_spoilt_status_is_no_answer` (600, 999) failed before, and one of the adapter; six others, among them 000, held. All pass now.

Change: a status is from 100 to 599; anything else is an invalid head.

--- a/crates/relay/src/upstream/head.rs
+++ b/crates/relay/src/upstream/head.rs
@@ -3,6 +3,8 @@
 //! A head that is invalid in any part is no head: nothing in it is believed, also not that its
 //! request has not run.
 
+use std::ops::Range;
+
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
 use bytes::{Buf, BytesMut};
@@ -14,6 +16,9 @@
 /// The maximum size of a response head, in bytes; the same limit as for callers' requests.
 pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The status codes that a response can have.
+const STATUSES: Range<u16> = 100..600;
+
 /// The status and headers of a response.
 #[derive(Debug)]
 pub struct Head {
@@ -78,9 +83,8 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(Error::Malformed("the head can't be read")),
         };
-        let status = response
-            .code
-            .and_then(|code| StatusCode::from_u16(code).ok());
+        let code = response.code.filter(|code| STATUSES.contains(code));
+        let status = code.and_then(|code| StatusCode::from_u16(code).ok());
         let status = status.ok_or(Error::Malformed("the status is none"))?;
         let headers = to_header_map(response.headers)?;
         let keeps_alive = response.version == Some(1) && !has_connection_close(&headers);
--- a/crates/relay/tests/contract/broken_heads.rs
+++ b/crates/relay/tests/contract/broken_heads.rs
@@ -88,6 +88,19 @@
     is_no_answer(answer("200 OK", lines, "abc"));
 }
 
+#[rstest]
+#[case::zero("000")]
+#[case::below_all("099 OK")]
+#[case::above_all("600 OK")]
+#[case::far_above_all("999 OK")]
+#[case::two_digits("20 OK")]
+#[case::four_digits("2000 OK")]
+#[case::sign("+20 OK")]
+#[case::letters("2OO OK")]
+fn a_spoilt_status_is_no_answer(#[case] status: &str) {
+    is_no_answer(answer(status, "Content-Length: 3", "abc"));
+}
+
 /// An answer of which a part was taken for its head, or the other way round.
 #[rstest]
 #[case::no_content_with_a_length("204 No Content", "Content-Length: 3", "abc")]
