Relay: trailers that are no fields and control bytes in chunk sizes cut an answer off

Callers saw: an answer in chunks with lines in its trailer section that are no fields, or control bytes behind a chunk's size, came as a complete one.

Cause: trailers are not passed on, so their lines were skipped unread up to an empty one; what stands behind a chunk's size was skipped unread as well. A size that was spoilt into 0 thus let the rest of the body pass for trailers.

Evidence: six cases of `a_trailer_line_that_is_no_field_cuts_the_answer_off` and two of `a_spoilt_chunk_size_is_no_answer` failed before. They pass now; sound trailers and extensions are still read.

Change: a line of the trailer section has the form of a header, a chunk's line holds text alone. What does not is malformed: the answer is repeated, refused or broken off as where it was cut.

--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -1,5 +1,6 @@
 //! Decoding of response bodies by their framing.
 
+use actix_http::header::{HeaderName, HeaderValue};
 use bytes::{Buf, Bytes, BytesMut};
 
 use crate::upstream::Error;
@@ -115,9 +116,12 @@
                     *received += line.len();
                     if line.is_empty() {
                         *self = Self::Done;
-                    } else if *received > MAX_TRAILER_BYTES {
+                        continue;
+                    }
+                    if *received > MAX_TRAILER_BYTES {
                         return Err(Error::Malformed("the trailer section is too long"));
                     }
+                    check_field(&line)?;
                 }
             }
         }
@@ -154,11 +158,25 @@
     Ok(Some(line.freeze()))
 }
 
+/// The length in a chunk's header line; its extensions are ignored.
 fn chunk_length(line: &[u8]) -> Result<u64, Error> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    let digits = std::str::from_utf8(digits).map_err(|_| Error::Malformed("a chunk's length"))?;
-    let is_hex = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
-    let length = u64::from_str_radix(digits, 16).ok();
-    let length = length.filter(|_| is_hex);
-    length.ok_or(Error::Malformed("a chunk's length"))
+    let invalid = || Error::Malformed("a chunk's length");
+    // What is text in a header's value is text here.
+    let line = HeaderValue::from_bytes(line).map_err(|_| invalid())?;
+    let digits = line.as_bytes().split(|byte| *byte == b';').next();
+    let digits = digits.and_then(|digits| std::str::from_utf8(digits).ok());
+    let digits = digits.filter(|it| it.bytes().all(|byte| byte.is_ascii_hexdigit()));
+    let length = digits.and_then(|digits| u64::from_str_radix(digits, 16).ok());
+    length.ok_or_else(invalid)
+}
+
+/// Checks a line of the trailer section, which is of the form of a header.
+fn check_field(line: &[u8]) -> Result<(), Error> {
+    let mut parts = line.splitn(2, |byte| *byte == b':');
+    let name = parts.next().map(HeaderName::from_bytes);
+    let value = parts.next().map(HeaderValue::from_bytes);
+    match (name, value) {
+        (Some(Ok(_)), Some(Ok(_))) => Ok(()),
+        _ => Err(Error::Malformed("a trailer can't be read")),
+    }
 }
--- a/crates/relay/tests/contract/broken_heads.rs
+++ b/crates/relay/tests/contract/broken_heads.rs
@@ -145,6 +145,34 @@
     assert_eq!(caller.head().expect("a head").status, 502);
 }
 
+#[rstest]
+#[case::no_colon("spoilt")]
+#[case::no_name(": spoilt")]
+#[case::blank_in_a_name("X A: b")]
+#[case::blank_after_a_name("X-A : b")]
+#[case::control_byte_in_a_name("X\u{1}A: b")]
+#[case::control_byte_in_a_value("X-A: a\u{1}b")]
+fn a_trailer_line_that_is_no_field_cuts_the_answer_off(#[case] line: &str) {
+    let rest = format!("{CHUNKS}{line}\r\n\r\n");
+    let steps = answer("200 OK", "Transfer-Encoding: chunked", &rest);
+    let endpoint = Endpoint::always(steps);
+    let site = Site::start(&[endpoint.address]);
+    let answer = get(site.requests, "/write-twice/", "r1", "");
+    assert!(answer.status == 502 || !answer.is_whole, "{}", answer.head);
+}
+
+#[rstest]
+#[case::control_byte("3;a=\u{1}")]
+#[case::carriage_return("3;a=b\rc")]
+#[case::sign("+3")]
+#[case::blank_before("\u{20}3")]
+#[case::nothing("")]
+#[case::too_large("10000000000000003")]
+fn a_spoilt_chunk_size_is_no_answer(#[case] size: &str) {
+    let rest = format!("{size}\r\nabc\r\n0\r\n\r\n");
+    is_no_answer(answer("200 OK", "Transfer-Encoding: chunked", &rest));
+}
+
 #[rstest]
 #[case::zeros_before_the_length("Content-Length: 0003", "abc")]
 #[case::blanks_around_the_length("Content-Length:  3  ", "abc")]
