Relay: a length under a spoilt name is no answer

Callers saw: an endpoint in trouble sent `Transfer-Encodinq: chunked` or `Contemt-Length: 3`, and they got 200 with its seal; of the first with the chunks' sizes in the body, of the second with whatever came before the connection ended, told as complete.

Cause: where a head names neither a length nor chunks, the answer ends with its connection, and a spoilt name of the one header that said otherwise makes an answer look like that.

Change: a head that names no framing, and has a header whose name is up to two letters away from `Content-Length` or `Transfer-Encoding`, is invalid. What is spoilt beyond that can't be told from an answer without a length.

--- a/crates/relay/src/upstream/head.rs
+++ b/crates/relay/src/upstream/head.rs
@@ -18,6 +18,11 @@
 
 /// The status codes that a response can have.
 const STATUSES: Range<u16> = 100..600;
+/// The names of the headers that say where a body ends.
+const FRAMING_HEADERS: [&str; 2] = ["content-length", "transfer-encoding"];
+/// How many letters of a framing header's name may be wrong, missing, swapped or too many for it to
+/// be recognised as spoilt.
+const MAX_WRONG_LETTERS: usize = 2;
 
 /// The status and headers of a response.
 #[derive(Debug)]
@@ -67,6 +72,9 @@
         match announced {
             Some(Framing::Length(0)) => Ok(()),
             Some(_) if !allows_body => Err(Error::Malformed("a body where none can be")),
+            None if self.has_spoilt_framing_header() => {
+                Err(Error::Malformed("a framing header's name is spoilt"))
+            }
             _ => Ok(()),
         }
     }
@@ -130,6 +138,11 @@
         }
     }
 
+    fn has_spoilt_framing_header(&self) -> bool {
+        let mut names = self.headers.keys();
+        names.any(|name| is_spoilt_framing_header(name.as_str()))
+    }
+
     /// How the head says where the body ends, as logged.
     pub fn framing_name(&self) -> &'static str {
         if self.headers.contains_key("transfer-encoding") {
@@ -171,6 +184,12 @@
     Ok(map)
 }
 
+/// Whether this is almost the name of a framing header.
+fn is_spoilt_framing_header(name: &str) -> bool {
+    let mut framing_headers = FRAMING_HEADERS.iter();
+    framing_headers.any(|framing| strsim::osa_distance(framing, name) <= MAX_WRONG_LETTERS)
+}
+
 fn has_connection_close(headers: &HeaderMap) -> bool {
     let tokens = headers
         .get_all("connection")
--- a/crates/relay/tests/contract/broken_heads.rs
+++ b/crates/relay/tests/contract/broken_heads.rs
@@ -101,6 +101,16 @@
     is_no_answer(answer(status, "Content-Length: 3", "abc"));
 }
 
+/// Without its length an answer seems to end with its connection, as others do whose head names none.
+#[rstest]
+#[case::length("Contemt-Length: 3", "abc")]
+#[case::two_letters("Contemt-Lenght: 3", "abc")]
+#[case::letter_lost("Content-Lengt: 3", "abc")]
+#[case::coding("Transfer-Encodinq: chunked", "3\r\nabc\r\n0\r\n\r\n")]
+fn a_length_under_a_spoilt_name_is_no_answer(#[case] lines: &str, #[case] rest: &str) {
+    is_no_answer(answer("200 OK", lines, rest));
+}
+
 /// An answer of which a part was taken for its head, or the other way round.
 #[rstest]
 #[case::no_content_with_a_length("204 No Content", "Content-Length: 3", "abc")]
