Entry: an answer with a spoilt head reaches no caller; one reader of heads for entry and relay

Callers of `woodgap-entry` saw: an endpoint's answer whose length had been spoilt away, or that named none, came as 200, complete and without its body; one with a blank between a header's name and its colon, with both a length and chunks, with an unknown coding, or with status 600 or more came as an answer; an interim answer (1xx) came as the final one.

Cause: the entry reads answers with awc, which takes what names no length for an answer without a body, accepts blanks behind names, prefers chunks where there are two framings, and hands 1xx on. The relay reads heads itself, so that the two had come apart.

Strict connections, over which the entry asks endpoints, hold each head back until that reader finds it valid, and drop interim ones. An answer that ends with its connection is refused there: none of these interfaces has such answers.

--- a/crates/entry/tests/contract/main.rs
+++ b/crates/entry/tests/contract/main.rs
@@ -2,6 +2,7 @@
 //! process between stand-ins whose own records are compared with what callers
 //! were told.
 
+mod broken_heads;
 mod callers;
 mod engines;
 mod exchange;
--- a/crates/platform/src/connect.rs
+++ b/crates/platform/src/connect.rs
@@ -1,9 +1,14 @@
-//! Connections on which an answer that was cut off is an error.
+//! Connections on which an answer that was cut off, or has an invalid head, is an error.
 //!
 //! awc takes the end of the connection for the end of a body, also where its
 //! announced length or its last chunk is missing, and reports a connection
 //! that closed before the answer's head as one that never came about. Here the
 //! end of the connection is an error of its own, so both are told apart.
+//!
+//! It also takes an answer that names no length for one without a body, an interim answer for the
+//! final one, and blanks at the end of a header's name for none. Here each head is checked first.
+
+mod gate;
 
 use std::io;
 use std::pin::Pin;
@@ -16,6 +21,11 @@
 use awc::http::Uri;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::connect::gate::Gate;
+
+/// How much is read at a time while a head is held back, in bytes.
+const HEAD_READ_BYTES: usize = 4 * 1024;
+
 /// A connector for [`awc::Client`] whose connections are [`Strict`].
 ///
 /// ```
@@ -36,26 +46,37 @@
     let connector = tcp::Connector::new(Resolver::default()).service();
     let connector = ServiceExt::<ConnectInfo<Uri>>::map(connector, |connection| {
         let (stream, uri) = Connection::into_parts(connection);
-        Connection::new(uri, Strict(stream))
+        Connection::new(uri, Strict::new(stream))
     });
     Connector::new().connector(connector)
 }
 
-/// A TCP stream whose end is an error.
+/// A TCP stream whose end is an error, and on which only valid heads of answers come.
 ///
 /// A body that ends with its connection, as HTTP/1.0 has it, can't be read
 /// over it; none of our interfaces has such bodies.
 #[derive(Debug)]
-pub struct Strict(TcpStream);
+pub struct Strict {
+    stream: TcpStream,
+    gate: Gate,
+}
 
-impl AsyncRead for Strict {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+impl Strict {
+    fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            gate: Gate::new(),
+        }
+    }
+
+    /// Reads bytes into the buffer; the end of the connection is an error.
+    fn poll_some(
+        &mut self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.0).poll_read(context, buffer))?;
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         if buffer.filled().len() == before && buffer.remaining() > 0 {
             return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
         }
@@ -63,21 +84,47 @@
     }
 }
 
+impl AsyncRead for Strict {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        while buffer.remaining() > 0 {
+            if self.gate.is_open() {
+                return self.poll_some(context, buffer);
+            }
+            let checked = self.gate.take(buffer.remaining());
+            if !checked.is_empty() {
+                buffer.put_slice(&checked);
+                break;
+            }
+            let mut piece = [0; HEAD_READ_BYTES];
+            let mut piece = ReadBuf::new(&mut piece);
+            ready!(self.poll_some(context, &mut piece))?;
+            let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
+            self.gate.receive(piece.filled()).map_err(invalid)?;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
 impl AsyncWrite for Strict {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(context, bytes)
+        self.gate.record_sent(bytes);
+        Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(context)
+        Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(context)
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -85,20 +132,23 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(context, slices)
+        if let Some(first) = slices.iter().find(|slice| !slice.is_empty()) {
+            self.gate.record_sent(first);
+        }
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
+        self.stream.is_write_vectored()
     }
 }
 
 impl ActixStream for Strict {
     fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.0, context)
+        ActixStream::poll_read_ready(&self.stream, context)
     }
 
     fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, context)
+        ActixStream::poll_write_ready(&self.stream, context)
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod instance;
 pub mod lease;
 pub mod object;
+pub mod response;
 pub mod table;
 
 pub use error::Error;
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/platform/src/response/body.rs
@@ -3,7 +3,7 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::{Buf, Bytes, BytesMut};
 
-use crate::upstream::Error;
+use crate::response::Malformed;
 
 /// The maximum length of a line in a chunked body, in bytes. A chunk's header line holds
 /// its size and optional extensions.
@@ -72,8 +72,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Malformed`] if the chunked encoding is invalid.
-    pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Decoded, Error> {
+    /// [`Malformed`] if the chunked encoding is invalid.
+    pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Decoded, Malformed> {
         match self {
             Self::Length(0) => Ok(Decoded::End),
             Self::Length(left) => Ok(take_at_most(buffer, left)),
@@ -85,7 +85,7 @@
 }
 
 impl Chunk {
-    fn take(&mut self, buffer: &mut BytesMut) -> Result<Decoded, Error> {
+    fn take(&mut self, buffer: &mut BytesMut) -> Result<Decoded, Malformed> {
         loop {
             match self {
                 Self::Done => return Ok(Decoded::End),
@@ -105,7 +105,7 @@
                         return Ok(Decoded::NeedMore);
                     };
                     if !line.is_empty() {
-                        return Err(Error::Malformed("a chunk is longer than announced"));
+                        return Err(Malformed("a chunk is longer than announced"));
                     }
                     *self = Self::Line;
                 }
@@ -119,7 +119,7 @@
                         continue;
                     }
                     if *received > MAX_TRAILER_BYTES {
-                        return Err(Error::Malformed("the trailer section is too long"));
+                        return Err(Malformed("the trailer section is too long"));
                     }
                     check_field(&line)?;
                 }
@@ -140,27 +140,25 @@
 
 /// Removes a line from the buffer and returns it without its CRLF; `None` until the buffer
 /// holds a complete line.
-fn line(buffer: &mut BytesMut) -> Result<Option<Bytes>, Error> {
+fn line(buffer: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
     let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
         if buffer.len() > MAX_LINE_BYTES {
-            return Err(Error::Malformed("a chunk's line is too long"));
+            return Err(Malformed("a chunk's line is too long"));
         }
         return Ok(None);
     };
     let mut line = buffer.split_to(end);
     buffer.advance(1);
     if line.last() != Some(&b'\r') {
-        return Err(Error::Malformed(
-            "a chunk's line ends without a carriage return",
-        ));
+        return Err(Malformed("a chunk's line ends without a carriage return"));
     }
     line.truncate(end - 1);
     Ok(Some(line.freeze()))
 }
 
 /// The length in a chunk's header line; its extensions are ignored.
-fn chunk_length(line: &[u8]) -> Result<u64, Error> {
-    let invalid = || Error::Malformed("a chunk's length");
+fn chunk_length(line: &[u8]) -> Result<u64, Malformed> {
+    let invalid = || Malformed("a chunk's length");
     // What is text in a header's value is text here.
     let line = HeaderValue::from_bytes(line).map_err(|_| invalid())?;
     let digits = line.as_bytes().split(|byte| *byte == b';').next();
@@ -171,12 +169,12 @@
 }
 
 /// Checks a line of the trailer section, which is of the form of a header.
-fn check_field(line: &[u8]) -> Result<(), Error> {
+fn check_field(line: &[u8]) -> Result<(), Malformed> {
     let mut parts = line.splitn(2, |byte| *byte == b':');
     let name = parts.next().map(HeaderName::from_bytes);
     let value = parts.next().map(HeaderValue::from_bytes);
     match (name, value) {
         (Some(Ok(_)), Some(Ok(_))) => Ok(()),
-        _ => Err(Error::Malformed("a trailer can't be read")),
+        _ => Err(Malformed("a trailer can't be read")),
     }
 }
--- a/crates/relay/src/upstream/head.rs
+++ b/crates/platform/src/response/head.rs
@@ -9,12 +9,12 @@
 use actix_http::{Method, StatusCode};
 use bytes::{Buf, BytesMut};
 
-use crate::upstream::{Error, Framing};
+use crate::response::{Framing, Malformed};
 
 /// The maximum number of headers in a response.
 const MAX_HEADERS: usize = 64;
 /// The maximum size of a response head, in bytes; the same limit as for callers' requests.
-pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// The status codes that a response can have.
 const STATUSES: Range<u16> = 100..600;
@@ -45,55 +45,56 @@
     /// Parses a head at the front of the buffer and removes it; `None` until the buffer holds
     /// a complete head. Interim responses (1xx) are skipped.
     ///
+    /// ```
+    /// use bytes::BytesMut;
+    /// use woodgap_platform::response::Head;
+    ///
+    /// let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+    /// let head = Head::take(&mut buffer)?.expect("a complete head");
+    /// assert_eq!((head.status.as_u16(), &buffer[..]), (200, &b"abc"[..]));
+    ///
+    /// let mut spoilt = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc");
+    /// assert!(Head::take(&mut spoilt).is_err());
+    /// # Ok::<(), woodgap_platform::response::Malformed>(())
+    /// ```
+    ///
     /// # Errors
     ///
-    /// [`Error::Malformed`] if the head is invalid or too large, or if its framing headers conflict,
-    /// are invalid or name an unsupported transfer coding.
-    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, Error> {
+    /// As for [`Self::parse`].
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, Malformed> {
         loop {
             let Some((head, length)) = Self::parse(buffer)? else {
                 return Ok(None);
             };
             buffer.advance(length);
-            head.check()?;
             if !head.status.is_informational() {
                 return Ok(Some(head));
             }
         }
     }
 
-    /// Checks what the head says of the body and of the connection after it.
-    fn check(&self) -> Result<(), Error> {
-        if self.status == StatusCode::SWITCHING_PROTOCOLS {
-            return Err(Error::Malformed("another protocol, which nobody asked for"));
-        }
-        let announced = self.announced()?;
-        let allows_body = !self.status.is_informational() && self.status != StatusCode::NO_CONTENT;
-        match announced {
-            Some(Framing::Length(0)) => Ok(()),
-            Some(_) if !allows_body => Err(Error::Malformed("a body where none can be")),
-            None if self.has_spoilt_framing_header() => {
-                Err(Error::Malformed("a framing header's name is spoilt"))
-            }
-            _ => Ok(()),
-        }
-    }
-
-    fn parse(buffer: &[u8]) -> Result<Option<(Self, usize)>, Error> {
+    /// Parses a head at the front of the bytes, also that of an interim response. Returns it with
+    /// its length in bytes; `None` until the bytes hold a complete head.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if the head is invalid or too large, or if its framing headers conflict, are
+    /// invalid or name an unsupported transfer coding.
+    pub fn parse(buffer: &[u8]) -> Result<Option<(Self, usize)>, Malformed> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut headers);
         let parsed = response.parse(buffer);
         let length = match parsed {
             Ok(httparse::Status::Complete(length)) => length,
             Ok(httparse::Status::Partial) if buffer.len() > MAX_HEAD_BYTES => {
-                return Err(Error::Malformed("the head is too large"));
+                return Err(Malformed("the head is too large"));
             }
             Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(Error::Malformed("the head can't be read")),
+            Err(_) => return Err(Malformed("the head can't be read")),
         };
         let code = response.code.filter(|code| STATUSES.contains(code));
         let status = code.and_then(|code| StatusCode::from_u16(code).ok());
-        let status = status.ok_or(Error::Malformed("the status is none"))?;
+        let status = status.ok_or(Malformed("the status is none"))?;
         let headers = to_header_map(response.headers)?;
         let keeps_alive = response.version == Some(1) && !has_connection_close(&headers);
         let head = Self {
@@ -101,16 +102,34 @@
             headers,
             keeps_alive,
         };
+        head.check()?;
         Ok(Some((head, length)))
     }
 
+    /// Checks what the head says of the body and of the connection after it.
+    fn check(&self) -> Result<(), Malformed> {
+        if self.status == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(Malformed("another protocol, which nobody asked for"));
+        }
+        let announced = self.announced()?;
+        let allows_body = !self.status.is_informational() && self.status != StatusCode::NO_CONTENT;
+        match announced {
+            Some(Framing::Length(0)) => Ok(()),
+            Some(_) if !allows_body => Err(Malformed("a body where none can be")),
+            None if self.has_spoilt_framing_header() => {
+                Err(Malformed("a framing header's name is spoilt"))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// The framing of the body, for a response to a request with this method.
     ///
     /// # Errors
     ///
-    /// [`Error::Malformed`] if the framing headers conflict, are invalid or name an
+    /// [`Malformed`] if the framing headers conflict, are invalid or name an
     /// unsupported transfer coding.
-    pub fn framing(&self, method: &Method) -> Result<Framing, Error> {
+    pub fn framing(&self, method: &Method) -> Result<Framing, Malformed> {
         let has_no_body = method == Method::HEAD
             || self.status == StatusCode::NO_CONTENT
             || self.status == StatusCode::NOT_MODIFIED;
@@ -121,18 +140,18 @@
     }
 
     /// The framing that the headers announce; `None` if they announce none.
-    fn announced(&self) -> Result<Option<Framing>, Error> {
+    fn announced(&self) -> Result<Option<Framing>, Malformed> {
         let mut codings = self.headers.get_all("transfer-encoding");
         let coding = codings.next();
         if codings.next().is_some() {
-            return Err(Error::Malformed("two transfer codings"));
+            return Err(Malformed("two transfer codings"));
         }
         match (coding, self.headers.contains_key("content-length")) {
-            (Some(_), true) => Err(Error::Malformed("two framings")),
+            (Some(_), true) => Err(Malformed("two framings")),
             (Some(coding), false) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
                 Ok(Some(Framing::chunked()))
             }
-            (Some(_), false) => Err(Error::Malformed("an unknown transfer coding")),
+            (Some(_), false) => Err(Malformed("an unknown transfer coding")),
             (None, true) => self.length().map(Some),
             (None, false) => Ok(None),
         }
@@ -154,11 +173,11 @@
         }
     }
 
-    fn length(&self) -> Result<Framing, Error> {
+    fn length(&self) -> Result<Framing, Malformed> {
         let mut lengths = self.headers.get_all("content-length");
         let first = lengths.next();
         if lengths.any(|other| Some(other) != first) {
-            return Err(Error::Malformed("two lengths"));
+            return Err(Malformed("two lengths"));
         }
         // A number may have a sign where it is parsed, but not here.
         let digits = self
@@ -167,18 +186,18 @@
         let length = digits.and_then(|digits| digits.parse().ok());
         length
             .map(Framing::Length)
-            .ok_or(Error::Malformed("the length is no number"))
+            .ok_or(Malformed("the length is no number"))
     }
 }
 
-fn to_header_map(headers: &[httparse::Header<'_>]) -> Result<HeaderMap, Error> {
+fn to_header_map(headers: &[httparse::Header<'_>]) -> Result<HeaderMap, Malformed> {
     let mut map = HeaderMap::with_capacity(headers.len());
     for header in headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
         let value = HeaderValue::from_bytes(header.value);
         match (name, value) {
             (Ok(name), Ok(value)) => map.append(name, value),
-            _ => return Err(Error::Malformed("a header can't be read")),
+            _ => return Err(Malformed("a header can't be read")),
         }
     }
     Ok(map)
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -163,7 +163,7 @@
             answered = reply.id.unwrap_or("");
             "skipped a response to another request"
         );
-        let framing = response.framing(&request.method)?;
+        let framing = response.framing(&request.method).map_err(Error::from)?;
         connection.read_body(framing, MAX_DISCARDED_BYTES).await?;
         response = connection.next_head().await?;
     }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -3,23 +3,20 @@
 //! The relay must know whether a response is complete, whether bytes arrived that
 //! belong to no request, and whether any byte of a request was sent. `awc` hides all
 //! three behind its connection pool and treats the end of a connection as the end of
-//! a body. This module therefore parses heads with `httparse` and implements the body
-//! framing itself.
+//! a body. This module therefore reads responses itself, by [`woodgap_platform::response`].
 
-pub mod body;
 pub mod call;
 pub mod connection;
-pub mod head;
 pub mod pool;
 
-pub use body::Framing;
 pub use connection::Connection;
-pub use head::Head;
 pub use pool::Pool;
+pub use woodgap_platform::response::{Framing, Head};
 
 use std::io;
 
 use thiserror::Error;
+use woodgap_platform::response;
 
 /// Why a complete response could not be read.
 #[derive(Debug, Error)]
@@ -31,8 +28,8 @@
     #[error("cut off: {0}")]
     Cut(#[source] io::Error),
     /// The bytes received are not a valid HTTP/1.1 response.
-    #[error("not an answer: {0}")]
-    Malformed(&'static str),
+    #[error(transparent)]
+    Malformed(#[from] response::Malformed),
     /// The response body exceeds the caller's size limit.
     #[error("the answer is too large")]
     TooLarge,
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -11,9 +11,10 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
 use woodgap_core::clock::Millis;
+use woodgap_platform::response::Malformed;
+use woodgap_platform::response::body::Decoded;
+use woodgap_platform::response::head::MAX_HEAD_BYTES;
 
-use crate::upstream::body::Decoded;
-use crate::upstream::head::MAX_HEAD_BYTES;
 use crate::upstream::{Error, Framing, Head};
 
 /// How long opening a connection may take: many round trips between regions, but less than
@@ -282,7 +283,7 @@
         }
         // Interim responses may come without end, each of them short.
         if received > MAX_HEAD_BYTES {
-            return Err(Error::Malformed("the head is too large"));
+            return Err(Malformed("the head is too large").into());
         }
         buffer.reserve(READ_BYTES);
         let count = reader.read_buf(buffer).await.map_err(Error::Cut)?;
