Sizes of chunks are read without a copy

A chunk's line was copied into a header's value only to be looked at, once for each chunk of each answer: at the planned size some 16,000 a second and entry, by calculation. Its bytes are looked at in place now. The same cases pass: 89 of the relay's broken heads, four of the platform's response. The cost of either was not measured.

--- a/crates/platform/src/response/body.rs
+++ b/crates/platform/src/response/body.rs
@@ -158,14 +158,15 @@
 
 /// The length in a chunk's header line; its extensions are ignored.
 fn chunk_length(line: &[u8]) -> Result<u64, Malformed> {
-    let invalid = || Malformed("a chunk's length");
-    // What is text in a header's value is text here.
-    let line = HeaderValue::from_bytes(line).map_err(|_| invalid())?;
-    let digits = line.as_bytes().split(|byte| *byte == b';').next();
+    let has_control_byte = line
+        .iter()
+        .any(|byte| byte.is_ascii_control() && *byte != b'\t');
+    let digits = line.split(|byte| *byte == b';').next();
+    let digits = digits.filter(|it| it.iter().all(u8::is_ascii_hexdigit));
     let digits = digits.and_then(|digits| std::str::from_utf8(digits).ok());
-    let digits = digits.filter(|it| it.bytes().all(|byte| byte.is_ascii_hexdigit()));
     let length = digits.and_then(|digits| u64::from_str_radix(digits, 16).ok());
-    length.ok_or_else(invalid)
+    let length = length.filter(|_| !has_control_byte);
+    length.ok_or(Malformed("a chunk's length"))
 }
 
 /// Checks a line of the trailer section, which is of the form of a header.
