--- a/crates/entry/tests/contract/broken_heads.rs
+++ b/crates/entry/tests/contract/broken_heads.rs
@@ -1,4 +1,4 @@
-//! Endpoints whose answers have a spoilt head, and what callers see of it.
+//! Endpoints whose answers have a corrupt head, and what callers see of it.
 
 use rstest::rstest;
 
@@ -50,7 +50,7 @@
     "HTTP/1.1 204 OK\r\nx-woodgap-request: {id}\r\ncontent-length: 3\r\n\r\nabc"
 )]
 #[actix_rt::test]
-async fn a_spoilt_answer_reaches_no_caller(#[case] answer: &'static str) {
+async fn a_corrupt_answer_reaches_no_caller(#[case] answer: &'static str) {
     let site = Site::raw(Raw::new(&[answer, SOUND]).await).await;
     let once = site.call("flux", "post").await;
     assert_eq!(
--- a/crates/platform/src/response/head.rs
+++ b/crates/platform/src/response/head.rs
@@ -21,7 +21,7 @@
 /// The names of the headers that say where a body ends.
 const FRAMING_HEADERS: [&str; 2] = ["content-length", "transfer-encoding"];
 /// How many bytes of a framing header's name may be wrong, missing, swapped or too many for it to
-/// be recognised as spoilt.
+/// be recognised as one that is corrupt.
 const MAX_WRONG_BYTES: usize = 2;
 
 /// The status and headers of a response.
@@ -53,8 +53,8 @@
     /// let head = Head::take(&mut buffer)?.expect("a complete head");
     /// assert_eq!((head.status.as_u16(), &buffer[..]), (200, &b"abc"[..]));
     ///
-    /// let mut spoilt = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc");
-    /// assert!(Head::take(&mut spoilt).is_err());
+    /// let mut corrupt = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc");
+    /// assert!(Head::take(&mut corrupt).is_err());
     /// # Ok::<(), woodgap_platform::response::Malformed>(())
     /// ```
     ///
@@ -119,8 +119,8 @@
         match announced {
             Some(Framing::Length(0)) => Ok(()),
             Some(_) if !allows_body => Err(Malformed("a body where none can be")),
-            None if lines.any(is_spoilt_framing_header) => {
-                Err(Malformed("a framing header's name is spoilt"))
+            None if lines.any(is_corrupt_framing_header) => {
+                Err(Malformed("a framing header's name is corrupt"))
             }
             _ => Ok(()),
         }
@@ -189,7 +189,7 @@
 }
 
 /// Whether all lines of a head end with CRLF, or all with LF alone, as some endpoints have it. Where
-/// both occur, a line feed may be a spoilt byte.
+/// both occur, a line feed may be a corrupt byte.
 fn ends_lines_in_one_way(head: &[u8]) -> bool {
     let line_feeds = (0..head.len()).filter(|at| head[*at] == b'\n');
     let mut has_carriage_return = line_feeds.map(|at| head[..at].ends_with(b"\r"));
@@ -211,7 +211,7 @@
 }
 
 /// Whether the line begins almost as a framing header does.
-fn is_spoilt_framing_header(line: &[u8]) -> bool {
+fn is_corrupt_framing_header(line: &[u8]) -> bool {
     FRAMING_HEADERS.iter().any(|name| {
         let begin = &line[..line.len().min(name.len())];
         let begin = String::from_utf8_lossy(begin).to_ascii_lowercase();
--- a/crates/platform/tests/connect.rs
+++ b/crates/platform/tests/connect.rs
@@ -1,4 +1,4 @@
-//! Answers that were cut off or have a spoilt head, over strict connections.
+//! Answers that were cut off or have a corrupt head, over strict connections.
 
 use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
@@ -50,7 +50,7 @@
 #[case::no_length("HTTP/1.1 200 OK\r\n\r\nabc")]
 #[case::blank_after_the_name_of_the_length("HTTP/1.1 200 OK\r\ncontent-length : 3\r\n\r\nabc")]
 #[case::blank_after_a_name("HTTP/1.1 200 OK\r\nx-a : b\r\ncontent-length: 3\r\n\r\nabc")]
-#[case::spoilt_name_of_the_coding(
+#[case::corrupt_name_of_the_coding(
     "HTTP/1.1 200 OK\r\ntransfer-encodinq: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
 )]
 #[case::no_coding("HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nabc")]
@@ -62,7 +62,7 @@
 #[case::another_protocol("HTTP/1.1 101 OK\r\n\r\nabc")]
 #[case::no_content_with_a_body("HTTP/1.1 204 OK\r\ncontent-length: 3\r\n\r\nabc")]
 #[actix_rt::test]
-async fn a_spoilt_head_is_an_error(#[case] answer: &'static str) {
+async fn a_corrupt_head_is_an_error(#[case] answer: &'static str) {
     let url = served(answer).await;
     let error = client().get(url).send().await.unwrap_err();
     assert!(!matches!(error, SendRequestError::Connect(_)), "{error}");
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -31,7 +31,7 @@
 #[case::no_last_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n")]
 #[case::interim("HTTP/1.1 100 Continue\r\ncontent-length: 3\r\n\r\nabc")]
 #[actix_rt::test]
-async fn a_spoilt_or_cut_answer_is_no_object(#[case] answer: &'static str) {
+async fn a_corrupt_or_cut_answer_is_no_object(#[case] answer: &'static str) {
     let object = platform(answer).await.get("a").await;
     assert!(matches!(object, Err(Error::Unknown(_))), "{object:?}");
 }
--- a/crates/platform/tests/response.rs
+++ b/crates/platform/tests/response.rs
@@ -1,4 +1,4 @@
-//! Heads of responses of which a byte is spoilt, and heads that come in pieces.
+//! Heads of responses of which a byte is corrupt, and heads that come in pieces.
 
 use actix_http::{Method, StatusCode};
 use bytes::BytesMut;
@@ -17,7 +17,7 @@
     Some(head.framing(&Method::GET).unwrap())
 }
 
-fn spoil(line: &str, at: usize, byte: u8) -> Vec<u8> {
+fn corrupt_at(line: &str, at: usize, byte: u8) -> Vec<u8> {
     let mut line = line.as_bytes().to_vec();
     line[at] = byte;
     line
@@ -26,11 +26,11 @@
 /// Each byte of the line with the length replaced by each other byte, with and without a line
 /// after it. What is a number still, with blanks around it, can't be told from a sound one.
 #[test]
-fn a_length_with_a_spoilt_byte_is_sound_or_no_head() {
+fn a_length_with_a_corrupt_byte_is_sound_or_no_head() {
     for after in ["", AFTER] {
         for (at, byte) in (0..LENGTH.len()).flat_map(|at| (0..=u8::MAX).map(move |byte| (at, byte)))
         {
-            let line = spoil(LENGTH, at, byte);
+            let line = corrupt_at(LENGTH, at, byte);
             let text = String::from_utf8_lossy(&line);
             let number = text
                 .split_once(':')
@@ -46,11 +46,11 @@
 }
 
 #[test]
-fn a_coding_with_a_spoilt_byte_is_sound_or_no_head() {
+fn a_coding_with_a_corrupt_byte_is_sound_or_no_head() {
     for after in ["", AFTER] {
         for (at, byte) in (0..CODING.len()).flat_map(|at| (0..=u8::MAX).map(move |byte| (at, byte)))
         {
-            let line = spoil(CODING, at, byte);
+            let line = corrupt_at(CODING, at, byte);
             let found = framing(&line, after);
             let text = String::from_utf8_lossy(&line);
             assert!(
@@ -63,12 +63,12 @@
 
 /// Each byte of the rest of the head replaced by each other byte.
 #[test]
-fn a_length_beside_a_spoilt_byte_is_kept_or_no_head() {
+fn a_length_beside_a_corrupt_byte_is_kept_or_no_head() {
     let head = [BEFORE, LENGTH, AFTER, "\r\n"].concat();
     let beside = (0..head.len()).filter(|at| !in_length(*at));
     for (at, byte) in beside.flat_map(|at| (0..=u8::MAX).map(move |byte| (at, byte))) {
-        let spoilt = spoil(&head, at, byte);
-        let read = Head::take(&mut BytesMut::from(&spoilt[..]));
+        let corrupt = corrupt_at(&head, at, byte);
+        let read = Head::take(&mut BytesMut::from(&corrupt[..]));
         let Ok(Some(head)) = read else {
             continue;
         };
@@ -86,7 +86,7 @@
             found,
             Framing::Length(expected),
             "{:?}",
-            String::from_utf8_lossy(&spoilt)
+            String::from_utf8_lossy(&corrupt)
         );
     }
 }
@@ -96,7 +96,7 @@
 }
 
 proptest! {
-    /// However the bytes of a head are spoilt and split, it is read in the same way.
+    /// However the bytes of a head are corrupt and split, it is read in the same way.
     #[test]
     fn a_head_in_pieces_is_read_as_a_whole_one(
         bytes in proptest::collection::vec((0..64_usize, any::<u8>()), 0..3),
--- a/crates/relay/tests/contract/broken_heads.rs
+++ b/crates/relay/tests/contract/broken_heads.rs
@@ -1,4 +1,4 @@
-//! Answers whose head or trailer is spoilt, and heads that only look so.
+//! Answers whose head or trailer is corrupt, and heads that only look so.
 
 use rstest::rstest;
 
@@ -49,9 +49,9 @@
 #[case::too_large("Content-Length: 99999999999999999999")]
 #[case::control_byte("Content-Length: 3\u{b}")]
 #[case::two_lengths("Content-Length: 3\r\nContent-Length: 4")]
-#[case::length_and_spoilt_length("Content-Length: 3\r\nContent-Length: +3")]
+#[case::length_and_corrupt_length("Content-Length: 3\r\nContent-Length: +3")]
 #[case::length_and_coding("Content-Length: 3\r\nTransfer-Encoding: chunked")]
-fn a_spoilt_length_is_no_answer(#[case] lines: &str) {
+fn a_corrupt_length_is_no_answer(#[case] lines: &str) {
     is_no_answer(answer("200 OK", lines, "abc"));
 }
 
@@ -63,13 +63,13 @@
 #[case::twice("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked")]
 #[case::another_one_after_it("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip")]
 #[case::another_one_before_it("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked")]
-fn a_spoilt_transfer_coding_is_no_answer(#[case] lines: &str) {
+fn a_corrupt_transfer_coding_is_no_answer(#[case] lines: &str) {
     is_no_answer(answer("200 OK", lines, &format!("{CHUNKS}\r\n")));
 }
 
 #[rstest]
 #[case::no_colon("Content-Length: 3\r\nspoilt")]
-#[case::no_name("Content-Length: 3\r\n: spoilt")]
+#[case::no_name("Content-Length: 3\r\n: corrupt")]
 #[case::control_bytes("Content-Length: 3\r\n\u{1}\u{2}")]
 #[case::blank_first("Content-Length: 3\r\n X-A: b")]
 #[case::length_without_a_colon("Content-Length 3")]
@@ -99,7 +99,7 @@
 #[case::four_digits("2000 OK")]
 #[case::sign("+20 OK")]
 #[case::letters("2OO OK")]
-fn a_spoilt_status_is_no_answer(#[case] status: &str) {
+fn a_corrupt_status_is_no_answer(#[case] status: &str) {
     is_no_answer(answer(status, "Content-Length: 3", "abc"));
 }
 
@@ -111,7 +111,7 @@
 #[case::colon_in_place_of_a_letter("C:ntent-Length: 3", "abc")]
 #[case::line_feed_in_place_of_a_letter("\nontent-Length: 3", "abc")]
 #[case::coding("Transfer-Encodinq: chunked", "3\r\nabc\r\n0\r\n\r\n")]
-fn a_length_under_a_spoilt_name_is_no_answer(#[case] lines: &str, #[case] rest: &str) {
+fn a_length_under_a_corrupt_name_is_no_answer(#[case] lines: &str, #[case] rest: &str) {
     is_no_answer(answer("200 OK", lines, rest));
 }
 
@@ -137,9 +137,9 @@
     is_no_answer(steps);
 }
 
-/// Of a spoilt answer nothing is believed, also not that the request has not run.
+/// Of a corrupt answer nothing is believed, also not that the request has not run.
 #[test]
-fn a_spoilt_refusal_is_no_refusal() {
+fn a_corrupt_refusal_is_no_refusal() {
     let lines = "X-Woodgap-Verdict: not_run\r\nContent-Length: +0";
     let steps = answer("503 Service Unavailable", lines, "");
     let endpoint = Endpoint::always(steps);
@@ -151,7 +151,7 @@
 
 /// The head alone is the answer, and must be sound all the same.
 #[test]
-fn a_spoilt_head_without_a_body_is_no_answer() {
+fn a_corrupt_head_without_a_body_is_no_answer() {
     let endpoint = Endpoint::always(answer("200 OK", "Content-Length: +3", ""));
     let site = Site::start(&[endpoint.address]);
     let mut caller = Caller::connect(site.requests);
@@ -160,8 +160,8 @@
 }
 
 #[rstest]
-#[case::no_colon("spoilt")]
-#[case::no_name(": spoilt")]
+#[case::no_colon("corrupt")]
+#[case::no_name(": corrupt")]
 #[case::blank_in_a_name("X A: b")]
 #[case::blank_after_a_name("X-A : b")]
 #[case::control_byte_in_a_name("X\u{1}A: b")]
@@ -182,7 +182,7 @@
 #[case::blank_before("\u{20}3")]
 #[case::nothing("")]
 #[case::too_large("10000000000000003")]
-fn a_spoilt_chunk_size_is_no_answer(#[case] size: &str) {
+fn a_corrupt_chunk_size_is_no_answer(#[case] size: &str) {
     let rest = format!("{size}\r\nabc\r\n0\r\n\r\n");
     is_no_answer(answer("200 OK", "Transfer-Encoding: chunked", &rest));
 }
@@ -225,19 +225,19 @@
     is_whole(steps);
 }
 
-/// A spoilt answer is a failure of its endpoint.
+/// A corrupt answer is a failure of its endpoint.
 #[rstest]
 #[case::length("200 OK", "Content-Length: +3")]
 #[case::coding("200 OK", "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip")]
 #[case::line("200 OK", "Content-Length: 3\r\nspoilt")]
 #[case::status("000", "Content-Length: 3")]
 fn what_may_be_repeated_is_answered_elsewhere(#[case] status: &str, #[case] lines: &str) {
-    let spoilt = Endpoint::always(answer(status, lines, "abc"));
+    let corrupt = Endpoint::always(answer(status, lines, "abc"));
     let sound = Endpoint::always(vec![whole("yes")]);
-    let site = Site::start(&[spoilt.address, sound.address]);
+    let site = Site::start(&[corrupt.address, sound.address]);
     for id in ["r1", "r2", "r3", "r4"] {
         let answer = get(site.requests, "/read/", id, "");
         assert_eq!((answer.status, answer.text().as_str()), (200, "yes"));
     }
-    assert!(!spoilt.seen().is_empty());
+    assert!(!corrupt.seen().is_empty());
 }
