--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -29,6 +29,10 @@
 #[case::no_length("HTTP/1.1 200 OK\r\n\r\nabc")]
 #[case::name_of_the_length("HTTP/1.1 200 OK\r\ncontemt-length: 3\r\n\r\nabc")]
 #[case::no_last_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n")]
+#[case::shorter_than_announced("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabc")]
+#[case::two_framings(
+    "HTTP/1.1 200 OK\r\ncontent-length: 9\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+)]
 #[case::interim("HTTP/1.1 100 Continue\r\ncontent-length: 3\r\n\r\nabc")]
 #[actix_rt::test]
 async fn a_corrupt_or_cut_answer_is_no_object(#[case] answer: &'static str) {
--- a/crates/relay/tests/contract/broken_heads.rs
+++ b/crates/relay/tests/contract/broken_heads.rs
@@ -115,7 +115,7 @@
     is_no_answer(answer("200 OK", lines, rest));
 }
 
-/// An answer of which a part was taken for its head, or the other way round.
+/// Neither 1xx nor 204 has a body, so one that announces it has a corrupt status or length.
 #[rstest]
 #[case::no_content_with_a_length("204 No Content", "Content-Length: 3", "abc")]
 #[case::no_content_in_chunks(
