Relay: a reset that writing an upload has met is told to whoever reads the answer

What callers saw: an endpoint answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written; the caller gets the part as a complete answer, with its seal.

Cause: the kernel reports the reset of a connection once, to the call that comes first. Here that was the write, whose failure `Connection::exchange` lets go, as an answer that has come is still valid. The next read got what had arrived and then a plain 0, which was taken for the end of a body that ends with its connection. The look whether the endpoint still takes connections found nothing, as it does.

Evidence: `resets` plays it without chance: the endpoint answers and resets while the call is not polled. What is sound arrived whole before and does now: a length, chunks, an end in order, refusals.

Change: `upstream::socket::Socket` keeps the failure that any call reports, and a read that returns 0 after it is that failure. All answers that the relay and the adapter read come through it: endpoints, other entries, the platform. It knows nothing of uploads, heads or framing, so no call can lose a failure for the next one. Socket options and `connect` move with it, unaltered.

A reset after the endpoint has ended the connection in order (FIN) is none: by the connection the answer was whole, and servers that close after an early answer end with just that once more of the upload arrives. Linux tells the two apart, EPIPE for the latter.

Ruled out, by trials on this code: to treat each failed send as a failed answer; thirteen cases of sound answers and refusals fail. To count EPIPE as a failure as well; the two cases of a reset after the end in order fail.

Found beside it, older, not mended: once an answer has begun the rest of an upload is not sent, so an endpoint that reads all of it before it ends an answer without a length waits in vain.

--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod connection;
 pub mod pool;
+mod socket;
 
 pub use connection::Connection;
 pub use pool::Pool;
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -6,34 +6,22 @@
 
 use actix_http::Method;
 use bytes::{Bytes, BytesMut};
-use rustix::net::sockopt;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpSocket, TcpStream};
 use woodgap_core::clock::Millis;
 use woodgap_platform::response::Malformed;
 use woodgap_platform::response::body::Decoded;
 use woodgap_platform::response::head::MAX_HEAD_BYTES;
 
+use crate::upstream::socket::{Reader, Socket, Writer};
 use crate::upstream::{Error, Framing, Head};
 
 /// How long opening a connection may take: many round trips between regions, but less than
 /// the second after which TCP retransmits a SYN.
 pub const CONNECT_TIMEOUT: Millis = Millis(300);
-/// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the connection is
-/// aborted. It allows for several retransmissions.
-const USER_TIMEOUT: Millis = Millis(2_500);
-/// TCP keepalive: the idle time before the first probe, the interval between probes, and the
-/// number of unanswered probes after which the connection is dropped. Linux ignores the number
-/// where `TCP_USER_TIMEOUT` is set, and drops it at the first probe after that time.
-const KEEPALIVE: (Duration, Duration, u32) = (Duration::from_secs(1), Duration::from_secs(1), 2);
-/// The buffer space reserved for a read, in bytes; it fits an event or a short response.
-const READ_BYTES: usize = 4 * 1024;
 
 /// A connection to an endpoint, with its read buffer.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    socket: Socket,
     buffer: BytesMut,
     /// Whether the last request was sent completely, its response allows keep-alive, and the
     /// connection did not end while the body was read. Unread body bytes do not clear it.
@@ -48,8 +36,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         if self.is_awaiting {
-            // Fails only for a socket that is gone.
-            let _ = sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO));
+            self.socket.reset_on_close();
         }
     }
 }
@@ -71,15 +58,14 @@
     /// [`Error::Unsent`], also if the local address is none of this instance.
     pub async fn open_from(source: Option<IpAddr>, address: SocketAddr) -> Result<Self, Error> {
         let limit = Duration::from_millis(CONNECT_TIMEOUT.0);
-        let connecting = tokio::time::timeout(limit, connect(source, address));
+        let connecting = tokio::time::timeout(limit, Socket::connect(source, address));
         let timed_out = |_| Error::Unsent(io::ErrorKind::TimedOut.into());
-        let stream = connecting
+        let socket = connecting
             .await
             .map_err(timed_out)?
             .map_err(Error::Unsent)?;
-        set_socket_options(&stream).map_err(Error::Unsent)?;
         Ok(Self {
-            stream,
+            socket,
             buffer: BytesMut::new(),
             allows_reuse: true,
             is_awaiting: false,
@@ -90,17 +76,13 @@
     /// Whether another request can be sent: the last exchange allows reuse, no unexpected bytes
     /// have arrived, and the peer has not closed the connection.
     pub fn is_reusable(&self) -> bool {
-        if !self.allows_reuse || !self.buffer.is_empty() {
-            return false;
-        }
-        let unexpected = self.stream.try_read(&mut [0]);
-        unexpected.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        self.allows_reuse && self.buffer.is_empty() && self.socket.is_quiet()
     }
 
     /// Whether the peer closes a new connection, or sends what nobody asked for, within this time.
     pub async fn closes_within(&self, span: Millis) -> bool {
         let limit = Duration::from_millis(span.0);
-        let readable = tokio::time::timeout(limit, self.stream.readable()).await;
+        let readable = tokio::time::timeout(limit, self.socket.readable()).await;
         readable.is_ok() && !self.is_reusable()
     }
 
@@ -121,7 +103,7 @@
         self.request_count += 1;
         self.allows_reuse = false;
         self.is_awaiting = true;
-        let (mut reader, mut writer) = self.stream.split();
+        let (mut reader, mut writer) = self.socket.split();
         let sending = send(&mut writer, head, body);
         let reading = read_head(&mut reader, &mut self.buffer);
         tokio::pin!(sending, reading);
@@ -152,7 +134,7 @@
     ///
     /// As for [`Self::exchange`], except [`Error::Unsent`].
     pub async fn next_head(&mut self) -> Result<Head, Error> {
-        let (mut reader, _) = self.stream.split();
+        let (mut reader, _) = self.socket.split();
         let head = read_head(&mut reader, &mut self.buffer).await?;
         self.allows_reuse &= head.keeps_alive;
         Ok(head)
@@ -173,8 +155,8 @@
                 }
                 Decoded::NeedMore => {}
             }
-            self.buffer.reserve(READ_BYTES);
-            let count = self.stream.read_buf(&mut self.buffer).await;
+            let (mut reader, _) = self.socket.split();
+            let count = reader.read(&mut self.buffer).await;
             if count.map_err(Error::Cut)? > 0 {
                 continue;
             }
@@ -230,33 +212,8 @@
     }
 }
 
-async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
-    let Some(source) = source else {
-        return TcpStream::connect(address).await;
-    };
-    let socket = if source.is_ipv4() {
-        TcpSocket::new_v4()
-    } else {
-        TcpSocket::new_v6()
-    }?;
-    socket.bind(SocketAddr::new(source, 0))?;
-    socket.connect(address).await
-}
-
-fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let (idle, interval, count) = KEEPALIVE;
-    sockopt::set_socket_keepalive(stream, true)?;
-    sockopt::set_tcp_keepidle(stream, idle)?;
-    sockopt::set_tcp_keepintvl(stream, interval)?;
-    sockopt::set_tcp_keepcnt(stream, count)?;
-    let timeout = u32::try_from(USER_TIMEOUT.0).unwrap_or(u32::MAX);
-    sockopt::set_tcp_user_timeout(stream, timeout)?;
-    Ok(())
-}
-
 /// Sends head and body, with a single system call if the socket takes both at once.
-async fn send(writer: &mut WriteHalf<'_>, head: &[u8], body: &[u8]) -> Result<(), Error> {
+async fn send(writer: &mut Writer<'_>, head: &[u8], body: &[u8]) -> Result<(), Error> {
     let mut is_partly_sent = false;
     let mut parts = [head, body];
     while parts.iter().any(|part| !part.is_empty()) {
@@ -275,7 +232,7 @@
     Ok(())
 }
 
-async fn read_head(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> Result<Head, Error> {
+async fn read_head(reader: &mut Reader<'_>, buffer: &mut BytesMut) -> Result<Head, Error> {
     let mut received = 0;
     loop {
         if let Some(head) = Head::take(buffer)? {
@@ -285,8 +242,7 @@
         if received > MAX_HEAD_BYTES {
             return Err(Malformed("the head is too large").into());
         }
-        buffer.reserve(READ_BYTES);
-        let count = reader.read_buf(buffer).await.map_err(Error::Cut)?;
+        let count = reader.read(buffer).await.map_err(Error::Cut)?;
         if count == 0 {
             return Err(Error::Cut(io::ErrorKind::UnexpectedEof.into()));
         }
--- a/crates/relay/tests/contract/endpoint.rs
+++ b/crates/relay/tests/contract/endpoint.rs
@@ -1,7 +1,7 @@
 //! A scripted endpoint: it does on its connections exactly what a test says.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,6 +16,10 @@
     Close,
     /// Breaks the connection.
     Reset,
+    /// Says that nothing more comes; the connection stays open for reading.
+    Finish,
+    /// Reads the rest of the request's body.
+    ReadBody,
     /// Waits until the other side has closed.
     Hold,
     /// Waits until the test says so, by [`Endpoint::go`].
@@ -143,7 +147,7 @@
     connection: usize,
     reads_body: bool,
 ) {
-    while let Some(seen) = read(&mut stream, connection, reads_body) {
+    while let Some(mut seen) = read(&mut stream, connection, reads_body) {
         let id = seen.header("x-woodgap-request");
         let number = {
             let mut all = shared.seen.lock().unwrap();
@@ -164,6 +168,13 @@
                     sockopt::set_socket_linger(&stream, linger).unwrap();
                     return;
                 }
+                Step::Finish => stream.shutdown(Shutdown::Write).unwrap(),
+                Step::ReadBody => {
+                    let length = seen.header("content-length").parse().unwrap_or(0);
+                    if !read_up_to(&mut stream, &mut seen.body, length) {
+                        return;
+                    }
+                }
                 Step::Hold => {
                     while stream.read(&mut [0; 1024]).is_ok_and(|count| count > 0) {}
                     *shared.closed.lock().unwrap() += 1;
@@ -201,10 +212,8 @@
     let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
     let mut body = bytes.split_off(end);
     let length = header(&head, "content-length").parse().unwrap_or(0);
-    while reads_body && body.len() < length {
-        let mut piece = [0; 4096];
-        let count = stream.read(&mut piece).ok().filter(|count| *count > 0)?;
-        body.extend_from_slice(&piece[..count]);
+    if reads_body && !read_up_to(stream, &mut body, length) {
+        return None;
     }
     Some(Seen {
         head,
@@ -213,6 +222,18 @@
     })
 }
 
+/// Reads on until so many bytes of a body have come; whether they have.
+fn read_up_to(stream: &mut TcpStream, body: &mut Vec<u8>, length: usize) -> bool {
+    let mut piece = [0; 4096];
+    while body.len() < length {
+        match stream.read(&mut piece) {
+            Ok(count) if count > 0 => body.extend_from_slice(&piece[..count]),
+            _ => return false,
+        }
+    }
+    true
+}
+
 /// A whole answer with this body.
 pub fn whole(body: &str) -> Step {
     Step::Send(format!(
