Own entry: a test that nothing is sent behind an upload that is not read

Change: the stand-in that resets can wait before it does, and a test plays ten uploads of 3 MB in a row to it. The own entry held, and its code is as it was: what must not run twice goes over a connection of its own.

--- a/crates/entry/tests/contract/early_answers.rs
+++ b/crates/entry/tests/contract/early_answers.rs
@@ -1,6 +1,8 @@
 //! Endpoints that answer a long upload before they have read it and reset the connection, and what
 //! callers see of it.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use rstest::rstest;
 use serde_json::json;
@@ -23,8 +25,12 @@
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-woodgap-request: {id}\r\ncontent-length: 3\r\n\r\nabc";
 
 async fn uploads(class: &str, answers: &[&'static str]) -> Vec<Seen> {
+    uploads_to(Raw::resetting(Duration::ZERO, answers).await, class).await
+}
+
+async fn uploads_to(endpoint: Raw, class: &str) -> Vec<Seen> {
     let site = Site::start(Plan {
-        raw: vec![Raw::resetting(answers).await],
+        raw: vec![endpoint],
         settings: json!({"limits": {"body_bytes": 2 * UPLOAD_BYTES}}),
         ..Plan::default()
     })
@@ -71,3 +77,17 @@
         );
     }
 }
+
+/// What must not run twice goes over a connection of its own, so that an endpoint which resets later takes
+/// nothing else with it.
+#[actix_rt::test]
+async fn nothing_is_sent_behind_an_upload_that_is_not_read() {
+    let endpoint = Raw::resetting(Duration::from_millis(500), &[WHOLE]).await;
+    for seen in uploads_to(endpoint, "flux").await {
+        assert_eq!(
+            (seen.to_string().as_str(), seen.body.as_str()),
+            ("200 whole", "abc"),
+            "{seen:?}"
+        );
+    }
+}
--- a/crates/entry/tests/contract/raw.rs
+++ b/crates/entry/tests/contract/raw.rs
@@ -31,7 +31,8 @@
 struct State {
     answers: VecDeque<&'static str>,
     closing: bool,
-    resetting: bool,
+    /// How long after its answer a connection is reset, without anything having been read meanwhile.
+    resetting: Option<Duration>,
     heads: Vec<String>,
 }
 
@@ -49,10 +50,10 @@
     }
 
     /// Gives these answers in turn before it has read the body of the request, and resets the
-    /// connection after each.
-    pub async fn resetting(answers: &[&'static str]) -> Self {
+    /// connection this long after each.
+    pub async fn resetting(pause: Duration, answers: &[&'static str]) -> Self {
         let raw = Self::with(answers, false).await;
-        raw.state.lock().unwrap().resetting = true;
+        raw.state.lock().unwrap().resetting = Some(pause);
         raw
     }
 
@@ -73,7 +74,7 @@
         let state = Arc::new(Mutex::new(State {
             answers: answers.iter().copied().collect(),
             closing,
-            resetting: false,
+            resetting: None,
             heads: Vec::new(),
         }));
         let shared = Arc::clone(&state);
@@ -120,7 +121,7 @@
     let mut buffer = Vec::new();
     let mut served = 0;
     let resetting = state.lock().unwrap().resetting;
-    while let Some(head) = request(&mut stream, &mut buffer, !resetting).await {
+    while let Some(head) = request(&mut stream, &mut buffer, resetting.is_none()).await {
         if head.starts_with("GET /control/load ") {
             let length = LOAD.len();
             let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{LOAD}");
@@ -135,7 +136,8 @@
         let answer = state.lock().unwrap().take(head);
         let answer = encoded(&answer.replace(IDENTITY, &identity));
         let written = stream.write_all(answer.as_bytes()).await;
-        if resetting {
+        if let Some(pause) = resetting {
+            tokio::time::sleep(pause).await;
             sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
             return;
         }
