--- a/crates/relay/src/upstream/socket.rs
+++ b/crates/relay/src/upstream/socket.rs
@@ -93,12 +93,12 @@
     /// Whether all that was written has gone out. Else a part waits in the kernel until the peer,
     /// which may not be reading, has room for it.
     pub fn has_sent_all(&self) -> bool {
-        self.poll_unsent().unwrap_or(false)
+        self.ask_whether_sent().unwrap_or(false)
     }
 
     /// With `TCP_NOTSENT_LOWAT` at 1 byte a socket is writable only while nothing is unsent; 0 is
-    /// the system's default.
-    fn poll_unsent(&self) -> io::Result<bool> {
+    /// the system's default, and not set again on a socket that fails.
+    fn ask_whether_sent(&self) -> io::Result<bool> {
         let socket = SockRef::from(&self.stream);
         socket.set_tcp_notsent_lowat(1)?;
         let mut polled = [PollFd::new(&self.stream, PollFlags::OUT)];
