--- a/review/stand-2/parts.rs
+++ b/review/stand-2/parts.rs
@@ -33,6 +33,8 @@
     log: Log,
     number: AtomicUsize,
     is_over: AtomicBool,
+    /// What reached the runners.
+    run: Arrivals,
 }
 
 fn config(site: &Site) -> String {
@@ -129,6 +131,7 @@
         log: log.clone(),
         number: AtomicUsize::new(1),
         is_over: AtomicBool::new(false),
+        run: arrivals,
     };
     Ok((Arc::new(stage), store, runners))
 }
@@ -165,6 +168,7 @@
 pub fn crash(log: &Log) -> Result<Verdict, String> {
     const PER_S: usize = 60;
     const COUNT: usize = 3_600;
+    const ROUND: usize = 120;
     const ENDS: usize = 3;
     let site = Site { engines: 90, tokens: 289_174, memory_mb: 88 };
     let (stage, _store, _runners) = start(&site, log)?;
@@ -206,9 +210,13 @@
             let (stage, served, ends) = (Arc::clone(&stage), Arc::clone(&served), Arc::clone(&ends));
             std::thread::spawn(move || {
                 // In rounds, until the process has ended often enough.
-                for _ in 0..COUNT / 400 {
+                for _ in 0..COUNT / ROUND {
                     if ends.lock().unwrap()[entry] < ENDS {
-                        press(&stage, entry, 400, PER_S, &served);
+                        let before = served.load(Ordering::SeqCst);
+                        press(&stage, entry, ROUND, PER_S, &served);
+                        let more = served.load(Ordering::SeqCst) - before;
+                        let name = &stage.system.entries[entry].name;
+                        stage.log.say(format!("clients: {ROUND} requests were sent to {name}; {more} were served by both entries meanwhile"));
                     }
                 }
             })
@@ -220,6 +228,8 @@
     stage.is_over.store(true, Ordering::SeqCst);
     let _ = guard.join();
     let ends = ends.lock().unwrap().clone();
+    let run = stage.run.lock().unwrap().iter().filter(|it| it.has_run).count();
+    log.say(format!("runners: {run} requests were run"));
     log.say(format!(
         "result: processes went over their memory {ends:?} times on the three machines; peak {} KB of {limit_kb} KB; {} requests were served",
         peak.load(Ordering::SeqCst),
--- a/review/stand-2/places.rs
+++ b/review/stand-2/places.rs
@@ -65,9 +65,10 @@
 }
 
 /// Sends the head and a part of the body, and nothing more; tries again once it is closed.
-fn stall(number: u64, front: SocketAddr, is_over: &AtomicBool) {
+fn stall(number: u64, front: SocketAddr, tries: &AtomicUsize, is_over: &AtomicBool) {
     while !is_over.load(Ordering::SeqCst) {
         if let Ok(mut stream) = TcpStream::connect(front) {
+            tries.fetch_add(1, Ordering::SeqCst);
             let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
             let _ = stream.write_all(head(&format!("{number:016x}"), 9_000).as_bytes());
             let _ = stream.write_all(b"the first part of a body");
@@ -124,6 +125,7 @@
             match end {
                 None => {
                     answered += 1;
+                    log.say(format!("other client: {id} gets 200 and all of {length} bytes"));
                     tally.lock().unwrap().whole += 1;
                 }
                 Some(reason) => {
@@ -148,7 +150,6 @@
         let zone = ["hall-a", "hall-b", "hall-c"][number % 3];
         let address = format!("{}:8120", net.ip(10 + number));
         let runner = Runner::start(&format!("i-{number}"), "notes", "v1", zone, &address, WORK, &arrivals, log);
-        runner.be_quiet();
         runner.list(&store);
     }
     let system = System::start(&net, 3, 110, &store, log).map_err(|error| error.to_string())?;
@@ -159,14 +160,15 @@
     log.sleep_until(log.now() + 4_000);
     let front = system.entries[0].front;
     let is_over = Arc::new(AtomicBool::new(false));
+    let tries = Arc::new(AtomicUsize::new(0));
     let mut threads = Vec::new();
     if has_trouble() {
         log.say(format!("disruption: {STALLED} clients send a part of a body and stall"));
         for number in 0..STALLED {
-            let is_over = Arc::clone(&is_over);
+            let (tries, is_over) = (Arc::clone(&tries), Arc::clone(&is_over));
             let stalled = thread::Builder::new().stack_size(128 * 1024).spawn(move || {
                 thread::sleep(Duration::from_millis(number));
-                stall(number, front, &is_over);
+                stall(number, front, &tries, &is_over);
             });
             stalled.map_err(|error| error.to_string())?;
         }
@@ -183,6 +185,7 @@
     }
     log.sleep_until(log.now() + SECONDS * 1_000);
     is_over.store(true, Ordering::SeqCst);
+    log.say(format!("stalled clients: {} tries in all", tries.load(Ordering::SeqCst)));
     for thread in threads {
         let _ = thread.join();
     }
